--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -4,7 +4,8 @@
 //
 //	GET  /state                     fleet.EngineState
 //	GET  /load                      fleet.Load (lags)
-//	POST /orders                    Order -> OrderResult; 409 when the fence is old
+//	POST /orders                    Order -> OrderResult; 409 when the fence is
+//	                                old, 410 when meant for another life
 //	POST /v1/chat/completions       ChatRequest -> server-sent events or ChatAnswer
 //	GET  /v1/streams/{id}?from=N    the events of a stream from offset N on
 //	DELETE /v1/streams/{id}         cancels the stream
@@ -14,6 +15,8 @@
 package engine
 
 import (
+	"fmt"
+
 	"chervilloom/internal/fleet"
 )
 
@@ -34,6 +37,11 @@
 	HeaderNotRun = "Engine-Not-Run"
 )
 
+// GenerationTag returns the value of HeaderGeneration for a group's generation.
+func GenerationTag(id fleet.GroupID, g fleet.Generation) string {
+	return fmt.Sprintf("%s/%d", id, g)
+}
+
 // Verb is what an order asks for.
 type Verb string
 
@@ -79,9 +87,11 @@
 	Stream    bool      `json:"stream,omitempty"`
 }
 
-// ChatChunk is the data of one server-sent event. Tokens are numbered from 0
-// by Index. The last event before "data: [DONE]" has Finish set and Total, the
-// number of tokens of the whole answer.
+// ChatChunk is the data of one server-sent event. The event's id is
+// "<stream>:<n>", with the tokens numbered from 0. After the last token, one
+// more event with the next n has an empty Delta, FinishReason set and Usage,
+// whose CompletionTokens is the number of tokens of the whole answer; then
+// "data: [DONE]" ends the stream.
 type ChatChunk struct {
 	ID      string   `json:"id"`
 	Object  string   `json:"object"`
@@ -90,6 +100,15 @@
 	Usage   *Usage   `json:"usage,omitempty"`
 }
 
+// ChatAnswer is the body of an answer that is not streamed.
+type ChatAnswer struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   Usage    `json:"usage"`
+}
+
 // Choice is the one choice of a chunk or an answer.
 type Choice struct {
 	Index        int      `json:"index"`
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -11,7 +11,8 @@
 )
 
 // Row is a row of the table. Version grows by one with each write of the row
-// and is 0 for a row that does not exist.
+// and is 0 for a row that does not exist. A version is never used again: a row
+// that is deleted and made anew goes on counting where it was.
 type Row struct {
 	Table   string `json:"table"`
 	Key     string `json:"key"`
--- /dev/null
+++ b/internal/standin/engine/http.go
@@ -0,0 +1,156 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"chervilloom/internal/engine"
+	"chervilloom/internal/standin/fault"
+)
+
+const maxControlBody = 4 << 20
+
+// ServeHTTP serves the protocol of package engine, and for tests:
+//
+//	POST /faults      Faults; "restart": true begins a new life. GET shows them
+//	GET  /executions  how often each X-Request-Id ran
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/faults" && r.URL.Path != "/executions" {
+		if _, err := e.gate.Wait(r.Context()); err != nil {
+			return
+		}
+	}
+	e.mux.ServeHTTP(w, r)
+}
+
+func (e *Engine) routes() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /state", e.serveState)
+	mux.HandleFunc("GET /load", e.serveLoad)
+	mux.HandleFunc("POST /orders", e.serveOrder)
+	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
+	mux.HandleFunc("GET /v1/streams/{id}", e.serveResume)
+	mux.HandleFunc("DELETE /v1/streams/{id}", e.serveCancel)
+	mux.HandleFunc("GET /cache/events", e.serveCacheEvents)
+	mux.HandleFunc("POST /kv/export", e.serveExport)
+	mux.HandleFunc("POST /kv/import", e.serveImport)
+	mux.HandleFunc("POST /leave", e.serveLeave)
+	mux.HandleFunc("GET /faults", e.serveFaults)
+	mux.HandleFunc("POST /faults", e.serveSetFaults)
+	mux.Handle("GET /executions", e.runs)
+	return mux
+}
+
+func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
+	fault.Reply(w, http.StatusOK, e.State())
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	l := e.load.at(e.clock.Now())
+	e.mu.Unlock()
+	fault.Reply(w, http.StatusOK, l)
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o engine.Order
+	if !fault.ReadJSON(w, r, &o) {
+		return
+	}
+	res, v := e.take(o)
+	status := map[verdict]int{
+		orderTaken: http.StatusOK, orderStale: http.StatusConflict,
+		orderOtherLife: http.StatusGone, orderMalformed: http.StatusBadRequest,
+	}[v]
+	fault.Reply(w, status, res)
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after must be a sequence number", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	events := e.cache.after(after, e.clock.Now(), lagOr(e.opts.CacheEventLag, DefaultCacheEventLag))
+	e.mu.Unlock()
+	fault.Reply(w, http.StatusOK, events)
+}
+
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	var m engine.KVMove
+	if !e.readMove(w, r, &m) {
+		return
+	}
+	e.mu.Lock()
+	held := e.cache.held(m.Prefixes)
+	e.mu.Unlock()
+	data, err := json.Marshal(held)
+	if err == nil {
+		err = e.opts.Objects.PutObject(r.Context(), m.Object, data)
+	}
+	done(w, err)
+}
+
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	var m engine.KVMove
+	if !e.readMove(w, r, &m) {
+		return
+	}
+	data, err := e.opts.Objects.GetObject(r.Context(), m.Object)
+	var prefixes []uint64
+	if err == nil {
+		err = json.Unmarshal(data, &prefixes)
+	}
+	e.mu.Lock()
+	for _, p := range prefixes {
+		e.cache.add(e.clock.Now(), p)
+	}
+	e.mu.Unlock()
+	done(w, err)
+}
+
+func (e *Engine) readMove(w http.ResponseWriter, r *http.Request, m *engine.KVMove) bool {
+	if e.opts.Objects == nil {
+		http.Error(w, "the engine has no object store", http.StatusNotImplemented)
+		return false
+	}
+	return fault.ReadJSON(w, r, m)
+}
+
+// done answers a KV move; the object store is the only thing that can fail it.
+func done(w http.ResponseWriter, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveLeave(w http.ResponseWriter, _ *http.Request) {
+	e.Leave()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveFaults(w http.ResponseWriter, _ *http.Request) {
+	fault.Reply(w, http.StatusOK, e.Faults())
+}
+
+// faultOrder is the body of POST /faults; fields left out stay as they are.
+type faultOrder struct {
+	Faults
+	Restart bool `json:"restart"`
+}
+
+func (e *Engine) serveSetFaults(w http.ResponseWriter, r *http.Request) {
+	o := faultOrder{Faults: e.Faults()}
+	if !fault.ReadJSON(w, r, &o) {
+		return
+	}
+	if o.Restart {
+		e.Restart()
+	}
+	e.SetFaults(o.Faults)
+	fault.Reply(w, http.StatusOK, o.Faults)
+}
