--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -266,7 +266,7 @@
 // again by itself when a reused connection breaks, and the caller would see one
 // answer for two writes.
 func (c *Client) send(ctx context.Context, method, path string, body []byte) *tryAnswer {
-	ctx, cancel := context.WithTimeout(ctx, c.timeoutOf(ctx))
+	ctx, cancel := context.WithTimeout(ctx, c.timeoutOf(ctx, method))
 	defer cancel()
 	a := &tryAnswer{}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -293,11 +293,11 @@
 	return a
 }
 
-// timeoutOf bounds one try. It leaves half of the caller's time, so that a
+// timeoutOf bounds one try. A write leaves half of the caller's time, so that a
 // lost answer can still be read back.
-func (c *Client) timeoutOf(ctx context.Context) time.Duration {
+func (c *Client) timeoutOf(ctx context.Context, method string) time.Duration {
 	deadline, ok := ctx.Deadline()
-	if !ok {
+	if !ok || method == http.MethodGet {
 		return c.tryTimeout
 	}
 	return min(c.tryTimeout, max(time.Until(deadline)/2, time.Millisecond))
