Settings and configuration documents are read strictly, with every fault at once

A node's settings and the configuration document are decoded by one package that reports unknown keys, keys written twice and values of the wrong type with line, column and remedy, and goes on, so that the checks of content speak of the rest too. The YAML library's own strict decoder ends at the first fault; so it parses and this package sets the values.

Schema, golden faults and fuzzing are not there.

--- /dev/null
+++ b/internal/config/check.go
@@ -0,0 +1,248 @@
+package config
+
+import (
+	"encoding/hex"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"chervilloom/internal/yamlcheck"
+)
+
+// The limits of a document.
+const (
+	CurrentVersion      = 1
+	MaxGroupVMs         = 64
+	MaxReplicas         = 1000
+	MaxWeight           = 1000
+	MaxTotalWeight      = 10000
+	MaxNameLength       = 64
+	keyHashDigits       = 64
+	maxPriority         = 100
+	maxRetryBudget      = 1
+	minProbeFresh       = 200 * time.Millisecond
+	maxProbeFresh       = 30 * time.Second
+	minLease            = time.Second
+	maxLease            = time.Minute
+	maxQueueLimit       = 100_000
+	minKeyRetention     = time.Minute
+	maxKeyRetention     = 30 * 24 * time.Hour
+	maxServiceTimeout   = time.Hour
+	allVMs              = "*"
+	notRepeatableRemedy = "write \"METHOD /path\", such as \"POST /receipts\""
+)
+
+// The routing policies; the first is the default.
+var routings = []string{"weighted", "random", "round-robin", "least-reported", "two-choices"}
+
+// methods that NotRepeatable may name. GET and HEAD may always be repeated.
+var methods = []string{"POST", "PUT", "PATCH", "DELETE"}
+
+// checker adds the checks of the configuration document.
+type checker struct{ *yamlcheck.Checker }
+
+func (c checker) document(d *Document) {
+	if d.Version != CurrentVersion {
+		c.Addf("version", fmt.Sprintf("write \"version: %d\"", CurrentVersion), "version %d is not known", d.Version)
+	}
+	c.organisations(d.Organisations)
+	c.models(d.Models)
+	c.groups(d)
+	c.services(d.Services)
+	c.objective(&d.Objective)
+	c.fenceChecked(d.FenceChecked)
+	c.policy(&d.Policy)
+}
+
+func (c checker) organisations(list []Organisation) {
+	names, keys, total := uniqueNames{}, map[string]string{}, 0
+	for i, o := range list {
+		path := yamlcheck.Index("organisations", i)
+		c.name(path, o.Name, "organisation", names)
+		c.keyHashes(path+".key_hashes", o, keys)
+		if o.Weight < 1 || o.Weight > MaxWeight {
+			c.Addf(path+".weight", fmt.Sprintf("write a whole number from 1 to %d", MaxWeight), "the weight %d is out of range", o.Weight)
+		}
+		total += max(0, min(o.Weight, MaxTotalWeight))
+		c.rate(path+".rate", o.Rate)
+		c.rate(path+".lookups", o.Lookups)
+		if o.Priority < 0 || o.Priority > maxPriority {
+			c.Addf(path+".priority", fmt.Sprintf("write a whole number from 0 to %d", maxPriority), "the priority %d is out of range", o.Priority)
+		}
+	}
+	if total > MaxTotalWeight {
+		c.Addf("organisations", "write lower weights in the same proportion", "the weights add up to %d, more than %d", total, MaxTotalWeight)
+	}
+}
+
+func (c checker) keyHashes(path string, o Organisation, owner map[string]string) {
+	if len(o.KeyHashes) == 0 {
+		c.Addf(path, "write at least one hexadecimal SHA-256 of a caller key", "the organisation has no key")
+	}
+	for i, h := range o.KeyHashes {
+		at := yamlcheck.Index(path, i)
+		if !IsKeyHash(h) {
+			c.Addf(at, "write the hexadecimal SHA-256 of the key, 64 digits in lower case", "not a SHA-256 hash (%d characters)", len(h))
+			continue
+		}
+		if first, taken := owner[h]; taken {
+			c.Addf(at, "leave it out in one place", "the key belongs to organisation %q already", first)
+			continue
+		}
+		owner[h] = o.Name
+	}
+}
+
+// IsKeyHash reports whether s is a hexadecimal SHA-256 in lower case.
+func IsKeyHash(s string) bool {
+	if len(s) != keyHashDigits || s != strings.ToLower(s) {
+		return false
+	}
+	_, err := hex.DecodeString(s)
+	return err == nil
+}
+
+func (c checker) rate(path string, rate float64) {
+	if !(rate >= 0) || math.IsInf(rate, 0) {
+		c.Addf(path, "write a number of requests a second, or leave it out for no cap", "the rate %v is out of range", rate)
+	}
+}
+
+func (c checker) models(list []Model) {
+	names := uniqueNames{}
+	for i, m := range list {
+		path := yamlcheck.Index("models", i)
+		c.name(path, m.Name, "model", names)
+		if len(m.Versions) == 0 {
+			c.Addf(path+".versions", "write at least one version", "the model has no version")
+		}
+		c.nameList(path+".versions", m.Versions, "version")
+		c.nameList(path+".adapters", m.Adapters, "adapter")
+		if len(m.Versions) > 0 && !slices.Contains(m.Versions, m.Current) {
+			c.Addf(path+".current", "write one of "+strings.Join(m.Versions, ", "), "the current version %q is not among the versions", m.Current)
+		}
+	}
+}
+
+func (c checker) groups(d *Document) {
+	names := uniqueNames{}
+	for i := range d.Groups {
+		path := yamlcheck.Index("groups", i)
+		g := &d.Groups[i]
+		c.name(path, g.Name, "group", names)
+		c.groupModel(path, d, g)
+		c.groupSize(path, g)
+		c.nameList(path+".zones", g.Zones, "availability zone")
+	}
+}
+
+func (c checker) groupModel(path string, d *Document, g *GroupSpec) {
+	c.nameList(path+".adapters", g.Adapters, "adapter")
+	m := d.Model(g.Model)
+	if m == nil {
+		c.Addf(path+".model", "write the name of a model of this document", "no model is named %q", g.Model)
+		return
+	}
+	if !slices.Contains(m.Versions, g.ModelVer) {
+		c.Addf(path+".model_version", "write one of "+strings.Join(m.Versions, ", "), "the model %q has no version %q", m.Name, g.ModelVer)
+	}
+	for i, a := range g.Adapters {
+		if !slices.Contains(m.Adapters, a) {
+			c.Addf(yamlcheck.Index(path+".adapters", i), "add it to the model's adapters or leave it out here", "the model %q has no adapter %q", m.Name, a)
+		}
+	}
+}
+
+func (c checker) groupSize(path string, g *GroupSpec) {
+	if g.VMs < 1 || g.VMs > MaxGroupVMs {
+		c.Addf(path+".vms", fmt.Sprintf("write a whole number from 1 to %d", MaxGroupVMs), "a replica of %d VMs is impossible", g.VMs)
+	}
+	if g.Min < 0 {
+		c.Addf(path+".min", "write 0 or more", "the least number of replicas is %d", g.Min)
+	}
+	if g.Max < 1 || g.Max > MaxReplicas {
+		c.Addf(path+".max", fmt.Sprintf("write a whole number from 1 to %d", MaxReplicas), "the greatest number of replicas is %d", g.Max)
+		return
+	}
+	if g.Min > g.Max {
+		c.Addf(path+".min", fmt.Sprintf("write at most %d, or raise max", g.Max), "min %d is above max %d", g.Min, g.Max)
+	}
+}
+
+func (c checker) services(list []Service) {
+	names := uniqueNames{}
+	for i, s := range list {
+		path := yamlcheck.Index("services", i)
+		c.name(path, s.Name, "service", names)
+		c.notRepeatable(path+".not_repeatable", s.NotRepeatable)
+		if s.Timeout < 0 || time.Duration(s.Timeout) > maxServiceTimeout {
+			c.Addf(path+".timeout", "write a duration up to "+maxServiceTimeout.String(), "%s is out of range", time.Duration(s.Timeout))
+		}
+	}
+}
+
+func (c checker) notRepeatable(path string, list []string) {
+	seen := map[string]bool{}
+	for i, entry := range list {
+		at := yamlcheck.Index(path, i)
+		method, prefix, ok := strings.Cut(entry, " ")
+		switch {
+		case !ok || !strings.HasPrefix(prefix, "/") || strings.ContainsAny(prefix, " \t\n?#"):
+			c.Addf(at, notRepeatableRemedy, "%q is not a method and a path", entry)
+		case method == "GET" || method == "HEAD":
+			c.Addf(at, "leave it out, or let the service take it by POST", "%s may always be repeated", method)
+		case !slices.Contains(methods, method):
+			c.Addf(at, "write one of "+strings.Join(methods, ", ")+" before the path", "the method %q is not known", method)
+		case seen[entry]:
+			c.Addf(at, "leave one of them out", "%q stands there twice", entry)
+		}
+		seen[entry] = true
+	}
+}
+
+func (c checker) objective(o *Objective) {
+	c.objectiveWeight("objective.downtime_weight", o.DowntimeWeight)
+	c.objectiveWeight("objective.stranding_weight", o.StrandingWeight)
+	if o.DowntimeWeight == 0 && o.StrandingWeight == 0 {
+		c.Addf("objective", "write a weight above 0 for downtime, for stranding or for both", "both weights are 0: no decision could be weighed")
+	}
+}
+
+func (c checker) objectiveWeight(path string, w float64) {
+	if !(w >= 0) || math.IsInf(w, 0) {
+		c.Addf(path, "write a number of 0 or more", "the weight %v is out of range", w)
+	}
+}
+
+func (c checker) fenceChecked(list []string) {
+	c.uniqueList("fence_checked", list, "VM")
+	if len(list) > 1 && slices.Contains(list, allVMs) {
+		c.Addf("fence_checked", "write either \"*\" alone or the VMs by name", "\"*\" stands beside other VMs")
+	}
+}
+
+func (c checker) policy(p *Policy) {
+	if p.Routing != "" && !slices.Contains(routings, p.Routing) {
+		c.Addf("policy.routing", "write one of "+strings.Join(routings, ", "), "the routing %q is not known", p.Routing)
+	}
+	if !(p.RetryBudget >= 0 && p.RetryBudget <= maxRetryBudget) {
+		c.Addf("policy.retry_budget", "write retries per first try, from 0 to 1, such as 0.1", "the budget %v is out of range", p.RetryBudget)
+	}
+	if p.QueueLimit < 0 || p.QueueLimit > maxQueueLimit {
+		c.Addf("policy.queue_limit", fmt.Sprintf("write a whole number from 1 to %d", maxQueueLimit), "the limit %d is out of range", p.QueueLimit)
+	}
+	c.durationOrUnset("policy.probe_fresh", p.ProbeFresh, minProbeFresh, maxProbeFresh)
+	c.durationOrUnset("policy.lease", p.Lease, minLease, maxLease)
+	c.durationOrUnset("policy.key_retention", p.KeyRetention, minKeyRetention, maxKeyRetention)
+}
+
+func (c checker) durationOrUnset(path string, d Duration, least, most time.Duration) {
+	if d == 0 {
+		return
+	}
+	if v := time.Duration(d); v < least || v > most {
+		c.Addf(path, fmt.Sprintf("write a duration from %s to %s", least, most), "%s is out of range", v)
+	}
+}
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -88,6 +88,9 @@
 	return err
 }
 
+// Example returns a duration as documents write it.
+func (Duration) Example() string { return "1.5s" }
+
 // Or returns d, or def when d is zero.
 func (d Duration) Or(def time.Duration) time.Duration {
 	if d == 0 {
--- /dev/null
+++ b/internal/config/names.go
@@ -0,0 +1,54 @@
+package config
+
+import (
+	"regexp"
+
+	"chervilloom/internal/yamlcheck"
+)
+
+// namePattern keeps names printable, and free of the signs that separate them
+// in "model+adapter@version", in table keys and in paths.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+
+const nameRemedy = "write up to 64 letters, digits, \".\", \"_\" or \"-\", beginning with a letter or digit"
+
+func validName(s string) bool { return len(s) <= MaxNameLength && namePattern.MatchString(s) }
+
+// uniqueNames holds the names of one list and the index that each was seen at.
+type uniqueNames map[string]int
+
+// name checks the name of the list element at path.
+func (c checker) name(path, name, what string, seen uniqueNames) {
+	at := path + ".name"
+	if name == "" {
+		c.Addf(at, nameRemedy, "the %s has no name", what)
+		return
+	}
+	if !validName(name) {
+		c.Addf(at, nameRemedy, "%q cannot be the name of a %s", name, what)
+	}
+	if _, twice := seen[name]; twice {
+		c.Addf(at, "write another name or leave one of them out", "the %s %q stands there twice", what, name)
+	}
+	seen[name] = len(seen)
+}
+
+// nameList checks a list of names.
+func (c checker) nameList(path string, list []string, what string) {
+	for i, s := range list {
+		if !validName(s) {
+			c.Addf(yamlcheck.Index(path, i), nameRemedy, "%q cannot be the name of a %s", s, what)
+		}
+	}
+	c.uniqueList(path, list, what)
+}
+
+func (c checker) uniqueList(path string, list []string, what string) {
+	seen := make(map[string]bool, len(list))
+	for i, s := range list {
+		if seen[s] {
+			c.Addf(yamlcheck.Index(path, i), "leave one of them out", "the %s %q stands there twice", what, s)
+		}
+		seen[s] = true
+	}
+}
--- /dev/null
+++ b/internal/settings/bytesize.go
@@ -0,0 +1,37 @@
+package settings
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+)
+
+// ByteSize is a number of bytes, written as "4MiB", "512KiB" or "100B".
+type ByteSize int64
+
+var byteUnits = []struct {
+	suffix string
+	bytes  int64
+}{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}
+
+// Example returns a size as settings write it.
+func (ByteSize) Example() string { return "4MiB" }
+
+// UnmarshalText reads a whole number and its unit.
+func (s *ByteSize) UnmarshalText(b []byte) error {
+	text := string(b)
+	for _, u := range byteUnits {
+		number, ok := strings.CutSuffix(text, u.suffix)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseInt(number, 10, 64)
+		if err != nil || n < 1 || n > math.MaxInt64/u.bytes {
+			return fmt.Errorf("%q is not a whole number of %s above 0", number, u.suffix)
+		}
+		*s = ByteSize(n * u.bytes)
+		return nil
+	}
+	return fmt.Errorf("no unit B, KiB, MiB or GiB")
+}
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,204 @@
+package settings
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"chervilloom/internal/config"
+	"chervilloom/internal/yamlcheck"
+)
+
+// checker adds the checks of settings to those of any document.
+type checker struct {
+	*yamlcheck.Checker
+	readable func(path string) error
+}
+
+func (s *Settings) check(base *yamlcheck.Checker, readable func(string) error) {
+	c := checker{base, readable}
+	c.required("vm", string(s.VM))
+	c.required("availability_zone", string(s.Zone))
+	c.ip(s.IP)
+	c.address("listen.caller", s.Listen.Caller)
+	c.address("listen.operator", s.Listen.Operator)
+	c.address("listen.peer", s.Listen.Peer)
+	c.url("platform.url", s.Platform.URL)
+	c.seeds(s.Seeds)
+	c.peer(&s.Peer)
+	c.tls("caller_tls", s.CallerTLS)
+	c.tls("operator_tls", s.OperatorTLS)
+	c.operators(s.Operators)
+	c.trace(&s.Trace)
+	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+	c.oneOf("log.format", s.Log.Format, LogText, LogJSON)
+	c.timing(&s.Timing)
+	if s.BodyLimit < 0 {
+		c.Addf("body_limit", "write a size such as 4MiB", "a negative size")
+	}
+}
+
+func (c checker) required(path, value string) {
+	if value == "" {
+		c.Addf(path, "write "+path, "required and missing")
+	}
+}
+
+func (c checker) ip(ip netip.Addr) {
+	switch {
+	case !ip.IsValid():
+		c.Addf("ip", "write the node's address by number, such as 10.0.0.1", "required and missing")
+	case ip.IsUnspecified(), ip.IsMulticast():
+		c.Addf("ip", "write the one address that peers reach, such as 10.0.0.1", "%s is not the address of one VM", ip)
+	}
+}
+
+func (c checker) address(path string, a netip.AddrPort) {
+	if !a.IsValid() {
+		c.Addf(path, "write ip:port, such as 10.0.0.1:8080; port 0 lets the kernel choose", "required and missing")
+	}
+}
+
+func (c checker) url(path, value string) {
+	const remedy = "write http://ip:port, such as http://10.0.0.1:9000"
+	if value == "" {
+		c.Addf(path, remedy, "required and missing")
+		return
+	}
+	u, err := url.Parse(value)
+	if err != nil {
+		c.Addf(path, remedy, "%q is not a URL", value)
+		return
+	}
+	if u.Scheme != "http" && u.Scheme != "https" {
+		c.Addf(path, remedy, "%q does not begin with http:// or https://", value)
+		return
+	}
+	if _, err := netip.ParseAddr(u.Hostname()); err != nil {
+		c.Addf(path, remedy, "the host %q is not an IP number", u.Hostname())
+	}
+}
+
+func (c checker) seeds(seeds []netip.AddrPort) {
+	for i, s := range seeds {
+		if !s.IsValid() || s.Port() == 0 {
+			c.Addf(yamlcheck.Index("seeds", i), "write the ip:port of a peer, such as 10.0.0.2:7946", "%q is not the address of a peer", s)
+		}
+	}
+}
+
+func (c checker) peer(p *Peer) {
+	const choice = "write exactly one of peer.secret_file, peer.secret, or peer.cert_file with key_file and ca_file"
+	files := p.CertFile != "" || p.KeyFile != "" || p.CAFile != ""
+	ways := count(p.Secret != "", p.SecretFile != "", files)
+	if ways == 0 {
+		c.Addf("peer", choice, "nothing tells the nodes how to know each other")
+		return
+	}
+	if ways > 1 {
+		c.Addf("peer", choice, "more than one way for the nodes to know each other")
+	}
+	if p.Secret != "" {
+		if err := checkSecret(p.Secret); err != nil {
+			c.Addf("peer.secret", fmt.Sprintf("write at least %d random characters", minSecret), "the secret is too short")
+		}
+	}
+	c.file("peer.secret_file", p.SecretFile)
+	if files {
+		c.requiredFile("peer.cert_file", p.CertFile)
+		c.requiredFile("peer.key_file", p.KeyFile)
+		c.requiredFile("peer.ca_file", p.CAFile)
+	}
+}
+
+func count(values ...bool) int {
+	n := 0
+	for _, v := range values {
+		if v {
+			n++
+		}
+	}
+	return n
+}
+
+func (c checker) requiredFile(path, name string) {
+	c.required(path, name)
+	c.file(path, name)
+}
+
+func (c checker) file(path, name string) {
+	if name == "" {
+		return
+	}
+	if err := c.readable(name); err != nil {
+		c.Addf(path, "write the path of a file that the node may read", "%v", err)
+	}
+}
+
+func (c checker) tls(path string, t TLS) {
+	if t.CertFile == "" && t.KeyFile == "" {
+		return
+	}
+	c.requiredFile(path+".cert_file", t.CertFile)
+	c.requiredFile(path+".key_file", t.KeyFile)
+}
+
+func (c checker) operators(operators []Operator) {
+	names := make(map[string]bool, len(operators))
+	for i, o := range operators {
+		path := yamlcheck.Index("operators", i)
+		c.required(path+".name", o.Name)
+		if names[o.Name] && o.Name != "" {
+			c.Addf(path+".name", "write another name or leave one out", "the operator %q stands there twice", o.Name)
+		}
+		names[o.Name] = true
+		if !config.IsKeyHash(o.TokenHash) {
+			c.Addf(path+".token_hash", "write the hexadecimal SHA-256 of the token, 64 digits", "%q is not a SHA-256 hash", shorten(o.TokenHash))
+		}
+	}
+}
+
+// shorten cuts what may be a secret that was put in the place of its hash.
+func shorten(s string) string {
+	const shown = 4
+	if _, err := hex.DecodeString(s); err != nil && len(s) > shown {
+		return s[:shown] + "..."
+	}
+	return s
+}
+
+func (c checker) trace(t *Trace) {
+	c.oneOf("trace.exporter", t.Exporter, TraceNone, TraceStdout, TraceOTLP)
+	if t.Exporter == TraceOTLP {
+		c.url("trace.endpoint", t.Endpoint)
+	} else if t.Endpoint != "" {
+		c.Addf("trace.endpoint", "write \"exporter: otlp\" or leave the endpoint out", "the exporter %q has no endpoint", t.Exporter)
+	}
+	if !(t.Sample > 0 && t.Sample <= 1) {
+		c.Addf("trace.sample", "write a share above 0 and up to 1", "%v is not a share", t.Sample)
+	}
+}
+
+func (c checker) oneOf(path, value string, allowed ...string) {
+	if !slices.Contains(allowed, value) {
+		c.Addf(path, "write one of "+strings.Join(allowed, ", "), "%q is not known", value)
+	}
+}
+
+func (c checker) timing(t *Timing) {
+	c.between("timing.drain_notice", t.DrainNotice, 0, 5*time.Minute)
+	c.between("timing.header_timeout", t.HeaderTimeout, 100*time.Millisecond, 5*time.Minute)
+	c.between("timing.idle_timeout", t.IdleTimeout, time.Second, time.Hour)
+	c.between("timing.platform_timeout", t.PlatformTimeout, 50*time.Millisecond, time.Minute)
+	c.between("timing.revision_poll", t.RevisionPoll, 100*time.Millisecond, 10*time.Minute)
+}
+
+func (c checker) between(path string, d config.Duration, least, most time.Duration) {
+	if v := time.Duration(d); v < least || v > most {
+		c.Addf(path, fmt.Sprintf("write a duration from %s to %s", least, most), "%s is out of range", v)
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,73 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilloom/internal/settings"
+	"chervilloom/internal/yamlcheck"
+)
+
+const good = `
+vm: entry-1
+availability_zone: baneshwor
+ip: 10.0.0.1
+listen:
+  caller: 10.0.0.1:8080
+  operator: 10.0.0.1:8081
+  peer: 10.0.0.1:0
+platform:
+  url: http://10.0.0.9:9000
+peer:
+  secret: 0123456789abcdef0123456789abcdef
+`
+
+func TestDefaults(t *testing.T) {
+	is := is.New(t)
+	s, err := settings.Parse("node.yaml", []byte(good))
+	is.NoErr(err)
+	is.Equal(time.Duration(s.Timing.DrainNotice), 3*time.Second)
+	is.Equal(s.BodyLimit, settings.ByteSize(4<<20))
+	is.Equal(s.Trace.Exporter, "none")
+	is.Equal(s.Listen.Peer.Port(), uint16(0))
+	secret, err := s.PeerSecret()
+	is.NoErr(err)
+	is.Equal(len(secret), 32)
+}
+
+func TestEveryFaultIsToldAtOnce(t *testing.T) {
+	is := is.New(t)
+	_, err := settings.Parse("node.yaml", []byte("vm: entry-1\nipp: 10.0.0.1\nbody_limit: 4\nlisten: {caller: localhost:80}\n"))
+	problems, ok := err.(yamlcheck.Problems)
+	is.True(ok)
+	lines := map[string]int{}
+	for _, p := range problems {
+		lines[p.Path] = p.Line
+		is.True(p.Remedy != "")
+		is.Equal(p.File, "node.yaml")
+	}
+	is.Equal(lines["ipp"], 2)
+	is.Equal(lines["body_limit"], 3)
+	is.Equal(lines["listen.caller"], 4)
+	for _, missing := range []string{"availability_zone", "ip", "listen.operator", "listen.peer", "platform.url", "peer"} {
+		_, told := lines[missing]
+		is.True(told)
+	}
+}
+
+func TestLoadLooksAtTheFilesNamed(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	path := filepath.Join(dir, "node.yaml")
+	text := good[:len(good)-len("  secret: 0123456789abcdef0123456789abcdef\n")] + "  secret_file: " + filepath.Join(dir, "missing") + "\n"
+	is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+	_, err := settings.Load(path)
+	problems, ok := err.(yamlcheck.Problems)
+	is.True(ok)
+	is.Equal(len(problems), 1)
+	is.Equal(problems[0].Path, "peer.secret_file")
+}
--- /dev/null
+++ b/internal/yamlcheck/decode.go
@@ -0,0 +1,321 @@
+package yamlcheck
+
+import (
+	"encoding"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// MaxSize is the largest document that Decode reads, in bytes.
+const MaxSize = 1 << 20
+
+// Decode reads the one YAML (or JSON) document in data into out, a pointer to
+// a struct whose fields carry yaml tags. It reports every key that out does
+// not know, every key written twice and every value of the wrong type; the
+// other values are set all the same, so that a Checker can judge them too.
+//
+// The library's own strict decoder ends at the first fault; so the text is
+// parsed by the library and the values are set here.
+func Decode(name string, data []byte, out any) (*Source, Problems) {
+	d := &decoder{source: newSource(name)}
+	d.source.positions[""] = Position{Line: 1, Column: 1}
+	if root := d.parse(data); root != nil {
+		d.value("", root, reflect.ValueOf(out).Elem())
+	}
+	return d.source, d.problems.Sorted()
+}
+
+type decoder struct {
+	source   *Source
+	problems Problems
+}
+
+// parse returns the root of the only document in data, nil after a problem.
+func (d *decoder) parse(data []byte) ast.Node {
+	if len(data) > MaxSize {
+		d.add("", Position{1, 1}, fmt.Sprintf("write at most %d bytes", MaxSize), "the document has %d bytes", len(data))
+		return nil
+	}
+	file, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		d.syntax(err)
+		return nil
+	}
+	var bodies []ast.Node
+	for _, doc := range file.Docs {
+		if doc.Body != nil {
+			bodies = append(bodies, doc.Body)
+		}
+	}
+	switch len(bodies) {
+	case 1:
+		return bodies[0]
+	case 0:
+		d.add("", Position{1, 1}, "write at least the required keys", "the document is empty")
+	default:
+		d.add("", place(bodies[1]), "write one document and no \"---\" after it", "the file holds more than one document")
+	}
+	return nil
+}
+
+func (d *decoder) syntax(err error) {
+	at, message := Position{1, 1}, err.Error()
+	var se *yaml.SyntaxError
+	if errors.As(err, &se) {
+		message = se.Message
+		if se.Token != nil && se.Token.Position != nil {
+			at = Position{se.Token.Position.Line, se.Token.Position.Column}
+		}
+	}
+	d.add("", at, "write valid YAML", "not valid YAML: %s", message)
+}
+
+func (d *decoder) add(path string, at Position, remedy, format string, args ...any) {
+	d.problems = append(d.problems, Problem{
+		File: d.source.name, Line: at.Line, Column: at.Column,
+		Path: path, Message: fmt.Sprintf(format, args...), Remedy: remedy,
+	})
+}
+
+// place returns where a node begins. The token of a block mapping is its first
+// colon, so the first key tells more.
+func place(n ast.Node) Position {
+	if m, ok := n.(*ast.MappingNode); ok && !m.IsFlowStyle && len(m.Values) > 0 {
+		n = m.Values[0].Key
+	}
+	if n == nil || n.GetToken() == nil || n.GetToken().Position == nil {
+		return Position{}
+	}
+	p := n.GetToken().Position
+	return Position{p.Line, p.Column}
+}
+
+// value sets v from n.
+func (d *decoder) value(path string, n ast.Node, v reflect.Value) {
+	at := place(n)
+	if at.Line == 0 {
+		at = d.source.At(path)
+	}
+	d.source.positions[path] = at
+	switch n.(type) {
+	case *ast.CommentGroupNode:
+		d.add(path, at, "write the value", "there is only a comment")
+		return
+	case *ast.AnchorNode, *ast.AliasNode, *ast.TagNode, *ast.MergeKeyNode:
+		d.add(path, at, "write the value itself", "anchors, aliases and tags are not read")
+		return
+	case *ast.NullNode:
+		d.add(path, at, "write a value or leave the key out", "the value is missing")
+		return
+	}
+	if u, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		d.text(path, n, at, u)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		d.mapping(path, n, at, v)
+	case reflect.Slice:
+		d.sequence(path, n, at, v)
+	default:
+		d.scalar(path, n, at, v)
+	}
+}
+
+func (d *decoder) text(path string, n ast.Node, at Position, u encoding.TextUnmarshaler) {
+	s, ok := stringOf(n)
+	if !ok {
+		d.add(path, at, "write text such as "+example(u), "%s where text is expected", kindOf(n))
+		return
+	}
+	if err := u.UnmarshalText([]byte(s)); err != nil {
+		d.add(path, at, "write text such as "+example(u), "%q cannot be read: %v", s, err)
+	}
+}
+
+// Exampler is implemented by text types that can show what they read.
+type Exampler interface{ Example() string }
+
+func example(u encoding.TextUnmarshaler) string {
+	switch e := u.(type) {
+	case Exampler:
+		return e.Example()
+	case *netip.Addr:
+		return "10.0.0.1"
+	case *netip.AddrPort:
+		return "10.0.0.1:8080"
+	}
+	panic("yamlcheck: no example for " + reflect.TypeOf(u).String())
+}
+
+func (d *decoder) mapping(path string, n ast.Node, at Position, v reflect.Value) {
+	m, ok := n.(*ast.MappingNode)
+	if !ok {
+		d.add(path, at, "write keys and values: "+strings.Join(keysOf(v.Type()), ", "), "%s where a mapping is expected", kindOf(n))
+		return
+	}
+	seen := make(map[string]Position, len(m.Values))
+	for _, pair := range m.Values {
+		d.pair(path, pair, v, seen)
+	}
+}
+
+func (d *decoder) pair(path string, pair *ast.MappingValueNode, v reflect.Value, seen map[string]Position) {
+	keyAt := place(pair.Key)
+	key, ok := stringOf(pair.Key)
+	if !ok {
+		d.add(path, keyAt, "write one of "+strings.Join(keysOf(v.Type()), ", "), "a key that is not text")
+		return
+	}
+	sub := Key(path, key)
+	if first, twice := seen[key]; twice {
+		d.add(sub, keyAt, "leave one of them out", "the key was written before, at line %d", first.Line)
+		return
+	}
+	seen[key] = keyAt
+	field, ok := fieldOf(v, key)
+	if !ok {
+		d.add(sub, keyAt, suggest(key, keysOf(v.Type())), "unknown key %q", key)
+		return
+	}
+	d.source.positions[sub] = keyAt
+	d.value(sub, pair.Value, field)
+}
+
+func (d *decoder) sequence(path string, n ast.Node, at Position, v reflect.Value) {
+	s, ok := n.(*ast.SequenceNode)
+	if !ok {
+		d.add(path, at, "write a list, each element on a line that starts with \"- \"", "%s where a list is expected", kindOf(n))
+		return
+	}
+	out := reflect.MakeSlice(v.Type(), len(s.Values), len(s.Values))
+	for i, e := range s.Values {
+		d.value(Index(path, i), e, out.Index(i))
+	}
+	v.Set(out)
+}
+
+func (d *decoder) scalar(path string, n ast.Node, at Position, v reflect.Value) {
+	switch v.Kind() {
+	case reflect.String:
+		s, ok := stringOf(n)
+		if !ok {
+			d.add(path, at, "write text, in quotes when it looks like a number", "%s where text is expected", kindOf(n))
+			return
+		}
+		v.SetString(s)
+	case reflect.Bool:
+		b, ok := n.(*ast.BoolNode)
+		if !ok {
+			d.add(path, at, "write true or false", "%s where true or false is expected", kindOf(n))
+			return
+		}
+		v.SetBool(b.Value)
+	case reflect.Int, reflect.Int64:
+		i, ok := intOf(n)
+		if !ok || v.OverflowInt(i) {
+			d.add(path, at, "write a whole number", "%s where a whole number is expected", kindOf(n))
+			return
+		}
+		v.SetInt(i)
+	case reflect.Float64:
+		f, ok := floatOf(n)
+		if !ok {
+			d.add(path, at, "write a number", "%s where a number is expected", kindOf(n))
+			return
+		}
+		v.SetFloat(f)
+	default:
+		// A field of another kind is a fault of the program that the first
+		// test of its document shows.
+		panic("yamlcheck: no rule for " + v.Type().String())
+	}
+}
+
+// stringOf returns the text of a scalar that YAML takes for text.
+func stringOf(n ast.Node) (string, bool) {
+	switch s := n.(type) {
+	case *ast.StringNode:
+		return s.Value, true
+	case *ast.LiteralNode:
+		return s.Value.Value, true
+	}
+	return "", false
+}
+
+func intOf(n ast.Node) (int64, bool) {
+	i, ok := n.(*ast.IntegerNode)
+	if !ok {
+		return 0, false
+	}
+	switch x := i.Value.(type) {
+	case int64:
+		return x, true
+	case uint64:
+		return int64(x), x <= math.MaxInt64
+	}
+	return 0, false
+}
+
+func floatOf(n ast.Node) (float64, bool) {
+	if f, ok := n.(*ast.FloatNode); ok {
+		return f.Value, !math.IsInf(f.Value, 0) && !math.IsNaN(f.Value)
+	}
+	i, ok := intOf(n)
+	return float64(i), ok
+}
+
+// kindOf says in words what the author wrote.
+func kindOf(n ast.Node) string {
+	switch x := n.(type) {
+	case *ast.MappingNode, *ast.MappingValueNode:
+		return "a mapping"
+	case *ast.SequenceNode:
+		return "a list"
+	case *ast.BoolNode:
+		return fmt.Sprintf("the truth value %v", x.Value)
+	case *ast.IntegerNode, *ast.FloatNode, *ast.InfinityNode, *ast.NanNode:
+		return "the number " + n.GetToken().Value
+	case *ast.StringNode:
+		return fmt.Sprintf("the text %q", x.Value)
+	case *ast.LiteralNode:
+		return "a block of text"
+	}
+	return "something else"
+}
+
+// keyOf returns the key of a field, empty when it is not part of the document.
+func keyOf(f reflect.StructField) string {
+	key, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+	if key == "-" {
+		return ""
+	}
+	return key
+}
+
+func keysOf(t reflect.Type) []string {
+	var keys []string
+	for i := range t.NumField() {
+		if k := keyOf(t.Field(i)); k != "" {
+			keys = append(keys, k)
+		}
+	}
+	return keys
+}
+
+func fieldOf(v reflect.Value, key string) (reflect.Value, bool) {
+	i := slices.IndexFunc(reflect.VisibleFields(v.Type()), func(f reflect.StructField) bool { return keyOf(f) == key })
+	if i < 0 {
+		return reflect.Value{}, false
+	}
+	return v.Field(i), true
+}
