Link the nodes over QUIC with mutual TLS

Nodes need messages, calls and relayed requests among themselves. One mesh carries all three: messages and calls over one connection, relayed requests over a second, so that a burst of answers delays no message.

The dialler waits for the other side's Hello, because a TLS 1.3 handshake is over for it before the other side has looked at its certificate.

Ruled out: a close of the request's sending side as its end; the receiver needs that close as the sign that its answer has arrived, or a shutdown would cut the last frames of an answer that was written whole.

Tests: go test -race ./internal/peer, green.

--- /dev/null
+++ b/internal/peer/call.go
@@ -0,0 +1,126 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/outcome"
+)
+
+// callTimeout bounds a call whose context has no deadline.
+const callTimeout = 10 * time.Second
+
+// CallHandler answers a call. An *outcome.Error reaches the caller as one; any
+// other error reaches it as a CallError with the text.
+type CallHandler func(ctx context.Context, from fleet.Node, payload []byte) ([]byte, error)
+
+// CallError is a failure that the other node's handler reports.
+type CallError struct {
+	To     fleet.VM
+	Method string
+	Text   string
+}
+
+// Error tells node, method and the other node's text.
+func (e *CallError) Error() string {
+	return fmt.Sprintf("peer: %s failed on %s: %s", e.Method, e.To, e.Text)
+}
+
+// HandleCall sets what answers the method.
+func (m *Mesh) HandleCall(method string, f CallHandler) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls[method] = f
+}
+
+// Call asks the VM and waits for its answer, for 10 s unless ctx ends sooner.
+// After an error the call may have run or not.
+func (m *Mesh) Call(ctx context.Context, to fleet.VM, method string, payload []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	c, err := m.link(to).control.get(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s, err := c.OpenStream()
+	if err != nil {
+		return nil, fmt.Errorf("peer: no room for a call to %s: %w", to, err)
+	}
+	unhook := context.AfterFunc(ctx, func() { resetStream(s) })
+	defer unhook()
+	defer s.CancelRead(0)
+	if err := writeFrame(s, frameCall, callFrame{Method: method, Payload: payload}, maxCallBytes); err != nil {
+		s.CancelWrite(resetCancelled)
+		return nil, callFailure(ctx, to, method, err)
+	}
+	if err := s.Close(); err != nil {
+		return nil, callFailure(ctx, to, method, err)
+	}
+	var reply replyFrame
+	r := frameReader{r: s}
+	if err := r.expect(frameReply, &reply, maxCallBytes); err != nil {
+		return nil, callFailure(ctx, to, method, err)
+	}
+	switch {
+	case reply.Error != nil:
+		return nil, reply.Error.toError()
+	case reply.Failure != "":
+		return nil, &CallError{To: to, Method: method, Text: reply.Failure}
+	}
+	return reply.Payload, nil
+}
+
+// callFailure prefers the end of ctx, which is the cause when it reset the stream.
+func callFailure(ctx context.Context, to fleet.VM, method string, err error) error {
+	if ctx.Err() != nil {
+		err = ctx.Err()
+	}
+	return fmt.Errorf("peer: call %s to %s has no answer: %w", method, to, err)
+}
+
+func resetStream(s *quic.Stream) {
+	s.CancelRead(resetCancelled)
+	s.CancelWrite(resetCancelled)
+}
+
+func (m *Mesh) serveCall(c *conn, s *quic.Stream) {
+	defer s.CancelRead(0)
+	s.SetReadDeadline(time.Now().Add(callTimeout))
+	var f callFrame
+	r := frameReader{r: s}
+	if err := r.expect(frameCall, &f, maxCallBytes); err != nil {
+		s.CancelWrite(resetRefused)
+		return
+	}
+	m.mu.Lock()
+	h := m.calls[f.Method]
+	m.mu.Unlock()
+	ctx, cancel := context.WithCancel(s.Context()) // ends when the caller resets the stream
+	defer cancel()
+	reply := answerCall(ctx, h, c.node, &f)
+	if err := writeFrame(s, frameReply, reply, maxCallBytes); err != nil {
+		s.CancelWrite(resetRefused)
+		return
+	}
+	s.Close()
+}
+
+func answerCall(ctx context.Context, h CallHandler, from fleet.Node, f *callFrame) replyFrame {
+	if h == nil {
+		return replyFrame{Failure: "no such method; run the same version on all nodes"}
+	}
+	payload, err := h(ctx, from, f.Payload)
+	if err == nil {
+		return replyFrame{Payload: payload}
+	}
+	var typed *outcome.Error
+	if errors.As(err, &typed) {
+		return replyFrame{Error: toErrorFrame(typed)}
+	}
+	return replyFrame{Failure: err.Error()}
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,337 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"chervilloom/internal/answer"
+	"chervilloom/internal/clock"
+	"chervilloom/internal/filter"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/outcome"
+	"chervilloom/internal/request"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience bounds the wait for what must come; it is no measure of speed.
+const patience = 30 * time.Second
+
+var testSecret = []byte("a secret of the tests, long enough")
+
+// startMesh runs a mesh until the test ends.
+func startMesh(t testing.TB, vm fleet.VM, change func(*Options)) *Mesh {
+	t.Helper()
+	id, err := IdentityFromSecret(vm, testSecret)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := Options{
+		Self: fleet.Node{VM: vm, Incarnation: 1}, Zone: "z1", Listen: "127.0.0.1:0",
+		Identity: id, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	}
+	if change != nil {
+		change(&o)
+	}
+	m, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- m.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return m
+}
+
+func introduce(ms ...*Mesh) {
+	for _, m := range ms {
+		for _, o := range ms {
+			m.SetPeers([]Peer{{VM: o.opts.Self.VM, Addr: o.Addr()}})
+		}
+	}
+}
+
+func testContext(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func testRequest(id string) *request.Request {
+	now := clock.Boot{}.Now()
+	return &request.Request{
+		ID: id, Organisation: "sagarmatha", Class: request.ClassModel, Method: "POST",
+		Path: "/v1/chat/completions", Body: []byte(`{"prompt":"` + id + `"}`), Stream: true,
+		Arrived: now, Deadline: now.Add(patience), Stage: request.StageDispatch,
+	}
+}
+
+// recorder is an answer.Writer that keeps what it is given.
+type recorder struct {
+	mu     sync.Mutex
+	head   *answer.Head
+	frames []answer.Frame
+	end    *answer.End
+	onHead func()
+}
+
+func (r *recorder) Start(h answer.Head) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.head = &h
+	if r.onHead != nil {
+		r.onHead()
+	}
+	return nil
+}
+
+func (r *recorder) Frame(f answer.Frame) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.frames = append(r.frames, f)
+	return nil
+}
+
+func (r *recorder) Finish(e answer.End) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.end != nil {
+		panic("finished twice")
+	}
+	r.end = &e
+}
+
+func (r *recorder) text() string {
+	var b strings.Builder
+	for _, f := range r.frames {
+		b.Write(f.Data)
+	}
+	return b.String()
+}
+
+// tokens answers with n events that name the request.
+func tokens(n int) filter.Handler {
+	return filter.Func(func(_ context.Context, req *request.Request, w answer.Writer) {
+		w.Start(answer.Head{Status: 200, Stream: true})
+		for i := range n {
+			w.Frame(answer.Frame{Offset: uint64(i), Data: fmt.Appendf(nil, "%s-%d ", req.ID, i)})
+		}
+		w.Finish(answer.End{Whole: true})
+	})
+}
+
+func wantTokens(id string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, "%s-%d ", id, i)
+	}
+	return b.String()
+}
+
+func TestRelayWhole(t *testing.T) {
+	is := is.New(t)
+	a := startMesh(t, "a", nil)
+	b := startMesh(t, "b", func(o *Options) { o.Handler = tokens(20) })
+	introduce(a, b)
+	r := &recorder{}
+	err := a.Relay(testContext(t), "b", testRequest("q1"), r)
+	is.True(err == nil)
+	is.Equal(r.text(), wantTokens("q1", 20))
+	is.True(r.end.Whole)
+	is.Equal(r.end.Frames, uint64(20))
+}
+
+// Hundreds of callers share one link. Each answer is checked token by token:
+// a frame that went to another caller or out of order would show.
+func TestRelaysDoNotMix(t *testing.T) {
+	is := is.New(t)
+	const callers, length = 400, 60
+	a := startMesh(t, "a", nil)
+	b := startMesh(t, "b", func(o *Options) { o.Handler = tokens(length) })
+	introduce(a, b)
+	ctx := testContext(t)
+	var wg sync.WaitGroup
+	results := make([]recorder, callers)
+	errs := make([]*outcome.Error, callers)
+	for i := range callers {
+		wg.Go(func() { errs[i] = a.Relay(ctx, "b", testRequest(fmt.Sprint("q", i)), &results[i]) })
+	}
+	wg.Wait()
+	for i := range callers {
+		is.True(errs[i] == nil)
+		is.Equal(results[i].text(), wantTokens(fmt.Sprint("q", i), length))
+		is.True(results[i].end.Whole)
+	}
+}
+
+func TestCallAndMessage(t *testing.T) {
+	is := is.New(t)
+	a, b := startMesh(t, "a", nil), startMesh(t, "b", nil)
+	got := make(chan string, 1)
+	b.HandleCall("upper", func(_ context.Context, from fleet.Node, p []byte) ([]byte, error) {
+		return []byte(from.String() + " " + strings.ToUpper(string(p))), nil
+	})
+	b.HandleCall("refuse", func(context.Context, fleet.Node, []byte) ([]byte, error) {
+		return nil, outcome.New(outcome.PlatformDown, outcome.NotRun, "m", "r")
+	})
+	b.Subscribe("news", func(from fleet.Node, p []byte) { got <- from.String() + " " + string(p) })
+	introduce(a, b)
+	ctx := testContext(t)
+	out, err := a.Call(ctx, "b", "upper", []byte("x"))
+	is.NoErr(err)
+	is.Equal(string(out), "a#1 X")
+	_, err = a.Call(ctx, "b", "refuse", nil)
+	var typed *outcome.Error
+	is.True(errors.As(err, &typed))
+	is.Equal(typed.Kind, outcome.PlatformDown)
+	_, err = a.Call(ctx, "b", "missing", nil)
+	var failed *CallError
+	is.True(errors.As(err, &failed))
+	is.NoErr(a.Send("b", "news", []byte("hello")))
+	select {
+	case s := <-got:
+		is.Equal(s, "a#1 hello")
+	case <-ctx.Done():
+		t.Fatal("message not delivered")
+	}
+}
+
+// A VM with another secret is refused in both directions. Its requests are told
+// as not run, because the link was never opened.
+func TestWrongSecretRefused(t *testing.T) {
+	is := is.New(t)
+	ran := make(chan struct{}, 2)
+	h := filter.Func(func(_ context.Context, _ *request.Request, w answer.Writer) {
+		ran <- struct{}{}
+		w.Finish(answer.End{Error: outcome.New(outcome.Internal, outcome.Ran, "", "")})
+	})
+	a := startMesh(t, "a", func(o *Options) { o.Handler = h })
+	b := startMesh(t, "b", func(o *Options) {
+		o.Handler = h
+		o.Identity, _ = IdentityFromSecret("b", []byte("quite another secret than that"))
+	})
+	introduce(a, b)
+	ctx := testContext(t)
+	for from, to := range map[*Mesh]fleet.VM{a: "b", b: "a"} {
+		r := &recorder{}
+		err := from.Relay(ctx, to, testRequest("q"), r)
+		is.True(err != nil)
+		is.Equal(err.Outcome, outcome.NotRun)
+		is.True(r.end == nil)
+		_, cerr := from.Call(ctx, to, "any", nil)
+		is.True(cerr != nil)
+	}
+	is.Equal(len(ran), 0)
+}
+
+// The address of one VM answers as another (an address was given to a new VM):
+// the request must not go to the wrong node.
+func TestWrongVMRefused(t *testing.T) {
+	is := is.New(t)
+	a := startMesh(t, "a", nil)
+	b := startMesh(t, "b", func(o *Options) { o.Handler = tokens(1) })
+	a.SetPeers([]Peer{{VM: "c", Addr: b.Addr()}})
+	err := a.Relay(testContext(t), "c", testRequest("q"), &recorder{})
+	is.True(err != nil)
+	is.Equal(err.Outcome, outcome.NotRun)
+	is.True(strings.Contains(err.Cause.Error(), `VM "b" answers at the address of "c"`))
+}
+
+// The caller leaves in mid-answer: the other node's context ends, so that the
+// engine can be told to stop.
+func TestCancelPropagates(t *testing.T) {
+	is := is.New(t)
+	cancelled := make(chan struct{})
+	a := startMesh(t, "a", nil)
+	b := startMesh(t, "b", func(o *Options) {
+		o.Handler = filter.Func(func(ctx context.Context, _ *request.Request, w answer.Writer) {
+			w.Start(answer.Head{Status: 200})
+			<-ctx.Done()
+			close(cancelled)
+			w.Finish(answer.End{Error: outcome.New(outcome.CallerGone, outcome.Unknown, "", "")})
+		})
+	})
+	introduce(a, b)
+	ctx, cancel := context.WithCancel(testContext(t))
+	r := &recorder{onHead: cancel}
+	err := a.Relay(ctx, "b", testRequest("q"), r)
+	is.True(err == nil) // the answer had begun, so it was finished as cut
+	is.True(!r.end.Whole)
+	is.Equal(r.end.Error.Kind, outcome.CallerGone)
+	select {
+	case <-cancelled:
+	case <-time.After(patience):
+		t.Fatal("the handler's context did not end")
+	}
+}
+
+// The node that answers goes away in mid-answer. What the caller got is a part;
+// it must be told so.
+func TestPeerDiesInAnswer(t *testing.T) {
+	is := is.New(t)
+	a := startMesh(t, "a", nil)
+	b := startMesh(t, "b", func(o *Options) {
+		o.Handler = filter.Func(func(ctx context.Context, _ *request.Request, w answer.Writer) {
+			w.Start(answer.Head{Status: 200})
+			<-ctx.Done()
+		})
+	})
+	introduce(a, b)
+	r := &recorder{onHead: func() { go b.Close() }}
+	err := a.Relay(testContext(t), "b", testRequest("q"), r)
+	is.True(err == nil)
+	is.True(!r.end.Whole)
+	is.Equal(r.end.Error.Kind, outcome.AnswerCut)
+}
+
+// A node that shuts down refuses new requests as not run and finishes the one
+// it is answering: Drain returns only when the caller has the whole answer.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	goOn := make(chan struct{})
+	a := startMesh(t, "a", nil)
+	b := startMesh(t, "b", func(o *Options) {
+		o.Handler = filter.Func(func(_ context.Context, _ *request.Request, w answer.Writer) {
+			w.Start(answer.Head{Status: 200})
+			<-goOn
+			w.Frame(answer.Frame{Data: []byte("late")})
+			w.Finish(answer.End{Whole: true})
+		})
+	})
+	introduce(a, b)
+	ctx := testContext(t)
+	begun := make(chan struct{})
+	first := &recorder{onHead: func() { close(begun) }}
+	relayed := make(chan *outcome.Error, 1)
+	go func() { relayed <- a.Relay(ctx, "b", testRequest("q1"), first) }()
+	<-begun
+	short, cancel := context.WithCancel(ctx)
+	cancel()
+	is.True(b.Drain(short) != nil)
+	err := a.Relay(ctx, "b", testRequest("q2"), &recorder{})
+	is.True(err != nil)
+	is.Equal(err.Kind, outcome.ShuttingDown)
+	is.Equal(err.Outcome, outcome.NotRun)
+	close(goOn)
+	is.NoErr(b.Drain(ctx))
+	b.Close()
+	is.True(<-relayed == nil)
+	is.True(first.end.Whole)
+	is.Equal(first.text(), "late")
+}
