Request path from the caller's HTTP request to the endpoint and back

Ruled out: http.NoBody with an Idempotency-Key on pooled connections for calls that may run at most once, because net/http then resends by itself; they go through a transport that opens a connection for each.

Failures are not tested yet.

--- /dev/null
+++ b/internal/accept/accept.go
@@ -0,0 +1,221 @@
+// Package accept is the callers' HTTP interface: it reads a bounded request,
+// hands it to the request path and writes the answer back as HTTP or as
+// server-sent events, so that no HTTP client can take a cut answer for a whole
+// one.
+package accept
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"chervilloom/internal/clock"
+	"chervilloom/internal/filter"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/outcome"
+	"chervilloom/internal/request"
+	"chervilloom/internal/view"
+)
+
+// Header names between callers and the system.
+const (
+	HeaderRequest = "Chervilloom-Request" // id of the request, in every answer
+	HeaderTicket  = "Chervilloom-Ticket"
+	HeaderKey     = "Idempotency-Key"
+	HeaderResume  = "Last-Event-Id"
+	headerCallers = "X-Request-Id"
+)
+
+// The defaults of Options.
+const (
+	DefaultBodyLimit    = 4 << 20
+	DefaultAnswerBuffer = 8 << 20
+)
+
+// Options are what the server needs. Tickets, Authorise, Ready and Registerer
+// may be nil; zero bounds stand for the defaults.
+type Options struct {
+	Handler    filter.Handler
+	View       view.Source
+	Clock      clock.Clock
+	Log        *slog.Logger
+	Registerer prometheus.Registerer
+	BodyLimit  int64 // bytes of a request's body
+	// AnswerBuffer is how many bytes of an answer are held back until it is
+	// whole; what is longer is sent as it comes.
+	AnswerBuffer int
+	// Ready reports whether the node may get requests, and why not.
+	Ready func() (bool, string)
+	// Tickets answers POST /tickets.
+	Tickets http.Handler
+	// Authorise tells whose key a header carries, for the paths that do not
+	// go through Handler.
+	Authorise func(http.Header) (fleet.Organisation, *outcome.Error)
+	// Notice is how long Drain goes on accepting requests, so that balancers
+	// can see that the node is not ready.
+	Notice time.Duration
+}
+
+// Server is the callers' http.Handler.
+type Server struct {
+	opt     Options
+	mux     *http.ServeMux
+	flight  flight
+	metrics *metrics
+	tracer  trace.Tracer
+}
+
+// New returns a server.
+func New(opt Options) *Server {
+	if opt.BodyLimit == 0 {
+		opt.BodyLimit = DefaultBodyLimit
+	}
+	if opt.AnswerBuffer == 0 {
+		opt.AnswerBuffer = DefaultAnswerBuffer
+	}
+	if opt.Log == nil {
+		opt.Log = slog.New(slog.DiscardHandler)
+	}
+	s := &Server{
+		opt: opt, mux: http.NewServeMux(),
+		metrics: newMetrics(opt.Registerer), tracer: otel.Tracer("chervilloom/accept"),
+	}
+	s.routes()
+	return s
+}
+
+func (s *Server) routes() {
+	s.mux.HandleFunc("GET /healthz", s.healthz)
+	s.mux.HandleFunc("GET /readyz", s.readyz)
+	s.mux.HandleFunc("GET /v1/models", s.counted(s.models))
+	s.mux.HandleFunc("POST /tickets", s.counted(s.tickets))
+	s.mux.HandleFunc("POST /v1/chat/completions", s.counted(s.call))
+	s.mux.HandleFunc("POST /v1/completions", s.counted(s.call))
+	s.mux.HandleFunc("GET /v1/streams/{id}", s.counted(s.call))
+	s.mux.HandleFunc("/", s.counted(s.unknown))
+}
+
+// ServeHTTP serves one request. Services get their path as the caller wrote
+// it: http.ServeMux would answer "//" and ".." with a redirect, which turns a
+// POST into a GET at some clients.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/services/") {
+		s.counted(s.call)(w, r)
+		return
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+// counted gives the request its id, refuses it when the node takes no more,
+// and otherwise counts it as in flight.
+func (s *Server) counted(h func(http.ResponseWriter, *http.Request, string)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		id := uuid.NewString()
+		w.Header().Set(HeaderRequest, id)
+		switch s.flight.enter() {
+		case phaseClosed:
+			w.Header().Set("Connection", "close")
+			writeError(w, shuttingDown(), id)
+			return
+		case phaseNotice:
+			// The caller's next request goes to another connection, and so to
+			// another node, before this one closes.
+			w.Header().Set("Connection", "close")
+		}
+		defer s.flight.leave()
+		s.metrics.inFlight.Inc()
+		defer s.metrics.inFlight.Dec()
+		h(w, r, id)
+	}
+}
+
+func shuttingDown() *outcome.Error {
+	return outcome.New(outcome.ShuttingDown, outcome.NotRun, "this node is shutting down",
+		"send the request again on a new connection").After(time.Second)
+}
+
+// call takes a request through the path.
+func (s *Server) call(w http.ResponseWriter, r *http.Request, id string) {
+	arrived := s.opt.Clock.Now()
+	ctx, span := s.span(r, id)
+	defer span.End()
+	body, err := s.readBody(w, r)
+	if err != nil {
+		s.refuse(w, r, err, id)
+		return
+	}
+	req := newRequest(ctx, r, id, arrived, body)
+	if theirs := r.Header.Get(headerCallers); theirs != "" {
+		s.opt.Log.LogAttrs(ctx, slog.LevelInfo, "caller's request id",
+			slog.String("id", id), slog.String("theirs", clip(theirs)))
+	}
+	out := newWriter(w, r, req, s.opt.AnswerBuffer)
+	s.opt.Handler.Serve(ctx, req, out)
+	if out.cut {
+		s.metrics.aborted.Inc()
+		// The status is out: only a broken connection keeps the caller's HTTP
+		// library from taking the part for the whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) span(r *http.Request, id string) (context.Context, trace.Span) {
+	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	return s.tracer.Start(ctx, "accept", trace.WithSpanKind(trace.SpanKindServer),
+		trace.WithAttributes(attribute.String("request.id", id), attribute.String("http.method", r.Method)))
+}
+
+// readBody reads the whole body: nothing is sent anywhere before the request
+// is complete, so a caller that fails half-way is "not run".
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *outcome.Error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.opt.BodyLimit))
+	var large *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &large):
+		return nil, outcome.New(outcome.TooLarge, outcome.NotRun,
+			"the body is longer than "+bytesText(s.opt.BodyLimit), "send less, or have the operator raise the bound")
+	}
+	return nil, outcome.New(outcome.BadRequest, outcome.NotRun,
+		"the body ended early", "send the request again").WithCause(err)
+}
+
+func newRequest(ctx context.Context, r *http.Request, id string, arrived clock.Instant, body []byte) *request.Request {
+	req := &request.Request{
+		ID: id, Arrived: arrived, Method: r.Method, Path: r.URL.RequestURI(), Header: r.Header.Clone(), Body: body,
+		Key: r.Header.Get(HeaderKey), Ticket: r.Header.Get(HeaderTicket), ResumeID: r.Header.Get(HeaderResume),
+	}
+	if v := r.PathValue("id"); v != "" && req.ResumeID == "" {
+		req.ResumeID = v
+	}
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	req.TraceParent = carrier["traceparent"]
+	return req
+}
+
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, err *outcome.Error, id string) {
+	s.metrics.refused.WithLabelValues(string(err.Kind)).Inc()
+	s.opt.Log.LogAttrs(r.Context(), slog.LevelInfo, "request refused",
+		slog.String("id", id), slog.String("kind", string(err.Kind)), slog.String("outcome", string(err.Outcome)))
+	writeError(w, err, id)
+}
+
+func writeError(w http.ResponseWriter, err *outcome.Error, id string) {
+	err.SetHeaders(w.Header())
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(err.Kind.Status())
+	w.Write(err.JSON(id))
+}
--- /dev/null
+++ b/internal/accept/path_test.go
@@ -0,0 +1,151 @@
+package accept_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilloom/internal/accept"
+	"chervilloom/internal/account"
+	"chervilloom/internal/clock"
+	"chervilloom/internal/config"
+	"chervilloom/internal/dispatch"
+	"chervilloom/internal/engine"
+	"chervilloom/internal/filter"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/identify"
+	"chervilloom/internal/outcome"
+	"chervilloom/internal/request"
+	"chervilloom/internal/route"
+	"chervilloom/internal/view"
+)
+
+const testKey = "key-of-sagarmatha"
+
+type fixedView struct{ snap *view.Snapshot }
+
+func (v fixedView) Snapshot() *view.Snapshot { return v.snap }
+
+// firstRouter picks the first group or endpoint that was not tried.
+type firstRouter struct{}
+
+func (firstRouter) Pick(req *request.Request, snap *view.Snapshot, _ clock.Instant, tried []route.Tried) (route.Choice, *outcome.Error) {
+	if len(tried) > 0 {
+		return route.Choice{}, outcome.New(outcome.NoCapacity, outcome.NotRun, "nothing is left", "come back later")
+	}
+	if req.Class == request.ClassModel {
+		return route.Choice{Kind: route.KindGroup, Group: &snap.Groups[0]}, nil
+	}
+	return route.Choice{Kind: route.KindEndpoint, VM: &snap.VMs[0]}, nil
+}
+
+func (firstRouter) Begin(route.Choice)             {}
+func (firstRouter) End(route.Choice, route.Result) {}
+
+type freeRetry struct{}
+
+func (freeRetry) First(request.Class)                       {}
+func (freeRetry) Allow(request.Class) (bool, time.Duration) { return true, 0 }
+
+func testDocument() *config.Document {
+	sum := sha256.Sum256([]byte(testKey))
+	return &config.Document{
+		Organisations: []config.Organisation{{Name: "sagarmatha", KeyHashes: []string{hex.EncodeToString(sum[:])}, Weight: 1}},
+		Models:        []config.Model{{Name: "renewals", Current: "v1", Versions: []string{"v1"}}},
+		Services:      []config.Service{{Name: "counter", NotRepeatable: []string{"POST /receipts"}}},
+	}
+}
+
+// path returns a whole path in front of the endpoint at addr.
+func path(t *testing.T, addr string) *httptest.Server {
+	snap := &view.Snapshot{
+		Revision: 1, Config: testDocument(), Zone: "baneshwor",
+		VMs: []view.VM{{Record: fleet.Record{VM: "s1", Addr: addr, Service: "counter"}}},
+		Groups: []view.Group{{
+			Group: fleet.Group{ID: "g1", Generation: 3, Zone: "baneshwor", Model: "renewals", Version: "v1",
+				Members: []fleet.Member{{VM: "e1", Boot: "b1", Addr: addr}}},
+			Whole: true, FreshUntil: 1 << 62,
+		}},
+	}
+	v := fixedView{snap}
+	clk := clock.Boot{}
+	d := dispatch.New(dispatch.Options{View: v, Clock: clk, Router: firstRouter{}, Retry: freeRetry{}})
+	t.Cleanup(d.Close)
+	acc := account.New(account.Options{Clock: clk})
+	id := identify.New(identify.Options{View: v, Clock: clk})
+	h := filter.Chain(d, acc.Filter, acc.Timed("identify", id.Filter))
+	srv := httptest.NewServer(accept.New(accept.Options{Handler: h, View: v, Clock: clk, Authorise: id.Organisation}))
+	t.Cleanup(srv.Close)
+	return srv
+}
+
+func send(t *testing.T, method, url, body string) *http.Response {
+	t.Helper()
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+func TestWholePathAnswersServiceCall(t *testing.T) {
+	is := is.New(t)
+	ep := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		is.Equal(r.Header.Get("Authorization"), "")
+		io.WriteString(w, "receipt "+r.URL.RequestURI())
+	}))
+	defer ep.Close()
+	srv := path(t, ep.Listener.Addr().String())
+	resp := send(t, "POST", srv.URL+"/services/counter/receipts?n=7", "{}")
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "receipt /receipts?n=7")
+	is.Equal(resp.Header.Get(outcome.Header), "ran")
+	is.True(resp.Header.Get(accept.HeaderRequest) != "")
+}
+
+func TestWholePathStreams(t *testing.T) {
+	is := is.New(t)
+	ep := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(engine.HeaderGeneration, r.Header.Get(engine.HeaderGeneration))
+		w.Header().Set(engine.HeaderBoot, "b1")
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := range 3 {
+			fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[{\"delta\":{\"content\":\"t%d \"}}]}\n\n", i, i)
+		}
+		fmt.Fprint(w, "id: 3\ndata: {\"choices\":[{\"finish_reason\":\"stop\"}],\"usage\":{\"completion_tokens\":3}}\n\ndata: [DONE]\n\n")
+	}))
+	defer ep.Close()
+	srv := path(t, ep.Listener.Addr().String())
+	resp := send(t, "POST", srv.URL+"/v1/chat/completions",
+		`{"model":"renewals","stream":true,"messages":[{"role":"user","content":"hello"}]}`)
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.True(strings.HasSuffix(string(body), "data: [DONE]\n\n"))
+	is.Equal(strings.Count(string(body), "id: e1.g1.3."), 4)
+	is.Equal(resp.Trailer.Get(outcome.Header), "ran")
+}
+
+func TestWholePathRefusesUnknownModel(t *testing.T) {
+	is := is.New(t)
+	srv := path(t, "127.0.0.1:1")
+	resp := send(t, "POST", srv.URL+"/v1/chat/completions", `{"model":"none","messages":[{"role":"user","content":"x"}]}`)
+	body, _ := io.ReadAll(resp.Body)
+	is.Equal(resp.StatusCode, 404)
+	is.Equal(resp.Header.Get(outcome.Header), "not-run")
+	is.True(strings.Contains(string(body), "renewals"))
+}
--- /dev/null
+++ b/internal/accept/writer.go
@@ -0,0 +1,174 @@
+package accept
+
+import (
+	"net/http"
+	"strconv"
+
+	"chervilloom/internal/answer"
+	"chervilloom/internal/outcome"
+	"chervilloom/internal/request"
+)
+
+// writer writes one answer as HTTP. A stream goes out event by event. Another
+// answer is held back until it is whole, so that a failure can still be told
+// in a status; one that outgrows the buffer is sent as it comes, with the
+// outcome in a trailer.
+type writer struct {
+	w    http.ResponseWriter
+	ctl  *http.ResponseController
+	r    *http.Request
+	req  *request.Request
+	room int
+
+	head    answer.Head
+	started bool // Start was called
+	sent    bool // the status is out
+	held    []byte
+	buf     []byte
+	cut     bool // the caller has a part: the connection must be aborted
+}
+
+func newWriter(w http.ResponseWriter, r *http.Request, req *request.Request, room int) *writer {
+	return &writer{w: w, ctl: http.NewResponseController(w), r: r, req: req, room: room}
+}
+
+// Start takes the head of the answer.
+func (w *writer) Start(h answer.Head) error {
+	w.head, w.started = h, true
+	if h.Stream {
+		return w.open()
+	}
+	return nil
+}
+
+// open sends the status and the headers. The outcome and the remaining errors
+// follow in trailers, which are named here.
+func (w *writer) open() error {
+	w.copyHeader()
+	h := w.w.Header()
+	h.Del("Content-Length")
+	h.Add("Trailer", outcome.Header)
+	if w.head.Stream {
+		h.Set("Content-Type", "text/event-stream")
+		h.Set("Cache-Control", "no-cache")
+	}
+	w.sent = true
+	w.w.WriteHeader(w.head.Status)
+	return w.ctl.Flush()
+}
+
+func (w *writer) copyHeader() {
+	h := w.w.Header()
+	for k, v := range w.head.Header {
+		if k == "Connection" || k == HeaderRequest {
+			continue
+		}
+		h[k] = v
+	}
+}
+
+// Frame writes an event, or holds a piece of a body back.
+func (w *writer) Frame(f answer.Frame) error {
+	if w.head.Stream {
+		return w.event(f)
+	}
+	if w.sent {
+		_, err := w.w.Write(f.Data)
+		return err
+	}
+	if len(w.held)+len(f.Data) <= w.room {
+		w.held = append(w.held, f.Data...)
+		return nil
+	}
+	if err := w.open(); err != nil {
+		return err
+	}
+	if _, err := w.w.Write(w.held); err != nil {
+		return err
+	}
+	w.held = nil
+	_, err := w.w.Write(f.Data)
+	return err
+}
+
+func (w *writer) event(f answer.Frame) error {
+	b := w.buf[:0]
+	if f.ID != "" {
+		b = append(b, "id: "...)
+		b = append(b, f.ID...)
+		b = append(b, '\n')
+	}
+	b = appendEventData(b, f.Data)
+	w.buf = b
+	if _, err := w.w.Write(b); err != nil {
+		return err
+	}
+	return w.ctl.Flush()
+}
+
+// appendEventData writes data lines; a line feed within the data starts a new one.
+func appendEventData(b, data []byte) []byte {
+	b = append(b, "data: "...)
+	for _, c := range data {
+		b = append(b, c)
+		if c == '\n' {
+			b = append(b, "data: "...)
+		}
+	}
+	return append(b, '\n', '\n')
+}
+
+const doneEvent = "data: [DONE]\n\n"
+
+// Finish ends the answer: as whole, as an error in place of an answer, or as cut.
+func (w *writer) Finish(e answer.End) {
+	switch {
+	case e.Whole && w.started:
+		w.whole()
+	case w.sent:
+		w.tellCut(failure(e))
+	default:
+		writeError(w.w, failure(e), w.req.ID)
+	}
+}
+
+func failure(e answer.End) *outcome.Error {
+	if e.Error != nil {
+		return e.Error
+	}
+	return outcome.New(outcome.Internal, outcome.Unknown, "the answer has no end", "ask the operator to look up the request id")
+}
+
+func (w *writer) whole() {
+	h := w.w.Header()
+	h.Set(outcome.Header, string(outcome.Ran))
+	if w.sent {
+		if w.head.Stream {
+			w.w.Write([]byte(doneEvent))
+		}
+		return
+	}
+	w.copyHeader()
+	if w.r.Method != http.MethodHead && bodyAllowed(w.head.Status) {
+		h.Set("Content-Length", strconv.Itoa(len(w.held)))
+	}
+	w.w.WriteHeader(w.head.Status)
+	w.w.Write(w.held)
+}
+
+func bodyAllowed(status int) bool {
+	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// tellCut tells within a stream why it ends here. The connection is aborted
+// afterwards, because many clients read nothing but the data.
+func (w *writer) tellCut(err *outcome.Error) {
+	w.cut = true
+	if !w.head.Stream {
+		return
+	}
+	b := append(w.buf[:0], "event: error\n"...)
+	b = appendEventData(b, err.JSON(w.req.ID))
+	w.w.Write(b)
+	w.ctl.Flush()
+}
--- /dev/null
+++ b/internal/dispatch/group.go
@@ -0,0 +1,139 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"mime"
+	"net/http"
+	"strconv"
+	"time"
+
+	"chervilloom/internal/answer"
+	"chervilloom/internal/clock"
+	"chervilloom/internal/engine"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/outcome"
+	"chervilloom/internal/relay"
+	"chervilloom/internal/request"
+	"chervilloom/internal/view"
+)
+
+func leader(g *view.Group) *fleet.Member { return &g.Members[0] }
+
+// sendGroup makes one try at a group.
+func (d *Dispatcher) sendGroup(ctx context.Context, s *session, g *view.Group, t *try) *outcome.Error {
+	if err := d.checkWhole(ctx, g); err != nil {
+		return err
+	}
+	ref := relay.StreamRef{
+		VM: leader(g).VM, Group: g.ID, Generation: g.Generation,
+		Stream: relay.NewStreamID(s.req.Organisation),
+	}
+	r, err := newCall(ctx, s.req, leader(g).Addr)
+	if err != nil {
+		return badCall(err)
+	}
+	setEngineHeaders(r.Header, s.req, ref)
+	resp, sn, err := d.client.do(r, s.req.Idempotent)
+	if err != nil {
+		oerr := d.failed(ctx, sn, err)
+		t.blamed = ctx.Err() == nil
+		if oerr.Outcome != outcome.NotRun {
+			d.abandon(leader(g).Addr, ref.Stream)
+		}
+		return oerr
+	}
+	defer resp.Body.Close()
+	t.first(d.opt.Clock.Now())
+	if oerr := checkEngine(resp, g); oerr != nil {
+		t.blamed = oerr.Outcome != outcome.NotRun
+		return oerr
+	}
+	h := answer.Head{
+		Status: resp.StatusCode, Header: incoming(resp),
+		Endpoint: ref.VM, Group: ref.Group, Generation: ref.Generation,
+	}
+	if !isEventStream(resp) {
+		return d.relayAnswer(ctx, s, resp, h, t, g, ref)
+	}
+	h.Stream = true
+	st := relay.NewStream(ref, 0)
+	return d.follow(ctx, s, resp, h, st, g, t)
+}
+
+func (d *Dispatcher) relayAnswer(ctx context.Context, s *session, resp *http.Response, h answer.Head, t *try, g *view.Group, ref relay.StreamRef) *outcome.Error {
+	oerr := d.relayBody(ctx, s, resp, h)
+	if oerr != nil {
+		t.blamed = oerr.Kind == outcome.AnswerCut
+		d.abandon(leader(g).Addr, ref.Stream)
+	}
+	return oerr
+}
+
+// checkWhole refuses a group of which a member is missing or has not been
+// seen lately. The router looked too, but on an older snapshot, and the
+// request may have waited since.
+func (d *Dispatcher) checkWhole(ctx context.Context, g *view.Group) *outcome.Error {
+	now := d.opt.Clock.Now()
+	if fresh(g, now) {
+		return nil
+	}
+	if g.Whole && d.opt.Prober != nil {
+		if until, ok := d.opt.Prober.Probe(ctx, g); ok && d.opt.Clock.Now().Before(until) {
+			return nil
+		}
+	}
+	return outcome.New(outcome.NoCapacity, outcome.NotRun,
+		fmt.Sprintf("group %s is not seen whole", g.ID), "send the request again").After(time.Second)
+}
+
+func fresh(g *view.Group, now clock.Instant) bool { return g.Whole && now.Before(g.FreshUntil) }
+
+func setEngineHeaders(h http.Header, req *request.Request, ref relay.StreamRef) {
+	h.Set(engine.HeaderGeneration, generation(ref.Group, ref.Generation))
+	h.Set(engine.HeaderStream, ref.Stream)
+	h.Set(engine.HeaderPriority, strconv.Itoa(req.Priority))
+	h.Del("Accept-Encoding")
+}
+
+func generation(g fleet.GroupID, n fleet.Generation) string {
+	return string(g) + "/" + strconv.FormatUint(uint64(n), 10)
+}
+
+// checkEngine refuses what is not this generation's answer. The engine may
+// have been given to another group, or may have restarted as if nothing had
+// happened, since its members were last probed: what it says then is the
+// answer of another model or of a replica with a member missing.
+func checkEngine(resp *http.Response, g *view.Group) *outcome.Error {
+	if resp.StatusCode >= 400 && resp.Header.Get(engine.HeaderNotRun) == "true" {
+		return refusal(resp, true)
+	}
+	want := generation(g.ID, g.Generation)
+	gen, boot := resp.Header.Get(engine.HeaderGeneration), resp.Header.Get(engine.HeaderBoot)
+	if gen != want || boot != string(leader(g).Boot) {
+		return outcome.New(outcome.EndpointFailed, outcome.Unknown,
+			"the endpoint answered for another generation", "send the request again").
+			WithCause(fmt.Errorf("dispatch: got %q boot %q, want %q boot %q", gen, boot, want, leader(g).Boot))
+	}
+	if resp.StatusCode >= 500 || resp.StatusCode == http.StatusTooManyRequests {
+		return refusal(resp, false)
+	}
+	return nil
+}
+
+func isEventStream(resp *http.Response) bool {
+	t, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	return err == nil && t == "text/event-stream" && resp.StatusCode == http.StatusOK
+}
+
+func retryAfter(h http.Header) time.Duration {
+	s, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || s < 0 {
+		return 0
+	}
+	return time.Duration(s) * time.Second
+}
+
+func badCall(err error) *outcome.Error {
+	return outcome.New(outcome.BadRequest, outcome.NotRun, "the request cannot be sent", "check its path and headers").WithCause(err)
+}
--- /dev/null
+++ b/internal/dispatch/metrics.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"context"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"chervilloom/internal/explain"
+	"chervilloom/internal/outcome"
+	"chervilloom/internal/request"
+	"chervilloom/internal/route"
+)
+
+type metrics struct {
+	tries          *prometheus.CounterVec
+	decisions      *prometheus.CounterVec
+	resumes        prometheus.Counter
+	cancelsDropped prometheus.Counter
+}
+
+func newMetrics(reg prometheus.Registerer) *metrics {
+	m := &metrics{
+		tries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chervilloom_dispatch_tries_total", Help: "Tries by class and kind of choice.",
+		}, []string{"class", "kind"}),
+		decisions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chervilloom_dispatch_decisions_total", Help: "What followed failed tries, by class and verdict.",
+		}, []string{"class", "verdict"}),
+		resumes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chervilloom_dispatch_resumes_total", Help: "Streams asked for again at their endpoint.",
+		}),
+		cancelsDropped: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chervilloom_dispatch_cancels_dropped_total", Help: "Abandoned streams not cancelled because the ring was full.",
+		}),
+	}
+	if reg != nil {
+		reg.MustRegister(m.tries, m.decisions, m.resumes, m.cancelsDropped)
+	}
+	return m
+}
+
+func (d *Dispatcher) noteTry(req *request.Request, c route.Choice) {
+	d.metrics.tries.WithLabelValues(string(req.Class), string(c.Kind)).Inc()
+	d.note(req, "send to "+place(c), c.Reason)
+}
+
+func (d *Dispatcher) noteDecision(req *request.Request, dec decision, last *outcome.Error) {
+	d.metrics.decisions.WithLabelValues(string(req.Class), string(dec.verdict)).Inc()
+	d.note(req, string(dec.verdict), dec.reason+": "+last.Error())
+}
+
+func (d *Dispatcher) note(req *request.Request, decision, reason string) {
+	if d.opt.Explain != nil {
+		d.opt.Explain.Note(explain.Step{Subject: req.ID, Stage: "dispatch", Decision: decision, Reason: reason})
+	}
+}
+
+func place(c route.Choice) string {
+	switch c.Kind {
+	case route.KindGroup:
+		return "group " + string(c.Group.ID)
+	case route.KindEndpoint:
+		return "endpoint " + string(c.VM.Record.VM)
+	default:
+		return "node " + string(c.Node)
+	}
+}
+
+// withRemoteParent continues the trace of a request that another node passed on.
+func withRemoteParent(ctx context.Context, req *request.Request) context.Context {
+	if req.TraceParent == "" || trace.SpanContextFromContext(ctx).IsValid() {
+		return ctx
+	}
+	carrier := propagation.MapCarrier{"traceparent": req.TraceParent}
+	return otel.GetTextMapPropagator().Extract(ctx, carrier)
+}
--- /dev/null
+++ b/internal/dispatch/session.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"context"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chervilloom/internal/answer"
+	"chervilloom/internal/outcome"
+	"chervilloom/internal/request"
+	"chervilloom/internal/route"
+)
+
+// session is one request on its way through any number of tries. It alone
+// touches the writer: Start once, Finish once.
+type session struct {
+	req       *request.Request
+	w         answer.Writer
+	tried     []route.Tried
+	tries     int
+	exhausted bool
+	ran       outcome.Outcome // worst outcome of the tries so far
+	begun     bool
+	gone      bool // whoever is behind the writer has left
+	next      uint64
+	frames    uint64
+	bytes     uint64
+	hash      *xxhash.Digest
+	lastID    string
+}
+
+func newSession(req *request.Request, w answer.Writer) *session {
+	return &session{req: req, w: w, ran: outcome.NotRun, hash: xxhash.New()}
+}
+
+// start opens the answer unless it is open already.
+func (s *session) start(h answer.Head) *outcome.Error {
+	if s.begun {
+		return nil
+	}
+	s.begun = true
+	if err := s.w.Start(h); err != nil {
+		s.gone = true
+		return callerGone(outcome.Ran).WithCause(err)
+	}
+	return nil
+}
+
+// frame passes on a piece. Pieces that were passed on before are dropped.
+func (s *session) frame(f answer.Frame) *outcome.Error {
+	s.frames++
+	s.bytes += uint64(len(f.Data))
+	s.hash.Write(f.Data)
+	if f.ID != "" {
+		s.lastID = f.ID
+	}
+	if err := s.w.Frame(f); err != nil {
+		s.gone = true
+		return callerGone(outcome.Ran).WithCause(err)
+	}
+	return nil
+}
+
+// finish closes the answer; a nil error means that it is whole.
+func (s *session) finish(err *outcome.Error) {
+	s.w.Finish(answer.End{
+		Whole:  err == nil,
+		Frames: s.frames,
+		Bytes:  s.bytes,
+		Hash:   s.hash.Sum64(),
+		Error:  err,
+	})
+}
+
+// add takes the outcome of a failed try into account.
+func (s *session) add(err *outcome.Error) {
+	if err != nil {
+		s.ran = worse(s.ran, err.Outcome)
+	}
+}
+
+// told returns err with the outcome of all tries together: a last try that did
+// not run does not undo an earlier one that may have.
+func (s *session) told(err *outcome.Error) *outcome.Error {
+	o := worse(s.ran, err.Outcome)
+	if o == err.Outcome {
+		return err
+	}
+	c := *err
+	c.Outcome = o
+	return &c
+}
+
+func (s *session) facts(ctx context.Context, err *outcome.Error, maxTries int) facts {
+	return facts{
+		tries: s.tries, maxTries: maxTries, err: err,
+		idempotent: s.req.Idempotent, begun: s.begun, exhausted: s.exhausted,
+		over: s.gone || ctx.Err() != nil,
+	}
+}
+
+func callerGone(o outcome.Outcome) *outcome.Error {
+	return outcome.New(outcome.CallerGone, o, "the caller left before the answer ended", "send the request again")
+}
