Calls that run at most once: keys and tickets

Cause: a caller that lost its answer repeats the call, and the balancer hands the repeat to any node. A second run issues a second receipt.

Change: a filter with two means. A ticket names the life of the node that alone dispatches the call and remembers its end; other nodes pass tries to it, and a lost holder means "unknown". An Idempotency-Key is claimed in the table before each dispatch; the row names the holder.

"not-run" is taken as a promise about the caller's call, not about one try: a try that is refused before its key could be looked up says "unknown", unless the caller vouches with Chervilloom-Key-State: first that no earlier try was sent.

Ruled out: deleting the row of a call that did not run. Row versions start again after a deletion, so a deletion that lands late could take away the claim of a running call.

--- /dev/null
+++ b/internal/once/refuse.go
@@ -0,0 +1,94 @@
+package once
+
+import (
+	"errors"
+	"time"
+
+	"chervilloom/internal/outcome"
+	"chervilloom/internal/request"
+)
+
+var errNoReason = errors.New("once: the rest of the path ended an answer without a reason")
+
+// Advice on when to come back.
+const (
+	retryRunning  = time.Second
+	retryPlatform = 2 * time.Second
+	retryHolder   = 2 * time.Second
+	retryFull     = 5 * time.Second
+)
+
+// Refusal returns e as it may be told for the request. "not-run" is a promise
+// about the caller's call, not about one try: when an earlier try with the same
+// key or ticket may have run elsewhere, a refusal of this one says "unknown".
+// A caller that sends KeyStateHeader "first" vouches that there was none.
+//
+// Every filter that refuses a request before its key was looked up uses it.
+func Refusal(req *request.Request, e *outcome.Error) *outcome.Error {
+	if e.Outcome != outcome.NotRun || firstTry(req) {
+		return e
+	}
+	c := *e
+	c.Outcome = outcome.Unknown
+	c.Remedy = "repeat the call with the same key or ticket; this try did not run, an earlier one may have"
+	return &c
+}
+
+func firstTry(req *request.Request) bool {
+	return req.Key == "" && req.Ticket == "" || req.Header.Get(KeyStateHeader) == KeyStateFirst
+}
+
+func stillRunning() *outcome.Error {
+	return outcome.New(outcome.StillRunning, outcome.Unknown, "the first try of this call is in progress",
+		"repeat the call with the same key or ticket after the advised time").After(retryRunning)
+}
+
+func keyReused() *outcome.Error {
+	return outcome.New(outcome.KeyReused, outcome.NotRun, "the key or ticket was first used with another method, path or body",
+		"use a new key or ticket for a new call")
+}
+
+func holderLost(cause error) *outcome.Error {
+	return outcome.New(outcome.HolderLost, outcome.Unknown, "the node that held the state of this call is gone, and no answer was recorded",
+		"look up in your own records whether the call took effect before you send it under a new key").WithCause(cause)
+}
+
+func holderAway() *outcome.Error {
+	return outcome.New(outcome.HolderLost, outcome.Unknown, "the node that holds the state of this call cannot be reached now",
+		"repeat the call with the same key or ticket; if this lasts, look up in your records whether it took effect").After(retryHolder)
+}
+
+func answerGone() *outcome.Error {
+	return outcome.New(outcome.AnswerCut, outcome.Ran, "the call ran; its answer was too long to be kept and cannot be given again",
+		"do not send it under a new key; look up its effect in your own records")
+}
+
+func noClaim() *outcome.Error {
+	return outcome.New(outcome.PlatformDown, outcome.NotRun, "the key could not be claimed in the platform's table, so nothing was sent",
+		"repeat the call with the same key after the advised time, or ask for a ticket, which needs no table").After(retryPlatform)
+}
+
+func tooManyKeys() *outcome.Error {
+	return outcome.New(outcome.Overloaded, outcome.NotRun, "this node holds as many keys and tickets as it may",
+		"repeat the call after the advised time").After(retryFull)
+}
+
+func badTicket(cause error) *outcome.Error {
+	return outcome.New(outcome.BadRequest, outcome.NotRun, "this is not a ticket of this system",
+		"send the ticket exactly as POST /tickets gave it, or ask for a new one").WithCause(cause)
+}
+
+func foreignTicket(cause error) *outcome.Error {
+	return outcome.New(outcome.HolderLost, outcome.Unknown, "the ticket was made under another secret, so its holder cannot be told",
+		"look up in your own records whether the call took effect; ask for a new ticket").WithCause(cause)
+}
+
+func expiredTicket() *outcome.Error {
+	return outcome.New(outcome.HolderLost, outcome.Unknown, "the ticket has expired, and its state is not kept any more",
+		"look up in your own records whether the call took effect; ask for a new ticket")
+}
+
+func otherOrganisation() *outcome.Error {
+	return outcome.New(outcome.Unauthorised, outcome.NotRun, "the ticket belongs to another organisation",
+		"use a ticket that was given to this organisation")
+}
--- /dev/null
+++ b/internal/once/tickets.go
@@ -0,0 +1,95 @@
+package once
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/outcome"
+)
+
+// maxTickets is how many tickets one call may ask for.
+const maxTickets = 64
+
+// ticketsBody is the answer to POST /tickets.
+type ticketsBody struct {
+	Tickets   []string `json:"tickets"`
+	ExpiresIn int64    `json:"expires_in_seconds"`
+}
+
+// Tickets serves POST /tickets?count=N (default 1, at most 64): tickets that
+// name this life of this node. Making one takes no memory and no platform. One
+// call for several saves the caller a round trip for each.
+func (k *Keeper) Tickets() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, e := k.issue(r)
+		if e != nil {
+			e.SetHeaders(w.Header())
+			writeJSON(w, e.Kind.Status(), e.JSON(uuid.NewString()))
+			return
+		}
+		b, err := json.Marshal(body)
+		if err != nil { // strings and a number
+			panic(err)
+		}
+		w.Header().Set(TicketHeader, body.Tickets[0])
+		writeJSON(w, http.StatusCreated, b)
+	})
+}
+
+func writeJSON(w http.ResponseWriter, status int, b []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	w.Write(b)
+}
+
+func (k *Keeper) issue(r *http.Request) (*ticketsBody, *outcome.Error) {
+	if r.Method != http.MethodPost {
+		return nil, outcome.New(outcome.BadRequest, outcome.NotRun, "tickets are asked for with POST", "send POST /tickets")
+	}
+	count, ok := ticketCount(r)
+	if !ok {
+		return nil, outcome.New(outcome.BadRequest, outcome.NotRun, "count is not a number from 1 to 64", "send POST /tickets?count=8")
+	}
+	org, err := k.opt.Identify(r)
+	if err != nil {
+		return nil, outcome.Of(err)
+	}
+	if len(org) > maxTicketName {
+		return nil, outcome.New(outcome.BadRequest, outcome.NotRun, "the organisation's name is longer than 255 bytes", "ask the operator to shorten it")
+	}
+	if k.mem.full() {
+		return nil, tooManyKeys()
+	}
+	body := &ticketsBody{ExpiresIn: int64(k.opt.TicketLife / time.Second)}
+	for range count {
+		body.Tickets = append(body.Tickets, k.newTicket(org))
+	}
+	return body, nil
+}
+
+func ticketCount(r *http.Request) (int, bool) {
+	text := r.URL.Query().Get("count")
+	if text == "" {
+		return 1, true
+	}
+	n, err := strconv.Atoi(text)
+	return n, err == nil && n >= 1 && n <= maxTickets
+}
+
+func (k *Keeper) newTicket(org fleet.Organisation) string {
+	return k.sealer.seal(Ticket{
+		Holder: k.opt.Self, ID: newTicketID(), Organisation: org,
+		Expires: k.opt.Clock.Now().Add(k.opt.TicketLife),
+	})
+}
+
+// ticketID returns the id of the ticket's entry. It differs from every id of a
+// key, which ends in 32 hexadecimal digits after a slash.
+func ticketID(t Ticket) string { return "ticket:" + hex.EncodeToString(t.ID[:]) }
--- /dev/null
+++ b/internal/once/try.go
@@ -0,0 +1,248 @@
+package once
+
+import (
+	"context"
+	"time"
+
+	"chervilloom/internal/answer"
+	"chervilloom/internal/filter"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/outcome"
+	"chervilloom/internal/request"
+	"chervilloom/internal/view"
+)
+
+// refuse ends the try with an error that is true as it stands.
+func (t *try) refuse(e *outcome.Error) { t.w.Finish(answer.End{Error: e}) }
+
+// refuseEarly ends the try before its key or ticket was looked up where its
+// state is held.
+func (t *try) refuseEarly(e *outcome.Error) { t.refuse(Refusal(t.req, e)) }
+
+// run dispatches the call. It goes on when the caller leaves: cutting a call
+// that may not be repeated would leave its outcome unknown, and the caller's
+// repeat is to get its answer.
+func (t *try) run(ctx context.Context) {
+	ctx, cancel := t.runContext(ctx)
+	defer cancel()
+	rec := &recorder{
+		w: t.w, ticket: t.req.Ticket, limit: t.k.opt.MaxAnswer,
+		onEnd: t.ended, cancel: cancel,
+	}
+	// A panic below must not leave the entry "running" for ever.
+	defer rec.Finish(answer.End{Error: outcome.Of(errNoReason)})
+	t.next.Serve(ctx, t.req, rec)
+}
+
+func (t *try) runContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx = context.WithoutCancel(ctx)
+	if t.req.Deadline == 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, t.req.Deadline.Sub(t.k.opt.Clock.Now()))
+}
+
+func (t *try) ended(o outcome.Outcome, kept *keptAnswer, size int, failure *outcome.Error) {
+	act := t.k.mem.end(t.id, o, kept, size, failure)
+	t.k.writeNote(t.id, act)
+}
+
+// replayFrom answers a repeat from memory.
+func (t *try) replayFrom(s *slot) {
+	switch {
+	case s.answer != nil:
+		replay(t.w, s.answer, t.req.Ticket)
+	case s.failure != nil:
+		t.refuse(s.failure)
+	default:
+		t.refuse(answerGone())
+	}
+}
+
+// replayRow answers a repeat from the row.
+func (t *try) replayRow(a *keptAnswer) {
+	if a == nil {
+		t.refuse(answerGone())
+		return
+	}
+	replay(t.w, a, t.req.Ticket)
+}
+
+// relay passes the try to the life that holds the call's state.
+func (t *try) relay(ctx context.Context, act Action) {
+	if e := t.lost(act.Holder); e != nil {
+		t.refuse(known(e, act.Ran))
+		return
+	}
+	passed := *t.req
+	passed.Stage = request.StageKey
+	passed.Hops++
+	passed.From = t.k.opt.Self.VM
+	w := &relayed{w: t.w}
+	answered := t.k.opt.Peers.Relay(ctx, act.Holder.VM, &passed, w)
+	t.w.Finish(t.relayedEnd(w.end, answered, act.Ran))
+}
+
+// relayedEnd makes an end that this side made up true of the call: that this
+// try did not leave does not tell that an earlier one did not run.
+func (t *try) relayedEnd(e answer.End, answered, ran bool) answer.End {
+	if answered || e.Whole || e.Error == nil {
+		return e
+	}
+	if ran || e.Error.Outcome == outcome.NotRun && !firstTry(t.req) {
+		e.Error = known(holderAway().WithCause(e.Error), ran)
+	}
+	return e
+}
+
+// known returns e, or that the call ran when the row told so.
+func known(e *outcome.Error, ran bool) *outcome.Error {
+	if ran {
+		return answerGone().WithCause(e)
+	}
+	return e
+}
+
+// lost returns why the holder cannot be asked, or nil.
+func (t *try) lost(to fleet.Node) *outcome.Error {
+	if t.req.Stage == request.StageKey {
+		// Another node believed this life to be the holder: passing it on again
+		// could go in circles.
+		return holderLost(nil)
+	}
+	if to.VM == t.k.opt.Self.VM {
+		return holderLost(nil) // an earlier life of this node
+	}
+	n := findNode(t.k.opt.View.Snapshot(), to.VM)
+	switch {
+	case n == nil:
+		return nil // not seen yet, or no longer: asking tells
+	case n.Incarnation > to.Incarnation || n.State == view.NodeLeft && n.Incarnation == to.Incarnation:
+		return holderLost(nil)
+	case n.State == view.NodeDead:
+		return holderAway()
+	}
+	return nil
+}
+
+func findNode(s *view.Snapshot, vm fleet.VM) *view.Node {
+	for i := range s.Nodes {
+		if s.Nodes[i].VM == vm {
+			return &s.Nodes[i]
+		}
+	}
+	return nil
+}
+
+// relayed holds the end of a relayed answer back until it is known who ended it.
+type relayed struct {
+	w   answer.Writer
+	end answer.End
+}
+
+func (r *relayed) Start(h answer.Head) error  { return r.w.Start(h) }
+func (r *relayed) Frame(f answer.Frame) error { return r.w.Frame(f) }
+func (r *relayed) Finish(e answer.End)        { r.end = e }
+
+// serveTicket answers a try that carries a ticket.
+func (k *Keeper) serveTicket(ctx context.Context, req *request.Request, w answer.Writer, next filter.Handler) {
+	t := &try{k: k, req: req, w: w, next: next, mechanism: byTicket, hash: bodyHash(req)}
+	ticket, err := k.sealer.open(req.Ticket)
+	switch {
+	case err == ErrTicketForeign:
+		t.refuse(foreignTicket(err))
+		return
+	case err != nil:
+		t.refuse(badTicket(err))
+		return
+	case ticket.Organisation != req.Organisation:
+		t.refuse(otherOrganisation())
+		return
+	}
+	t.id = ticketID(ticket)
+	if ticket.Holder != k.opt.Self {
+		act := Action{Verb: PassOn, Holder: ticket.Holder, Reason: "the ticket names another holder"}
+		t.note(act)
+		t.relay(ctx, act)
+		return
+	}
+	t.holdTicket(ctx, ticket)
+}
+
+func (t *try) holdTicket(ctx context.Context, ticket Ticket) {
+	if !t.k.opt.Clock.Now().Before(ticket.Expires) {
+		t.refuseEarly(expiredTicket())
+		return
+	}
+	act, s, ok := t.k.mem.call(t.id, false, t.hash, ticket.Expires)
+	if !ok {
+		// The memory forgets no ticket before it expires, so one that it does
+		// not know was never dispatched.
+		t.refuse(tooManyKeys())
+		return
+	}
+	t.follow(ctx, act, s)
+}
+
+// serveKey answers a try that carries a key and no ticket.
+func (k *Keeper) serveKey(ctx context.Context, req *request.Request, w answer.Writer, next filter.Handler) {
+	t := &try{k: k, req: req, w: w, next: next, mechanism: byKey, hash: bodyHash(req)}
+	t.id = rowKey(req.Organisation, req.Key)
+	expires := k.opt.Clock.Now().Add(k.retention() + 2*k.opt.Skew)
+	act, s, ok := k.mem.call(t.id, true, t.hash, expires)
+	if !ok {
+		t.refuseEarly(tooManyKeys())
+		return
+	}
+	t.follow(ctx, act, s)
+}
+
+// follow carries out a decision on the try.
+func (t *try) follow(ctx context.Context, act Action, s *slot) {
+	t.note(act)
+	switch act.Verb {
+	case WriteClaim:
+		t.k.writeClaim(t.id, t.hash, act.Version)
+		t.follow(ctx, t.await(ctx, s.wake), s)
+	case AwaitClaim:
+		t.follow(ctx, t.await(ctx, s.wake), s)
+	case Dispatch:
+		t.run(ctx)
+	case Replay:
+		t.replayFrom(s)
+	case ReplayRow:
+		t.replayRow(act.Answer)
+	case PassOn:
+		t.relay(ctx, act)
+	case TellRunning:
+		t.refuse(stillRunning())
+	case TellReused:
+		t.refuse(keyReused())
+	case TellNoClaim:
+		t.refuseEarly(noClaim())
+	default:
+		t.refuse(holderLost(nil))
+	}
+}
+
+// await waits for what becomes of the claim, within the caller's patience.
+func (t *try) await(ctx context.Context, wake chan Action) Action {
+	from := time.Now()
+	defer func() { t.k.meters.claimSeconds.Observe(time.Since(from).Seconds()) }()
+	timer := time.NewTimer(t.patience())
+	defer timer.Stop()
+	select {
+	case act := <-wake:
+		return act
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return t.k.mem.leave(t.id, wake)
+}
+
+func (t *try) patience() time.Duration {
+	if t.req.Deadline == 0 {
+		return t.k.opt.ClaimWait
+	}
+	return min(t.k.opt.ClaimWait, t.req.Deadline.Sub(t.k.opt.Clock.Now()))
+}
--- /dev/null
+++ b/internal/once/writer.go
@@ -0,0 +1,362 @@
+package once
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"chervilloom/internal/clock"
+	"chervilloom/internal/platform"
+	"chervilloom/internal/ring"
+)
+
+// Table is what the keys need of the platform's table.
+type Table interface {
+	Get(ctx context.Context, table, key string) (platform.Row, error)
+	List(ctx context.Context, table, prefix string) ([]platform.Row, error)
+	Commit(ctx context.Context, txn platform.Txn) (platform.Result, error)
+}
+
+// writeEnd is how a conditional write of one row ended.
+type writeEnd uint8
+
+const (
+	writeLanded  writeEnd = iota + 1
+	writeRefused          // the row was not at the version; it is in the result
+	writeFailed           // surely without effect
+	writeUnclear          // may have landed, or may yet
+)
+
+// write is one conditional write of one row.
+type write struct {
+	key     string
+	version uint64
+	value   []byte
+	done    func(writeEnd, platform.Row)
+}
+
+// writer commits the writes of many calls in shared transactions, so that the
+// platform sees far fewer transactions than there are calls.
+//
+// Claims go first: a caller waits for each. Notes (outcomes, releases) ride
+// along, and go alone only when no claim has come for noteDelay.
+type writer struct {
+	table  Table
+	clock  clock.Clock
+	log    *slog.Logger
+	meters *meters
+	limits WriteLimits
+
+	claims *ring.Queue[write] // full: the call is refused at once
+	notes  *ring.Queue[write] // full: dropped; the sweeper offers it again
+
+	turn      sync.Mutex // held by the committer that collects the next batch
+	lastStart time.Time
+	downUntil atomic.Int64 // clock.Instant until which claims are refused unasked
+	downFor   atomic.Int64 // the next pause, in nanoseconds
+}
+
+// WriteLimits bounds what one node asks of the table.
+type WriteLimits struct {
+	Gap       time.Duration // least time between two commits' starts; default 10ms
+	InFlight  int           // commits at once; default 4
+	Batch     int           // rows of one commit; default 64
+	NoteDelay time.Duration // how long an outcome waits for a claim to ride with; default 100ms
+	Timeout   time.Duration // of one commit; default 2s
+	Queue     int           // claims and notes that wait, each; default 1024
+}
+
+func (l WriteLimits) withDefaults() WriteLimits {
+	setDefault(&l.Gap, 10*time.Millisecond)
+	setDefault(&l.InFlight, 4)
+	setDefault(&l.Batch, 64)
+	setDefault(&l.NoteDelay, 100*time.Millisecond)
+	setDefault(&l.Timeout, 2*time.Second)
+	setDefault(&l.Queue, 1024)
+	return l
+}
+
+func setDefault[T comparable](p *T, def T) {
+	var zero T
+	if *p == zero {
+		*p = def
+	}
+}
+
+const (
+	firstPause = 250 * time.Millisecond
+	maxPause   = 2 * time.Second
+)
+
+func newWriter(t Table, c clock.Clock, log *slog.Logger, m *meters, l WriteLimits) *writer {
+	return &writer{
+		table: t, clock: c, log: log, meters: m, limits: l,
+		claims: ring.NewQueue[write](l.Queue), notes: ring.NewQueue[write](l.Queue),
+	}
+}
+
+// claim queues a claim. It reports false when the queue is full or the table
+// did not answer a moment ago: the caller is told so at once instead of waiting
+// for a timeout.
+func (w *writer) claim(op write) bool {
+	if int64(w.clock.Now()) < w.downUntil.Load() {
+		return false
+	}
+	return w.claims.Offer(op)
+}
+
+// note queues an outcome.
+func (w *writer) note(op write) {
+	if !w.notes.Offer(op) {
+		w.meters.notesDropped.Inc()
+	}
+}
+
+// run commits until ctx ends.
+func (w *writer) run(ctx context.Context) {
+	var group sync.WaitGroup
+	for range w.limits.InFlight {
+		group.Go(func() { w.commitLoop(ctx) })
+	}
+	group.Wait()
+	w.failQueued()
+}
+
+func (w *writer) commitLoop(ctx context.Context) {
+	for {
+		batch, ok := w.collect(ctx)
+		if !ok {
+			return
+		}
+		w.commit(ctx, batch)
+	}
+}
+
+// failQueued ends the writes that nobody will commit any more.
+func (w *writer) failQueued() {
+	for {
+		select {
+		case op := <-w.claims.C():
+			op.done(writeFailed, platform.Row{})
+		case op := <-w.notes.C():
+			op.done(writeFailed, platform.Row{})
+		default:
+			return
+		}
+	}
+}
+
+// collect waits for the next batch. It holds the turn, so that what arrives in
+// the gap goes into one batch instead of one for each committer.
+func (w *writer) collect(ctx context.Context) ([]write, bool) {
+	w.turn.Lock()
+	defer w.turn.Unlock()
+	first, ok := w.first(ctx)
+	if !ok {
+		return nil, false
+	}
+	if !sleep(ctx, w.limits.Gap-time.Since(w.lastStart)) {
+		first.done(writeFailed, platform.Row{})
+		return nil, false
+	}
+	w.lastStart = time.Now()
+	return w.fill(first), true
+}
+
+func (w *writer) first(ctx context.Context) (write, bool) {
+	select {
+	case op := <-w.claims.C():
+		return op, true
+	case op := <-w.notes.C():
+		return w.waitToRide(ctx, op)
+	case <-ctx.Done():
+		return write{}, false
+	}
+}
+
+// waitToRide holds a note until a claim comes or the delay is over.
+func (w *writer) waitToRide(ctx context.Context, note write) (write, bool) {
+	timer := time.NewTimer(w.limits.NoteDelay)
+	defer timer.Stop()
+	select {
+	case op := <-w.claims.C():
+		w.note(note)
+		return op, true
+	case <-timer.C:
+		return note, true
+	case <-ctx.Done():
+		note.done(writeFailed, platform.Row{})
+		return write{}, false
+	}
+}
+
+func (w *writer) fill(first write) []write {
+	batch := append(make([]write, 0, 8), first)
+	batch = w.drain(batch, w.claims)
+	return w.drain(batch, w.notes)
+}
+
+func (w *writer) drain(batch []write, q *ring.Queue[write]) []write {
+	for len(batch) < w.limits.Batch {
+		select {
+		case op := <-q.C():
+			batch = append(batch, op)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// commit writes the batch. The writes whose condition fails are taken out and
+// the others go on in another transaction: a conditional transaction that was
+// refused has changed nothing. Each round takes out one write at least.
+func (w *writer) commit(ctx context.Context, batch []write) {
+	batch, again := splitTwice(batch)
+	for len(batch) > 0 {
+		batch = w.commitOnce(ctx, batch)
+	}
+	if len(again) > 0 {
+		w.commit(ctx, again)
+	}
+}
+
+// splitTwice takes second writes of the same row out of the batch.
+func splitTwice(batch []write) (once, again []write) {
+	seen := make(map[string]struct{}, len(batch))
+	once = batch[:0:0]
+	for _, op := range batch {
+		if _, twice := seen[op.key]; twice {
+			again = append(again, op)
+			continue
+		}
+		seen[op.key] = struct{}{}
+		once = append(once, op)
+	}
+	return once, again
+}
+
+func (w *writer) commitOnce(ctx context.Context, batch []write) (rest []write) {
+	ctx, cancel := context.WithTimeout(ctx, w.limits.Timeout)
+	defer cancel()
+	txn := transaction(batch)
+	res, err := w.table.Commit(ctx, txn)
+	w.meters.transactions.WithLabelValues(resultLabel(res, err)).Inc()
+	switch {
+	case err == nil && res.Committed:
+		w.answered()
+		landed(batch, res.Rows)
+		return nil
+	case err == nil:
+		w.answered()
+		return refused(batch, res.Rows)
+	case errors.Is(err, platform.ErrDown):
+		w.unreachable(err)
+		endAll(batch, writeFailed)
+		return nil
+	}
+	w.unreachable(err)
+	w.readBack(ctx, txn, batch)
+	return nil
+}
+
+// readBack looks for the transaction's attempt in one of its rows: all of them
+// landed or none. A row without it proves nothing, for the write may land yet.
+func (w *writer) readBack(ctx context.Context, txn platform.Txn, batch []write) {
+	row, err := w.table.Get(ctx, platform.TableKeys, batch[0].key)
+	if err == nil && row.Attempt == txn.Attempt {
+		w.answered()
+		landed(batch, nil)
+		return
+	}
+	endAll(batch, writeUnclear)
+}
+
+func transaction(batch []write) platform.Txn {
+	txn := platform.Txn{
+		Attempt: uuid.NewString(),
+		Checks:  make([]platform.Check, len(batch)),
+		Writes:  make([]platform.Write, len(batch)),
+	}
+	for i, op := range batch {
+		txn.Checks[i] = platform.Check{Table: platform.TableKeys, Key: op.key, Version: op.version}
+		txn.Writes[i] = platform.Write{Table: platform.TableKeys, Key: op.key, Value: op.value}
+	}
+	return txn
+}
+
+func landed(batch []write, rows []platform.Row) {
+	at := rowsByKey(rows)
+	for _, op := range batch {
+		row, ok := at[op.key]
+		if !ok {
+			row = platform.Row{Table: platform.TableKeys, Key: op.key, Version: op.version + 1, Value: op.value}
+		}
+		op.done(writeLanded, row)
+	}
+}
+
+// refused ends the writes whose condition failed and returns the others.
+func refused(batch []write, rows []platform.Row) (rest []write) {
+	at := rowsByKey(rows)
+	for _, op := range batch {
+		row, failed := at[op.key]
+		if !failed {
+			rest = append(rest, op)
+			continue
+		}
+		op.done(writeRefused, row)
+	}
+	if len(rest) == len(batch) {
+		// The platform refused without naming a row: going on would not end.
+		endAll(batch, writeFailed)
+		return nil
+	}
+	return rest
+}
+
+func rowsByKey(rows []platform.Row) map[string]platform.Row {
+	at := make(map[string]platform.Row, len(rows))
+	for _, r := range rows {
+		at[r.Key] = r
+	}
+	return at
+}
+
+func endAll(batch []write, end writeEnd) {
+	for _, op := range batch {
+		op.done(end, platform.Row{})
+	}
+}
+
+func (w *writer) answered() {
+	w.downUntil.Store(0)
+	w.downFor.Store(0)
+}
+
+// unreachable makes claims be refused at once for a while that doubles.
+func (w *writer) unreachable(err error) {
+	pause := min(max(time.Duration(w.downFor.Load()), firstPause), maxPause)
+	w.downFor.Store(int64(2 * pause))
+	w.downUntil.Store(int64(w.clock.Now().Add(pause)))
+	w.log.Warn("claims of keys are refused, the table does not answer; it is asked again soon", "pause", pause, "err", err)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
