Approximate index of prompt prefixes from cache events

Cause: engines publish cache events late and with gaps; routing wants to know which group holds a prompt's prefix without being misled for long. Ruled out: dropping the whole set at each gap (a tenth of the batches lost would leave it always empty), and trusting it on (a missed eviction is never told again).

--- /dev/null
+++ b/internal/prefix/prefix_test.go
@@ -0,0 +1,214 @@
+package prefix
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"chervilloom/internal/clock"
+	"chervilloom/internal/engine"
+	"chervilloom/internal/fleet"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const start = clock.Instant(time.Hour)
+
+func stored(seq, hash uint64) engine.CacheEvent {
+	return engine.CacheEvent{Sequence: seq, Prefix: hash}
+}
+
+func evicted(seq, hash uint64) engine.CacheEvent {
+	return engine.CacheEvent{Sequence: seq, Prefix: hash, Evicted: true}
+}
+
+func has(x *Index, hash uint64, now clock.Instant) bool {
+	_, ok := x.Set("vm", now)[hash]
+	return ok
+}
+
+func TestEventsInAnyOrder(t *testing.T) {
+	cases := []struct {
+		name   string
+		events []engine.CacheEvent
+		want   bool
+	}{
+		{"stored", []engine.CacheEvent{stored(1, 7)}, true},
+		{"stored and evicted", []engine.CacheEvent{stored(1, 7), evicted(2, 7)}, false},
+		{"the storing comes after its eviction", []engine.CacheEvent{stored(1, 1), evicted(3, 7), stored(2, 7)}, false},
+		{"the eviction comes after a newer storing", []engine.CacheEvent{stored(1, 1), stored(3, 7), evicted(2, 7)}, true},
+		{"twice the same", []engine.CacheEvent{stored(1, 7), evicted(2, 7), evicted(2, 7), stored(3, 7), stored(3, 7)}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			x := New(0)
+			x.Apply("vm", "b1", c.events, start)
+			is.New(t).Equal(has(x, 7, start), c.want)
+		})
+	}
+}
+
+// The engine restarts between two batches of events. What its cache held is
+// gone, but no eviction was published. Requests sent for the old entries would
+// find a cold cache on a group that is picked for being warm.
+func TestRestartEmptiesTheSet(t *testing.T) {
+	is := is.New(t)
+	x := New(0)
+	x.Apply("vm", "b1", []engine.CacheEvent{stored(1, 7), stored(2, 8)}, start)
+	x.Apply("vm", "b2", []engine.CacheEvent{stored(1, 9)}, start)
+	is.True(!has(x, 7, start))
+	is.True(has(x, 9, start))
+	is.Equal(x.Last("vm", "b1"), uint64(0))
+}
+
+// A batch of events is lost on its way, evictions among them. The entries from
+// before the gap look cached for ever, as no second eviction of them comes.
+// The oldest go at once, the others when they have been doubted long enough.
+func TestGapIsDistrusted(t *testing.T) {
+	is := is.New(t)
+	x := New(0)
+	var events []engine.CacheEvent
+	for i := range uint64(20) {
+		events = append(events, stored(i+1, 100+i))
+	}
+	x.Apply("vm", "b1", events, start)
+	x.Apply("vm", "b1", []engine.CacheEvent{stored(41, 200)}, start)
+	st := x.Stats("vm")
+	is.Equal(st.Gaps, uint64(1))
+	is.Equal(st.Missed, uint64(20))
+	is.Equal(st.Entries, 21) // no eviction was ever seen: none is assumed in the gap
+	later := start.Add(doubtFor)
+	is.True(!has(x, 119, later))
+	is.True(has(x, 200, later))
+}
+
+func TestGapDropsOldestAtOnce(t *testing.T) {
+	is := is.New(t)
+	x := New(0)
+	var events []engine.CacheEvent
+	for i := range uint64(20) {
+		events = append(events, stored(2*i+1, 100+i), evicted(2*i+2, 500+i))
+	}
+	x.Apply("vm", "b1", events, start)
+	x.Apply("vm", "b1", []engine.CacheEvent{stored(51, 200)}, start)
+	is.True(!has(x, 100, start))
+	is.True(has(x, 119, start))
+	is.Equal(x.Stats("vm").Distrusted, uint64(5)) // half of the ten missed
+}
+
+func TestPublishedSetIsNotChanged(t *testing.T) {
+	is := is.New(t)
+	x := New(0)
+	x.Apply("vm", "b1", []engine.CacheEvent{stored(1, 7)}, start)
+	old := x.Set("vm", start)
+	x.Apply("vm", "b1", []engine.CacheEvent{evicted(2, 7)}, start)
+	later := start.Add(rebuildEvery)
+	is.Equal(len(old), 1)
+	is.Equal(len(x.Set("vm", later)), 0)
+}
+
+// Any mix of events leaves the set within its bound, linked without loss, and
+// equal to the cache when nothing was missed and all came in order.
+func TestSetProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 16
+		x := New(limit)
+		cache := map[uint64]bool{}
+		seq, ordered := uint64(0), true
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			step := uint64(1)
+			if rapid.IntRange(0, 30).Draw(t, "gap") == 0 {
+				step, ordered = 5, false
+			}
+			seq += step
+			h := rapid.Uint64Range(1, limit).Draw(t, "hash")
+			gone := rapid.Bool().Draw(t, "gone")
+			cache[h] = !gone
+			x.Apply("vm", "b", []engine.CacheEvent{{Sequence: seq, Prefix: h, Evicted: gone}}, start)
+		}
+		checkLinks(t, x.sets["vm"])
+		got := x.Set("vm", start.Add(time.Second))
+		if len(got) > limit {
+			t.Fatalf("%d prefixes over the limit of %d", len(got), limit)
+		}
+		for h, in := range cache {
+			if _, ok := got[h]; ordered && ok != in {
+				t.Fatalf("prefix %d: in the set %v, in the cache %v", h, ok, in)
+			}
+		}
+	})
+}
+
+func checkLinks(t *rapid.T, s *set) {
+	n := 0
+	for i := s.oldest; i != none; i = s.slots[i].newer {
+		if s.index[s.slots[i].hash] != i {
+			t.Fatalf("slot %d is linked but not indexed", i)
+		}
+		n++
+	}
+	if n != len(s.index) {
+		t.Fatalf("%d slots linked, %d indexed", n, len(s.index))
+	}
+}
+
+func BenchmarkApply(b *testing.B) {
+	x := New(0)
+	seq := uint64(0)
+	batch := make([]engine.CacheEvent, 64)
+	b.ReportAllocs()
+	for b.Loop() {
+		for i := range batch {
+			seq++
+			batch[i] = engine.CacheEvent{Sequence: seq, Prefix: seq / 2, Evicted: seq%2 == 1 && seq > 8000}
+			if batch[i].Evicted {
+				batch[i].Prefix -= 4000
+			}
+		}
+		x.Apply("vm", "b", batch, start)
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*len(batch)), "ns/event")
+}
+
+// BenchmarkMemory reports the bytes that a full set holds, its published map
+// included.
+func BenchmarkMemory(b *testing.B) {
+	for _, engines := range []int{50, 100, 200} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				x := fill(engines)
+				b.ReportMetric(float64(heap()-before)/float64(engines), "B/engine")
+				runtime.KeepAlive(x)
+			}
+		})
+	}
+}
+
+func fill(engines int) *Index {
+	x := New(0)
+	events := make([]engine.CacheEvent, DefaultLimit)
+	for e := range engines {
+		for i := range events {
+			events[i] = stored(uint64(i+1), uint64(e*DefaultLimit+i)*0x9e3779b97f4a7c15)
+		}
+		vm := vmName(e)
+		x.Apply(vm, "b", events, start)
+		x.Set(vm, start)
+	}
+	return x
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func vmName(i int) fleet.VM { return fleet.VM(fmt.Sprintf("e%03d", i)) }
