Merge reports into a view, probe, lease duties, form and repair groups

Cause: nothing joined the platform's list, probes, the tables and orders yet.

Additions to shared types: fleet.Group.Spec (the entry of the configuration that the group belongs to), view.VM.Unlisted and view.Probe.Failures (a time and a count are needed before a member is called dead).

Not shown yet: digests between nodes, the list's lag, races of two owners.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -129,6 +129,7 @@
 // Group is a serving group as its table row holds it.
 type Group struct {
 	ID         GroupID          `json:"id"`
+	Spec       string           `json:"spec"` // name of the configuration's group entry
 	Generation Generation       `json:"generation"`
 	Phase      Phase            `json:"phase"`
 	Zone       AvailabilityZone `json:"zone"`
--- /dev/null
+++ b/internal/group/change.go
@@ -0,0 +1,132 @@
+package group
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"chervilloom/internal/explain"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/platform"
+	"chervilloom/internal/view"
+)
+
+// builder collects the checks and writes of one transaction.
+type builder struct {
+	p   *planner
+	txn platform.Txn
+}
+
+// begin starts a transaction that holds only while the lease row is unchanged:
+// a planner whose lease was taken over cannot commit.
+func (p *planner) begin() *builder {
+	b := &builder{p: p}
+	b.check(platform.TableLeases, p.in.Grant.Duty, p.in.Grant.Version)
+	return b
+}
+
+func (b *builder) check(table, key string, version uint64) {
+	b.txn.Checks = append(b.txn.Checks, platform.Check{Table: table, Key: key, Version: version})
+}
+
+func (b *builder) write(table, key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil { // claims and groups hold strings and numbers
+		panic(err)
+	}
+	b.txn.Writes = append(b.txn.Writes, platform.Write{Table: table, Key: key, Value: data})
+}
+
+// claim writes the VM's row with the next fence and returns that fence. The
+// fence goes above the highest the engine has seen too: a table restored to an
+// older state would otherwise hand out fences that the engine refuses.
+func (b *builder) claim(vm fleet.VM, id fleet.GroupID, gen fleet.Generation) fleet.Fence {
+	old := b.p.in.Claims[vm]
+	fence := old.Fence
+	if v := b.p.vms[vm]; v != nil {
+		fence = max(fence, v.Probe.State.Fence)
+	}
+	fence++
+	b.check(platform.TableVMs, string(vm), old.Version)
+	b.write(platform.TableVMs, string(vm), view.Claim{Group: id, Generation: gen, Fence: fence})
+	b.p.taken[vm] = true
+	return fence
+}
+
+func (b *builder) group(g *fleet.Group, version uint64) {
+	b.check(platform.TableGroups, string(g.ID), version)
+	b.write(platform.TableGroups, string(g.ID), g)
+}
+
+func (b *builder) done(kind Kind, g *fleet.Group, facts ...explain.Fact) {
+	b.p.out.Changes = append(b.p.out.Changes, Change{
+		Kind: kind, Group: *g, Txn: b.txn, Reason: g.Reason, Facts: facts,
+	})
+}
+
+// serve marks the group as serving: every member reports this generation.
+func (p *planner) serve(row *view.TableGroup) {
+	g := row.Group
+	g.Phase = fleet.PhaseServing
+	b := p.begin()
+	b.group(&g, row.Version)
+	b.done(Serve, &g)
+}
+
+// drain stops new requests to the group.
+func (p *planner) drain(row *view.TableGroup, reason string) {
+	g := row.Group
+	g.Phase, g.Reason = fleet.PhaseDraining, reason
+	since(p.mem.draining, g.ID, p.in.Now)
+	b := p.begin()
+	b.group(&g, row.Version)
+	b.done(Drain, &g)
+}
+
+// dissolve frees the group's VMs. A VM that is already claimed elsewhere is
+// left alone.
+func (p *planner) dissolve(row *view.TableGroup, reason string) {
+	g := row.Group
+	g.Phase, g.Reason = fleet.PhaseDissolved, reason
+	delete(p.mem.draining, g.ID)
+	delete(p.mem.broken, g.ID)
+	b := p.begin()
+	for i := range g.Members {
+		if p.in.Claims[g.Members[i].VM].Group == g.ID {
+			b.claim(g.Members[i].VM, "", 0)
+		}
+	}
+	b.group(&g, row.Version)
+	b.done(Dissolve, &g)
+}
+
+// forget deletes the row of a dissolved group.
+func (p *planner) forget(row *view.TableGroup) {
+	delete(p.mem.dissolved, row.Group.ID)
+	b := p.begin()
+	b.check(platform.TableGroups, string(row.Group.ID), row.Version)
+	b.txn.Writes = append(b.txn.Writes, platform.Write{Table: platform.TableGroups, Key: string(row.Group.ID), Delete: true})
+	g := row.Group
+	g.Reason = "dissolved long ago"
+	b.done(Forget, &g)
+}
+
+// releaseOrphans frees VMs whose claim names a group that does not exist.
+func (p *planner) releaseOrphans(groups []view.TableGroup) {
+	known := make(map[fleet.GroupID]bool, len(groups))
+	for i := range groups {
+		if groups[i].Group.Phase != fleet.PhaseDissolved {
+			known[groups[i].Group.ID] = true
+		}
+	}
+	for i := range p.in.Snap.VMs {
+		v := &p.in.Snap.VMs[i]
+		id := v.Record.VM
+		c := p.in.Claims[id]
+		if c.Group == "" || known[c.Group] || v.Record.Zone != p.in.Snap.Zone || p.taken[id] {
+			continue
+		}
+		b := p.begin()
+		b.claim(id, "", 0)
+		b.done(Release, &fleet.Group{ID: c.Group, Reason: fmt.Sprintf("%s was claimed by a group that does not exist", id)})
+	}
+}
--- /dev/null
+++ b/internal/group/send.go
@@ -0,0 +1,79 @@
+package group
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"chervilloom/internal/clock"
+	"chervilloom/internal/explain"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/lease"
+	"chervilloom/internal/view"
+)
+
+// ordersAtOnce bounds the orders in flight.
+const ordersAtOnce = 16
+
+// sendOrders sends the orders and puts the states that come back into the view.
+//
+// An engine that ignores fences would obey a stale owner. So an order is begun
+// only while the margin is left on the lease, and it ends before the lease
+// does. Should this process be paused between the check and the send, the order
+// goes out late all the same; then the next owner reads another state back than
+// it wants and orders anew, and no request goes to the group meanwhile, because
+// its members do not all report its generation.
+func (r *Reconciler) sendOrders(ctx context.Context, grant lease.Grant, orders []VMOrder) {
+	slots := make(chan struct{}, ordersAtOnce)
+	var wg sync.WaitGroup
+	for i := range orders {
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			r.send(ctx, grant, &orders[i])
+		})
+	}
+	wg.Wait()
+}
+
+func (r *Reconciler) send(ctx context.Context, grant lease.Grant, o *VMOrder) {
+	now := r.Clock.Now()
+	left := grant.Left(now) - r.Timing.Margin
+	if left <= 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(left, r.Timing.OrderTimeout))
+	defer cancel()
+	res, err := r.Orders.Order(ctx, o.Addr, o.Order)
+	result := "accepted"
+	switch {
+	case err != nil:
+		result = "failed"
+	case !res.Accepted:
+		result = "refused"
+	}
+	r.metrics.order(o.Order.Verb, result)
+	if err != nil {
+		r.Log.Debug("order failed", "vm", o.VM, "verb", o.Order.Verb, "err", err)
+	} else {
+		r.noteState(o.VM, now, res.State)
+	}
+	r.Explain.Note(explain.Step{
+		Subject: string(o.VM), Stage: "order", Decision: string(o.Order.Verb) + " " + result,
+		Reason: "the engine's state differs from its claim",
+		Facts:  []explain.Fact{{Name: "group", Value: string(o.Order.Group)}, {Name: "lease left", Value: left.Round(time.Millisecond).String()}},
+	})
+}
+
+func (r *Reconciler) noteState(vm fleet.VM, sent clock.Instant, st fleet.EngineState) {
+	if st.VM != vm {
+		return
+	}
+	r.Sink.Put(view.Probed{VM: vm, Sent: sent, RTT: r.Clock.Now().Sub(sent), Answered: true, State: st})
+}
--- /dev/null
+++ b/internal/lease/manager.go
@@ -0,0 +1,228 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"chervilloom/internal/clock"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/platform"
+)
+
+// Table is the part of the platform's table that leases need.
+type Table interface {
+	Get(ctx context.Context, table, key string) (platform.Row, error)
+	Commit(ctx context.Context, txn platform.Txn) (platform.Result, error)
+}
+
+// watchRanks is how many nodes, counted in rendezvous order, follow a lease
+// row: more would only cost reads.
+const watchRanks = 3
+
+// Manager tries to hold the lease of one duty.
+type Manager struct {
+	Duty   string
+	Self   fleet.Node
+	Params Params
+	Table  Table
+	Clock  clock.Clock
+	// Rank returns this node's position in rendezvous order for the duty
+	// among the live nodes of the availability zone.
+	Rank func() int
+	Log  *slog.Logger
+
+	mu   sync.Mutex
+	held Grant
+	seen Seen // touched by Run's goroutine alone
+}
+
+// Held returns the grant when the lease is held now. A holder that was paused
+// past its term gets false at its first look.
+func (m *Manager) Held(now clock.Instant) (Grant, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.held.Fence == 0 || !now.Before(m.held.Until) {
+		return Grant{}, false
+	}
+	return m.held, true
+}
+
+func (m *Manager) setHeld(g Grant) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.held = g
+}
+
+func (m *Manager) heldRaw() Grant {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.held
+}
+
+// Run follows the lease row until ctx ends, then releases the lease.
+func (m *Manager) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := m.Step(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+	m.release(context.WithoutCancel(ctx))
+	return nil
+}
+
+// Step reads the row where needed, decides once, acts, and returns how long to
+// pause before the next step.
+func (m *Manager) Step(ctx context.Context) time.Duration {
+	rank := m.Rank()
+	poll := m.Params.Term / 6
+	held := m.heldRaw()
+	if held.Fence == 0 {
+		if rank >= watchRanks {
+			return poll
+		}
+		if !m.read(ctx) {
+			return poll
+		}
+	}
+	d := Decide(m.Params, m.seen, held, m.Self, rank, m.Clock.Now())
+	switch d.Action {
+	case Read:
+		m.setHeld(Grant{})
+		m.read(ctx)
+	case Acquire, Renew:
+		m.write(ctx, d)
+	}
+	return poll
+}
+
+// read reports whether the row was read.
+func (m *Manager) read(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, m.Params.Term/3)
+	defer cancel()
+	row, err := m.Table.Get(ctx, platform.TableLeases, m.Duty)
+	if err != nil {
+		m.Log.Debug("lease row not read", "duty", m.Duty, "err", err)
+		return false
+	}
+	return m.note(row) == nil
+}
+
+// note records what the row holds. First stays when the version is the same.
+func (m *Manager) note(row platform.Row) error {
+	if m.seen.Known && m.seen.Version == row.Version {
+		return nil
+	}
+	var r Row
+	if row.Version != 0 {
+		if err := json.Unmarshal(row.Value, &r); err != nil {
+			m.Log.Error("lease row is not readable; delete the row by hand", "duty", m.Duty, "err", err)
+			return fmt.Errorf("lease row of %s is not readable, delete it: %w", m.Duty, err)
+		}
+	}
+	m.seen = Seen{Row: r, Version: row.Version, First: m.Clock.Now(), Known: true}
+	return nil
+}
+
+func (m *Manager) write(ctx context.Context, d Decision) {
+	value, err := json.Marshal(d.Next)
+	if err != nil {
+		m.Log.Error("lease row cannot be written", "duty", m.Duty, "err", err)
+		return
+	}
+	txn := platform.Txn{
+		Attempt: uuid.NewString(),
+		Checks:  []platform.Check{{Table: platform.TableLeases, Key: m.Duty, Version: m.seen.Version}},
+		Writes:  []platform.Write{{Table: platform.TableLeases, Key: m.Duty, Value: value}},
+	}
+	// The term starts here: an answer that takes long makes the lease shorter
+	// for the holder, never longer than what the others wait out.
+	sent := m.Clock.Now()
+	wctx, cancel := context.WithTimeout(ctx, m.Params.Term/2)
+	defer cancel()
+	res, err := m.Table.Commit(wctx, txn)
+	switch {
+	case errors.Is(err, platform.ErrAmbiguous):
+		m.resolve(ctx, txn.Attempt, d, sent)
+	case err != nil:
+		m.Log.Debug("lease row not written", "duty", m.Duty, "err", err)
+	case res.Committed:
+		m.landed(d, m.seen.Version+1, sent)
+	default:
+		m.lost(res)
+	}
+}
+
+func (m *Manager) landed(d Decision, version uint64, sent clock.Instant) {
+	g := Grant{Duty: m.Duty, Fence: d.Next.Fence, Version: version, Since: sent, Until: sent.Add(d.Next.Term)}
+	if old := m.heldRaw(); old.Fence == g.Fence {
+		g.Since = old.Since
+	} else {
+		m.Log.Info("lease acquired", "duty", m.Duty, "fence", g.Fence, "reason", d.Reason)
+	}
+	m.seen = Seen{Row: d.Next, Version: version, First: sent, Known: true}
+	m.setHeld(g)
+}
+
+// lost handles a failed check: another node wrote the row.
+func (m *Manager) lost(res platform.Result) {
+	m.setHeld(Grant{})
+	for _, row := range res.Rows {
+		if row.Table == platform.TableLeases && row.Key == m.Duty {
+			_ = m.note(row) // an unreadable row is logged there and read again
+		}
+	}
+}
+
+// resolve settles a write whose answer was lost: the attempt id in the row says
+// whether the write landed. The term still counts from before it was sent.
+func (m *Manager) resolve(ctx context.Context, attempt string, d Decision, sent clock.Instant) {
+	ctx, cancel := context.WithTimeout(ctx, m.Params.Term/3)
+	defer cancel()
+	row, err := m.Table.Get(ctx, platform.TableLeases, m.Duty)
+	if err != nil {
+		m.seen.Known = false // nothing is known of the row until it is read
+		return
+	}
+	if row.Attempt == attempt {
+		m.landed(d, row.Version, sent)
+		return
+	}
+	if row.Version != m.seen.Version {
+		m.setHeld(Grant{})
+	}
+	_ = m.note(row) // an unreadable row is logged there and read again
+}
+
+// release gives the lease up so that the next node need not wait the term out.
+func (m *Manager) release(ctx context.Context) {
+	held, ok := m.Held(m.Clock.Now())
+	m.setHeld(Grant{})
+	if !ok {
+		return
+	}
+	next := m.seen.Row
+	next.Released = true
+	value, err := json.Marshal(next)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, m.Params.Term/3)
+	defer cancel()
+	_, err = m.Table.Commit(ctx, platform.Txn{
+		Attempt: uuid.NewString(),
+		Checks:  []platform.Check{{Table: platform.TableLeases, Key: m.Duty, Version: held.Version}},
+		Writes:  []platform.Write{{Table: platform.TableLeases, Key: m.Duty, Value: value}},
+	})
+	if err != nil {
+		m.Log.Info("lease not released; the others wait its term out", "duty", m.Duty, "err", err)
+	}
+}
--- /dev/null
+++ b/internal/view/snapshot.go
@@ -0,0 +1,130 @@
+package view
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"chervilloom/internal/clock"
+	"chervilloom/internal/fleet"
+)
+
+// Snapshot builds the belief at now. The result shares nothing that Apply
+// changes.
+func (s *State) Snapshot(now clock.Instant) *Snapshot {
+	snap := &Snapshot{
+		At: now, Self: s.self, Zone: s.zone, Revision: s.revision, Config: s.doc,
+		PlatformSeen: s.platform, Nodes: s.nodes,
+	}
+	snap.VMs = make([]VM, 0, len(s.vms))
+	for _, v := range s.sorted() {
+		snap.VMs = append(snap.VMs, VM{
+			Record: v.record, Listed: v.listed, Unlisted: v.unlisted, Leaving: v.isLeaving(),
+			Probe: v.probe, Load: v.load, LoadAt: v.loadAt, Claim: v.claim,
+		})
+	}
+	snap.Groups = s.snapshotGroups()
+	return snap
+}
+
+func (s *State) sorted() []*vmState {
+	if s.order != nil {
+		return s.order
+	}
+	s.order = make([]*vmState, 0, len(s.vms))
+	for _, v := range s.vms {
+		s.order = append(s.order, v)
+	}
+	slices.SortFunc(s.order, func(a, b *vmState) int { return cmp.Compare(a.record.VM, b.record.VM) })
+	return s.order
+}
+
+func (s *State) probeFresh() time.Duration {
+	if s.doc == nil {
+		return DefaultProbeFresh
+	}
+	return s.doc.Policy.ProbeFresh.Or(DefaultProbeFresh)
+}
+
+func (s *State) snapshotGroups() []Group {
+	out := make([]Group, 0, len(s.groups)+len(s.remote))
+	for _, g := range s.groups {
+		if g.group.Phase != fleet.PhaseDissolved && g.group.Zone == s.zone {
+			out = append(out, s.localGroup(g))
+		}
+	}
+	for _, r := range s.remote {
+		if r.group.Phase != fleet.PhaseDissolved {
+			out = append(out, r.group)
+		}
+	}
+	slices.SortFunc(out, func(a, b Group) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+func (s *State) localGroup(g *groupState) Group {
+	out := Group{Group: g.group, RowVersion: g.version}
+	limit := s.probeFresh()
+	out.Whole = true
+	for i := range g.group.Members {
+		m := &g.group.Members[i]
+		v := s.vms[m.VM]
+		if why := v.memberFault(&g.group, m); why != "" {
+			out.Whole, out.Reason, out.FreshUntil = false, fmt.Sprintf("%s %s", m.VM, why), 0
+			break
+		}
+		until := v.probe.Answered.Add(limit)
+		if v.probe.Failing != 0 {
+			until = 0 // unanswered: a dispatch must ask again first
+		}
+		if i == 0 || until < out.FreshUntil {
+			out.FreshUntil = until
+		}
+	}
+	if len(g.group.Members) == 0 {
+		out.Whole, out.Reason = false, "no members"
+		return out
+	}
+	if v := s.vms[g.group.Members[0].VM]; v != nil && v.load.Boot == g.group.Members[0].Boot {
+		out.Load, out.LoadAt = v.load, v.loadAt
+		if v.cached == v.load.Boot {
+			out.Prefixes = v.prefixes
+		}
+	}
+	return out
+}
+
+// memberFault says why the member keeps its group from being whole; empty when
+// it does not. Boot ids are compared, not addresses: a VM that restarted under
+// its old address answers probes but has lost what it held.
+func (v *vmState) memberFault(g *fleet.Group, m *fleet.Member) string {
+	if v == nil || v.probe.Answered == 0 {
+		return "has not answered a probe yet"
+	}
+	if v.isLeaving() {
+		return "is leaving"
+	}
+	return StateFault(g, m, &v.probe.State)
+}
+
+// StateFault compares a member's own report with the generation.
+func StateFault(g *fleet.Group, m *fleet.Member, st *fleet.EngineState) string {
+	switch {
+	case st.Boot != m.Boot:
+		return "restarted"
+	case st.Leaving:
+		return "is leaving"
+	case st.Fence > m.Fence:
+		return "follows an order with a newer fence"
+	case st.Group != g.ID:
+		return "is not in the group"
+	case st.Generation != g.Generation:
+		return "is in another generation"
+	case st.Rank != m.Rank:
+		return "has another rank"
+	case !st.Loaded:
+		return "is still loading"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/view/state.go
@@ -0,0 +1,280 @@
+package view
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"chervilloom/internal/clock"
+	"chervilloom/internal/config"
+	"chervilloom/internal/fleet"
+)
+
+// Times of the merged belief.
+const (
+	// DefaultProbeFresh is the age up to which a probe lets a group serve.
+	DefaultProbeFresh = 1500 * time.Millisecond
+	// forgetAfter is how long a VM that left the list and answers no probe is
+	// still remembered: longer than the list lags.
+	forgetAfter = 10 * time.Minute
+	// keptBoots is how many leaving lives are remembered for each VM.
+	keptBoots = 4
+)
+
+// State is the merged belief. It is a pure state machine: Apply changes it,
+// Snapshot reads it. It is not safe for concurrent use.
+type State struct {
+	self      fleet.Node
+	zone      fleet.AvailabilityZone
+	revision  uint64
+	doc       *config.Document
+	listAt    clock.Instant
+	platform  clock.Instant
+	vms       map[fleet.VM]*vmState
+	groups    map[fleet.GroupID]*groupState
+	remote    map[fleet.GroupID]*remoteGroup
+	nodes     []Node
+	order     []*vmState // by VM; nil: to be sorted again
+	tableZone clock.Instant
+}
+
+type vmState struct {
+	record      fleet.Record
+	listed      bool
+	listLeaving bool
+	unlisted    clock.Instant
+	probe       Probe
+	load        fleet.Load
+	loadAt      clock.Instant
+	claim       *Claim
+	// leaving holds the lives that were said to be leaving, oldest first. A
+	// lagging list that calls the VM live again must not bring them back.
+	leaving []fleet.BootID
+	// pending: said to be leaving before any life was known.
+	pending  bool
+	cached   fleet.BootID
+	prefixes map[uint64]struct{}
+}
+
+type groupState struct {
+	group   fleet.Group
+	version uint64
+}
+
+// NewState returns the belief of a node that knows nothing yet.
+func NewState(self fleet.Node, zone fleet.AvailabilityZone) *State {
+	return &State{
+		self: self, zone: zone,
+		vms:    map[fleet.VM]*vmState{},
+		groups: map[fleet.GroupID]*groupState{},
+		remote: map[fleet.GroupID]*remoteGroup{},
+	}
+}
+
+// Apply merges one event and reports whether the belief may have changed.
+func (s *State) Apply(e Event) bool {
+	switch e := e.(type) {
+	case List:
+		return s.applyList(e)
+	case Table:
+		return s.applyTable(e)
+	case PlatformAnswered:
+		return s.platformSeen(e.At)
+	case Probed:
+		return s.applyProbed(e)
+	case Loaded:
+		return s.applyLoaded(e)
+	case Cached:
+		return s.applyCached(e)
+	case MarkLeaving:
+		return s.applyLeaving(e)
+	case Members:
+		s.nodes = slices.SortedFunc(slices.Values(e.Nodes), func(a, b Node) int { return cmp.Compare(a.VM, b.VM) })
+		return true
+	case Configured:
+		return s.applyConfigured(e)
+	case remoteSummary:
+		return s.applyRemote(e)
+	}
+	return false
+}
+
+func (s *State) platformSeen(at clock.Instant) bool {
+	if !at.After(s.platform) {
+		return false
+	}
+	s.platform = at
+	return true
+}
+
+func (s *State) vm(id fleet.VM) *vmState {
+	v := s.vms[id]
+	if v == nil {
+		v = &vmState{record: fleet.Record{VM: id}}
+		s.vms[id] = v
+		s.order = nil
+	}
+	return v
+}
+
+func (s *State) applyConfigured(e Configured) bool {
+	if e.Revision < s.revision || e.Document == nil {
+		return false
+	}
+	s.revision, s.doc = e.Revision, e.Document
+	return true
+}
+
+func (s *State) applyList(e List) bool {
+	if e.At.Before(s.listAt) {
+		return false
+	}
+	s.listAt = e.At
+	s.platformSeen(e.At)
+	present := make(map[fleet.VM]bool, len(e.Records))
+	for _, r := range e.Records {
+		present[r.VM] = true
+		s.listRow(r)
+	}
+	for id, v := range s.vms {
+		if present[id] {
+			continue
+		}
+		if v.listed || v.unlisted == 0 {
+			v.listed, v.unlisted = false, e.At
+		}
+		if e.At.Sub(max(v.unlisted, v.probe.Answered)) > forgetAfter {
+			delete(s.vms, id)
+			s.order = nil
+		}
+	}
+	return true
+}
+
+func (s *State) listRow(r fleet.Record) {
+	v := s.vm(r.VM)
+	v.record = r
+	v.listed, v.unlisted = true, 0
+	leaving := r.State == fleet.StateLeaving
+	// Only the change from live to leaving marks a life for good: while the
+	// list lags, a VM that has already restarted is still called leaving, and
+	// its new life must be usable once the list has caught up.
+	if leaving && !v.listLeaving {
+		v.markLeaving(v.probe.State.Boot)
+	}
+	v.listLeaving = leaving
+}
+
+func (v *vmState) markLeaving(boot fleet.BootID) bool {
+	if boot == "" {
+		changed := !v.pending
+		v.pending = true
+		return changed
+	}
+	if slices.Contains(v.leaving, boot) {
+		return false
+	}
+	if len(v.leaving) == keptBoots {
+		v.leaving = slices.Delete(v.leaving, 0, 1)
+	}
+	v.leaving = append(v.leaving, boot)
+	return true
+}
+
+func (v *vmState) isLeaving() bool {
+	if v.listLeaving || v.pending {
+		return true
+	}
+	boot := v.probe.State.Boot
+	return boot != "" && slices.Contains(v.leaving, boot)
+}
+
+func (s *State) applyLeaving(e MarkLeaving) bool {
+	v := s.vm(e.VM)
+	boot := e.Boot
+	if boot == "" {
+		boot = v.probe.State.Boot
+	}
+	return v.markLeaving(boot)
+}
+
+func (s *State) applyTable(e Table) bool {
+	s.platformSeen(e.At)
+	for i := range e.VMs {
+		s.tableVM(&e.VMs[i])
+	}
+	listed := make(map[fleet.GroupID]bool, len(e.Groups))
+	for i := range e.Groups {
+		listed[e.Groups[i].Group.ID] = true
+		s.tableGroup(&e.Groups[i])
+	}
+	if e.Complete {
+		maps.DeleteFunc(s.groups, func(id fleet.GroupID, g *groupState) bool {
+			return g.group.Zone == e.Zone && !listed[id]
+		})
+	}
+	return true
+}
+
+func (s *State) tableVM(r *TableVM) {
+	v := s.vm(r.VM)
+	if v.claim == nil || r.Claim.Version >= v.claim.Version {
+		c := r.Claim
+		v.claim = &c
+	}
+}
+
+func (s *State) tableGroup(r *TableGroup) {
+	g := s.groups[r.Group.ID]
+	if g != nil && g.version > r.Version {
+		return
+	}
+	s.groups[r.Group.ID] = &groupState{r.Group, r.Version}
+}
+
+func (s *State) applyProbed(e Probed) bool {
+	v := s.vm(e.VM)
+	p := &v.probe
+	if !e.Answered {
+		// Another watcher's newer answer outweighs this node's failure.
+		if !e.Sent.After(p.Answered) {
+			return false
+		}
+		p.Failing = max(e.Failing, p.Answered)
+		p.Failures = e.Failures
+		return true
+	}
+	if !e.Sent.After(p.Answered) {
+		return false
+	}
+	*p = Probe{State: e.State, Answered: e.Sent, RTT: e.RTT}
+	if v.pending && e.State.Boot != "" {
+		v.pending = false
+		v.markLeaving(e.State.Boot)
+	}
+	if e.State.Leaving {
+		v.markLeaving(e.State.Boot)
+	}
+	return true
+}
+
+func (s *State) applyLoaded(e Loaded) bool {
+	v := s.vm(e.Load.VM)
+	same := v.load.Boot == e.Load.Boot
+	if same && e.Load.Sequence <= v.load.Sequence {
+		return false
+	}
+	at := e.At.Add(-time.Duration(e.Load.AgeMillis) * time.Millisecond)
+	if !same && at.Before(v.loadAt) {
+		return false
+	}
+	v.load, v.loadAt = e.Load, at
+	return true
+}
+
+func (s *State) applyCached(e Cached) bool {
+	v := s.vm(e.VM)
+	v.cached, v.prefixes = e.Boot, e.Prefixes
+	return true
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -28,13 +28,15 @@
 
 // VM is what is believed of an engine or service VM.
 type VM struct {
-	Record  fleet.Record
-	Listed  bool // in the platform's newest list
-	Leaving bool // sticky for the boot, whoever said it first
-	Probe   Probe
-	Load    fleet.Load
-	LoadAt  clock.Instant // when the load was true, as well as can be told
-	Claim   *Claim        // row of the claims table; nil: not known to be claimed
+	Record fleet.Record
+	Listed bool // in the platform's newest list
+	// Unlisted is since when the VM has been missing from the list; 0 when listed.
+	Unlisted clock.Instant
+	Leaving  bool // sticky for the boot, whoever said it first
+	Probe    Probe
+	Load     fleet.Load
+	LoadAt   clock.Instant // when the load was true, as well as can be told
+	Claim    *Claim        // row of the claims table; nil: not known to be claimed
 }
 
 // Claim is the row of one VM in the claims table.
@@ -50,6 +52,7 @@
 	State    fleet.EngineState // of the newest answer; engines only
 	Answered clock.Instant     // when the newest answered probe was sent; 0: never
 	Failing  clock.Instant     // since when probes have gone unanswered; 0: the newest was answered
+	Failures int               // probes in a row without an answer, as far as known
 	RTT      time.Duration
 }
 
