Take the event ids of the engines and the kinds of the router

Engines number events as stream:offset; an event of another stream is refused as not the caller's own. Headers that only nodes and endpoints may use are dropped at the last hop instead of at the first, since the filter of keys reads one of them.

--- a/internal/accept/path_test.go
+++ b/internal/accept/path_test.go
@@ -42,9 +42,9 @@
 		return route.Choice{}, outcome.New(outcome.NoCapacity, outcome.NotRun, "nothing is left", "come back later")
 	}
 	if req.Class == request.ClassModel {
-		return route.Choice{Kind: route.KindGroup, Group: &snap.Groups[0]}, nil
+		return route.Choice{Kind: route.ToGroup, Group: &snap.Groups[0]}, nil
 	}
-	return route.Choice{Kind: route.KindEndpoint, VM: &snap.VMs[0]}, nil
+	return route.Choice{Kind: route.ToEndpoint, VM: &snap.VMs[0]}, nil
 }
 
 func (firstRouter) Begin(route.Choice)             {}
@@ -124,10 +124,11 @@
 		w.Header().Set(engine.HeaderGeneration, r.Header.Get(engine.HeaderGeneration))
 		w.Header().Set(engine.HeaderBoot, "b1")
 		w.Header().Set("Content-Type", "text/event-stream")
+		id := r.Header.Get(engine.HeaderStream)
 		for i := range 3 {
-			fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[{\"delta\":{\"content\":\"t%d \"}}]}\n\n", i, i)
+			fmt.Fprintf(w, "id: %s:%d\ndata: {\"choices\":[{\"delta\":{\"content\":\"t%d \"}}]}\n\n", id, i, i)
 		}
-		fmt.Fprint(w, "id: 3\ndata: {\"choices\":[{\"finish_reason\":\"stop\"}],\"usage\":{\"completion_tokens\":3}}\n\ndata: [DONE]\n\n")
+		fmt.Fprintf(w, "id: %s:3\ndata: {\"choices\":[{\"finish_reason\":\"stop\"}],\"usage\":{\"completion_tokens\":3}}\n\ndata: [DONE]\n\n", id)
 	}))
 	defer ep.Close()
 	srv := path(t, ep.Listener.Addr().String())
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 
-	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 
 	"chervilloom/internal/answer"
@@ -23,13 +22,13 @@
 	if err != nil {
 		return nil, err
 	}
-	r.Header = outgoing(req.Header)
+	r.Header = outgoing(req)
 	r.ContentLength = int64(len(req.Body))
 	r.Body = body(req)
 	if req.Idempotent && len(req.Body) > 0 {
 		r.GetBody = func() (io.ReadCloser, error) { return body(req), nil }
 	}
-	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(r.Header))
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(r.Header))
 	return r, nil
 }
 
@@ -50,15 +49,42 @@
 	"Content-Length", "Expect",
 }
 
-func outgoing(h http.Header) http.Header {
-	out := h.Clone()
+// internalHeaders start the names of headers that only nodes and endpoints may
+// say to each other: a caller could otherwise choose an engine's stream.
+var internalHeaders = []string{"Engine-", "Service-Not-Run", "Chervilloom-"}
+
+// The headers by which an endpoint knows a request.
+const (
+	headerRequest       = "Chervilloom-Request"
+	headerCallerRequest = "X-Request-Id"
+)
+
+// outgoing returns the headers that the endpoint sees. It gets the system's
+// request id besides the caller's own, which need not be unique.
+func outgoing(req *request.Request) http.Header {
+	out := req.Header.Clone()
 	if out == nil {
 		out = make(http.Header)
 	}
 	dropHop(out)
+	dropInternal(out)
+	out.Set(headerRequest, req.ID)
+	if out.Get(headerCallerRequest) == "" {
+		out.Set(headerCallerRequest, req.ID)
+	}
 	return out
 }
 
+func dropInternal(h http.Header) {
+	for k := range h {
+		for _, p := range internalHeaders {
+			if strings.HasPrefix(k, p) {
+				delete(h, k)
+			}
+		}
+	}
+}
+
 func dropHop(h http.Header) {
 	for _, v := range h["Connection"] {
 		for name := range strings.SplitSeq(v, ",") {
@@ -70,21 +96,12 @@
 	}
 }
 
-// internalHeaders are between nodes and endpoints only.
-var internalHeaders = []string{"Engine-", "Service-Not-Run", "Chervilloom-"}
-
 // incoming returns the headers of an endpoint's answer that callers see.
 func incoming(resp *http.Response) http.Header {
 	h := resp.Header.Clone()
 	length := h.Get("Content-Length")
 	dropHop(h)
-	for k := range h {
-		for _, p := range internalHeaders {
-			if strings.HasPrefix(k, p) {
-				delete(h, k)
-			}
-		}
-	}
+	dropInternal(h)
 	if resp.Request.Method == http.MethodHead && length != "" {
 		h.Set("Content-Length", length)
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -191,11 +191,11 @@
 
 func (d *Dispatcher) send(ctx context.Context, s *session, c route.Choice, t *try) *outcome.Error {
 	switch c.Kind {
-	case route.KindGroup:
+	case route.ToGroup:
 		return d.sendGroup(ctx, s, c.Group, t)
-	case route.KindEndpoint:
+	case route.ToEndpoint:
 		return d.sendService(ctx, s, c.VM, t)
-	case route.KindNode:
+	case route.ToNode:
 		return d.sendNode(ctx, s, c.Node, t)
 	}
 	return outcome.New(outcome.Internal, outcome.NotRun, "the router chose nothing", "ask the operator to look up the request id")
@@ -203,9 +203,9 @@
 
 func triedBy(c route.Choice) route.Tried {
 	switch c.Kind {
-	case route.KindGroup:
+	case route.ToGroup:
 		return route.Tried{Group: c.Group.ID, VM: leader(c.Group).VM}
-	case route.KindEndpoint:
+	case route.ToEndpoint:
 		return route.Tried{VM: c.VM.Record.VM}
 	default:
 		return route.Tried{Node: c.Node}
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
@@ -43,7 +42,7 @@
 }
 
 func (d *Dispatcher) noteTry(req *request.Request, c route.Choice) {
-	d.metrics.tries.WithLabelValues(string(req.Class), string(c.Kind)).Inc()
+	d.metrics.tries.WithLabelValues(string(req.Class), c.Kind.String()).Inc()
 	d.note(req, "send to "+place(c), c.Reason)
 }
 
@@ -60,9 +59,9 @@
 
 func place(c route.Choice) string {
 	switch c.Kind {
-	case route.KindGroup:
+	case route.ToGroup:
 		return "group " + string(c.Group.ID)
-	case route.KindEndpoint:
+	case route.ToEndpoint:
 		return "endpoint " + string(c.VM.Record.VM)
 	default:
 		return "node " + string(c.Node)
@@ -75,5 +74,5 @@
 		return ctx
 	}
 	carrier := propagation.MapCarrier{"traceparent": req.TraceParent}
-	return otel.GetTextMapPropagator().Extract(ctx, carrier)
+	return propagation.TraceContext{}.Extract(ctx, carrier)
 }
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -5,14 +5,19 @@
 	"net/http"
 
 	"chervilloom/internal/answer"
+	"chervilloom/internal/engine"
 	"chervilloom/internal/outcome"
 	"chervilloom/internal/view"
 )
 
 // headerServiceNotRun is "true" on a plain service's 503 that promises that
-// nothing ran.
+// nothing ran; engine.HeaderNotRun says the same.
 const headerServiceNotRun = "Service-Not-Run"
 
+func promisesNotRun(h http.Header) bool {
+	return h.Get(headerServiceNotRun) == "true" || h.Get(engine.HeaderNotRun) == "true"
+}
+
 // sendService makes one try at an endpoint of a plain service.
 func (d *Dispatcher) sendService(ctx context.Context, s *session, vm *view.VM, t *try) *outcome.Error {
 	r, err := newCall(ctx, s.req, vm.Record.Addr)
@@ -42,7 +47,7 @@
 func checkService(resp *http.Response, idempotent bool) *outcome.Error {
 	switch resp.StatusCode {
 	case http.StatusServiceUnavailable:
-		if resp.Header.Get(headerServiceNotRun) == "true" {
+		if promisesNotRun(resp.Header) {
 			return refusal(resp, true)
 		}
 	case http.StatusBadGateway, http.StatusGatewayTimeout:
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -108,7 +108,7 @@
 }
 
 func (d *Dispatcher) openStream(ctx context.Context, s *session, st *relay.Stream, g *view.Group) (*http.Response, error) {
-	u := streamURL(leader(g).Addr, st.Ref().Stream) + "?from=" + strconv.FormatUint(st.Next(), 10)
+	u := streamURL(leader(g).Addr, st.Ref().Stream) + "?from=" + strconv.FormatUint(st.From(), 10)
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
 	if err != nil {
 		return nil, err
--- a/internal/identify/decide.go
+++ b/internal/identify/decide.go
@@ -105,16 +105,13 @@
 	return nil
 }
 
-// stripHeaders removes what is meant for the system alone: an endpoint has no
-// use for a caller's key and must not see it.
+// stripHeaders removes what no later filter needs: an endpoint has no use for
+// a caller's key and must not see it.
 func stripHeaders(h http.Header) {
 	h.Del("Authorization")
 	h.Del("Last-Event-Id")
-	for k := range h {
-		if strings.HasPrefix(k, headerPrefix) {
-			delete(h, k)
-		}
-	}
+	h.Del(HeaderDeadline)
+	h.Del(HeaderIdempotent)
 }
 
 func refuse(k outcome.Kind, message, remedy string) *outcome.Error {
--- a/internal/identify/identify.go
+++ b/internal/identify/identify.go
@@ -31,9 +31,6 @@
 	HeaderIdempotent = "Chervilloom-Idempotent"  // "false": the request runs at most once
 )
 
-// headerPrefix starts the names of headers meant for the system alone.
-const headerPrefix = "Chervilloom-"
-
 // The default and longest times to answer.
 const (
 	DefaultModelTimeout   = 2 * time.Minute
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 
 	"chervilloom/internal/answer"
 	"chervilloom/internal/engine"
@@ -19,6 +20,7 @@
 	errGap       = errors.New("relay: events are missing; resume the stream from the last event")
 	errCount     = errors.New("relay: the number of tokens differs from the engine's count; ask anew")
 	errMalformed = errors.New("relay: an event is malformed; ask anew")
+	errForeign   = errors.New("relay: an event belongs to another stream; ask anew")
 	errRefused   = errors.New("relay: the engine reported an error within the stream; ask anew")
 )
 
@@ -45,14 +47,27 @@
 // Next returns the offset of the next event.
 func (s *Stream) Next() uint64 { return s.next }
 
+// From returns the offset to resume at. When only the end mark is missing it
+// is that of the last event once more: an engine has no event after it.
+func (s *Stream) From() uint64 {
+	if s.finished {
+		return s.next - 1
+	}
+	return s.next
+}
+
 // Whole reports whether the stream's end was seen.
 func (s *Stream) Whole() bool { return s.whole }
 
 // Resumable reports whether a stream that failed with err may be asked for
 // again from its next event.
 func Resumable(err error) bool {
-	return !errors.Is(err, errCount) && !errors.Is(err, errMalformed) &&
-		!errors.Is(err, errRefused) && !errors.Is(err, ErrTooLong)
+	for _, final := range []error{errCount, errMalformed, errForeign, errRefused, ErrTooLong} {
+		if errors.Is(err, final) {
+			return false
+		}
+	}
+	return true
 }
 
 // Read reads one event and returns it as a frame. ok is false for events that
@@ -106,15 +121,16 @@
 	return io.EOF
 }
 
-// offsetOf reads the event's offset from its id. An engine that numbers no
-// events is taken at its order.
+// offsetOf reads the event's offset from its id, "<stream>:<offset>". An event
+// of another stream must never be passed on: it is another caller's answer.
 func (s *Stream) offsetOf(ev Event) (uint64, error) {
-	if ev.ID == "" {
-		return s.next, nil
+	stream, offset, _ := strings.Cut(ev.ID, ":")
+	if stream != s.ref.Stream {
+		return 0, fmt.Errorf("%w: id %.80q is not of stream %q", errForeign, ev.ID, s.ref.Stream)
 	}
-	n, err := strconv.ParseUint(ev.ID, 10, 64)
+	n, err := strconv.ParseUint(offset, 10, 64)
 	if err != nil {
-		return 0, fmt.Errorf("%w: id %.40q is not an offset", errMalformed, ev.ID)
+		return 0, fmt.Errorf("%w: id %.80q has no offset", errMalformed, ev.ID)
 	}
 	return n, nil
 }
