Tests of the platform client; a check for absence never fails for good

Cause: judge took a failed "must not exist" for final, and so told a writer that its write could land no more. When the row was deleted afterwards, a copy of the write that was still on its way landed all the same. Change: only a version above the checked one, which is above 0, is final; the rest stays unsettled, or is settled by a platform that remembers attempts.

The properties draw from a fixed seed, so that each run gives the same verdict.

--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,356 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/goleak"
+
+	"chervilloom/internal/platform"
+	standin "chervilloom/internal/standin/platform"
+)
+
+// The properties are checked with the same draws in each run, unless the command
+// line asks for others.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "3000"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	goleak.VerifyTestMain(m)
+}
+
+const testTime = 20 * time.Second
+
+// served is a stand-in with a client to it.
+type served struct {
+	*standin.Platform
+	client *platform.Client
+	url    string
+}
+
+func serve(t *testing.T, opts ...platform.Option) (*served, context.Context) {
+	t.Helper()
+	p := standin.New(standin.Options{NoLimits: true})
+	srv := httptest.NewServer(p)
+	t.Cleanup(srv.Close)
+	c := platform.NewClient(srv.URL, opts...)
+	t.Cleanup(c.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	t.Cleanup(cancel)
+	return &served{Platform: p, client: c, url: srv.URL}, ctx
+}
+
+// setFaults keeps the rate limits off.
+func (s *served) setFaults(f standin.Faults) {
+	f.NoLimits = true
+	s.SetFaults(f)
+}
+
+func put(key, value string, version uint64) platform.Txn {
+	return platform.Txn{
+		Checks: []platform.Check{{Table: "t", Key: key, Version: version}},
+		Writes: []platform.Write{{Table: "t", Key: key, Value: []byte(value)}},
+	}
+}
+
+// Keys of any kind come back as they were written, in order.
+func TestRowsRoundTrip(t *testing.T) {
+	is := is.New(t)
+	s, ctx := serve(t)
+	keys := []string{"..", "a b", "a/../b", "a//b", "a/b", "a?x=1", "zone/duty", "é"}
+	for _, k := range keys {
+		res, err := s.client.Commit(ctx, put(k, "v"+k, 0))
+		is.NoErr(err)
+		is.True(res.Committed)
+		row, err := s.client.Get(ctx, "t", k)
+		is.NoErr(err)
+		is.Equal(row.Key, k)
+		is.Equal(string(row.Value), "v"+k)
+		is.Equal(row.Version, uint64(1))
+		is.True(row.Attempt != "")
+	}
+	rows, err := s.client.List(ctx, "t", "a/")
+	is.NoErr(err)
+	is.Equal(len(rows), 3)
+	is.Equal(rows[2].Key, "a/b")
+	none, err := s.client.Get(ctx, "t", "none")
+	is.NoErr(err)
+	is.Equal(none.Version, uint64(0))
+}
+
+// A transaction whose check fails tells the present rows and changes nothing.
+func TestConflictTellsTheRows(t *testing.T) {
+	is := is.New(t)
+	s, ctx := serve(t)
+	_, err := s.client.Commit(ctx, put("k", "first", 0))
+	is.NoErr(err)
+	res, err := s.client.Commit(ctx, put("k", "second", 0))
+	is.NoErr(err)
+	is.True(!res.Committed)
+	is.Equal(string(res.Rows[0].Value), "first")
+}
+
+// The answer to a write is lost after the write took effect. The writer reads
+// back and learns that it landed; the row is written once, whether the platform
+// remembers attempts or keeps them in the rows only.
+func TestLostAnswerIsReadBack(t *testing.T) {
+	for name, forget := range map[string]bool{"attempts remembered": false, "attempts in the rows only": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, ctx := serve(t)
+			s.setFaults(standin.Faults{LoseAnswers: 1, ForgetAttempts: forget})
+			res, err := s.client.Commit(ctx, put("k", "v", 0))
+			is.NoErr(err)
+			is.True(res.Committed)
+			is.Equal(res.Rows[0].Version, uint64(1))
+			row, err := s.client.Get(ctx, "t", "k")
+			is.NoErr(err)
+			is.Equal(row.Version, uint64(1))
+		})
+	}
+}
+
+// The request is lost before it takes effect. The writer finds the row
+// unchanged and sends again under the same attempt id.
+func TestLostRequestIsSentAgain(t *testing.T) {
+	is := is.New(t)
+	s, ctx := serve(t)
+	s.setFaults(standin.Faults{DropBefore: 1, ForgetAttempts: true})
+	txn := put("k", "v", 0)
+	txn.Attempt = "one"
+	res, err := s.client.Commit(ctx, txn)
+	is.NoErr(err)
+	is.True(res.Committed)
+	is.Equal(res.Rows[0].Attempt, "one")
+	is.Equal(s.Stats().WrittenRows, uint64(1))
+}
+
+// A write without a check on its own row would land twice if it were sent
+// again. On a platform that forgets attempts the writer is told that it may
+// have landed; on one that remembers them it is sent again safely.
+func TestBlindWriteIsNotSentTwice(t *testing.T) {
+	is := is.New(t)
+	s, ctx := serve(t, platform.WithSettleTimeout(100*time.Millisecond))
+	blind := platform.Txn{Writes: []platform.Write{{Table: "t", Key: "k", Value: []byte("v")}}}
+	s.setFaults(standin.Faults{DropBefore: 1, ForgetAttempts: true})
+	_, err := s.client.Commit(ctx, blind)
+	is.True(errors.Is(err, platform.ErrAmbiguous))
+	is.Equal(s.Stats().WrittenRows, uint64(0))
+	s.setFaults(standin.Faults{LoseAnswers: 1})
+	res, err := s.client.Commit(ctx, blind)
+	is.NoErr(err)
+	is.True(res.Committed)
+	is.Equal(s.Stats().WrittenRows, uint64(1))
+}
+
+// The write lands, its answer is lost, and another writer overwrites the row
+// before the first reads back. A platform that remembers attempts settles it; on
+// one that keeps them in the row the trace is gone, and the writer must hear
+// that it is not known rather than a guess.
+func TestOverwrittenBeforeReadBack(t *testing.T) {
+	for name, forget := range map[string]bool{"attempts remembered": false, "attempts in the rows only": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := standin.New(standin.Options{NoLimits: true})
+			p.SetFaults(standin.Faults{NoLimits: true, ForgetAttempts: forget})
+			var once atomic.Bool
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method != http.MethodPost || once.Swap(true) {
+					p.ServeHTTP(w, r)
+					return
+				}
+				p.ServeHTTP(httptest.NewRecorder(), r)
+				_, _ = p.Commit(r.Context(), put("k", "other", 1))
+				panic(http.ErrAbortHandler)
+			}))
+			defer srv.Close()
+			c := platform.NewClient(srv.URL, platform.WithSettleTimeout(100*time.Millisecond))
+			defer c.Close()
+			res, err := c.Commit(context.Background(), put("k", "own", 0))
+			if forget {
+				is.True(errors.Is(err, platform.ErrAmbiguous))
+				return
+			}
+			is.NoErr(err)
+			is.True(res.Committed)
+		})
+	}
+}
+
+// ErrDown is a promise that nothing changed; ErrAmbiguous is not. A connection
+// that was refused, or a 429, cannot have changed anything. A connection that
+// closed without an answer, or a 503, might have.
+func TestOutageErrorsAreTruthful(t *testing.T) {
+	settle := platform.WithSettleTimeout(50 * time.Millisecond)
+	for _, tt := range []struct {
+		name   string
+		faults standin.Faults
+		write  error
+	}{
+		{"closed without answer", standin.Faults{Down: standin.DownClose}, platform.ErrAmbiguous},
+		{"503", standin.Faults{Down: standin.DownRefused}, platform.ErrAmbiguous},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s, ctx := serve(t, settle)
+			s.setFaults(tt.faults)
+			_, err := s.client.Commit(ctx, put("k", "v", 0))
+			is.True(errors.Is(err, tt.write))
+			is.True(!errors.Is(err, platform.ErrDown))
+			_, err = s.client.Get(ctx, "t", "k")
+			is.True(errors.Is(err, platform.ErrDown))
+			_, err = s.client.VMs(ctx)
+			is.True(errors.Is(err, platform.ErrDown))
+			err = s.client.PutObject(ctx, "o", []byte("x"))
+			is.True(errors.Is(err, platform.ErrAmbiguous))
+		})
+	}
+	t.Run("refused connection", func(t *testing.T) {
+		is := is.New(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		is.NoErr(l.Close())
+		c := platform.NewClient("http://"+l.Addr().String(), settle)
+		defer c.Close()
+		_, err = c.Commit(context.Background(), put("k", "v", 0))
+		is.True(errors.Is(err, platform.ErrDown))
+		is.True(!errors.Is(err, platform.ErrAmbiguous))
+		is.True(errors.Is(c.PutObject(context.Background(), "o", nil), platform.ErrDown))
+	})
+	t.Run("over the rate", func(t *testing.T) {
+		is := is.New(t)
+		srv := httptest.NewServer(standin.New(standin.Options{WritesPerSecond: 1, ReadsPerSecond: 1}))
+		defer srv.Close()
+		c := platform.NewClient(srv.URL)
+		defer c.Close()
+		limited := func(f func() error) (err error) {
+			for range 100 { // the bucket refills by one a second at most
+				if err = f(); err != nil {
+					return err
+				}
+			}
+			return nil
+		}
+		err := limited(func() error { _, err := c.Commit(context.Background(), put("k", "v", 0)); return err })
+		is.True(errors.Is(err, platform.ErrDown))
+		is.True(errors.Is(err, platform.ErrLimited))
+		err = limited(func() error { _, err := c.Get(context.Background(), "t", "k"); return err })
+		is.True(errors.Is(err, platform.ErrLimited))
+	})
+}
+
+// The platform runs a write that came over a reused connection and closes that
+// connection without an answer. Were the request repeatable in net/http's eyes,
+// the Transport would send it again by itself, and the write would land twice
+// under one call.
+func TestTransportDoesNotRepeatWrites(t *testing.T) {
+	is := is.New(t)
+	s, ctx := serve(t, platform.WithSettleTimeout(50*time.Millisecond))
+	_, err := s.client.Get(ctx, "t", "k") // opens the connection that the write reuses
+	is.NoErr(err)
+	s.setFaults(standin.Faults{LoseAnswers: standin.Always, ForgetAttempts: true})
+	blind := platform.Txn{Writes: []platform.Write{{Table: "t", Key: "k", Value: []byte("v")}}}
+	res, err := s.client.Commit(ctx, blind)
+	is.NoErr(err)
+	is.True(res.Committed)
+	is.Equal(s.Stats().Writes, uint64(1))
+}
+
+// The platform answers slower than one try may take, after the write took
+// effect. The caller's context still has time, so the answer is read back.
+func TestSlowAnswerIsReadBack(t *testing.T) {
+	is := is.New(t)
+	p := standin.New(standin.Options{NoLimits: true})
+	release := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.ServeHTTP(w, r)
+		if r.Method == http.MethodPost {
+			<-release
+		}
+	}))
+	defer srv.Close()
+	defer close(release)
+	c := platform.NewClient(srv.URL, platform.WithTryTimeout(50*time.Millisecond))
+	defer c.Close()
+	res, err := c.Commit(context.Background(), put("k", "v", 0))
+	is.NoErr(err)
+	is.True(res.Committed)
+}
+
+// The store is restored to an older copy: what was written since is gone, and a
+// writer that still holds the newer version is refused.
+func TestRestoredStore(t *testing.T) {
+	is := is.New(t)
+	s, ctx := serve(t)
+	_, err := s.client.Commit(ctx, put("k", "old", 0))
+	is.NoErr(err)
+	s.Save()
+	_, err = s.client.Commit(ctx, put("k", "new", 1))
+	is.NoErr(err)
+	is.NoErr(s.Restore())
+	row, err := s.client.Get(ctx, "t", "k")
+	is.NoErr(err)
+	is.Equal(string(row.Value), "old")
+	res, err := s.client.Commit(ctx, put("k", "newer", 2))
+	is.NoErr(err)
+	is.True(!res.Committed)
+}
+
+// Objects come back whole; one that does not exist is told apart from an outage;
+// a put whose answer was lost is read back.
+func TestObjects(t *testing.T) {
+	is := is.New(t)
+	s, ctx := serve(t)
+	is.NoErr(s.client.PutObject(ctx, "a/b", []byte{0, 1, 2}))
+	data, err := s.client.GetObject(ctx, "a/b")
+	is.NoErr(err)
+	is.Equal(data, []byte{0, 1, 2})
+	_, err = s.client.GetObject(ctx, "none")
+	is.True(errors.Is(err, platform.ErrNotFound))
+	s.setFaults(standin.Faults{LoseAnswers: 1})
+	is.NoErr(s.client.PutObject(ctx, "c", []byte("x")))
+	s.setFaults(standin.Faults{DropBefore: 1})
+	is.True(errors.Is(s.client.PutObject(ctx, "d", []byte("x")), platform.ErrAmbiguous))
+}
+
+// Operations are counted by kind and result, and lost answers by verdict.
+func TestClientMetrics(t *testing.T) {
+	is := is.New(t)
+	reg := prometheus.NewRegistry()
+	s, ctx := serve(t, platform.WithRegisterer(reg))
+	s.setFaults(standin.Faults{LoseAnswers: 1})
+	_, err := s.client.Commit(ctx, put("k", "v", 0))
+	is.NoErr(err)
+	is.Equal(counted(t, reg, "chervilloom_platform_lost_answers_total", "landed"), 1.0)
+	is.Equal(counted(t, reg, "chervilloom_platform_operations_total", "commit"), 1.0)
+	is.Equal(counted(t, reg, "chervilloom_platform_operations_total", "get"), 1.0) // it settled the commit
+}
+
+// counted returns the counter of a name whose first label has the value.
+func counted(t *testing.T, reg *prometheus.Registry, name, label string) float64 {
+	t.Helper()
+	families, err := reg.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			if f.GetName() == name && m.GetLabel()[0].GetValue() == label {
+				return m.GetCounter().GetValue()
+			}
+		}
+	}
+	return 0
+}
--- a/internal/platform/commit.go
+++ b/internal/platform/commit.go
@@ -208,16 +208,18 @@
 
 // judge decides from the rows as read after a lost answer, in the order of
 // rowIDs. It relies on two properties of the table: a transaction lands whole or
-// not at all, and a row's version is never used again.
+// not at all, and a row's version is never used again. "Not landed" also
+// promises that a copy still on its way can land no more.
 //
 //   - A row carries the attempt id: it landed.
 //   - A row that it checks and writes is one version on, by another attempt: that
-//     attempt took the place of this one, which can land no more.
-//   - A check was seen to fail, and a row read later that it checks and writes
-//     still has the checked version: it had not landed by then and cannot after.
-//     The order of the reads matters: with the later read first, it could have
-//     landed between the two.
-//   - Anything else was overwritten or deleted since, or may still land.
+//     attempt took the place of this one.
+//   - A check was seen to have failed for good, and a row read later that it
+//     checks and writes still has the checked version: it had not landed by then
+//     and cannot after. The order of the reads matters: with the later read
+//     first, it could have landed between the two.
+//   - Anything else was overwritten or deleted since, or may still land. So may a
+//     transaction that checks that a row does not exist, once that row is deleted.
 func judge(txn *Txn, rows map[rowID]Row) (Result, verdict) {
 	for _, w := range txn.Writes {
 		if rows[rowID{w.Table, w.Key}].Attempt == txn.Attempt {
@@ -233,12 +235,13 @@
 			continue
 		}
 		row := rows[id]
-		superseded := written[id] && row.Version == version+1
+		passed := version > 0 && row.Version > version
+		superseded := written[id] && passed && row.Version == version+1
 		untouched := written[id] && row.Version == version
 		if superseded || (untouched && failed) {
 			return Result{Rows: failedChecks(txn, rows)}, verdictNotLanded
 		}
-		failed = failed || row.Version != version
+		failed = failed || passed
 	}
 	return Result{}, verdictUnsettled
 }
