Tell peers at once that a node stops

A node that stopped closed its socket before it had closed the relay connections that its peers had dialled: they belong to no link.

Handlers of messages and calls are plain functions, so that a consumer can declare its own interface without this package's types.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -15,9 +15,7 @@
 // callTimeout bounds a call whose context has no deadline.
 const callTimeout = 10 * time.Second
 
-// CallHandler answers a call. An *outcome.Error reaches the caller as one; any
-// other error reaches it as a CallError with the text.
-type CallHandler func(ctx context.Context, from fleet.Node, payload []byte) ([]byte, error)
+type callHandler = func(ctx context.Context, from fleet.Node, payload []byte) ([]byte, error)
 
 // CallError is a failure that the other node's handler reports.
 type CallError struct {
@@ -31,8 +29,10 @@
 	return fmt.Sprintf("peer: %s failed on %s: %s", e.Method, e.To, e.Text)
 }
 
-// HandleCall sets what answers the method.
-func (m *Mesh) HandleCall(method string, f CallHandler) {
+// HandleCall sets what answers the method. An *outcome.Error of f reaches the
+// caller as one, any other error as a CallError with its text. ctx ends when the
+// caller gives up.
+func (m *Mesh) HandleCall(method string, f func(ctx context.Context, from fleet.Node, payload []byte) ([]byte, error)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.calls[method] = f
@@ -110,7 +110,7 @@
 	s.Close()
 }
 
-func answerCall(ctx context.Context, h CallHandler, from fleet.Node, f *callFrame) replyFrame {
+func answerCall(ctx context.Context, h callHandler, from fleet.Node, f *callFrame) replyFrame {
 	if h == nil {
 		return replyFrame{Failure: "no such method; run the same version on all nodes"}
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -333,8 +333,13 @@
 // serve starts the goroutines that take what the other side opens. Relays come
 // only from the side that dialled.
 func (m *Mesh) serve(c *conn, protocol string) {
+	if !m.keep(c) {
+		c.CloseWithError(closeShutdown, "this node stops")
+		return
+	}
 	m.spawn(func() {
 		<-c.Context().Done()
+		m.drop(c)
 		m.metrics.countBytes(c, protocol)
 	})
 	m.spawn(func() { m.acceptStreams(c, protocol) })
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -45,8 +45,8 @@
 	// Whether the peer lives is membership's to say.
 	controlIdle = 15 * time.Minute
 	// relayIdle ends the relays over a link that has gone silent. The dialler's
-	// keep-alive is answered by the peer's kernel thread of execution, so a
-	// silent link means a dead, cut off or paused peer, not a slow answer.
+	// keep-alive is answered by the peer's QUIC stack whatever its handlers do,
+	// so a silent link means a dead, cut off or paused peer, not a slow answer.
 	relayIdle      = 6 * time.Second
 	relayKeepAlive = 2 * time.Second
 	// relayUnused is how long a relay connection stays without a relay.
@@ -103,12 +103,13 @@
 
 	lifeMu sync.Mutex
 	over   bool // no goroutine may be started any more
+	conns  map[*conn]struct{}
 
 	mu     sync.Mutex
 	links  map[fleet.VM]*link
 	topics map[string]*topic
 	depths map[string]int
-	calls  map[string]CallHandler
+	calls  map[string]callHandler
 }
 
 // New binds the socket. Links are served once Run runs.
@@ -128,7 +129,7 @@
 	}
 	m := &Mesh{
 		opts: o, links: map[fleet.VM]*link{}, topics: map[string]*topic{},
-		depths: map[string]int{}, calls: map[string]CallHandler{},
+		depths: map[string]int{}, calls: map[string]callHandler{}, conns: map[*conn]struct{}{},
 	}
 	if m.metrics, err = newMetrics(o.Registerer); err != nil {
 		return nil, err
@@ -202,12 +203,14 @@
 // Close ends all links and waits for their goroutines. Run calls it.
 func (m *Mesh) Close() error {
 	m.stop()
-	m.lifeMu.Lock()
-	m.over = true
-	m.lifeMu.Unlock()
 	for _, l := range m.snapshotLinks() {
 		l.close(closeShutdown, "this node stops")
 	}
+	// Accepted relay connections belong to no link. Without this close the peer
+	// would wait out the idle timeout before it knew.
+	for _, c := range m.shut() {
+		c.CloseWithError(closeShutdown, "this node stops")
+	}
 	m.listener.Close()
 	err := m.quic.Close()
 	m.socket.Close()
@@ -227,6 +230,37 @@
 	return true
 }
 
+// keep remembers the connection until it ends, or reports false when the mesh
+// is closing.
+func (m *Mesh) keep(c *conn) bool {
+	m.lifeMu.Lock()
+	defer m.lifeMu.Unlock()
+	if m.over {
+		return false
+	}
+	m.conns[c] = struct{}{}
+	return true
+}
+
+func (m *Mesh) drop(c *conn) {
+	m.lifeMu.Lock()
+	defer m.lifeMu.Unlock()
+	delete(m.conns, c)
+}
+
+// shut lets no goroutine and connection begin any more and returns the
+// connections that are left.
+func (m *Mesh) shut() []*conn {
+	m.lifeMu.Lock()
+	defer m.lifeMu.Unlock()
+	m.over = true
+	out := make([]*conn, 0, len(m.conns))
+	for c := range m.conns {
+		out = append(out, c)
+	}
+	return out
+}
+
 // Drain refuses new relayed requests as not run and returns when those that
 // this node answers or passes on are over, or ctx ends. A hop is over when the
 // other node has taken the whole answer, so Run may be ended afterwards.
@@ -242,11 +276,16 @@
 // it had; a link in use stays and the new address is for its next dial.
 func (m *Mesh) SetPeers(peers []Peer) {
 	for _, p := range peers {
-		if p.VM == m.opts.Self.VM || p.Addr == "" {
-			continue
-		}
-		m.link(p.VM).setAddr(p.Addr)
+		m.Learn(p.VM, p.Addr)
+	}
+}
+
+// Learn is SetPeers for one VM.
+func (m *Mesh) Learn(vm fleet.VM, addr string) {
+	if vm == m.opts.Self.VM || addr == "" {
+		return
 	}
+	m.link(vm).setAddr(addr)
 }
 
 // Forget closes the links to the VM and drops its address.
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -17,9 +17,6 @@
 	messageTimeout  = 2 * time.Second // to hand a message to the connection, and to read one
 )
 
-// MessageHandler takes the messages of one topic, one at a time. It owns payload.
-type MessageHandler func(from fleet.Node, payload []byte)
-
 // SetDepth bounds how many messages of the topic wait for one peer. A topic
 // whose messages replace each other has depth 1. The default is 64. It is to be
 // called before the topic's first Send.
@@ -66,8 +63,8 @@
 
 // Subscribe gives the topic's messages to f, from one goroutine. Between the
 // links and f lies a ring of 1024; when it is full new messages are dropped and
-// counted. A topic has one subscriber.
-func (m *Mesh) Subscribe(name string, f MessageHandler) {
+// counted. f owns the payload. A topic has one subscriber.
+func (m *Mesh) Subscribe(name string, f func(from fleet.Node, payload []byte)) {
 	t := &topic{queue: ring.NewQueue[message](subscriberDepth)}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -86,7 +83,7 @@
 
 type topic struct{ queue *ring.Queue[message] }
 
-func (m *Mesh) deliver(t *topic, f MessageHandler) {
+func (m *Mesh) deliver(t *topic, f func(from fleet.Node, payload []byte)) {
 	for {
 		select {
 		case <-m.ctx.Done():
