--- a/internal/group/change.go
+++ b/internal/group/change.go
@@ -63,70 +63,74 @@
 	})
 }
 
+// written marks the group's row as changed by this plan.
+func (p *planner) written(it *item) {
+	it.changed = true
+	delete(p.mem.broken, it.row.Group.ID)
+}
+
 // serve marks the group as serving: every member reports this generation.
-func (p *planner) serve(row *view.TableGroup) {
-	g := row.Group
+func (p *planner) serve(it *item) {
+	g := it.row.Group
 	g.Phase = fleet.PhaseServing
 	b := p.begin()
-	b.group(&g, row.Version)
+	b.group(&g, it.row.Version)
 	b.done(Serve, &g)
+	p.written(it)
 }
 
 // drain stops new requests to the group.
-func (p *planner) drain(row *view.TableGroup, reason string) {
-	g := row.Group
+func (p *planner) drain(it *item, reason string) {
+	g := it.row.Group
 	g.Phase, g.Reason = fleet.PhaseDraining, reason
 	since(p.mem.draining, g.ID, p.in.Now)
 	b := p.begin()
-	b.group(&g, row.Version)
+	b.group(&g, it.row.Version)
 	b.done(Drain, &g)
+	p.written(it)
 }
 
 // dissolve frees the group's VMs. A VM that is already claimed elsewhere is
 // left alone.
-func (p *planner) dissolve(row *view.TableGroup, reason string) {
-	g := row.Group
+func (p *planner) dissolve(it *item, reason string) {
+	g := it.row.Group
 	g.Phase, g.Reason = fleet.PhaseDissolved, reason
-	delete(p.mem.draining, g.ID)
-	delete(p.mem.broken, g.ID)
 	b := p.begin()
 	for i := range g.Members {
 		if p.in.Claims[g.Members[i].VM].Group == g.ID {
 			b.claim(g.Members[i].VM, "", 0)
 		}
 	}
-	b.group(&g, row.Version)
+	b.group(&g, it.row.Version)
 	b.done(Dissolve, &g)
+	p.written(it)
 }
 
 // forget deletes the row of a dissolved group.
-func (p *planner) forget(row *view.TableGroup) {
-	delete(p.mem.dissolved, row.Group.ID)
-	b := p.begin()
-	b.check(platform.TableGroups, string(row.Group.ID), row.Version)
-	b.txn.Writes = append(b.txn.Writes, platform.Write{Table: platform.TableGroups, Key: string(row.Group.ID), Delete: true})
-	g := row.Group
+func (p *planner) forget(it *item) {
+	g := it.row.Group
 	g.Reason = "dissolved long ago"
+	b := p.begin()
+	b.check(platform.TableGroups, string(g.ID), it.row.Version)
+	b.txn.Writes = append(b.txn.Writes, platform.Write{Table: platform.TableGroups, Key: string(g.ID), Delete: true})
 	b.done(Forget, &g)
+	p.written(it)
 }
 
 // releaseOrphans frees VMs whose claim names a group that does not exist.
-func (p *planner) releaseOrphans(groups []view.TableGroup) {
-	known := make(map[fleet.GroupID]bool, len(groups))
-	for i := range groups {
-		if groups[i].Group.Phase != fleet.PhaseDissolved {
-			known[groups[i].Group.ID] = true
-		}
+func (p *planner) releaseOrphans() {
+	known := make(map[fleet.GroupID]bool, len(p.items))
+	for _, it := range p.items {
+		known[it.row.Group.ID] = it.row.Group.Phase != fleet.PhaseDissolved
 	}
 	for i := range p.in.Snap.VMs {
-		v := &p.in.Snap.VMs[i]
-		id := v.Record.VM
-		c := p.in.Claims[id]
-		if c.Group == "" || known[c.Group] || v.Record.Zone != p.in.Snap.Zone || p.taken[id] {
+		r := &p.in.Snap.VMs[i].Record
+		c := p.in.Claims[r.VM]
+		if c.Group == "" || known[c.Group] || r.Zone != p.in.Snap.Zone || p.taken[r.VM] {
 			continue
 		}
 		b := p.begin()
-		b.claim(id, "", 0)
-		b.done(Release, &fleet.Group{ID: c.Group, Reason: fmt.Sprintf("%s was claimed by a group that does not exist", id)})
+		b.claim(r.VM, "", 0)
+		b.done(Release, &fleet.Group{ID: c.Group, Reason: fmt.Sprintf("%s was claimed by a group that does not exist", r.VM)})
 	}
 }
--- a/internal/group/fake_test.go
+++ b/internal/group/fake_test.go
@@ -128,7 +128,7 @@
 	return e.state, nil
 }
 
-func (f *fakeEngines) Load(_ context.Context, addr string) (fleet.Load, error) {
+func (f *fakeEngines) LoadReport(_ context.Context, addr string) (fleet.Load, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e, err := f.at(addr)
--- a/internal/group/health.go
+++ b/internal/group/health.go
@@ -23,7 +23,7 @@
 // sent. Going by time alone it would call every member dead at its wake.
 func healthOf(v *view.VM, now clock.Instant, t *Tune) health {
 	if v == nil {
-		return dead
+		return dead // neither listed nor answering for longer than the list lags
 	}
 	p := &v.Probe
 	if p.Failing != 0 {
@@ -35,33 +35,39 @@
 	if p.Answered == 0 || now.Sub(p.Answered) > t.StaleAfter {
 		return unknown
 	}
-	if v.Leaving || !v.Listed && now.Sub(v.Unlisted) > t.MissingAfter {
+	if v.Leaving || missing(v, now, t) {
 		return leaving
 	}
 	return alive
 }
 
+// missing reports whether the VM has been gone from the list for long.
+func missing(v *view.VM, now clock.Instant, t *Tune) bool {
+	return !v.Listed && v.Unlisted != 0 && now.Sub(v.Unlisted) > t.MissingAfter
+}
+
 // groupState is what is concluded about a group.
 type groupState int
 
 const (
 	waiting groupState = iota // some member is loading or not known well enough
 	whole
-	broken // some member is gone for good
+	fading // every member answers, some are leaving
+	broken // some member is gone, restarted or has lost the replica
 	dark   // every member is dead
 )
 
-// assessment is a group's state and, when broken, the members to replace.
+// assessment is a group's state and what is wrong with its members.
 type assessment struct {
 	state     groupState
-	gone      []int // indexes of members that need another VM
-	restarted []int // indexes of members that live on under a new boot id
-	reason    string
+	gone      []int  // indexes of members that need another VM
+	restarted bool   // some member lives on under a new boot id
+	reason    string // of fading and broken
 }
 
 func (p *planner) assess(g *fleet.Group) assessment {
 	var a assessment
-	reporting, deadMembers := 0, 0
+	reporting, deadMembers, hurt := 0, 0, 0
 	for i := range g.Members {
 		m := &g.Members[i]
 		v := p.vms[m.VM]
@@ -72,21 +78,51 @@
 			a.reason = string(m.VM) + " is dead"
 		case h == leaving:
 			a.gone = append(a.gone, i)
-			a.reason = string(m.VM) + " is leaving"
-		case h == alive && v.Probe.State.Boot != m.Boot:
-			a.restarted = append(a.restarted, i)
+			if hurt+deadMembers == 0 {
+				a.reason = string(m.VM) + " is leaving"
+			}
+			if v.Probe.State.Boot != m.Boot {
+				hurt++
+			}
+		case h == unknown:
+		case v.Probe.State.Boot != m.Boot:
+			hurt++
+			a.restarted = true
+			if p.mem.restarts(m.VM, p.in.Now) >= unsteadyAfter {
+				a.gone = append(a.gone, i)
+			}
 			a.reason = string(m.VM) + " restarted"
-		case h == alive && view.StateFault(g, m, &v.Probe.State) == "":
+		case p.lostReplica(g, m, &v.Probe.State):
+			hurt++
+			a.reason = string(m.VM) + " holds the replica no more"
+		case view.StateFault(g, m, &v.Probe.State) == "":
 			reporting++
 		}
 	}
+	a.state = conclude(len(g.Members), deadMembers, hurt, len(a.gone), reporting)
+	return a
+}
+
+func conclude(members, deadMembers, hurt, gone, reporting int) groupState {
 	switch {
-	case deadMembers == len(g.Members):
-		a.state = dark
-	case len(a.gone)+len(a.restarted) > 0:
-		a.state = broken
-	case reporting == len(g.Members):
-		a.state = whole
+	case deadMembers == members:
+		return dark
+	case deadMembers+hurt > 0:
+		return broken
+	case gone > 0:
+		return fading
+	case reporting == members:
+		return whole
 	}
-	return a
+	return waiting
+}
+
+// lostReplica reports whether a member that is in its place will not become
+// loaded again by itself: it was loaded once, or it takes too long. Orders
+// cannot help, for the engine takes the same order as done; a new generation can.
+func (p *planner) lostReplica(g *fleet.Group, m *fleet.Member, st *fleet.EngineState) bool {
+	if st.Group != g.ID || st.Generation != g.Generation || st.Rank != m.Rank || st.Loaded {
+		return false
+	}
+	return g.Phase != fleet.PhaseForming || p.mem.loadingFor(m.VM, p.in.Now) > p.in.Tune.LoadLimit
 }
--- a/internal/group/place.go
+++ b/internal/group/place.go
@@ -10,11 +10,15 @@
 	"chervilloom/internal/view"
 )
 
+// domainDarkShare is the share of time for which a fabric domain is taken to be
+// dark when spreading is weighed against stranding.
+const domainDarkShare = 0.01
+
 // form plans one new group of the spec and reports whether there was room.
 func (p *planner) form(s *config.GroupSpec) bool {
 	vms := p.place(s)
 	if vms == nil {
-		p.note(s.Name, "wait", fmt.Sprintf("no fabric domain has %d free VMs", s.VMs))
+		p.note(s.Name, "wait", fmt.Sprintf("no room for a replica of %d VMs", s.VMs))
 		return false
 	}
 	p.mem.formed++
@@ -24,7 +28,7 @@
 		Generation: 1, Phase: fleet.PhaseForming,
 		Zone: p.in.Snap.Zone, Domain: vms[0].Record.Domain,
 		Model: s.Model, Version: s.ModelVer, Adapters: slices.Clone(s.Adapters),
-		Reason: "wanted",
+		Reason: fmt.Sprintf("%d groups, %d wanted", p.bySpec[s.Name].have(), p.bySpec[s.Name].want),
 	}
 	for _, v := range vms {
 		g.Members = append(g.Members, fleet.Member{VM: v.Record.VM})
@@ -33,6 +37,7 @@
 	p.claimMembers(b, &g)
 	b.group(&g, 0)
 	b.done(Form, &g)
+	p.bySpec[s.Name].planned++
 	p.takeSpares(vms)
 	return true
 }
@@ -40,23 +45,127 @@
 // place chooses the VMs of a new group, or nil.
 func (p *planner) place(s *config.GroupSpec) []*view.VM {
 	if !s.OneDomain {
-		all := p.allFree()
-		if len(all) < s.VMs {
-			return nil
+		if vms := p.scattered(s.VMs); len(vms) == s.VMs {
+			return vms
 		}
-		return slices.Clone(all[:s.VMs])
+		return nil
 	}
+	counts := p.replicasPerDomain(s.Name)
 	best := fleet.FabricDomain("")
-	bestLeft := -1
+	var bestCost placeCost
 	for _, d := range slices.Sorted(maps.Keys(p.free)) {
-		left := len(p.free[d]) - s.VMs
-		if left < 0 || bestLeft >= 0 && left >= bestLeft {
+		if len(p.free[d]) < s.VMs {
 			continue
 		}
-		best, bestLeft = d, left
+		if c := p.costOf(d, s, counts[d]); best == "" || c.less(bestCost) {
+			best, bestCost = d, c
+		}
 	}
-	if bestLeft < 0 {
+	if best == "" {
 		return nil
 	}
 	return slices.Clone(p.free[best][:s.VMs])
 }
+
+// placeCost orders the fabric domains for a new replica.
+type placeCost struct {
+	weighed float64 // by the objective
+	same    int     // replicas of the spec in the domain
+	left    int     // free VMs that remain
+}
+
+func (c placeCost) less(o placeCost) bool {
+	if c.weighed != o.weighed {
+		return c.weighed < o.weighed
+	}
+	if c.same != o.same {
+		return c.same < o.same
+	}
+	return c.left < o.left
+}
+
+// costOf weighs what a replica in the domain strands against what a dark domain
+// would take down together.
+func (p *planner) costOf(d fleet.FabricDomain, s *config.GroupSpec, same int) placeCost {
+	free := len(p.free[d])
+	stranded := stranding(free-s.VMs, p.sizes) - stranding(free, p.sizes)
+	accelerators := max(p.free[d][0].Record.Accelerators, 1)
+	o := p.doc.Objective
+	return placeCost{
+		weighed: o.StrandingWeight*float64(stranded*accelerators) + o.DowntimeWeight*domainDarkShare*float64(same),
+		same:    same,
+		left:    free - s.VMs,
+	}
+}
+
+// replicasPerDomain counts the spec's groups, those of this plan included.
+func (p *planner) replicasPerDomain(spec string) map[fleet.FabricDomain]int {
+	n := map[fleet.FabricDomain]int{}
+	for _, it := range p.bySpec[spec].current {
+		n[it.row.Group.Domain]++
+	}
+	for i := range p.out.Changes {
+		if c := &p.out.Changes[i]; c.Kind == Form && c.Group.Spec == spec {
+			n[c.Group.Domain]++
+		}
+	}
+	return n
+}
+
+// stranding returns how many of n free VMs of one fabric domain no set of
+// replicas of the given sizes can use.
+func stranding(n int, sizes []int) int {
+	if n <= 0 || len(sizes) == 0 {
+		return 0
+	}
+	reach := make([]bool, n+1)
+	reach[0] = true
+	most := 0
+	for i := 1; i <= n; i++ {
+		for _, s := range sizes {
+			if s > 0 && s <= i && reach[i-s] {
+				reach[i], most = true, i
+			}
+		}
+	}
+	return n - most
+}
+
+// scattered returns up to n free VMs of any fabric domain, taking first those
+// that replicas bound to one domain can use least.
+func (p *planner) scattered(n int) []*view.VM {
+	left := make(map[fleet.FabricDomain]int, len(p.free))
+	for d, vms := range p.free {
+		left[d] = len(vms)
+	}
+	domains := slices.Sorted(maps.Keys(p.free))
+	var out []*view.VM
+	for len(out) < n {
+		best, bestCost := fleet.FabricDomain(""), 0
+		for _, d := range domains {
+			if left[d] == 0 {
+				continue
+			}
+			cost := stranding(left[d]-1, p.sizes) - stranding(left[d], p.sizes)
+			if best == "" || cost < bestCost || cost == bestCost && left[d] < left[best] {
+				best, bestCost = d, cost
+			}
+		}
+		if best == "" {
+			break
+		}
+		left[best]--
+		out = append(out, p.free[best][left[best]])
+	}
+	return out
+}
+
+func (p *planner) takeSpares(vms []*view.VM) {
+	for _, v := range vms {
+		d := v.Record.Domain
+		p.free[d] = slices.DeleteFunc(p.free[d], func(f *view.VM) bool { return f == v })
+		if len(p.free[d]) == 0 {
+			delete(p.free, d)
+		}
+	}
+}
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -1,7 +1,7 @@
 // Package group forms serving groups out of VMs, repairs, drains and dissolves
 // them.
 //
-// Plan is pure: belief, table rows and time in, transactions and orders out.
+// Make is pure: belief, table rows and time in, transactions and orders out.
 // The Reconciler reads the table, plans, commits and sends orders, under the
 // lease of its availability zone. Each transaction checks the rows of the
 // lease, of the group and of every VM that it writes, so two planners that race
@@ -11,7 +11,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
@@ -33,15 +32,22 @@
 	DissolveAfter time.Duration // a group that cannot be repaired is dissolved after this
 	DrainSettle   time.Duration // all nodes know of a drain after this
 	DrainLimit    time.Duration // a drain that takes longer is cut
+	LeaveLimit    time.Duration // the same when a member is leaving: the VM will not wait
+	LoadLimit     time.Duration // a member that has loaded for longer is started anew
 	LoadsAtOnce   int           // VMs of the zone that load weights at once
+	// UnfencedSettle is how long after taking a lease over from another node
+	// engines that ignore fences get no order and no group of them serves: an
+	// order that the former holder still had on its way arrives before that.
+	UnfencedSettle time.Duration
 }
 
 // DefaultTune returns the defaults.
 func DefaultTune() Tune {
 	return Tune{
 		DeadAfter: 1500 * time.Millisecond, DeadProbes: 3, StaleAfter: 3 * time.Second,
-		MissingAfter: 30 * time.Second, DissolveAfter: 10 * time.Second,
-		DrainSettle: 3 * time.Second, DrainLimit: 10 * time.Minute, LoadsAtOnce: 16,
+		MissingAfter: 30 * time.Second, DissolveAfter: time.Minute,
+		DrainSettle: 3 * time.Second, DrainLimit: 10 * time.Minute, LeaveLimit: 30 * time.Second,
+		LoadLimit: 10 * time.Minute, LoadsAtOnce: 16, UnfencedSettle: 2 * time.Second,
 	}
 }
 
@@ -83,50 +89,33 @@
 type Plan struct {
 	Changes []Change
 	Orders  []VMOrder
-	Notes   []Note // decisions to do nothing that an operator may ask about
+	Notes   []Note
 }
 
-// Note is a decision without a transaction.
+// Note is a decision to do nothing yet, and why.
 type Note struct {
 	Subject, Decision, Reason string
 }
 
-// Memory is what the planner remembers between plans. It is lost with the
-// process; then the times it holds start anew, which delays and never hastens.
-type Memory struct {
-	draining  map[fleet.GroupID]clock.Instant
-	broken    map[fleet.GroupID]clock.Instant
-	dissolved map[fleet.GroupID]clock.Instant
-	formed    uint64
-}
-
-// NewMemory returns an empty memory.
-func NewMemory() *Memory {
-	return &Memory{
-		draining:  map[fleet.GroupID]clock.Instant{},
-		broken:    map[fleet.GroupID]clock.Instant{},
-		dissolved: map[fleet.GroupID]clock.Instant{},
-	}
-}
-
-// since returns when the group was first put into m.
-func since(m map[fleet.GroupID]clock.Instant, id fleet.GroupID, now clock.Instant) clock.Instant {
-	if at, ok := m[id]; ok {
-		return at
-	}
-	m[id] = now
-	return now
-}
-
 // planner holds one run of Make.
 type planner struct {
-	in    *Input
-	mem   *Memory
-	doc   *config.Document
-	vms   map[fleet.VM]*view.VM
-	free  map[fleet.FabricDomain][]*view.VM
-	taken map[fleet.VM]bool // changed by this plan
-	out   Plan
+	in     *Input
+	mem    *Memory
+	doc    *config.Document
+	vms    map[fleet.VM]*view.VM
+	free   map[fleet.FabricDomain][]*view.VM
+	sizes  []int              // VMs of the replicas that need one fabric domain
+	taken  map[fleet.VM]bool  // rows written by this plan
+	items  []*item            // by group id
+	bySpec map[string]*census // every spec and every spec name that a group has
+	out    Plan
+}
+
+// item is one group with what is concluded about it.
+type item struct {
+	row     *view.TableGroup
+	assess  assessment
+	changed bool // this plan writes its row
 }
 
 // Make plans for one availability zone. It returns an empty plan while too
@@ -135,26 +124,40 @@
 	if in.Snap.Config == nil || len(in.Snap.VMs) == 0 {
 		return Plan{}
 	}
+	p := newPlanner(in, mem)
+	p.mem.watch(p)
+	p.collectFree()
+	p.collectItems()
+	for _, it := range p.items {
+		p.step(it)
+	}
+	p.repairAll()
+	p.scale()
+	p.releaseOrphans()
+	p.orders()
+	p.mem.sweep(p)
+	return p.out
+}
+
+func newPlanner(in *Input, mem *Memory) *planner {
 	p := &planner{
 		in: in, mem: mem, doc: in.Snap.Config,
-		vms: make(map[fleet.VM]*view.VM, len(in.Snap.VMs)), taken: map[fleet.VM]bool{},
+		vms:   make(map[fleet.VM]*view.VM, len(in.Snap.VMs)),
+		taken: map[fleet.VM]bool{},
 	}
 	for i := range in.Snap.VMs {
 		p.vms[in.Snap.VMs[i].Record.VM] = &in.Snap.VMs[i]
 	}
-	p.collectFree()
-	groups := slices.Clone(in.Groups)
-	slices.SortFunc(groups, func(a, b view.TableGroup) int { return cmp.Compare(a.Group.ID, b.Group.ID) })
-	for i := range groups {
-		p.one(&groups[i])
+	for i := range p.doc.Groups {
+		if s := &p.doc.Groups[i]; s.OneDomain {
+			p.sizes = append(p.sizes, s.VMs)
+		}
 	}
-	p.releaseOrphans(groups)
-	p.scale(groups)
-	p.orders(groups)
-	return p.out
+	return p
 }
 
-// collectFree finds the VMs that a group may be formed of, by fabric domain.
+// collectFree finds the VMs that a group may be formed of, by fabric domain,
+// the steadiest first.
 func (p *planner) collectFree() {
 	p.free = map[fleet.FabricDomain][]*view.VM{}
 	for i := range p.in.Snap.VMs {
@@ -163,6 +166,11 @@
 			p.free[v.Record.Domain] = append(p.free[v.Record.Domain], v)
 		}
 	}
+	for _, vms := range p.free {
+		slices.SortStableFunc(vms, func(a, b *view.VM) int {
+			return cmp.Compare(p.mem.restarts(a.Record.VM, p.in.Now), p.mem.restarts(b.Record.VM, p.in.Now))
+		})
+	}
 }
 
 func (p *planner) isFree(v *view.VM) bool {
@@ -176,52 +184,76 @@
 	return healthOf(v, p.in.Now, &p.in.Tune) == alive
 }
 
-// one plans for one group.
-func (p *planner) one(row *view.TableGroup) {
-	g := &row.Group
+func (p *planner) collectItems() {
+	for i := range p.in.Groups {
+		row := &p.in.Groups[i]
+		if len(row.Group.Members) > 0 {
+			p.items = append(p.items, &item{row: row, assess: p.assess(&row.Group)})
+		}
+	}
+	slices.SortFunc(p.items, func(a, b *item) int { return cmp.Compare(a.row.Group.ID, b.row.Group.ID) })
+	p.takeCensus()
+}
+
+// step plans what a group needs by itself.
+func (p *planner) step(it *item) {
+	g := &it.row.Group
 	switch g.Phase {
 	case fleet.PhaseDissolved:
 		if p.in.Now.Sub(since(p.mem.dissolved, g.ID, p.in.Now)) > forgetDissolved {
-			p.forget(row)
+			p.forget(it)
 		}
 		return
 	case fleet.PhaseDraining:
-		p.drainStep(row)
+		p.drainStep(it)
 		return
-	}
-	a := p.assess(g)
-	if a.state != broken {
-		delete(p.mem.broken, g.ID)
-	}
-	switch a.state {
-	case whole:
-		if g.Phase == fleet.PhaseForming {
-			p.serve(row)
+	case fleet.PhaseForming:
+		if it.assess.state == whole && p.settled(g) {
+			p.serve(it)
 		}
-	case broken:
-		p.repair(row, &a)
 	}
+	if it.assess.state == dark && p.allMissing(g) {
+		p.dissolve(it, "its VMs are dead and gone from the platform's list")
+	}
+}
+
+// allMissing reports whether the platform has listed no member for long. A dark
+// group is kept until then: when it was only cut off, it comes back whole.
+func (p *planner) allMissing(g *fleet.Group) bool {
+	return !slices.ContainsFunc(g.Members, func(m fleet.Member) bool {
+		v := p.vms[m.VM]
+		return v != nil && !missing(v, p.in.Now, &p.in.Tune)
+	})
 }
 
 // forgetDissolved is how long the row of a dissolved group is kept, so that
 // slow readers learn that it was dissolved.
 const forgetDissolved = time.Minute
 
-// drainStep dissolves a draining group once its leader has nothing left to do.
-func (p *planner) drainStep(row *view.TableGroup) {
-	g := &row.Group
-	began := since(p.mem.draining, g.ID, p.in.Now)
-	took := p.in.Now.Sub(began)
-	leader := p.vms[g.Members[0].VM]
-	switch {
-	case leader == nil || healthOf(leader, p.in.Now, &p.in.Tune) == dead:
-		p.dissolve(row, "draining and its leader is dead")
-	case leader.Probe.State.Boot != "" && leader.Probe.State.Boot != g.Members[0].Boot:
-		p.dissolve(row, "draining and its leader restarted")
-	case took > p.in.Tune.DrainLimit:
-		p.dissolve(row, "the drain took too long")
-	case leader.LoadAt.After(began.Add(p.in.Tune.DrainSettle)) && leader.Load.Boot == g.Members[0].Boot &&
-		leader.Load.Running == 0 && leader.Load.Waiting == 0:
-		p.dissolve(row, fmt.Sprintf("drained in %v", took.Round(time.Millisecond)))
+// settled reports whether orders of a former holder of the lease can no longer
+// reach the group's engines.
+func (p *planner) settled(g *fleet.Group) bool {
+	for i := range g.Members {
+		if !p.mayOrder(g.Members[i].VM) {
+			return false
+		}
+	}
+	return true
+}
+
+// mayOrder reports whether the VM may get an order: at any time when it checks
+// fences, else once the former holder's orders have run out.
+func (p *planner) mayOrder(vm fleet.VM) bool {
+	if !p.in.Grant.TakenOver || p.checksFence(vm) {
+		return true
 	}
+	return p.in.Now.Sub(p.in.Grant.Since) >= p.in.Tune.UnfencedSettle
+}
+
+func (p *planner) checksFence(vm fleet.VM) bool {
+	return slices.ContainsFunc(p.doc.FenceChecked, func(s string) bool { return s == "*" || s == string(vm) })
+}
+
+func (p *planner) note(subject, decision, reason string) {
+	p.out.Notes = append(p.out.Notes, Note{subject, decision, reason})
 }
--- a/internal/group/reconciler.go
+++ b/internal/group/reconciler.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
+	"golang.org/x/sync/errgroup"
 
 	"chervilloom/internal/clock"
 	"chervilloom/internal/engine"
@@ -64,9 +65,14 @@
 type Timing struct {
 	Tick         time.Duration // between plans; default 200 ms
 	Read         time.Duration // between reads of the table by the holder; default 1 s
+	ReadTimeout  time.Duration // of one read of the table; default 2 s
 	SlowRead     time.Duration // between reads by another node, at least; default 3 s
 	OrderTimeout time.Duration // of one order; default 1 s
-	Margin       time.Duration // of the lease that must be left to act; default 500 ms
+	// CommitTimeout is for one transaction, the client's read-back included;
+	// default 3 s.
+	CommitTimeout time.Duration
+	Commits       int           // transactions at once; default 8
+	Margin        time.Duration // of the lease that must be left to act; default 500 ms
 }
 
 func (t Timing) withDefaults() Timing {
@@ -77,9 +83,14 @@
 	}
 	def(&t.Tick, 200*time.Millisecond)
 	def(&t.Read, time.Second)
+	def(&t.ReadTimeout, 2*time.Second)
 	def(&t.SlowRead, 3*time.Second)
 	def(&t.OrderTimeout, time.Second)
+	def(&t.CommitTimeout, 3*time.Second)
 	def(&t.Margin, 500*time.Millisecond)
+	if t.Commits == 0 {
+		t.Commits = 8
+	}
 	return t
 }
 
@@ -91,6 +102,9 @@
 	rows    *rows
 	dirty   bool // the rows must be read before the next plan
 	fence   uint64
+	// retryRead: not to be read before; reads fail while the platform is down.
+	retryRead clock.Instant
+	told      map[Note]bool // notes of the plan before
 }
 
 // New returns a reconciler; Run starts it.
@@ -151,17 +165,18 @@
 
 // read reports whether the rows are at most every old, reading them when not.
 func (r *Reconciler) read(ctx context.Context, now clock.Instant, every time.Duration) bool {
-	if r.rows != nil && r.rows.at != 0 && every > 0 && now.Sub(r.rows.at) < every {
+	if r.rows != nil && every > 0 && now.Sub(r.rows.at) < every {
 		return true
 	}
-	rctx, cancel := context.WithTimeout(ctx, r.Timing.OrderTimeout)
+	if now.Before(r.retryRead) {
+		return false
+	}
+	rctx, cancel := context.WithTimeout(ctx, r.Timing.ReadTimeout)
 	defer cancel()
 	fresh, err := readRows(rctx, r.Table, r.Zone, now, r.Log)
 	if err != nil {
 		r.metrics.readFailed.Inc()
-		if r.rows != nil {
-			r.rows.at = 0
-		}
+		r.retryRead = r.Clock.Now().Add(r.Timing.Read / 2)
 		return false
 	}
 	r.rows, r.dirty = fresh, false
@@ -177,33 +192,70 @@
 		Targets: r.Targets(snap), Grant: grant, Tune: r.Tune,
 	}, r.mem)
 	r.metrics.planned(r.Clock.Now().Sub(now), &plan)
-	for i := range plan.Notes {
-		n := &plan.Notes[i]
-		r.Explain.Note(explain.Step{Subject: n.Subject, Stage: "group", Decision: n.Decision, Reason: n.Reason})
+	r.explainNotes(plan.Notes)
+	if !r.commitAll(ctx, grant, plan.Changes) {
+		return // the orders were made for rows that are not known now
+	}
+	r.sendOrders(ctx, grant, plan.Orders)
+}
+
+// commitAll commits the changes, a few at a time: they touch different rows. It
+// reports whether all landed.
+func (r *Reconciler) commitAll(ctx context.Context, grant lease.Grant, changes []Change) bool {
+	results := make([]platform.Result, len(changes))
+	var eg errgroup.Group
+	eg.SetLimit(r.Timing.Commits)
+	landed := make([]bool, len(changes))
+	for i := range changes {
+		eg.Go(func() error {
+			results[i], landed[i] = r.commit(ctx, grant, &changes[i])
+			return nil
+		})
 	}
-	for i := range plan.Changes {
-		if !r.commit(ctx, grant, &plan.Changes[i]) {
-			return
+	_ = eg.Wait() // commit reports by its results
+	all := true
+	for i := range changes {
+		if !landed[i] {
+			all, r.dirty = false, true
+			continue
 		}
+		r.took(&changes[i], &results[i])
 	}
-	r.sendOrders(ctx, grant, plan.Orders)
+	if len(changes) > 0 {
+		r.Sink.Put(r.rows.event(r.Zone))
+	}
+	return all
 }
 
-// commit writes one change and reports whether the rest of the plan still
-// stands on rows that are known.
-func (r *Reconciler) commit(ctx context.Context, grant lease.Grant, c *Change) bool {
+// took brings the rows up to date with a change that landed.
+func (r *Reconciler) took(c *Change, res *platform.Result) {
+	for i := range res.Rows {
+		r.rows.put(&res.Rows[i], r.Log)
+	}
+	for _, w := range c.Txn.Writes {
+		if w.Delete {
+			delete(r.rows.groups, fleet.GroupID(w.Key))
+		}
+	}
+}
+
+// commit writes one change under the lease and reports whether it landed.
+func (r *Reconciler) commit(ctx context.Context, grant lease.Grant, c *Change) (platform.Result, bool) {
 	now := r.Clock.Now()
-	if grant.Left(now) < r.Timing.Margin {
-		return false
+	held, ok := r.Lease.Held(now)
+	if !ok || held.Fence != grant.Fence || held.Left(now) < r.Timing.Margin {
+		return platform.Result{}, false
 	}
+	// The lease may have been renewed since the plan was made.
+	c.Txn.Checks[0].Version = held.Version
 	ctx, span := tracer.Start(ctx, "group."+string(c.Kind))
 	defer span.End()
 	span.SetAttributes(attribute.String("group", string(c.Group.ID)), attribute.String("reason", c.Reason))
-	ctx, cancel := context.WithTimeout(ctx, min(2*time.Second, grant.Left(now)))
+	ctx, cancel := context.WithTimeout(ctx, min(r.Timing.CommitTimeout, held.Left(now)))
 	defer cancel()
 	c.Txn.Attempt = uuid.NewString()
 	res, err := r.Table.Commit(ctx, c.Txn)
-	result := "committed"
+	result := committed
 	switch {
 	case errors.Is(err, platform.ErrAmbiguous):
 		// It may have landed. Nothing is assumed: the rows are read again and
@@ -214,23 +266,26 @@
 	case !res.Committed:
 		result = "conflict"
 	}
-	r.metrics.change(c.Kind, result)
-	r.explainChange(c, result)
-	if result != "committed" {
+	if result != committed {
 		span.SetStatus(codes.Error, result)
-		r.dirty = true
-		return false
-	}
-	for i := range res.Rows {
-		r.rows.put(&res.Rows[i], r.Log)
 	}
-	for _, w := range c.Txn.Writes {
-		if w.Delete {
-			delete(r.rows.groups, fleet.GroupID(w.Key))
+	r.metrics.change(c.Kind, result)
+	r.explainChange(c, result)
+	return res, result == committed
+}
+
+const committed = "committed"
+
+// explainNotes records the notes that differ from those of the plan before.
+func (r *Reconciler) explainNotes(notes []Note) {
+	told := make(map[Note]bool, len(notes))
+	for _, n := range notes {
+		told[n] = true
+		if !r.told[n] {
+			r.Explain.Note(explain.Step{Subject: n.Subject, Stage: "group", Decision: n.Decision, Reason: n.Reason})
 		}
 	}
-	r.Sink.Put(r.rows.event(r.Zone))
-	return true
+	r.told = told
 }
 
 func (r *Reconciler) explainChange(c *Change, result string) {
--- a/internal/group/repair.go
+++ b/internal/group/repair.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -8,34 +9,169 @@
 	"chervilloom/internal/view"
 )
 
-// repair makes a new generation: a member that restarted stays under its new
-// boot id, a member that is gone is replaced by a free VM of the same fabric
-// domain. A group that cannot be repaired is dissolved after a while.
-func (p *planner) repair(row *view.TableGroup, a *assessment) {
-	old := &row.Group
-	spares := p.sparesFor(old, len(a.gone))
-	if len(spares) < len(a.gone) {
-		p.giveUp(row, a)
+// drainStep ends a drain: once the leader has nothing left to do, or when
+// nothing is left that a drain could save.
+func (p *planner) drainStep(it *item) {
+	reason, done := p.drained(it)
+	if !done {
 		return
 	}
+	// A group that drained because a member is leaving is still wanted when no
+	// other could be formed in its place.
+	if it.assess.state == fading && p.short(&it.row.Group) && p.renew(it) {
+		return
+	}
+	p.dissolve(it, reason)
+}
+
+func (p *planner) drained(it *item) (string, bool) {
+	g := &it.row.Group
+	began := since(p.mem.draining, g.ID, p.in.Now)
+	took := p.in.Now.Sub(began)
+	limit := p.in.Tune.DrainLimit
+	if it.assess.state == fading {
+		limit = p.in.Tune.LeaveLimit
+	}
+	leader := p.vms[g.Members[0].VM]
+	switch {
+	case it.assess.state == broken || it.assess.state == dark:
+		return "draining, and " + it.assess.reason, true
+	case took > limit:
+		return "the drain took too long", true
+	case leader == nil || leader.Load.Boot != g.Members[0].Boot || leader.Load.Running+leader.Load.Waiting > 0:
+		return "", false
+	case leader.LoadAt.After(began.Add(p.in.Tune.DrainSettle)):
+		return "drained", true
+	}
+	return "", false
+}
+
+// repairAll repairs the broken groups of all fabric domains in one plan, those
+// that need the fewest spares first.
+func (p *planner) repairAll() {
+	perDomain := map[fleet.FabricDomain][]*item{}
+	var domains []fleet.FabricDomain
+	for _, it := range p.items {
+		if !p.needsRepair(it) {
+			continue
+		}
+		d := it.row.Group.Domain
+		if perDomain[d] == nil {
+			domains = append(domains, d)
+		}
+		perDomain[d] = append(perDomain[d], it)
+	}
+	for _, d := range domains {
+		p.repairDomain(perDomain[d])
+	}
+}
+
+// needsRepair reports whether the group must get a new generation. A fading
+// group that serves drains first, so that its requests end well.
+func (p *planner) needsRepair(it *item) bool {
+	g := &it.row.Group
+	if it.changed || g.Phase == fleet.PhaseDissolved || g.Phase == fleet.PhaseDraining {
+		return false
+	}
+	if it.assess.state != broken && it.assess.state != fading {
+		delete(p.mem.broken, g.ID)
+		return false
+	}
+	if it.assess.state == fading && g.Phase == fleet.PhaseServing {
+		p.drain(it, it.assess.reason)
+		return false
+	}
+	return true
+}
+
+func (p *planner) repairDomain(items []*item) {
+	slices.SortStableFunc(items, func(a, b *item) int { return cmp.Compare(len(a.assess.gone), len(b.assess.gone)) })
+	var left []*item
+	for _, it := range items {
+		if !p.renew(it) {
+			left = append(left, it)
+		}
+	}
+	p.sacrifice(left)
+	for _, it := range left {
+		if !it.changed {
+			p.giveUp(it)
+		}
+	}
+}
+
+// sacrifice dissolves the group with the most members gone when what is left of
+// it completes another: two groups that each lost a member become one that
+// serves instead of none.
+func (p *planner) sacrifice(left []*item) {
+	if len(left) < 2 {
+		return
+	}
+	first, last := left[0], left[len(left)-1]
+	pool := len(p.free[first.row.Group.Domain]) + p.survivors(last)
+	if pool >= len(first.assess.gone) {
+		p.dissolve(last, fmt.Sprintf("%s; its other VMs complete %s", last.assess.reason, first.row.Group.ID))
+	}
+}
+
+// survivors counts the members that could serve in another group.
+func (p *planner) survivors(it *item) int {
+	n := 0
+	for i := range it.row.Group.Members {
+		v := p.vms[it.row.Group.Members[i].VM]
+		if healthOf(v, p.in.Now, &p.in.Tune) == alive {
+			n++
+		}
+	}
+	return n
+}
+
+// renew plans a new generation and reports whether that was possible: a member
+// that restarted stays under its new boot id, a member that is gone is replaced
+// by a free VM of the same fabric domain.
+func (p *planner) renew(it *item) bool {
+	old := &it.row.Group
+	if !p.membersKnown(it) {
+		return false
+	}
+	spares := p.sparesFor(old, len(it.assess.gone))
+	if len(spares) < len(it.assess.gone) {
+		return false
+	}
 	g := *old
 	g.Generation++
 	g.Phase = fleet.PhaseForming
-	g.Reason = "repair: " + a.reason
+	g.Reason = "repair: " + it.assess.reason
 	g.Members = slices.Clone(old.Members)
-	for n, i := range a.gone {
-		g.Members[i].VM = spares[n].Record.VM
-	}
 	b := p.begin()
-	for _, i := range a.gone {
+	for n, i := range it.assess.gone {
 		if vm := old.Members[i].VM; p.in.Claims[vm].Group == old.ID {
 			b.claim(vm, "", 0)
 		}
+		g.Members[i].VM = spares[n].Record.VM
 	}
 	p.claimMembers(b, &g)
-	b.group(&g, row.Version)
+	b.group(&g, it.row.Version)
 	b.done(Repair, &g)
+	p.written(it)
 	p.takeSpares(spares)
+	return true
+}
+
+// membersKnown reports whether the boot id of every member that stays is known.
+// A member that has just begun to fail may be dead or not: the new generation
+// must not name it.
+func (p *planner) membersKnown(it *item) bool {
+	g := &it.row.Group
+	for i := range g.Members {
+		if slices.Contains(it.assess.gone, i) {
+			continue
+		}
+		if healthOf(p.vms[g.Members[i].VM], p.in.Now, &p.in.Tune) != alive {
+			return false
+		}
+	}
+	return true
 }
 
 // claimMembers claims every member's VM for the group's generation and fills
@@ -54,33 +190,24 @@
 // sparesFor returns up to n free VMs that can join the group.
 func (p *planner) sparesFor(g *fleet.Group, n int) []*view.VM {
 	spec := p.spec(g.Spec)
-	var pool []*view.VM
-	if spec == nil || spec.OneDomain {
-		pool = p.free[g.Domain]
-	} else {
-		pool = p.allFree()
+	if spec != nil && !spec.OneDomain {
+		return p.scattered(n)
 	}
-	return pool[:min(n, len(pool))]
+	pool := p.free[g.Domain]
+	return slices.Clone(pool[:min(n, len(pool))])
 }
 
-func (p *planner) takeSpares(vms []*view.VM) {
-	for _, v := range slices.Clone(vms) {
-		d := v.Record.Domain
-		p.free[d] = slices.DeleteFunc(p.free[d], func(f *view.VM) bool { return f == v })
+// giveUp dissolves a group that has been beyond repair for long enough, or at
+// once when another group has taken its place.
+func (p *planner) giveUp(it *item) {
+	g := &it.row.Group
+	waited := p.in.Now.Sub(since(p.mem.broken, g.ID, p.in.Now))
+	switch {
+	case !p.short(g):
+		p.dissolve(it, it.assess.reason+"; other groups have taken its place")
+	case waited >= p.in.Tune.DissolveAfter:
+		p.dissolve(it, fmt.Sprintf("%s and its fabric domain had no spare VM for %v", it.assess.reason, waited))
+	default:
+		p.note(string(g.ID), "wait", it.assess.reason+" and its fabric domain has no spare VM")
 	}
 }
-
-// giveUp dissolves a group that has been beyond repair for long enough.
-func (p *planner) giveUp(row *view.TableGroup, a *assessment) {
-	id := row.Group.ID
-	waited := p.in.Now.Sub(since(p.mem.broken, id, p.in.Now))
-	if waited < p.in.Tune.DissolveAfter {
-		p.note(string(id), "wait", fmt.Sprintf("%s and its fabric domain has no spare VM", a.reason))
-		return
-	}
-	p.dissolve(row, fmt.Sprintf("%s and its fabric domain had no spare VM for %v", a.reason, waited))
-}
-
-func (p *planner) note(subject, decision, reason string) {
-	p.out.Notes = append(p.out.Notes, Note{subject, decision, reason})
-}
--- a/internal/group/rows.go
+++ b/internal/group/rows.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
 
 	"chervilloom/internal/clock"
 	"chervilloom/internal/fleet"
@@ -22,7 +23,7 @@
 type rows struct {
 	claims map[fleet.VM]view.Claim
 	groups map[fleet.GroupID]view.TableGroup
-	at     clock.Instant // when the read was begun; 0: to be read again
+	at     clock.Instant // when the read was begun
 }
 
 // readRows lists the claims and the zone's groups. Group ids start with the
@@ -43,6 +44,8 @@
 	for i := range groups {
 		r.put(&groups[i], log)
 	}
+	// The prefix of zone "a" also matches ids of zone "a.b".
+	maps.DeleteFunc(r.groups, func(_ fleet.GroupID, g view.TableGroup) bool { return g.Group.Zone != zone })
 	return r, nil
 }
 
--- a/internal/group/share.go
+++ b/internal/group/share.go
@@ -49,6 +49,9 @@
 // zoneRoom counts how many replicas each zone's listed VMs could hold if no
 // other spec used them.
 func zoneRoom(s *config.GroupSpec, snap *view.Snapshot) map[fleet.AvailabilityZone]int {
+	if s.VMs <= 0 {
+		return nil
+	}
 	perDomain := map[fleet.AvailabilityZone]map[fleet.FabricDomain]int{}
 	for i := range snap.VMs {
 		r := &snap.VMs[i].Record
--- a/internal/lease/decide.go
+++ b/internal/lease/decide.go
@@ -28,9 +28,11 @@
 type Grant struct {
 	Duty    string
 	Fence   uint64
-	Version uint64        // of the lease row; the check of every write made under the lease
-	Since   clock.Instant // when the first write of this tenure was sent
-	Until   clock.Instant // the end of the term, counted from before the newest write was sent
+	Version uint64 // of the lease row; the check of every write made under the lease
+	// TakenOver: the holder before was another node that had not released it.
+	TakenOver bool
+	Since     clock.Instant // when the first write of this tenure was sent
+	Until     clock.Instant // the end of the term, counted from before the newest write was sent
 }
 
 // Left returns how much of the term is left.
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -164,8 +164,10 @@
 func (m *Manager) landed(d Decision, version uint64, sent clock.Instant) {
 	g := Grant{Duty: m.Duty, Fence: d.Next.Fence, Version: version, Since: sent, Until: sent.Add(d.Next.Term)}
 	if old := m.heldRaw(); old.Fence == g.Fence {
-		g.Since = old.Since
+		g.Since, g.TakenOver = old.Since, old.TakenOver
 	} else {
+		before := &m.seen
+		g.TakenOver = before.Version != 0 && !before.Row.Released && before.Row.Owner != m.Self
 		m.Log.Info("lease acquired", "duty", m.Duty, "fence", g.Fence, "reason", d.Reason)
 	}
 	m.seen = Seen{Row: d.Next, Version: version, First: sent, Known: true}
--- a/internal/probe/cache.go
+++ b/internal/probe/cache.go
@@ -85,7 +85,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.set.Timeout)
 	defer cancel()
-	events, err := p.engines.CacheEvents(ctx, t.rec.Addr, after)
+	events, err := p.endpoints.CacheEvents(ctx, t.rec.Addr, after)
 	if err != nil {
 		return // a hint; the next poll asks from the same sequence on
 	}
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -16,10 +16,11 @@
 	"chervilloom/internal/view"
 )
 
-// Engines is the part of the engine client that probes need.
-type Engines interface {
+// Endpoints is the part of the endpoints' client that probes need. Plain
+// services answer State with their VM, boot id and whether they are leaving.
+type Endpoints interface {
 	State(ctx context.Context, addr string) (fleet.EngineState, error)
-	Load(ctx context.Context, addr string) (fleet.Load, error)
+	LoadReport(ctx context.Context, addr string) (fleet.Load, error)
 	CacheEvents(ctx context.Context, addr string, after uint64) ([]engine.CacheEvent, error)
 }
 
--- a/internal/probe/prober.go
+++ b/internal/probe/prober.go
@@ -19,13 +19,13 @@
 
 // Prober watches the endpoints that rendezvous order gives to this node.
 type Prober struct {
-	set     Settings
-	engines Engines
-	source  view.Source
-	sink    Sink
-	clock   clock.Clock
-	rng     *rand.Rand // used by Run's goroutine alone
-	metrics *metrics
+	set       Settings
+	endpoints Endpoints
+	source    view.Source
+	sink      Sink
+	clock     clock.Clock
+	rng       *rand.Rand // used by Run's goroutine alone
+	metrics   *metrics
 
 	jobs chan *target // scheduler to workers; full: the probe waits its turn
 	done chan *target // workers to scheduler; holds every target at most once
@@ -46,10 +46,10 @@
 }
 
 // New returns a prober; Run starts it. The seed spreads the schedule.
-func New(set Settings, e Engines, src view.Source, sink Sink, c clock.Clock, seed uint64, reg prometheus.Registerer) *Prober {
+func New(set Settings, e Endpoints, src view.Source, sink Sink, c clock.Clock, seed uint64, reg prometheus.Registerer) *Prober {
 	set = set.withDefaults()
 	return &Prober{
-		set: set, engines: e, source: src, sink: sink, clock: c,
+		set: set, endpoints: e, source: src, sink: sink, clock: c,
 		rng:     rand.New(rand.NewPCG(seed, 1)),
 		metrics: newMetrics(reg),
 		jobs:    make(chan *target, set.Workers),
@@ -165,10 +165,6 @@
 func (p *Prober) probe(ctx context.Context, t *target) {
 	sent := p.clock.Now()
 	wantLoad := !sent.Before(t.loadDue)
-	if t.rec.Kind == fleet.KindService {
-		p.probeService(ctx, t, sent)
-		return
-	}
 	st, err := p.state(ctx, t.rec)
 	now := p.clock.Now()
 	if ctx.Err() != nil {
@@ -188,7 +184,7 @@
 func (p *Prober) state(ctx context.Context, r fleet.Record) (fleet.EngineState, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.set.Timeout)
 	defer cancel()
-	st, err := p.engines.State(ctx, r.Addr)
+	st, err := p.endpoints.State(ctx, r.Addr)
 	if err == nil && st.VM != r.VM {
 		err = fmt.Errorf("probe: %s answers at %s, expected %s; correct the platform's list", st.VM, r.Addr, r.VM)
 	}
@@ -210,27 +206,10 @@
 	p.sink.Put(e)
 }
 
-// probeService asks a plain service for its load, which is all it can tell.
-func (p *Prober) probeService(ctx context.Context, t *target, sent clock.Instant) {
-	lctx, cancel := context.WithTimeout(ctx, p.set.Timeout)
-	defer cancel()
-	load, err := p.engines.Load(lctx, t.rec.Addr)
-	now := p.clock.Now()
-	if ctx.Err() != nil {
-		return
-	}
-	st := fleet.EngineState{VM: t.rec.VM, Boot: load.Boot}
-	p.report(t, view.Probed{VM: t.rec.VM, Sent: sent, RTT: now.Sub(sent), Answered: err == nil, State: st})
-	if err == nil {
-		load.VM = t.rec.VM
-		p.sink.Put(view.Loaded{At: now, Load: load})
-	}
-}
-
 func (p *Prober) load(ctx context.Context, t *target) {
 	ctx, cancel := context.WithTimeout(ctx, p.set.Timeout)
 	defer cancel()
-	load, err := p.engines.Load(ctx, t.rec.Addr)
+	load, err := p.endpoints.LoadReport(ctx, t.rec.Addr)
 	if err != nil {
 		return // the next report replaces it; the probe tells whether the VM lives
 	}
@@ -259,7 +238,13 @@
 func (p *Prober) checkMember(ctx context.Context, g *fleet.Group, m *fleet.Member) error {
 	sent := p.clock.Now()
 	st, err := p.state(ctx, fleet.Record{VM: m.VM, Addr: m.Addr})
+	if ctx.Err() != nil {
+		return fmt.Errorf("%w: %s: %w", ErrNotWhole, m.VM, ctx.Err()) // given up: says nothing of the member
+	}
 	if err != nil {
+		// Failures stays 0: checks of many requests may fail at once, which
+		// must not look like many probes in a row.
+		p.sink.Put(view.Probed{VM: m.VM, Sent: sent, Failing: sent})
 		return fmt.Errorf("%w: %s: %w", ErrNotWhole, m.VM, err)
 	}
 	p.sink.Put(view.Probed{VM: m.VM, Sent: sent, RTT: p.clock.Now().Sub(sent), Answered: true, State: st})
--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -25,18 +25,17 @@
 // State is the merged belief. It is a pure state machine: Apply changes it,
 // Snapshot reads it. It is not safe for concurrent use.
 type State struct {
-	self      fleet.Node
-	zone      fleet.AvailabilityZone
-	revision  uint64
-	doc       *config.Document
-	listAt    clock.Instant
-	platform  clock.Instant
-	vms       map[fleet.VM]*vmState
-	groups    map[fleet.GroupID]*groupState
-	remote    map[fleet.GroupID]*remoteGroup
-	nodes     []Node
-	order     []*vmState // by VM; nil: to be sorted again
-	tableZone clock.Instant
+	self     fleet.Node
+	zone     fleet.AvailabilityZone
+	revision uint64
+	doc      *config.Document
+	listAt   clock.Instant
+	platform clock.Instant
+	vms      map[fleet.VM]*vmState
+	groups   map[fleet.GroupID]*groupState
+	remote   map[fleet.GroupID]*remoteGroup
+	nodes    []Node
+	order    []*vmState // by VM; nil: to be sorted again
 }
 
 type vmState struct {
@@ -60,6 +59,7 @@
 type groupState struct {
 	group   fleet.Group
 	version uint64
+	first   clock.Instant // when the group was first heard of
 }
 
 // NewState returns the belief of a node that knows nothing yet.
@@ -207,11 +207,12 @@
 	listed := make(map[fleet.GroupID]bool, len(e.Groups))
 	for i := range e.Groups {
 		listed[e.Groups[i].Group.ID] = true
-		s.tableGroup(&e.Groups[i])
+		s.tableGroup(&e.Groups[i], e.At)
 	}
 	if e.Complete {
+		// A group that was heard of after the read began may be newer than it.
 		maps.DeleteFunc(s.groups, func(id fleet.GroupID, g *groupState) bool {
-			return g.group.Zone == e.Zone && !listed[id]
+			return g.group.Zone == e.Zone && !listed[id] && g.first.Before(e.At)
 		})
 	}
 	return true
@@ -225,12 +226,16 @@
 	}
 }
 
-func (s *State) tableGroup(r *TableGroup) {
+func (s *State) tableGroup(r *TableGroup, at clock.Instant) {
 	g := s.groups[r.Group.ID]
-	if g != nil && g.version > r.Version {
+	if g != nil && g.version >= r.Version {
 		return
 	}
-	s.groups[r.Group.ID] = &groupState{r.Group, r.Version}
+	first := at
+	if g != nil {
+		first = g.first
+	}
+	s.groups[r.Group.ID] = &groupState{r.Group, r.Version, first}
 }
 
 func (s *State) applyProbed(e Probed) bool {
@@ -241,8 +246,7 @@
 		if !e.Sent.After(p.Answered) {
 			return false
 		}
-		p.Failing = max(e.Failing, p.Answered)
-		p.Failures = e.Failures
+		p.fail(e.Failing, e.Failures)
 		return true
 	}
 	if !e.Sent.After(p.Answered) {
@@ -259,6 +263,16 @@
 	return true
 }
 
+// fail notes that probes have failed since an instant, failures in a row as the
+// watcher counts them. Two watchers' failures are not added up.
+func (p *Probe) fail(since clock.Instant, failures int) {
+	since = max(since, p.Answered)
+	if p.Failing == 0 || since < p.Failing {
+		p.Failing = since
+	}
+	p.Failures = max(p.Failures, failures)
+}
+
 func (s *State) applyLoaded(e Loaded) bool {
 	v := s.vm(e.Load.VM)
 	same := v.load.Boot == e.Load.Boot
