Node, demonstration and commands, wired (does not start yet)

Cause: the parts need one place that joins them. Ruled out: oklog/run groups, which interrupt all actors at once; a graceful end needs stages that stop one after the other.

--- a/cmd/chervilloom/main.go
+++ b/cmd/chervilloom/main.go
@@ -48,7 +48,7 @@
 	commands := []command{
 		newServe(), newCheck(), newStatus(), newExplain(), newDrain(),
 		newConfigGet(), newConfigApply(), newConfigHistory(),
-		newVersion(),
+		newDemo(), newStandin(), newVersion(),
 	}
 	attach(parser, commands)
 	if err := parser.Parse(); err != nil {
--- /dev/null
+++ b/internal/demo/smoke.go
@@ -0,0 +1,159 @@
+package demo
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"chervilloom/internal/engine"
+	"chervilloom/internal/outcome"
+	standin "chervilloom/internal/standin/engine"
+	"chervilloom/internal/standin/service"
+)
+
+// Answer is what one request of the smoke test got.
+type Answer struct {
+	Name    string
+	Status  int
+	Outcome string
+	Text    string
+	Err     error // why the answer is not the caller's own whole answer
+}
+
+// call is one request of the smoke test and the check of its answer.
+type call struct {
+	name, method, path, body string
+	header                   map[string]string
+	check                    func(body []byte) (text string, err error)
+}
+
+// Smoke sends one request of each kind through the last node, whose availability
+// zone has no engines, and checks every answer.
+func (f *Fleet) Smoke(ctx context.Context) []Answer {
+	base := "http://" + f.Nodes[len(f.Nodes)-1].Addrs().Caller
+	var out []Answer
+	for _, c := range calls() {
+		out = append(out, c.send(ctx, base))
+	}
+	return out
+}
+
+func calls() []call {
+	chat := `{"model":"clerk","messages":[{"role":"user","content":"Summarise the renewal file 17."}],"max_tokens":12%s}`
+	stream := fmt.Sprintf(chat, `,"stream":true`)
+	plain := fmt.Sprintf(chat, "")
+	return []call{
+		{"chat, streamed", "POST", "/v1/chat/completions", stream, nil,
+			func(b []byte) (string, error) { return checkStream([]byte(stream), b) }},
+		{"chat, whole", "POST", "/v1/chat/completions", plain, nil,
+			func(b []byte) (string, error) { return checkChat([]byte(plain), b) }},
+		{"lookup", "GET", "/services/" + Service + "/licences/17", "", nil, checkService("GET", "/licences/17", "")},
+		{"receipt", "POST", "/services/" + Service + "/receipts", `{"fee":1500}`,
+			map[string]string{"Idempotency-Key": "receipt-17"}, checkService("POST", "/receipts", `{"fee":1500}`)},
+		{"receipt again", "POST", "/services/" + Service + "/receipts", `{"fee":1500}`,
+			map[string]string{"Idempotency-Key": "receipt-17"}, checkService("POST", "/receipts", `{"fee":1500}`)},
+	}
+}
+
+func (c call) send(ctx context.Context, base string) Answer {
+	a := Answer{Name: c.name}
+	req, err := http.NewRequestWithContext(ctx, c.method, base+c.path, strings.NewReader(c.body))
+	if err != nil {
+		return a.failed(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+CallerKey)
+	for k, v := range c.header {
+		req.Header.Set(k, v)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return a.failed(err)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	a.Status, a.Outcome = res.StatusCode, res.Header.Get(outcome.Header)
+	if a.Outcome == "" {
+		a.Outcome = res.Trailer.Get(outcome.Header)
+	}
+	if err != nil {
+		return a.failed(err)
+	}
+	if res.StatusCode != http.StatusOK {
+		return a.failed(fmt.Errorf("%s: %s", res.Status, bytes.TrimSpace(body)))
+	}
+	a.Text, a.Err = c.check(body)
+	return a
+}
+
+func (a Answer) failed(err error) Answer {
+	a.Err = err
+	return a
+}
+
+// checkStream compares the tokens with those that the request must get, and
+// demands the end marker.
+func checkStream(request, body []byte) (string, error) {
+	var got []string
+	done := false
+	for sc := bufio.NewScanner(bytes.NewReader(body)); sc.Scan(); {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		var chunk engine.ChatChunk
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			return "", err
+		}
+		if len(chunk.Choices) > 0 && chunk.Choices[0].Delta != nil && chunk.Choices[0].Delta.Content != "" {
+			got = append(got, chunk.Choices[0].Delta.Content)
+		}
+	}
+	if !done {
+		return "", fmt.Errorf("the stream has no end marker")
+	}
+	return compare(request, strings.Join(got, ""))
+}
+
+func checkChat(request, body []byte) (string, error) {
+	var a engine.ChatAnswer
+	if err := json.Unmarshal(body, &a); err != nil {
+		return "", err
+	}
+	if len(a.Choices) != 1 || a.Choices[0].Message == nil {
+		return "", fmt.Errorf("the answer has no message")
+	}
+	return compare(request, a.Choices[0].Message.Content)
+}
+
+func compare(request []byte, got string) (string, error) {
+	want := strings.Join(standin.ExpectedTokens(request), "")
+	if got != want {
+		return got, fmt.Errorf("not the answer to this request: want %q", want)
+	}
+	return got, nil
+}
+
+func checkService(method, path, body string) func([]byte) (string, error) {
+	return func(b []byte) (string, error) {
+		var a service.Answer
+		if err := json.Unmarshal(b, &a); err != nil {
+			return "", err
+		}
+		if a.Check != service.CheckOf(method, path, []byte(body)) {
+			return string(b), fmt.Errorf("not the answer to this request")
+		}
+		if a.Runs != 1 {
+			return string(b), fmt.Errorf("the call ran %d times", a.Runs)
+		}
+		return strings.TrimSpace(string(b)), nil
+	}
+}
--- /dev/null
+++ b/internal/node/control.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"chervilloom/internal/config"
+	"chervilloom/internal/engine"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/group"
+	"chervilloom/internal/lease"
+	"chervilloom/internal/probe"
+	"chervilloom/internal/revision"
+)
+
+// defaultLease is the term of the duty leases.
+const defaultLease = 6 * time.Second
+
+func (n *Node) buildControl() {
+	n.buildConfig()
+	n.prober = probe.New(probe.Settings{}, probed{n.engines}, n.view, n.view, n.clock, seed(), n.reg)
+	duty := group.Duty(n.set.Zone)
+	n.leases = &lease.Manager{
+		Duty: duty, Self: n.self, Params: lease.DefaultParams(defaultLease),
+		Table: n.platform, Clock: n.clock, Log: n.log,
+		Rank: func() int { return lease.Position(duty, n.self.VM, probe.ZoneNodes(n.view.Snapshot())) },
+	}
+	n.groups = group.New(group.Deps{
+		Zone: n.set.Zone, Table: n.platform, Orders: n.engines, Lease: n.leases,
+		View: n.view, Sink: n.view, Clock: n.clock, Explain: n.explained, Log: n.log, Registry: n.reg,
+	})
+}
+
+func (n *Node) buildConfig() {
+	n.config = revision.NewKeeper(revision.Options{
+		Table: n.platform, Peers: n.mesh, Nodes: n.liveNodes,
+		Poll: time.Duration(n.set.Timing.RevisionPoll), Seed: seed(), Log: n.log, Metrics: n.reg,
+	})
+	n.mesh.Subscribe(revision.TopicAnnounce, n.config.HandleAnnounce)
+	n.mesh.HandleCall(revision.MethodHighest, n.config.HandleHighest)
+	n.mesh.HandleCall(revision.MethodFetch, n.config.HandleFetch)
+	n.mesh.HandleCall(methodExplain, n.handleExplain)
+}
+
+// probed gives the engine client the names that probes use.
+type probed struct{ *engine.Client }
+
+// Load returns the endpoint's load report.
+func (p probed) Load(ctx context.Context, addr string) (fleet.Load, error) {
+	return p.LoadReport(ctx, addr)
+}
+
+// policy returns the policy in force, zero while no revision is known.
+func (n *Node) policy() config.Policy {
+	if doc := n.view.Snapshot().Config; doc != nil {
+		return doc.Policy
+	}
+	return config.Policy{}
+}
--- /dev/null
+++ b/internal/node/leaving.go
@@ -0,0 +1,35 @@
+package node
+
+import (
+	"context"
+	"fmt"
+
+	"chervilloom/internal/explain"
+	"chervilloom/internal/operator"
+	"chervilloom/internal/view"
+)
+
+// Drain has an endpoint take no new request. The endpoint itself is told, so
+// that every node learns it from its next probe; this node knows at once.
+func (n *Node) Drain(ctx context.Context, req operator.DrainRequest, by string) error {
+	vm := findVM(n.view.Snapshot(), req)
+	if vm == nil {
+		return fmt.Errorf("no endpoint %q is known here: take a VM from status", req.VM)
+	}
+	reason := "operator " + by
+	n.view.Put(view.MarkLeaving{VM: req.VM, Boot: vm.Probe.State.Boot, Reason: reason})
+	n.explained.Note(explain.Step{Subject: string(req.VM), Stage: "drain", Decision: "leaving", Reason: reason})
+	if err := n.engines.Leave(ctx, vm.Record.Addr); err != nil {
+		return fmt.Errorf("only this node knows that %s is leaving, the endpoint did not answer; order it again: %w", req.VM, err)
+	}
+	return nil
+}
+
+func findVM(snap *view.Snapshot, req operator.DrainRequest) *view.VM {
+	for i := range snap.VMs {
+		if snap.VMs[i].Record.VM == req.VM {
+			return &snap.VMs[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,161 @@
+// Package node puts the filters and the duties of one entry node together. It
+// decides nothing itself.
+package node
+
+import (
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"chervilloom/internal/accept"
+	"chervilloom/internal/clock"
+	"chervilloom/internal/discovery"
+	"chervilloom/internal/dispatch"
+	"chervilloom/internal/engine"
+	"chervilloom/internal/explain"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/group"
+	"chervilloom/internal/lease"
+	"chervilloom/internal/membership"
+	"chervilloom/internal/once"
+	"chervilloom/internal/operator"
+	"chervilloom/internal/peer"
+	"chervilloom/internal/platform"
+	"chervilloom/internal/probe"
+	"chervilloom/internal/revision"
+	"chervilloom/internal/route"
+	"chervilloom/internal/settings"
+	"chervilloom/internal/view"
+)
+
+const (
+	explainSubjects = 20000 // subjects whose decisions a node remembers
+	explainSteps    = 32    // of each
+)
+
+// Options are what a node needs besides its settings.
+type Options struct {
+	Settings *settings.Settings
+	Log      *slog.Logger
+	Registry *prometheus.Registry
+	Clock    clock.Clock
+}
+
+// Addrs are the addresses that a node is bound to, ip:port.
+type Addrs struct {
+	Caller   string
+	Operator string
+	Peer     string
+}
+
+// Node is one entry node.
+type Node struct {
+	set   *settings.Settings
+	self  fleet.Node
+	clock clock.Clock
+	log   *slog.Logger
+	reg   *prometheus.Registry
+
+	platform  *platform.Client
+	engines   *engine.Client
+	mesh      *peer.Mesh
+	members   *membership.Service
+	directory *discovery.Directory
+	view      *view.Merger
+	lists     *view.ListPoller
+	prober    *probe.Prober
+	leases    *lease.Manager
+	groups    *group.Reconciler
+	config    *revision.Keeper
+	explained *explain.Store
+
+	once       *once.Keeper
+	router     *route.Router
+	dispatcher *dispatch.Dispatcher
+	accept     *accept.Server
+
+	caller, operator net.Listener
+}
+
+// New binds the node's listeners and builds its parts; Run starts them.
+func New(o Options) (*Node, error) {
+	n := &Node{
+		set: o.Settings, clock: o.Clock, log: o.Log, reg: o.Registry,
+		// Wall time only has to grow from one start of this VM's process to
+		// the next; a process starts at most once in a nanosecond.
+		self: fleet.Node{VM: o.Settings.VM, Incarnation: fleet.Incarnation(time.Now().UnixNano())},
+	}
+	n.explained = explain.NewStore(n.self.String(), explainSubjects, explainSteps)
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	if err := n.build(); err != nil {
+		return nil, errors.Join(err, n.closeListeners())
+	}
+	return n, nil
+}
+
+func (n *Node) listen() (err error) {
+	if n.caller, err = listen(n.set.Listen.Caller.String(), n.set.CallerTLS); err != nil {
+		return fmt.Errorf("caller listener: %w", err)
+	}
+	if n.operator, err = listen(n.set.Listen.Operator.String(), n.set.OperatorTLS); err != nil {
+		return errors.Join(fmt.Errorf("operator listener: %w", err), n.caller.Close())
+	}
+	return nil
+}
+
+func listen(addr string, t settings.TLS) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil || !t.Enabled() {
+		return l, err
+	}
+	cert, err := tls.LoadX509KeyPair(t.CertFile, t.KeyFile)
+	if err != nil {
+		return nil, errors.Join(err, l.Close())
+	}
+	return tls.NewListener(l, &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		MinVersion:   tls.VersionTLS12,
+		NextProtos:   []string{"http/1.1"},
+	}), nil
+}
+
+func (n *Node) closeListeners() error {
+	return errors.Join(n.caller.Close(), n.operator.Close())
+}
+
+func (n *Node) build() error {
+	n.platform = platform.NewClient(n.set.Platform.URL,
+		platform.WithLogger(n.log), platform.WithRegisterer(n.reg),
+		platform.WithTryTimeout(time.Duration(n.set.Timing.PlatformTimeout)))
+	n.engines = engine.NewClient(engine.WithRegisterer(n.reg))
+	n.view = view.NewMerger(n.self, n.set.Zone, n.clock)
+	if err := n.buildPeers(); err != nil {
+		return err
+	}
+	n.buildControl()
+	return n.buildPath()
+}
+
+// Addrs returns the bound addresses.
+func (n *Node) Addrs() Addrs {
+	return Addrs{n.caller.Addr().String(), n.operator.Addr().String(), n.mesh.Addr()}
+}
+
+// Self returns the node's VM and incarnation.
+func (n *Node) Self() fleet.Node { return n.self }
+
+// seed returns a fresh seed for random choices that need no secrecy.
+func seed() uint64 { return rand.Uint64() }
+
+// Ready reports whether the node may get requests, and why not.
+func (n *Node) Ready() (bool, string) { return n.accept.Ready() }
+
+var _ operator.Fleet = (*Node)(nil)
--- /dev/null
+++ b/internal/node/path.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"chervilloom/internal/accept"
+	"chervilloom/internal/account"
+	"chervilloom/internal/answer"
+	"chervilloom/internal/clock"
+	"chervilloom/internal/dispatch"
+	"chervilloom/internal/filter"
+	"chervilloom/internal/identify"
+	"chervilloom/internal/membership"
+	"chervilloom/internal/once"
+	"chervilloom/internal/request"
+	"chervilloom/internal/route"
+	"chervilloom/internal/view"
+)
+
+var errNoSecret = errors.New("node: peer.secret is needed besides certificate files: tickets are authenticated by it")
+
+// buildPath joins the filters of the request path. A caller's request goes
+// through all of them; one that another node passed on enters at the stage that
+// it names.
+func (n *Node) buildPath() error {
+	acc := account.New(account.Options{Clock: n.clock, Log: n.log, Registerer: n.reg, Explain: n.explained})
+	ident := identify.New(identify.Options{View: n.view, Clock: n.clock, Explain: n.explained})
+	if err := n.buildOnce(ident); err != nil {
+		return err
+	}
+	n.router = route.New(route.Options{Self: n.self, Zone: n.set.Zone, Seed: seed(), Clock: n.clock, Registerer: n.reg})
+	n.dispatcher = dispatch.New(dispatch.Options{
+		View: n.view, Clock: n.clock, Router: n.router, Retry: noRetries{}, Peers: n.mesh,
+		Prober: freshener{n}, Explain: n.explained, Log: n.log, Registerer: n.reg,
+	})
+	keyed := filter.Chain(n.dispatcher,
+		acc.Timed("once", n.once.Filter()))
+	callers := filter.Chain(keyed, acc.Filter, acc.Timed("identify", ident.Filter))
+	n.mesh.SetHandler(relayed{key: keyed, dispatch: filter.Chain(n.dispatcher, acc.Filter)})
+	n.accept = accept.New(accept.Options{
+		Handler: callers, View: n.view, Clock: n.clock, Log: n.log, Registerer: n.reg,
+		BodyLimit: int64(n.set.BodyLimit), Ready: n.ready, Tickets: n.once.Tickets(),
+		Authorise: ident.Organisation, Notice: time.Duration(n.set.Timing.DrainNotice),
+	})
+	return nil
+}
+
+func (n *Node) buildOnce(ident *identify.Identifier) (err error) {
+	secret, err := n.set.PeerSecret()
+	if err != nil {
+		return err
+	}
+	if secret == nil {
+		return errNoSecret
+	}
+	n.once, err = once.New(once.Options{
+		Self: n.self, Table: n.platform, Peers: n.mesh, View: n.view, Clock: n.clock,
+		Log: n.log, Explain: n.explained, Registerer: n.reg, Secret: secret,
+		Authorise: ident.Organisation, Owns: n.owns,
+	})
+	return err
+}
+
+// owns reports whether rendezvous hashing gives a duty without a lease to this
+// node. Two nodes that both think so are harmless for such a duty.
+func (n *Node) owns(subject string) bool {
+	return membership.Owner(subject, append(n.liveNodes(), n.self.VM)) == n.self.VM
+}
+
+// ready tells whether the node can judge requests: without a revision it knows
+// no organisation, so every caller would be refused.
+func (n *Node) ready() (bool, string) {
+	if n.view.Snapshot().Revision == 0 {
+		return false, "no configuration revision is known yet"
+	}
+	return true, ""
+}
+
+// relayed hands a request of another node to the stage that it names.
+type relayed struct{ key, dispatch filter.Handler }
+
+func (r relayed) Serve(ctx context.Context, req *request.Request, w answer.Writer) {
+	if req.Stage == request.StageKey {
+		r.key.Serve(ctx, req, w)
+		return
+	}
+	r.dispatch.Serve(ctx, req, w)
+}
+
+// freshener asks the members of a group whose probes have grown old.
+type freshener struct{ n *Node }
+
+func (f freshener) Probe(ctx context.Context, g *view.Group) (clock.Instant, bool) {
+	sent := f.n.clock.Now()
+	if err := f.n.prober.Check(ctx, &g.Group); err != nil {
+		return 0, false
+	}
+	return sent.Add(f.n.policy().ProbeFresh.Or(view.DefaultProbeFresh)), true
+}
+
+var _ dispatch.Prober = freshener{}
+
+// noRetries gives every request one try.
+type noRetries struct{}
+
+func (noRetries) First(request.Class) {}
+
+func (noRetries) Allow(request.Class) (bool, time.Duration) { return false, time.Second }
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"chervilloom/internal/discovery"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/membership"
+	"chervilloom/internal/peer"
+	"chervilloom/internal/view"
+)
+
+func (n *Node) buildPeers() error {
+	id, err := n.identity()
+	if err != nil {
+		return err
+	}
+	n.mesh, err = peer.New(peer.Options{
+		Self: n.self, Zone: n.set.Zone, Listen: n.set.Listen.Peer.String(), Identity: id,
+		Clock: n.clock, Log: n.log, Registerer: n.reg,
+	})
+	if err != nil {
+		return err
+	}
+	rng := rand.New(rand.NewPCG(seed(), seed()))
+	state := membership.New(n.self, n.set.Zone, n.mesh.Addr(), membership.Defaults(), rng)
+	n.members, err = membership.NewService(membership.Options{
+		State: state, Mesh: n.mesh, Clock: n.clock, Log: n.log, Registerer: n.reg,
+	})
+	if err != nil {
+		return err
+	}
+	n.members.OnChange(func(nodes []view.Node) { n.view.Put(view.Members{Nodes: nodes}) })
+	n.buildDiscovery()
+	return nil
+}
+
+// identity makes the node's certificate from the deployment's secret, or reads
+// it from the files that the settings name.
+func (n *Node) identity() (peer.Identity, error) {
+	secret, err := n.set.PeerSecret()
+	if err != nil {
+		return peer.Identity{}, err
+	}
+	if secret != nil {
+		return peer.IdentityFromSecret(n.self.VM, secret)
+	}
+	return peer.IdentityFromFiles(n.set.Peer.CertFile, n.set.Peer.KeyFile, n.set.Peer.CAFile)
+}
+
+func (n *Node) buildDiscovery() {
+	n.directory = discovery.New(discovery.Options{
+		Self: n.self.VM,
+		Row: discovery.Row{
+			Incarnation: n.self.Incarnation, Zone: n.set.Zone, Peer: n.mesh.Addr(),
+			Caller: n.caller.Addr().String(), Operator: n.operator.Addr().String(),
+		},
+		Table: n.platform, Log: n.log, Found: n.found,
+	})
+	n.lists = &view.ListPoller{
+		List: listed{n.platform, n.directory}, Clock: n.clock, View: n.view, Log: n.log,
+	}
+	n.found(nil)
+}
+
+// found passes the addresses of possible members on, the settings' seeds among
+// them. A seed has no VM name until it answers.
+func (n *Node) found(peers []peer.Peer) {
+	n.mesh.SetPeers(peers)
+	var seeds []membership.Seed
+	for _, p := range peers {
+		seeds = append(seeds, membership.Seed{VM: p.VM, Zone: p.Zone, Addr: p.Addr})
+	}
+	for _, s := range n.set.Seeds {
+		seeds = append(seeds, membership.Seed{Addr: s.String()})
+	}
+	if !n.members.SetSeeds(seeds) {
+		n.log.Warn("the list of nodes was dropped; the next look brings it again")
+	}
+}
+
+// listed hands each list of VMs to discovery as well.
+type listed struct {
+	list      view.Lister
+	directory *discovery.Directory
+}
+
+func (l listed) VMs(ctx context.Context) ([]fleet.Record, error) {
+	records, err := l.list.VMs(ctx)
+	if err == nil {
+		l.directory.Listed(records)
+	}
+	return records, err
+}
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,127 @@
+package node
+
+import (
+	"net/http"
+	"time"
+
+	"chervilloom/internal/clock"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/operator"
+	"chervilloom/internal/view"
+)
+
+const (
+	// platformSilent is how long the platform may be silent before status
+	// calls it unreachable. It is polled every second or so.
+	platformSilent = 5 * time.Second
+	never          = time.Duration(-1)
+)
+
+func (n *Node) operatorHandler() http.Handler {
+	var tokens []operator.Token
+	for _, o := range n.set.Operators {
+		tokens = append(tokens, operator.Token{Name: o.Name, Hash: o.TokenHash})
+	}
+	return operator.New(operator.Options{
+		Fleet: n, Auth: operator.NewAuthenticator(tokens), Registry: n.reg, Log: n.log,
+	})
+}
+
+// Status returns what this node believes of the fleet.
+func (n *Node) Status() operator.Status {
+	snap, now := n.view.Snapshot(), n.clock.Now()
+	ready, why := n.Ready()
+	s := operator.Status{
+		Node: n.self.String(), Zone: string(n.set.Zone), Ready: ready, NotReady: why,
+		Revision: snap.Revision, ViewAge: now.Sub(snap.At),
+		Platform: platformStatus(snap, now),
+		Nodes:    nodeStatus(snap, now),
+		Groups:   groupStatus(snap, now),
+		Duties:   n.dutyStatus(now),
+	}
+	s.Endpoints, s.FreeEngines = endpointStatus(snap, now)
+	return s
+}
+
+func ago(now, then clock.Instant) time.Duration {
+	if then == 0 {
+		return never
+	}
+	return now.Sub(then)
+}
+
+func platformStatus(snap *view.Snapshot, now clock.Instant) operator.PlatformStatus {
+	seen := ago(now, snap.PlatformSeen)
+	return operator.PlatformStatus{Reachable: seen != never && seen < platformSilent, LastSeen: seen}
+}
+
+func nodeStatus(snap *view.Snapshot, now clock.Instant) []operator.NodeStatus {
+	var out []operator.NodeStatus
+	for _, m := range snap.Nodes {
+		out = append(out, operator.NodeStatus{
+			Node: m.Node.String(), Zone: string(m.Zone), State: string(m.State),
+			Heard: ago(now, m.Heard), Revision: m.Revision, Draining: m.Draining,
+		})
+	}
+	return out
+}
+
+func groupStatus(snap *view.Snapshot, now clock.Instant) []operator.GroupStatus {
+	var out []operator.GroupStatus
+	for i := range snap.Groups {
+		g := &snap.Groups[i]
+		st := operator.GroupStatus{
+			Group: string(g.ID), Generation: uint64(g.Generation), Phase: string(g.Phase),
+			Zone: string(g.Zone), Domain: string(g.Domain), Model: g.Model + "@" + g.Version,
+			Whole: g.Whole, Reason: g.Reason, Running: g.Load.Running, Waiting: g.Load.Waiting,
+			LoadAge: ago(now, g.LoadAt),
+		}
+		for _, m := range g.Members {
+			st.VMs = append(st.VMs, string(m.VM))
+		}
+		if g.Whole && !now.Before(g.FreshUntil) {
+			st.Whole, st.Reason = false, "the newest probes are too old"
+		}
+		out = append(out, st)
+	}
+	return out
+}
+
+func endpointStatus(snap *view.Snapshot, now clock.Instant) (out []operator.EndpointStatus, free int) {
+	for i := range snap.VMs {
+		vm := &snap.VMs[i]
+		st := operator.EndpointStatus{
+			VM: string(vm.Record.VM), Kind: string(vm.Record.Kind), Zone: string(vm.Record.Zone),
+			Domain: string(vm.Record.Domain), State: endpointState(vm), SeenAgo: ago(now, vm.Probe.Answered),
+		}
+		if vm.Claim != nil {
+			st.Group = string(vm.Claim.Group)
+		}
+		if vm.Record.Kind == fleet.KindEngine && st.Group == "" && st.State == "present" {
+			free++
+		}
+		out = append(out, st)
+	}
+	return out, free
+}
+
+func endpointState(vm *view.VM) string {
+	switch {
+	case vm.Leaving:
+		return "leaving"
+	case vm.Probe.Answered == 0 && vm.Probe.Failing == 0:
+		return "unseen"
+	case vm.Probe.Failing != 0:
+		return "failing"
+	}
+	return "present"
+}
+
+func (n *Node) dutyStatus(now clock.Instant) []operator.DutyStatus {
+	st := operator.DutyStatus{Duty: n.leases.Duty}
+	if grant, held := n.leases.Held(now); held {
+		st.Owner, st.Held = n.self.String(), true
+		st.Fence, st.Left = grant.Fence, grant.Left(now)
+	}
+	return []operator.DutyStatus{st}
+}
