--- a/internal/engine/prefix.go
+++ b/internal/engine/prefix.go
@@ -4,51 +4,80 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Bounds of the prefix hashes of one prompt.
+// The boundaries at which a prompt's prefix is hashed: every PrefixBlock bytes
+// of text for the first fineBlocks, from there at blocks that double in length.
 const (
-	// PrefixBlock is the length in bytes of the blocks at whose ends a prompt's
-	// growing prefixes are hashed.
 	PrefixBlock = 256
-	// MaxPrefixes bounds the hashes of one prompt; what lies beyond is not
-	// told apart.
-	MaxPrefixes = 64
-	// bytesPerToken is the usual length of a token of English text.
-	bytesPerToken = 4
+	MaxPrefixes = 44 // reaches 8 KiB + 1 MiB
+	fineBlocks  = 32
+	// separator keeps fields apart; it counts for no block.
+	separator = "\x00"
 )
 
 // Prefixes returns the hashes of a prompt's growing prefixes, shortest first,
-// as engines name them in cache events. The model is part of each hash. The
-// last hash covers the whole prompt when it is short enough.
-func Prefixes(model string, messages []Message) []uint64 {
-	text := promptText(model, messages)
-	n := min((len(text)+PrefixBlock-1)/PrefixBlock, MaxPrefixes)
-	out := make([]uint64, 0, n)
-	d := xxhash.New()
-	for i := range n {
-		end := min((i+1)*PrefixBlock, len(text))
-		_, _ = d.Write(text[i*PrefixBlock : end]) // never fails
-		out = append(out, d.Sum64())
+// as engines name them in cache events. The model and the adapter are part of
+// each hash, since the cached state differs between adapters. The fields are
+// those of the prompt in order: each message's role and content. Text after the
+// last boundary is not hashed.
+func Prefixes(model, adapter string, fields []string) []uint64 {
+	p := prefixes{d: xxhash.New(), block: PrefixBlock, room: PrefixBlock}
+	p.write(model + separator + adapter + separator)
+	for _, f := range fields {
+		p.field(f)
 	}
-	return out
+	return p.hashes
 }
 
-// PromptTokens estimates the tokens of a prompt.
-func PromptTokens(messages []Message) int {
-	n := 0
+// PromptFields returns the fields of a chat prompt.
+func PromptFields(messages []Message) []string {
+	fields := make([]string, 0, 2*len(messages))
 	for _, m := range messages {
-		n += len(m.Role) + len(m.Content)
+		fields = append(fields, m.Role, m.Content)
 	}
-	return n/bytesPerToken + 1
+	return fields
 }
 
-// promptText joins the prompt's parts with a byte that keeps them apart.
-func promptText(model string, messages []Message) []byte {
-	text := append([]byte(model), 0)
-	for _, m := range messages {
-		text = append(text, m.Role...)
-		text = append(text, 0)
-		text = append(text, m.Content...)
-		text = append(text, 0)
+// PrefixBytes returns the bytes of text that the first n hashes cover.
+func PrefixBytes(n int) int {
+	total, block := 0, PrefixBlock
+	for i := range n {
+		total += block
+		if i+1 >= fineBlocks {
+			block *= 2
+		}
+	}
+	return total
+}
+
+type prefixes struct {
+	d      *xxhash.Digest
+	block  int // bytes between this boundary and the next
+	room   int // bytes up to the next boundary
+	hashes []uint64
+}
+
+func (p *prefixes) write(s string) { _, _ = p.d.WriteString(s) } // never fails
+
+func (p *prefixes) field(s string) {
+	if s == "" {
+		return
+	}
+	for len(s) > 0 && len(p.hashes) < MaxPrefixes {
+		n := min(len(s), p.room)
+		p.write(s[:n])
+		s = s[n:]
+		p.room -= n
+		if p.room == 0 {
+			p.boundary()
+		}
+	}
+	p.write(separator)
+}
+
+func (p *prefixes) boundary() {
+	p.hashes = append(p.hashes, p.d.Sum64())
+	if len(p.hashes) >= fineBlocks {
+		p.block *= 2
 	}
-	return text
+	p.room = p.block
 }
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -10,9 +10,8 @@
 
 // Bounds of the published cache events.
 const (
-	eventsKept    = 8192
-	eventsAtOnce  = 1000
-	tokensInBlock = engine.PrefixBlock / 4
+	eventsKept   = 8192
+	eventsAtOnce = 1000
 )
 
 // publishedEvent is a cache event with the time at which it happened.
--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -4,13 +4,14 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 
 	"github.com/google/uuid"
 
 	"chervilloom/internal/engine"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/identify"
 	"chervilloom/internal/standin/fault"
 )
 
@@ -108,21 +109,17 @@
 		return nil, &refusal{http.StatusPreconditionFailed, "only rank 0 takes requests"}
 	case !s.Loaded:
 		return nil, &refusal{http.StatusServiceUnavailable, "not loaded"}
-	case !carries(s.Model, s.Version, s.Adapters, req.Model):
+	case !carries(s, req.Model):
 		return nil, &refusal{http.StatusNotFound, "the engine does not carry " + req.Model}
 	default:
 		return e.replica, nil
 	}
 }
 
-// carries compares what is loaded with "model[+adapter][@version]".
-func carries(model, version string, adapters []string, want string) bool {
-	want, wantVersion, _ := strings.Cut(want, "@")
-	want, adapter, _ := strings.Cut(want, "+")
-	if want != model || (wantVersion != "" && wantVersion != version) {
-		return false
-	}
-	return adapter == "" || slices.Contains(adapters, adapter)
+// carries compares what is loaded with what a request names.
+func carries(s fleet.EngineState, want string) bool {
+	loaded := fleet.Group{Model: s.Model, Version: s.Version, Adapters: s.Adapters}
+	return loaded.Carries(identify.ParseTarget(want), s.Version)
 }
 
 // answer sends the answer of a stream that runs.
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -21,16 +21,16 @@
 // closed connection gives the caller no answer; only the stand-in's count of
 // executions knows whether the request ran.
 type Stages struct {
-	DropBeforeBody  int `json:"drop_before_body" yaml:"drop_before_body"`     // close without reading the body; not run
-	DropHalfBody    int `json:"drop_half_body" yaml:"drop_half_body"`         // close after half the body; not run
-	DropAfterBody   int `json:"drop_after_body" yaml:"drop_after_body"`       // close after the whole body; not run
-	DropAfterRun    int `json:"drop_after_run" yaml:"drop_after_run"`         // run, then close without an answer
-	CutAnswer       int `json:"cut_answer" yaml:"cut_answer"`                 // run, send half the answer, then reset
-	CutAnswerClean  int `json:"cut_answer_clean" yaml:"cut_answer_clean"`     // run, send half the answer, then end as if whole
-	DropReused      int `json:"drop_reused" yaml:"drop_reused"`               // close a reused connection at its next request; not run
-	DropReusedAfter int `json:"drop_reused_after" yaml:"drop_reused_after"`   // on a reused connection: run, then close without an answer
-	RefuseNotRun    int `json:"refuse_not_run" yaml:"refuse_not_run"`         // 503 that promises that nothing ran
-	FailUnknown     int `json:"fail_after_run_500" yaml:"fail_after_run_500"` // run, then answer 500
+	DropBeforeBody  int `json:"drop_before_body" yaml:"drop_before_body"`   // close without reading the body; not run
+	DropHalfBody    int `json:"drop_half_body" yaml:"drop_half_body"`       // close after half the body; not run
+	DropAfterBody   int `json:"drop_after_body" yaml:"drop_after_body"`     // close after the whole body; not run
+	DropAfterRun    int `json:"drop_after_run" yaml:"drop_after_run"`       // run, then close without an answer
+	CutAnswer       int `json:"cut_answer" yaml:"cut_answer"`               // run, send half the answer, then reset
+	CutAnswerClean  int `json:"cut_answer_clean" yaml:"cut_answer_clean"`   // run, send half the answer, then end as if whole
+	DropReused      int `json:"drop_reused" yaml:"drop_reused"`             // close a reused connection at its next request; not run
+	DropReusedAfter int `json:"drop_reused_after" yaml:"drop_reused_after"` // on a reused connection: run, then close without an answer
+	RefuseNotRun    int `json:"refuse_not_run" yaml:"refuse_not_run"`       // 503 that promises that nothing ran
+	FailAfterRun    int `json:"fail_after_run" yaml:"fail_after_run"`       // run, then answer 500
 }
 
 // Stage is where the connection breaks for one request.
@@ -95,7 +95,7 @@
 		return HalfAnswerClean
 	case take(&f.RefuseNotRun):
 		return Refuse
-	case take(&f.FailUnknown):
+	case take(&f.FailAfterRun):
 		return Fail
 	default:
 		return None
