A test of the slots fails at once instead of waiting

With the hand-over mutated away the test hung until the test binary's timeout; now it fails at once (red seen).

--- a/internal/standin/engine/load_test.go
+++ b/internal/standin/engine/load_test.go
@@ -94,7 +94,11 @@
 	is.NoErr(err)
 	s.release()
 	s.abandon(left)
-	<-next.ready
+	select {
+	case <-next.ready:
+	default:
+		t.Fatal("the slot was not handed on")
+	}
 	s.abandon(next)
 	is.Equal(s.running, 0)
 }
