Tests of the stand-in service

Answers that tell their request, executions by key, each stage at which a connection breaks with the count of runs, reused connections, leaving. go test -race -count=3 ./internal/standin/service: ok.

--- /dev/null
+++ b/internal/standin/service/service_test.go
@@ -0,0 +1,173 @@
+package service
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"chervilloom/internal/engine"
+	"chervilloom/internal/standin/fault"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// caller keeps one connection to a service.
+type caller struct {
+	*Service
+	url  string
+	http *http.Client
+}
+
+func start(t *testing.T) *caller {
+	t.Helper()
+	s := New(Options{VM: "s1", Name: "counter"})
+	srv := httptest.NewServer(s)
+	c := &caller{Service: s, url: srv.URL, http: &http.Client{Transport: &http.Transport{}}}
+	t.Cleanup(func() {
+		c.http.CloseIdleConnections()
+		srv.Close()
+	})
+	return c
+}
+
+// call makes a request that the Transport does not repeat by itself.
+func (c *caller) call(method, path, body, key string) (Answer, http.Header, error) {
+	req, err := http.NewRequest(method, c.url+path, io.NopCloser(strings.NewReader(body)))
+	if err != nil {
+		return Answer{}, nil, err
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("X-Request-Id", key)
+	res, err := c.http.Do(req)
+	if err != nil {
+		return Answer{}, nil, err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return Answer{}, res.Header, fmt.Errorf("status %d", res.StatusCode)
+	}
+	var a Answer
+	err = json.NewDecoder(res.Body).Decode(&a)
+	return a, res.Header, err
+}
+
+// Each answer tells the request that it belongs to; a receipt has a serial
+// number of its own, a lookup has none.
+func TestAnswers(t *testing.T) {
+	is := is.New(t)
+	c := start(t)
+	first, _, err := c.call("POST", "/receipts?desk=2", "fee 1", "a")
+	is.NoErr(err)
+	second, _, err := c.call("POST", "/receipts?desk=2", "fee 2", "b")
+	is.NoErr(err)
+	is.Equal(first.Serial+1, second.Serial)
+	is.Equal(first.Check, CheckOf("POST", "/receipts?desk=2", []byte("fee 1")))
+	is.True(first.Check != second.Check)
+	look, h, err := c.call("GET", "/lookup/licence/17", "", "c")
+	is.NoErr(err)
+	is.Equal(look.Serial, uint64(0))
+	is.Equal(look.Check, CheckOf("GET", "/lookup/licence/17", nil))
+	is.Equal(h.Get(engine.HeaderBoot), string(c.State().Boot))
+}
+
+// The count tells repeats of one key from other keys and other paths.
+func TestExecutionsAreCountedByKey(t *testing.T) {
+	is := is.New(t)
+	c := start(t)
+	for range 2 {
+		_, _, err := c.call("POST", "/receipts", "x", "a")
+		is.NoErr(err)
+	}
+	_, _, err := c.call("POST", "/laps", "x", "a")
+	is.NoErr(err)
+	is.Equal(c.Executions("POST", "/receipts", "a"), 2)
+	is.Equal(c.Executions("POST", "/laps", "a"), 1)
+	is.Equal(c.Executions("POST", "/receipts", "b"), 0)
+}
+
+// A call loses its connection at each stage. The caller gets no whole answer in
+// any of them; whether the receipt was issued is known to the count alone.
+func TestConnectionFaults(t *testing.T) {
+	for name, tt := range map[string]struct {
+		stages fault.Stages
+		runs   int
+	}{
+		"before the body":           {fault.Stages{DropBeforeBody: 1}, 0},
+		"half the body":             {fault.Stages{DropHalfBody: 1}, 0},
+		"after the body":            {fault.Stages{DropAfterBody: 1}, 0},
+		"after running":             {fault.Stages{DropAfterRun: 1}, 1},
+		"half the answer":           {fault.Stages{CutAnswer: 1}, 1},
+		"clean half":                {fault.Stages{CutAnswerClean: 1}, 1},
+		"refused":                   {fault.Stages{RefuseNotRun: 1}, 0},
+		"failed after running":      {fault.Stages{FailAfterRun: 1}, 1},
+		"reused connection closed":  {fault.Stages{DropReused: 1}, 0},
+		"reused, closed after run":  {fault.Stages{DropReusedAfter: 1}, 1},
+		"always, after the body":    {fault.Stages{DropAfterBody: fault.Always}, 0},
+		"always, after running too": {fault.Stages{DropAfterRun: fault.Always}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := start(t)
+			_, _, err := c.call("POST", "/receipts", "x", "opens the connection")
+			is.NoErr(err)
+			c.SetFaults(Faults{Stages: tt.stages})
+			_, _, err = c.call("POST", "/receipts", strings.Repeat("x", 4096), "a")
+			is.True(err != nil)
+			is.Equal(c.Executions("POST", "/receipts", "a"), tt.runs)
+		})
+	}
+}
+
+// A fresh connection is not hit by the faults of reused ones.
+func TestFreshConnectionIsSpared(t *testing.T) {
+	is := is.New(t)
+	c := start(t)
+	c.SetFaults(Faults{Stages: fault.Stages{DropReused: fault.Always}})
+	_, _, err := c.call("POST", "/receipts", "x", "a")
+	is.NoErr(err)
+}
+
+// A leaving service refuses calls as not run, says so in its state, and is back
+// only with another boot id.
+func TestLeaving(t *testing.T) {
+	is := is.New(t)
+	c := start(t)
+	boot := c.State().Boot
+	res, err := c.http.Post(c.url+"/leave", "", nil)
+	is.NoErr(err)
+	is.NoErr(res.Body.Close())
+	is.True(c.State().Leaving)
+	_, h, err := c.call("POST", "/receipts", "x", "a")
+	is.True(err != nil)
+	is.Equal(h.Get(engine.HeaderNotRun), "true")
+	is.Equal(c.Executions("POST", "/receipts", "a"), 0)
+	res, err = c.http.Post(c.url+"/faults", "", strings.NewReader(`{"restart":true}`))
+	is.NoErr(err)
+	is.NoErr(res.Body.Close())
+	is.True(!c.State().Leaving)
+	is.True(c.State().Boot != boot)
+}
+
+// State and load are read by the same client as those of engines.
+func TestControlCalls(t *testing.T) {
+	is := is.New(t)
+	c := start(t)
+	client := engine.NewClient()
+	defer client.Close()
+	addr := strings.TrimPrefix(c.url, "http://")
+	state, err := client.State(t.Context(), addr)
+	is.NoErr(err)
+	is.Equal(state, c.State())
+	load, err := client.LoadReport(t.Context(), addr)
+	is.NoErr(err)
+	is.Equal(load.Boot, state.Boot)
+	is.NoErr(client.Leave(t.Context(), addr))
+	is.True(c.State().Leaving)
+}
