--- a/internal/engine/prefix.go
+++ b/internal/engine/prefix.go
@@ -8,7 +8,7 @@
 // of text for the first fineBlocks, from there at blocks that double in length.
 const (
 	PrefixBlock = 256
-	MaxPrefixes = 44 // reaches 8 KiB + 1 MiB
+	MaxPrefixes = 44 // reaches 8 KiB + 2 MiB
 	fineBlocks  = 32
 	// separator keeps fields apart; it counts for no block.
 	separator = "\x00"
