A refusal is no outage; servers close their handlers; streams are bounded

A 404 or 400 of the platform was told as ErrDown, "try again later", which does not help: it is ErrRefused now. A 429 and a 408 stay ErrDown. Start closes a handler that has goroutines, so that an embedded engine cannot be forgotten. Ended streams have a test of their bounds in time and number.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -46,6 +46,10 @@
 // used up. An error that wraps it wraps ErrDown as well: nothing was changed.
 var ErrLimited = errors.New("platform: over its rate limit; send fewer requests")
 
+// ErrRefused means that the platform does not take the request as it is: trying
+// again does not help. Nothing was changed.
+var ErrRefused = errors.New("platform: refused the request; it does not fit the platform's protocol")
+
 // Option changes how a Client works.
 type Option func(*Client)
 
@@ -169,7 +173,7 @@
 		return nil
 	}
 	if a.surelyWithoutEffect() {
-		return a.downError()
+		return a.noEffect()
 	}
 	back := c.send(ctx, http.MethodGet, path, nil)
 	if back.ok() && bytes.Equal(back.body, data) {
@@ -243,12 +247,16 @@
 	return fmt.Errorf("status %d: %.200s", a.status, a.body)
 }
 
-// downError returns the error of a try without effect.
-func (a *tryAnswer) downError() error {
-	if a.err == nil && a.status == http.StatusTooManyRequests {
+// noEffect returns the error of a try without effect.
+func (a *tryAnswer) noEffect() error {
+	switch {
+	case a.err == nil && a.status == http.StatusTooManyRequests:
 		return fmt.Errorf("%w: %w", ErrDown, ErrLimited)
+	case a.err == nil && a.status/100 == 4 && a.status != http.StatusRequestTimeout:
+		return fmt.Errorf("%w: %w", ErrRefused, a.cause())
+	default:
+		return fmt.Errorf("%w: %w", ErrDown, a.cause())
 	}
-	return fmt.Errorf("%w: %w", ErrDown, a.cause())
 }
 
 // readError returns the error of a read; no read has an effect.
@@ -256,7 +264,7 @@
 	if a.ok() {
 		return nil
 	}
-	return a.downError()
+	return a.noEffect()
 }
 
 // send makes one HTTP request and reads its answer whole.
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -251,6 +251,21 @@
 	})
 }
 
+// A request that the platform does not understand is no outage: trying again
+// would not help, and it must not be told so.
+func TestRefusedIsNotDown(t *testing.T) {
+	is := is.New(t)
+	srv := httptest.NewServer(http.NotFoundHandler())
+	defer srv.Close()
+	c := platform.NewClient(srv.URL)
+	defer c.Close()
+	_, err := c.Commit(t.Context(), put("k", "v", 0))
+	is.True(errors.Is(err, platform.ErrRefused))
+	is.True(!errors.Is(err, platform.ErrDown))
+	_, err = c.Get(t.Context(), "t", "k")
+	is.True(errors.Is(err, platform.ErrRefused))
+}
+
 // The platform runs a write that came over a reused connection and closes that
 // connection without an answer. Were the request repeatable in net/http's eyes,
 // the Transport would send it again by itself, and the write would land twice
--- a/internal/platform/commit.go
+++ b/internal/platform/commit.go
@@ -54,7 +54,7 @@
 		return first.result, nil
 	}
 	if first.try.surelyWithoutEffect() {
-		return Result{}, first.try.downError()
+		return Result{}, first.try.noEffect()
 	}
 	res, v := c.settle(ctx, txn, body)
 	c.metrics.settled.WithLabelValues(string(v)).Inc()
--- a/internal/platform/metrics.go
+++ b/internal/platform/metrics.go
@@ -66,6 +66,8 @@
 		return "limited"
 	case errors.Is(err, ErrNotFound):
 		return "not_found"
+	case errors.Is(err, ErrRefused):
+		return "refused"
 	case errors.Is(err, ErrDown):
 		return "down"
 	default:
--- a/internal/standin/engine/stream_test.go
+++ b/internal/standin/engine/stream_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/matryer/is"
 
+	"chervilloom/internal/clock"
+	"chervilloom/internal/config"
 	"chervilloom/internal/engine"
 	"chervilloom/internal/standin/fault"
 )
@@ -99,6 +101,34 @@
 	is.Equal(res.StatusCode, 412)
 }
 
+// Ended streams can be resumed for a while, and are dropped when that is over or
+// when there are too many, oldest first.
+func TestEndedStreamsAreBounded(t *testing.T) {
+	is := is.New(t)
+	now := clock.NewManual(0)
+	o := fast("e")
+	o.Clock, o.StreamKept = now, config.Duration(time.Minute)
+	v := start(t, o)
+	v.join(1, 1, 0)
+	is.NoErr(readEvents(v.chat(within(t), "r", prompt("x", 1, true))).err)
+	poll(t, "the end of the stream", func() bool {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		return len(v.ended) == 1
+	})
+	now.Advance(time.Minute)
+	is.True(v.streamOf("r") != nil)
+	now.Advance(time.Second)
+	is.True(v.streamOf("r") == nil)
+	for i := range streamsKept + 5 {
+		s := v.register(v.replica, fmt.Sprint(i), &engine.ChatRequest{})
+		s.end(nil)
+		v.retire(s)
+	}
+	is.True(v.streamOf("4") == nil)
+	is.True(v.streamOf("5") != nil)
+}
+
 // A cancelled stream gives its slot to the request that waits.
 func TestCancelFreesTheSlot(t *testing.T) {
 	is := is.New(t)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -62,10 +62,14 @@
 	Addr   string // ip:port
 	server *http.Server
 	done   chan error
-	close  func() // ends the handler's goroutines; may be nil
+	close  func() // ends the handler's goroutines
 }
 
-// Start serves h at listen, an ip:port where port 0 stands for any.
+// closer is a handler with goroutines of its own.
+type closer interface{ Close() }
+
+// Start serves h at listen, an ip:port where port 0 stands for any. Closing the
+// server closes a handler that can be closed.
 func Start(listen string, h http.Handler) (*Server, error) {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
@@ -75,6 +79,10 @@
 		Addr:   l.Addr().String(),
 		server: &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second},
 		done:   make(chan error, 1),
+		close:  func() {},
+	}
+	if c, ok := h.(closer); ok {
+		s.close = c.Close
 	}
 	go func() { s.done <- s.server.Serve(l) }()
 	return s, nil
@@ -86,9 +94,7 @@
 	if served := <-s.done; !errors.Is(served, http.ErrServerClosed) {
 		err = errors.Join(err, served)
 	}
-	if s.close != nil {
-		s.close()
-	}
+	s.close()
 	return err
 }
 
@@ -159,7 +165,7 @@
 	}
 	s.close = func() {
 		e.Close()
-		closeClient()
+		closeClient() // after the engine, which moves KV state through it
 	}
 	return s, registrationAt(set.Platform, e.Record(s.Addr)), nil
 }
