--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -60,6 +60,13 @@
 // top of the caller's context; the default is 5 s.
 func WithSettleTimeout(d time.Duration) Option { return func(c *Client) { c.settleTimeout = d } }
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// WithDial has connections opened by f. An error of f means that no connection
+// was had and nothing was sent.
+func WithDial(f DialFunc) Option { return func(c *Client) { c.transport.DialContext = f } }
+
 // WithRegisterer has the client's metrics registered.
 func WithRegisterer(r prometheus.Registerer) Option { return func(c *Client) { c.registerer = r } }
 
