--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"fmt"
 	"math"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -40,6 +41,10 @@
 // methods that NotRepeatable may name. GET and HEAD may always be repeated.
 var methods = []string{"POST", "PUT", "PATCH", "DELETE"}
 
+// pathPattern keeps the paths of calls free of queries, fragments, escapes and
+// white space: they are compared with the decoded path of a call.
+var pathPattern = regexp.MustCompile(`^/[A-Za-z0-9/._~!$&'()*+,;=:@-]*$`)
+
 // checker adds the checks of the configuration document.
 type checker struct{ *yamlcheck.Checker }
 
@@ -145,7 +150,7 @@
 		c.Addf(path+".model", "write the name of a model of this document", "no model is named %q", g.Model)
 		return
 	}
-	if !slices.Contains(m.Versions, g.ModelVer) {
+	if len(m.Versions) > 0 && !slices.Contains(m.Versions, g.ModelVer) {
 		c.Addf(path+".model_version", "write one of "+strings.Join(m.Versions, ", "), "the model %q has no version %q", m.Name, g.ModelVer)
 	}
 	for i, a := range g.Adapters {
@@ -189,7 +194,7 @@
 		at := yamlcheck.Index(path, i)
 		method, prefix, ok := strings.Cut(entry, " ")
 		switch {
-		case !ok || !strings.HasPrefix(prefix, "/") || strings.ContainsAny(prefix, " \t\n?#"):
+		case !ok || !pathPattern.MatchString(prefix):
 			c.Addf(at, notRepeatableRemedy, "%q is not a method and a path", entry)
 		case method == "GET" || method == "HEAD":
 			c.Addf(at, "leave it out, or let the service take it by POST", "%s may always be repeated", method)
@@ -217,6 +222,11 @@
 }
 
 func (c checker) fenceChecked(list []string) {
+	for i, vm := range list {
+		if vm != allVMs && !validName(vm) {
+			c.Addf(yamlcheck.Index("fence_checked", i), "write the id of a VM, or \"*\" alone for all", "%q cannot be the id of a VM", vm)
+		}
+	}
 	c.uniqueList("fence_checked", list, "VM")
 	if len(list) > 1 && slices.Contains(list, allVMs) {
 		c.Addf("fence_checked", "write either \"*\" alone or the VMs by name", "\"*\" stands beside other VMs")
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -6,73 +6,73 @@
 
 // Document is the configuration document, version 1.
 type Document struct {
-	Version       int            `yaml:"version" json:"version"`
+	Version       int            `yaml:"version" json:"version" jsonschema:"required,minimum=1,maximum=1"`
 	Organisations []Organisation `yaml:"organisations" json:"organisations"`
 	Models        []Model        `yaml:"models" json:"models"`
 	Groups        []GroupSpec    `yaml:"groups" json:"groups"`
 	Services      []Service      `yaml:"services,omitempty" json:"services,omitempty"`
-	Objective     Objective      `yaml:"objective" json:"objective"`
+	Objective     Objective      `yaml:"objective" json:"objective" jsonschema:"required"`
 	// FenceChecked says which engine VMs refuse orders with an old fence.
 	// "*" stands for all. Engines not named are taken to ignore fences.
-	FenceChecked []string `yaml:"fence_checked,omitempty" json:"fence_checked,omitempty"`
+	FenceChecked []string `yaml:"fence_checked,omitempty" json:"fence_checked,omitempty" jsonschema:"uniqueItems=true"`
 	Policy       Policy   `yaml:"policy,omitempty" json:"policy,omitempty"`
 }
 
 // Organisation is a customer: its keys and its share.
 type Organisation struct {
-	Name      string   `yaml:"name" json:"name"`
-	KeyHashes []string `yaml:"key_hashes" json:"key_hashes"`                 // hex SHA-256 of each caller key
-	Weight    int      `yaml:"weight" json:"weight"`                         // share of contended capacity, 1..1000
-	Rate      float64  `yaml:"rate,omitempty" json:"rate,omitempty"`         // model requests a second over all nodes; 0: no cap
-	Lookups   float64  `yaml:"lookups,omitempty" json:"lookups,omitempty"`   // plain calls a second over all nodes; 0: no cap
-	Priority  int      `yaml:"priority,omitempty" json:"priority,omitempty"` // handed to the engines
+	Name      string   `yaml:"name" json:"name" jsonschema:"required,maxLength=64,pattern=^[A-Za-z0-9][A-Za-z0-9._-]*$"`
+	KeyHashes []string `yaml:"key_hashes" json:"key_hashes" jsonschema:"required,minItems=1"`                   // hex SHA-256 of each caller key
+	Weight    int      `yaml:"weight" json:"weight" jsonschema:"required,minimum=1,maximum=1000"`               // share of contended capacity, 1..1000
+	Rate      float64  `yaml:"rate,omitempty" json:"rate,omitempty" jsonschema:"minimum=0"`                     // model requests a second over all nodes; 0: no cap
+	Lookups   float64  `yaml:"lookups,omitempty" json:"lookups,omitempty" jsonschema:"minimum=0"`               // plain calls a second over all nodes; 0: no cap
+	Priority  int      `yaml:"priority,omitempty" json:"priority,omitempty" jsonschema:"minimum=0,maximum=100"` // handed to the engines
 }
 
 // Model is a model with the versions and adapters that may be served.
 type Model struct {
-	Name     string   `yaml:"name" json:"name"`
-	Current  string   `yaml:"current" json:"current"` // version that a request without one gets
-	Versions []string `yaml:"versions" json:"versions"`
-	Adapters []string `yaml:"adapters,omitempty" json:"adapters,omitempty"`
+	Name     string   `yaml:"name" json:"name" jsonschema:"required,maxLength=64,pattern=^[A-Za-z0-9][A-Za-z0-9._-]*$"`
+	Current  string   `yaml:"current" json:"current" jsonschema:"required"` // version that a request without one gets
+	Versions []string `yaml:"versions" json:"versions" jsonschema:"required,minItems=1,uniqueItems=true"`
+	Adapters []string `yaml:"adapters,omitempty" json:"adapters,omitempty" jsonschema:"uniqueItems=true"`
 }
 
 // GroupSpec asks for replicas of one model version.
 type GroupSpec struct {
-	Name      string   `yaml:"name" json:"name"`
-	Model     string   `yaml:"model" json:"model"`
-	ModelVer  string   `yaml:"model_version" json:"model_version"`
-	Adapters  []string `yaml:"adapters,omitempty" json:"adapters,omitempty"`
-	VMs       int      `yaml:"vms" json:"vms"` // VMs a replica, 1..64
-	Min       int      `yaml:"min" json:"min"` // replicas, all zones together
-	Max       int      `yaml:"max" json:"max"`
-	OneDomain bool     `yaml:"one_domain" json:"one_domain"`           // all VMs of a replica in one fabric domain
-	Zones     []string `yaml:"zones,omitempty" json:"zones,omitempty"` // empty: all
+	Name      string   `yaml:"name" json:"name" jsonschema:"required,maxLength=64,pattern=^[A-Za-z0-9][A-Za-z0-9._-]*$"`
+	Model     string   `yaml:"model" json:"model" jsonschema:"required"`
+	ModelVer  string   `yaml:"model_version" json:"model_version" jsonschema:"required"`
+	Adapters  []string `yaml:"adapters,omitempty" json:"adapters,omitempty" jsonschema:"uniqueItems=true"`
+	VMs       int      `yaml:"vms" json:"vms" jsonschema:"required,minimum=1,maximum=64"` // VMs a replica, 1..64
+	Min       int      `yaml:"min" json:"min" jsonschema:"minimum=0"`                     // replicas, all zones together
+	Max       int      `yaml:"max" json:"max" jsonschema:"required,minimum=1,maximum=1000"`
+	OneDomain bool     `yaml:"one_domain" json:"one_domain"`                                         // all VMs of a replica in one fabric domain
+	Zones     []string `yaml:"zones,omitempty" json:"zones,omitempty" jsonschema:"uniqueItems=true"` // empty: all
 }
 
 // Service is a plain service.
 type Service struct {
-	Name string `yaml:"name" json:"name"`
+	Name string `yaml:"name" json:"name" jsonschema:"required,maxLength=64,pattern=^[A-Za-z0-9][A-Za-z0-9._-]*$"`
 	// NotRepeatable lists "METHOD /path/prefix" of calls that may run at most
 	// once. GET and HEAD may always be repeated; others not named here are
 	// taken to be repeatable.
-	NotRepeatable []string `yaml:"not_repeatable,omitempty" json:"not_repeatable,omitempty"`
+	NotRepeatable []string `yaml:"not_repeatable,omitempty" json:"not_repeatable,omitempty" jsonschema:"uniqueItems=true"`
 	Timeout       Duration `yaml:"timeout,omitempty" json:"timeout,omitempty"` // for a call without a deadline; default 5s
 }
 
 // Objective weighs what capacity decisions trade against each other.
 type Objective struct {
-	DowntimeWeight  float64 `yaml:"downtime_weight" json:"downtime_weight"`   // per second of group downtime
-	StrandingWeight float64 `yaml:"stranding_weight" json:"stranding_weight"` // per accelerator-second stranded
+	DowntimeWeight  float64 `yaml:"downtime_weight" json:"downtime_weight" jsonschema:"minimum=0"`   // per second of group downtime
+	StrandingWeight float64 `yaml:"stranding_weight" json:"stranding_weight" jsonschema:"minimum=0"` // per accelerator-second stranded
 }
 
 // Policy selects and tunes decisions. Zero values stand for the defaults.
 type Policy struct {
-	Routing      string   `yaml:"routing,omitempty" json:"routing,omitempty"`             // weighted (default), random, round-robin, least-reported, two-choices
-	RetryBudget  float64  `yaml:"retry_budget,omitempty" json:"retry_budget,omitempty"`   // retries per first try, default 0.1
-	ProbeFresh   Duration `yaml:"probe_fresh,omitempty" json:"probe_fresh,omitempty"`     // age up to which a probe lets a group serve, default 1.5s
-	Lease        Duration `yaml:"lease,omitempty" json:"lease,omitempty"`                 // term of duty leases, default 6s
-	QueueLimit   int      `yaml:"queue_limit,omitempty" json:"queue_limit,omitempty"`     // model requests waiting per node, default 256
-	KeyRetention Duration `yaml:"key_retention,omitempty" json:"key_retention,omitempty"` // how long an idempotency key is remembered, default 24h
+	Routing      string   `yaml:"routing,omitempty" json:"routing,omitempty" jsonschema:"enum=weighted,enum=random,enum=round-robin,enum=least-reported,enum=two-choices"` // weighted (default), random, round-robin, least-reported, two-choices
+	RetryBudget  float64  `yaml:"retry_budget,omitempty" json:"retry_budget,omitempty" jsonschema:"minimum=0,maximum=1"`                                                   // retries per first try, default 0.1
+	ProbeFresh   Duration `yaml:"probe_fresh,omitempty" json:"probe_fresh,omitempty"`                                                                                      // age up to which a probe lets a group serve, default 1.5s
+	Lease        Duration `yaml:"lease,omitempty" json:"lease,omitempty"`                                                                                                  // term of duty leases, default 6s
+	QueueLimit   int      `yaml:"queue_limit,omitempty" json:"queue_limit,omitempty" jsonschema:"minimum=0,maximum=100000"`                                                // model requests waiting per node, default 256
+	KeyRetention Duration `yaml:"key_retention,omitempty" json:"key_retention,omitempty"`                                                                                  // how long an idempotency key is remembered, default 24h
 }
 
 // Duration is a time.Duration written as "1.5s" in documents.
--- a/internal/config/names.go
+++ b/internal/config/names.go
@@ -25,7 +25,7 @@
 		return
 	}
 	if !validName(name) {
-		c.Addf(at, nameRemedy, "%q cannot be the name of a %s", name, what)
+		c.Addf(at, nameRemedy, "the %s name %q is not allowed", what, name)
 	}
 	if _, twice := seen[name]; twice {
 		c.Addf(at, "write another name or leave one of them out", "the %s %q stands there twice", what, name)
@@ -37,7 +37,7 @@
 func (c checker) nameList(path string, list []string, what string) {
 	for i, s := range list {
 		if !validName(s) {
-			c.Addf(yamlcheck.Index(path, i), nameRemedy, "%q cannot be the name of a %s", s, what)
+			c.Addf(yamlcheck.Index(path, i), nameRemedy, "the %s name %q is not allowed", what, s)
 		}
 	}
 	c.uniqueList(path, list, what)
--- /dev/null
+++ b/internal/config/wrong_test.go
@@ -0,0 +1,39 @@
+package config_test
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+
+	"chervilloom/internal/config"
+	"chervilloom/internal/yamlcheck"
+)
+
+// TestWrongDocuments compares the problems of each wrong document, with lines
+// and remedies, to its golden file. Rewrite them with "go test -update" and
+// read what changed.
+func TestWrongDocuments(t *testing.T) {
+	paths, err := filepath.Glob("testdata/wrong/*.yaml")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no documents: %v", err)
+	}
+	golden := goldie.New(t, goldie.WithFixtureDir("testdata/wrong"), goldie.WithNameSuffix(".golden"))
+	for _, path := range paths {
+		name := strings.TrimSuffix(filepath.Base(path), ".yaml")
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := config.Parse(filepath.Base(path), load(t, path))
+			problems, ok := err.(yamlcheck.Problems)
+			is.True(ok)
+			for _, p := range problems {
+				is.True(p.Line > 0)
+				is.True(p.Column > 0)
+				is.True(p.Remedy != "")
+			}
+			golden.Assert(t, name, []byte(problems.Error()+"\n"))
+		})
+	}
+}
