--- a/internal/membership/state_test.go
+++ b/internal/membership/state_test.go
@@ -1,12 +1,14 @@
 package membership
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
+	"chervilloom/internal/fleet"
 	"chervilloom/internal/view"
 )
 
@@ -113,3 +115,61 @@
 	f.cut = nil
 	is.True(f.settle(time.Minute))
 }
+
+func TestSupersedes(t *testing.T) {
+	entry := func(life fleet.Incarnation, version uint64, s Status) Entry {
+		return Entry{VM: "a", Incarnation: life, Version: version, Status: s}
+	}
+	for name, c := range map[string]struct{ newer, older Entry }{
+		"a later life wins over anything":       {entry(2, 1, Alive), entry(1, 9, Left)},
+		"dead in a later life wins":             {entry(2, 1, Dead), entry(1, 9, Alive)},
+		"left is final in its life":             {entry(1, 1, Left), entry(1, 9, Alive)},
+		"the member's own later word refutes":   {entry(1, 2, Alive), entry(1, 1, Dead)},
+		"suspicion wins over the word it is of": {entry(1, 1, Suspect), entry(1, 1, Alive)},
+		"dead wins over suspect":                {entry(1, 1, Dead), entry(1, 1, Suspect)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(supersedes(&c.newer, &c.older))
+			is.True(!supersedes(&c.older, &c.newer))
+		})
+	}
+}
+
+// Nodes forget a dead member at different times. One that has forgotten it must
+// not take it back from one that hasn't: the entry would go round for ever.
+func TestForgottenStaysForgotten(t *testing.T) {
+	is := is.New(t)
+	cfg := Defaults()
+	cfg.ForgetDead = 2 * time.Minute
+	f := newTestFleet(6, 1, cfg)
+	is.True(f.settle(time.Minute))
+	f.kill(5)
+	f.run(time.Minute)
+	dead := f.nodes[0].members[vmName(5)].Entry
+	is.Equal(dead.Status, Dead)
+	f.run(10 * time.Minute)
+	n := f.nodes[0]
+	is.Equal(n.stateOf(5), view.NodeState(""))
+	n.merge(f.now, &dead)
+	is.Equal(n.stateOf(5), view.NodeState(""))
+}
+
+// A process was started with an incarnation below the one its VM had before (its
+// wall clock went back). The others go on taking it for dead, so it must be told.
+func TestLowerIncarnationIsToldThatItIsReplaced(t *testing.T) {
+	is := is.New(t)
+	s := New(fleet.Node{VM: "a", Incarnation: 1}, "z", "10.0.0.1:1", Defaults(), rand.New(rand.NewPCG(1, 1)))
+	old := Entry{VM: "a", Incarnation: 5, Status: Dead}
+	peer := Entry{VM: "b", Incarnation: 1, Version: 1}
+	actions := s.Step(1, Received{From: peer.Node(), Message: &Message{Kind: KindGossip, Self: peer, Entries: []Entry{old}}})
+	is.Equal(actions[0], Action(Replaced{By: old.Node()}))
+}
+
+// The link vouches for the sender; what it says of itself must be of itself.
+func TestSenderMustBeItself(t *testing.T) {
+	is := is.New(t)
+	s := New(fleet.Node{VM: "a", Incarnation: 1}, "z", "10.0.0.1:1", Defaults(), rand.New(rand.NewPCG(1, 1)))
+	s.Step(1, Received{From: fleet.Node{VM: "c", Incarnation: 1}, Message: &Message{Kind: KindGossip, Self: Entry{VM: "b", Incarnation: 1}}})
+	is.Equal(len(s.Nodes()), 0)
+}
