--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -3,16 +3,12 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 
 	"go.opentelemetry.io/otel/propagation"
 
-	"chervilloom/internal/answer"
-	"chervilloom/internal/outcome"
 	"chervilloom/internal/request"
 )
 
@@ -107,105 +103,3 @@
 	}
 	return h
 }
-
-// frameBytes is the length of the pieces that a long body is passed on in.
-const frameBytes = 32 << 10
-
-// relayBody passes on an answer that is not a stream. It is held back up to
-// the bound, so that an endpoint that dies within a short answer leaves the
-// caller with nothing, and the request can be told truly or tried again.
-func (d *Dispatcher) relayBody(ctx context.Context, s *session, resp *http.Response, h answer.Head) *outcome.Error {
-	if !delimited(resp) {
-		return answerCut("the endpoint's answer has no length, so that its end cannot be told from a cut", nil)
-	}
-	held, err := io.ReadAll(io.LimitReader(resp.Body, int64(d.opt.AnswerBuffer)))
-	if err != nil {
-		return d.cutBy(ctx, err)
-	}
-	if oerr := s.start(h); oerr != nil {
-		return oerr
-	}
-	if len(held) > 0 {
-		if oerr := s.frame(answer.Frame{Offset: s.bytes, Data: held}); oerr != nil {
-			return oerr
-		}
-	}
-	if len(held) < d.opt.AnswerBuffer {
-		return nil
-	}
-	return d.relayRest(ctx, s, resp.Body)
-}
-
-func (d *Dispatcher) relayRest(ctx context.Context, s *session, r io.Reader) *outcome.Error {
-	for {
-		buf := make([]byte, frameBytes)
-		n, err := r.Read(buf)
-		if n > 0 {
-			if oerr := s.frame(answer.Frame{Offset: s.bytes, Data: buf[:n]}); oerr != nil {
-				return oerr
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return d.cutBy(ctx, err)
-		}
-	}
-}
-
-// delimited reports whether the end of the body can be told from a cut: it has
-// a length, is chunked, or there is none.
-func delimited(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
-}
-
-// cutBy tells why reading an answer failed.
-func (d *Dispatcher) cutBy(ctx context.Context, err error) *outcome.Error {
-	if ctx.Err() != nil {
-		return d.stopped(ctx, outcome.Ran)
-	}
-	return answerCut("the endpoint's answer ended early", err)
-}
-
-func answerCut(message string, err error) *outcome.Error {
-	return outcome.New(outcome.AnswerCut, outcome.Ran, message,
-		"the request ran; ask for the result, or send it again only if it may run twice").WithCause(err)
-}
-
-// failed tells how a try ended that got no answer at all.
-func (d *Dispatcher) failed(ctx context.Context, sn *sends, err error) *outcome.Error {
-	o := outcome.NotRun
-	if sn.seal() {
-		o = outcome.Unknown
-	}
-	if ctx.Err() != nil {
-		return d.stopped(ctx, o).WithCause(err)
-	}
-	if o == outcome.NotRun {
-		return outcome.New(outcome.EndpointFailed, o, "the endpoint took no connection", "send the request again").WithCause(err)
-	}
-	return outcome.New(outcome.EndpointFailed, o, "the endpoint failed before it answered",
-		"find out whether the request ran before sending it again").WithCause(err)
-}
-
-// stopped tells that the time is over or that the caller has left.
-func (d *Dispatcher) stopped(ctx context.Context, o outcome.Outcome) *outcome.Error {
-	if ctx.Err() == context.DeadlineExceeded {
-		return outcome.New(outcome.DeadlineExceeded, o, "the deadline passed", "send the request again with more time")
-	}
-	return callerGone(o).WithCause(context.Cause(ctx))
-}
-
-// refusal reads how an endpoint refused: with the promise that nothing ran, or
-// without it.
-func refusal(resp *http.Response, notRun bool) *outcome.Error {
-	o := outcome.Unknown
-	if notRun {
-		o = outcome.NotRun
-	}
-	excerpt, _ := io.ReadAll(io.LimitReader(resp.Body, 200))
-	e := outcome.New(outcome.EndpointFailed, o, "the endpoint refused with status "+strconv.Itoa(resp.StatusCode),
-		"send the request again later").After(retryAfter(resp.Header))
-	return e.WithCause(fmt.Errorf("dispatch: endpoint %s: %q", resp.Request.URL.Host, excerpt))
-}
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -62,7 +62,7 @@
 }
 
 func (d *Dispatcher) relayAnswer(ctx context.Context, s *session, resp *http.Response, h answer.Head, t *try, g *view.Group, ref relay.StreamRef) *outcome.Error {
-	oerr := d.relayBody(ctx, s, resp, h)
+	oerr := d.relayBody(ctx, s, resp, h, wholeCompletion)
 	if oerr != nil {
 		t.blamed = oerr.Kind == outcome.AnswerCut
 		d.abandon(leader(g).Addr, ref.Stream)
@@ -90,25 +90,21 @@
 func fresh(g *view.Group, now clock.Instant) bool { return g.Whole && now.Before(g.FreshUntil) }
 
 func setEngineHeaders(h http.Header, req *request.Request, ref relay.StreamRef) {
-	h.Set(engine.HeaderGeneration, generation(ref.Group, ref.Generation))
+	h.Set(engine.HeaderGeneration, engine.GenerationTag(ref.Group, ref.Generation))
 	h.Set(engine.HeaderStream, ref.Stream)
 	h.Set(engine.HeaderPriority, strconv.Itoa(req.Priority))
 	h.Del("Accept-Encoding")
 }
 
-func generation(g fleet.GroupID, n fleet.Generation) string {
-	return string(g) + "/" + strconv.FormatUint(uint64(n), 10)
-}
-
 // checkEngine refuses what is not this generation's answer. The engine may
 // have been given to another group, or may have restarted as if nothing had
 // happened, since its members were last probed: what it says then is the
 // answer of another model or of a replica with a member missing.
 func checkEngine(resp *http.Response, g *view.Group) *outcome.Error {
 	if resp.StatusCode >= 400 && resp.Header.Get(engine.HeaderNotRun) == "true" {
-		return refusal(resp, true)
+		return refusedNotRun(resp)
 	}
-	want := generation(g.ID, g.Generation)
+	want := engine.GenerationTag(g.ID, g.Generation)
 	gen, boot := resp.Header.Get(engine.HeaderGeneration), resp.Header.Get(engine.HeaderBoot)
 	if gen != want || boot != string(leader(g).Boot) {
 		return outcome.New(outcome.EndpointFailed, outcome.Unknown,
@@ -116,7 +112,7 @@
 			WithCause(fmt.Errorf("dispatch: got %q boot %q, want %q boot %q", gen, boot, want, leader(g).Boot))
 	}
 	if resp.StatusCode >= 500 || resp.StatusCode == http.StatusTooManyRequests {
-		return refusal(resp, false)
+		return refusedUnknown(resp)
 	}
 	return nil
 }
@@ -133,7 +129,3 @@
 	}
 	return time.Duration(s) * time.Second
 }
-
-func badCall(err error) *outcome.Error {
-	return outcome.New(outcome.BadRequest, outcome.NotRun, "the request cannot be sent", "check its path and headers").WithCause(err)
-}
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -28,11 +28,12 @@
 	case s.req.Hops > 0 || d.opt.Peers == nil:
 		return answerCut("the group that answered is in another availability zone", nil)
 	}
-	s.lastID = s.req.ResumeID
+	s.next, s.lastID = id.Offset+1, s.req.ResumeID
 	return d.resumeElsewhere(ctx, s, fleet.VM(""), answerCut("no node of the endpoint's availability zone can be reached", nil))
 }
 
 func (d *Dispatcher) resumeHere(ctx context.Context, s *session, g *view.Group, id relay.EventID) *outcome.Error {
+	s.next = id.Offset + 1
 	st := relay.NewStream(id.StreamRef, id.Offset+1)
 	fruitless := 0
 	resp, cut := d.reopen(ctx, s, st, g, &fruitless, nil)
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -36,7 +36,7 @@
 		return oerr
 	}
 	h := answer.Head{Status: resp.StatusCode, Header: incoming(resp), Endpoint: vm.Record.VM}
-	oerr := d.relayBody(ctx, s, resp, h)
+	oerr := d.relayBody(ctx, s, resp, h, wholeDocument)
 	t.blamed = oerr != nil && oerr.Kind == outcome.AnswerCut
 	return oerr
 }
@@ -48,14 +48,14 @@
 	switch resp.StatusCode {
 	case http.StatusServiceUnavailable:
 		if promisesNotRun(resp.Header) {
-			return refusal(resp, true)
+			return refusedNotRun(resp)
 		}
 	case http.StatusBadGateway, http.StatusGatewayTimeout:
 	default:
 		return nil
 	}
 	if idempotent {
-		return refusal(resp, false)
+		return refusedUnknown(resp)
 	}
 	return nil
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -21,12 +21,13 @@
 	exhausted bool
 	ran       outcome.Outcome // worst outcome of the tries so far
 	begun     bool
-	gone      bool // whoever is behind the writer has left
-	next      uint64
+	stream    bool   // the answer that began is a stream
+	gone      bool   // whoever is behind the writer has left
+	next      uint64 // offset of the next event of a stream
 	frames    uint64
 	bytes     uint64
 	hash      *xxhash.Digest
-	lastID    string
+	lastID    string // event id of the last event passed on
 }
 
 func newSession(req *request.Request, w answer.Writer) *session {
@@ -38,7 +39,7 @@
 	if s.begun {
 		return nil
 	}
-	s.begun = true
+	s.begun, s.stream = true, h.Stream
 	if err := s.w.Start(h); err != nil {
 		s.gone = true
 		return callerGone(outcome.Ran).WithCause(err)
@@ -46,8 +47,19 @@
 	return nil
 }
 
-// frame passes on a piece. Pieces that were passed on before are dropped.
+// frame passes on a piece. Events that were passed on before are dropped, and
+// one that does not follow the last ends the answer: this is the last place
+// where a lost or doubled token can be stopped, whoever sent it.
 func (s *session) frame(f answer.Frame) *outcome.Error {
+	if s.stream {
+		if f.Offset < s.next {
+			return nil
+		}
+		if f.Offset > s.next {
+			return answerCut("a part of the stream is missing", nil)
+		}
+		s.next++
+	}
 	s.frames++
 	s.bytes += uint64(len(f.Data))
 	s.hash.Write(f.Data)
@@ -98,7 +110,3 @@
 		over: s.gone || ctx.Err() != nil,
 	}
 }
-
-func callerGone(o outcome.Outcome) *outcome.Error {
-	return outcome.New(outcome.CallerGone, o, "the caller left before the answer ended", "send the request again")
-}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -31,12 +32,13 @@
 		before := st.Next()
 		err := d.copyStream(s, resp, h, st, t)
 		resp.Body.Close()
+		var told *outcome.Error
 		switch {
 		case err == io.EOF:
 			return nil
-		case s.gone:
+		case errors.As(err, &told):
 			d.abandon(leader(g).Addr, st.Ref().Stream)
-			return callerGone(outcome.Ran)
+			return told
 		case ctx.Err() != nil:
 			d.abandon(leader(g).Addr, st.Ref().Stream)
 			return d.stopped(ctx, outcome.Ran)
--- a/internal/identify/model.go
+++ b/internal/identify/model.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"chervilloom/internal/config"
+	"chervilloom/internal/engine"
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/outcome"
 	"chervilloom/internal/request"
@@ -88,18 +89,21 @@
 	req.Class, req.Idempotent = request.ClassModel, true
 	req.Target, req.Stream = t, b.Stream
 	req.MaxTokens = max(b.MaxTokens, b.MaxCompletionTokens)
-	req.Prefix, req.PromptTokens = b.measure(t)
+	msgs := b.messages()
+	req.Prefix, req.PromptTokens = engine.Prefixes(b.Model, msgs), engine.PromptTokens(msgs)
 	return nil
 }
 
-func (b *modelBody) measure(t fleet.Target) (prefix []uint64, tokens int) {
-	h := newPrefixHasher(t)
+// messages returns the prompt as engines hash it; a plain prompt is one message.
+func (b *modelBody) messages() []engine.Message {
+	out := make([]engine.Message, 0, len(b.Messages)+1)
 	for _, m := range b.Messages {
-		h.add(m.Role)
-		h.add(string(m.Content))
+		out = append(out, engine.Message{Role: m.Role, Content: string(m.Content)})
 	}
-	h.add(string(b.Prompt))
-	return h.hashes, h.tokens()
+	if b.Prompt != "" {
+		out = append(out, engine.Message{Content: string(b.Prompt)})
+	}
+	return out
 }
 
 // malformed tells where the body cannot be read.
