--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -175,7 +175,7 @@
 	choice, err := d.opt.Router.Pick(s.req, snap, now, s.tried)
 	if err != nil {
 		s.exhausted = true
-		return err
+		return s.nothingLeft(err)
 	}
 	s.tries++
 	s.tried = append(s.tried, triedBy(choice))
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -20,6 +20,7 @@
 	tries     int
 	exhausted bool
 	ran       outcome.Outcome // worst outcome of the tries so far
+	last      *outcome.Error  // of the newest failed try
 	begun     bool
 	stream    bool   // the answer that began is a stream
 	gone      bool   // whoever is behind the writer has left
@@ -88,9 +89,20 @@
 func (s *session) add(err *outcome.Error) {
 	if err != nil {
 		s.ran = worse(s.ran, err.Outcome)
+		s.last = err
 	}
 }
 
+// nothingLeft returns what is told when the router has no more to offer. A
+// request that may have run is told by its last try: "no capacity" would sound
+// as if it had not.
+func (s *session) nothingLeft(none *outcome.Error) *outcome.Error {
+	if s.ran == outcome.NotRun {
+		return none
+	}
+	return s.last.After(max(s.last.RetryAfter, none.RetryAfter))
+}
+
 // told returns err with the outcome of all tries together: a last try that did
 // not run does not undo an earlier one that may have.
 func (s *session) told(err *outcome.Error) *outcome.Error {
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -35,7 +35,7 @@
 		var told *outcome.Error
 		switch {
 		case err == io.EOF:
-			return nil
+			return s.start(h) // a resumed stream may have had only its end left
 		case errors.As(err, &told):
 			d.abandon(leader(g).Addr, st.Ref().Stream)
 			return told
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -47,14 +47,10 @@
 // Next returns the offset of the next event.
 func (s *Stream) Next() uint64 { return s.next }
 
-// From returns the offset to resume at. When only the end mark is missing it
-// is that of the last event once more: an engine has no event after it.
-func (s *Stream) From() uint64 {
-	if s.finished {
-		return s.next - 1
-	}
-	return s.next
-}
+// From returns the offset to resume at: that of the last event that was read,
+// once more. Asked for the event after the last one, an engine knows none, and
+// only the event itself tells that it was the last.
+func (s *Stream) From() uint64 { return max(s.next, 1) - 1 }
 
 // Whole reports whether the stream's end was seen.
 func (s *Stream) Whole() bool { return s.whole }
@@ -101,7 +97,7 @@
 		return answer.Frame{}, false, err
 	}
 	if offset < s.next {
-		return answer.Frame{}, false, nil
+		return answer.Frame{}, false, s.recheck(ev.Data, offset)
 	}
 	if offset > s.next {
 		return answer.Frame{}, false, fmt.Errorf("%w: got %d, want %d", errGap, offset, s.next)
@@ -135,6 +131,14 @@
 	return n, nil
 }
 
+// recheck looks at an event that was passed on before, perhaps by another node.
+func (s *Stream) recheck(data []byte, offset uint64) error {
+	if s.finished || offset != s.next-1 {
+		return nil
+	}
+	return s.check(data, offset)
+}
+
 // check refuses an event after the last one, and a last one whose count is
 // not the number of events before it: each holds one token.
 func (s *Stream) check(data []byte, offset uint64) error {
