--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,208 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"chervilloom/internal/fleet"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func TestReaderReadsEvents(t *testing.T) {
+	cases := []struct {
+		name, in string
+		want     []Event
+		err      error
+	}{
+		{"one", "id: 1\ndata: a\n\n", []Event{{ID: "1", Data: []byte("a")}}, io.EOF},
+		{"crlf and no space", "data:a\r\n\r\n", []Event{{Data: []byte("a")}}, io.EOF},
+		{"comments between", ": hi\n\n:x\ndata: a\n\n", []Event{{Data: []byte("a")}}, io.EOF},
+		{"many lines", "data: a\ndata: b\n\n", []Event{{Data: []byte("a\nb")}}, io.EOF},
+		{"named", "event: error\ndata: x\n\n", []Event{{Name: "error", Data: []byte("x")}}, io.EOF},
+		{"ends within an event", "data: a\n", nil, io.ErrUnexpectedEOF},
+		{"ends within a line", "data: a\n\ndata: b", []Event{{Data: []byte("a")}}, io.ErrUnexpectedEOF},
+		{"too long a line", "data: " + strings.Repeat("x", 9000) + "\n\n", nil, ErrTooLong},
+		{"too many lines", strings.Repeat("data: xxxxxxxx\n", 900) + "\n", nil, ErrTooLong},
+		{"longer than the buffer", "data: " + strings.Repeat("x", 5000) + "\n\n", []Event{{Data: []byte(strings.Repeat("x", 5000))}}, io.EOF},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			for _, src := range []io.Reader{strings.NewReader(tc.in), iotest.OneByteReader(strings.NewReader(tc.in))} {
+				r := NewReader(src, 8000)
+				for _, want := range tc.want {
+					got, err := r.Next()
+					is.NoErr(err)
+					is.Equal(got, want)
+				}
+				_, err := r.Next()
+				is.True(errors.Is(err, tc.err))
+			}
+		})
+	}
+}
+
+func token(stream string, n int) string {
+	return fmt.Sprintf("id: %s:%d\ndata: {\"choices\":[{\"delta\":{\"content\":\"t%d\"},\"finish_reason\":null}]}\n\n", stream, n, n)
+}
+
+func last(stream string, n, count int) string {
+	return fmt.Sprintf("id: %s:%d\ndata: {\"choices\":[{\"finish_reason\":\"stop\"}],\"usage\":{\"completion_tokens\":%d}}\n\n", stream, n, count)
+}
+
+const done = "data: [DONE]\n\n"
+
+// read reads the stream to its end and returns the offsets passed on.
+func read(s *Stream, in string) (offsets []uint64, err error) {
+	r := NewReader(strings.NewReader(in), 1<<16)
+	for {
+		f, ok, err := s.Read(r)
+		if err != nil {
+			return offsets, err
+		}
+		if ok {
+			offsets = append(offsets, f.Offset)
+		}
+	}
+}
+
+func TestStreamIsWholeOnlyWithCountAndMark(t *testing.T) {
+	tokens := token("s", 0) + token("s", 1)
+	cases := []struct {
+		name, in string
+		err      error
+		resume   bool
+	}{
+		{"whole", tokens + last("s", 2, 2) + done, io.EOF, true},
+		{"nothing", "", errNotWhole, true},
+		{"no last event", tokens, errNotWhole, true},
+		{"no mark", tokens + last("s", 2, 2), errNotWhole, true},
+		{"mark without count", tokens + done, errNotWhole, true},
+		{"within an event", tokens + "id: s:2\ndata: {", errNotWhole, true},
+		{"gap", token("s", 0) + token("s", 2), errGap, true},
+		{"count too high", tokens + last("s", 2, 3) + done, errCount, false},
+		{"count too low", tokens + last("s", 2, 1) + done, errCount, false},
+		{"event after the last", tokens + last("s", 2, 2) + token("s", 3), errCount, false},
+		{"another stream's event", token("s", 0) + token("x", 1), errForeign, false},
+		{"no id", "data: {}\n\n", errForeign, false},
+		{"no offset", "id: s:x\ndata: {}\n\n", errMalformed, false},
+		{"engine's error", token("s", 0) + "event: error\ndata: {}\n\n", errRefused, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			s := NewStream(StreamRef{VM: "e", Group: "g", Generation: 1, Stream: "s"}, 0)
+			_, err := read(s, tc.in)
+			is.True(errors.Is(err, tc.err))
+			is.Equal(s.Whole(), tc.err == io.EOF)
+			is.Equal(Resumable(err), tc.resume)
+		})
+	}
+}
+
+// A connection breaks anywhere and the engine repeats any part that the node
+// already has. Whatever the breaks, each event is passed on once and in order.
+func TestResumedStreamLosesAndDoublesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 30).Draw(t, "tokens")
+		events := make([]string, 0, n+2)
+		for i := range n {
+			events = append(events, token("s", i))
+		}
+		events = append(events, last("s", n, n), done)
+		s := NewStream(StreamRef{VM: "e", Group: "g", Stream: "s"}, 0)
+		var got []uint64
+		for !s.Whole() {
+			back := rapid.IntRange(0, 3).Draw(t, "repeated")
+			from := max(int(s.From())-back, 0)
+			rest := strings.Join(events[from:], "")
+			cut := rapid.IntRange(0, len(rest)).Draw(t, "cut")
+			offsets, err := read(s, rest[:cut])
+			if !errors.Is(err, errNotWhole) && err != io.EOF {
+				t.Fatalf("from %d: %v", from, err)
+			}
+			got = append(got, offsets...)
+		}
+		for i, o := range got {
+			if o != uint64(i) {
+				t.Fatalf("event %d has offset %d", i, o)
+			}
+		}
+		if len(got) != n+1 {
+			t.Fatalf("%d events of %d", len(got), n+1)
+		}
+	})
+}
+
+func TestEventIDRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		name := rapid.StringN(1, 20, 60)
+		id := EventID{StreamRef: StreamRef{
+			VM: fleet.VM(name.Draw(t, "vm")), Group: fleet.GroupID(name.Draw(t, "group")),
+			Generation: fleet.Generation(rapid.Uint64().Draw(t, "generation")), Stream: name.Draw(t, "stream"),
+		}, Offset: rapid.Uint64().Draw(t, "offset")}
+		got, err := ParseEventID(id.String())
+		if err != nil || got != id {
+			t.Fatalf("%q: %v, %+v", id.String(), err, got)
+		}
+		if strings.ContainsAny(id.String(), "\r\n\x00") {
+			t.Fatalf("%q breaks the event's lines", id.String())
+		}
+	})
+}
+
+func TestParseEventIDRefuses(t *testing.T) {
+	for _, s := range []string{"", "x", "a.b.1.s", "a.b.1.s:", "a.b.x.s:1", "a.b.1.s:-1", "a..1.s:1", "a.b.c.1.s:1", "a.b.1.%zz:1"} {
+		is := is.New(t)
+		_, err := ParseEventID(s)
+		is.True(err != nil)
+	}
+}
+
+func TestStreamIDBelongsToItsOrganisation(t *testing.T) {
+	is := is.New(t)
+	id := NewStreamID("sagarmatha")
+	is.True(Owns("sagarmatha", id))
+	is.True(!Owns("lapwise", id))
+	is.True(!Owns("sagarmatha", "x"))
+	is.True(id != NewStreamID("sagarmatha"))
+}
+
+func BenchmarkStreamEvent(b *testing.B) {
+	ev := token("s", 0)
+	s := NewStream(StreamRef{VM: "e", Group: "g", Generation: 1, Stream: "s"}, 0)
+	r := NewReader(&repeat{text: []byte(ev)}, 1<<16)
+	b.SetBytes(int64(len(ev)))
+	b.ReportAllocs()
+	for b.Loop() {
+		s.next = 0
+		if _, ok, err := s.Read(r); !ok || err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// repeat is an endless repetition of a text.
+type repeat struct {
+	text []byte
+	at   int
+}
+
+func (r *repeat) Read(p []byte) (int, error) {
+	n := 0
+	for n < len(p) {
+		c := copy(p[n:], r.text[r.at:])
+		n += c
+		r.at = (r.at + c) % len(r.text)
+	}
+	return n, nil
+}
