A model of three nodes proves at most one run, and a fault it found

Cause: the promise holds only if every order of late writes, lost answers, restarts, cuts and leaving callers keeps it.

Change: TestModelRunsAtMostOnce runs real keepers in a bubble of virtual time (testing/synctest) under random schedules (rapid).

--- a/internal/once/model_test.go
+++ b/internal/once/model_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -74,11 +75,11 @@
 	cancel     context.CancelFunc
 	done       bool
 	told       outcome.Outcome
-	dispatched bool
 	got        got
 }
 
 type model struct {
+	mu      sync.Mutex // of all below
 	table   *fakeTable
 	vms     []fleet.VM
 	keepers map[fleet.VM]*Keeper
@@ -126,20 +127,21 @@
 
 // Commit implements Table: the schedule decides what becomes of it.
 func (m *model) Commit(ctx context.Context, txn platform.Txn) (platform.Result, error) {
-	if m.over {
-		return platform.Result{}, platform.ErrDown
-	}
 	p := &pendingTxn{txn: txn, answer: make(chan error, 1)}
-	m.table.mu.Lock()
+	m.mu.Lock()
+	over := m.over
 	m.txns = append(m.txns, p)
-	m.table.mu.Unlock()
+	m.mu.Unlock()
+	if over {
+		return platform.Result{}, platform.ErrDown
+	}
 	select {
 	case err := <-p.answer:
 		return p.result, err
 	case <-ctx.Done():
 		// It may land at any later time.
-		m.table.mu.Lock()
-		defer m.table.mu.Unlock()
+		m.mu.Lock()
+		defer m.mu.Unlock()
 		m.forget(p)
 		if !p.landed {
 			m.late = append(m.late, p)
@@ -160,12 +162,18 @@
 
 // Get implements Table.
 func (m *model) Get(ctx context.Context, table, key string) (platform.Row, error) {
-	if m.blind {
+	if m.isBlind() {
 		return platform.Row{}, platform.ErrDown
 	}
 	return m.table.Get(ctx, table, key)
 }
 
+func (m *model) isBlind() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.blind
+}
+
 // List implements Table.
 func (m *model) List(ctx context.Context, table, prefix string) ([]platform.Row, error) {
 	return m.table.List(ctx, table, prefix)
@@ -173,13 +181,14 @@
 
 // Relay implements Peers.
 func (m *model) Relay(ctx context.Context, to fleet.VM, req *request.Request, w answer.Writer) *outcome.Error {
-	if m.cut[to] || m.cut[req.From] {
+	k := m.reach(to, req.From)
+	if k == nil {
 		return outcome.New(outcome.EndpointFailed, outcome.NotRun, "node not reached", "try again")
 	}
 	held := &got{}
-	m.keepers[to].Filter()(m).Serve(ctx, req, held)
+	k.Filter()(m).Serve(ctx, req, held)
 	switch {
-	case m.cut[to] || m.cut[req.From]:
+	case m.reach(to, req.From) == nil:
 		return outcome.New(outcome.EndpointFailed, outcome.Unknown, "the link broke", "look up")
 	case !held.began:
 		return held.end.Error
@@ -190,18 +199,32 @@
 	return nil
 }
 
+// reach returns the keeper on the VM, or nil when the two are cut off.
+func (m *model) reach(to, from fleet.VM) *Keeper {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cut[to] || m.cut[from] {
+		return nil
+	}
+	return m.keepers[to]
+}
+
 // Serve is the endpoint: the schedule decides how the call ends.
 func (m *model) Serve(_ context.Context, req *request.Request, w answer.Writer) {
+	r := m.dispatched(req)
+	m.finish(r.try, <-r.end, w)
+}
+
+func (m *model) dispatched(req *request.Request) *pendingRun {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	t := m.tries[atoi(req.ID)]
-	t.dispatched = true
 	if t.done && t.told == outcome.NotRun {
 		m.fail("try %s of %s was told not-run and is dispatched now", req.ID, t.key)
 	}
 	r := &pendingRun{try: t, end: make(chan string, 1)}
-	m.table.mu.Lock()
 	m.runs = append(m.runs, r)
-	m.table.mu.Unlock()
-	m.finish(t, <-r.end, w)
+	return r
 }
 
 func (m *model) finish(t *modelTry, how string, w answer.Writer) {
@@ -223,6 +246,8 @@
 }
 
 func (m *model) execute(t *modelTry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.ran[t.key]++
 	m.ranBody[t.key+t.body]++
 	if m.ran[t.key] > 1 {
@@ -262,6 +287,8 @@
 
 // tell checks what a caller is told against what has happened.
 func (m *model) tell(t *modelTry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	t.done, t.told = true, t.got.outcome()
 	switch {
 	case t.got.end.Whole && t.got.body != fmt.Sprintf("answer to %s %s", t.key, t.body):
@@ -287,7 +314,15 @@
 	return false
 }
 
+// do takes one step.
 func (m *model) do(s step) {
+	if s.what == "time" {
+		time.Sleep(time.Duration(s.pick) * 2 * time.Millisecond)
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.blind = false
 	vm := m.vms[s.pick%len(m.vms)]
 	switch s.what {
 	case "first key":
@@ -308,8 +343,6 @@
 		if len(m.tries) > 0 {
 			m.tries[s.pick%len(m.tries)].cancel()
 		}
-	case "time":
-		time.Sleep(time.Duration(s.pick) * 2 * time.Millisecond)
 	}
 }
 
@@ -356,6 +389,10 @@
 
 // reply ends the wait for a transaction.
 func (m *model) reply(p *pendingTxn, how string) {
+	if how == "refuse down" && p.landed {
+		return
+	}
+	m.forget(p)
 	switch how {
 	case "answer":
 		if !p.landed {
@@ -363,9 +400,6 @@
 		}
 		p.answer <- nil
 	case "refuse down":
-		if p.landed {
-			return
-		}
 		p.answer <- platform.ErrDown
 	default:
 		m.blind = how == "lose answer blind"
@@ -374,9 +408,6 @@
 		}
 		p.answer <- platform.ErrAmbiguous
 	}
-	m.forget(p)
-	synctest.Wait()
-	m.blind = false
 }
 
 func (m *model) end(s step) {
@@ -391,24 +422,69 @@
 
 // settle ends all that is pending and lets every try end.
 func (m *model) settle(r *rand.Rand) {
-	for range 200 {
+	for range 300 {
 		synctest.Wait()
-		switch {
-		case len(m.txns) > 0:
-			m.reply(m.txns[r.IntN(len(m.txns))], "answer")
-		case len(m.runs) > 0:
-			m.end(step{[]string{"end ran", "end not run", "end unknown ran"}[r.IntN(3)], r.IntN(1000)})
-		default:
+		if m.settleOne(r) {
 			time.Sleep(3 * time.Second)
-		}
-		if m.allDone() && len(m.runs) == 0 {
-			return
+			synctest.Wait()
+			if m.allDone() {
+				return
+			}
 		}
 	}
 	m.fail("a try never got its answer")
 }
 
+// settleOne ends one thing that is pending, or reports that there is none.
+func (m *model) settleOne(r *rand.Rand) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.blind = false
+	switch {
+	case len(m.txns) > 0:
+		m.reply(m.txns[r.IntN(len(m.txns))], "answer")
+	case len(m.runs) > 0:
+		m.end(step{[]string{"end ran", "end not run", "end unknown ran"}[r.IntN(3)], r.IntN(1000)})
+	default:
+		return true
+	}
+	return false
+}
+
+// askAll repeats every call after all has settled: no key may be stuck.
+func (m *model) askAll(r *rand.Rand) {
+	from := m.sendAll(r)
+	m.settle(r)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, t := range m.tries[from:] {
+		if !t.got.end.Whole && t.got.end.Error.Kind == outcome.StillRunning {
+			m.fail("%s is stuck", t.key)
+		}
+	}
+}
+
+func (m *model) sendAll(r *rand.Rand) (from int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	clear(m.cut)
+	from = len(m.tries)
+	asked := map[string]bool{}
+	for _, t := range m.tries[:from] {
+		if !asked[t.key] {
+			asked[t.key] = true
+			m.send(m.vms[r.IntN(len(m.vms))], t.key, t.body, t.ticket, false)
+		}
+	}
+	return from
+}
+
 func (m *model) allDone() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.txns) > 0 || len(m.runs) > 0 {
+		return false
+	}
 	for _, t := range m.tries {
 		if !t.done {
 			return false
@@ -422,12 +498,15 @@
 		m.do(s)
 		synctest.Wait()
 	}
-	m.settle(rand.New(rand.NewPCG(uint64(len(schedule)), 1)))
+	r := rand.New(rand.NewPCG(uint64(len(schedule)), 1))
+	m.settle(r)
+	m.askAll(r)
+	m.mu.Lock()
 	m.over = true
 	for _, p := range m.txns {
 		p.answer <- platform.ErrDown
 	}
-	m.txns = nil
+	m.mu.Unlock()
 	for _, stop := range m.stop {
 		stop()
 	}
