Admission with a lane for lookups and a fair queue for model calls

Model calls filled every slot and plain lookups had nothing of their own.

The limit does not adapt yet and the shares of rate caps are this node's own.

--- /dev/null
+++ b/internal/admit/metrics.go
@@ -0,0 +1,33 @@
+package admit
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+type metrics struct {
+	decisions *prometheus.CounterVec   // lane, verdict, reason
+	wait      *prometheus.HistogramVec // lane
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	f := promauto.With(r)
+	return &metrics{
+		decisions: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "chervilloom_admit_decisions_total",
+			Help: "Final admission decisions.",
+		}, []string{"lane", "verdict", "reason"}),
+		wait: f.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "chervilloom_admit_wait_seconds",
+			Help:    "Time that admitted requests waited.",
+			Buckets: prometheus.ExponentialBuckets(0.0001, 4, 10),
+		}, []string{"lane"}),
+	}
+}
+
+func (m *metrics) decided(lane string, d *Decision) {
+	m.decisions.WithLabelValues(lane, d.Verdict.String(), string(d.Reason)).Inc()
+	if d.Verdict == Admit {
+		m.wait.WithLabelValues(lane).Observe(d.Wait.Seconds())
+	}
+}
--- /dev/null
+++ b/internal/admit/pool.go
@@ -0,0 +1,73 @@
+package admit
+
+import (
+	"time"
+
+	"chervilloom/internal/clock"
+	"chervilloom/internal/outcome"
+)
+
+// room reports whether a slot is free.
+func (p *pool) room() bool { return float64(p.inflight)+1 <= p.limiter.limit }
+
+// gone reports whether nothing has served the pool's targets for longer than
+// the grace.
+func (p *pool) gone(now clock.Instant) bool {
+	return p.lost != 0 && now.Sub(p.lost) >= capacityGrace
+}
+
+// wait estimates how long a request of flow f waits that has ahead queued
+// before it in its own flow. Two bounds hold, and the smaller one is returned:
+// all queued work, and the virtual time up to the request's start with every
+// waiting organisation taking its share of it.
+func (p *pool) wait(f *flow, ahead float64) time.Duration {
+	w := p.weight
+	if f.at < 0 {
+		w += f.org.weight
+	}
+	lead := max(0, f.finish-p.virtual)
+	shared := (lead + ahead/f.org.weight) * w
+	work := min(shared, p.cost) + p.estimate.meanCost()
+	return clampSeconds(work / p.estimate.drain(p.limiter.limit))
+}
+
+// hopeless reports whether a request that still has to wait cannot be answered
+// in time.
+func (p *pool) hopeless(now clock.Instant, e *entry, wait time.Duration) bool {
+	if e.deadline == 0 {
+		return false
+	}
+	left := e.deadline.Sub(now)
+	return left <= 0 || wait+p.estimate.service(e.cost) > left
+}
+
+// slotTime is the mean time until one of the pool's slots is free.
+func (p *pool) slotTime() time.Duration {
+	return clampSeconds(p.estimate.meanCost() / p.estimate.drain(p.limiter.limit))
+}
+
+// book returns when a refused caller should come back: not before excess has
+// passed, and each after the work of the refused one before it, so that they
+// do not all come together.
+func (p *pool) book(now clock.Instant, excess time.Duration, cost float64) time.Duration {
+	next := p.booked.Add(clampSeconds(cost / p.estimate.drain(p.limiter.limit)))
+	p.booked = max(now.Add(excess), next)
+	if d := p.booked.Sub(now); d < maxRetryAfter {
+		return d
+	}
+	p.booked = now.Add(maxRetryAfter)
+	return maxRetryAfter
+}
+
+func (p *pool) decision(h Handle, v Verdict, k outcome.Kind, r Reason) Decision {
+	return Decision{Handle: h, Verdict: v, Kind: k, Reason: r, Limit: int(p.limiter.limit)}
+}
+
+// clampSeconds turns seconds into a duration of at most an hour.
+func clampSeconds(s float64) time.Duration {
+	const most = 3600
+	if !(s < most) {
+		s = most
+	}
+	return time.Duration(s * float64(time.Second))
+}
