--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -26,6 +26,8 @@
 // row: more would only cost reads.
 const watchRanks = 3
 
+var errUnreadable = errors.New("lease: the row is not readable; delete it by hand")
+
 // Manager tries to hold the lease of one duty.
 type Manager struct {
 	Duty   string
@@ -125,7 +127,7 @@
 	if row.Version != 0 {
 		if err := json.Unmarshal(row.Value, &r); err != nil {
 			m.Log.Error("lease row is not readable; delete the row by hand", "duty", m.Duty, "err", err)
-			return fmt.Errorf("lease row of %s is not readable, delete it: %w", m.Duty, err)
+			return fmt.Errorf("%w: %s: %w", errUnreadable, m.Duty, err)
 		}
 	}
 	m.seen = Seen{Row: r, Version: row.Version, First: m.Clock.Now(), Known: true}
