Survive a table restored to an older state; ids never drawn twice

Cause: found by a test that restores the table: engines had seen newer fences than the restored claims hold, so every order was refused for ever; and group ids were made of the lease's fence, which a restore sets back, so an id and generation could be used twice for other members.

Change: ids name the life of the process that drew them; a member that has seen a newer fence than its claim gets a new generation above all that engines report; a free VM whose engine follows an unknown order gets a higher fence. An engine that keeps fences must report exactly the member's fence.

--- a/internal/group/change.go
+++ b/internal/group/change.go
@@ -117,20 +117,33 @@
 	p.written(it)
 }
 
-// releaseOrphans frees VMs whose claim names a group that does not exist.
+// releaseOrphans frees VMs whose claim names a group that does not exist, and
+// raises the fence of free VMs whose engine is in a group by an order that the
+// table does not know of, so that an order to leave is not refused.
 func (p *planner) releaseOrphans() {
 	known := make(map[fleet.GroupID]bool, len(p.items))
 	for _, it := range p.items {
 		known[it.row.Group.ID] = it.row.Group.Phase != fleet.PhaseDissolved
 	}
 	for i := range p.in.Snap.VMs {
-		r := &p.in.Snap.VMs[i].Record
-		c := p.in.Claims[r.VM]
-		if c.Group == "" || known[c.Group] || r.Zone != p.in.Snap.Zone || p.taken[r.VM] {
+		v := &p.in.Snap.VMs[i]
+		vm := v.Record.VM
+		if v.Record.Zone != p.in.Snap.Zone || v.Record.Kind != fleet.KindEngine || p.taken[vm] {
 			continue
 		}
-		b := p.begin()
-		b.claim(r.VM, "", 0)
-		b.done(Release, &fleet.Group{ID: c.Group, Reason: fmt.Sprintf("%s was claimed by a group that does not exist", r.VM)})
+		c, row := p.in.Claims[vm]
+		st := &v.Probe.State
+		switch {
+		case c.Group != "" && !known[c.Group]:
+			p.release(vm, c.Group, fmt.Sprintf("%s was claimed by a group that does not exist", vm))
+		case c.Group == "" && st.Group != "" && (!row || st.Fence > c.Fence):
+			p.release(vm, st.Group, fmt.Sprintf("%s is in a group by an order that the table does not know", vm))
+		}
 	}
 }
+
+func (p *planner) release(vm fleet.VM, id fleet.GroupID, reason string) {
+	b := p.begin()
+	b.claim(vm, "", 0)
+	b.done(Release, &fleet.Group{ID: id, Reason: reason})
+}
--- a/internal/group/faults_test.go
+++ b/internal/group/faults_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"chervilloom/internal/config"
 	"chervilloom/internal/fleet"
+	"chervilloom/internal/view"
 )
 
 // Whatever happens in whatever order (members die, pause, restart under their
@@ -20,7 +23,7 @@
 func TestPromisesUnderRandomFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		checks := rapid.Bool().Draw(t, "engines check fences")
-		s := newSim(doc(3, 2), 2, rapid.IntRange(1, 8).Draw(t, "load ticks"), checks, 4, 4)
+		s := newSim(twoSpecs(), 2, rapid.IntRange(1, 8).Draw(t, "load ticks"), checks, 4, 4)
 		s.run(time.Duration(rapid.IntRange(0, 8).Draw(t, "start")) * time.Second)
 		for i := range rapid.IntRange(1, 12).Draw(t, "faults") {
 			s.inject(t, i)
@@ -51,7 +54,8 @@
 	long := time.Duration(rapid.IntRange(1, 10).Draw(t, "for")) * time.Second
 	switch rapid.SampledFrom([]string{
 		"die", "revive", "reboot", "leave", "lose", "down", "up", "blind", "cut", "mend",
-		"pause", "pause at commit", "pause at order", "domain",
+		"pause", "pause at commit", "pause at order", "domain", "reappear", "list leaving", "list late",
+		"restart node", "swap",
 	}).Draw(t, "fault") {
 	case "die":
 		e.dead = true
@@ -79,6 +83,21 @@
 		n.beforeCommit = func() { s.pause(n, long) }
 	case "pause at order":
 		n.beforeOrder = func() { s.pause(n, long) }
+	case "reappear": // a new life that claims the place of the old one
+		e.state.Boot = fleet.BootID(fmt.Sprintf("boot-%d", i))
+	case "list leaving":
+		k := rapid.IntRange(0, len(s.list)-1).Draw(t, "row")
+		s.list[k].State = fleet.StateLeaving
+	case "list late":
+		n.listLate = rapid.IntRange(0, 50).Draw(t, "late")
+	case "restart node":
+		k := int(n.self.VM[1] - '0')
+		s.nodes[k] = s.newNode(k, n.self.Incarnation+1)
+	case "swap": // the other order of specs: groups of other sizes are wanted
+		d := *s.doc
+		d.Groups = []config.GroupSpec{s.doc.Groups[1], s.doc.Groups[0]}
+		d.Groups[0].VMs, d.Groups[1].VMs = s.doc.Groups[0].VMs, s.doc.Groups[1].VMs
+		s.configure(&d)
 	case "domain":
 		for _, r := range s.list {
 			if r.Domain == "z-d0" {
@@ -88,12 +107,31 @@
 	}
 }
 
+// twoSpecs asks for one replica of three VMs and one of two.
+func twoSpecs() *config.Document {
+	d := doc(3, 1)
+	d.Groups = append(d.Groups, config.GroupSpec{
+		Name: "small", Model: "m", ModelVer: "v1", VMs: 2, Min: 1, Max: 1, OneDomain: true,
+	})
+	return d
+}
+
+func (s *sim) configure(d *config.Document) {
+	s.doc = d
+	s.revision++
+	for _, n := range s.nodes {
+		n.Put(view.Configured{Revision: s.revision, Document: d})
+	}
+}
+
 // revive brings every engine back; those that were leaving get a new life.
 func (s *sim) revive() {
 	for i := range s.list {
 		e := s.engine(i)
 		e.dead = false
-		if e.state.Leaving {
+		listed := s.list[i].State == fleet.StateLeaving
+		s.list[i].State = fleet.StateLive
+		if e.state.Leaving || listed {
 			e.reboot(e.state.Boot + "+")
 		}
 	}
@@ -114,9 +152,11 @@
 	e.reboot("boot2")
 	e.state = was // it even claims the place it had
 	e.state.Boot = "boot2"
+	s.nodes[0].blind = true // not even a repair is possible now
 	s.run(simTick)
 	is.Equal(s.servingCount(0), 0)
-	s.run(10 * time.Second)
+	s.nodes[0].blind = false
+	s.run(15 * time.Second)
 	is.Equal(s.fault, "")
 	after := serving(s.nodes[0].Snapshot())[0]
 	is.Equal(after.ID, g.ID)
@@ -134,6 +174,7 @@
 	is.Equal(s.holder(), 0)
 	woke := false
 	s.nodes[0].beforeCommit = func() {
+		s.engine(0).dead = true // so that the other node chooses other VMs
 		s.pause(s.nodes[0], 15*time.Second)
 		woke = true
 	}
@@ -179,3 +220,48 @@
 	is.Equal(s.servingCount(0), 1)
 	is.Equal(s.servingCount(1), 1)
 }
+
+// Every group would be repaired at once for nothing. The owner is paused for
+// less than its lease; at its wake the probes it had in flight have timed out,
+// sent long ago. Going by time alone every member would be dead.
+func TestWakeFromAPauseDeclaresNobodyDead(t *testing.T) {
+	is := is.New(t)
+	s := newSim(doc(3, 1), 1, 1, true, 4)
+	s.run(10 * time.Second)
+	before := serving(s.nodes[0].Snapshot())[0]
+	n := s.nodes[0]
+	s.pause(n, 2*time.Second)
+	_, held := n.lease.Held(s.clk.Now())
+	is.True(held)
+	n.rec.Step(t.Context())
+	s.run(5 * time.Second)
+	is.Equal(serving(s.nodes[0].Snapshot())[0].Generation, before.Generation)
+}
+
+// The table comes back in an older state, without the groups and with lower
+// fences. Engines that check fences would refuse every order, and engines that
+// still report their old places must not be taken for members of new groups.
+func TestTableRestoredToAnOlderState(t *testing.T) {
+	is := is.New(t)
+	for _, after := range []time.Duration{0, simTick, 2 * time.Second} {
+		restoreTable(is, after)
+	}
+}
+
+// restoreTable restores the table to what it held after the given time.
+func restoreTable(is *is.I, after time.Duration) {
+	s := newSim(doc(3, 2), 1, 2, true, 6)
+	s.run(after)
+	old := maps.Clone(s.table.rows)
+	s.run(10 * time.Second)
+	is.Equal(s.servingCount(0), 2)
+	for i := range s.list {
+		s.engine(i).state.Fence += 5
+	}
+	s.table.rows = old
+	s.fences = map[fleet.VM]fleet.Fence{} // the table's fences did go down
+	s.claims = map[fleet.VM]view.Claim{}
+	s.run(30 * time.Second)
+	is.Equal(s.fault, "")
+	is.Equal(s.servingCount(0), 2)
+}
--- a/internal/group/health.go
+++ b/internal/group/health.go
@@ -92,6 +92,11 @@
 				a.gone = append(a.gone, i)
 			}
 			a.reason = string(m.VM) + " restarted"
+		case v.Probe.State.Fence > m.Fence:
+			// The table was restored to an older state: orders with the fence
+			// that it holds would be refused.
+			hurt++
+			a.reason = string(m.VM) + " has seen a newer fence than its claim holds"
 		case p.lostReplica(g, m, &v.Probe.State):
 			hurt++
 			a.reason = string(m.VM) + " holds the replica no more"
--- a/internal/group/memory.go
+++ b/internal/group/memory.go
@@ -50,6 +50,14 @@
 	}
 }
 
+// Restart returns the memory for a new tenure of the lease: only the count of
+// groups goes on, so that no id is drawn twice.
+func (m *Memory) Restart() *Memory {
+	n := NewMemory()
+	n.formed = m.formed
+	return n
+}
+
 // since returns when the group was first put into m.
 func since(m map[fleet.GroupID]clock.Instant, id fleet.GroupID, now clock.Instant) clock.Instant {
 	if at, ok := m[id]; ok {
--- a/internal/group/orders.go
+++ b/internal/group/orders.go
@@ -119,7 +119,7 @@
 // inPlace reports whether the engine has taken its place, loaded or not.
 func inPlace(g *fleet.Group, m *fleet.Member, st *fleet.EngineState) bool {
 	return st.Group == g.ID && st.Generation == g.Generation && st.Rank == m.Rank &&
-		st.Model == g.Model && st.Version == g.Version
+		(st.Fence == 0 || st.Fence >= m.Fence) && st.Model == g.Model && st.Version == g.Version
 }
 
 // holdsModel reports whether the weights are in the engine's memory already.
--- a/internal/group/place.go
+++ b/internal/group/place.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chervilloom/internal/config"
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/view"
@@ -23,7 +25,7 @@
 	}
 	p.mem.formed++
 	g := fleet.Group{
-		ID:         fleet.GroupID(fmt.Sprintf("%s.%s.%d.%d", p.in.Snap.Zone, s.Name, p.in.Grant.Fence, p.mem.formed)),
+		ID:         p.newID(s.Name),
 		Spec:       s.Name,
 		Generation: 1, Phase: fleet.PhaseForming,
 		Zone: p.in.Snap.Zone, Domain: vms[0].Record.Domain,
@@ -42,6 +44,15 @@
 	return true
 }
 
+// newID returns an id that no group had before, also when the table was restored
+// to an older state: an engine that still reports the place it had in a group of
+// the same id and generation would count as a member of the new one. So the id
+// names the life of the process that drew it, not something read from the table.
+func (p *planner) newID(spec string) fleet.GroupID {
+	life := uint32(xxhash.Sum64String(p.in.Snap.Self.String()))
+	return fleet.GroupID(fmt.Sprintf("%s.%s.%08x-%d", p.in.Snap.Zone, spec, life, p.mem.formed))
+}
+
 // place chooses the VMs of a new group, or nil.
 func (p *planner) place(s *config.GroupSpec) []*view.VM {
 	if !s.OneDomain {
--- a/internal/group/reconciler.go
+++ b/internal/group/reconciler.go
@@ -148,7 +148,7 @@
 		return
 	}
 	if grant.Fence != r.fence {
-		r.fence, r.dirty, r.mem = grant.Fence, true, NewMemory()
+		r.fence, r.dirty, r.mem = grant.Fence, true, r.mem.Restart()
 	}
 	every := r.Timing.Read
 	if r.dirty {
--- a/internal/group/repair.go
+++ b/internal/group/repair.go
@@ -139,7 +139,7 @@
 		return false
 	}
 	g := *old
-	g.Generation++
+	g.Generation = p.nextGeneration(old)
 	g.Phase = fleet.PhaseForming
 	g.Reason = "repair: " + it.assess.reason
 	g.Members = slices.Clone(old.Members)
@@ -158,6 +158,18 @@
 	return true
 }
 
+// nextGeneration is above the group's own and above any that an engine reports
+// for it: a table restored to an older state has forgotten generations.
+func (p *planner) nextGeneration(g *fleet.Group) fleet.Generation {
+	next := g.Generation
+	for _, v := range p.vms {
+		if st := &v.Probe.State; st.Group == g.ID {
+			next = max(next, st.Generation)
+		}
+	}
+	return next + 1
+}
+
 // membersKnown reports whether the boot id of every member that stays is known.
 // A member that has just begun to fail may be dead or not: the new generation
 // must not name it.
--- a/internal/group/sim_test.go
+++ b/internal/group/sim_test.go
@@ -25,17 +25,20 @@
 // clock that only the test moves. The pure parts and the adapters are the real
 // ones; the table, the engines, the probes' transport and the list are fakes.
 type sim struct {
-	clk     *clock.Manual
-	table   *fakeTable
-	engines *fakeEngines
-	list    []fleet.Record // as the platform publishes it now
-	nodes   []*simNode
-	doc     *config.Document
+	clk      *clock.Manual
+	table    *fakeTable
+	engines  *fakeEngines
+	list     []fleet.Record // as the platform publishes it now
+	nodes    []*simNode
+	doc      *config.Document
+	revision uint64
 	// seen is when each engine last truly reported a place, by VM and place.
-	seen    map[fleet.VM]map[place]clock.Instant
-	fences  map[fleet.VM]fleet.Fence
-	fault   string // the first broken promise
-	stepped int
+	seen   map[fleet.VM]map[place]clock.Instant
+	fences map[fleet.VM]fleet.Fence
+	claims map[fleet.VM]view.Claim
+	// lists are what the platform published, newest last; nodes read them late.
+	lists [][]fleet.Record
+	fault string // the first broken promise
 }
 
 // place is what a generation asks of a member.
@@ -58,7 +61,7 @@
 	paused   bool // does not step
 	cut      bool // cannot reach the engines
 	blind    bool // cannot reach the platform
-	listAt   int  // reads the list this many steps late
+	listLate int  // reads the list of this many ticks ago
 	// beforeCommit and beforeOrder run once, between the decision and its
 	// effect: the moment at which a pause hurts.
 	beforeCommit, beforeOrder func()
@@ -81,7 +84,7 @@
 	}
 	s := &sim{
 		clk: clock.NewManual(clock.Instant(time.Hour)), table: newFakeTable(), engines: engines, list: list,
-		doc: d, seen: map[fleet.VM]map[place]clock.Instant{}, fences: map[fleet.VM]fleet.Fence{},
+		doc: d, revision: 1, seen: map[fleet.VM]map[place]clock.Instant{}, fences: map[fleet.VM]fleet.Fence{}, claims: map[fleet.VM]view.Claim{},
 	}
 	for i := range nodes {
 		s.addNode(i)
@@ -89,9 +92,11 @@
 	return s
 }
 
-func (s *sim) addNode(i int) {
+func (s *sim) addNode(i int) { s.nodes = append(s.nodes, s.newNode(i, 1)) }
+
+func (s *sim) newNode(i int, life fleet.Incarnation) *simNode {
 	n := &simNode{
-		sim: s, self: fleet.Node{VM: fleet.VM(fmt.Sprintf("n%d", i)), Incarnation: 1},
+		sim: s, self: fleet.Node{VM: fleet.VM(fmt.Sprintf("n%d", i)), Incarnation: life},
 		failing: map[fleet.VM]clock.Instant{}, failures: map[fleet.VM]int{},
 	}
 	n.state = view.NewState(n.self, "z")
@@ -105,8 +110,8 @@
 		Explain: explain.NewStore("n", 100, 10), Log: log, Registry: prometheus.NewRegistry(),
 		Timing: Timing{Commits: 1, AtOnce: 1},
 	})
-	n.Put(view.Configured{Revision: 1, Document: s.doc})
-	s.nodes = append(s.nodes, n)
+	n.Put(view.Configured{Revision: s.revision, Document: s.doc})
+	return n
 }
 
 // Put merges an event at once.
@@ -189,7 +194,8 @@
 	}
 	n.probe()
 	if !n.blind {
-		n.Put(view.List{At: n.sim.clk.Now(), Records: n.sim.list})
+		late := max(0, len(n.sim.lists)-1-n.listLate)
+		n.Put(view.List{At: n.sim.clk.Now(), Records: n.sim.lists[late]})
 	}
 	n.lease.Step(context.Background())
 	n.rec.Step(context.Background())
@@ -199,7 +205,7 @@
 func (s *sim) run(d time.Duration) {
 	for end := s.clk.Now().Add(d); s.clk.Now().Before(end); {
 		s.clk.Advance(simTick)
-		s.stepped++
+		s.lists = append(s.lists, slices.Clone(s.list))
 		s.observe()
 		for _, n := range s.nodes {
 			n.step()
@@ -265,7 +271,10 @@
 		if c.Fence < s.fences[vm] {
 			s.breach("the fence of %s went from %d to %d", vm, s.fences[vm], c.Fence)
 		}
-		s.fences[vm] = c.Fence
+		if old, ok := s.claims[vm]; ok && c.Fence == s.fences[vm] && (c.Group != old.Group || c.Generation != old.Generation) {
+			s.breach("the claim of %s changed without a new fence", vm)
+		}
+		s.fences[vm], s.claims[vm] = c.Fence, c
 	}
 }
 
@@ -288,7 +297,7 @@
 	s.table.down = false
 	s.table.loseNext = false
 	for _, n := range s.nodes {
-		n.paused, n.cut, n.blind = false, false, false
+		n.paused, n.cut, n.blind, n.listLate = false, false, false, 0
 		n.beforeCommit, n.beforeOrder = nil, nil
 	}
 }
@@ -306,11 +315,16 @@
 	})
 }
 
-// pause stops a node in the middle of what it does while the rest go on.
+// pause stops a node in the middle of what it does while the rest go on. At its
+// wake it finds the probes that it had in flight timed out.
 func (s *sim) pause(n *simNode, d time.Duration) {
 	n.paused = true
+	before := s.clk.Now()
 	s.run(d)
 	n.paused = false
+	for _, r := range s.list {
+		n.Put(view.Probed{VM: r.VM, Sent: before.Add(1), Failing: before.Add(1), Failures: 1})
+	}
 }
 
 // servingCount counts the groups that a node would send requests to.
--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -117,6 +117,8 @@
 		return "is leaving"
 	case st.Fence > m.Fence:
 		return "follows an order with a newer fence"
+	case st.Fence != 0 && st.Fence < m.Fence: // 0: an engine that keeps no fence
+		return "has not got this generation's order"
 	case st.Group != g.ID:
 		return "is not in the group"
 	case st.Generation != g.Generation:
