--- a/internal/identify/model.go
+++ b/internal/identify/model.go
@@ -90,7 +90,8 @@
 	req.Target, req.Stream = t, b.Stream
 	req.MaxTokens = max(b.MaxTokens, b.MaxCompletionTokens)
 	msgs := b.messages()
-	req.Prefix, req.PromptTokens = engine.Prefixes(b.Model, msgs), engine.PromptTokens(msgs)
+	fields := engine.PromptFields(msgs)
+	req.Prefix, req.PromptTokens = engine.Prefixes(t.Model, t.Adapter, fields), estimateTokens(fields)
 	return nil
 }
 
@@ -106,6 +107,18 @@
 	return out
 }
 
+// bytesPerToken is a rough mean over languages and tokenizers.
+const bytesPerToken = 4
+
+// estimateTokens returns about how many tokens the prompt has.
+func estimateTokens(fields []string) int {
+	size := 0
+	for _, f := range fields {
+		size += len(f)
+	}
+	return size/bytesPerToken + 1
+}
+
 // malformed tells where the body cannot be read.
 func malformed(body []byte, err error) *outcome.Error {
 	remedy := "send the usual completion request as JSON"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"chervilloom/internal/accept"
+	"chervilloom/internal/admit"
 	"chervilloom/internal/clock"
 	"chervilloom/internal/discovery"
 	"chervilloom/internal/dispatch"
@@ -28,6 +29,7 @@
 	"chervilloom/internal/peer"
 	"chervilloom/internal/platform"
 	"chervilloom/internal/probe"
+	"chervilloom/internal/retry"
 	"chervilloom/internal/revision"
 	"chervilloom/internal/route"
 	"chervilloom/internal/settings"
@@ -76,7 +78,9 @@
 	explained *explain.Store
 
 	once       *once.Keeper
+	admit      *admit.Admitter
 	router     *route.Router
+	retries    *retry.Budget
 	dispatcher *dispatch.Dispatcher
 	accept     *accept.Server
 
--- a/internal/node/path.go
+++ b/internal/node/path.go
@@ -7,6 +7,7 @@
 
 	"chervilloom/internal/accept"
 	"chervilloom/internal/account"
+	"chervilloom/internal/admit"
 	"chervilloom/internal/answer"
 	"chervilloom/internal/clock"
 	"chervilloom/internal/dispatch"
@@ -15,6 +16,7 @@
 	"chervilloom/internal/membership"
 	"chervilloom/internal/once"
 	"chervilloom/internal/request"
+	"chervilloom/internal/retry"
 	"chervilloom/internal/route"
 	"chervilloom/internal/view"
 )
@@ -31,12 +33,17 @@
 		return err
 	}
 	n.router = route.New(route.Options{Self: n.self, Zone: n.set.Zone, Seed: seed(), Clock: n.clock, Registerer: n.reg})
+	n.retries = retry.NewBudget(retry.BudgetOptions{Seed: seed(), Clock: n.clock, Registerer: n.reg})
+	n.admit = admit.New(admit.Options{
+		View: n.view, Clock: n.clock, Log: n.log, Registerer: n.reg, Recorder: n.explained,
+	})
 	n.dispatcher = dispatch.New(dispatch.Options{
-		View: n.view, Clock: n.clock, Router: n.router, Retry: noRetries{}, Peers: n.mesh,
+		View: n.view, Clock: n.clock, Router: n.router, Retry: n.retries, Peers: n.mesh,
 		Prober: freshener{n}, Explain: n.explained, Log: n.log, Registerer: n.reg,
 	})
 	keyed := filter.Chain(n.dispatcher,
-		acc.Timed("once", n.once.Filter()))
+		acc.Timed("once", n.once.Filter()),
+		acc.Timed("admit", n.admit.Filter()))
 	callers := filter.Chain(keyed, acc.Filter, acc.Timed("identify", ident.Filter))
 	n.mesh.SetHandler(relayed{key: keyed, dispatch: filter.Chain(n.dispatcher, acc.Filter)})
 	n.accept = accept.New(accept.Options{
@@ -101,10 +108,3 @@
 }
 
 var _ dispatch.Prober = freshener{}
-
-// noRetries gives every request one try.
-type noRetries struct{}
-
-func (noRetries) First(request.Class) {}
-
-func (noRetries) Allow(request.Class) (bool, time.Duration) { return false, time.Second }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -47,8 +47,8 @@
 	duties.stop()
 	leases.stop()
 	err = errors.Join(err, n.drain(callers))
-	background.stop()
 	err = errors.Join(err, operators.Close())
+	background.stop()
 	n.close()
 	n.log.Info("stopped", "error", err)
 	return err
@@ -64,6 +64,7 @@
 	s.start("configuration", n.config.Run)
 	s.start("configuration to view", n.passConfig)
 	s.start("keys", forever(n.once.Run))
+	s.start("admission", forever(n.admit.Run))
 	s.start("cancels", n.dispatcher.Run)
 }
 
