--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -9,8 +9,6 @@
 	"chervilloom/internal/standin/fault"
 )
 
-const maxControlBody = 4 << 20
-
 // ServeHTTP serves the protocol of package engine, and for tests:
 //
 //	POST /faults      Faults; "restart": true begins a new life. GET shows them
