A late write that lands while it is looked for is told as accepted

A write that landed between the two reads was told as a conflict with itself, though it was in force. The same happened when the head moved before it could be fenced off. Now the head is read first, and a fence that failed makes the store look again. TestAWriteThatLandsWhileItIsLookedFor is red with either part put back (cases 1 and 2).

--- a/internal/revision/fake_test.go
+++ b/internal/revision/fake_test.go
@@ -30,11 +30,14 @@
 	lose int
 	// downAfterLoss takes the table down with a lost answer.
 	downAfterLoss bool
+	// downAfter takes the table down after that many more requests; 0: not.
+	downAfter int
 	// drop makes the next transactions have no effect and answer ErrAmbiguous;
 	// they stay in flight and may be delivered later.
 	drop     int
 	inFlight []platform.Txn
-	reads    int
+	// landAfter lets them land after that many more reads; 0: not.
+	landAfter int
 }
 
 func newTable() *table { return &table{rows: map[string]platform.Row{}} }
@@ -42,11 +45,26 @@
 func (t *table) Get(ctx context.Context, name, key string) (platform.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.reads++
-	if t.down || ctx.Err() != nil {
+	if t.count(ctx) {
 		return platform.Row{}, platform.ErrDown
 	}
-	return t.rows[name+"/"+key], nil
+	row := t.rows[name+"/"+key]
+	if t.landAfter > 0 {
+		if t.landAfter--; t.landAfter == 0 {
+			t.land()
+		}
+	}
+	return row, nil
+}
+
+// count counts a request and reports whether it fails.
+func (t *table) count(ctx context.Context) bool {
+	failed := t.down || ctx.Err() != nil
+	if t.downAfter > 0 {
+		t.downAfter--
+		t.down = t.down || t.downAfter == 0
+	}
+	return failed
 }
 
 func (t *table) List(_ context.Context, name, prefix string) ([]platform.Row, error) {
@@ -67,7 +85,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.down || ctx.Err() != nil {
+	if t.count(ctx) {
 		return platform.Result{}, platform.ErrDown
 	}
 	if t.drop > 0 {
@@ -109,6 +127,10 @@
 func (t *table) deliver() (committed int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.land()
+}
+
+func (t *table) land() (committed int) {
 	for _, txn := range t.inFlight {
 		if t.apply(txn).Committed {
 			committed++
--- a/internal/revision/store.go
+++ b/internal/revision/store.go
@@ -23,6 +23,7 @@
 	table      platform.Table
 	now        func() time.Time
 	newAttempt func() string
+	pause      func(ctx context.Context, d time.Duration) bool
 }
 
 // NewStore returns a store over table. now is the wall clock; nil means
@@ -31,7 +32,7 @@
 	if now == nil {
 		now = time.Now
 	}
-	return &Store{table: table, now: now, newAttempt: uuid.NewString}
+	return &Store{table: table, now: now, newAttempt: uuid.NewString, pause: pause}
 }
 
 // Head is the head row as read.
@@ -199,7 +200,10 @@
 		if err == nil || errors.Is(err, errAgain) || !unreadable(err) {
 			return done, err
 		}
-		if !pause(ctx, readBackPause) {
+		if errors.Is(err, errLookAgain) {
+			continue
+		}
+		if !s.pause(ctx, readBackPause) {
 			return nil, &Ambiguous{Stamp: rec.Stamp, Attempt: rec.Attempt, Cause: err}
 		}
 	}
@@ -212,35 +216,38 @@
 	return !errors.As(err, &conflict) && !errors.As(err, &refused)
 }
 
+// lookBack reads the head before the row. A write that has not landed when the
+// head is found moved cannot land any more, and one that has is then in its
+// row; read the other way round, a write that lands between the two reads would
+// be told as "not accepted".
 func (s *Store) lookBack(ctx context.Context, p Proposal, before Head, rec *Record) (*Record, error) {
-	row, _, err := s.get(ctx, rowKey(rec.Stamp.Number))
-	if err != nil {
-		return nil, err
-	}
-	if row != nil && row.Attempt == rec.Attempt {
-		return rec, nil
-	}
 	head, err := s.Head(ctx)
 	if err != nil {
 		return nil, err
 	}
-	if row != nil && head.Stamp.Number < row.Stamp.Number {
+	row, _, err := s.get(ctx, rowKey(rec.Stamp.Number))
+	switch {
+	case err != nil:
+		return nil, err
+	case row != nil && row.Attempt == rec.Attempt:
+		return rec, nil
+	case row != nil && head.Stamp.Number < row.Stamp.Number:
 		return nil, s.raise(ctx, head, row)
-	}
-	if row == nil && head.version == before.version {
+	case row == nil && head.version == before.version:
 		return nil, s.fenceOff(ctx, head)
-	}
-	// The head moved or the row is another's: the conditions of the write can
-	// no longer hold, so it has not landed and never will.
-	if p.startsFrom(head.Stamp) {
+	case p.startsFrom(head.Stamp):
 		return nil, errAgain
 	}
 	return nil, s.conflict(ctx, p, head.Stamp)
 }
 
+// errLookAgain says that the table moved while it was looked at.
+var errLookAgain = errors.New("revision: the table moved while it was read")
+
 // fenceOff rewrites the head as it is. A write whose answer was lost may be on
 // its way still; the new version of the head breaks its condition, so that it
-// can no longer land after its author was told "not accepted".
+// can no longer land after its author was told "not accepted". When the head
+// moved first, it may have been that very write: its row has to be read again.
 func (s *Store) fenceOff(ctx context.Context, head Head) error {
 	txn := platform.Txn{
 		Attempt: s.newAttempt(),
@@ -250,10 +257,14 @@
 	if head.version == 0 {
 		txn.Writes[0].Value = encodeHead(&Record{})
 	}
-	if _, err := s.table.Commit(ctx, txn); err != nil {
+	res, err := s.table.Commit(ctx, txn)
+	switch {
+	case err != nil:
 		return err
+	case res.Committed:
+		return errAgain
 	}
-	return errAgain
+	return errLookAgain
 }
 
 // raise repairs a head that stands below an accepted row: a table that was put
--- a/internal/revision/store_test.go
+++ b/internal/revision/store_test.go
@@ -1,6 +1,7 @@
 package revision_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"chervilloom/internal/platform"
 	"chervilloom/internal/revision"
 	"chervilloom/internal/yamlcheck"
 )
@@ -108,6 +110,31 @@
 	is.Equal(head.Stamp, rec.Stamp)
 }
 
+// The answer is lost and the write lands while its author is reading back,
+// between any two of the reads. The author is told "accepted" and the table
+// holds the revision once: a look at the row before the head took the write for
+// one that had not landed, and told of a conflict with itself.
+func TestAWriteThatLandsWhileItIsLookedFor(t *testing.T) {
+	const mostReads = 8
+	for reads := 1; reads <= mostReads; reads++ {
+		t.Run(fmt.Sprint(reads), func(t *testing.T) {
+			is, ctx := is.New(t), testContext(t)
+			tab := newTable()
+			s := revision.NewStore(tab, nil)
+			_, err := s.Accept(ctx, propose(0, 1), nil)
+			is.NoErr(err)
+			tab.drop, tab.landAfter = 1, 1+reads // the first read is that of the head, before the write
+			rec, err := s.Accept(ctx, propose(1, 2), nil)
+			is.NoErr(err)
+			tab.deliver()
+			head, err := s.Head(ctx)
+			is.NoErr(err)
+			is.Equal(head.Stamp, rec.Stamp)
+			is.Equal(head.Stamp.Number, uint64(2))
+		})
+	}
+}
+
 // The answer is lost and the table goes down. The caller is told neither
 // "accepted" nor "not accepted", and where to look.
 func TestAnUnsettledWriteIsAmbiguous(t *testing.T) {
@@ -149,3 +176,80 @@
 	is.NoErr(err)
 	is.Equal(len(history), 4)
 }
+
+// Only the head row is put back; the revisions above it still stand in the
+// table. A node that knows nothing is told of the highest of them; it must not
+// write over one of them, nor go on failing for ever.
+func TestAHeadPutBackAloneIsRaised(t *testing.T) {
+	is, ctx := is.New(t), testContext(t)
+	tab := newTable()
+	s := revision.NewStore(tab, nil)
+	var head platform.Row
+	for n := range 3 {
+		_, err := s.Accept(ctx, propose(uint64(n), n+1), nil)
+		is.NoErr(err)
+		if n == 0 {
+			head = tab.backup()["revisions/head"]
+		}
+	}
+	tab.set(func() { tab.rows["revisions/head"] = head })
+	_, err := s.Accept(ctx, propose(1, 9), nil)
+	var c *revision.Conflict
+	is.True(errors.As(err, &c))
+	is.Equal(c.Current.Number, uint64(3))
+	rec, err := s.Accept(ctx, propose(3, 9), nil)
+	is.NoErr(err)
+	is.Equal(rec.Stamp.Number, uint64(4))
+}
+
+// The table was put back to revision 1, and a node that knew no more accepted
+// another revision 2. The node that holds the first 2 heals: the later one
+// keeps the number, and the other stays in the table as a copy.
+func TestTheLoserOfANumberIsKeptAsACopy(t *testing.T) {
+	is, ctx := is.New(t), testContext(t)
+	tab := newTable()
+	now := time.Unix(1_700_000_000, 0)
+	s := revision.NewStore(tab, func() time.Time { now = now.Add(time.Second); return now })
+	one, err := s.Accept(ctx, propose(0, 1), nil)
+	is.NoErr(err)
+	old := tab.backup()
+	first, err := s.Accept(ctx, propose(1, 2), nil)
+	is.NoErr(err)
+	three, err := s.Accept(ctx, propose(2, 3), nil)
+	is.NoErr(err)
+	tab.restore(old)
+	second, err := s.Accept(ctx, propose(1, 4), nil)
+	is.NoErr(err)
+	wrote, err := s.Heal(ctx, []*revision.Record{one, first, three})
+	is.NoErr(err)
+	is.True(wrote)
+	head, err := s.Head(ctx)
+	is.NoErr(err)
+	is.Equal(head.Stamp, three.Stamp)
+	kept, err := s.Get(ctx, 2)
+	is.NoErr(err)
+	is.Equal(kept.Stamp, second.Stamp)
+	rows, err := tab.List(ctx, "revisions", fmt.Sprintf("%020d-%016x", 2, first.Stamp.Hash))
+	is.NoErr(err)
+	is.Equal(len(rows), 1)
+	wrote, err = s.Heal(ctx, []*revision.Record{one, first, three})
+	is.NoErr(err)
+	is.True(!wrote)
+}
+
+func TestADamagedRowIsTold(t *testing.T) {
+	is, ctx := is.New(t), testContext(t)
+	tab := newTable()
+	s := revision.NewStore(tab, nil)
+	_, err := s.Accept(ctx, propose(0, 1), nil)
+	is.NoErr(err)
+	for key, row := range tab.backup() {
+		row.Value = bytes.Replace(row.Value, []byte("weight"), []byte("wieght"), 1)
+		tab.set(func() { tab.rows[key] = row })
+	}
+	_, err = s.Get(ctx, 1)
+	is.True(err != nil)
+	is.True(!errors.Is(err, revision.ErrNoRevision))
+	_, err = s.Get(ctx, 2)
+	is.True(errors.Is(err, revision.ErrNoRevision))
+}
