--- a/internal/revision/fake_test.go
+++ b/internal/revision/fake_test.go
@@ -118,6 +118,10 @@
 	}
 	for _, w := range txn.Writes {
 		key := w.Table + "/" + w.Key
+		if w.Delete {
+			delete(t.rows, key)
+			continue
+		}
 		t.rows[key] = platform.Row{Table: w.Table, Key: w.Key, Version: t.rows[key].Version + 1, Value: w.Value, Attempt: txn.Attempt}
 	}
 	return platform.Result{Committed: true}
--- a/internal/revision/store.go
+++ b/internal/revision/store.go
@@ -176,11 +176,15 @@
 	return p.Base == head.Number && (p.BaseHash == 0 || p.BaseHash == head.Hash)
 }
 
+// Retained is how many revisions the table keeps; accepting one more deletes
+// the oldest, because nobody is there to clear a table that grows for years.
+const Retained = 1000
+
 // transaction accepts r after head. Both rows are checked: the head against
 // other authors, the new row against a head that was put back alone.
 func (r *Record) transaction(head Head) platform.Txn {
 	const table = platform.TableRevisions
-	return platform.Txn{
+	txn := platform.Txn{
 		Attempt: r.Attempt,
 		Checks: []platform.Check{
 			{Table: table, Key: headKey, Version: head.version},
@@ -191,6 +195,11 @@
 			{Table: table, Key: headKey, Value: encodeHead(r)},
 		},
 	}
+	if r.Stamp.Number > Retained {
+		oldest := rowKey(r.Stamp.Number - Retained)
+		txn.Writes = append(txn.Writes, platform.Write{Table: table, Key: oldest, Delete: true})
+	}
+	return txn
 }
 
 // settle reads back what became of the write of rec.
--- a/internal/revision/store_test.go
+++ b/internal/revision/store_test.go
@@ -253,3 +253,19 @@
 	_, err = s.Get(ctx, 2)
 	is.True(errors.Is(err, revision.ErrNoRevision))
 }
+
+func TestTheTableKeepsTheNewestRevisions(t *testing.T) {
+	is, ctx := is.New(t), testContext(t)
+	tab := newTable()
+	s := revision.NewStore(tab, nil)
+	const surplus = 3
+	for n := range revision.Retained + surplus {
+		_, err := s.Accept(ctx, propose(uint64(n), n%100+1), nil)
+		is.NoErr(err)
+	}
+	_, err := s.Get(ctx, surplus)
+	is.True(errors.Is(err, revision.ErrNoRevision))
+	_, err = s.Get(ctx, surplus+1)
+	is.NoErr(err)
+	is.Equal(len(tab.backup()), revision.Retained+1) // and the head
+}
