--- a/internal/revision/accept.go
+++ b/internal/revision/accept.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
@@ -38,10 +39,15 @@
 }
 
 func (k *Keeper) propose(ctx context.Context, p Proposal) (*Record, error) {
-	if err := k.catchUp(ctx); err != nil {
+	if err := k.awaitJoin(ctx); err != nil {
 		return nil, err
 	}
+	k.askPeers(ctx)
+	k.fetchHeard(ctx)
 	state := k.snapshot()
+	if err := k.mayBeBehind(ctx, &state, &p); err != nil {
+		return nil, err
+	}
 	rec, err := k.store.Accept(ctx, p, state.Records())
 	if err != nil {
 		k.learnFrom(err)
@@ -51,25 +57,31 @@
 	return rec, nil
 }
 
-// catchUp asks the peers for their highest revision and fetches it.
-func (k *Keeper) catchUp(ctx context.Context) error {
-	if err := k.awaitJoin(ctx); err != nil {
-		return err
-	}
-	k.askPeers(ctx)
-	k.fetchHeard(ctx)
-	state := k.snapshot()
+// mayBeBehind deals with a revision that was heard of and is neither held here
+// nor in the table, which was put back. Its number must not be given again. For
+// a while the proposal is refused, so that its holder can be reached again;
+// after that the revision counts as lost and the next number is above it, or
+// nothing could ever be accepted here.
+func (k *Keeper) mayBeBehind(ctx context.Context, state *State, p *Proposal) error {
 	if state.Seen.Compare(state.Highest()) <= 0 {
 		return nil
 	}
-	// Heard of, not held: the table has it unless it was put back.
-	if head, err := k.store.Head(ctx); err == nil && head.Stamp.Compare(state.Seen) >= 0 {
+	head, err := k.store.Head(ctx)
+	if err != nil {
+		return platformDown(err)
+	}
+	if head.Stamp.Compare(state.Seen) >= 0 {
 		return nil
 	}
-	return &Refused{
-		Reason: fmt.Sprintf("revision %d is in force elsewhere and this node could not fetch it yet", state.Seen.Number),
-		Remedy: "nothing changed, try again in a few seconds",
+	if left := k.opts.LostAfter - time.Since(k.lastHeard()); left > 0 {
+		return &Refused{
+			Reason: fmt.Sprintf("revision %d was in force elsewhere, and neither a peer nor the table hands it out", state.Seen.Number),
+			Remedy: fmt.Sprintf("nothing changed, try again; unless it turns up it counts as lost in %s", left.Round(time.Second)),
+		}
 	}
+	k.opts.Log.Error("a revision that was heard of counts as lost; the next one takes a number above it", "lost", state.Seen.String())
+	p.Above = state.Seen.Number
+	return nil
 }
 
 func (k *Keeper) awaitJoin(ctx context.Context) error {
--- a/internal/revision/decide.go
+++ b/internal/revision/decide.go
@@ -210,27 +210,31 @@
 	return s, actions
 }
 
-// clashes finds revisions in memory that h does not descend from: one with its
-// number, or one with the number of its base and other content, or one that is
-// based on another holder of h's number.
+// clashes reports the revisions in memory whose author and the author of h did
+// not know of each other.
 func (s *State) clashes(h Held) []Action {
 	var out []Action
 	for _, m := range s.Memory {
-		switch {
-		case m.Stamp.Number == h.Stamp.Number && m.Stamp.Hash != h.Stamp.Hash:
-			out = append(out, report(m.Stamp, h.Stamp))
-		case m.Stamp.Number == h.Base && m.Stamp.Hash != h.BaseHash:
-			out = append(out, report(m.Stamp, h.Stamp))
-		case m.Base == h.Stamp.Number && m.BaseHash != h.Stamp.Hash:
-			out = append(out, report(m.Stamp, h.Stamp))
+		winner, loser := m, h
+		if h.Stamp.Compare(m.Stamp) > 0 {
+			winner, loser = h, m
+		}
+		if unaware(winner.Record, loser.Record) {
+			out = append(out, Report{Winner: winner.Stamp, Loser: loser.Stamp})
 		}
 	}
 	return out
 }
 
-func report(a, b Stamp) Report {
-	if a.Compare(b) > 0 {
-		return Report{Winner: a, Loser: b}
+// unaware reports whether the higher revision is known not to descend from the
+// lower one: it has the same number and other content, or is based on other
+// content of the lower one's number, or on a revision below it.
+func unaware(higher, lower *Record) bool {
+	switch {
+	case higher.Stamp.Number == lower.Stamp.Number:
+		return higher.Stamp.Hash != lower.Stamp.Hash
+	case higher.Base == lower.Stamp.Number:
+		return higher.BaseHash != lower.Stamp.Hash
 	}
-	return Report{Winner: b, Loser: a}
+	return higher.Base < lower.Stamp.Number
 }
--- a/internal/revision/decide_test.go
+++ b/internal/revision/decide_test.go
@@ -46,6 +46,7 @@
 	two := record(2, 20, 2, one.Record)
 	twoLater := record(2, 21, 3, one.Record)
 	threeOnTwo := record(3, 30, 4, two.Record)
+	threeOnOne := record(3, 31, 5, one.Record)
 	unusable := revision.Held{Record: two.Record}
 	got := func(h revision.Held) revision.Event { return revision.Got{Held: h} }
 	for _, c := range []struct {
@@ -77,6 +78,11 @@
 		{"a revision based on other content of the number below tells the clash",
 			[]revision.Event{revision.Joined{}, got(twoLater), got(threeOnTwo)}, threeOnTwo.Stamp,
 			[]revision.Action{revision.Report{Winner: threeOnTwo.Stamp, Loser: twoLater.Stamp}, revision.Announce{Stamp: threeOnTwo.Stamp}, revision.Install{Held: threeOnTwo}}},
+		{"a revision that passed over another tells the clash",
+			[]revision.Event{revision.Joined{}, got(two), got(threeOnOne)}, threeOnOne.Stamp,
+			[]revision.Action{revision.Report{Winner: threeOnOne.Stamp, Loser: two.Stamp}, revision.Announce{Stamp: threeOnOne.Stamp}, revision.Install{Held: threeOnOne}}},
+		{"a line of revisions in the wrong order is no clash",
+			[]revision.Event{revision.Joined{}, got(threeOnTwo), got(one), got(two)}, threeOnTwo.Stamp, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/revision/keeper.go
+++ b/internal/revision/keeper.go
@@ -31,6 +31,8 @@
 	DefaultPoll     = 5 * time.Second
 	DefaultDigest   = 2 * time.Second
 	DefaultJoinWait = 2 * time.Second
+	// DefaultLostAfter outlasts the restart of a node and a short partition.
+	DefaultLostAfter = time.Minute
 )
 
 // Options set up a Keeper.
@@ -48,9 +50,12 @@
 	// JoinWait is how long a starting node waits for the answer of a peer
 	// before it trusts the table alone. Default 2s; negative: not at all.
 	JoinWait time.Duration
-	Seed     uint64 // of the jitter
-	Log      *slog.Logger
-	Metrics  prometheus.Registerer // nil: not registered
+	// LostAfter is how long nothing is accepted after a peer told of a revision
+	// that can be had neither from a peer nor from the table. Default 1m.
+	LostAfter time.Duration
+	Seed      uint64 // of the jitter
+	Log       *slog.Logger
+	Metrics   prometheus.Registerer // nil: not registered
 }
 
 func (o *Options) setDefaults() {
@@ -69,6 +74,9 @@
 	if o.JoinWait == 0 {
 		o.JoinWait = DefaultJoinWait
 	}
+	if o.LostAfter <= 0 {
+		o.LostAfter = DefaultLostAfter
+	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
@@ -90,8 +98,9 @@
 	metrics *metrics
 	force   atomic.Pointer[inForce]
 
-	mu          sync.Mutex // guards state and subscribers
+	mu          sync.Mutex // guards the three below
 	state       State
+	heardAt     time.Time // of the last word of a revision that is not held
 	subscribers []chan struct{}
 
 	// fetches holds the newest wish per peer ("" is the table). When it is
@@ -171,6 +180,9 @@
 	state, actions := Decide(k.state, e)
 	wasJoined := k.state.Joined
 	k.state = state
+	if h, ok := e.(Heard); ok && h.Stamp.Compare(state.Highest()) > 0 {
+		k.heardAt = time.Now()
+	}
 	if state.Joined && !wasJoined {
 		close(k.joined)
 	}
@@ -226,6 +238,12 @@
 	return k.state
 }
 
+func (k *Keeper) lastHeard() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.heardAt
+}
+
 // hold parses a record's document for Got.
 func (k *Keeper) hold(rec *Record) Held {
 	d, err := config.Parse("", rec.Document)
--- a/internal/revision/keeper_test.go
+++ b/internal/revision/keeper_test.go
@@ -171,6 +171,26 @@
 	is.Equal(number(a), uint64(1))
 }
 
+// The same, and the holder of revision 2 never comes back. After a while it
+// counts as lost, and the next revision takes the number above: an operator is
+// not locked out for ever, and number 2 is not given twice.
+func TestALostRevisionIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	m, tab := newMesh(), newTable()
+	a, _ := start(t, m, tab, "a", atOnce, func(o *revision.Options) { o.LostAfter = time.Millisecond })
+	acceptAll(t, a, 0, 1)
+	payload, err := cbor.Marshal(revision.Announcement{Stamp: revision.Stamp{Number: 2, Time: 1, Hash: 2}})
+	is.NoErr(err)
+	a.HandleAnnounce(fleet.Node{VM: "gone"}, payload)
+	eventually(t, "accepted", func() bool {
+		rec, err := a.Accept(testContext(t), 1, document(2), "asha")
+		return err == nil && rec.Stamp.Number == 3
+	})
+	history, err := a.History(testContext(t), 10)
+	is.NoErr(err)
+	is.Equal(len(history), 2)
+}
+
 // A peer hands out a record whose document is not the one of its hash, such as
 // one damaged in memory. The node keeps what it has.
 func TestADamagedRecordOfAPeerIsNotTaken(t *testing.T) {
--- a/internal/revision/store.go
+++ b/internal/revision/store.go
@@ -106,6 +106,9 @@
 	BaseHash uint64 // its hash; 0: not checked
 	Document []byte
 	Author   string
+	// Above is a number that must not be given: of a revision that was heard of
+	// and can be had neither from a peer nor from the table.
+	Above uint64
 }
 
 const (
@@ -159,7 +162,7 @@
 		return nil, s.conflict(ctx, p, head.Stamp)
 	}
 	rec := &Record{
-		Stamp:    Stamp{Number: head.Stamp.Number + 1, Time: at.UnixMilli(), Hash: config.Hash(p.Document)},
+		Stamp:    Stamp{Number: max(head.Stamp.Number, p.Above) + 1, Time: at.UnixMilli(), Hash: config.Hash(p.Document)},
 		Document: p.Document, Author: p.Author,
 		Base: head.Stamp.Number, BaseHash: head.Stamp.Hash, Attempt: s.newAttempt(),
 	}
