The test of the digest waits until the announcement was lost

It was green with the digests taken out: the announcement could be sent after the link was mended. Now it waits until it went to nobody; red without digests.

--- a/internal/revision/fake_test.go
+++ b/internal/revision/fake_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/goleak"
 
 	"chervilloom/internal/fleet"
@@ -165,10 +166,11 @@
 	mu      sync.Mutex
 	keepers map[fleet.VM]*revision.Keeper
 	cut     map[fleet.VM]bool
+	told    map[fleet.VM]uint64 // number that each VM last broadcast, whoever heard it
 }
 
 func newMesh() *mesh {
-	return &mesh{keepers: map[fleet.VM]*revision.Keeper{}, cut: map[fleet.VM]bool{}}
+	return &mesh{keepers: map[fleet.VM]*revision.Keeper{}, cut: map[fleet.VM]bool{}, told: map[fleet.VM]uint64{}}
 }
 
 var errCut = errors.New("cut off")
@@ -210,6 +212,11 @@
 			k.HandleAnnounce(fleet.Node{VM: p.self}, payload)
 		}
 	}
+	var a revision.Announcement
+	if err := cbor.Unmarshal(payload, &a); err != nil {
+		panic(err)
+	}
+	p.mesh.set(func() { p.mesh.told[p.self] = a.Stamp.Number })
 }
 
 func (p port) Call(ctx context.Context, to fleet.VM, method string, payload []byte) ([]byte, error) {
--- a/internal/revision/keeper_test.go
+++ b/internal/revision/keeper_test.go
@@ -108,6 +108,11 @@
 	await(t, b, 1)
 	m.set(func() { m.cut["b"] = true })
 	acceptAll(t, a, 1, 2)
+	eventually(t, "announced to nobody", func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.told["a"] == 3
+	})
 	m.set(func() { m.cut["b"] = false })
 	await(t, b, 3)
 }
