Fetching tries few peers before the table; every fault of settings in one golden file

A node that had heard of a revision from many peers and was then cut off from them waited for a timeout of each, one after another, before it read the table: up to 256 s by the bound of the ring (calculated, not run). It tries three peers and then the table; digests bring the rest back.

chervilloom_revision_seen_number tells the highest number heard of, so that a node that is behind can be seen.

--- a/internal/revision/keeper.go
+++ b/internal/revision/keeper.go
@@ -180,6 +180,7 @@
 	state, actions := Decide(k.state, e)
 	wasJoined := k.state.Joined
 	k.state = state
+	k.metrics.seen.Set(float64(state.Seen.Number))
 	if h, ok := e.(Heard); ok && h.Stamp.Compare(state.Highest()) > 0 {
 		k.heardAt = time.Now()
 	}
--- a/internal/revision/metrics.go
+++ b/internal/revision/metrics.go
@@ -4,6 +4,7 @@
 
 type metrics struct {
 	inForce prometheus.Gauge
+	seen    prometheus.Gauge
 	accepts *prometheus.CounterVec
 	fetches *prometheus.CounterVec
 	heals   prometheus.Counter
@@ -18,6 +19,7 @@
 	counter := func(name, help string) prometheus.CounterOpts { return prometheus.CounterOpts(opts(name, help)) }
 	m := &metrics{
 		inForce: prometheus.NewGauge(prometheus.GaugeOpts(opts("in_force_number", "Number of the configuration revision in force; 0: none."))),
+		seen:    prometheus.NewGauge(prometheus.GaugeOpts(opts("seen_number", "Highest number heard of; above the one in force while the node is behind."))),
 		accepts: prometheus.NewCounterVec(counter("accepts_total", "Documents proposed to this node by result."), []string{"result"}),
 		fetches: prometheus.NewCounterVec(counter("fetches_total", "Revisions fetched by source and result."), []string{"source", "result"}),
 		heals:   prometheus.NewCounter(counter("heals_total", "Times this node wrote revisions again that the table had lost.")),
@@ -25,7 +27,7 @@
 		refused: prometheus.NewCounter(counter("refused_total", "Revisions that this node could not use.")),
 	}
 	if r != nil {
-		r.MustRegister(m.inForce, m.accepts, m.fetches, m.heals, m.clashes, m.refused)
+		r.MustRegister(m.inForce, m.seen, m.accepts, m.fetches, m.heals, m.clashes, m.refused)
 	}
 	return m
 }
--- a/internal/revision/spread.go
+++ b/internal/revision/spread.go
@@ -1,6 +1,7 @@
 package revision
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -22,6 +23,8 @@
 	jitter = 0.2
 	// maxAsked bounds how many peers are asked for their highest revision.
 	maxAsked = 16
+	// maxPeersTried bounds how many peers are tried before the table.
+	maxPeersTried = 3
 	// callTimeout ends one call of a peer.
 	callTimeout = time.Second
 	// tableTimeout ends one read of the table.
@@ -146,8 +149,21 @@
 	}
 }
 
+// fetchHeard tries the sources of the highest stamps, peers first. The rest is
+// dropped: with many peers out of reach a whole round of timeouts would hold up
+// the one source that answers, and the digests tell of the revision again.
 func (k *Keeper) fetchHeard(ctx context.Context) {
-	for _, f := range k.fetches.Take() {
+	wishes := k.fetches.Take()
+	slices.SortStableFunc(wishes, func(a, b fetch) int {
+		return cmp.Or(b.stamp.Compare(a.stamp), cmp.Compare(b.from, a.from))
+	})
+	peers := 0
+	for _, f := range wishes {
+		if f.from != "" {
+			if peers++; peers > maxPeersTried {
+				continue
+			}
+		}
 		k.fetch(ctx, f)
 	}
 }
--- a/internal/settings/bytesize.go
+++ b/internal/settings/bytesize.go
@@ -1,7 +1,7 @@
 package settings
 
 import (
-	"fmt"
+	"errors"
 	"math"
 	"strconv"
 	"strings"
@@ -18,6 +18,9 @@
 // Example returns a size as settings write it.
 func (ByteSize) Example() string { return "4MiB" }
 
+// errByteSize says what a size looks like.
+var errByteSize = errors.New("not a whole number above 0 with the unit B, KiB, MiB or GiB")
+
 // UnmarshalText reads a whole number and its unit.
 func (s *ByteSize) UnmarshalText(b []byte) error {
 	text := string(b)
@@ -28,10 +31,10 @@
 		}
 		n, err := strconv.ParseInt(number, 10, 64)
 		if err != nil || n < 1 || n > math.MaxInt64/u.bytes {
-			return fmt.Errorf("%q is not a whole number of %s above 0", number, u.suffix)
+			return errByteSize
 		}
 		*s = ByteSize(n * u.bytes)
 		return nil
 	}
-	return fmt.Errorf("no unit B, KiB, MiB or GiB")
+	return errByteSize
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -44,14 +44,14 @@
 
 func (c checker) required(path, value string) {
 	if value == "" {
-		c.Addf(path, "write "+path, "required and missing")
+		c.Addf(path, "write "+path, "must not be empty")
 	}
 }
 
 func (c checker) ip(ip netip.Addr) {
 	switch {
 	case !ip.IsValid():
-		c.Addf("ip", "write the node's address by number, such as 10.0.0.1", "required and missing")
+		c.Addf("ip", "write the node's address by number, such as 10.0.0.1", "must not be empty")
 	case ip.IsUnspecified(), ip.IsMulticast():
 		c.Addf("ip", "write the one address that peers reach, such as 10.0.0.1", "%s is not the address of one VM", ip)
 	}
@@ -59,14 +59,14 @@
 
 func (c checker) address(path string, a netip.AddrPort) {
 	if !a.IsValid() {
-		c.Addf(path, "write ip:port, such as 10.0.0.1:8080; port 0 lets the kernel choose", "required and missing")
+		c.Addf(path, "write ip:port, such as 10.0.0.1:8080; port 0 lets the kernel choose", "must not be empty")
 	}
 }
 
 func (c checker) url(path, value string) {
 	const remedy = "write http://ip:port, such as http://10.0.0.1:9000"
 	if value == "" {
-		c.Addf(path, remedy, "required and missing")
+		c.Addf(path, remedy, "must not be empty")
 		return
 	}
 	u, err := url.Parse(value)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
 
 	"chervilloom/internal/settings"
 	"chervilloom/internal/yamlcheck"
@@ -73,3 +74,14 @@
 	is.Equal(len(problems), 1)
 	is.Equal(problems[0].Path, "peer.secret_file")
 }
+
+// One file with a fault of each kind; rewrite the golden file with
+// "go test -update" and read what changed.
+func TestWrongSettings(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile("testdata/wrong.yaml")
+	is.NoErr(err)
+	_, err = settings.Parse("wrong.yaml", data)
+	is.True(err != nil)
+	goldie.New(t, goldie.WithNameSuffix(".golden")).Assert(t, "wrong", []byte(err.Error()+"\n"))
+}
