--- a/internal/revision/keeper_test.go
+++ b/internal/revision/keeper_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -293,3 +295,39 @@
 	is.Equal(revision.DigestInterval(2*time.Second, 6), 2*time.Second)
 	is.Equal(revision.DigestInterval(2*time.Second, 370), 7400*time.Millisecond)
 }
+
+// Twenty peers tell of a revision and none of them can be reached any more.
+// The node asks three of them and then reads the table: with a timeout for each
+// of twenty, the revision would be in force half a minute late.
+func TestPeersOutOfReachDoNotHoldUpTheTable(t *testing.T) {
+	is := is.New(t)
+	tab := newTable()
+	rec, err := revision.NewStore(tab, nil).Accept(testContext(t), propose(0, 1), nil)
+	is.NoErr(err)
+	gone := &gonePeers{}
+	k := revision.NewKeeper(revision.Options{Table: tab, Peers: gone, Poll: time.Millisecond, JoinWait: atOnce})
+	announce, err := cbor.Marshal(revision.Announcement{Stamp: rec.Stamp})
+	is.NoErr(err)
+	const peers = 20
+	for i := range peers {
+		k.HandleAnnounce(fleet.Node{VM: fleet.VM(fmt.Sprint(i))}, announce)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = k.Run(ctx) }()
+	await(t, k, 1)
+	cancel()
+	<-done
+	is.Equal(gone.fetches.Load(), int32(3))
+}
+
+type gonePeers struct{ fetches atomic.Int32 }
+
+func (*gonePeers) Broadcast(string, []byte) {}
+
+func (g *gonePeers) Call(_ context.Context, _ fleet.VM, method string, _ []byte) ([]byte, error) {
+	if method == revision.MethodFetch {
+		g.fetches.Add(1)
+	}
+	return nil, errCut
+}
