A document that is not UTF-8 is refused

A byte that is not UTF-8, in a comment say, passed the checks. The row is JSON, which replaces such a byte; the committed revision then failed its hash on every reader, and its author waited 20 s for "unknown" (TestADocumentThatTheRowCannotHoldIsRefused, red before). Such documents and settings are refused with the place of the byte.

--- a/internal/revision/store_test.go
+++ b/internal/revision/store_test.go
@@ -269,3 +269,23 @@
 	is.NoErr(err)
 	is.Equal(len(tab.backup()), revision.Retained+1) // and the head
 }
+
+// A comment holds a byte that is no UTF-8. The row is JSON and would come back
+// with another byte, so that the accepted revision could be read by no node.
+func TestADocumentThatTheRowCannotHoldIsRefused(t *testing.T) {
+	is, ctx := is.New(t), testContext(t)
+	s := revision.NewStore(newTable(), nil)
+	p := propose(0, 1)
+	p.Document = append(p.Document, "# \xff\n"...)
+	_, err := s.Accept(ctx, p, nil)
+	var problems yamlcheck.Problems
+	is.True(errors.As(err, &problems))
+	is.Equal(problems[0].Line, 9)
+	p = propose(0, 1)
+	p.Document = append(p.Document, "# \u2028 \U0001f600 <&>\r\n"...)
+	rec, err := s.Accept(ctx, p, nil)
+	is.NoErr(err)
+	back, err := s.Get(ctx, rec.Stamp.Number)
+	is.NoErr(err)
+	is.Equal(back.Document, p.Document)
+}
--- a/internal/yamlcheck/decode.go
+++ b/internal/yamlcheck/decode.go
@@ -9,6 +9,7 @@
 	"reflect"
 	"slices"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
@@ -46,6 +47,12 @@
 		d.add("", Position{1, 1}, fmt.Sprintf("write at most %d bytes", MaxSize), "the document has %d bytes", len(data))
 		return nil
 	}
+	// Documents go through JSON and CBOR, which replace or refuse such bytes: what
+	// comes back would not be what was checked.
+	if at, ok := invalidUTF8(data); !ok {
+		d.add("", at, "save the file as UTF-8", "a byte that is not UTF-8")
+		return nil
+	}
 	tokens := lexer.Tokenize(string(data))
 	var sh shape
 	for _, tk := range tokens {
@@ -76,6 +83,24 @@
 	return nil
 }
 
+// invalidUTF8 returns the place of the first byte that is not UTF-8; ok when
+// there is none.
+func invalidUTF8(data []byte) (at Position, ok bool) {
+	at = Position{1, 1}
+	for len(data) > 0 {
+		r, size := utf8.DecodeRune(data)
+		if r == utf8.RuneError && size == 1 {
+			return at, false
+		}
+		at.Column++
+		if r == '\n' {
+			at = Position{at.Line + 1, 1}
+		}
+		data = data[size:]
+	}
+	return at, true
+}
+
 func (d *decoder) syntax(err error) {
 	at, message := Position{1, 1}, err.Error()
 	var se *yaml.SyntaxError
