--- a/internal/revision/fake_test.go
+++ b/internal/revision/fake_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/goleak"
 
 	"chervilloom/internal/fleet"
@@ -30,11 +31,14 @@
 	lose int
 	// downAfterLoss takes the table down with a lost answer.
 	downAfterLoss bool
+	// downAfter takes the table down after that many more requests; 0: not.
+	downAfter int
 	// drop makes the next transactions have no effect and answer ErrAmbiguous;
 	// they stay in flight and may be delivered later.
 	drop     int
 	inFlight []platform.Txn
-	reads    int
+	// landAfter lets them land after that many more reads; 0: not.
+	landAfter int
 }
 
 func newTable() *table { return &table{rows: map[string]platform.Row{}} }
@@ -42,11 +46,26 @@
 func (t *table) Get(ctx context.Context, name, key string) (platform.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.reads++
-	if t.down || ctx.Err() != nil {
+	if t.count(ctx) {
 		return platform.Row{}, platform.ErrDown
 	}
-	return t.rows[name+"/"+key], nil
+	row := t.rows[name+"/"+key]
+	if t.landAfter > 0 {
+		if t.landAfter--; t.landAfter == 0 {
+			t.land()
+		}
+	}
+	return row, nil
+}
+
+// count counts a request and reports whether it fails.
+func (t *table) count(ctx context.Context) bool {
+	failed := t.down || ctx.Err() != nil
+	if t.downAfter > 0 {
+		t.downAfter--
+		t.down = t.down || t.downAfter == 0
+	}
+	return failed
 }
 
 func (t *table) List(_ context.Context, name, prefix string) ([]platform.Row, error) {
@@ -67,7 +86,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.down || ctx.Err() != nil {
+	if t.count(ctx) {
 		return platform.Result{}, platform.ErrDown
 	}
 	if t.drop > 0 {
@@ -100,6 +119,10 @@
 	}
 	for _, w := range txn.Writes {
 		key := w.Table + "/" + w.Key
+		if w.Delete {
+			delete(t.rows, key)
+			continue
+		}
 		t.rows[key] = platform.Row{Table: w.Table, Key: w.Key, Version: t.rows[key].Version + 1, Value: w.Value, Attempt: txn.Attempt}
 	}
 	return platform.Result{Committed: true}
@@ -109,6 +132,10 @@
 func (t *table) deliver() (committed int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.land()
+}
+
+func (t *table) land() (committed int) {
 	for _, txn := range t.inFlight {
 		if t.apply(txn).Committed {
 			committed++
@@ -139,10 +166,11 @@
 	mu      sync.Mutex
 	keepers map[fleet.VM]*revision.Keeper
 	cut     map[fleet.VM]bool
+	told    map[fleet.VM]uint64 // number that each VM last broadcast, whoever heard it
 }
 
 func newMesh() *mesh {
-	return &mesh{keepers: map[fleet.VM]*revision.Keeper{}, cut: map[fleet.VM]bool{}}
+	return &mesh{keepers: map[fleet.VM]*revision.Keeper{}, cut: map[fleet.VM]bool{}, told: map[fleet.VM]uint64{}}
 }
 
 var errCut = errors.New("cut off")
@@ -184,6 +212,11 @@
 			k.HandleAnnounce(fleet.Node{VM: p.self}, payload)
 		}
 	}
+	var a revision.Announcement
+	if err := cbor.Unmarshal(payload, &a); err != nil {
+		panic(err)
+	}
+	p.mesh.set(func() { p.mesh.told[p.self] = a.Stamp.Number })
 }
 
 func (p port) Call(ctx context.Context, to fleet.VM, method string, payload []byte) ([]byte, error) {
