Ask late members again and suspects twice

Cause: one round of indirect pings loses too much, so late probes are repeated each ack timeout, directly as well. And gossip tells a node nothing about once in e^9 times: a refutation that reached all others left that one node with a dead member, so a node that still holds a suspect asks it itself at half and at three quarters of its time.

--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -32,14 +32,14 @@
 // measures.
 func Defaults() Config {
 	return Config{
-		Period:        time.Second,
+		Period:        500 * time.Millisecond,
 		AckTimeout:    300 * time.Millisecond,
 		ProbeTimeout:  time.Second,
 		Indirect:      3,
 		Suspicion:     5 * time.Second,
 		GossipPeriod:  200 * time.Millisecond,
 		GossipFanout:  3,
-		NewsPerPacket: 12,
+		NewsPerPacket: 32,
 		Retransmit:    1.5,
 		SyncPeriod:    15 * time.Second,
 		DeadPeriod:    5 * time.Second,
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -28,6 +28,8 @@
 	packets int
 	bytes   int
 	onState func(n *testNode)
+	// plain, when set, stands in for State.Step in every node.
+	plain func(n *testNode, now clock.Instant, ev Event) []Action
 }
 
 type testNode struct {
@@ -36,8 +38,6 @@
 	up     bool
 	paused clock.Instant // until then nothing is handled
 	pauses int
-	chirps int
-	seen   map[fleet.VM]view.NodeState
 }
 
 type scheduled struct {
@@ -84,7 +84,7 @@
 	vm := vmName(i)
 	zone := fleet.AvailabilityZone(fmt.Sprint("z", i%3))
 	state := New(fleet.Node{VM: vm, Incarnation: life}, zone, addrOf(i), f.cfg, rand.New(rand.NewPCG(f.rng.Uint64(), 2)))
-	n := &testNode{State: state, index: i, up: true, seen: map[fleet.VM]view.NodeState{}}
+	n := &testNode{State: state, index: i, up: true}
 	if i < len(f.nodes) {
 		f.nodes[i] = n
 	} else {
@@ -132,7 +132,11 @@
 		f.at(e.at, n, e.ev)
 		return
 	}
-	f.act(n, n.Step(f.now, e.ev))
+	if f.plain != nil {
+		f.act(n, f.plain(n, f.now, e.ev))
+	} else {
+		f.act(n, n.Step(f.now, e.ev))
+	}
 	if _, ok := e.ev.(Tick); ok {
 		f.at(f.now.Add(f.cfg.TickPeriod), n, Tick{})
 	}
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -92,7 +92,7 @@
 
 // gossip sends urgent news to a few members.
 func (s *State) gossip() {
-	if !s.news.hasUrgent() {
+	if len(s.news.items) == 0 {
 		return
 	}
 	for _, m := range s.pick(s.cfg.GossipFanout, "") {
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -115,7 +115,7 @@
 	if m.Status != Suspect {
 		return
 	}
-	m.refute = now.Add(s.cfg.suspicion(s.live + 1))
+	m.refute, m.asked = now.Add(s.cfg.suspicion(s.live+1)), 0
 	if !slices.Contains(s.suspects, m.VM) {
 		s.suspects = append(s.suspects, m.VM)
 	}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -1,17 +1,19 @@
 package membership
 
 import (
+	"time"
+
 	"chervilloom/internal/clock"
 	"chervilloom/internal/fleet"
 )
 
 // probe is a ping that waits for its ack, from the member or through others.
 type probe struct {
-	seq      uint64
-	node     fleet.Node
-	version  uint64
-	sent     clock.Instant
-	repeated bool // through others
+	seq     uint64
+	node    fleet.Node
+	version uint64
+	sent    clock.Instant
+	repeats int // rounds in which it was sent again
 }
 
 // relayed is a ping sent for another member, to which the ack is passed on.
@@ -58,8 +60,8 @@
 	s.send(m, &Message{Kind: KindPing, Seq: s.seq})
 }
 
-// checkProbes repeats late probes through others and suspects those who answer
-// nobody.
+// checkProbes repeats late probes, directly and through others, and suspects
+// those who answer nobody.
 func (s *State) checkProbes(now clock.Instant) {
 	kept := s.probes[:0]
 	for _, p := range s.probes {
@@ -68,8 +70,8 @@
 			s.suspect(now, p)
 			continue
 		}
-		if age >= s.cfg.AckTimeout && !p.repeated {
-			p.repeated = true
+		if age >= time.Duration(p.repeats+1)*s.cfg.AckTimeout {
+			p.repeats++
 			s.repeat(p)
 		}
 		kept = append(kept, p)
@@ -82,6 +84,10 @@
 	if m == nil {
 		return
 	}
+	if s.cfg.Indirect == 0 {
+		return
+	}
+	s.send(m, &Message{Kind: KindPing, Seq: p.seq})
 	for _, via := range s.pick(s.cfg.Indirect, p.node.VM) {
 		s.send(via, &Message{Kind: KindPingReq, Seq: p.seq, Target: m.VM, Addr: m.Addr})
 	}
@@ -147,6 +153,7 @@
 			continue
 		case now.Before(m.refute):
 			s.suspects = append(s.suspects, vm)
+			s.askAgain(now, m)
 			continue
 		}
 		e := m.Entry
@@ -154,3 +161,15 @@
 		s.apply(now, m, &e)
 	}
 }
+
+// askAgain pings a suspect when half of its time is gone and again at three
+// quarters. Gossip misses a node now and then: without this a member whose
+// refutation reached all others would be dead to that one.
+func (s *State) askAgain(now clock.Instant, m *member) {
+	left := m.refute.Sub(now)
+	total := s.cfg.suspicion(s.live + 1)
+	if m.asked < 2 && left <= total>>(m.asked+1) {
+		m.asked++
+		s.ping(now, m)
+	}
+}
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -83,6 +83,7 @@
 	since  clock.Instant // of the status
 	heard  clock.Instant // newest direct word; 0: none
 	refute clock.Instant // suspects: when the time to refute ends
+	asked  uint          // suspects: pings since the suspicion
 }
 
 // State is one node's belief of the membership. It is not safe for concurrent
