--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -10,6 +10,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -20,6 +21,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"chervilloom/internal/answer"
 	"chervilloom/internal/clock"
 	"chervilloom/internal/filter"
 	"chervilloom/internal/fleet"
@@ -123,23 +125,28 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		id := uuid.NewString()
 		w.Header().Set(HeaderRequest, id)
-		switch s.flight.enter() {
-		case phaseClosed:
-			w.Header().Set("Connection", "close")
+		if s.flight.enter() == phaseClosed {
+			s.closing(w.Header())
 			writeError(w, shuttingDown(), id)
 			return
-		case phaseNotice:
-			// The caller's next request goes to another connection, and so to
-			// another node, before this one closes.
-			w.Header().Set("Connection", "close")
 		}
 		defer s.flight.leave()
+		s.closing(w.Header())
 		s.metrics.inFlight.Inc()
 		defer s.metrics.inFlight.Dec()
 		h(w, r, id)
 	}
 }
 
+// closing has the connection closed after the answer while the node shuts
+// down: the caller's next request goes to another connection, and so to
+// another node, instead of racing this one's end.
+func (s *Server) closing(h http.Header) {
+	if s.flight.phase() != phaseOpen {
+		h.Set("Connection", "close")
+	}
+}
+
 func shuttingDown() *outcome.Error {
 	return outcome.New(outcome.ShuttingDown, outcome.NotRun, "this node is shutting down",
 		"send the request again on a new connection").After(time.Second)
@@ -160,8 +167,8 @@
 		s.opt.Log.LogAttrs(ctx, slog.LevelInfo, "caller's request id",
 			slog.String("id", id), slog.String("theirs", clip(theirs)))
 	}
-	out := newWriter(w, r, req, s.opt.AnswerBuffer)
-	s.opt.Handler.Serve(ctx, req, out)
+	out := newWriter(w, r, req, s.opt.AnswerBuffer, s.closing)
+	s.runPath(ctx, req, out)
 	if out.cut {
 		s.metrics.aborted.Inc()
 		// The status is out: only a broken connection keeps the caller's HTTP
@@ -170,6 +177,20 @@
 	}
 }
 
+// runPath makes sure that the answer is finished, also when a filter panics or
+// forgets to: the caller would otherwise see an empty success.
+func (s *Server) runPath(ctx context.Context, req *request.Request, w *writer) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.opt.Log.ErrorContext(ctx, "the request path panicked", "id", req.ID, "panic", p, "stack", string(debug.Stack()))
+		}
+		if !w.finished {
+			w.Finish(answer.End{})
+		}
+	}()
+	s.opt.Handler.Serve(ctx, req, w)
+}
+
 func (s *Server) span(r *http.Request, id string) (context.Context, trace.Span) {
 	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	return s.tracer.Start(ctx, "accept", trace.WithSpanKind(trace.SpanKindServer),
--- a/internal/accept/writer.go
+++ b/internal/accept/writer.go
@@ -1,6 +1,7 @@
 package accept
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 
@@ -14,24 +15,38 @@
 // in a status; one that outgrows the buffer is sent as it comes, with the
 // outcome in a trailer.
 type writer struct {
-	w    http.ResponseWriter
-	ctl  *http.ResponseController
-	r    *http.Request
-	req  *request.Request
-	room int
-
-	head    answer.Head
-	started bool // Start was called
-	sent    bool // the status is out
-	held    []byte
-	buf     []byte
-	cut     bool // the caller has a part: the connection must be aborted
+	w       http.ResponseWriter
+	ctl     *http.ResponseController
+	r       *http.Request
+	req     *request.Request
+	room    int
+	holdAll bool              // never send a part of a body
+	closing func(http.Header) // called before the headers go out
+
+	head     answer.Head
+	started  bool // Start was called
+	finished bool
+	sent     bool // the status is out
+	held     []byte
+	buf      []byte
+	cut      bool // the caller has a part: the connection must be aborted
 }
 
-func newWriter(w http.ResponseWriter, r *http.Request, req *request.Request, room int) *writer {
-	return &writer{w: w, ctl: http.NewResponseController(w), r: r, req: req, room: room}
+func newWriter(w http.ResponseWriter, r *http.Request, req *request.Request, room int, closing func(http.Header)) *writer {
+	out := &writer{w: w, ctl: http.NewResponseController(w), r: r, req: req, room: room, closing: closing}
+	if !r.ProtoAtLeast(1, 1) {
+		out.room, out.holdAll = roomHTTP10, true
+	}
+	return out
 }
 
+// roomHTTP10 bounds an answer to an HTTP/1.0 caller. That protocol ends an
+// answer without a length by closing the connection, so that a cut one cannot
+// be told from a whole one: it is held back to its end.
+const roomHTTP10 = 64 << 20
+
+var errTooLong = errors.New("accept: the answer is too long for HTTP/1.0; have the caller use HTTP/1.1")
+
 // Start takes the head of the answer.
 func (w *writer) Start(h answer.Head) error {
 	w.head, w.started = h, true
@@ -53,6 +68,7 @@
 		h.Set("Cache-Control", "no-cache")
 	}
 	w.sent = true
+	w.closing(h)
 	w.w.WriteHeader(w.head.Status)
 	return w.ctl.Flush()
 }
@@ -80,6 +96,9 @@
 		w.held = append(w.held, f.Data...)
 		return nil
 	}
+	if w.holdAll {
+		return errTooLong
+	}
 	if err := w.open(); err != nil {
 		return err
 	}
@@ -122,12 +141,14 @@
 
 // Finish ends the answer: as whole, as an error in place of an answer, or as cut.
 func (w *writer) Finish(e answer.End) {
+	w.finished = true
 	switch {
 	case e.Whole && w.started:
 		w.whole()
 	case w.sent:
 		w.tellCut(failure(e))
 	default:
+		w.closing(w.w.Header())
 		writeError(w.w, failure(e), w.req.ID)
 	}
 }
@@ -152,6 +173,7 @@
 	if w.r.Method != http.MethodHead && bodyAllowed(w.head.Status) {
 		h.Set("Content-Length", strconv.Itoa(len(w.held)))
 	}
+	w.closing(h)
 	w.w.WriteHeader(w.head.Status)
 	w.w.Write(w.held)
 }
