--- /dev/null
+++ b/internal/account/account_test.go
@@ -0,0 +1,119 @@
+package account
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"go.uber.org/goleak"
+
+	"chervilloom/internal/answer"
+	"chervilloom/internal/clock"
+	"chervilloom/internal/explain"
+	"chervilloom/internal/filter"
+	"chervilloom/internal/outcome"
+	"chervilloom/internal/request"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type nowhere struct{}
+
+func (nowhere) Start(answer.Head) error  { return nil }
+func (nowhere) Frame(answer.Frame) error { return nil }
+func (nowhere) Finish(answer.End)        {}
+
+// run takes one request through an account and returns its log line.
+func run(t *testing.T, reg prometheus.Registerer, ex explain.Recorder, h filter.Func) map[string]any {
+	t.Helper()
+	var out bytes.Buffer
+	clk := clock.NewManual(1e9)
+	a := New(Options{Clock: clk, Log: slog.New(slog.NewJSONHandler(&out, nil)), Registerer: reg, Explain: ex})
+	req := &request.Request{ID: "r1", Organisation: "lapwise", Body: []byte("secret prompt")}
+	path := filter.Chain(filter.Func(func(ctx context.Context, req *request.Request, w answer.Writer) {
+		From(ctx).Try()
+		From(ctx).Try()
+		clk.Advance(time.Second)
+		h(ctx, req, w)
+	}), a.Filter, a.Timed("identify", func(next filter.Handler) filter.Handler {
+		return filter.Func(func(ctx context.Context, req *request.Request, w answer.Writer) {
+			req.Class = request.ClassModel
+			clk.Advance(time.Millisecond)
+			next.Serve(ctx, req, w)
+		})
+	}))
+	path.Serve(context.Background(), req, nowhere{})
+	if strings.Count(out.String(), "\n") != 1 {
+		t.Fatalf("not one line: %s", out.String())
+	}
+	if strings.Contains(out.String(), "secret") {
+		t.Fatalf("the prompt is in the log: %s", out.String())
+	}
+	var line map[string]any
+	if err := json.Unmarshal(out.Bytes(), &line); err != nil {
+		t.Fatal(err)
+	}
+	return line
+}
+
+func TestWholeAnswerIsAccountedFor(t *testing.T) {
+	is := is.New(t)
+	reg := prometheus.NewPedanticRegistry()
+	ex := explain.NewStore("n1", 10, 10)
+	line := run(t, reg, ex, func(_ context.Context, _ *request.Request, w answer.Writer) {
+		w.Start(answer.Head{Status: 200, Endpoint: "e1", Group: "g1", Generation: 3})
+		w.Frame(answer.Frame{Data: []byte("answer")})
+		w.Finish(answer.End{Whole: true, Frames: 1, Bytes: 6})
+	})
+	for k, want := range map[string]any{
+		"id": "r1", "organisation": "lapwise", "class": "model", "outcome": "ran", "kind": "ok", "status": 200.0,
+		"endpoint": "e1", "group": "g1", "generation": 3.0, "tries": 2.0, "bytes": 6.0,
+		"first": 1.001e9, "total": 1.001e9,
+	} {
+		is.Equal(line[k], want)
+	}
+	is.Equal(ex.Steps("r1")[0].Decision, "ran ok")
+	is.NoErr(testutil.GatherAndCompare(reg, strings.NewReader(`
+# HELP chervilloom_path_requests_total Requests by class, outcome and kind of failure.
+# TYPE chervilloom_path_requests_total counter
+chervilloom_path_requests_total{class="model",kind="ok",outcome="ran"} 1
+`), "chervilloom_path_requests_total"))
+	n, err := testutil.GatherAndCount(reg, "chervilloom_path_filter_seconds", "chervilloom_path_first_seconds", "chervilloom_path_duration_seconds")
+	is.NoErr(err)
+	is.Equal(n, 3)
+}
+
+func TestFailureIsAccountedFor(t *testing.T) {
+	is := is.New(t)
+	line := run(t, nil, nil, func(_ context.Context, _ *request.Request, w answer.Writer) {
+		e := outcome.New(outcome.EndpointFailed, outcome.Unknown, "m", "r").WithCause(errors.New("reset"))
+		w.Finish(answer.End{Error: e})
+	})
+	is.Equal(line["outcome"], "unknown")
+	is.Equal(line["kind"], "endpoint_failed")
+	is.Equal(line["cause"], "reset")
+	is.Equal(line["first"], 0.0)
+}
+
+func TestFilterThatAnswersIsCounted(t *testing.T) {
+	is := is.New(t)
+	reg := prometheus.NewPedanticRegistry()
+	a := New(Options{Clock: clock.NewManual(1), Registerer: reg})
+	refuses := func(filter.Handler) filter.Handler {
+		return filter.Func(func(_ context.Context, _ *request.Request, w answer.Writer) { w.Finish(answer.End{}) })
+	}
+	a.Timed("admit", refuses)(nil).Serve(context.Background(), &request.Request{}, nowhere{})
+	is.NoErr(testutil.GatherAndCompare(reg, strings.NewReader(`
+# HELP chervilloom_path_filter_answered_total Requests that a filter answered itself.
+# TYPE chervilloom_path_filter_answered_total counter
+chervilloom_path_filter_answered_total{class="unidentified",filter="admit"} 1
+`), "chervilloom_path_filter_answered_total"))
+}
