Give up answers whose replica has lost a member

Cause: a leader that lost a member can hold its connections open without a word; callers waited for their deadlines, minutes later. Nothing begun and idempotent: another group answers. Ruled out: absence from the list of VMs as evidence, because that list lags.

Resuming a broken stream now goes on for 8 s without an event instead of five tries (0.6 s), as long as the replica is not known to be lost.

Red run: with the guard switched off the tests hang until -timeout.

--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -24,12 +24,14 @@
 	}
 }
 
-// Run cancels abandoned streams at their engines until ctx ends.
+// Run cancels abandoned streams at their engines and gives up answers that
+// cannot come any more, until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	for range cancelWorkers {
 		wg.Go(func() { d.cancelLoop(ctx) })
 	}
+	wg.Go(func() { d.guardLoop(ctx) })
 	wg.Wait()
 	return ctx.Err()
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -102,18 +102,21 @@
 	opt     Options
 	client  *client
 	cancels *ring.Queue[abandoned]
+	guard   *guard
 	metrics *metrics
 	tracer  trace.Tracer
 }
 
 // New returns a dispatcher. Run must be running for abandoned streams to be
-// cancelled at the engines.
+// cancelled at the engines and for answers to be given up when their replica
+// is lost.
 func New(opt Options) *Dispatcher {
 	opt.fill()
 	return &Dispatcher{
 		opt:     opt,
 		client:  newClient(opt.DialTimeout),
 		cancels: ring.NewQueue[abandoned](cancelQueue),
+		guard:   newGuard(),
 		metrics: newMetrics(opt.Registerer),
 		tracer:  otel.Tracer("chervilloom/dispatch"),
 	}
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -29,14 +29,16 @@
 		VM: leader(g).VM, Group: g.ID, Generation: g.Generation,
 		Stream: relay.NewStreamID(s.req.Organisation),
 	}
-	r, err := newCall(ctx, s.req, leader(g).Addr)
+	guarded, unwatch := d.guard.watch(ctx, s, g)
+	defer unwatch()
+	r, err := newCall(guarded, s.req, leader(g).Addr)
 	if err != nil {
 		return badCall(err)
 	}
 	setEngineHeaders(r.Header, s.req, ref)
 	resp, sn, err := d.client.do(r, s.req.Idempotent)
 	if err != nil {
-		oerr := d.failed(ctx, sn, err)
+		oerr := d.failed(ctx, sn, because(guarded, err))
 		t.blamed = ctx.Err() == nil
 		if oerr.Outcome != outcome.NotRun {
 			d.abandon(leader(g).Addr, ref.Stream)
@@ -57,8 +59,8 @@
 		return d.relayAnswer(ctx, s, resp, h, t, g, ref)
 	}
 	h.Stream = true
-	st := relay.NewStream(ref, 0)
-	return d.follow(ctx, s, resp, h, st, g, t)
+	f := &following{d: d, s: s, g: g, t: t, head: h, st: relay.NewStream(ref, 0)}
+	return f.run(ctx, guarded, resp)
 }
 
 func (d *Dispatcher) relayAnswer(ctx context.Context, s *session, resp *http.Response, h answer.Head, t *try, g *view.Group, ref relay.StreamRef) *outcome.Error {
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -34,15 +34,16 @@
 
 func (d *Dispatcher) resumeHere(ctx context.Context, s *session, g *view.Group, id relay.EventID) *outcome.Error {
 	s.next = id.Offset + 1
-	st := relay.NewStream(id.StreamRef, id.Offset+1)
-	fruitless := 0
-	resp, cut := d.reopen(ctx, s, st, g, &fruitless, nil)
+	guarded, unwatch := d.guard.watch(ctx, s, g)
+	defer unwatch()
+	f := &following{d: d, s: s, g: g, t: &try{}, st: relay.NewStream(id.StreamRef, s.next)}
+	resp, cut := f.reopen(ctx, guarded, nil)
 	if cut != nil {
 		return cut
 	}
-	h := answer.Head{
+	f.head = answer.Head{
 		Status: resp.StatusCode, Header: incoming(resp), Stream: true,
 		Endpoint: id.VM, Group: id.Group, Generation: id.Generation,
 	}
-	return d.follow(ctx, s, resp, h, st, g, &try{})
+	return f.run(ctx, guarded, resp)
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -28,6 +28,7 @@
 	frames    uint64
 	bytes     uint64
 	hash      *xxhash.Digest
+	wait      *wait  // of the guard, during a try at a group
 	lastID    string // event id of the last event passed on
 }
 
@@ -41,6 +42,9 @@
 		return nil
 	}
 	s.begun, s.stream = true, h.Stream
+	if s.wait != nil {
+		s.wait.begun.Store(true)
+	}
 	if err := s.w.Start(h); err != nil {
 		s.gone = true
 		return callerGone(outcome.Ran).WithCause(err)
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -16,110 +16,150 @@
 	"chervilloom/internal/view"
 )
 
-// A stream that breaks is resumed at its endpoint. The resumes in a row that
-// bring no event are bounded, and spaced so that a restarting network is not
-// met by all streams at once.
+// A stream that breaks is resumed at its endpoint, until it goes on or
+// resumeLimit has passed without an event. The first resume comes at once
+// enough for nobody to notice; the waits between the next ones double, so that
+// a network that comes back is not met by all streams at once.
 const (
-	maxFruitless = 5
-	resumeWait   = 20 * time.Millisecond // doubles with each fruitless resume
+	resumeLimit = 8 * time.Second
+	firstWait   = 10 * time.Millisecond
+	longestWait = time.Second
 )
 
-// follow passes on a stream, over as many connections as it takes. It closes
-// resp's body.
-func (d *Dispatcher) follow(ctx context.Context, s *session, resp *http.Response, h answer.Head, st *relay.Stream, g *view.Group, t *try) *outcome.Error {
-	fruitless := 0
+// following is one stream on its way to the caller, over as many connections
+// to its engine as it takes.
+type following struct {
+	d    *Dispatcher
+	s    *session
+	g    *view.Group
+	t    *try
+	head answer.Head
+	st   *relay.Stream
+}
+
+// run passes the stream on. It closes resp's body. ctx is the request's,
+// guarded the one that also ends when the replica is lost.
+func (f *following) run(ctx, guarded context.Context, resp *http.Response) *outcome.Error {
 	for {
-		before := st.Next()
-		err := d.copyStream(s, resp, h, st, t)
+		err := f.copy(resp)
 		resp.Body.Close()
-		var told *outcome.Error
-		switch {
-		case err == io.EOF:
-			return s.start(h) // a resumed stream may have had only its end left
-		case errors.As(err, &told):
-			d.abandon(leader(g).Addr, st.Ref().Stream)
-			return told
-		case ctx.Err() != nil:
-			d.abandon(leader(g).Addr, st.Ref().Stream)
-			return d.stopped(ctx, outcome.Ran)
-		case !relay.Resumable(err):
-			t.blamed = true
-			d.abandon(leader(g).Addr, st.Ref().Stream)
-			return answerCut("the endpoint's stream is broken", err)
+		if err == io.EOF {
+			return f.s.start(f.head) // a resumed stream may have had only its end left
 		}
-		if st.Next() > before {
-			fruitless = 0
+		if told := f.final(ctx, err); told != nil {
+			f.d.abandon(leader(f.g).Addr, f.st.Ref().Stream)
+			return told
 		}
-		next, cut := d.reopen(ctx, s, st, g, &fruitless, err)
-		if cut != nil {
-			t.blamed = ctx.Err() == nil
+		var cut *outcome.Error
+		if resp, cut = f.reopen(ctx, guarded, err); cut != nil {
 			return cut
 		}
-		resp = next
 	}
 }
 
-// copyStream passes on events until the stream or the connection ends.
-func (d *Dispatcher) copyStream(s *session, resp *http.Response, h answer.Head, st *relay.Stream, t *try) error {
-	r := relay.NewReader(resp.Body, d.opt.EventBound)
+// final returns what the caller is told when the stream must not go on.
+func (f *following) final(ctx context.Context, err error) *outcome.Error {
+	var told *outcome.Error
+	switch {
+	case errors.As(err, &told):
+		return told
+	case ctx.Err() != nil:
+		return f.d.stopped(ctx, outcome.Ran)
+	case !relay.Resumable(err):
+		f.t.blamed = true
+		return answerCut("the endpoint's stream is broken", err)
+	}
+	return nil
+}
+
+// copy passes on events until the stream or the connection ends.
+func (f *following) copy(resp *http.Response) error {
+	r := relay.NewReader(resp.Body, f.d.opt.EventBound)
 	for {
-		f, ok, err := st.Read(r)
+		frame, ok, err := f.st.Read(r)
 		if err != nil {
 			return err
 		}
 		if !ok {
 			continue
 		}
-		t.tokens++
-		if oerr := s.start(h); oerr != nil {
-			return oerr
+		f.t.tokens++
+		if told := f.s.start(f.head); told != nil {
+			return told
 		}
-		if oerr := s.frame(f); oerr != nil {
-			return oerr
+		if told := f.s.frame(frame); told != nil {
+			return told
 		}
 	}
 }
 
-// reopen asks the endpoint for the rest of a stream. Asking runs nothing, so
+// reopen asks the endpoint for the rest of the stream. Asking runs nothing, so
 // that it is safe for any request.
-func (d *Dispatcher) reopen(ctx context.Context, s *session, st *relay.Stream, g *view.Group, fruitless *int, cause error) (*http.Response, *outcome.Error) {
-	for {
-		if *fruitless >= maxFruitless {
+func (f *following) reopen(ctx, guarded context.Context, cause error) (*http.Response, *outcome.Error) {
+	end := f.d.opt.Clock.Now().Add(resumeLimit)
+	for wait := firstWait; ; wait = min(2*wait, longestWait) {
+		switch {
+		case !sleep(guarded, wait):
+			return nil, f.lost(ctx, because(guarded, cause))
+		case !f.d.opt.Clock.Now().Before(end):
+			f.t.blamed = true
 			return nil, answerCut("the endpoint's stream broke and cannot be resumed", cause)
 		}
-		if !sleep(ctx, resumeWait<<*fruitless) {
-			return nil, d.stopped(ctx, outcome.Ran)
-		}
-		*fruitless++
-		resp, err := d.openStream(ctx, s, st, g)
+		resp, err := f.open(guarded)
 		if err != nil {
 			cause = err
 			continue
 		}
-		d.metrics.resumes.Inc()
-		if oerr := checkEngine(resp, g); oerr != nil {
+		f.d.metrics.resumes.Inc()
+		if cut := f.check(resp); cut != nil {
 			resp.Body.Close()
-			return nil, answerCut("the endpoint changed generation within the stream", oerr)
-		}
-		if !isEventStream(resp) {
-			resp.Body.Close()
-			return nil, answerCut("the endpoint no longer has the stream", fmt.Errorf("dispatch: status %d", resp.StatusCode))
+			f.t.blamed = true
+			return nil, cut
 		}
 		return resp, nil
 	}
 }
 
-func (d *Dispatcher) openStream(ctx context.Context, s *session, st *relay.Stream, g *view.Group) (*http.Response, error) {
-	u := streamURL(leader(g).Addr, st.Ref().Stream) + "?from=" + strconv.FormatUint(st.From(), 10)
+// lost tells why the wait for a stream ended.
+func (f *following) lost(ctx context.Context, cause error) *outcome.Error {
+	f.d.abandon(leader(f.g).Addr, f.st.Ref().Stream)
+	if ctx.Err() != nil {
+		return f.d.stopped(ctx, outcome.Ran)
+	}
+	f.t.blamed = true
+	return answerCut("the group that answers has lost a member", cause)
+}
+
+// check refuses an answer to a resume that is not the rest of this stream.
+func (f *following) check(resp *http.Response) *outcome.Error {
+	if err := checkEngine(resp, f.g); err != nil {
+		return answerCut("the endpoint changed generation within the stream", err)
+	}
+	if !isEventStream(resp) {
+		return answerCut("the endpoint no longer has the stream", fmt.Errorf("dispatch: status %d", resp.StatusCode))
+	}
+	return nil
+}
+
+func (f *following) open(ctx context.Context) (*http.Response, error) {
+	u := streamURL(leader(f.g).Addr, f.st.Ref().Stream) + "?from=" + strconv.FormatUint(f.st.From(), 10)
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
 	if err != nil {
 		return nil, err
 	}
-	setEngineHeaders(r.Header, s.req, st.Ref())
-	resp, _, err := d.client.do(r, true)
+	setEngineHeaders(r.Header, f.s.req, f.st.Ref())
+	resp, _, err := f.d.client.do(r, true)
 	return resp, err
 }
 
 func streamURL(addr, stream string) string {
 	return "http://" + addr + "/v1/streams/" + url.PathEscape(stream)
 }
+
+// because returns the reason for which the guard gave up, or err.
+func because(guarded context.Context, err error) error {
+	if cause := context.Cause(guarded); cause != nil && !errors.Is(cause, guarded.Err()) {
+		return cause
+	}
+	return err
+}
