Hedge lookups; go on with streams whose node died

A lookup whose endpoint gives no answer within 200 ms is sent to a second endpoint as well, taken from the retry budget; the first whole answer wins. Cause: a paused endpoint held lookups until their deadline (5 s), since its probes show nothing for 1.5 s. Ruled out: a shorter time for each try, which would ask a slow service again and again and throw its work away.

Streams that come through a node which dies go on through another node of its zone. A gap in what another node sends is now told as cut even when that node calls the answer whole (red before in TestMissingEventFromANodeIsNoticed).

--- a/internal/dispatch/body.go
+++ b/internal/dispatch/body.go
@@ -19,35 +19,47 @@
 // check looks at a body that was received whole and tells what is missing.
 type check func(resp *http.Response, body []byte) error
 
-// relayBody passes on an answer that is not a stream. It is held back up to
-// the bound, so that an endpoint that dies within a short answer leaves the
-// caller with nothing, and the request can be told truly or tried again.
-func (d *Dispatcher) relayBody(ctx context.Context, s *session, resp *http.Response, h answer.Head, whole check) *outcome.Error {
+// reply is an answer that is not a stream, received up to the bound.
+type reply struct {
+	head answer.Head
+	held []byte
+	rest io.Reader // what is beyond the bound; nil: held is all
+}
+
+// receive holds an answer back up to the bound, so that an endpoint that dies
+// within a short answer leaves the caller with nothing, and the request can be
+// told truly or tried again.
+func (d *Dispatcher) receive(ctx context.Context, resp *http.Response, h answer.Head, whole check) (*reply, *outcome.Error) {
 	if !delimited(resp) {
-		return answerCut("the endpoint's answer has no length, so that its end cannot be told from a cut", nil)
+		return nil, answerCut("the endpoint's answer has no length, so that its end cannot be told from a cut", nil)
 	}
 	held, err := io.ReadAll(io.LimitReader(resp.Body, int64(d.opt.AnswerBuffer)))
 	if err != nil {
-		return d.cutBy(ctx, err)
+		return nil, d.cutBy(ctx, err)
 	}
-	all := len(held) < d.opt.AnswerBuffer
-	if all {
-		if err := whole(resp, held); err != nil {
-			return answerCut("the endpoint's answer is not whole", err)
-		}
+	if len(held) == d.opt.AnswerBuffer {
+		return &reply{head: h, held: held, rest: resp.Body}, nil
 	}
-	if oerr := s.start(h); oerr != nil {
-		return oerr
+	if err := whole(resp, held); err != nil {
+		return nil, answerCut("the endpoint's answer is not whole", err)
+	}
+	return &reply{head: h, held: held}, nil
+}
+
+// deliver passes an answer on.
+func (d *Dispatcher) deliver(ctx context.Context, s *session, r *reply) *outcome.Error {
+	if err := s.start(r.head); err != nil {
+		return err
 	}
-	if len(held) > 0 {
-		if oerr := s.frame(answer.Frame{Offset: s.bytes, Data: held}); oerr != nil {
-			return oerr
+	if len(r.held) > 0 {
+		if err := s.frame(answer.Frame{Offset: s.bytes, Data: r.held}); err != nil {
+			return err
 		}
 	}
-	if all {
+	if r.rest == nil {
 		return nil
 	}
-	return d.relayRest(ctx, s, resp.Body)
+	return d.relayRest(ctx, s, r.rest)
 }
 
 func (d *Dispatcher) relayRest(ctx context.Context, s *session, r io.Reader) *outcome.Error {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -69,6 +69,7 @@
 	AnswerBuffer int           // bytes of an answer held back until it is whole
 	EventBound   int           // bytes of one event
 	Tries        int           // of one request, the first one included
+	HedgeAfter   time.Duration // after which a lookup is sent to a second endpoint as well
 }
 
 // The defaults of Options.
@@ -77,6 +78,7 @@
 	DefaultAnswerBuffer = 1 << 20
 	DefaultEventBound   = 256 << 10
 	DefaultTries        = 4
+	DefaultHedgeAfter   = 200 * time.Millisecond
 )
 
 func (o *Options) fill() {
@@ -92,6 +94,9 @@
 	if o.Tries == 0 {
 		o.Tries = DefaultTries
 	}
+	if o.HedgeAfter == 0 {
+		o.HedgeAfter = DefaultHedgeAfter
+	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
@@ -180,18 +185,26 @@
 		s.exhausted = true
 		return s.nothingLeft(err)
 	}
-	s.tries++
-	s.tried = append(s.tried, triedBy(choice))
-	account.From(ctx).Try()
-	d.noteTry(s.req, choice)
-	d.opt.Router.Begin(choice)
-	t := &try{started: now}
+	if s.req.Class == request.ClassLookup && choice.Kind == route.ToEndpoint {
+		return d.lookUp(ctx, s, choice)
+	}
+	t := d.begin(ctx, s, choice)
 	err = d.send(ctx, s, choice, t)
 	d.opt.Router.End(choice, t.result(d.opt.Clock.Now(), err))
 	s.add(err)
 	return err
 }
 
+// begin counts a try that is about to be made.
+func (d *Dispatcher) begin(ctx context.Context, s *session, c route.Choice) *try {
+	s.tries++
+	s.tried = append(s.tried, triedBy(c))
+	account.From(ctx).Try()
+	d.noteTry(s.req, c)
+	d.opt.Router.Begin(c)
+	return &try{started: d.opt.Clock.Now()}
+}
+
 func (d *Dispatcher) send(ctx context.Context, s *session, c route.Choice, t *try) *outcome.Error {
 	switch c.Kind {
 	case route.ToGroup:
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -64,7 +64,10 @@
 }
 
 func (d *Dispatcher) relayAnswer(ctx context.Context, s *session, resp *http.Response, h answer.Head, t *try, g *view.Group, ref relay.StreamRef) *outcome.Error {
-	oerr := d.relayBody(ctx, s, resp, h, wholeCompletion)
+	rep, oerr := d.receive(ctx, resp, h, wholeCompletion)
+	if oerr == nil {
+		oerr = d.deliver(ctx, s, rep)
+	}
 	if oerr != nil {
 		t.blamed = oerr.Kind == outcome.AnswerCut
 		d.abandon(leader(g).Addr, ref.Stream)
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -49,25 +49,28 @@
 	t     *try
 	end   *answer.End
 	count uint64
+	err   *outcome.Error // the caller took no more, or a piece was missing
 }
 
 // Start opens the caller's answer, or goes on with it.
 func (p *peerWriter) Start(h answer.Head) error {
 	p.t.first(p.d.opt.Clock.Now())
-	if err := p.s.start(h); err != nil {
-		return err
-	}
-	return nil
+	return p.keep(p.s.start(h))
 }
 
 // Frame passes on a piece.
 func (p *peerWriter) Frame(f answer.Frame) error {
 	p.count++
 	p.t.tokens++
-	if err := p.s.frame(f); err != nil {
-		return err
+	return p.keep(p.s.frame(f))
+}
+
+func (p *peerWriter) keep(err *outcome.Error) error {
+	if err == nil {
+		return nil
 	}
-	return nil
+	p.err = err
+	return err
 }
 
 // Finish keeps the end.
@@ -76,8 +79,8 @@
 // ended tells how the other node's answer ended.
 func (p *peerWriter) ended() *outcome.Error {
 	switch {
-	case p.s.gone:
-		return callerGone(outcome.Ran)
+	case p.err != nil:
+		return p.err
 	case p.end == nil:
 		return answerCut("the other node's answer has no end", nil)
 	case p.end.Whole && p.end.Frames == p.count:
--- /dev/null
+++ b/internal/dispatch/node_test.go
@@ -0,0 +1,145 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"chervilloom/internal/answer"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/outcome"
+	"chervilloom/internal/request"
+	standin "chervilloom/internal/standin/engine"
+	"chervilloom/internal/view"
+)
+
+// twoZones returns a dispatcher of a node that has no endpoints of its own, and
+// the rig of the zone that has them; peers relay to the latter.
+func twoZones(t *testing.T, peers fakePeers) (near, far *rig) {
+	far = newRig(t, nil)
+	near = newRig(t, func(o *Options) { o.Peers = peers })
+	far.addEngine(standin.Options{TokensPerSecond: 2000})
+	near.change(func(s *view.Snapshot) {
+		s.Zone = otherZone
+		s.Groups = far.Snapshot().Groups
+		for _, i := range slices.Sorted(maps.Keys(peers)) {
+			s.Nodes = append(s.Nodes, view.Node{Node: fleet.Node{VM: i}, Zone: testZone, State: view.NodeAlive})
+		}
+	})
+	return near, far
+}
+
+// breaking relays to the dispatcher and, like a link that dies, ends the answer
+// as cut after the given number of events.
+func breaking(far func() *rig, events int) func(context.Context, *request.Request, answer.Writer) *outcome.Error {
+	return func(_ context.Context, req *request.Request, w answer.Writer) *outcome.Error {
+		c := newCollector()
+		c.refuse = events
+		// The far node dies with the link: nobody cancels its stream.
+		dead := New(far().d.opt)
+		defer dead.Close()
+		dead.Serve(context.Background(), req, c)
+		if c.started == 0 {
+			return c.end.Error
+		}
+		w.Start(c.head)
+		for _, f := range c.frames {
+			w.Frame(f)
+		}
+		c.end.Frames = uint64(len(c.frames))
+		if !c.end.Whole {
+			c.end.Error = outcome.New(outcome.AnswerCut, outcome.Unknown, "the link broke", "look it up")
+		}
+		w.Finish(c.end)
+		return nil
+	}
+}
+
+// A scorer's stream comes through a node of another availability zone, and
+// that node dies, again and again at any event. The stream goes on through
+// another node of that zone, from one run, without a lost or doubled token.
+func TestStreamOutlivesTheNodeItComesThrough(t *testing.T) {
+	for _, at := range []int{1, 5, 20, 21} {
+		t.Run(fmt.Sprint(at), func(t *testing.T) {
+			is := is.New(t)
+			var far *rig
+			reach := func() *rig { return far }
+			peers := fakePeers{"a": breaking(reach, at), "b": breaking(reach, 0), "c": breaking(reach, 0)}
+			near, f := twoZones(t, peers)
+			far = f
+			q := near.chat("q", 20, true)
+			c := near.serve(context.Background(), q)
+			own(t, q, c)
+			is.Equal(far.engines[0].Executions("q"), 1)
+		})
+	}
+}
+
+// A node of another availability zone refuses: the request did not run, and
+// the next node is asked.
+func TestRefusalOfANodeIsTriedElsewhere(t *testing.T) {
+	is := is.New(t)
+	var far *rig
+	refuse := func(context.Context, *request.Request, answer.Writer) *outcome.Error {
+		return outcome.New(outcome.ShuttingDown, outcome.NotRun, "no new work", "try again")
+	}
+	peers := fakePeers{"a": refuse, "b": breaking(func() *rig { return far }, 0)}
+	near, f := twoZones(t, peers)
+	far = f
+	q := near.chat("q", 20, true)
+	own(t, q, near.serve(context.Background(), q))
+	is.Equal(near.router.begun, 2)
+}
+
+// Another node ends an answer as whole, but an event of it is missing here.
+func TestMissingEventFromANodeIsNoticed(t *testing.T) {
+	is := is.New(t)
+	peers := fakePeers{"a": func(_ context.Context, _ *request.Request, w answer.Writer) *outcome.Error {
+		w.Start(answer.Head{Status: 200, Stream: true})
+		w.Frame(answer.Frame{Offset: 0, Data: []byte("{}")})
+		w.Frame(answer.Frame{Offset: 2, Data: []byte("{}")})
+		w.Finish(answer.End{Whole: true, Frames: 2})
+		return nil
+	}}
+	near, _ := twoZones(t, peers)
+	c := near.serve(context.Background(), near.chat("q", 20, true))
+	is.True(!c.end.Whole)
+	is.Equal(c.end.Error.Kind, outcome.AnswerCut)
+	is.Equal(len(c.frames), 1)
+}
+
+// The link breaks after a receipt was passed on. It may have run there.
+func TestLostLinkOfAReceiptIsUnknown(t *testing.T) {
+	is := is.New(t)
+	asked := 0
+	lost := func(context.Context, *request.Request, answer.Writer) *outcome.Error {
+		asked++
+		return outcome.New(outcome.EndpointFailed, outcome.Unknown, "the link broke", "look it up")
+	}
+	near, _ := twoZones(t, fakePeers{"a": lost, "b": lost})
+	c := near.serve(context.Background(), near.receipt("q"))
+	is.Equal(c.end.Error.Outcome, outcome.Unknown)
+	is.Equal(asked, 1)
+}
+
+// Another node repeats an event after a break of its own. The caller gets it once.
+func TestRepeatedEventFromANodeIsDropped(t *testing.T) {
+	is := is.New(t)
+	peers := fakePeers{"a": func(_ context.Context, _ *request.Request, w answer.Writer) *outcome.Error {
+		w.Start(answer.Head{Status: 200, Stream: true})
+		for _, offset := range []uint64{0, 1, 1, 0, 2} {
+			w.Frame(answer.Frame{Offset: offset, Data: []byte("{}")})
+		}
+		w.Finish(answer.End{Whole: true, Frames: 5})
+		return nil
+	}}
+	near, _ := twoZones(t, peers)
+	c := near.serve(context.Background(), near.chat("q", 20, true))
+	is.True(c.end.Whole)
+	is.Equal(len(c.frames), 3)
+	is.Equal(c.end.Frames, uint64(3))
+}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -7,6 +7,7 @@
 	"chervilloom/internal/answer"
 	"chervilloom/internal/engine"
 	"chervilloom/internal/outcome"
+	"chervilloom/internal/request"
 	"chervilloom/internal/view"
 )
 
@@ -20,25 +21,40 @@
 
 // sendService makes one try at an endpoint of a plain service.
 func (d *Dispatcher) sendService(ctx context.Context, s *session, vm *view.VM, t *try) *outcome.Error {
-	r, err := newCall(ctx, s.req, vm.Record.Addr)
+	ctx, cancel := context.WithCancel(ctx) // closes what is left of the answer
+	defer cancel()
+	r, err := d.fetch(ctx, s.req, vm, t)
+	if err == nil {
+		err = d.deliver(ctx, s, r)
+	}
+	t.blamed = t.blamed || err != nil && err.Kind == outcome.AnswerCut
+	return err
+}
+
+// fetch asks an endpoint of a plain service. What the reply does not hold is
+// open until ctx ends.
+func (d *Dispatcher) fetch(ctx context.Context, req *request.Request, vm *view.VM, t *try) (*reply, *outcome.Error) {
+	r, err := newCall(ctx, req, vm.Record.Addr)
 	if err != nil {
-		return badCall(err)
+		return nil, badCall(err)
 	}
-	resp, sn, err := d.client.do(r, s.req.Idempotent)
+	resp, sn, err := d.client.do(r, req.Idempotent)
 	if err != nil {
 		t.blamed = ctx.Err() == nil
-		return d.failed(ctx, sn, err)
+		return nil, d.failed(ctx, sn, err)
 	}
-	defer resp.Body.Close()
 	t.first(d.opt.Clock.Now())
-	if oerr := checkService(resp, s.req.Idempotent); oerr != nil {
+	if oerr := checkService(resp, req.Idempotent); oerr != nil {
+		resp.Body.Close()
 		t.blamed = true
-		return oerr
+		return nil, oerr
 	}
 	h := answer.Head{Status: resp.StatusCode, Header: incoming(resp), Endpoint: vm.Record.VM}
-	oerr := d.relayBody(ctx, s, resp, h, wholeDocument)
-	t.blamed = oerr != nil && oerr.Kind == outcome.AnswerCut
-	return oerr
+	rep, oerr := d.receive(ctx, resp, h, wholeDocument)
+	if oerr != nil || rep.rest == nil {
+		resp.Body.Close()
+	}
+	return rep, oerr
 }
 
 // checkService tells a refusal from an answer. Whatever else a service
