Keep a stream for a caller that comes back

A stream whose caller left was cancelled at once, so that a phone that changed its network found nothing to resume. It is now kept for 3 s. The stream's id names the node that keeps it, and a caller that comes back through another node is passed there; were it not, the keeper would cancel what the other node reads. When the keeper is dead any node of the zone asks the engine itself.

--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -18,8 +18,8 @@
 // abandoned is a stream at an engine that nobody waits for.
 type abandoned struct{ addr, stream string }
 
-func (d *Dispatcher) abandon(addr, stream string) {
-	if !d.cancels.Offer(abandoned{addr: addr, stream: stream}) {
+func (d *Dispatcher) abandon(a abandoned) {
+	if !d.cancels.Offer(a) {
 		d.metrics.cancelsDropped.Inc()
 	}
 }
@@ -32,6 +32,7 @@
 		wg.Go(func() { d.cancelLoop(ctx) })
 	}
 	wg.Go(func() { d.guardLoop(ctx) })
+	wg.Go(func() { d.lingerLoop(ctx) })
 	wg.Wait()
 	return ctx.Err()
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -70,6 +70,7 @@
 	EventBound   int           // bytes of one event
 	Tries        int           // of one request, the first one included
 	HedgeAfter   time.Duration // after which a lookup is sent to a second endpoint as well
+	ResumeGrace  time.Duration // for which a stream runs on whose caller has left; negative: not at all
 }
 
 // The defaults of Options.
@@ -79,6 +80,7 @@
 	DefaultEventBound   = 256 << 10
 	DefaultTries        = 4
 	DefaultHedgeAfter   = 200 * time.Millisecond
+	DefaultResumeGrace  = 3 * time.Second
 )
 
 func (o *Options) fill() {
@@ -97,6 +99,9 @@
 	if o.HedgeAfter == 0 {
 		o.HedgeAfter = DefaultHedgeAfter
 	}
+	if o.ResumeGrace == 0 {
+		o.ResumeGrace = DefaultResumeGrace
+	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
@@ -108,6 +113,7 @@
 	client  *client
 	cancels *ring.Queue[abandoned]
 	guard   *guard
+	linger  *linger
 	metrics *metrics
 	tracer  trace.Tracer
 }
@@ -122,6 +128,7 @@
 		client:  newClient(opt.DialTimeout),
 		cancels: ring.NewQueue[abandoned](cancelQueue),
 		guard:   newGuard(),
+		linger:  newLinger(),
 		metrics: newMetrics(opt.Registerer),
 		tracer:  otel.Tracer("chervilloom/dispatch"),
 	}
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -27,7 +27,7 @@
 	}
 	ref := relay.StreamRef{
 		VM: leader(g).VM, Group: g.ID, Generation: g.Generation,
-		Stream: relay.NewStreamID(s.req.Organisation),
+		Stream: relay.NewStreamID(s.req.Organisation, d.opt.View.Snapshot().Self.VM),
 	}
 	guarded, unwatch := d.guard.watch(ctx, s, g)
 	defer unwatch()
@@ -41,7 +41,7 @@
 		oerr := d.failed(ctx, sn, because(guarded, err))
 		t.blamed = ctx.Err() == nil
 		if oerr.Outcome != outcome.NotRun {
-			d.abandon(leader(g).Addr, ref.Stream)
+			d.abandon(abandoned{leader(g).Addr, ref.Stream})
 		}
 		return oerr
 	}
@@ -70,7 +70,7 @@
 	}
 	if oerr != nil {
 		t.blamed = oerr.Kind == outcome.AnswerCut
-		d.abandon(leader(g).Addr, ref.Stream)
+		d.abandon(abandoned{leader(g).Addr, ref.Stream})
 	}
 	return oerr
 }
--- a/internal/dispatch/node_test.go
+++ b/internal/dispatch/node_test.go
@@ -46,15 +46,10 @@
 		if c.started == 0 {
 			return c.end.Error
 		}
-		w.Start(c.head)
-		for _, f := range c.frames {
-			w.Frame(f)
-		}
-		c.end.Frames = uint64(len(c.frames))
 		if !c.end.Whole {
 			c.end.Error = outcome.New(outcome.AnswerCut, outcome.Unknown, "the link broke", "look it up")
 		}
-		w.Finish(c.end)
+		c.replay(w)
 		return nil
 	}
 }
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -18,25 +18,58 @@
 		return outcome.New(outcome.BadRequest, outcome.NotRun, "the event id names no stream of this organisation",
 			"send the id of the last event received, unchanged").WithCause(err)
 	}
+	s.next, s.lastID = id.Offset+1, s.req.ResumeID
 	snap := d.opt.View.Snapshot()
 	g := groupOf(snap, id)
-	switch {
-	case g == nil:
+	if g == nil {
 		return answerCut("the group that answered is gone or has changed; the rest of the answer is lost", nil)
-	case g.Zone == snap.Zone:
-		return d.resumeHere(ctx, s, g, id)
-	case s.req.Hops > 0 || d.opt.Peers == nil:
+	}
+	if done, err := d.resumeAtKeeper(ctx, s, snap, relay.NodeOf(id.Stream)); done {
+		return err
+	}
+	if g.Zone == snap.Zone {
+		return d.resumeHere(ctx, s, g)
+	}
+	if s.req.Hops > 0 || d.opt.Peers == nil {
 		return answerCut("the group that answered is in another availability zone", nil)
 	}
-	s.next, s.lastID = id.Offset+1, s.req.ResumeID
-	return d.resumeElsewhere(ctx, s, fleet.VM(""), answerCut("no node of the endpoint's availability zone can be reached", nil))
+	return d.resumeElsewhere(ctx, s, "", answerCut("no node of the endpoint's availability zone can be reached", nil))
 }
 
-func (d *Dispatcher) resumeHere(ctx context.Context, s *session, g *view.Group, id relay.EventID) *outcome.Error {
-	s.next = id.Offset + 1
+// resumeAtKeeper passes the request to the node that asked for the stream: it
+// may still keep it, and would cancel it behind another node's back. It reports
+// false when that node is this one or cannot take the request.
+func (d *Dispatcher) resumeAtKeeper(ctx context.Context, s *session, snap *view.Snapshot, keeper fleet.VM) (done bool, err *outcome.Error) {
+	if s.req.Hops > 0 || d.opt.Peers == nil || keeper == snap.Self.VM || !alive(snap, keeper) {
+		return false, nil
+	}
+	err = d.resumeAt(ctx, s, keeper)
+	if err == nil || ctx.Err() != nil || s.begun {
+		return true, err
+	}
+	return false, nil
+}
+
+func alive(snap *view.Snapshot, id fleet.VM) bool {
+	for i := range snap.Nodes {
+		if snap.Nodes[i].VM == id {
+			return snap.Nodes[i].State == view.NodeAlive
+		}
+	}
+	return false
+}
+
+// resumeHere goes on with a stream of an engine of this availability zone, at
+// the event after the session's last.
+func (d *Dispatcher) resumeHere(ctx context.Context, s *session, g *view.Group) *outcome.Error {
+	id, err := relay.ParseEventID(s.lastID)
+	if err != nil {
+		return badCall(err)
+	}
 	guarded, unwatch := d.guard.watch(ctx, s, g)
 	defer unwatch()
 	f := &following{d: d, s: s, g: g, t: &try{}, st: relay.NewStream(id.StreamRef, s.next)}
+	d.linger.resume(f.abandoned())
 	resp, cut := f.reopen(ctx, guarded, nil)
 	if cut != nil {
 		return cut
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -268,6 +268,16 @@
 	}
 }
 
+// replay gives the answer to another writer.
+func (c *collector) replay(w answer.Writer) {
+	w.Start(c.head)
+	for _, f := range c.frames {
+		w.Frame(f)
+	}
+	c.end.Frames = uint64(len(c.frames))
+	w.Finish(c.end)
+}
+
 func (c *collector) count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -47,7 +47,7 @@
 			return f.s.start(f.head) // a resumed stream may have had only its end left
 		}
 		if told := f.final(ctx, err); told != nil {
-			f.d.abandon(leader(f.g).Addr, f.st.Ref().Stream)
+			f.leave(told)
 			return told
 		}
 		var cut *outcome.Error
@@ -57,6 +57,15 @@
 	}
 }
 
+func (f *following) abandoned() abandoned {
+	return abandoned{leader(f.g).Addr, f.st.Ref().Stream}
+}
+
+// leave ends the stream at the engine, or keeps it for a caller that may come back.
+func (f *following) leave(told *outcome.Error) {
+	f.d.leave(f.abandoned(), told.Kind == outcome.CallerGone && f.s.lastID != "")
+}
+
 // final returns what the caller is told when the stream must not go on.
 func (f *following) final(ctx context.Context, err error) *outcome.Error {
 	var told *outcome.Error
@@ -122,10 +131,12 @@
 
 // lost tells why the wait for a stream ended.
 func (f *following) lost(ctx context.Context, cause error) *outcome.Error {
-	f.d.abandon(leader(f.g).Addr, f.st.Ref().Stream)
 	if ctx.Err() != nil {
-		return f.d.stopped(ctx, outcome.Ran)
+		told := f.d.stopped(ctx, outcome.Ran)
+		f.leave(told)
+		return told
 	}
+	f.d.abandon(f.abandoned())
 	f.t.blamed = true
 	return answerCut("the group that answers has lost a member", cause)
 }
--- a/internal/relay/eventid.go
+++ b/internal/relay/eventid.go
@@ -78,21 +78,31 @@
 // organisation.
 const tagBytes = 8
 
-// NewStreamID draws the id of a stream for the organisation. The id cannot be
-// guessed, and it holds a tag of the organisation: with only an unguessable
-// id, whoever saw another organisation's event id could read its answer.
-func NewStreamID(org fleet.Organisation) string {
+// NewStreamID draws the id of a stream for the organisation, "nonce-tag-node".
+// The nonce cannot be guessed, and the tag is of the organisation: with only an
+// unguessable id, whoever saw another organisation's event id could read its
+// answer. The node is the one that asks the engine for the stream.
+func NewStreamID(org fleet.Organisation, node fleet.VM) string {
 	var b [16]byte
 	rand.Read(b[:]) // never fails
 	nonce := hex.EncodeToString(b[:])
-	return nonce + "-" + tag(org, nonce)
+	return nonce + "-" + tag(org, nonce) + "-" + string(node)
 }
 
 // Owns reports whether the stream id was drawn for the organisation. Another
-// tag under the same draw names a stream that no engine has.
+// tag under the same nonce names a stream that no engine has.
 func Owns(org fleet.Organisation, stream string) bool {
-	nonce, got, ok := strings.Cut(stream, "-")
-	return ok && got == tag(org, nonce)
+	parts := strings.SplitN(stream, "-", 3)
+	return len(parts) == 3 && parts[1] == tag(org, parts[0])
+}
+
+// NodeOf returns the node that asked the engine for the stream.
+func NodeOf(stream string) fleet.VM {
+	parts := strings.SplitN(stream, "-", 3)
+	if len(parts) < 3 {
+		return ""
+	}
+	return fleet.VM(parts[2])
 }
 
 func tag(org fleet.Organisation, nonce string) string {
