--- a/internal/accept/path_test.go
+++ b/internal/accept/path_test.go
@@ -141,6 +141,35 @@
 	is.Equal(resp.Trailer.Get(outcome.Header), "ran")
 }
 
+// A scorer follows a timing service's own feed of events. Each crossing must
+// come through when it happens, not when the feed ends.
+func TestServiceFeedIsNotHeldBack(t *testing.T) {
+	is := is.New(t)
+	more := make(chan struct{})
+	ep := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := range 2 {
+			fmt.Fprintf(w, "data: crossing %d\n\n", i)
+			http.NewResponseController(w).Flush()
+			<-more
+		}
+	}))
+	defer ep.Close()
+	srv := path(t, ep.Listener.Addr().String())
+	resp := send(t, "GET", srv.URL+"/services/counter/crossings", "")
+	got := make([]byte, len("data: crossing 0\n\n"))
+	for i := range 2 {
+		_, err := io.ReadFull(resp.Body, got)
+		is.NoErr(err)
+		is.Equal(string(got), fmt.Sprintf("data: crossing %d\n\n", i))
+		more <- struct{}{}
+	}
+	rest, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(rest), "") // the feed's own form: nothing is added
+	is.Equal(resp.Trailer.Get(outcome.Header), "ran")
+}
+
 func TestWholePathRefusesUnknownModel(t *testing.T) {
 	is := is.New(t)
 	srv := path(t, "127.0.0.1:1")
--- a/internal/accept/writer.go
+++ b/internal/accept/writer.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"chervilloom/internal/answer"
 	"chervilloom/internal/outcome"
@@ -50,12 +51,18 @@
 // Start takes the head of the answer.
 func (w *writer) Start(h answer.Head) error {
 	w.head, w.started = h, true
-	if h.Stream {
+	if h.Stream || w.isFeed() {
 		return w.open()
 	}
 	return nil
 }
 
+// isFeed reports whether the answer is a plain service's own server-sent
+// events: they go out as they come and as they are.
+func (w *writer) isFeed() bool {
+	return strings.HasPrefix(w.head.Header.Get("Content-Type"), "text/event-stream")
+}
+
 // open sends the status and the headers. The outcome and the remaining errors
 // follow in trailers, which are named here.
 func (w *writer) open() error {
@@ -89,8 +96,7 @@
 		return w.event(f)
 	}
 	if w.sent {
-		_, err := w.w.Write(f.Data)
-		return err
+		return w.piece(f.Data)
 	}
 	if len(w.held)+len(f.Data) <= w.room {
 		w.held = append(w.held, f.Data...)
@@ -106,8 +112,14 @@
 		return err
 	}
 	w.held = nil
-	_, err := w.w.Write(f.Data)
-	return err
+	return w.piece(f.Data)
+}
+
+func (w *writer) piece(data []byte) error {
+	if _, err := w.w.Write(data); err != nil || !w.isFeed() {
+		return err
+	}
+	return w.ctl.Flush()
 }
 
 func (w *writer) event(f answer.Frame) error {
--- a/internal/dispatch/body.go
+++ b/internal/dispatch/body.go
@@ -33,6 +33,9 @@
 	if !delimited(resp) {
 		return nil, answerCut("the endpoint's answer has no length, so that its end cannot be told from a cut", nil)
 	}
+	if isEventStream(resp) {
+		return &reply{head: h, rest: resp.Body}, nil // a service's own feed: each event counts when it comes
+	}
 	held, err := io.ReadAll(io.LimitReader(resp.Body, int64(d.opt.AnswerBuffer)))
 	if err != nil {
 		return nil, d.cutBy(ctx, err)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -196,7 +196,9 @@
 		return d.lookUp(ctx, s, choice)
 	}
 	t := d.begin(ctx, s, choice)
-	err = d.send(ctx, s, choice, t)
+	tryCtx, span := d.startTry(ctx, choice)
+	err = d.send(tryCtx, s, choice, t)
+	endTry(span, err)
 	d.opt.Router.End(choice, t.result(d.opt.Clock.Now(), err))
 	s.add(err)
 	return err
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -82,7 +82,9 @@
 	t := r.d.begin(ctx, s, c)
 	req := s.req
 	go func() {
+		ctx, span := r.d.startTry(ctx, c)
 		rep, err := r.d.fetchFrom(ctx, req, c, t)
+		endTry(span, err)
 		now := r.d.opt.Clock.Now()
 		if errors.Is(context.Cause(ctx), errStuck) {
 			t.blamed = true
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
@@ -68,6 +70,20 @@
 	}
 }
 
+// startTry opens the span of one try: the hop to an endpoint or a node.
+func (d *Dispatcher) startTry(ctx context.Context, c route.Choice) (context.Context, trace.Span) {
+	return d.tracer.Start(ctx, "try", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("to", place(c)), attribute.String("reason", c.Reason)))
+}
+
+func endTry(span trace.Span, err *outcome.Error) {
+	if err != nil {
+		span.SetAttributes(attribute.String("outcome", string(err.Outcome)))
+		span.SetStatus(codes.Error, err.Error())
+	}
+	span.End()
+}
+
 // withRemoteParent continues the trace of a request that another node passed on.
 func withRemoteParent(ctx context.Context, req *request.Request) context.Context {
 	if req.TraceParent == "" || trace.SpanContextFromContext(ctx).IsValid() {
