--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -18,18 +18,21 @@
 // abandoned is a stream at an engine that nobody waits for.
 type abandoned struct{ addr, stream string }
 
-func (d *Dispatcher) abandon(addr, stream string) {
-	if !d.cancels.Offer(abandoned{addr: addr, stream: stream}) {
+func (d *Dispatcher) abandon(a abandoned) {
+	if !d.cancels.Offer(a) {
 		d.metrics.cancelsDropped.Inc()
 	}
 }
 
-// Run cancels abandoned streams at their engines until ctx ends.
+// Run cancels abandoned streams at their engines and gives up answers that
+// cannot come any more, until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	for range cancelWorkers {
 		wg.Go(func() { d.cancelLoop(ctx) })
 	}
+	wg.Go(func() { d.guardLoop(ctx) })
+	wg.Go(func() { d.lingerLoop(ctx) })
 	wg.Wait()
 	return ctx.Err()
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -69,6 +69,8 @@
 	AnswerBuffer int           // bytes of an answer held back until it is whole
 	EventBound   int           // bytes of one event
 	Tries        int           // of one request, the first one included
+	HedgeAfter   time.Duration // after which a lookup is sent to a second endpoint as well
+	ResumeGrace  time.Duration // for which a stream runs on whose caller has left; negative: not at all
 }
 
 // The defaults of Options.
@@ -77,6 +79,8 @@
 	DefaultAnswerBuffer = 1 << 20
 	DefaultEventBound   = 256 << 10
 	DefaultTries        = 4
+	DefaultHedgeAfter   = 200 * time.Millisecond
+	DefaultResumeGrace  = 3 * time.Second
 )
 
 func (o *Options) fill() {
@@ -92,6 +96,12 @@
 	if o.Tries == 0 {
 		o.Tries = DefaultTries
 	}
+	if o.HedgeAfter == 0 {
+		o.HedgeAfter = DefaultHedgeAfter
+	}
+	if o.ResumeGrace == 0 {
+		o.ResumeGrace = DefaultResumeGrace
+	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
@@ -102,18 +112,23 @@
 	opt     Options
 	client  *client
 	cancels *ring.Queue[abandoned]
+	guard   *guard
+	linger  *linger
 	metrics *metrics
 	tracer  trace.Tracer
 }
 
 // New returns a dispatcher. Run must be running for abandoned streams to be
-// cancelled at the engines.
+// cancelled at the engines and for answers to be given up when their replica
+// is lost.
 func New(opt Options) *Dispatcher {
 	opt.fill()
 	return &Dispatcher{
 		opt:     opt,
 		client:  newClient(opt.DialTimeout),
 		cancels: ring.NewQueue[abandoned](cancelQueue),
+		guard:   newGuard(),
+		linger:  newLinger(),
 		metrics: newMetrics(opt.Registerer),
 		tracer:  otel.Tracer("chervilloom/dispatch"),
 	}
@@ -177,18 +192,28 @@
 		s.exhausted = true
 		return s.nothingLeft(err)
 	}
-	s.tries++
-	s.tried = append(s.tried, triedBy(choice))
-	account.From(ctx).Try()
-	d.noteTry(s.req, choice)
-	d.opt.Router.Begin(choice)
-	t := &try{started: now}
-	err = d.send(ctx, s, choice, t)
+	if s.req.Class == request.ClassLookup && choice.Kind == route.ToEndpoint {
+		return d.lookUp(ctx, s, choice)
+	}
+	t := d.begin(ctx, s, choice)
+	tryCtx, span := d.startTry(ctx, choice)
+	err = d.send(tryCtx, s, choice, t)
+	endTry(span, err)
 	d.opt.Router.End(choice, t.result(d.opt.Clock.Now(), err))
 	s.add(err)
 	return err
 }
 
+// begin counts a try that is about to be made.
+func (d *Dispatcher) begin(ctx context.Context, s *session, c route.Choice) *try {
+	s.tries++
+	s.tried = append(s.tried, triedBy(c))
+	account.From(ctx).Try()
+	d.noteTry(s.req, c)
+	d.opt.Router.Begin(c)
+	return &try{started: d.opt.Clock.Now()}
+}
+
 func (d *Dispatcher) send(ctx context.Context, s *session, c route.Choice, t *try) *outcome.Error {
 	switch c.Kind {
 	case route.ToGroup:
--- a/internal/identify/model.go
+++ b/internal/identify/model.go
@@ -89,36 +89,23 @@
 	req.Class, req.Idempotent = request.ClassModel, true
 	req.Target, req.Stream = t, b.Stream
 	req.MaxTokens = max(b.MaxTokens, b.MaxCompletionTokens)
-	msgs := b.messages()
-	fields := engine.PromptFields(msgs)
+	fields := b.fields()
 	req.Prefix, req.PromptTokens = engine.Prefixes(t.Model, t.Adapter, fields), estimateTokens(fields)
 	return nil
 }
 
-// messages returns the prompt as engines hash it; a plain prompt is one message.
-func (b *modelBody) messages() []engine.Message {
-	out := make([]engine.Message, 0, len(b.Messages)+1)
+// fields returns the fields of the prompt in order, as engines hash them.
+func (b *modelBody) fields() []string {
+	out := make([]string, 0, 2*len(b.Messages)+1)
 	for _, m := range b.Messages {
-		out = append(out, engine.Message{Role: m.Role, Content: string(m.Content)})
+		out = append(out, m.Role, string(m.Content))
 	}
 	if b.Prompt != "" {
-		out = append(out, engine.Message{Content: string(b.Prompt)})
+		out = append(out, string(b.Prompt))
 	}
 	return out
 }
 
-// bytesPerToken is a rough mean over languages and tokenizers.
-const bytesPerToken = 4
-
-// estimateTokens returns about how many tokens the prompt has.
-func estimateTokens(fields []string) int {
-	size := 0
-	for _, f := range fields {
-		size += len(f)
-	}
-	return size/bytesPerToken + 1
-}
-
 // malformed tells where the body cannot be read.
 func malformed(body []byte, err error) *outcome.Error {
 	remedy := "send the usual completion request as JSON"
