Outcomes are flushed before a node stops and paced under the platform's rate

Cause: at 300 keyed calls a second and 400 rows a second the outcomes took the rows that claims needed; a holder that stopped in good order left "unknown".

Change: notes stop for 5 s when the platform refuses for its rate; Flush writes what the table does not tell yet; a vouched first try with a ticket whose holder is gone is told "not-run"; a span for each claim.

--- a/internal/once/claims.go
+++ b/internal/once/claims.go
@@ -1,6 +1,9 @@
 package once
 
 import (
+	"context"
+	"slices"
+
 	"chervilloom/internal/platform"
 )
 
@@ -57,20 +60,47 @@
 // writeOutcome queues the outcome of an ended entry. The sweeper offers it
 // again until the row tells it.
 func (k *Keeper) writeOutcome(id string) {
+	if op, ok := k.outcomeWrite(id); ok {
+		k.writer.note(op)
+	}
+}
+
+func (k *Keeper) outcomeWrite(id string) (op write, ok bool) {
 	s, ok := k.mem.outcomeOf(id)
 	if !ok {
-		return
+		return write{}, false
 	}
 	row := k.row(RowUnresolved, s.Body)
 	if s.State == Ran {
 		row.State = RowRan
 		row.Answer = k.recordable(&s)
 	}
-	k.writer.note(write{key: id, version: s.Version, value: row.encode(), done: func(end writeEnd, now platform.Row) {
+	done := func(end writeEnd, now platform.Row) {
 		if end == writeLanded || end == writeRefused && k.tellsOutcome(now) {
 			k.mem.recorded(id)
 		}
-	}})
+	}
+	return write{key: id, version: s.Version, value: row.encode(), done: done}, true
+}
+
+// Flush writes the outcomes that the table does not tell yet, until ctx ends.
+// A node that stops calls it after its last request: repeats that come to other
+// nodes later then get the first answer instead of "unknown". It returns how
+// many outcomes are left.
+func (k *Keeper) Flush(ctx context.Context) (left int) {
+	var batch []write
+	for _, id := range k.mem.sweep(k.opt.Clock.Now()) {
+		if op, ok := k.outcomeWrite(id); ok {
+			batch = append(batch, op)
+		}
+	}
+	for part := range slices.Chunk(batch, k.opt.Write.Batch) {
+		if ctx.Err() != nil {
+			break
+		}
+		k.writer.commit(ctx, part)
+	}
+	return len(k.mem.sweep(k.opt.Clock.Now()))
 }
 
 func (k *Keeper) recordable(s *slot) *keptAnswer {
--- a/internal/once/edge_test.go
+++ b/internal/once/edge_test.go
@@ -146,6 +146,22 @@
 	is.Equal(b.table.commits.Load(), int64(2))
 }
 
+func TestFlushedOutcomesOutliveTheHolder(t *testing.T) {
+	// The holder of a key is replaced. It has written the outcome before it
+	// stopped, so a repeat elsewhere gets the first answer, not "unknown".
+	is := is.New(t)
+	b := newBench(t)
+	b.limits.Notes = 1e-9 // nothing is written before the flush
+	k := b.start("a")
+	b.start("b")
+	k.writer.pace.AllowN(time.Now(), 1)
+	is.True(b.send("a", withKey("k")).end.Whole)
+	is.Equal(k.Flush(context.Background()), 0)
+	b.crash("a")
+	is.Equal(b.send("b", withKey("k")).body, "receipt 1")
+	is.Equal(b.endpoint.runs.Load(), int64(1))
+}
+
 func TestLateDeletionSparesANewClaim(t *testing.T) {
 	// A sweep gives up on its deletion, which is still on its way. Another
 	// sweep deletes the row, a caller claims the key again, and the row stands
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -52,7 +52,7 @@
 	// Owns reports whether this node has the duty of the subject (SweepSubject).
 	Owns func(subject string) bool
 
-	TicketLife  time.Duration // default 1h
+	TicketLife  time.Duration // default 30min
 	ClaimWait   time.Duration // how long a caller waits for a claim; default 1s
 	Skew        time.Duration // how far wall clocks of nodes may differ; default 5min
 	MaxEntries  int           // keys and tickets in memory; default 200,000
@@ -65,7 +65,7 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.TicketLife, time.Hour)
+	setDefault(&o.TicketLife, 30*time.Minute)
 	setDefault(&o.ClaimWait, time.Second)
 	setDefault(&o.Skew, 5*time.Minute)
 	setDefault(&o.MaxEntries, 200_000)
@@ -115,7 +115,8 @@
 const minSecret = 16
 
 // Run commits claims and sweeps until ctx ends. It is to end after the last
-// request has: a request that comes later is refused for want of a claim.
+// request has and after Flush: a request that comes later is refused for want of
+// a claim.
 func (k *Keeper) Run(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
--- a/internal/once/relayed.go
+++ b/internal/once/relayed.go
@@ -108,7 +108,7 @@
 // relay passes the try to the life that holds the call's state.
 func (t *try) relay(ctx context.Context, act Action) {
 	if e := t.lost(act.Holder); e != nil {
-		t.refuse(known(e, act.Ran))
+		t.refuse(known(t.asVouched(e), act.Ran))
 		return
 	}
 	passed := *t.req
@@ -130,15 +130,28 @@
 // notAnswered is what is true when the holder did not answer: that this try did
 // not leave does not tell that an earlier one did not run.
 func (t *try) notAnswered(err *outcome.Error) *outcome.Error {
-	if err != nil && err.Outcome == outcome.NotRun && firstTry(t.req) {
-		return err
-	}
-	if err == nil {
+	switch {
+	case err == nil:
 		return holderAway()
+	case err.Outcome == outcome.NotRun:
+		return t.asVouched(holderAway().WithCause(err))
 	}
 	return holderAway().WithCause(err)
 }
 
+// asVouched returns e as "not-run" when this try did not leave and the caller
+// vouches that it is the first with its ticket. A key that is passed on has a
+// row, so it has been tried before, whatever the caller says.
+func (t *try) asVouched(e *outcome.Error) *outcome.Error {
+	if t.mechanism != byTicket || !firstTry(t.req) {
+		return e
+	}
+	c := *e
+	c.Outcome = outcome.NotRun
+	c.Remedy = "ask for a new ticket and send the call with it"
+	return &c
+}
+
 // known returns e, or that the call ran when the row told so.
 func known(e *outcome.Error, ran bool) *outcome.Error {
 	if ran {
--- a/internal/once/try.go
+++ b/internal/once/try.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.opentelemetry.io/otel"
+
 	"chervilloom/internal/answer"
 	"chervilloom/internal/filter"
 	"chervilloom/internal/outcome"
@@ -166,7 +168,11 @@
 // await waits for what becomes of the claim, within the caller's patience.
 func (t *try) await(ctx context.Context, wake chan Action) Action {
 	from := time.Now()
-	defer func() { t.k.meters.claimSeconds.Observe(time.Since(from).Seconds()) }()
+	_, span := otel.Tracer("chervilloom/once").Start(ctx, "once.claim")
+	defer func() {
+		t.k.meters.claimSeconds.Observe(time.Since(from).Seconds())
+		span.End()
+	}()
 	timer := time.NewTimer(t.k.opt.ClaimWait)
 	defer timer.Stop()
 	ctx, cancel := t.untilDeadline(ctx)
--- a/internal/once/writer.go
+++ b/internal/once/writer.go
@@ -63,6 +63,7 @@
 	lastStart time.Time     // of the newest commit; guarded by turn
 	downUntil atomic.Int64  // clock.Instant until which claims are refused unasked
 	downFor   atomic.Int64  // the next pause, in nanoseconds
+	quiet     atomic.Int64  // clock.Instant until which notes are dropped: the platform was over its rate
 }
 
 // WriteLimits bounds what one node asks of the table.
@@ -99,6 +100,7 @@
 
 	firstPause = 250 * time.Millisecond
 	maxPause   = 2 * time.Second
+	quietPause = 5 * time.Second
 )
 
 func newWriter(t Table, c clock.Clock, log *slog.Logger, m *meters, l WriteLimits) *writer {
@@ -131,7 +133,7 @@
 
 // note queues an outcome.
 func (w *writer) note(op write) {
-	if !w.pace.Allow() || !w.notes.Offer(op) {
+	if int64(w.clock.Now()) < w.quiet.Load() || !w.pace.Allow() || !w.notes.Offer(op) {
 		w.meters.notesDropped.Inc()
 	}
 }
@@ -372,6 +374,7 @@
 	pause := min(max(time.Duration(w.downFor.Load()), firstPause), maxPause)
 	if errors.Is(err, platform.ErrLimited) {
 		pause = firstPause
+		w.quiet.Store(int64(w.clock.Now().Add(quietPause)))
 	}
 	w.downFor.Store(int64(2 * pause))
 	w.downUntil.Store(int64(w.clock.Now().Add(pause)))
