--- a/internal/once/try.go
+++ b/internal/once/try.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.opentelemetry.io/otel"
+
 	"chervilloom/internal/answer"
 	"chervilloom/internal/filter"
 	"chervilloom/internal/outcome"
@@ -46,7 +48,10 @@
 }
 
 func (t *try) runContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx = context.WithoutCancel(ctx)
+	return t.untilDeadline(context.WithoutCancel(ctx))
+}
+
+func (t *try) untilDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
 	if t.req.Deadline == 0 {
 		return context.WithCancel(ctx)
 	}
@@ -163,21 +168,21 @@
 // await waits for what becomes of the claim, within the caller's patience.
 func (t *try) await(ctx context.Context, wake chan Action) Action {
 	from := time.Now()
-	defer func() { t.k.meters.claimSeconds.Observe(time.Since(from).Seconds()) }()
-	timer := time.NewTimer(t.patience())
+	_, span := otel.Tracer("chervilloom/once").Start(ctx, "once.claim")
+	defer func() {
+		t.k.meters.claimSeconds.Observe(time.Since(from).Seconds())
+		span.End()
+	}()
+	timer := time.NewTimer(t.k.opt.ClaimWait)
 	defer timer.Stop()
+	ctx, cancel := t.untilDeadline(ctx)
+	defer cancel()
 	select {
 	case act := <-wake:
 		return act
 	case <-timer.C:
+		t.k.writer.unreachable(errSlowClaim)
 	case <-ctx.Done():
 	}
 	return t.k.mem.leave(t.id, wake)
 }
-
-func (t *try) patience() time.Duration {
-	if t.req.Deadline == 0 {
-		return t.k.opt.ClaimWait
-	}
-	return min(t.k.opt.ClaimWait, t.req.Deadline.Sub(t.k.opt.Clock.Now()))
-}
