Routing estimates peers by this node's own change, and ties by age

Change: peers' change since a report is taken from this node's own, up and down; reports of others fade towards the mean of their kin; noise of the size of what peers may do unseen; ties go to the entry used longest ago; slow start of 5 s; pools over 16 are sampled with the prefix's places on top; prefixes are looked up only where they can still decide.

--- a/internal/route/affinity.go
+++ b/internal/route/affinity.go
@@ -1,49 +1,58 @@
 package route
 
 const (
-	trustCached = 0.9  // cache events tell of the prefix
-	trustRecent = 0.8  // this node sent the prefix there lately
-	trustHome   = 0.35 // nobody knows of the prefix; all nodes send it there
+	trustCached = 0.95 // cache events tell of the prefix
+	trustRecent = 0.9  // this node sent the prefix there lately
+	trustHome   = 0.4  // nobody knows of the prefix; all nodes send it there
 	homeBound   = 1.25 // load over the mean up to which the home is preferred
 )
 
-// creditPrefixes takes the prompt tokens that are expected to be cached off the
-// cost of each candidate. It is a hint: a full cache holder loses against a
-// free group as soon as waiting costs more than computing the prompt.
+// creditPrefixes adds the time to compute what of the prompt is not cached to
+// the cost of each candidate. It is a hint: a full cache holder loses against
+// a free group as soon as waiting costs more than computing the prompt.
 func (d *decision) creditPrefixes(cands []candidate, mean float64) {
-	if len(d.f.Prefix) == 0 || d.f.PromptTokens == 0 {
-		return
-	}
+	d.creditRecent(cands)
+	near := nearEqual * d.c.lanes[cands[0].entry].service
 	home := d.home(cands)
+	d.creditPrefix(&cands[home], true, mean)
+	least := cands[home].cost
 	for i := range cands {
 		k := &cands[i]
-		share := d.cached(k)
-		if share > 0 {
-			k.reason = reasonPrefix
-		}
-		if i == home && share < trustHome && k.load <= homeBound*mean+1 {
-			share = trustHome
-			k.reason = reasonHome
+		if i == home || k.cost > least+near { // too dear even with all of the prompt cached
+			continue
 		}
-		k.uncached = float64(d.f.PromptTokens) * (1 - share)
-		s := d.c.entries[k.entry]
-		k.cost += k.uncached * d.c.byClass[d.t.entries[k.entry].class].prefill * s.slow
+		d.creditPrefix(k, false, mean)
+		least = min(least, k.cost)
 	}
 }
 
-// cached returns the share of the prompt expected in the candidate's cache.
-func (d *decision) cached(k *candidate) float64 {
-	known := trustCached * d.match(d.t.entries[k.entry].group.Prefixes)
-	return max(known, trustRecent*d.recentMatch(d.c.entries[k.entry]))
+func (d *decision) creditPrefix(k *candidate, home bool, mean float64) {
+	k.share = max(k.share, trustCached*d.match(d.t.entries[k.entry].group.Prefixes))
+	if k.share > 0 {
+		k.reason = reasonPrefix
+	}
+	if home && k.share < trustHome && k.load <= homeBound*mean+1 {
+		k.share, k.reason = trustHome, reasonHome
+	}
+	k.uncached = float64(d.f.PromptTokens) * (1 - k.share)
+	k.cost += k.uncached * d.c.lanes[k.entry].prefill
 }
 
 // match returns the share of the prompt whose prefix is in the set. A cache that
-// holds a prefix holds the shorter ones too, so the longest is found by halving.
+// holds a prefix holds the shorter ones too, so the longest is found by halving,
+// after the two ends, which settle most cases.
 func (d *decision) match(set map[uint64]struct{}) float64 {
 	if len(set) == 0 {
 		return 0
 	}
-	lo, hi := 0, len(d.f.Prefix)
+	n := len(d.f.Prefix)
+	if _, ok := set[d.f.Prefix[n-1]]; ok {
+		return 1
+	}
+	if _, ok := set[d.f.Prefix[0]]; !ok {
+		return 0
+	}
+	lo, hi := 1, n-1
 	for lo < hi {
 		mid := (lo + hi + 1) / 2
 		if _, ok := set[d.f.Prefix[mid-1]]; ok {
@@ -52,18 +61,23 @@
 			hi = mid - 1
 		}
 	}
-	return float64(lo) / float64(len(d.f.Prefix))
+	return float64(lo) / float64(n)
 }
 
-// recentMatch returns the share of the prompt that this node sent to s lately.
-func (d *decision) recentMatch(s *state) float64 {
+// creditRecent gives the candidates their share of the prompt that this node
+// sent there lately, whose cache events may still be on their way.
+func (d *decision) creditRecent(cands []candidate) {
 	for n := len(d.f.Prefix); n > 0; n-- {
-		h := d.f.Prefix[n-1]
-		if r := &d.c.recent[h%recentSlots]; r.hash == h && r.on == s {
-			return float64(n) / float64(len(d.f.Prefix))
+		s := d.c.recentAt(d.f.Prefix[n-1])
+		if s == nil {
+			continue
+		}
+		for i := range cands {
+			if d.c.lanes[cands[i].entry].s == s {
+				cands[i].share = max(cands[i].share, trustRecent*float64(n)/float64(len(d.f.Prefix)))
+			}
 		}
 	}
-	return 0
 }
 
 // home returns the candidate that comes first in rendezvous order for the
@@ -71,13 +85,61 @@
 func (d *decision) home(cands []candidate) int {
 	best, most := 0, uint64(0)
 	for i := range cands {
-		if w := mix(d.f.Prefix[0] ^ d.t.entries[cands[i].entry].hash); w >= most {
+		if w := d.affinity(d.t.entries[cands[i].entry].hash); w >= most {
 			best, most = i, w
 		}
 	}
 	return best
 }
 
+func (d *decision) affinity(name uint64) uint64 { return mix(d.f.Prefix[0] ^ name) }
+
+// prefixPlaces adds the entries of a large pool where the prompt's prefix is
+// looked for first: those that this node sent it to and its rendezvous home.
+func (d *decision) prefixPlaces(into []candidate) []candidate {
+	const places = scanLimit - sampleSize - 1
+	for n := len(d.f.Prefix); n > 0 && len(into) < places; n-- {
+		s := d.c.recentAt(d.f.Prefix[n-1])
+		if s == nil || !d.local(s) || has(into, s.entry) {
+			continue
+		}
+		into = d.consider(into, s.entry, reasonPrefix)
+	}
+	best, most := d.p.local[0], uint64(0)
+	for k, name := range d.p.hashes {
+		if w := d.affinity(name); w >= most && d.can(d.p.local[k]) {
+			best, most = d.p.local[k], w
+		}
+	}
+	if !has(into, best) {
+		into = d.consider(into, best, reasonHome)
+	}
+	return into
+}
+
+// local reports whether the state is that of an entry of this pool.
+func (d *decision) local(s *state) bool {
+	i := s.entry
+	if i < 0 || int(i) >= len(d.c.lanes) || d.c.lanes[i].s != s {
+		return false
+	}
+	for _, j := range d.p.local {
+		if j == i {
+			return true
+		}
+	}
+	return false
+}
+
+func has(cands []candidate, entry int32) bool {
+	for i := range cands {
+		if cands[i].entry == entry {
+			return true
+		}
+	}
+	return false
+}
+
 // mix is the finaliser of SplitMix64.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/internal/route/baseline.go
+++ b/internal/route/baseline.go
@@ -32,7 +32,7 @@
 func (d *decision) drawEntry() int32 {
 	best, seen := int32(-1), 0
 	for _, i := range d.p.local {
-		if !d.can(&d.t.entries[i]) {
+		if !d.can(i) {
 			continue
 		}
 		seen++
@@ -47,7 +47,7 @@
 func (d *decision) firstFrom(turn int) int32 {
 	n := len(d.p.local)
 	for k := range n {
-		if i := d.p.local[(turn+k)%n]; d.can(&d.t.entries[i]) {
+		if i := d.p.local[(turn+k)%n]; d.can(i) {
 			return i
 		}
 	}
@@ -57,7 +57,7 @@
 func (d *decision) leastReported() int32 {
 	best := int32(-1)
 	for _, i := range d.p.local {
-		if !d.can(&d.t.entries[i]) {
+		if !d.can(i) {
 			continue
 		}
 		if best < 0 || d.reported(i) < d.reported(best) {
@@ -84,9 +84,9 @@
 func (d *decision) reportedFull() bool {
 	load, slots := 0.0, 0.0
 	for _, i := range d.p.local {
-		if e := &d.t.entries[i]; d.can(e) {
+		if d.can(i) {
 			load += float64(d.reported(i))
-			slots += e.slots
+			slots += d.t.entries[i].slots
 		}
 	}
 	return load >= slots
--- a/internal/route/counters.go
+++ b/internal/route/counters.go
@@ -1,8 +1,6 @@
 package route
 
 import (
-	"math"
-	"slices"
 	"time"
 
 	"chervilloom/internal/clock"
@@ -14,12 +12,6 @@
 	failureGain  = 0.2
 	priorService = 2 * time.Second
 	priorPrefill = 1.0 / 4000 // seconds a prompt token
-	slowestRatio = 6.0        // cap of a straggler's demotion
-	recoverHalf  = 20 * time.Second
-	slowStart    = 10 * time.Second
-	slowStartMin = 0.2 // share of its slots that a newly whole group counts with at first
-	forgetAfter  = 5 * time.Minute
-	minSamples   = 4
 	recentSlots  = 4096
 )
 
@@ -30,10 +22,10 @@
 	classes map[classKey]*class
 	pools   map[poolKey]*poolState
 	recent  []recentPrefix
-	started clock.Instant
 
 	table     *Table // that the slices below are aligned with
-	entries   []*state
+	lanes     []lane
+	kins      []kinMean
 	nodes     []*state
 	byClass   []*class
 	poolState []*poolState
@@ -53,6 +45,8 @@
 // state is kept for each group, endpoint, node, and zone of a pool.
 type state struct {
 	inflight int
+	own      int           // for a zone: in flight when its reports were true
+	begun    clock.Instant // newest begin
 	past     history
 	life     string
 	since    clock.Instant // seen able to serve in this life
@@ -65,12 +59,7 @@
 	failing   float64 // share of failures, moving average
 	samples   int
 	sampled   clock.Instant
-
-	// Set by align for the table in use.
-	others float64 // in flight from other nodes when the report was true
-	own    int     // in flight from this node then
-	slow   float64 // times slower than the median of its peers, 1 or more
-	lag    float64 // excess over the median of its peers, seconds
+	entry     int32 // in the table in use
 }
 
 // class holds what is common to the endpoints of one model or plain service.
@@ -86,9 +75,8 @@
 
 // poolState is kept for each target and plain service.
 type poolState struct {
-	turn     int     // round robin's cursor
-	spilling bool    // the own zone was found full and has not emptied enough since
-	mean     float64 // mean of others over the own zone's entries
+	turn     int  // round robin's cursor
+	spilling bool // the own zone was found full and has not emptied enough since
 	remotes  []*state
 	room     []float64 // free slots by remote zone when the table was compiled
 }
@@ -111,58 +99,12 @@
 func (c *Counters) state(k stateKey) *state {
 	s, ok := c.states[k]
 	if !ok {
-		s = &state{slow: 1}
+		s = &state{entry: -1}
 		c.states[k] = s
 	}
 	return s
 }
 
-// align binds the counters to a table: everything that changes with a report
-// and not with a request is computed here, once.
-func (c *Counters) align(t *Table, now clock.Instant) {
-	first := c.table == nil
-	if first {
-		c.started = now
-	}
-	c.table = t
-	c.alignClasses(t)
-	c.alignEntries(t, now, first)
-	c.alignNodes(t, now)
-	c.medians(t)
-	for i := range c.entries {
-		c.compare(t, i, now)
-	}
-	c.alignPools(t, now)
-	c.forget(now)
-}
-
-func (c *Counters) alignClasses(t *Table) {
-	c.byClass = c.byClass[:0]
-	for _, k := range t.classes {
-		cl, ok := c.classes[k]
-		if !ok {
-			cl = &class{service: priorService.Seconds(), prefill: priorPrefill}
-			c.classes[k] = cl
-		}
-		c.byClass = append(c.byClass, cl)
-	}
-}
-
-func (c *Counters) alignEntries(t *Table, now clock.Instant, first bool) {
-	c.entries = c.entries[:0]
-	for i := range t.entries {
-		e := &t.entries[i]
-		s := c.state(e.key())
-		if s.since == 0 || s.life != e.life {
-			s.restart(e.life, now, first)
-		}
-		s.seen = now
-		s.own = s.past.at(e.loadAt, s.inflight)
-		s.others = max(0, float64(e.load.Running+e.load.Waiting-s.own))
-		c.entries = append(c.entries, s)
-	}
-}
-
 func (e *entry) key() stateKey {
 	if e.group != nil {
 		return stateKey{ToGroup, string(e.group.ID)}
@@ -173,103 +115,14 @@
 // restart begins another life: the latencies of the last one say nothing of
 // this one. What is in flight stays counted until it ends.
 func (s *state) restart(life string, now clock.Instant, first bool) {
-	*s = state{inflight: s.inflight, past: s.past, life: life, since: now, slow: 1, ramped: first}
-}
-
-func (c *Counters) alignNodes(t *Table, now clock.Instant) {
-	c.nodes = c.nodes[:0]
-	for i := range t.nodes {
-		s := c.state(stateKey{ToNode, string(t.nodes[i].vm)})
-		s.seen = now
-		c.nodes = append(c.nodes, s)
-	}
-}
-
-// medians compares endpoints of one class; a median is not moved by the
-// stragglers that it is there to find.
-func (c *Counters) medians(t *Table) {
-	for i, cl := range c.byClass {
-		cl.perToken = c.median(t, int32(i), func(s *state) float64 { return s.perToken })
-		cl.first = c.median(t, int32(i), func(s *state) float64 { return s.firstByte })
-		cl.excess = c.median(t, int32(i), func(s *state) float64 { return s.excess })
-	}
-}
-
-func (c *Counters) median(t *Table, class int32, of func(*state) float64) float64 {
-	v := c.scratch[:0]
-	for i, s := range c.entries {
-		if t.entries[i].class == class && s.samples >= minSamples {
-			v = append(v, of(s))
-		}
-	}
-	c.scratch = v
-	if len(v) < 2 {
-		return 0
-	}
-	slices.Sort(v)
-	return v[(len(v)-1)/2]
-}
-
-// compare sets how much slower than its peers an entry is. An endpoint that was
-// demoted gets few requests and so few samples: without the decay towards 1 it
-// would stay demoted for ever after it has recovered.
-func (c *Counters) compare(t *Table, i int, now clock.Instant) {
-	s, cl := c.entries[i], c.byClass[t.entries[i].class]
-	s.slow, s.lag = 1, 0
-	if s.samples < minSamples {
-		return
-	}
-	ratio := s.firstByte / cl.first
-	if t.entries[i].group != nil {
-		ratio = s.perToken / cl.perToken
-	}
-	if math.IsNaN(ratio) || math.IsInf(ratio, 0) {
-		ratio = 1
-	}
-	fade := math.Exp2(-now.Sub(s.sampled).Seconds() / recoverHalf.Seconds())
-	s.slow = 1 + (min(max(ratio, 1), slowestRatio)-1)*fade
-	if t.entries[i].group != nil {
-		s.lag = min(max(s.excess-cl.excess, 0), cl.service) * fade
-	}
-}
-
-func (c *Counters) alignPools(t *Table, now clock.Instant) {
-	c.poolState = c.poolState[:0]
-	for i := range t.pools {
-		p := &t.pools[i]
-		k := poolKey{p.kind, p.name}
-		ps, ok := c.pools[k]
-		if !ok {
-			ps = &poolState{}
-			c.pools[k] = ps
-		}
-		ps.align(c, t, p, now)
-		c.poolState = append(c.poolState, ps)
-	}
-	if len(c.pools) > 2*len(t.pools)+16 {
-		c.forgetPools(t)
-	}
-}
-
-func (c *Counters) forgetPools(t *Table) {
-	clear(c.pools)
-	for i := range t.pools {
-		c.pools[poolKey{t.pools[i].kind, t.pools[i].name}] = c.poolState[i]
-	}
-}
-
-func (c *Counters) forget(now clock.Instant) {
-	for k, s := range c.states {
-		if s.inflight == 0 && now.Sub(s.seen) > forgetAfter {
-			delete(c.states, k)
-		}
-	}
+	*s = state{inflight: s.inflight, begun: s.begun, past: s.past, life: life, since: now, ramped: first}
 }
 
 // begin charges a request to its destination.
 func (c *Counters) begin(ch Choice, now clock.Instant) {
 	if s := c.charged(ch); s != nil {
 		s.change(now, +1)
+		s.begun = now
 	}
 	if ch.via != nil {
 		ch.via.change(now, +1)
@@ -375,6 +228,14 @@
 	}
 }
 
+// recentAt returns where this node last sent a prompt with the prefix, or nil.
+func (c *Counters) recentAt(hash uint64) *state {
+	if r := &c.recent[hash%recentSlots]; r.hash == hash {
+		return r.on
+	}
+	return nil
+}
+
 // InFlight returns how many requests this node has at a group.
 func (c *Counters) InFlight(id fleet.GroupID) int {
 	if s, ok := c.states[stateKey{ToGroup, string(id)}]; ok {
--- a/internal/route/decide.go
+++ b/internal/route/decide.go
@@ -44,11 +44,11 @@
 }
 
 // can reports whether an entry of the own zone may be chosen.
-func (d *decision) can(e *entry) bool {
-	if !d.now.Before(e.freshUntil) {
+func (d *decision) can(i int32) bool {
+	if !d.now.Before(d.c.lanes[i].freshUntil) {
 		return false
 	}
-	return len(d.f.Tried) == 0 || !d.f.triedEntry(e)
+	return len(d.f.Tried) == 0 || !d.f.triedEntry(&d.t.entries[i])
 }
 
 // refuse finds the reason why nothing was found.
@@ -94,7 +94,7 @@
 // toEntry makes the choice of an entry of the own zone.
 func (d *decision) toEntry(i int32, reason string) Choice {
 	e := &d.t.entries[i]
-	ch := Choice{Kind: ToGroup, Group: e.group, VM: e.vm, Reason: reason, on: d.c.entries[i]}
+	ch := Choice{Kind: ToGroup, Group: e.group, VM: e.vm, Reason: reason, on: d.c.lanes[i].s}
 	if e.vm != nil {
 		ch.Kind = ToEndpoint
 	}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -30,6 +30,7 @@
 	nodes    []nodeEntry
 	zones    []zoneEntry
 	classes  []classKey
+	kins     int // sets of entries that share their load
 	pools    []pool
 	targets  map[fleet.Target]int32
 	services map[string]int32
@@ -42,6 +43,7 @@
 	life       string      // generation or boot; counters start afresh with another
 	hash       uint64
 	class      int32
+	kin        int32
 	freshUntil clock.Instant
 	load       fleet.Load
 	loadAt     clock.Instant
@@ -64,13 +66,21 @@
 	name string // model or plain service
 }
 
+// kinKey names the entries among which the same requests are shared out.
+type kinKey struct {
+	class   int32
+	zone    fleet.AvailabilityZone
+	version string
+}
+
 // pool is everything that can answer one target or plain service.
 type pool struct {
 	kind   Kind
 	name   string
-	known  int     // destinations that carry it, whole or not
-	ready  int     // of those, whole and not leaving
-	local  []int32 // entries of the own zone
+	known  int      // destinations that carry it, whole or not
+	ready  int      // of those, whole and not leaving
+	local  []int32  // entries of the own zone
+	hashes []uint64 // of the names of local
 	remote []remotePool
 }
 
@@ -92,7 +102,7 @@
 		fresh = snap.Config.Policy.ProbeFresh.Or(defaultProbeFresh)
 	}
 	t.addNodes(snap)
-	c := compiler{table: t, classes: make(map[classKey]int32), fresh: fresh}
+	c := compiler{table: t, classes: make(map[classKey]int32), kins: make(map[kinKey]int32), fresh: fresh}
 	for i := range snap.Groups {
 		c.addGroup(&snap.Groups[i])
 	}
@@ -134,6 +144,7 @@
 type compiler struct {
 	table   *Table
 	classes map[classKey]int32
+	kins    map[kinKey]int32
 	fresh   time.Duration
 }
 
@@ -147,6 +158,16 @@
 	return i
 }
 
+func (c *compiler) kin(k kinKey) int32 {
+	i, ok := c.kins[k]
+	if !ok {
+		i = int32(len(c.kins))
+		c.kins[k] = i
+		c.table.kins = len(c.kins)
+	}
+	return i
+}
+
 func (c *compiler) addGroup(g *view.Group) {
 	if g.Phase == fleet.PhaseDissolved {
 		return
@@ -154,11 +175,13 @@
 	at := int32(-1)
 	if g.Phase == fleet.PhaseServing && g.Whole && len(g.Members) > 0 {
 		at = int32(len(c.table.entries))
+		class := c.class(classKey{ToGroup, g.Model})
 		c.table.entries = append(c.table.entries, entry{
 			group:      g,
 			life:       string(g.Members[0].Boot),
 			hash:       xxhash.Sum64String(string(g.ID)),
-			class:      c.class(classKey{ToGroup, g.Model}),
+			class:      class,
+			kin:        c.kin(kinKey{class, g.Zone, g.Version}),
 			freshUntil: g.FreshUntil,
 			load:       g.Load,
 			loadAt:     g.LoadAt,
@@ -200,11 +223,13 @@
 	at := int32(-1)
 	if !v.Leaving && v.Record.State != fleet.StateLeaving && v.Probe.Answered != 0 && v.Probe.Failing == 0 {
 		at = int32(len(c.table.entries))
+		class := c.class(classKey{ToEndpoint, v.Record.Service})
 		c.table.entries = append(c.table.entries, entry{
 			vm:         v,
 			life:       string(v.Load.Boot),
 			hash:       xxhash.Sum64String(string(v.Record.VM)),
-			class:      c.class(classKey{ToEndpoint, v.Record.Service}),
+			class:      class,
+			kin:        c.kin(kinKey{class, v.Record.Zone, ""}),
 			freshUntil: v.Probe.Answered.Add(c.fresh + 1), // Fresh holds at the limit itself
 			load:       v.Load,
 			loadAt:     v.LoadAt,
@@ -253,6 +278,7 @@
 	p.ready++
 	if zone == c.table.snap.Zone {
 		p.local = append(p.local, at)
+		p.hashes = append(p.hashes, c.table.entries[at].hash)
 		return
 	}
 	z := c.table.zoneIndex(zone)
--- a/internal/route/zones.go
+++ b/internal/route/zones.go
@@ -16,19 +16,14 @@
 
 // align sums up the pool by zone.
 func (ps *poolState) align(c *Counters, t *Table, p *pool, now clock.Instant) {
-	ps.mean = 0
 	load, slots := 0.0, 0.0
 	for _, i := range p.local {
-		s, e := c.entries[i], &t.entries[i]
-		ps.mean += s.others
-		if now.Before(e.freshUntil) {
-			load += s.others + float64(s.inflight)
-			slots += e.slots
+		l := &c.lanes[i]
+		if now.Before(l.freshUntil) {
+			load += l.others + float64(l.s.inflight)
+			slots += t.entries[i].slots
 		}
 	}
-	if len(p.local) > 0 {
-		ps.mean /= float64(len(p.local))
-	}
 	ps.spilling = spills(ps.spilling, load, slots)
 	ps.alignRemotes(c, t, p, now)
 }
