--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -29,6 +29,8 @@
 	clock clock.Clock
 	meter *meter
 
+	compiling sync.Mutex // one table at a time; taken before mu
+
 	mu       sync.Mutex
 	counters *Counters
 	rng      *rand.Rand
@@ -65,24 +67,41 @@
 func (r *Router) decide(f *Facts, snap *view.Snapshot, now clock.Instant) (Choice, Refusal) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t := r.tableOf(snap, now)
-	ch, why := Decide(t, r.counters, f, now, r.rng)
+	if r.needs(snap) {
+		r.mu.Unlock()
+		r.compile(snap, now)
+		r.mu.Lock()
+	}
+	ch, why := Decide(r.counters.table, r.counters, f, now, r.rng)
 	if why == Accepted {
 		r.counters.chosen(f, ch)
 	}
 	return ch, why
 }
 
-// tableOf returns the table for the snapshot. A caller that comes late with an
-// older snapshot gets the newest table: compiling back and forth for callers
-// that overtake each other would cost more than it could be worth.
-func (r *Router) tableOf(snap *view.Snapshot, now clock.Instant) *Table {
+// needs reports whether the snapshot is newer than the table. A caller that
+// comes late with an older snapshot gets the newest table: compiling back and
+// forth for callers that overtake each other would cost more than it is worth.
+func (r *Router) needs(snap *view.Snapshot) bool {
 	t := r.counters.table
-	if t == nil || t.snap != snap && !snap.At.Before(t.snap.At) {
-		t = Compile(snap)
-		r.counters.align(t, now)
+	return t == nil || t.snap != snap && !snap.At.Before(t.snap.At)
+}
+
+// compile makes the table outside mu, so that requests that begin and end do
+// not wait for it. Callers that bring the same snapshot meanwhile wait here.
+func (r *Router) compile(snap *view.Snapshot, now clock.Instant) {
+	r.compiling.Lock()
+	defer r.compiling.Unlock()
+	r.mu.Lock()
+	done := !r.needs(snap)
+	r.mu.Unlock()
+	if done {
+		return
 	}
-	return t
+	t := Compile(snap)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counters.align(t, now)
 }
 
 // Begin charges a request to its destination. Call it when the request leaves.
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -143,3 +144,30 @@
 	_, _ = r.Pick(modelRequest(fleet.Target{Model: "m"}), later, now.Now(), nil)
 	is.Equal(r.counters.lanes[0].others, 2.0) // five reported, three of them ours
 }
+
+// Many requests arrive while new snapshots come in. A group that the newest
+// snapshot calls broken must not be chosen by a caller that brings it.
+func TestConcurrentPicksSeeTheirSnapshot(t *testing.T) {
+	is := is.New(t)
+	r := router(clock.NewManual(start))
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for i := range 200 {
+				s := snapshot("")
+				s.At = start + clock.Instant(i)
+				s.Groups = []view.Group{group("g1", "z1", 0), group("g2", "z1", 0)}
+				s.Groups[1].Whole = false
+				ch, err := r.Pick(modelRequest(fleet.Target{Model: "m"}), s, start, nil)
+				if err != nil || ch.Group.ID != "g1" {
+					t.Error("chose a broken group")
+					return
+				}
+				r.Begin(ch)
+				r.End(ch, Result{OK: true, FirstByte: 1, Total: 2, Tokens: 2})
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(r.InFlight("g1"), 0)
+}
