Stragglers come back after a pause; policy tests and a case of many nodes

Cause: a demoted group that had recovered stayed demoted for minutes: its average kept the old latencies and the decay by half-lives had a long tail. Ruled out: forgetting all of it by half-lives of 20 s (133 s until the first probe at five times slower), a sample weight of 0.8 after a pause (three more pauses). Change: nothing is held against an endpoint after 45 s without a sample, and a sample after a pause counts by the length of the pause. Tests of straggler, failing group, slow start, spill and bounded home; the default policy against the two strongest baselines in the driver. Red runs: demotion, recovery weight, failure cost, slow start, crowding, hysteresis and proportion switched off one at a time. Switching off the load bound of the home alone was not seen by a test: the cost of waiting bounds it as well.

--- a/internal/route/align.go
+++ b/internal/route/align.go
@@ -10,7 +10,9 @@
 
 const (
 	slowestRatio = 6.0 // cap of a straggler's demotion
-	recoverHalf  = 20 * time.Second
+	// recovery is the time without a sample after which nothing is held against
+	// an endpoint any more: its next request tells whether it is still slow.
+	recovery     = 45 * time.Second
 	slowStart    = 5 * time.Second
 	slowStartMin = 0.2 // share of its slots that a newly whole group counts with at first
 	forgetAfter  = 5 * time.Minute
@@ -164,8 +166,7 @@
 
 // slowness returns how many times slower than its peers an endpoint is, from 1
 // to slowestRatio. An endpoint that was demoted gets few requests and so few
-// samples: without the decay towards 1 it would stay demoted after it has
-// recovered.
+// samples: without the fading it would stay demoted after it has recovered.
 func (s *state) slowness(cl *class, e *entry, now clock.Instant) float64 {
 	if s.samples < minSamples {
 		return 1
@@ -186,7 +187,7 @@
 }
 
 func fade(now, since clock.Instant) float64 {
-	return math.Exp2(-now.Sub(since).Seconds() / recoverHalf.Seconds())
+	return max(0, 1-float64(now.Sub(since))/float64(recovery))
 }
 
 // lag returns the seconds by which first bytes come later than expected, over
--- a/internal/route/counters.go
+++ b/internal/route/counters.go
@@ -189,7 +189,7 @@
 		return
 	}
 	s.failing -= failureGain * s.failing
-	gain := max(latencyGain, 1/float64(s.samples+1))
+	gain := s.gain(now)
 	s.firstByte += gain * (r.FirstByte.Seconds() - s.firstByte)
 	s.excess += gain * ((r.FirstByte - ch.est.wait).Seconds() - s.excess)
 	if r.Tokens > 1 {
@@ -199,6 +199,13 @@
 	s.sampled = now
 }
 
+// gain returns the weight of a new sample. It grows with the time since the last
+// one: what an endpoint was like before a pause says little of it now.
+func (s *state) gain(now clock.Instant) float64 {
+	pause := float64(now.Sub(s.sampled)) / float64(recovery)
+	return max(latencyGain, min(pause, 1), 1/float64(s.samples+1))
+}
+
 func perToken(r Result) float64 {
 	return max(0, (r.Total-r.FirstByte).Seconds()) / float64(r.Tokens-1)
 }
--- /dev/null
+++ b/internal/route/policy_test.go
@@ -0,0 +1,172 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilloom/internal/clock"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/view"
+)
+
+// answers sends n requests one after the other, each with the time that its
+// group needs for a token, and returns how many each group got.
+func answers(r *Router, now *clock.Manual, s *view.Snapshot, n int, perToken func(fleet.GroupID) (time.Duration, bool)) map[fleet.GroupID]int {
+	got := make(map[fleet.GroupID]int)
+	for range n {
+		fresh := *s
+		fresh.At = now.Now()
+		ch, err := r.Pick(modelRequest(fleet.Target{Model: "m"}), &fresh, now.Now(), nil)
+		if err != nil {
+			return got
+		}
+		r.Begin(ch)
+		each, ok := perToken(ch.Group.ID)
+		now.Advance(50 * time.Millisecond)
+		r.End(ch, Result{OK: ok, Failed: !ok, FirstByte: each, Total: 50 * each, Tokens: 50})
+		got[ch.Group.ID]++
+	}
+	return got
+}
+
+func threeGroups() *view.Snapshot {
+	s := snapshot("")
+	s.Groups = []view.Group{group("g1", "z1", 0), group("g2", "z1", 0), group("g3", "z1", 0)}
+	for i := range s.Groups {
+		s.Groups[i].FreshUntil = start + 1000*second
+	}
+	return s
+}
+
+// One group of three becomes five times slower than its peers and reports no
+// more load than they do. Callers wait five times longer for every third
+// answer. It is demoted, and gets its share again after it has recovered.
+func TestStragglerIsDemotedAndRecovers(t *testing.T) {
+	is := is.New(t)
+	now := clock.NewManual(start)
+	r, s := router(now), threeGroups()
+	slow := func(id fleet.GroupID) (time.Duration, bool) {
+		if id == "g2" {
+			return 50 * time.Millisecond, true
+		}
+		return 10 * time.Millisecond, true
+	}
+	even := func(fleet.GroupID) (time.Duration, bool) { return 10 * time.Millisecond, true }
+	answers(r, now, s, 60, slow)
+	is.True(answers(r, now, s, 60, slow)["g2"] <= 2)
+	now.Advance(recovery)
+	answers(r, now, s, 100, even)
+	is.True(answers(r, now, s, 300, even)["g2"] >= 80)
+}
+
+// A group refuses or fails every request within a millisecond. It never has
+// anything in flight, looks idle and would be sent everything.
+func TestFailingGroupDoesNotDrawRequests(t *testing.T) {
+	is := is.New(t)
+	now := clock.NewManual(start)
+	r, s := router(now), threeGroups()
+	s.Groups[0].Load.Running, s.Groups[2].Load.Running = 4, 4
+	fails := func(id fleet.GroupID) (time.Duration, bool) { return 10 * time.Millisecond, id != "g2" }
+	got := answers(r, now, s, 100, fails)
+	is.True(got["g2"] <= 10)
+}
+
+// A group comes back whole with nothing in flight and a cold cache. Every node
+// would send it all requests at once.
+func TestNewlyWholeGroupStartsSlowly(t *testing.T) {
+	is := is.New(t)
+	now := clock.NewManual(start)
+	r, s := router(now), threeGroups()
+	s.Groups[1].Whole = false
+	even := func(fleet.GroupID) (time.Duration, bool) { return 10 * time.Millisecond, true }
+	answers(r, now, s, 10, even)
+	s.Groups[1].Whole = true
+	for i := range s.Groups {
+		s.Groups[i].Load.Running = 1
+	}
+	early := answers(r, now, s, 30, even)["g2"]
+	now.Advance(slowStart)
+	late := answers(r, now, s, 30, even)["g2"]
+	is.True(early < late)
+	is.True(late >= 8)
+}
+
+func TestSpillHasHysteresis(t *testing.T) {
+	cases := []struct {
+		name   string
+		before bool
+		load   float64
+		want   bool
+	}{
+		{"room", false, 90, false},
+		{"full", false, 95, true},
+		{"nearly full after full", true, 90, true},
+		{"emptied", true, 75, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(spills(c.before, c.load, 100), c.want)
+		})
+	}
+}
+
+// Two other zones have three free slots and one. What leaves a full zone is
+// shared out in that proportion; all of it to the emptier one would fill it.
+func TestSpillIsInProportionToRoom(t *testing.T) {
+	is := is.New(t)
+	s := snapshot("")
+	s.Groups = []view.Group{group("g1", "z1", 30), group("g2", "z2", 5), group("g3", "z3", 7)}
+	s.Nodes = []view.Node{node("n2", "z2"), node("n3", "z3")}
+	r := router(clock.NewManual(start))
+	got := make(map[fleet.VM]int)
+	for range 400 {
+		ch, err := r.Pick(modelRequest(fleet.Target{Model: "m"}), s, start, nil)
+		is.True(err == nil)
+		got[ch.Node]++
+	}
+	is.Equal(got[""], 0)
+	is.True(got["n3"] > 60 && got["n3"] < 140)
+}
+
+// The whole zone's prompts begin alike, and no cache events come. The home of
+// the prefix gets them until it has a quarter more than its peers.
+func TestHomeIsBoundedByLoad(t *testing.T) {
+	is := is.New(t)
+	now := clock.NewManual(start)
+	r, s := router(now), threeGroups()
+	req := modelRequest(fleet.Target{Model: "m"})
+	req.Prefix, req.PromptTokens = []uint64{7, 8, 9}, 2000
+	for range 24 {
+		ch, err := r.Pick(req, s, now.Now(), nil)
+		is.True(err == nil)
+		r.Begin(ch)
+	}
+	for _, g := range s.Groups {
+		is.True(r.InFlight(g.ID) >= 4)
+	}
+}
+
+// The default policy has a better tail than the two strongest baselines in the
+// cases of the driver. The runs are seeded: the figures are the same every time.
+func TestWeightedBeatsBaselines(t *testing.T) {
+	for i := range scenarios {
+		sc := &scenarios[i]
+		if sc.name == "many-nodes" {
+			continue // a long run of what prefix-heavy shows; it is in the benchmark
+		}
+		t.Run(sc.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			mine := measure(sc, "weighted", 1)
+			is.Equal(mine.refused, 0.0)
+			for _, p := range []string{"round-robin", "two-choices"} {
+				other := measure(sc, p, 1)
+				is.True(mine.p95 < other.p95)
+				is.True(mine.p99 < other.p99)
+				is.True(mine.hit >= other.hit)
+			}
+		})
+	}
+}
--- a/internal/route/scenarios_test.go
+++ b/internal/route/scenarios_test.go
@@ -12,6 +12,7 @@
 
 var scenarios = []scenario{
 	{name: "lagging-reports", zones: []int{8}, nodes: 6, rate: []float64{33}, cache: 300, call: plainCall},
+	{name: "many-nodes", zones: []int{16}, nodes: 16, rate: []float64{66}, cache: 300, call: conversation},
 	{name: "straggler", zones: []int{8}, nodes: 6, rate: []float64{28}, cache: 300, call: plainCall, script: straggle},
 	{name: "prefix-heavy", zones: []int{8}, nodes: 6, rate: []float64{33}, cache: 300, call: conversation},
 	{name: "zone-cut", zones: []int{3, 4, 4}, nodes: 2, rate: []float64{17, 10, 10}, cache: 300, call: conversation, script: cutAndJoin},
