--- /dev/null
+++ b/internal/admit/bench_test.go
@@ -0,0 +1,166 @@
+package admit
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"chervilloom/internal/clock"
+	"chervilloom/internal/fleet"
+)
+
+// benchPlan has the given number of organisations and one pool.
+func benchPlan(orgs, slots int) (*Plan, []fleet.Organisation) {
+	p := &Plan{
+		QueueLimit: defaultQueueLimit,
+		Pools:      []Pool{{Name: "p", Share: float64(slots), Total: float64(slots)}},
+		Services:   []Pool{{Name: "p", Share: float64(slots), Total: float64(slots)}},
+		Targets:    []TargetPool{{Target: simTarget}},
+	}
+	names := make([]fleet.Organisation, orgs)
+	for i := range names {
+		names[i] = fleet.Organisation(fmt.Sprintf("organisation-%03d", i))
+		p.Organisations = append(p.Organisations, Organisation{Name: names[i], Weight: 1, Rate: 1e9, Lookups: 1e9})
+	}
+	return p, names
+}
+
+var benchSizes = []int{10, 50, 200}
+
+// BenchmarkLookup is one lookup: admitted and ended.
+func BenchmarkLookup(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint("organisations=", n), func(b *testing.B) {
+			core := NewLookups()
+			benchAdmit(b, core, n)
+		})
+	}
+}
+
+// BenchmarkModelRoom is one model call that finds a free slot: admitted and ended.
+func BenchmarkModelRoom(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint("organisations=", n), func(b *testing.B) {
+			core := NewModels()
+			benchAdmit(b, core, n)
+		})
+	}
+}
+
+func benchAdmit(b *testing.B, core stepper, orgs int) {
+	plan, names := benchPlan(orgs, 64)
+	out := core.Step(simStart, &Event{Kind: Replan, Plan: plan}, nil)
+	b.ReportAllocs()
+	now, i := simStart, 0
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		a := Event{Kind: Arrive, Arrival: Arrival{Organisation: names[i%orgs], Target: simTarget, Service: "p", MaxTokens: 100, Deadline: now.Add(time.Second)}}
+		out = core.Step(now, &a, out[:0])
+		out = core.Step(now, &Event{Kind: Finish, Completion: Completion{Total: time.Millisecond, FirstToken: time.Millisecond, Answered: true}}, out[:0])
+		i++
+	}
+}
+
+// BenchmarkModelQueue is one model call under load: queued behind others, and
+// the next one admitted when a request ends.
+func BenchmarkModelQueue(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint("organisations=", n), func(b *testing.B) { benchQueue(b, n, 128) })
+	}
+}
+
+func benchQueue(b *testing.B, orgs, depth int) {
+	plan, names := benchPlan(orgs, 1)
+	core := NewModels()
+	out := core.Step(simStart, &Event{Kind: Replan, Plan: plan}, nil)
+	now, i := simStart, 0
+	arrive := func(h Handle) {
+		a := Event{Kind: Arrive, Handle: h, Arrival: Arrival{Organisation: names[i%orgs], Target: simTarget, MaxTokens: 100, Deadline: now.Add(time.Hour)}}
+		out = core.Step(now, &a, out[:0])
+		i++
+	}
+	arrive(0)
+	running, free := Handle(0), Handle(depth+1)
+	for h := range depth {
+		arrive(Handle(h + 1))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		arrive(free)
+		free = running
+		out = core.Step(now, &Event{Kind: Finish, Handle: running, Completion: Completion{Total: time.Millisecond, FirstToken: time.Millisecond, Answered: true}}, out[:0])
+		running = out[0].Handle
+	}
+}
+
+// BenchmarkModelFull is one model call that is refused because the queue is
+// full: the organisation furthest over its share is looked for.
+func BenchmarkModelFull(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint("organisations=", n), func(b *testing.B) {
+			plan, names := benchPlan(n, 1)
+			core := NewModels()
+			out := core.Step(simStart, &Event{Kind: Replan, Plan: plan}, nil)
+			a := Event{Kind: Arrive, Arrival: Arrival{Target: simTarget, MaxTokens: 100}}
+			for h := range defaultQueueLimit + 1 {
+				a.Handle, a.Arrival.Organisation = Handle(h), names[h%n]
+				out = core.Step(simStart, &a, out[:0])
+			}
+			b.ReportAllocs()
+			a.Handle++
+			for i := 0; b.Loop(); i++ {
+				a.Arrival.Organisation = names[i%n]
+				out = core.Step(simStart, &a, out[:0])
+				if out[0].Verdict != Refuse {
+					b.Fatal("not refused")
+				}
+				a.Handle = out[0].Handle
+			}
+		})
+	}
+}
+
+// BenchmarkSweep is one look at the whole queue of 256.
+func BenchmarkSweep(b *testing.B) {
+	plan, names := benchPlan(10, 1)
+	core := NewModels()
+	out := core.Step(simStart, &Event{Kind: Replan, Plan: plan}, nil)
+	for h := range defaultQueueLimit {
+		a := Event{Kind: Arrive, Handle: Handle(h), Arrival: Arrival{Organisation: names[h%10], Target: simTarget, MaxTokens: 100, Deadline: simStart.Add(time.Hour)}}
+		out = core.Step(simStart, &a, out[:0])
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		out = core.Step(simStart, &Event{Kind: Tick}, out[:0])
+	}
+}
+
+// BenchmarkLane is one decision with the way to the lane's goroutine and back.
+func BenchmarkLane(b *testing.B) {
+	plan, names := benchPlan(10, 1024)
+	core := NewLookups()
+	core.Step(simStart, &Event{Kind: Replan, Plan: plan}, nil)
+	l := newLane("lookup", core, clock.NewManual(simStart))
+	ctx, cancel := context.WithCancel(context.Background())
+	go l.run(ctx)
+	b.Cleanup(func() { cancel(); <-l.stopped })
+	a := Arrival{Organisation: names[0], Service: "p"}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			c, _ := l.ask(ctx, &a, nil)
+			l.tell(message{event: Event{Kind: Finish, Completion: Completion{Total: time.Millisecond, Answered: true}}, call: c})
+		}
+	})
+}
+
+// BenchmarkPlan works out the limits of a snapshot.
+func BenchmarkPlan(b *testing.B) {
+	s := testSnapshot(4)
+	b.ReportAllocs()
+	for b.Loop() {
+		PlanOf(s, wholeCaps{}.Shares)
+	}
+}
--- a/internal/admit/limiter.go
+++ b/internal/admit/limiter.go
@@ -64,15 +64,17 @@
 
 // resize takes the slots of a new plan.
 func (l *limiter) resize(now clock.Instant, c *Pool) {
+	l.total = c.Total
+	if c.Total <= 0 {
+		return // limit and share are kept for the time when endpoints are back
+	}
 	switch {
-	case c.Total <= 0:
-		l.limit = 0
 	case l.limit == 0:
 		l.limit = max(1, c.Share)
 	case c.Share != l.share && l.share > 0:
 		l.limit *= c.Share / l.share
 	}
-	l.share, l.total = c.Share, c.Total
+	l.share = c.Share
 	l.clamp()
 	if !c.Reported.After(l.reported) {
 		return
@@ -84,15 +86,14 @@
 }
 
 func (l *limiter) clamp() {
-	if l.total <= 0 {
-		l.limit = 0
-		return
-	}
 	floor := 1.0
 	if !l.shedFloor {
 		floor = max(1, l.share*floorOfShare)
 	}
-	l.limit = max(floor, min(l.limit, max(1, l.total)))
+	if l.total > 0 {
+		l.limit = min(l.limit, l.total)
+	}
+	l.limit = max(floor, l.limit)
 }
 
 // sample takes the latency of one request, in seconds: time to the first token
--- a/internal/admit/plan.go
+++ b/internal/admit/plan.go
@@ -183,13 +183,10 @@
 	return p
 }
 
-// serves reports whether the group takes requests from this node. The nodes of
-// a group's own zone check its members; from outside, its phase has to do.
+// serves reports whether the group takes requests from this node. A group of
+// another zone is reached through that zone's nodes.
 func serves(s *view.Snapshot, g *view.Group, nodes nodeCount) bool {
-	if g.Zone == s.Zone {
-		return g.Whole
-	}
-	return g.Phase == fleet.PhaseServing && nodes.byZone[g.Zone] > 0
+	return g.Whole && (g.Zone == s.Zone || nodes.byZone[g.Zone] > 0)
 }
 
 func servicePool(s *view.Snapshot, name string, nodes nodeCount) Pool {
--- a/internal/admit/pool.go
+++ b/internal/admit/pool.go
@@ -8,7 +8,9 @@
 )
 
 // room reports whether a slot is free.
-func (p *pool) room() bool { return float64(p.inflight)+1 <= p.limiter.limit }
+func (p *pool) room() bool {
+	return p.total > 0 && float64(p.inflight)+1 <= p.limiter.limit
+}
 
 // gone reports whether nothing has served the pool's targets for longer than
 // the grace.
@@ -54,7 +56,7 @@
 
 // slotTime is the mean time until one of the pool's slots is free.
 func (p *pool) slotTime() time.Duration {
-	return clampSeconds(p.estimate.meanCost() / p.estimate.drain(p.limiter.limit))
+	return min(maxRetryAfter, clampSeconds(p.estimate.meanCost()/p.estimate.drain(p.limiter.limit)))
 }
 
 // book returns when a refused caller should come back: not before excess has
