Rate caps shared between nodes by told claims

Cause: each node gave every organisation its whole cap, so six nodes admitted six times as much.

Each node holds a claim on a cap and its share is its claim over all that it believes of. A claim is lowered at once and raised only a second after it was told, so no node uses a claim higher than the others believe; the shares sum to at most 1 while messages arrive within that second. Cut off, an even part is left to every node held for dead: the parts of a clean split sum to 1, and until the cut is noticed k parts use at most k times the cap.

Ruled out: a floor for idle nodes with shares by demand alone. When an idle organisation wakes at all nodes, the first to tell would have pushed the others to their floor for the second in which theirs is not told. Claims are even until somebody needs more, and then no message is sent at all.

--- a/internal/admit/plan.go
+++ b/internal/admit/plan.go
@@ -85,11 +85,21 @@
 	return Organisation{
 		Name:    name,
 		Weight:  float64(max(1, c.Weight)),
-		Rate:    c.Rate * model,
-		Lookups: c.Lookups * lookups,
+		Rate:    part(c.Rate, model),
+		Lookups: part(c.Lookups, lookups),
 	}
 }
 
+// leastRate keeps a cap from becoming 0, which would stand for no cap.
+const leastRate = 0.001
+
+func part(limit, share float64) float64 {
+	if limit <= 0 {
+		return 0
+	}
+	return max(leastRate, limit*share)
+}
+
 // nodeCount is the entry nodes that share the endpoints, this one included.
 type nodeCount struct {
 	all    int
--- /dev/null
+++ b/internal/usage/tracker_test.go
@@ -0,0 +1,100 @@
+package usage
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"chervilloom/internal/clock"
+	"chervilloom/internal/config"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/request"
+	"chervilloom/internal/view"
+)
+
+type fixedView struct{ s *view.Snapshot }
+
+func (v fixedView) Snapshot() *view.Snapshot { return v.s }
+
+// wire hands a tracker's messages to another.
+type wire struct {
+	from fleet.Node
+	to   *Tracker
+}
+
+func (w *wire) Broadcast(topic string, payload []byte) {
+	if topic == Topic {
+		w.to.Handle(w.from, payload)
+	}
+}
+
+func startPair(t *testing.T) (busy, idle *Tracker) {
+	t.Helper()
+	var wires [2]*wire
+	var trackers [2]*Tracker
+	for i := range trackers {
+		wires[i] = &wire{from: netNode(i)}
+		s := &view.Snapshot{
+			Self: netNode(i), Revision: 1,
+			Config: &config.Document{Organisations: []config.Organisation{{Name: string(netOrg), Rate: 100, Lookups: 100}}},
+			Nodes:  []view.Node{{Node: netNode(1 - i), State: view.NodeAlive}},
+		}
+		trackers[i] = New(Options{
+			Peers: wires[i], View: fixedView{s}, Clock: clock.Boot{},
+			Log: slog.New(slog.DiscardHandler), Registerer: prometheus.NewRegistry(),
+		})
+	}
+	wires[0].to, wires[1].to = trackers[1], trackers[0]
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, tr := range trackers {
+		wg.Go(func() { tr.Run(ctx) })
+	}
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return trackers[0], trackers[1]
+}
+
+// All callers of an organisation come to one of two nodes. The nodes tell each
+// other, and the busy one gets most of the cap on lookups; model calls, of
+// which there are none, stay as they were.
+func TestTrackersShiftShares(t *testing.T) {
+	is := is.New(t)
+	busy, idle := startPair(t)
+	model, lookups := busy.Shares(netOrg)
+	is.Equal(model, 0.5)
+	is.Equal(lookups, 0.5)
+
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	for ctx.Err() == nil {
+		busy.Count(netOrg, request.ClassLookup)
+		_, mine := busy.Shares(netOrg)
+		_, its := idle.Shares(netOrg)
+		if mine > 0.7 && its < 0.3 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	is.NoErr(ctx.Err())
+	model, _ = busy.Shares(netOrg)
+	is.Equal(model, 0.5)
+}
+
+// A message that cannot be read and one that finds the ring full do no harm.
+func TestTrackerTakesNoHarm(t *testing.T) {
+	is := is.New(t)
+	busy, _ := startPair(t)
+	busy.Handle(netNode(1), []byte("no message"))
+	for range 2 * inboxSize {
+		busy.Handle(netNode(1), []byte{0xa0})
+	}
+	model, _ := busy.Shares(netOrg)
+	is.Equal(model, 0.5)
+	model, _ = busy.Shares("unknown")
+	is.Equal(model, 1.0) // an organisation that is not configured has no cap
+}
