--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,160 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// Report is what a run measured.
+type Report struct {
+	Name    string   `json:"name,omitempty"` // of the side of a comparison
+	Targets []string `json:"targets"`
+	Plan    *Plan    `json:"plan"` // without keys
+	Sent    int      `json:"sent"`
+	// NotSent counts the requests that came due while InFlight others were in
+	// progress.
+	NotSent int      `json:"not_sent"`
+	Retries int      `json:"retries"`
+	Late    Latency  `json:"late"` // from intended to real start: the tool's own error
+	Kinds   []Kind   `json:"kinds"`
+	Seconds []Second `json:"seconds"`
+}
+
+// Kind is the results of one kind of request.
+type Kind struct {
+	Name          string  `json:"name"`
+	Type          Type    `json:"type"`
+	Outcomes      []Count `json:"outcomes"`          // the most frequent first
+	Details       []Count `json:"details,omitempty"` // what was wrong or failed; not all are kept
+	Tokens        int     `json:"tokens,omitempty"`
+	Total         Latency `json:"total"` // of whole answers
+	FirstToken    Latency `json:"first_token"`
+	BetweenTokens Latency `json:"between_tokens"`
+}
+
+// Count is how often something was seen.
+type Count struct {
+	Name  string `json:"name"`
+	Count int    `json:"count"`
+}
+
+// Latency is a distribution, in microseconds.
+type Latency struct {
+	Count int64   `json:"count"`
+	Mean  int64   `json:"mean_us,omitempty"`
+	P50   int64   `json:"p50_us,omitempty"`
+	P90   int64   `json:"p90_us,omitempty"`
+	P99   int64   `json:"p99_us,omitempty"`
+	P999  int64   `json:"p999_us,omitempty"`
+	Max   int64   `json:"max_us,omitempty"`
+	Curve []Point `json:"curve,omitempty"`
+}
+
+// Point is one point of a distribution.
+type Point struct {
+	Percentile float64 `json:"percentile"`
+	Micros     int64   `json:"us"`
+}
+
+// Second is what became of the requests that were due in one second.
+type Second struct {
+	Second  int `json:"second"` // from the start of the run
+	Whole   int `json:"whole"`
+	Refused int `json:"refused"`
+	Failed  int `json:"failed"` // wrong, cut, without answer or too late
+	NotSent int `json:"not_sent"`
+}
+
+// Count returns how often an outcome was seen over all kinds.
+func (r *Report) Count(outcome string) (n int) {
+	for i := range r.Kinds {
+		for _, c := range r.Kinds[i].Outcomes {
+			if c.Name == outcome {
+				n += c.Count
+			}
+		}
+	}
+	return n
+}
+
+// Whole returns the number of answers that were whole and right.
+func (r *Report) Whole() int { return r.Count(outcomeWhole) }
+
+// WriteJSON writes the report as JSON.
+func (r *Report) WriteJSON(w io.Writer) error { return writeJSON(w, r) }
+
+func writeJSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// WriteTable writes the report for a person.
+func (r *Report) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	title := strings.Join(r.Targets, " ")
+	if r.Name != "" {
+		title = r.Name + ": " + title
+	}
+	fmt.Fprintf(w, "%s\n%s\n", title, r.summary())
+	fmt.Fprintln(t, "kind\tcount\tmean\tp50\tp90\tp99\tp99.9\tmax\t")
+	for i := range r.Kinds {
+		k := &r.Kinds[i]
+		latencyRow(t, k.Name, &k.Total)
+		latencyRow(t, k.Name+" first token", &k.FirstToken)
+		latencyRow(t, k.Name+" between tokens", &k.BetweenTokens)
+	}
+	latencyRow(t, "sent late by", &r.Late)
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	return r.writeOutcomes(w)
+}
+
+func (r *Report) summary() string {
+	p := r.Plan
+	return fmt.Sprintf("%s arrivals, %g a second for %s, seed %d: %d sent, %d not sent, %d retries",
+		p.Arrivals, p.Rate, time.Duration(p.Duration), p.Seed, r.Sent, r.NotSent, r.Retries)
+}
+
+func latencyRow(w io.Writer, name string, l *Latency) {
+	if l.Count == 0 {
+		return
+	}
+	fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t\n", name, l.Count,
+		micros(l.Mean), micros(l.P50), micros(l.P90), micros(l.P99), micros(l.P999), micros(l.Max))
+}
+
+func (r *Report) writeOutcomes(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "\nkind\toutcome\tcount")
+	for i := range r.Kinds {
+		k := &r.Kinds[i]
+		for _, c := range k.Outcomes {
+			fmt.Fprintf(t, "%s\t%s\t%d\n", k.Name, c.Name, c.Count)
+		}
+	}
+	for i := range r.Kinds {
+		k := &r.Kinds[i]
+		for _, c := range k.Details {
+			fmt.Fprintf(t, "%s\t  %s\t%d\n", k.Name, c.Name, c.Count)
+		}
+	}
+	return t.Flush()
+}
+
+// micros writes microseconds with three figures or so.
+func micros(us int64) string {
+	switch d := time.Duration(us) * time.Microsecond; {
+	case d < 10*time.Millisecond:
+		return d.String()
+	case d < 10*time.Second:
+		return d.Round(100 * time.Microsecond).String()
+	default:
+		return d.Round(10 * time.Millisecond).String()
+	}
+}
