Load tool sends at the intended time; accuracy measured

Cause: the median request was sent 0.5 ms late, several times what a node adds to a lookup: an idle Go process waits in epoll, which counts in milliseconds. The last two milliseconds of each wait are now the kernel's (clock_nanosleep).

--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -94,7 +94,7 @@
 		tries := r.tries + 1
 		r, after = c.try(ctx, s, intended, key)
 		r.request, r.at, r.tries = s.request, s.at, tries
-		if after <= 0 || tries > c.plan.Retries || !sleepUntil(ctx, time.Now().Add(after)) {
+		if after <= 0 || tries > c.plan.Retries || !pause(ctx, after) {
 			return r
 		}
 	}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -18,6 +18,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Options describe a run.
@@ -123,9 +125,14 @@
 	return ctx.Err()
 }
 
-// sleepUntil reports false when ctx ends first.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	d := time.Until(at)
+// fineSleep is the last part of a sleep, which the kernel is asked for. Timers
+// of the Go runtime are up to a millisecond late when the process is idle,
+// because it then waits in epoll, which counts in milliseconds; that is many
+// times what a node adds to a lookup.
+const fineSleep = 2 * time.Millisecond
+
+// pause sleeps for d and reports false when ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
@@ -139,6 +146,19 @@
 	}
 }
 
+// sleepUntil reports false when ctx ends first. One goroutine uses it: the last
+// part of the sleep holds a thread.
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	if !pause(ctx, time.Until(at)-fineSleep) {
+		return false
+	}
+	for d := time.Until(at); d > 0 && ctx.Err() == nil; d = time.Until(at) {
+		ts := unix.NsecToTimespec(int64(d))
+		_ = unix.ClockNanosleep(unix.CLOCK_MONOTONIC, 0, &ts, nil) // cut short by a signal: goes on
+	}
+	return ctx.Err() == nil
+}
+
 // checkTargets refuses what is not a loopback address: a load that goes out by
 // mistake is an attack on whoever gets it.
 func checkTargets(targets []string) error {
--- a/internal/load/report_test.go
+++ b/internal/load/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/xml"
 	"testing"
 	"time"
 
@@ -57,5 +58,6 @@
 		is.True(!bytes.Contains(b, []byte("secret")))
 		g.Assert(t, name, b)
 	}
+	is.NoErr(xml.Unmarshal(plot.Bytes(), new(struct{}))) // a name with < in it is escaped
 	is.NoErr((&Report{Plan: r.Plan}).WriteSVG(&plot)) // a run in which nothing was answered
 }
