--- a/internal/load/report_test.go
+++ b/internal/load/report_test.go
@@ -59,5 +59,5 @@
 		g.Assert(t, name, b)
 	}
 	is.NoErr(xml.Unmarshal(plot.Bytes(), new(struct{}))) // a name with < in it is escaped
-	is.NoErr((&Report{Plan: r.Plan}).WriteSVG(&plot)) // a run in which nothing was answered
+	is.NoErr((&Report{Plan: r.Plan}).WriteSVG(&plot))    // a run in which nothing was answered
 }
