--- a/internal/admit/plan.go
+++ b/internal/admit/plan.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 
+	"chervilloom/internal/clock"
 	"chervilloom/internal/config"
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/view"
@@ -47,10 +48,11 @@
 
 // Pool is a set of endpoints that serve the same requests.
 type Pool struct {
-	Name    string
-	Share   float64 // slots that are this node's when all nodes are equally busy
-	Total   float64 // slots in reach of this node
-	Waiting int     // requests that wait inside the endpoints, by their own reports
+	Name     string
+	Share    float64       // slots that are this node's when all nodes are equally busy
+	Total    float64       // slots in reach of this node
+	Waiting  int           // requests that wait inside the endpoints, by their own reports
+	Reported clock.Instant // when the newest of these reports was true
 }
 
 // Shares gives the part of an organisation's rate caps that this node may use.
@@ -83,11 +85,21 @@
 	return Organisation{
 		Name:    name,
 		Weight:  float64(max(1, c.Weight)),
-		Rate:    c.Rate * model,
-		Lookups: c.Lookups * lookups,
+		Rate:    part(c.Rate, model),
+		Lookups: part(c.Lookups, lookups),
 	}
 }
 
+// leastRate keeps a cap from becoming 0, which would stand for no cap.
+const leastRate = 0.001
+
+func part(limit, share float64) float64 {
+	if limit <= 0 {
+		return 0
+	}
+	return max(leastRate, limit*share)
+}
+
 // nodeCount is the entry nodes that share the endpoints, this one included.
 type nodeCount struct {
 	all    int
@@ -175,18 +187,16 @@
 		}
 		p.Total += float64(slots)
 		p.Waiting += g.Load.Waiting
+		p.Reported = max(p.Reported, g.LoadAt)
 	}
 	p.Share = p.Total / float64(nodes.all)
 	return p
 }
 
-// serves reports whether the group takes requests from this node. The nodes of
-// a group's own zone check its members; from outside, its phase has to do.
+// serves reports whether the group takes requests from this node. A group of
+// another zone is reached through that zone's nodes.
 func serves(s *view.Snapshot, g *view.Group, nodes nodeCount) bool {
-	if g.Zone == s.Zone {
-		return g.Whole
-	}
-	return g.Phase == fleet.PhaseServing && nodes.byZone[g.Zone] > 0
+	return g.Whole && (g.Zone == s.Zone || nodes.byZone[g.Zone] > 0)
 }
 
 func servicePool(s *view.Snapshot, name string, nodes nodeCount) Pool {
@@ -202,6 +212,7 @@
 		}
 		p.Total += float64(slots)
 		p.Waiting += v.Load.Waiting
+		p.Reported = max(p.Reported, v.LoadAt)
 	}
 	p.Share = p.Total / float64(nodes.all)
 	return p
