Tests of the planner's decisions; a broken group does not count as its own substitute

Cause: a group that could not be renewed at once was dissolved because the census counted the group itself among those that had taken its place.

Shown red before the change: TestRepair/nothing_is_done_while_another_member_may_be_dying. Mutations that turn a test red, each reverted: boot ids, generation, group or Loaded not compared; fence not raised with a claim; fence not raised above the engine's; a VM's or the lease's version not checked; a death called by time alone; a new generation that names a member that may be dying.

--- a/internal/group/faults_test.go
+++ b/internal/group/faults_test.go
@@ -230,7 +230,10 @@
 	s.run(10 * time.Second)
 	before := serving(s.nodes[0].Snapshot())[0]
 	n := s.nodes[0]
-	s.pause(n, 2*time.Second)
+	vm := before.Members[1].VM
+	at := s.clk.Now().Add(1)
+	s.clk.Advance(1600 * time.Millisecond)
+	n.Put(view.Probed{VM: vm, Sent: at, Failing: at, Failures: 1})
 	_, held := n.lease.Held(s.clk.Now())
 	is.True(held)
 	n.rec.Step(t.Context())
@@ -256,7 +259,7 @@
 	s.run(10 * time.Second)
 	is.Equal(s.servingCount(0), 2)
 	for i := range s.list {
-		s.engine(i).state.Fence += 5
+		s.engine(i).state.Fence += 500
 	}
 	s.table.rows = old
 	s.fences = map[fleet.VM]fleet.Fence{} // the table's fences did go down
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -115,6 +115,7 @@
 type item struct {
 	row     *view.TableGroup
 	assess  assessment
+	counted bool // among its spec's current groups
 	changed bool // this plan writes its row
 }
 
--- /dev/null
+++ b/internal/group/plan_test.go
@@ -0,0 +1,318 @@
+package group
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilloom/internal/config"
+	"chervilloom/internal/engine"
+	"chervilloom/internal/fleet"
+)
+
+func TestPlacementKeepsWholeReplicasPossible(t *testing.T) {
+	for name, c := range map[string]struct {
+		sizes []int
+		specs []config.GroupSpec
+		want  map[string]int // free VMs left by domain
+	}{
+		"the full domain rather than 13, which would strand 5": {[]int{13, 8}, []config.GroupSpec{spec("a", 8, 1)}, map[string]int{"z-d0": 13}},
+		"a remainder that another size fits":                   {[]int{13, 12}, []config.GroupSpec{spec("a", 8, 1), spec("b", 5, 0)}, map[string]int{"z-d0": 5, "z-d1": 12}},
+		"the larger replica first":                             {[]int{8, 5}, []config.GroupSpec{spec("b", 4, 1), spec("a", 8, 1)}, map[string]int{"z-d1": 1}},
+		"spread over domains where nothing is stranded by it":  {[]int{16, 16}, []config.GroupSpec{spec("a", 8, 2)}, map[string]int{"z-d0": 8, "z-d1": 8}},
+		"no spec takes all while another has none":             {[]int{8}, []config.GroupSpec{spec("a", 4, 2), spec("b", 4, 1)}, map[string]int{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(specs(c.specs...), c.sizes...)
+			w.doc.Objective = config.Objective{DowntimeWeight: 10, StrandingWeight: 1}
+			p := w.plan(t)
+			left := map[string]int{}
+			for _, v := range w.vms {
+				left[string(v.Record.Domain)]++
+			}
+			formed := map[string]int{}
+			for _, ch := range p.Changes {
+				formed[ch.Group.Spec]++
+				left[string(ch.Group.Domain)] -= len(ch.Group.Members)
+			}
+			for d, n := range left {
+				if n == 0 {
+					delete(left, d)
+				}
+			}
+			is.Equal(left, c.want)
+			if name == "no spec takes all while another has none" {
+				is.Equal(formed, map[string]int{"a": 1, "b": 1})
+			}
+		})
+	}
+}
+
+// The same state, two users: the one that weighs stranded accelerators puts the
+// second replica beside the first and leaves 12 VMs whole for two of the other
+// size; the one that weighs downtime strands four VMs rather than lose both
+// replicas to one dark domain.
+func TestWeightsChangeThePlacement(t *testing.T) {
+	for name, c := range map[string]struct {
+		objective config.Objective
+		domain    fleet.FabricDomain
+	}{
+		"stranding": {config.Objective{DowntimeWeight: 10, StrandingWeight: 1}, "z-d0"},
+		"downtime":  {config.Objective{DowntimeWeight: 10000, StrandingWeight: 1}, "z-d1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(specs(spec("a", 8, 1), spec("b", 6, 0)), 16, 12)
+			w.doc.Objective = c.objective
+			w.settle(t, 10)
+			is.Equal(w.group(0).Domain, fleet.FabricDomain("z-d0"))
+			w.wants["a"] = 2
+			p := w.plan(t)
+			is.Equal(len(p.Changes), 1)
+			is.Equal(p.Changes[0].Group.Domain, c.domain)
+		})
+	}
+}
+
+func TestRepair(t *testing.T) {
+	t.Run("a spare takes the dead member's rank", func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(specs(spec("a", 4, 1)), 5)
+		w.settle(t, 10)
+		was := w.group(0).Members[1].VM
+		w.kill(was)
+		is.Equal(kinds(w.settle(t, 10)), "[repair serve]")
+		is.Equal(w.group(0).Generation, fleet.Generation(2))
+		is.True(w.group(0).Members[1].VM != was)
+		is.Equal(w.claims[was].Group, fleet.GroupID(""))
+	})
+	t.Run("a restarted member stays under its new boot id", func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(specs(spec("a", 4, 1)), 5)
+		w.settle(t, 10)
+		m := w.group(0).Members[0]
+		w.restart(m.VM, "b2")
+		is.Equal(kinds(w.settle(t, 10)), "[repair serve]")
+		is.Equal(w.group(0).Members[0].VM, m.VM)
+		is.Equal(w.group(0).Members[0].Boot, fleet.BootID("b2"))
+	})
+	t.Run("a member that restarts again and again is replaced", func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(specs(spec("a", 4, 1)), 5)
+		w.settle(t, 10)
+		m := w.group(0).Members[0].VM
+		for _, boot := range []fleet.BootID{"b2", "b3", "b4"} {
+			w.restart(m, boot)
+			w.settle(t, 10)
+		}
+		is.True(w.group(0).Members[0].VM != m)
+	})
+	t.Run("nothing is done while another member may be dying", func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(specs(spec("a", 4, 1)), 6)
+		w.settle(t, 10)
+		w.kill(w.group(0).Members[0].VM)
+		dying := &w.vms[w.group(0).Members[1].VM].Probe
+		dying.Failing, dying.Failures = w.now.Add(-300*time.Millisecond), 1
+		is.Equal(kinds(w.plan(t).Changes), "[]")
+	})
+	t.Run("two broken groups become one that serves", func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(specs(spec("a", 4, 2)), 8)
+		w.settle(t, 10)
+		w.kill(w.group(0).Members[0].VM, w.group(1).Members[0].VM, w.group(1).Members[1].VM)
+		is.Equal(kinds(w.settle(t, 10)), "[dissolve repair serve]")
+		is.Equal(w.phases(), "map[dissolved:1 serving:1]")
+	})
+	t.Run("a group beyond repair is given up after a while", func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(specs(spec("a", 4, 1)), 4)
+		w.settle(t, 10)
+		w.kill(w.group(0).Members[0].VM)
+		is.Equal(kinds(w.plan(t).Changes), "[]")
+		w.now = w.now.Add(w.tune.DissolveAfter)
+		is.Equal(kinds(w.plan(t).Changes), "[dissolve]")
+	})
+	t.Run("a group beyond repair is replaced at once where there is room", func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(specs(spec("a", 4, 1)), 4, 4)
+		w.settle(t, 10)
+		w.kill(w.group(0).Members[0].VM)
+		is.Equal(kinds(w.settle(t, 10)), "[form dissolve serve]")
+	})
+	t.Run("a member that lost the replica gets a new generation", func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(specs(spec("a", 4, 1)), 4)
+		w.settle(t, 10)
+		w.vms[w.group(0).Members[0].VM].Probe.State.Loaded = false
+		is.Equal(kinds(w.settle(t, 10)), "[repair serve]")
+	})
+}
+
+func TestDarkDomain(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(specs(spec("a", 4, 2)), 8, 8)
+	w.settle(t, 10)
+	var dark []fleet.VM
+	for vm, v := range w.vms {
+		if v.Record.Domain == "z-d0" {
+			dark = append(dark, vm)
+		}
+	}
+	w.kill(dark...)
+	is.Equal(kinds(w.settle(t, 10)), "[form serve]") // in the other domain
+	is.Equal(w.phases(), "map[serving:3]")           // the dark one is kept: it may come back whole
+	for _, vm := range dark {
+		w.vms[vm].Probe.Failing, w.vms[vm].Probe.Failures = 0, 0
+	}
+	w.idle(0)
+	is.Equal(kinds(w.settle(t, 1)), "[drain]") // it did: one too many now
+	w.kill(dark...)
+	for _, vm := range dark {
+		w.vms[vm].Listed, w.vms[vm].Unlisted = false, w.now.Add(-time.Hour)
+	}
+	w.now = w.now.Add(time.Second)
+	for _, c := range w.plan(t).Changes {
+		is.Equal(c.Kind, Dissolve) // gone from the list as well
+	}
+}
+
+// A member that is leaving takes its group out of service. The group first
+// finishes what it has, then a spare takes the place of the one that leaves.
+func TestLeavingMemberDrainsFirst(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(specs(spec("a", 4, 1)), 5)
+	w.settle(t, 10)
+	m := w.group(0).Members[2].VM
+	w.vms[m].Leaving = true
+	w.idle(3)
+	is.Equal(kinds(w.settle(t, 10)), "[drain]")
+	w.now = w.now.Add(w.tune.DrainSettle)
+	w.idle(1)
+	is.Equal(kinds(w.settle(t, 1)), "[]")
+	w.idle(0)
+	w.now = w.now.Add(time.Second)
+	w.idle(0)
+	is.Equal(kinds(w.settle(t, 10)), "[repair serve]")
+	is.True(w.group(0).Members[2].VM != m)
+}
+
+func TestSurplusIsDrainedAndDissolved(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(specs(spec("a", 2, 2)), 4)
+	w.settle(t, 10)
+	w.wants["a"] = 1
+	is.Equal(kinds(w.settle(t, 5)), "[drain]")
+	w.now = w.now.Add(w.tune.DrainSettle)
+	w.idle(0)
+	w.now = w.now.Add(time.Second)
+	w.idle(0)
+	is.Equal(kinds(w.settle(t, 5)), "[dissolve]")
+	free := 0
+	for _, v := range w.vms {
+		if w.claims[v.Record.VM].Group == "" && v.Probe.State.Group == "" {
+			free++
+		}
+	}
+	is.Equal(free, 2)
+	w.wants["a"] = 2 // the VMs can be used again
+	is.Equal(kinds(w.settle(t, 5)), "[form serve]")
+	w.now = w.now.Add(2 * forgetDissolved)
+	is.Equal(kinds(w.settle(t, 5)), "[forget]")
+}
+
+// A new version replaces the old while at least the wanted number of replicas
+// serves, when there is room beside the old ones; without room, one at a time.
+func TestVersionRoll(t *testing.T) {
+	for name, c := range map[string]struct {
+		vms, least int
+	}{"with room": {6, 2}, "without room": {4, 1}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(specs(spec("a", 2, 2)), c.vms)
+			w.settle(t, 10)
+			w.doc.Groups[0].ModelVer = "v2"
+			for range 100 {
+				w.idle(0)
+				w.apply(w.plan(t))
+				w.now = w.now.Add(time.Second)
+				serves, current := 0, 0
+				for i := range w.groups {
+					g := w.group(i)
+					if g.Phase == fleet.PhaseServing {
+						serves++
+						if g.Version == "v2" {
+							current++
+						}
+					}
+				}
+				is.True(serves >= c.least)
+				if current == 2 && serves == 2 {
+					return
+				}
+			}
+			t.Fatal("the new version never replaced the old")
+		})
+	}
+}
+
+func TestLoadsAreBounded(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(specs(spec("a", 4, 4)), 16)
+	w.tune.LoadsAtOnce = 8
+	w.apply(w.plan(t))
+	p := w.plan(t)
+	is.Equal(orderCount(p, engine.VerbJoin), 8)
+	for _, o := range p.Orders { // joined, not loaded yet
+		w.obey(o)
+		w.vms[o.VM].Probe.State.Loaded = false
+	}
+	is.Equal(orderCount(w.plan(t), engine.VerbJoin), 0)
+	for i := range 4 { // the first group is loaded
+		w.vms[w.group(0).Members[i].VM].Probe.State.Loaded = true
+	}
+	is.Equal(orderCount(w.plan(t), engine.VerbJoin), 4)
+}
+
+func TestEnginesThatIgnoreFencesWaitAfterATakeover(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(specs(spec("a", 2, 1)), 2)
+	w.grant.TakenOver, w.grant.Since = true, w.now
+	w.apply(w.plan(t))
+	is.Equal(len(w.plan(t).Orders), 0)
+	w.doc.FenceChecked = []string{"*"}
+	is.Equal(len(w.plan(t).Orders), 2)
+	w.doc.FenceChecked = nil
+	w.now = w.now.Add(w.tune.UnfencedSettle)
+	is.Equal(len(w.plan(t).Orders), 2)
+}
+
+func TestStranding(t *testing.T) {
+	is := is.New(t)
+	is.Equal(stranding(13, []int{8}), 5)
+	is.Equal(stranding(13, []int{8, 5}), 0)
+	is.Equal(stranding(7, []int{8}), 7)
+	is.Equal(stranding(0, []int{8}), 0)
+	is.Equal(stranding(5, nil), 0)
+}
+
+func TestShareIsTheSameSplitEverywhere(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(specs(spec("a", 4, 1)), 8, 4)
+	snap := w.snapshot()
+	for i := range 4 {
+		vm := snap.VMs[i]
+		vm.Record.Zone, vm.Record.VM = "y", fleet.VM("y"+vm.Record.VM)
+		snap.VMs = append(snap.VMs, vm)
+	}
+	for total, want := range map[int]int{0: 0, 2: 2, 3: 3, 4: 4, 9: 4} {
+		sum := 0
+		for _, z := range []fleet.AvailabilityZone{"y", "z"} {
+			snap.Zone = z
+			sum += Share(&w.doc.Groups[0], total, snap)
+		}
+		is.Equal(sum, want) // three fit into z and one into y
+	}
+}
--- a/internal/group/repair.go
+++ b/internal/group/repair.go
@@ -18,7 +18,7 @@
 	}
 	// A group that drained because a member is leaving is still wanted when no
 	// other could be formed in its place.
-	if it.assess.state == fading && p.short(&it.row.Group) && p.renew(it) {
+	if it.assess.state == fading && p.wanted(it) && p.renew(it) {
 		return
 	}
 	p.dissolve(it, reason)
@@ -215,7 +215,7 @@
 	g := &it.row.Group
 	waited := p.in.Now.Sub(since(p.mem.broken, g.ID, p.in.Now))
 	switch {
-	case !p.short(g):
+	case !p.wanted(it):
 		p.dissolve(it, it.assess.reason+"; other groups have taken its place")
 	case waited >= p.in.Tune.DissolveAfter:
 		p.dissolve(it, fmt.Sprintf("%s and its fabric domain had no spare VM for %v", it.assess.reason, waited))
--- a/internal/group/scale.go
+++ b/internal/group/scale.go
@@ -70,6 +70,7 @@
 	case it.assess.state == broken && !p.repairable(it):
 	default:
 		c.current = append(c.current, it)
+		it.counted = true
 		if it.assess.state == whole {
 			c.serving++
 		} else {
@@ -85,10 +86,15 @@
 	return len(p.sparesFor(&it.row.Group, len(it.assess.gone))) >= len(it.assess.gone)
 }
 
-// short reports whether the spec of the group lacks replicas.
-func (p *planner) short(g *fleet.Group) bool {
+// wanted reports whether the spec of the group lacks replicas without it.
+func (p *planner) wanted(it *item) bool {
+	g := &it.row.Group
 	c := p.bySpec[g.Spec]
-	return c != nil && matches(g, c.spec) && c.have() < c.want
+	others := c.have()
+	if it.counted {
+		others--
+	}
+	return matches(g, c.spec) && others < c.want
 }
 
 // scale forms and drains groups until each spec has as many as its target.
--- /dev/null
+++ b/internal/group/world_test.go
@@ -0,0 +1,206 @@
+package group
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"chervilloom/internal/clock"
+	"chervilloom/internal/config"
+	"chervilloom/internal/engine"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/lease"
+	"chervilloom/internal/platform"
+	"chervilloom/internal/view"
+)
+
+// world builds inputs for the planner by hand.
+type world struct {
+	now    clock.Instant
+	doc    *config.Document
+	vms    map[fleet.VM]*view.VM
+	claims map[fleet.VM]view.Claim
+	groups []view.TableGroup
+	wants  map[string]int
+	grant  lease.Grant
+	tune   Tune
+	mem    *Memory
+}
+
+func newWorld(d *config.Document, sizes ...int) *world {
+	_, list := fleetOf("z", sizes...)
+	w := &world{
+		now: clock.Instant(time.Hour), doc: d, vms: map[fleet.VM]*view.VM{}, claims: map[fleet.VM]view.Claim{},
+		wants: map[string]int{}, grant: lease.Grant{Duty: Duty("z"), Fence: 1, Version: 1},
+		tune: DefaultTune(), mem: NewMemory(),
+	}
+	for _, s := range d.Groups {
+		w.wants[s.Name] = s.Min
+	}
+	for _, r := range list {
+		v := &view.VM{Record: r, Listed: true}
+		v.Probe = view.Probe{State: fleet.EngineState{VM: r.VM, Boot: fleet.BootID("b1-" + string(r.VM))}, Answered: w.now}
+		w.vms[r.VM] = v
+	}
+	return w
+}
+
+func (w *world) snapshot() *view.Snapshot {
+	s := &view.Snapshot{At: w.now, Self: fleet.Node{VM: "n", Incarnation: 1}, Zone: "z", Revision: 1, Config: w.doc}
+	for _, v := range w.vms {
+		if v.Probe.Failing == 0 {
+			v.Probe.Answered = w.now
+		}
+		s.VMs = append(s.VMs, *v)
+	}
+	slices.SortFunc(s.VMs, func(a, b view.VM) int {
+		if a.Record.VM < b.Record.VM {
+			return -1
+		}
+		return 1
+	})
+	return s
+}
+
+// plan makes a plan and checks that each transaction is conditional on the lease
+// and on every row that it writes.
+func (w *world) plan(t testing.TB) Plan {
+	t.Helper()
+	p := Make(&Input{
+		Now: w.now, Snap: w.snapshot(), Claims: w.claims, Groups: w.groups, Targets: w.wants, Grant: w.grant, Tune: w.tune,
+	}, w.mem)
+	written := map[string]bool{}
+	for _, c := range p.Changes {
+		if k := c.Txn.Checks[0]; k.Table != platform.TableLeases || k.Key != w.grant.Duty || k.Version != w.grant.Version {
+			t.Fatalf("%s of %s does not check the lease first", c.Kind, c.Group.ID)
+		}
+		for _, wr := range c.Txn.Writes {
+			key := wr.Table + "/" + wr.Key
+			if written[key] {
+				t.Fatalf("two changes of one plan write %s", key)
+			}
+			written[key] = true
+			if !slices.ContainsFunc(c.Txn.Checks, func(k platform.Check) bool {
+				return k.Table == wr.Table && k.Key == wr.Key && k.Version == w.version(wr.Table, wr.Key)
+			}) {
+				t.Fatalf("%s of %s writes %s without checking its version", c.Kind, c.Group.ID, key)
+			}
+		}
+	}
+	return p
+}
+
+func (w *world) version(table, key string) uint64 {
+	if table == platform.TableVMs {
+		return w.claims[fleet.VM(key)].Version
+	}
+	for i := range w.groups {
+		if string(w.groups[i].Group.ID) == key {
+			return w.groups[i].Version
+		}
+	}
+	return 0
+}
+
+// apply carries the plan out: transactions land and engines obey at once.
+func (w *world) apply(p Plan) {
+	r := &rows{claims: w.claims, groups: map[fleet.GroupID]view.TableGroup{}}
+	for _, g := range w.groups {
+		r.groups[g.Group.ID] = g
+	}
+	for _, c := range p.Changes {
+		for _, wr := range c.Txn.Writes {
+			if wr.Delete {
+				delete(r.groups, fleet.GroupID(wr.Key))
+				continue
+			}
+			r.put(&platform.Row{Table: wr.Table, Key: wr.Key, Value: wr.Value, Version: w.version(wr.Table, wr.Key) + 1}, nil)
+		}
+	}
+	w.groups = r.groupList()
+	slices.SortFunc(w.groups, func(a, b view.TableGroup) int {
+		if a.Group.ID < b.Group.ID {
+			return -1
+		}
+		return 1
+	})
+	for _, o := range p.Orders {
+		w.obey(o)
+	}
+}
+
+func (w *world) obey(o VMOrder) {
+	e := fakeEngine{state: w.vms[o.VM].Probe.State, checks: true}
+	e.order(o.Order, 0)
+	w.vms[o.VM].Probe.State = e.state
+}
+
+// settle plans and applies until nothing is left to do, at most n times.
+func (w *world) settle(t testing.TB, n int) []Change {
+	t.Helper()
+	var all []Change
+	for range n {
+		p := w.plan(t)
+		if len(p.Changes)+len(p.Orders) == 0 {
+			break
+		}
+		w.apply(p)
+		all = append(all, p.Changes...)
+		w.now = w.now.Add(200 * time.Millisecond)
+	}
+	return all
+}
+
+func (w *world) kill(vms ...fleet.VM) {
+	for _, vm := range vms {
+		p := &w.vms[vm].Probe
+		p.Failing, p.Failures = w.now.Add(-10*time.Second), 30
+	}
+}
+
+func (w *world) restart(vm fleet.VM, boot fleet.BootID) {
+	w.vms[vm].Probe.State = fleet.EngineState{VM: vm, Boot: boot}
+}
+
+// idle gives every VM a load report that was true just now.
+func (w *world) idle(running int) {
+	for vm, v := range w.vms {
+		v.Load = fleet.Load{VM: vm, Boot: v.Probe.State.Boot, Running: running}
+		v.LoadAt = w.now
+	}
+}
+
+func (w *world) group(i int) *fleet.Group { return &w.groups[i].Group }
+
+func kinds(changes []Change) string {
+	var out []string
+	for _, c := range changes {
+		out = append(out, string(c.Kind))
+	}
+	return fmt.Sprint(out)
+}
+
+func (w *world) phases() string {
+	n := map[fleet.Phase]int{}
+	for i := range w.groups {
+		n[w.groups[i].Group.Phase]++
+	}
+	return fmt.Sprint(n)
+}
+
+func orderCount(p Plan, v engine.Verb) int {
+	n := 0
+	for _, o := range p.Orders {
+		if o.Order.Verb == v {
+			n++
+		}
+	}
+	return n
+}
+
+func spec(name string, vms, count int) config.GroupSpec {
+	return config.GroupSpec{Name: name, Model: name, ModelVer: "v1", VMs: vms, Min: count, Max: count, OneDomain: true}
+}
+
+func specs(s ...config.GroupSpec) *config.Document { return &config.Document{Version: 1, Groups: s} }
