Digests between nodes: endpoints to the own zone, summaries to the others

Cause: only the two watchers of an endpoint and the holder of the groups' lease knew what they had seen.

Change: view.Teller decides what a node tells (changes at once, ages of what did not change once an interval that grows with the number of peers, everything to a new peer); view.Hearer turns messages into events and adds the time that a message was held up to the ages in it; view.Gossip joins both to the links. Leaving endpoints are told by the node that learned of them, three times.

Shown red by mutation, each reverted: delay not added to ages; message of an earlier life taken as fresh; boot id, older fence, newer fence not compared; an older probe replaces a newer; a failing probe counts as fresh; a live row of the list ends leaving; each read of a leaving row marks the newest life; 'same' believed without the hash; marks passed on; an older read deletes newer groups; an older row replaces a newer; a mark told only once. Red before a fix: TestToldFactsAreNeverYoungerThanTheTruth failed because the first message of a sender may itself be the delayed one; that cannot be known, so the property allows the shortest delay seen so far.

--- a/internal/view/event.go
+++ b/internal/view/event.go
@@ -86,7 +86,8 @@
 type MarkLeaving struct {
 	VM     fleet.VM
 	Boot   fleet.BootID
-	Reason string // who said it: platform list, endpoint, operator, refusal
+	From   fleet.VM // the peer that told it; empty: learned by this node itself
+	Reason string   // who said it: platform list, endpoint, operator, refusal
 }
 
 // Members is the newest membership of the entry nodes, this one left out.
--- /dev/null
+++ b/internal/view/gossip.go
@@ -0,0 +1,211 @@
+package view
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"chervilloom/internal/clock"
+	"chervilloom/internal/fleet"
+)
+
+// Sender sends a message to a node; it never blocks.
+type Sender interface {
+	Send(to fleet.VM, topic string, payload []byte) error
+}
+
+// GossipOptions is what a Gossip works with.
+type GossipOptions struct {
+	View  *Merger
+	Clock clock.Clock
+	Send  Sender
+	// First returns the k nodes that come first for a subject in rendezvous
+	// order.
+	First    func(subject string, nodes []fleet.VM, k int) []fleet.VM
+	Holds    func() bool // whether this node holds the lease of the zone's groups
+	Log      *slog.Logger
+	Registry prometheus.Registerer
+	Watchers int // nodes that watch a subject; default 2
+}
+
+// Gossip tells the peers what this node watches and takes in what they tell.
+type Gossip struct {
+	opt    GossipOptions
+	zone   *Teller
+	remote *Teller
+	met    map[fleet.Node]bool // peers that were told everything once
+	bytes  *prometheus.CounterVec
+	broken prometheus.Counter
+
+	mu     sync.Mutex
+	hearer *Hearer
+}
+
+const (
+	gossipTick     = 100 * time.Millisecond
+	defaultWatches = 2
+	// The intervals between regular digests grow with the number of peers, so
+	// that what a node sends and receives stays about the same.
+	zoneEveryLeast, zoneEveryMost     = 300 * time.Millisecond, time.Second
+	zonePerPeer                       = 25 * time.Millisecond
+	remoteEveryLeast, remoteEveryMost = 500 * time.Millisecond, 2 * time.Second
+	remotePerPeer                     = 8 * time.Millisecond
+)
+
+// NewGossip returns a gossip; Run starts telling, Handle takes messages.
+func NewGossip(o GossipOptions) *Gossip {
+	if o.Watchers == 0 {
+		o.Watchers = defaultWatches
+	}
+	now := o.Clock.Now()
+	g := &Gossip{
+		opt: o, zone: NewTeller(false, now), remote: NewTeller(true, now),
+		met: map[fleet.Node]bool{}, hearer: NewHearer(),
+		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chervilloom_view_gossip_bytes_total",
+			Help: "Bytes of digests, by direction and topic, without the transport's.",
+		}, []string{"direction", "topic"}),
+		broken: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chervilloom_view_gossip_unreadable_total",
+			Help: "Digests of peers that could not be read.",
+		}),
+	}
+	o.Registry.MustRegister(g.bytes, g.broken)
+	return g
+}
+
+// HandleZone takes a message of TopicZone.
+func (g *Gossip) HandleZone(from fleet.Node, payload []byte) { g.handle(TopicZone, from, payload) }
+
+// HandleRemote takes a message of TopicRemote.
+func (g *Gossip) HandleRemote(from fleet.Node, payload []byte) { g.handle(TopicRemote, from, payload) }
+
+func (g *Gossip) handle(topic string, from fleet.Node, payload []byte) {
+	g.bytes.WithLabelValues("received", topic).Add(float64(len(payload)))
+	g.mu.Lock()
+	events, err := g.hearer.Hear(from, payload, g.opt.Clock.Now())
+	g.mu.Unlock()
+	if err != nil {
+		g.broken.Inc()
+		g.opt.Log.Warn("digest dropped; do all nodes run the same release?", "from", from, "err", err)
+		return
+	}
+	for _, e := range events {
+		g.opt.View.Put(e)
+	}
+}
+
+// Run tells until ctx ends.
+func (g *Gossip) Run(ctx context.Context) error {
+	tick := time.NewTicker(gossipTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			g.tell(g.opt.View.Snapshot(), g.opt.Clock.Now())
+		}
+	}
+}
+
+func (g *Gossip) tell(s *Snapshot, now clock.Instant) {
+	near, far := g.peers(s)
+	d := newDuties(s, near, g.opt)
+	g.greet(s, d, now)
+	g.spread(near, TopicZone, g.zone.Next(s, d, now, ZoneEvery(len(near))))
+	g.spread(far, TopicRemote, g.remote.Next(s, d, now, RemoteEvery(len(far))))
+}
+
+// ZoneEvery is the interval between regular digests to the own zone's peers.
+func ZoneEvery(peers int) time.Duration {
+	return min(max(time.Duration(peers)*zonePerPeer, zoneEveryLeast), zoneEveryMost)
+}
+
+// RemoteEvery is the interval between regular digests to other zones' peers.
+func RemoteEvery(peers int) time.Duration {
+	return min(max(time.Duration(peers)*remotePerPeer, remoteEveryLeast), remoteEveryMost)
+}
+
+// peers returns the nodes of the own zone and of the others that can be told.
+func (g *Gossip) peers(s *Snapshot) (near, far []fleet.VM) {
+	for i := range s.Nodes {
+		n := &s.Nodes[i]
+		if n.State != NodeAlive && n.State != NodeSuspect {
+			continue
+		}
+		if n.Zone == s.Zone {
+			near = append(near, n.VM)
+		} else {
+			far = append(far, n.VM)
+		}
+	}
+	return near, far
+}
+
+// greet tells a new peer everything that this node watches: it must not wait for
+// the slow refresh of each fact.
+func (g *Gossip) greet(s *Snapshot, d Duties, now clock.Instant) {
+	present := make(map[fleet.Node]bool, len(s.Nodes))
+	for i := range s.Nodes {
+		n := &s.Nodes[i]
+		if n.State != NodeAlive {
+			continue
+		}
+		present[n.Node] = true
+		if g.met[n.Node] {
+			continue
+		}
+		t, topic := g.zone, TopicZone
+		if n.Zone != s.Zone {
+			t, topic = g.remote, TopicRemote
+		}
+		g.spread([]fleet.VM{n.VM}, topic, t.All(s, d, now))
+	}
+	g.met = present
+}
+
+func (g *Gossip) spread(to []fleet.VM, topic string, messages [][]byte) {
+	for _, m := range messages {
+		for _, vm := range to {
+			if err := g.opt.Send.Send(vm, topic, m); err != nil {
+				g.opt.Log.Debug("digest not sent", "to", vm, "err", err)
+				continue
+			}
+			g.bytes.WithLabelValues("sent", topic).Add(float64(len(m)))
+		}
+	}
+}
+
+// duties answers for one snapshot.
+type duties struct {
+	self  fleet.VM
+	nodes []fleet.VM // of the zone, this one included
+	opt   GossipOptions
+}
+
+func newDuties(s *Snapshot, near []fleet.VM, o GossipOptions) *duties {
+	return &duties{self: s.Self.VM, nodes: append(append([]fleet.VM(nil), near...), s.Self.VM), opt: o}
+}
+
+// Watches implements Duties.
+func (d *duties) Watches(subject string) bool {
+	for _, vm := range d.opt.First(subject, d.nodes, d.opt.Watchers) {
+		if vm == d.self {
+			return true
+		}
+	}
+	return false
+}
+
+// Leads implements Duties.
+func (d *duties) Leads(subject string) bool {
+	first := d.opt.First(subject, d.nodes, 1)
+	return len(first) > 0 && first[0] == d.self
+}
+
+// Holds implements Duties.
+func (d *duties) Holds() bool { return d.opt.Holds != nil && d.opt.Holds() }
--- a/internal/view/remote.go
+++ b/internal/view/remote.go
@@ -4,39 +4,155 @@
 	"time"
 
 	"chervilloom/internal/clock"
+	"chervilloom/internal/fleet"
 )
 
 // remoteForget is how long a group of another zone is believed in without a
 // word from there.
 const remoteForget = 30 * time.Second
 
+// told1 is one peer's word on the newest probe of a VM, which it names by hash:
+// "same" that the state with the hash was found, "failing" that none answered.
+type told1 struct {
+	kind     string
+	vm       uint32
+	from     fleet.VM
+	hash     uint64
+	at       clock.Instant
+	failures int
+}
+
+// toldOfLoad is a load report that a peer knows.
+type toldOfLoad struct {
+	from fleet.VM
+	at   clock.Instant
+	load wireLoad
+}
+
+// toldRow is a group row that a peer knows.
+type toldRow struct {
+	from fleet.VM
+	at   clock.Instant
+	row  TableGroup
+}
+
 // remoteGroup is the summary of a group of another availability zone.
 type remoteGroup struct {
 	group Group
+	hash  uint32
 	heard clock.Instant
 }
 
-// remoteSummary is a group summary from a peer of another zone.
+// remoteSummary is a whole summary from a peer of another zone.
 type remoteSummary struct {
 	group Group
+	hash  uint32
 	heard clock.Instant
 }
 
+// unmoved is a peer's word that a summary still holds.
+type unmoved struct {
+	from        fleet.VM
+	heard, sent clock.Instant
+	state       wireUnmoved
+}
+
+func (e told1) subject() subject         { return subject{e.kind, hashKey(e.vm), e.from} }
+func (e toldOfLoad) subject() subject    { return subject{"told load", hashKey(e.load.VM), e.from} }
+func (e toldRow) subject() subject       { return subject{"row", string(e.row.Group.ID), e.from} }
 func (e remoteSummary) subject() subject { return subject{kind: "remote", id: string(e.group.ID)} }
+func (e unmoved) subject() subject       { return subject{"unmoved", hashKey(e.state.ID), e.from} }
+
+func hashKey(h uint32) string {
+	return string([]byte{byte(h), byte(h >> 8), byte(h >> 16), byte(h >> 24)})
+}
+
+// byHash returns the VM with the short hash, or nil when none or two have it.
+func (s *State) byHash(h uint32) *vmState {
+	if s.hashes == nil {
+		s.hashes = make(map[uint32]*vmState, len(s.vms))
+		for id, v := range s.vms {
+			k := shortHash(string(id))
+			if _, twice := s.hashes[k]; twice {
+				s.hashes[k] = nil
+				continue
+			}
+			s.hashes[k] = v
+		}
+	}
+	return s.hashes[h]
+}
+
+func (s *State) applyTold(e told1) bool {
+	v := s.byHash(e.vm)
+	if v == nil || !e.at.After(v.probe.Answered) {
+		return false
+	}
+	p := &v.probe
+	if e.kind == "failing" {
+		p.fail(e.at, e.failures)
+		return true
+	}
+	if p.Answered == 0 || v.hash() != e.hash {
+		return false // this node missed a change; the next whole telling mends it
+	}
+	p.Answered, p.Failing, p.Failures = e.at, 0, 0
+	return true
+}
+
+func (s *State) applyToldLoad(e toldOfLoad) bool {
+	v := s.byHash(e.load.VM)
+	if v == nil {
+		return false
+	}
+	boot := v.probe.State.Boot
+	if shortHash(string(boot)) != e.load.Boot {
+		return false // of a life that this node does not know, or no more
+	}
+	return s.applyLoaded(Loaded{From: e.from, At: e.at, Load: e.load.load(v.record.VM, boot)})
+}
+
+// hash is the hash of the state last probed.
+func (v *vmState) hash() uint64 {
+	if !v.hashed {
+		v.stateHash, v.hashed = stateHash(&v.probe.State), true
+	}
+	return v.stateHash
+}
 
 func (s *State) applyRemote(e remoteSummary) bool {
+	if e.group.Zone == s.zone {
+		return false // the own zone's groups are judged by their members
+	}
 	old := s.remote[e.group.ID]
-	if old != nil && old.group.Generation > e.group.Generation {
+	if old != nil && (old.group.RowVersion > e.group.RowVersion || old.group.RowVersion == e.group.RowVersion && e.group.LoadAt.Before(old.group.LoadAt)) {
 		return false
 	}
-	if old != nil && old.group.Generation == e.group.Generation && e.group.FreshUntil < old.group.FreshUntil && e.group.Whole {
-		return false
+	s.remote[e.group.ID] = &remoteGroup{e.group, e.hash, e.heard}
+	s.forgetRemote(e.heard)
+	return true
+}
+
+func (s *State) applyUnmoved(e unmoved) bool {
+	for id, r := range s.remote {
+		if shortHash(string(id)) != e.state.ID || r.hash != e.state.Hash {
+			continue
+		}
+		r.heard = e.heard
+		if e.sent.Add(time.Duration(e.state.Fresh) * time.Millisecond).Before(r.group.FreshUntil) {
+			return true // the other watcher's word is newer
+		}
+		e.state.apply(&r.group, e.sent)
+		return true
 	}
-	s.remote[e.group.ID] = &remoteGroup{e.group, e.heard}
+	return false
+}
+
+// forgetRemote drops the groups of which nothing was heard for long.
+func (s *State) forgetRemote(now clock.Instant) {
 	for id, r := range s.remote {
-		if e.heard.Sub(r.heard) > remoteForget {
+		if now.Sub(r.heard) > remoteForget {
 			delete(s.remote, id)
 		}
 	}
-	return true
 }
--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -15,7 +15,7 @@
 func (s *State) Snapshot(now clock.Instant) *Snapshot {
 	snap := &Snapshot{
 		At: now, Self: s.self, Zone: s.zone, Revision: s.revision, Config: s.doc,
-		PlatformSeen: s.platform, Nodes: s.nodes,
+		PlatformSeen: s.platform, Nodes: s.nodes, leavings: s.leavings,
 	}
 	snap.VMs = make([]VM, 0, len(s.vms))
 	for _, v := range s.sorted() {
@@ -24,7 +24,7 @@
 			Probe: v.probe, Load: v.load, LoadAt: v.loadAt, Claim: v.claim,
 		})
 	}
-	snap.Groups = s.snapshotGroups()
+	snap.Groups = s.snapshotGroups(now)
 	return snap
 }
 
@@ -47,7 +47,7 @@
 	return s.doc.Policy.ProbeFresh.Or(DefaultProbeFresh)
 }
 
-func (s *State) snapshotGroups() []Group {
+func (s *State) snapshotGroups(now clock.Instant) []Group {
 	out := make([]Group, 0, len(s.groups)+len(s.remote))
 	for _, g := range s.groups {
 		if g.group.Phase != fleet.PhaseDissolved && g.group.Zone == s.zone {
@@ -55,7 +55,7 @@
 		}
 	}
 	for _, r := range s.remote {
-		if r.group.Phase != fleet.PhaseDissolved {
+		if r.group.Phase != fleet.PhaseDissolved && now.Sub(r.heard) <= remoteForget {
 			out = append(out, r.group)
 		}
 	}
--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -20,6 +20,8 @@
 	forgetAfter = 10 * time.Minute
 	// keptBoots is how many leaving lives are remembered for each VM.
 	keptBoots = 4
+	// maxLeavings bounds the leaving lives that are still to be told to peers.
+	maxLeavings = 64
 )
 
 // State is the merged belief. It is a pure state machine: Apply changes it,
@@ -34,6 +36,9 @@
 	vms      map[fleet.VM]*vmState
 	groups   map[fleet.GroupID]*groupState
 	remote   map[fleet.GroupID]*remoteGroup
+	hashes   map[uint32]*vmState // by short hash; nil: to be made again
+	// leavings are the newest lives that this node itself learned to be leaving.
+	leavings []leavingKey
 	nodes    []Node
 	order    []*vmState // by VM; nil: to be sorted again
 }
@@ -51,9 +56,11 @@
 	// lagging list that calls the VM live again must not bring them back.
 	leaving []fleet.BootID
 	// pending: said to be leaving before any life was known.
-	pending  bool
-	cached   fleet.BootID
-	prefixes map[uint64]struct{}
+	pending   bool
+	stateHash uint64 // of probe.State, when hashed
+	hashed    bool
+	cached    fleet.BootID
+	prefixes  map[uint64]struct{}
 }
 
 type groupState struct {
@@ -96,6 +103,14 @@
 		return s.applyConfigured(e)
 	case remoteSummary:
 		return s.applyRemote(e)
+	case unmoved:
+		return s.applyUnmoved(e)
+	case told1:
+		return s.applyTold(e)
+	case toldOfLoad:
+		return s.applyToldLoad(e)
+	case toldRow:
+		return s.tableGroup(&e.row, e.at)
 	}
 	return false
 }
@@ -113,7 +128,7 @@
 	if v == nil {
 		v = &vmState{record: fleet.Record{VM: id}}
 		s.vms[id] = v
-		s.order = nil
+		s.order, s.hashes = nil, nil
 	}
 	return v
 }
@@ -146,7 +161,7 @@
 		}
 		if e.At.Sub(max(v.unlisted, v.probe.Answered)) > forgetAfter {
 			delete(s.vms, id)
-			s.order = nil
+			s.order, s.hashes = nil, nil
 		}
 	}
 	return true
@@ -161,7 +176,7 @@
 	// list lags, a VM that has already restarted is still called leaving, and
 	// its new life must be usable once the list has caught up.
 	if leaving && !v.listLeaving {
-		v.markLeaving(v.probe.State.Boot)
+		s.mark(v, v.probe.State.Boot, "")
 	}
 	v.listLeaving = leaving
 }
@@ -196,7 +211,18 @@
 	if boot == "" {
 		boot = v.probe.State.Boot
 	}
-	return v.markLeaving(boot)
+	return s.mark(v, boot, e.From)
+}
+
+// mark notes a leaving life. What this node learned itself is told to the peers;
+// what a peer told is not told again, or each mark would go round all nodes.
+func (s *State) mark(v *vmState, boot fleet.BootID, from fleet.VM) bool {
+	changed := v.markLeaving(boot)
+	if changed && from == "" && boot != "" {
+		s.leavings = append(slices.Clone(s.leavings), leavingKey{v.record.VM, boot})
+		s.leavings = s.leavings[max(0, len(s.leavings)-maxLeavings):]
+	}
+	return changed
 }
 
 func (s *State) applyTable(e Table) bool {
@@ -226,16 +252,17 @@
 	}
 }
 
-func (s *State) tableGroup(r *TableGroup, at clock.Instant) {
+func (s *State) tableGroup(r *TableGroup, at clock.Instant) bool {
 	g := s.groups[r.Group.ID]
 	if g != nil && g.version >= r.Version {
-		return
+		return false
 	}
 	first := at
 	if g != nil {
 		first = g.first
 	}
 	s.groups[r.Group.ID] = &groupState{r.Group, r.Version, first}
+	return true
 }
 
 func (s *State) applyProbed(e Probed) bool {
@@ -252,13 +279,14 @@
 	if !e.Sent.After(p.Answered) {
 		return false
 	}
+	v.hashed = false
 	*p = Probe{State: e.State, Answered: e.Sent, RTT: e.RTT}
 	if v.pending && e.State.Boot != "" {
 		v.pending = false
-		v.markLeaving(e.State.Boot)
+		s.mark(v, e.State.Boot, e.From)
 	}
 	if e.State.Leaving {
-		v.markLeaving(e.State.Boot)
+		s.mark(v, e.State.Boot, e.From)
 	}
 	return true
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -24,6 +24,7 @@
 	// PlatformSeen is when the platform last answered; the zero value means
 	// never.
 	PlatformSeen clock.Instant
+	leavings     []leavingKey // for the Teller
 }
 
 // VM is what is believed of an engine or service VM.
