--- a/internal/group/share.go
+++ b/internal/group/share.go
@@ -6,7 +6,7 @@
 
 	"chervilloom/internal/config"
 	"chervilloom/internal/fleet"
-	"chervilloom/internal/lease"
+	"chervilloom/internal/membership"
 	"chervilloom/internal/view"
 )
 
@@ -23,7 +23,7 @@
 	slices.Sort(zones)
 	// Specs start at different zones, so that remainders do not all fall to
 	// the same one.
-	zones = lease.Rank(s.Name, zones)
+	zones = membership.TopK(s.Name, zones, len(zones))
 	got := map[fleet.VM]int{}
 	for range total {
 		z, ok := nextZone(zones, got, room)
--- a/internal/lease/decide.go
+++ b/internal/lease/decide.go
@@ -1,3 +1,10 @@
+// Package lease decides which node holds a duty and for how long.
+//
+// A lease is a row of the platform's table. Rendezvous hashing only says who
+// tries first; the conditional write of the row decides. The holder counts its
+// term on CLOCK_BOOTTIME from before it sent the write; every other node counts
+// from when it first saw the row's version and waits the term and a margin
+// out. No clocks are compared between VMs.
 package lease
 
 import (
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -33,7 +33,7 @@
 	Timeout   time.Duration // of one probe; default 250 ms
 	LoadEvery time.Duration // between load reports of one endpoint; default 600 ms
 	Watchers  int           // nodes that watch an endpoint; default 2
-	Workers   int           // probes in flight at once; default 32
+	Workers   int           // probes in flight at once; default 96
 }
 
 func (s Settings) withDefaults() Settings {
@@ -49,7 +49,7 @@
 		s.Watchers = 2
 	}
 	if s.Workers == 0 {
-		s.Workers = 32
+		s.Workers = 96
 	}
 	return s
 }
--- /dev/null
+++ b/internal/probe/probe_test.go
@@ -0,0 +1,376 @@
+package probe
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/goleak"
+
+	"chervilloom/internal/clock"
+	"chervilloom/internal/engine"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/view"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// endpoints answer by address; one that hangs answers nothing until the caller
+// gives up.
+type endpoints struct {
+	mu     sync.Mutex
+	states map[string]fleet.EngineState
+	hang   map[string]bool
+	asked  map[string]int
+	gate   chan struct{} // when set, State waits for it
+}
+
+func newEndpoints() *endpoints {
+	return &endpoints{states: map[string]fleet.EngineState{}, hang: map[string]bool{}, asked: map[string]int{}}
+}
+
+func (e *endpoints) State(ctx context.Context, addr string) (fleet.EngineState, error) {
+	e.mu.Lock()
+	st, ok := e.states[addr]
+	hang, gate := e.hang[addr], e.gate
+	e.asked[addr]++
+	e.mu.Unlock()
+	if gate != nil {
+		select {
+		case <-gate:
+		case <-ctx.Done():
+			return st, ctx.Err()
+		}
+	}
+	if hang {
+		<-ctx.Done()
+		return st, ctx.Err()
+	}
+	if !ok {
+		return st, errors.New("connection refused")
+	}
+	return st, nil
+}
+
+func (e *endpoints) LoadReport(_ context.Context, addr string) (fleet.Load, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return fleet.Load{Boot: e.states[addr].Boot, Sequence: uint64(e.asked[addr])}, nil
+}
+
+func (e *endpoints) CacheEvents(_ context.Context, _ string, after uint64) ([]engine.CacheEvent, error) {
+	return []engine.CacheEvent{{Sequence: after + 1, Prefix: after + 100}}, nil
+}
+
+// world is a fixed snapshot as source and a list as sink.
+type world struct {
+	snap   *view.Snapshot
+	mu     sync.Mutex
+	events []view.Event
+}
+
+func (w *world) Snapshot() *view.Snapshot { return w.snap }
+
+func (w *world) Put(e view.Event) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.events = append(w.events, e)
+}
+
+// probed returns the results for the VM so far.
+func (w *world) probed(vm fleet.VM) []view.Probed {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []view.Probed
+	for _, e := range w.events {
+		if p, ok := e.(view.Probed); ok && p.VM == vm {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func fleetOf(n int) (*world, *endpoints) {
+	w, e := &world{snap: &view.Snapshot{Self: fleet.Node{VM: "n0"}, Zone: "z"}}, newEndpoints()
+	for i := range n {
+		vm := fleet.VM(fmt.Sprintf("vm%03d", i))
+		addr := string(vm) + ":1"
+		w.snap.VMs = append(w.snap.VMs, view.VM{Record: fleet.Record{VM: vm, Kind: fleet.KindEngine, Addr: addr, Zone: "z"}})
+		e.states[addr] = fleet.EngineState{VM: vm, Boot: "b1", Group: "g", Generation: 2, Rank: i, Loaded: true}
+	}
+	return w, e
+}
+
+func run(t testing.TB, w *world, e *endpoints, set Settings) *Prober {
+	t.Helper()
+	p := New(set, e, w, w, clock.Boot{}, 1, prometheus.NewRegistry())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- p.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return p
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	for !ok() {
+		if ctx.Err() != nil {
+			t.Fatal("not reached: " + what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func quick() Settings {
+	return Settings{Period: 5 * time.Millisecond, Timeout: 20 * time.Millisecond, LoadEvery: 5 * time.Millisecond}
+}
+
+func TestEveryEndpointHasTwoWatchers(t *testing.T) {
+	is := is.New(t)
+	nodes := []fleet.VM{"n0", "n1", "n2", "n3", "n4"}
+	w, _ := fleetOf(40)
+	w.snap.VMs = append(w.snap.VMs,
+		view.VM{Record: fleet.Record{VM: "far", Kind: fleet.KindEngine, Addr: "x:1", Zone: "y"}},
+		view.VM{Record: fleet.Record{VM: "n1", Kind: fleet.KindEntry, Addr: "x:2", Zone: "z"}},
+		view.VM{Record: fleet.Record{VM: "unknown", Zone: "z"}})
+	count := map[fleet.VM]int{}
+	for _, self := range nodes {
+		w.snap.Self.VM = self
+		w.snap.Nodes = nil
+		for _, n := range nodes {
+			if n != self {
+				w.snap.Nodes = append(w.snap.Nodes, view.Node{Node: fleet.Node{VM: n}, Zone: "z", State: view.NodeAlive})
+			}
+		}
+		w.snap.Nodes = append(w.snap.Nodes,
+			view.Node{Node: fleet.Node{VM: "dead"}, Zone: "z", State: view.NodeDead},
+			view.Node{Node: fleet.Node{VM: "draining"}, Zone: "z", State: view.NodeAlive, Draining: true},
+			view.Node{Node: fleet.Node{VM: "other"}, Zone: "y", State: view.NodeAlive})
+		for _, r := range Watched(w.snap, 2) {
+			count[r.VM]++
+		}
+	}
+	is.Equal(len(count), 40)
+	for _, n := range count {
+		is.Equal(n, 2)
+	}
+}
+
+func TestResultsAreReported(t *testing.T) {
+	is := is.New(t)
+	w, e := fleetOf(4)
+	delete(e.states, "vm001:1")                                      // refuses connections
+	e.hang["vm002:1"] = true                                         // is paused
+	e.states["vm003:1"] = fleet.EngineState{VM: "vm999", Boot: "b1"} // another VM has got the address
+	run(t, w, e, quick())
+	for _, vm := range []fleet.VM{"vm001", "vm002", "vm003"} {
+		until(t, "three failures of "+string(vm), func() bool { return len(w.probed(vm)) >= 3 })
+		p := w.probed(vm)
+		is.True(!p[0].Answered)
+		is.Equal(p[0].Failures, 1)
+		is.Equal(p[2].Failures, 3)
+		is.Equal(p[2].Failing, p[0].Sent)
+	}
+	until(t, "answers", func() bool { return len(w.probed("vm000")) >= 2 })
+	is.True(w.probed("vm000")[0].Answered)
+	e.mu.Lock()
+	e.hang["vm002:1"] = false
+	e.mu.Unlock()
+	until(t, "the paused endpoint is back", func() bool { p := w.probed("vm002"); return p[len(p)-1].Answered })
+	until(t, "loads and prefixes", func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		loads := slices.ContainsFunc(w.events, func(ev view.Event) bool { _, ok := ev.(view.Loaded); return ok })
+		return loads && slices.ContainsFunc(w.events, func(ev view.Event) bool { _, ok := ev.(view.Cached); return ok })
+	})
+}
+
+func TestEndpointsThatLeaveTheListAreNoLongerProbed(t *testing.T) {
+	w, e := fleetOf(2)
+	p := New(quick(), e, w, w, clock.Boot{}, 1, prometheus.NewRegistry())
+	p.refresh()
+	w.snap = &view.Snapshot{Self: w.snap.Self, Zone: "z", VMs: w.snap.VMs[:1]}
+	p.refresh()
+	gone := 0
+	for _, t := range p.plan {
+		if t.gone {
+			gone++
+		}
+	}
+	is := is.New(t)
+	is.Equal(gone, 1)
+	for _, t := range p.plan {
+		t.due = 0
+	}
+	p.send()
+	is.Equal(len(p.jobs), 1)
+}
+
+func groupOf(n int) *view.Group {
+	g := &view.Group{Group: fleet.Group{ID: "g", Generation: 2}}
+	for i := range n {
+		vm := fleet.VM(fmt.Sprintf("vm%03d", i))
+		g.Members = append(g.Members, fleet.Member{VM: vm, Boot: "b1", Addr: string(vm) + ":1", Rank: i})
+	}
+	return g
+}
+
+// A request reaches a group of which a member is gone. The group's probes were
+// stale at dispatch, so the members are asked again; one that does not answer,
+// or answers as another life or from another place, keeps the request away.
+func TestCheckAsksEveryMember(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault func(*endpoints)
+		ok    bool
+	}{
+		"all there":      {func(*endpoints) {}, true},
+		"one hangs":      {func(e *endpoints) { e.hang["vm001:1"] = true }, false},
+		"one is gone":    {func(e *endpoints) { delete(e.states, "vm002:1") }, false},
+		"one restarted":  {func(e *endpoints) { st := e.states["vm002:1"]; st.Boot = "b2"; e.states["vm002:1"] = st }, false},
+		"one moved on":   {func(e *endpoints) { st := e.states["vm001:1"]; st.Generation = 3; e.states["vm001:1"] = st }, false},
+		"one is leaving": {func(e *endpoints) { st := e.states["vm001:1"]; st.Leaving = true; e.states["vm001:1"] = st }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w, e := fleetOf(3)
+			c.fault(e)
+			clk := clock.NewManual(clock.Instant(time.Hour))
+			p := New(quick(), e, w, w, clk, 1, prometheus.NewRegistry())
+			until, ok := p.Probe(context.Background(), groupOf(3))
+			is.Equal(ok, c.ok)
+			if ok {
+				is.Equal(until, clk.Now().Add(view.DefaultProbeFresh))
+			} else {
+				is.True(errors.Is(p.Check(context.Background(), &groupOf(3).Group), ErrNotWhole))
+			}
+			for _, vm := range []fleet.VM{"vm000", "vm001", "vm002"} {
+				for _, r := range w.probed(vm) {
+					is.Equal(r.Failures, 0) // many checks must not look like many probes in a row
+				}
+			}
+		})
+	}
+}
+
+// A burst of requests finds a group stale. They share one round of probes: were
+// each to ask every member, the burst would hit the members many times over.
+func TestChecksOfOneGenerationShareARound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w, e := fleetOf(2)
+		e.gate = make(chan struct{})
+		p := New(Settings{Timeout: time.Minute}, e, w, w, clock.Boot{}, 1, prometheus.NewRegistry())
+		const callers = 20
+		results := make(chan error, callers)
+		gone, leave := context.WithCancel(context.Background())
+		go func() { results <- p.Check(gone, &groupOf(2).Group) }()
+		synctest.Wait() // the round has begun
+		for range callers {
+			go func() { results <- p.Check(context.Background(), &groupOf(2).Group) }()
+		}
+		synctest.Wait()
+		leave() // the caller that began it is gone; the others still get its result
+		is.True(<-results != nil)
+		close(e.gate)
+		for range callers {
+			is.NoErr(<-results)
+		}
+		is.Equal(e.asked["vm000:1"], 1)
+		is.Equal(e.asked["vm001:1"], 1)
+	})
+}
+
+func TestCacheEventsFold(t *testing.T) {
+	ev := func(seq, prefix uint64) engine.CacheEvent { return engine.CacheEvent{Sequence: seq, Prefix: prefix} }
+	out := func(seq, prefix uint64) engine.CacheEvent {
+		return engine.CacheEvent{Sequence: seq, Prefix: prefix, Evicted: true}
+	}
+	for name, c := range map[string]struct {
+		batches [][]engine.CacheEvent
+		boots   []fleet.BootID
+		want    []uint64
+	}{
+		"added":               {[][]engine.CacheEvent{{ev(1, 10), ev(2, 20)}}, []fleet.BootID{"a"}, []uint64{10, 20}},
+		"evicted":             {[][]engine.CacheEvent{{ev(1, 10), ev(2, 20), out(3, 10)}}, []fleet.BootID{"a"}, []uint64{20}},
+		"late ones ignored":   {[][]engine.CacheEvent{{ev(1, 10), out(2, 10)}, {ev(1, 10)}}, []fleet.BootID{"a", "a"}, nil},
+		"a gap forgets":       {[][]engine.CacheEvent{{ev(1, 10)}, {ev(5, 20)}}, []fleet.BootID{"a", "a"}, []uint64{20}},
+		"a new life forgets":  {[][]engine.CacheEvent{{ev(1, 10)}, {ev(1, 30)}}, []fleet.BootID{"a", "b"}, []uint64{30}},
+		"first may be no one": {[][]engine.CacheEvent{{ev(7, 10), ev(8, 20)}}, []fleet.BootID{"a"}, []uint64{10, 20}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var tr cacheTracker
+			for i, b := range c.batches {
+				tr.apply(c.boots[i], b)
+			}
+			var got []uint64
+			for p := range tr.set {
+				got = append(got, p)
+			}
+			slices.Sort(got)
+			is.Equal(got, c.want)
+		})
+	}
+	t.Run("bounded", func(t *testing.T) {
+		is := is.New(t)
+		var tr cacheTracker
+		for i := range uint64(10 * maxPrefixes) {
+			tr.apply("a", []engine.CacheEvent{ev(2*i+1, i), out(2*i+2, i-1)})
+			tr.apply("a", []engine.CacheEvent{})
+		}
+		is.True(len(tr.set) <= maxPrefixes)
+		is.True(len(tr.order) <= 2*maxPrefixes+1)
+	})
+}
+
+// BenchmarkDarkDomain reports how long a live endpoint waits between two probes
+// while most of 200 watched endpoints go dark, each of whose probes takes the
+// whole timeout.
+func BenchmarkDarkDomain(b *testing.B) {
+	for _, dark := range []int{0, 100, 180} {
+		b.Run(fmt.Sprintf("%d-of-200-dark", dark), func(b *testing.B) {
+			worst := time.Duration(0)
+			for range b.N {
+				worst = max(worst, darkDomain(dark))
+			}
+			b.ReportMetric(float64(worst.Milliseconds()), "worst-gap-ms")
+		})
+	}
+}
+
+func darkDomain(dark int) time.Duration {
+	w, e := fleetOf(200)
+	p := New(Settings{}, e, w, w, clock.Boot{}, 1, prometheus.NewRegistry())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- p.Run(ctx) }()
+	time.Sleep(time.Second)
+	e.mu.Lock()
+	for i := range dark {
+		e.hang[fmt.Sprintf("vm%03d:1", i)] = true
+	}
+	e.mu.Unlock()
+	time.Sleep(3 * time.Second)
+	cancel()
+	<-done
+	worst := time.Duration(0)
+	for i := dark; i < 200; i++ {
+		r := w.probed(fleet.VM(fmt.Sprintf("vm%03d", i)))
+		for k := 1; k < len(r); k++ {
+			worst = max(worst, r[k].Sent.Sub(r[k-1].Sent))
+		}
+	}
+	return worst
+}
--- a/internal/probe/watch.go
+++ b/internal/probe/watch.go
@@ -1,23 +1,25 @@
 package probe
 
 import (
+	"slices"
+
 	"chervilloom/internal/fleet"
-	"chervilloom/internal/lease"
+	"chervilloom/internal/membership"
 	"chervilloom/internal/view"
 )
 
 // Watched returns the endpoints of the snapshot's availability zone that node
-// self is to watch: those for which fewer than watchers of the zone's other
-// usable nodes come before it in rendezvous order.
+// self is to watch: those for which it is among the first watchers of the zone's
+// usable nodes in rendezvous order.
 func Watched(snap *view.Snapshot, watchers int) []fleet.Record {
-	nodes := ZoneNodes(snap)
+	nodes := append(ZoneNodes(snap), snap.Self.VM)
 	var out []fleet.Record
 	for i := range snap.VMs {
 		r := &snap.VMs[i].Record
 		if r.Zone != snap.Zone || r.Kind == fleet.KindEntry || r.Addr == "" {
 			continue
 		}
-		if lease.Position(string(r.VM), snap.Self.VM, nodes) < watchers {
+		if slices.Contains(membership.TopK(string(r.VM), nodes, watchers), snap.Self.VM) {
 			out = append(out, *r)
 		}
 	}
