Placement counts the larger replicas that a domain can hold no more; measurements

Cause: first comparison with first fit showed no gain: with small replicas among the sizes, no remainder counts as stranded, so the order of domains was by spread alone.

Change: the cost of a place adds the VMs' worth of larger replicas that it takes away.

--- a/internal/group/fake_test.go
+++ b/internal/group/fake_test.go
@@ -95,7 +95,7 @@
 	state   fleet.EngineState
 	checks  bool // refuses orders with an old fence
 	dead    bool
-	left    int // ticks until loaded
+	left    float64 // ticks until loaded
 	running int
 	loadSeq uint64
 }
@@ -105,6 +105,9 @@
 	mu        sync.Mutex
 	byAddr    map[string]*fakeEngine
 	loadTicks int
+	// store, when set, is how many load ticks the weight store serves in one
+	// tick, all engines together.
+	store float64
 }
 
 var errNoAnswer = errors.New("no answer")
@@ -124,7 +127,9 @@
 	if err != nil {
 		return fleet.EngineState{}, err
 	}
-	e.tick()
+	if f.store == 0 {
+		e.tick(1)
+	}
 	return e.state, nil
 }
 
@@ -150,17 +155,32 @@
 	if err != nil {
 		return engine.OrderResult{}, err
 	}
-	return e.order(o, f.loadTicks), nil
+	return e.order(o, float64(f.loadTicks)), nil
 }
 
-func (e *fakeEngine) tick() {
+func (e *fakeEngine) tick(n float64) {
 	if e.left > 0 {
-		e.left--
+		e.left -= min(n, e.left)
 		e.state.Loaded = e.left == 0
 	}
 }
 
-func (e *fakeEngine) order(o engine.Order, loadTicks int) engine.OrderResult {
+// serve lets the weight store serve all that load for one tick.
+func (f *fakeEngines) serve() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	loading := 0
+	for _, e := range f.byAddr {
+		if e.left > 0 {
+			loading++
+		}
+	}
+	for _, e := range f.byAddr {
+		e.tick(min(1, f.store/float64(max(loading, 1))))
+	}
+}
+
+func (e *fakeEngine) order(o engine.Order, loadTicks float64) engine.OrderResult {
 	st := &e.state
 	if o.Boot != st.Boot || e.checks && o.Fence < st.Fence {
 		return engine.OrderResult{State: *st}
--- a/internal/group/place.go
+++ b/internal/group/place.go
@@ -61,7 +61,12 @@
 		}
 		return nil
 	}
-	counts := p.replicasPerDomain(s.Name)
+	return p.placeIn(s, p.replicasPerDomain(s.Name))
+}
+
+// placeIn chooses the fabric domain, given how many replicas of the spec each
+// holds, and VMs in it.
+func (p *planner) placeIn(s *config.GroupSpec, counts map[fleet.FabricDomain]int) []*view.VM {
 	best := fleet.FabricDomain("")
 	var bestCost placeCost
 	for _, d := range slices.Sorted(maps.Keys(p.free)) {
@@ -99,7 +104,7 @@
 // would take down together.
 func (p *planner) costOf(d fleet.FabricDomain, s *config.GroupSpec, same int) placeCost {
 	free := len(p.free[d])
-	stranded := stranding(free-s.VMs, p.sizes) - stranding(free, p.sizes)
+	stranded := stranding(free-s.VMs, p.sizes) - stranding(free, p.sizes) + lostRoom(free, s.VMs, p.sizes)
 	accelerators := max(p.free[d][0].Record.Accelerators, 1)
 	o := p.doc.Objective
 	return placeCost{
@@ -142,6 +147,19 @@
 	return n - most
 }
 
+// lostRoom returns how many VMs' worth of larger replicas a domain with n free
+// VMs can hold no more after a replica of the given size. A small replica belongs
+// into a remainder that no large one can use.
+func lostRoom(n, size int, sizes []int) int {
+	lost := 0
+	for _, s := range sizes {
+		if s > size {
+			lost += (n/s - (n-size)/s) * s
+		}
+	}
+	return lost
+}
+
 // scattered returns up to n free VMs of any fabric domain, taking first those
 // that replicas bound to one domain can use least.
 func (p *planner) scattered(n int) []*view.VM {
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -150,7 +150,7 @@
 		p.vms[in.Snap.VMs[i].Record.VM] = &in.Snap.VMs[i]
 	}
 	for i := range p.doc.Groups {
-		if s := &p.doc.Groups[i]; s.OneDomain {
+		if s := &p.doc.Groups[i]; s.OneDomain && !slices.Contains(p.sizes, s.VMs) {
 			p.sizes = append(p.sizes, s.VMs)
 		}
 	}
--- a/internal/group/sim_test.go
+++ b/internal/group/sim_test.go
@@ -37,8 +37,10 @@
 	fences map[fleet.VM]fleet.Fence
 	claims map[fleet.VM]view.Claim
 	// lists are what the platform published, newest last; nodes read them late.
-	lists [][]fleet.Record
-	fault string // the first broken promise
+	lists   [][]fleet.Record
+	fault   string // the first broken promise
+	tick    time.Duration
+	trusted bool // the promises are not checked: for measurements
 }
 
 // place is what a generation asks of a member.
@@ -62,6 +64,9 @@
 	cut      bool // cannot reach the engines
 	blind    bool // cannot reach the platform
 	listLate int  // reads the list of this many ticks ago
+	// every and planEvery are how many ticks lie between two probes of an engine
+	// and two plans; 0: none.
+	every, planEvery, ticks int
 	// beforeCommit and beforeOrder run once, between the decision and its
 	// effect: the moment at which a pause hurts.
 	beforeCommit, beforeOrder func()
@@ -84,7 +89,7 @@
 	}
 	s := &sim{
 		clk: clock.NewManual(clock.Instant(time.Hour)), table: newFakeTable(), engines: engines, list: list,
-		doc: d, revision: 1, seen: map[fleet.VM]map[place]clock.Instant{}, fences: map[fleet.VM]fleet.Fence{}, claims: map[fleet.VM]view.Claim{},
+		doc: d, revision: 1, tick: simTick, seen: map[fleet.VM]map[place]clock.Instant{}, fences: map[fleet.VM]fleet.Fence{}, claims: map[fleet.VM]view.Claim{},
 	}
 	for i := range nodes {
 		s.addNode(i)
@@ -192,30 +197,43 @@
 	if n.paused {
 		return
 	}
-	n.probe()
+	n.ticks++
+	if n.every == 0 || n.ticks%n.every == 0 {
+		n.probe()
+	}
 	if !n.blind {
 		late := max(0, len(n.sim.lists)-1-n.listLate)
 		n.Put(view.List{At: n.sim.clk.Now(), Records: n.sim.lists[late]})
 	}
 	n.lease.Step(context.Background())
-	n.rec.Step(context.Background())
+	if n.planEvery == 0 || n.ticks%n.planEvery == 0 {
+		n.rec.Step(context.Background())
+	}
 }
 
 // run lets all nodes step for d.
 func (s *sim) run(d time.Duration) {
 	for end := s.clk.Now().Add(d); s.clk.Now().Before(end); {
-		s.clk.Advance(simTick)
+		s.clk.Advance(s.tick)
+		if s.engines.store > 0 {
+			s.engines.serve()
+		}
 		s.lists = append(s.lists, slices.Clone(s.list))
 		s.observe()
 		for _, n := range s.nodes {
 			n.step()
-			s.check()
+			if !s.trusted {
+				s.check()
+			}
 		}
 	}
 }
 
 // observe notes where each engine truly is.
 func (s *sim) observe() {
+	if s.trusted {
+		return
+	}
 	s.engines.mu.Lock()
 	defer s.engines.mu.Unlock()
 	for _, e := range s.engines.byAddr {
