--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -9,8 +9,11 @@
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/group"
 	"chervilloom/internal/lease"
+	"chervilloom/internal/membership"
 	"chervilloom/internal/probe"
 	"chervilloom/internal/revision"
+	"chervilloom/internal/usage"
+	"chervilloom/internal/view"
 )
 
 // defaultLease is the term of the duty leases.
@@ -29,6 +32,23 @@
 		Zone: n.set.Zone, Table: n.platform, Orders: n.engines, Lease: n.leases,
 		View: n.view, Sink: n.view, Clock: n.clock, Explain: n.explained, Log: n.log, Registry: n.reg,
 	})
+	n.buildGossip()
+}
+
+// buildGossip joins the view to those of the other nodes. It needs the lease:
+// its holder tells of the groups' rows.
+func (n *Node) buildGossip() {
+	n.gossip = view.NewGossip(view.GossipOptions{
+		View: n.view, Clock: n.clock, Send: n.mesh, First: membership.TopK, Log: n.log, Registry: n.reg,
+		Holds: func() bool {
+			_, held := n.leases.Held(n.clock.Now())
+			return held
+		},
+	})
+	n.mesh.Subscribe(view.TopicZone, n.gossip.HandleZone)
+	n.mesh.Subscribe(view.TopicRemote, n.gossip.HandleRemote)
+	n.usage = usage.New(usage.Options{Peers: n.mesh, View: n.view, Clock: n.clock, Log: n.log, Registerer: n.reg})
+	n.mesh.Subscribe(usage.Topic, n.usage.Handle)
 }
 
 func (n *Node) buildConfig() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,7 @@
 	"chervilloom/internal/revision"
 	"chervilloom/internal/route"
 	"chervilloom/internal/settings"
+	"chervilloom/internal/usage"
 	"chervilloom/internal/view"
 )
 
@@ -71,6 +72,8 @@
 	directory *discovery.Directory
 	view      *view.Merger
 	lists     *view.ListPoller
+	gossip    *view.Gossip
+	usage     *usage.Tracker
 	prober    *probe.Prober
 	leases    *lease.Manager
 	groups    *group.Reconciler
--- a/internal/node/path.go
+++ b/internal/node/path.go
@@ -35,7 +35,7 @@
 	n.router = route.New(route.Options{Self: n.self, Zone: n.set.Zone, Seed: seed(), Clock: n.clock, Registerer: n.reg})
 	n.retries = retry.NewBudget(retry.BudgetOptions{Seed: seed(), Clock: n.clock, Registerer: n.reg})
 	n.admit = admit.New(admit.Options{
-		View: n.view, Clock: n.clock, Log: n.log, Registerer: n.reg, Recorder: n.explained,
+		View: n.view, Clock: n.clock, Log: n.log, Registerer: n.reg, Recorder: n.explained, Usage: n.usage,
 	})
 	n.dispatcher = dispatch.New(dispatch.Options{
 		View: n.view, Clock: n.clock, Router: n.router, Retry: n.retries, Peers: n.mesh,
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -61,6 +61,8 @@
 	s.start("list of VMs", n.lists.Run)
 	s.start("discovery", n.directory.Run)
 	s.start("probes", n.prober.Run)
+	s.start("digests", n.gossip.Run)
+	s.start("shared limits", forever(n.usage.Run))
 	s.start("configuration", n.config.Run)
 	s.start("configuration to view", n.passConfig)
 	s.start("keys", forever(n.once.Run))
