A node that lacks revisions lets others heal the table first

A node that had just started held revision 3 alone and wrote it with the head; the node that held 2 as well then found the head right and never wrote 2 again. The history had lost an accepted revision. Ruled out: the restarted node going back to 2 (it never installed it); a stale announcement ending the wait at the start, which was possible as well and is closed here: only an answer of a peer asked by this life counts. Change: lacksLinks makes such a node wait three looks at the table; Heard tells answers from announcements. A revision that no live node holds still cannot be restored.

--- a/internal/revision/decide.go
+++ b/internal/revision/decide.go
@@ -25,7 +25,7 @@
 	// enough for one. Until then nothing is in force: the table alone may have
 	// been put back to an older state than the peers are in.
 	Joined    bool
-	PeerHeard bool   // a peer told of a revision that it holds
+	PeerHeard bool   // a peer that was asked told of a revision that it holds
 	Memory    []Held // by stamp, at most MemorySize
 	InForce   Held   // the highest usable revision; its Record is nil when there is none
 	Seen      Stamp  // the highest stamp heard of, held or not
@@ -68,6 +68,11 @@
 type Heard struct {
 	From  fleet.VM
 	Stamp Stamp
+	// Answer is set when the peer was asked by this life of the node. Only an
+	// answer ends the wait at the start: an announcement may have been on its
+	// way since before, and a node that joined on it would put a revision in
+	// force that the peer no longer holds the highest.
+	Answer bool
 }
 
 // HeadRead is the head of the table.
@@ -144,12 +149,12 @@
 }
 
 func (s State) heard(e Heard) (State, []Action) {
-	s.PeerHeard = s.PeerHeard || e.Stamp.Number > 0
+	s.PeerHeard = s.PeerHeard || (e.Answer && e.Stamp.Number > 0)
 	if e.Stamp.Compare(s.Highest()) <= 0 {
 		return s, nil
 	}
 	s.see(e.Stamp)
-	return s, []Action{FetchPeer(e)}
+	return s, []Action{FetchPeer{From: e.From, Stamp: e.Stamp}}
 }
 
 func (s State) headRead(e HeadRead) (State, []Action) {
--- a/internal/revision/spread.go
+++ b/internal/revision/spread.go
@@ -29,6 +29,9 @@
 	callTimeout = time.Second
 	// tableTimeout ends one read of the table.
 	tableTimeout = 5 * time.Second
+	// healPatience is how many intervals between two looks at the table a node
+	// that lacks revisions leaves to those that hold them.
+	healPatience = 3
 	// joinRetry is the pause between two rounds of asking peers at the start.
 	joinRetry = 100 * time.Millisecond
 )
@@ -88,7 +91,7 @@
 	_ = g.Wait() // the calls return no error
 	for i, stamp := range stamps {
 		if stamp.Number > 0 {
-			k.learn(Heard{From: nodes[i], Stamp: stamp})
+			k.learn(Heard{From: nodes[i], Stamp: stamp, Answer: true})
 		}
 	}
 }
@@ -242,11 +245,34 @@
 		case <-ctx.Done():
 			return
 		case <-k.heal:
+			if k.lacksLinks(ctx) {
+				pause(ctx, healPatience*k.opts.Poll)
+			}
 			k.healOnce(ctx)
 		}
 	}
 }
 
+// lacksLinks reports whether the table lost revisions that this node does not
+// hold either. A node that started after them knows the highest alone; if it
+// wrote that first, the table's head would be right and nobody would see that
+// the ones between are missing from the history.
+func (k *Keeper) lacksLinks(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	head, err := k.store.Head(ctx)
+	if err != nil {
+		return false // healing fails as well
+	}
+	state := k.snapshot()
+	for _, rec := range state.Records() {
+		if rec.Stamp.Compare(head.Stamp) > 0 {
+			return rec.Base > head.Stamp.Number
+		}
+	}
+	return false
+}
+
 func (k *Keeper) healOnce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
--- a/internal/revision/world_test.go
+++ b/internal/revision/world_test.go
@@ -180,7 +180,7 @@
 		if peer == n || peer.island != n.island || !peer.state.Joined || stamp.Number == 0 {
 			continue
 		}
-		w.learn(n, revision.Heard{From: peer.vm, Stamp: stamp})
+		w.learn(n, revision.Heard{From: peer.vm, Stamp: stamp, Answer: true})
 		if stamp.Compare(n.state.Highest()) > 0 {
 			w.fetchPeer(n, revision.FetchPeer{From: peer.vm, Stamp: stamp})
 		}
