--- a/internal/engine/prefix.go
+++ b/internal/engine/prefix.go
@@ -12,43 +12,33 @@
 	fineBlocks  = 32
 	// separator keeps fields apart; it counts for no block.
 	separator = "\x00"
-	// bytesPerToken is the usual length of a token of English text.
-	bytesPerToken = 4
 )
 
 // Prefixes returns the hashes of a prompt's growing prefixes, shortest first,
-// as engines name them in cache events. The model is named as the caller names
-// it, "model[+adapter][@version]", and is part of each hash: the cached state
-// differs between adapters. The last hash covers the prompt up to its end,
-// unless that lies beyond the last boundary.
-func Prefixes(model string, messages []Message) []uint64 {
+// as engines name them in cache events. The model and the adapter are part of
+// each hash, since the cached state differs between adapters. The fields are
+// those of the prompt in order: each message's role and content. Text after the
+// last boundary is not hashed.
+func Prefixes(model, adapter string, fields []string) []uint64 {
 	p := prefixes{d: xxhash.New(), block: PrefixBlock, room: PrefixBlock}
-	p.write(model + separator)
-	for _, m := range messages {
-		p.field(m.Role)
-		p.field(m.Content)
-	}
-	if p.room < p.block && len(p.hashes) < MaxPrefixes {
-		p.hashes = append(p.hashes, p.d.Sum64())
+	p.write(model + separator + adapter + separator)
+	for _, f := range fields {
+		p.field(f)
 	}
 	return p.hashes
 }
 
-// PromptTokens estimates the tokens of a prompt.
-func PromptTokens(messages []Message) int {
-	bytes := 0
+// PromptFields returns the fields of a chat prompt.
+func PromptFields(messages []Message) []string {
+	fields := make([]string, 0, 2*len(messages))
 	for _, m := range messages {
-		bytes += len(m.Role) + len(m.Content)
+		fields = append(fields, m.Role, m.Content)
 	}
-	return bytes/bytesPerToken + 1
+	return fields
 }
 
-// PrefixTokens estimates the tokens that the first n hashes of a prompt cover at
-// most: the last may end within its block.
-func PrefixTokens(n int) int { return prefixBytes(n) / bytesPerToken }
-
-// prefixBytes returns the bytes of text that the first n hashes cover.
-func prefixBytes(n int) int {
+// PrefixBytes returns the bytes of text that the first n hashes cover.
+func PrefixBytes(n int) int {
 	total, block := 0, PrefixBlock
 	for i := range n {
 		total += block
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -5,8 +5,12 @@
 	"time"
 
 	"chervilloom/internal/engine"
+	"chervilloom/internal/identify"
 )
 
+// bytesPerToken is the usual length of a token of English text.
+const bytesPerToken = 4
+
 // start counts the execution and begins to generate. The caller holds a slot,
 // which is given back when the stream ends. It reports false, and gives nothing
 // back, when the replica broke before the request began.
@@ -96,18 +100,21 @@
 		return nil
 	}
 	s := newStream(r.ctx, id, req.Model, tokensOf(req))
-	s.prompt = engine.PromptTokens(req.Messages)
+	for _, f := range engine.PromptFields(req.Messages) {
+		s.prompt += (len(f) + bytesPerToken - 1) / bytesPerToken
+	}
 	e.streams[id] = s
 	return s
 }
 
 // fill uses the prefix cache for the prompt of s.
 func (e *Engine) fill(s *stream, req *engine.ChatRequest) {
-	prefixes := engine.Prefixes(req.Model, req.Messages)
+	t := identify.ParseTarget(req.Model)
+	prefixes := engine.Prefixes(t.Model, t.Adapter, engine.PromptFields(req.Messages))
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	hits := e.cache.use(e.clock.Now(), prefixes)
-	s.cached = min(engine.PrefixTokens(hits), s.prompt)
+	s.cached = min(engine.PrefixBytes(hits)/bytesPerToken, s.prompt)
 }
 
 // forget takes a stream that never began out of memory.
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -30,7 +30,7 @@
 	DropReused      int `json:"drop_reused" yaml:"drop_reused"`             // close a reused connection at its next request; not run
 	DropReusedAfter int `json:"drop_reused_after" yaml:"drop_reused_after"` // on a reused connection: run, then close without an answer
 	RefuseNotRun    int `json:"refuse_not_run" yaml:"refuse_not_run"`       // 503 that promises that nothing ran
-	FailUnknown     int `json:"fail_after_run" yaml:"fail_after_run"`       // run, then answer 500
+	FailAfterRun    int `json:"fail_after_run" yaml:"fail_after_run"`       // run, then answer 500
 }
 
 // Stage is where the connection breaks for one request.
@@ -95,7 +95,7 @@
 		return HalfAnswerClean
 	case take(&f.RefuseNotRun):
 		return Refuse
-	case take(&f.FailUnknown):
+	case take(&f.FailAfterRun):
 		return Fail
 	default:
 		return None
