Fewer goroutine switches and allocations for a lookup

The second try of a lookup runs on its timer's goroutine, so that a lookup that needs none has no goroutine of its own. Attributes of spans are built only when the span records; headers are changed in place where the node owns them. A second try that may have run now counts in what is told when both fail.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -193,8 +193,11 @@
 
 func (s *Server) span(r *http.Request, id string) (context.Context, trace.Span) {
 	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-	return s.tracer.Start(ctx, "accept", trace.WithSpanKind(trace.SpanKindServer),
-		trace.WithAttributes(attribute.String("request.id", id), attribute.String("http.method", r.Method)))
+	ctx, span := s.tracer.Start(ctx, "accept", trace.WithSpanKind(trace.SpanKindServer))
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("request.id", id), attribute.String("http.method", r.Method))
+	}
+	return ctx, span
 }
 
 // readBody reads the whole body: nothing is sent anywhere before the request
@@ -215,15 +218,17 @@
 
 func newRequest(ctx context.Context, r *http.Request, id string, arrived clock.Instant, body []byte) *request.Request {
 	req := &request.Request{
-		ID: id, Arrived: arrived, Method: r.Method, Path: r.URL.RequestURI(), Header: r.Header.Clone(), Body: body,
+		ID: id, Arrived: arrived, Method: r.Method, Path: r.URL.RequestURI(), Header: r.Header, Body: body,
 		Key: r.Header.Get(HeaderKey), Ticket: r.Header.Get(HeaderTicket), ResumeID: r.Header.Get(HeaderResume),
 	}
 	if v := r.PathValue("id"); v != "" && req.ResumeID == "" {
 		req.ResumeID = v
 	}
-	carrier := propagation.MapCarrier{}
-	propagation.TraceContext{}.Inject(ctx, carrier)
-	req.TraceParent = carrier["traceparent"]
+	if trace.SpanContextFromContext(ctx).IsValid() {
+		carrier := propagation.MapCarrier{}
+		propagation.TraceContext{}.Inject(ctx, carrier)
+		req.TraceParent = carrier["traceparent"]
+	}
 	return req
 }
 
--- a/internal/accept/path_test.go
+++ b/internal/accept/path_test.go
@@ -65,7 +65,7 @@
 }
 
 // path returns a whole path in front of the endpoint at addr.
-func path(t *testing.T, addr string) *httptest.Server {
+func path(t testing.TB, addr string) *httptest.Server {
 	snap := &view.Snapshot{
 		Revision: 1, Config: testDocument(), Zone: "baneshwor",
 		VMs: []view.VM{{Record: fleet.Record{VM: "s1", Addr: addr, Service: "counter"}}},
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -92,9 +92,10 @@
 	}
 }
 
-// incoming returns the headers of an endpoint's answer that callers see.
+// incoming takes the headers of an endpoint's answer that callers see. What
+// the node itself needs of them must have been read before.
 func incoming(resp *http.Response) http.Header {
-	h := resp.Header.Clone()
+	h := resp.Header
 	length := h.Get("Content-Length")
 	dropHop(h)
 	dropInternal(h)
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"chervilloom/internal/answer"
@@ -24,49 +25,42 @@
 // Lookups may run twice, and the second try is taken from the retry budget, so
 // that a slow service is not asked twice by everybody.
 func (d *Dispatcher) lookUp(ctx context.Context, s *session, first route.Choice) *outcome.Error {
-	raceCtx, end := context.WithCancelCause(ctx)
-	defer end(errOvertaken)
-	race := &race{d: d, got: make(chan asked, 2)}
-	race.ask(raceCtx, s, first)
-	hedge := time.NewTimer(d.opt.HedgeAfter)
-	defer hedge.Stop()
-	var last *outcome.Error
-	for race.waiting > 0 {
-		select {
-		case a := <-race.got:
-			race.waiting--
-			if a.err == nil {
-				if race.waiting > 0 && 2*a.took < d.opt.HedgeAfter {
-					defer end(errStuck)
-				}
-				return d.deliver(ctx, s, a.reply)
-			}
-			s.add(a.err)
-			last = a.err
-		case <-hedge.C:
-			if c, ok := d.second(s); ok {
-				race.ask(raceCtx, s, c)
-			}
+	raceCtx, end := context.WithCancel(ctx) // closes what is left of both answers
+	defer end()
+	firstCtx, stopFirst := context.WithCancelCause(raceCtx)
+	defer stopFirst(nil)
+	r := &race{d: d, s: s, ctx: raceCtx, stopFirst: stopFirst, got: make(chan asked, 1)}
+	t := d.begin(ctx, s, first)
+	hedge := time.AfterFunc(d.opt.HedgeAfter, r.second)
+	a := r.ask(firstCtx, first, t)
+	hedge.Stop()
+	if a.err != nil && r.close() {
+		b := <-r.got
+		if b.err == nil {
+			return d.deliver(ctx, s, b.reply)
 		}
+		s.add(b.err)
 	}
-	return last
-}
-
-// second picks another endpoint, if there is one and the budget allows it.
-func (d *Dispatcher) second(s *session) (route.Choice, bool) {
-	c, err := d.opt.Router.Pick(s.req, d.opt.View.Snapshot(), d.opt.Clock.Now(), s.tried)
-	if err != nil || c.Kind == route.ToGroup || c.Kind == route.ToNode && d.opt.Peers == nil {
-		return c, false
+	if a.err != nil {
+		s.add(a.err)
+		return a.err
 	}
-	ok, _ := d.opt.Retry.Allow(s.req.Class)
-	return c, ok
+	r.close()
+	return d.deliver(ctx, s, a.reply)
 }
 
-// race is the tries of one lookup that are under way.
+// race is the two tries of one lookup. The second try runs on the goroutine of
+// the timer and ends with ctx at the latest.
 type race struct {
-	d       *Dispatcher
-	got     chan asked // holds the results of all tries: none blocks
-	waiting int
+	d         *Dispatcher
+	s         *session
+	ctx       context.Context
+	stopFirst context.CancelCauseFunc
+	got       chan asked // the result of the second try; never blocks
+
+	mu     sync.Mutex
+	begun  bool // the second try
+	closed bool // the first try has ended: the second must not begin or stop it
 }
 
 // asked is how a try of a lookup ended.
@@ -76,22 +70,65 @@
 	took  time.Duration
 }
 
-// ask starts a try. Its goroutine ends with ctx at the latest.
-func (r *race) ask(ctx context.Context, s *session, c route.Choice) {
-	r.waiting++
-	t := r.d.begin(ctx, s, c)
-	req := s.req
-	go func() {
-		ctx, span := r.d.startTry(ctx, c)
-		rep, err := r.d.fetchFrom(ctx, req, c, t)
-		endTry(span, err)
-		now := r.d.opt.Clock.Now()
-		if errors.Is(context.Cause(ctx), errStuck) {
-			t.blamed = true
-		}
-		r.d.opt.Router.End(c, t.result(now, err))
-		r.got <- asked{reply: rep, err: err, took: now.Sub(t.started)}
-	}()
+// close keeps the second try from beginning and reports whether it has begun.
+// From then on the session belongs to the first try's goroutine alone.
+func (r *race) close() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	return r.begun
+}
+
+// second makes the second try.
+func (r *race) second() {
+	c, t := r.beginSecond()
+	if t == nil {
+		return
+	}
+	a := r.ask(r.ctx, c, t)
+	r.got <- a
+	if a.err != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return
+	}
+	if 2*a.took < r.d.opt.HedgeAfter {
+		r.stopFirst(errStuck)
+	}
+	r.stopFirst(errOvertaken)
+}
+
+// beginSecond picks another endpoint, if there is one and the budget allows it.
+func (r *race) beginSecond() (route.Choice, *try) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return route.Choice{}, nil
+	}
+	d := r.d
+	c, err := d.opt.Router.Pick(r.s.req, d.opt.View.Snapshot(), d.opt.Clock.Now(), r.s.tried)
+	if err != nil || c.Kind == route.ToGroup || c.Kind == route.ToNode && d.opt.Peers == nil {
+		return c, nil
+	}
+	if ok, _ := d.opt.Retry.Allow(r.s.req.Class); !ok {
+		return c, nil
+	}
+	r.begun = true
+	return c, d.begin(r.ctx, r.s, c)
+}
+
+// ask makes one try to its end.
+func (r *race) ask(ctx context.Context, c route.Choice, t *try) asked {
+	ctx, span := r.d.startTry(ctx, c)
+	rep, err := r.d.fetchFrom(ctx, r.s.req, c, t)
+	endTry(span, err)
+	now := r.d.opt.Clock.Now()
+	t.blamed = t.blamed || errors.Is(context.Cause(ctx), errStuck)
+	r.d.opt.Router.End(c, t.result(now, err))
+	return asked{reply: rep, err: err, took: now.Sub(t.started)}
 }
 
 func (d *Dispatcher) fetchFrom(ctx context.Context, req *request.Request, c route.Choice, t *try) (*reply, *outcome.Error) {
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -45,7 +45,9 @@
 
 func (d *Dispatcher) noteTry(req *request.Request, c route.Choice) {
 	d.metrics.tries.WithLabelValues(string(req.Class), c.Kind.String()).Inc()
-	d.note(req, "send to "+place(c), c.Reason)
+	if d.opt.Explain != nil {
+		d.note(req, "send to "+place(c), c.Reason)
+	}
 }
 
 func (d *Dispatcher) noteDecision(req *request.Request, dec decision, last *outcome.Error) {
@@ -72,12 +74,15 @@
 
 // startTry opens the span of one try: the hop to an endpoint or a node.
 func (d *Dispatcher) startTry(ctx context.Context, c route.Choice) (context.Context, trace.Span) {
-	return d.tracer.Start(ctx, "try", trace.WithSpanKind(trace.SpanKindClient),
-		trace.WithAttributes(attribute.String("to", place(c)), attribute.String("reason", c.Reason)))
+	ctx, span := d.tracer.Start(ctx, "try", trace.WithSpanKind(trace.SpanKindClient))
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("to", place(c)), attribute.String("reason", c.Reason))
+	}
+	return ctx, span
 }
 
 func endTry(span trace.Span, err *outcome.Error) {
-	if err != nil {
+	if err != nil && span.IsRecording() {
 		span.SetAttributes(attribute.String("outcome", string(err.Outcome)))
 		span.SetStatus(codes.Error, err.Error())
 	}
--- a/internal/identify/identify.go
+++ b/internal/identify/identify.go
@@ -121,12 +121,14 @@
 }
 
 func (i *Identifier) note(req *request.Request, span trace.Span, err *outcome.Error) {
-	span.SetAttributes(
-		attribute.String("request.id", req.ID),
-		attribute.String("organisation", string(req.Organisation)),
-		attribute.String("class", string(req.Class)),
-		attribute.Bool("idempotent", req.Idempotent),
-	)
+	if span.IsRecording() {
+		span.SetAttributes(
+			attribute.String("request.id", req.ID),
+			attribute.String("organisation", string(req.Organisation)),
+			attribute.String("class", string(req.Class)),
+			attribute.Bool("idempotent", req.Idempotent),
+		)
+	}
 	if i.opt.Explain == nil {
 		return
 	}
