--- a/internal/accept/path_test.go
+++ b/internal/accept/path_test.go
@@ -1,13 +1,17 @@
 package accept_test
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -23,8 +27,10 @@
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/identify"
 	"chervilloom/internal/outcome"
+	"chervilloom/internal/relay"
 	"chervilloom/internal/request"
 	"chervilloom/internal/route"
+	standin "chervilloom/internal/standin/engine"
 	"chervilloom/internal/view"
 )
 
@@ -65,13 +71,16 @@
 }
 
 // path returns a whole path in front of the endpoint at addr.
-func path(t testing.TB, addr string) *httptest.Server {
+func path(t testing.TB, addr string) *httptest.Server { return pathTo(t, addr, "b1") }
+
+// pathTo is path with the boot id of the engine at addr.
+func pathTo(t testing.TB, addr string, boot fleet.BootID) *httptest.Server {
 	snap := &view.Snapshot{
 		Revision: 1, Config: testDocument(), Zone: "baneshwor",
 		VMs: []view.VM{{Record: fleet.Record{VM: "s1", Addr: addr, Service: "counter"}}},
 		Groups: []view.Group{{
 			Group: fleet.Group{ID: "g1", Generation: 3, Zone: "baneshwor", Model: "renewals", Version: "v1",
-				Members: []fleet.Member{{VM: "e1", Boot: "b1", Addr: addr}}},
+				Members: []fleet.Member{{VM: "e1", Boot: boot, Addr: addr}}},
 			Whole: true, FreshUntil: 1 << 62,
 		}},
 	}
@@ -141,6 +150,98 @@
 	is.Equal(resp.Trailer.Get(outcome.Header), "ran")
 }
 
+// Two hundred clerks stream at once over HTTP while the engine's connections
+// break after a few tokens. Each reads the own answer, whole and in order.
+func TestConcurrentCallersGetTheirOwnAnswers(t *testing.T) {
+	is := is.New(t)
+	const callers, tokens = 200, 30
+	e := standin.New(standin.Options{VM: "e1", Slots: callers, TokensPerSecond: 3000, LoadTime: standin.Immediately})
+	ep := httptest.NewServer(e)
+	defer func() {
+		e.Close()
+		ep.Close()
+	}()
+	addr := ep.Listener.Addr().String()
+	_, ok := e.Order(engine.Order{Verb: engine.VerbJoin, Fence: 1, Boot: e.State().Boot, Group: "g1", Generation: 3,
+		Model: "renewals", Version: "v1", Peers: []string{addr}})
+	is.True(ok)
+	e.SetFaults(standin.Faults{CutStreams: 2 * callers, CutAfter: 4})
+	srv := pathTo(t, addr, e.State().Boot)
+	var wg sync.WaitGroup
+	for i := range callers {
+		body := fmt.Sprintf(`{"model":"renewals","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"clerk %d"}]}`, tokens, i)
+		wg.Go(func() {
+			got, err := readTokens(srv.URL, body)
+			if err != nil || !slices.Equal(got, standin.ExpectedTokens([]byte(body))) {
+				t.Errorf("clerk %d: %v, %q", i, err, got)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// readTokens makes a model call and returns its tokens.
+func readTokens(url, body string) ([]string, error) {
+	r, err := http.NewRequest("POST", url+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var out []string
+	for events := relay.NewReader(resp.Body, 1<<16); ; {
+		ev, err := events.Next()
+		if err != nil {
+			return out, err
+		}
+		if string(ev.Data) == "[DONE]" {
+			return out, nil
+		}
+		var chunk engine.ChatChunk
+		if err := json.Unmarshal(ev.Data, &chunk); err != nil || len(chunk.Choices) == 0 {
+			return out, fmt.Errorf("%q: %w", ev.Data, err)
+		}
+		if chunk.Choices[0].FinishReason == nil {
+			out = append(out, chunk.Choices[0].Delta.Content)
+		}
+	}
+}
+
+// A driver closes the browser in the middle of a stream: the path must learn
+// of it, or the engine goes on for nobody.
+func TestPathLearnsThatTheCallerLeft(t *testing.T) {
+	is := is.New(t)
+	left := make(chan struct{})
+	ep := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		w.Header().Set(engine.HeaderGeneration, r.Header.Get(engine.HeaderGeneration))
+		w.Header().Set(engine.HeaderBoot, "b1")
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprintf(w, "id: %s:0\ndata: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n", r.Header.Get(engine.HeaderStream))
+		http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		close(left)
+	}))
+	defer ep.Close()
+	srv := path(t, ep.Listener.Addr().String())
+	ctx, cancel := context.WithCancel(context.Background())
+	r, err := http.NewRequestWithContext(ctx, "POST", srv.URL+"/v1/chat/completions",
+		strings.NewReader(`{"model":"renewals","stream":true,"messages":[{"role":"user","content":"x"}]}`))
+	is.NoErr(err)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	_, err = resp.Body.Read(make([]byte, 10))
+	is.NoErr(err)
+	cancel()
+	<-left
+}
+
 // A scorer follows a timing service's own feed of events. Each crossing must
 // come through when it happens, not when the feed ends.
 func TestServiceFeedIsNotHeldBack(t *testing.T) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -141,8 +141,7 @@
 func (d *Dispatcher) Serve(ctx context.Context, req *request.Request, w answer.Writer) {
 	ctx, span := d.tracer.Start(withRemoteParent(ctx, req), "dispatch")
 	defer span.End()
-	left := req.Deadline.Sub(d.opt.Clock.Now())
-	tryCtx, cancel := context.WithTimeout(ctx, left)
+	tryCtx, cancel := context.WithTimeout(ctx, d.left(req))
 	defer cancel()
 	s := newSession(req, w)
 	err := d.serve(tryCtx, s)
@@ -153,6 +152,16 @@
 	s.finish(err)
 }
 
+// maxTime bounds a request that came without a deadline.
+const maxTime = 30 * time.Minute
+
+func (d *Dispatcher) left(req *request.Request) time.Duration {
+	if req.Deadline == 0 {
+		return maxTime
+	}
+	return req.Deadline.Sub(d.opt.Clock.Now())
+}
+
 func (d *Dispatcher) serve(ctx context.Context, s *session) *outcome.Error {
 	if s.req.ResumeID != "" {
 		return d.serveResume(ctx, s)
