Prompts without escapes are decoded once; advice when to come back

A refusal that another endpoint might not have made, and that did not run, now always tells when to come back.

--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -79,6 +79,20 @@
 	return false
 }
 
+// defaultComeBack is the advice when nobody gave a better one: by then the
+// views have changed and another endpoint may be chosen.
+const defaultComeBack = time.Second
+
+// comeBack returns when the caller may send the request again; 0 when it must
+// not do so unasked, because the request may have run.
+func comeBack(err *outcome.Error, wait time.Duration) time.Duration {
+	wait = max(err.RetryAfter, wait)
+	if wait == 0 && err.Outcome == outcome.NotRun && transient(err.Kind) {
+		return defaultComeBack
+	}
+	return wait
+}
+
 // worse returns the outcome of a request of which one try ended with a and
 // another with b.
 func worse(a, b outcome.Outcome) outcome.Outcome {
--- a/internal/dispatch/decide_test.go
+++ b/internal/dispatch/decide_test.go
@@ -72,6 +72,15 @@
 	})
 }
 
+func TestComeBack(t *testing.T) {
+	is := is.New(t)
+	is.Equal(comeBack(failedNotRun, 0), defaultComeBack)
+	is.Equal(comeBack(failedNotRun, time.Minute), time.Minute)
+	is.Equal(comeBack(failedNotRun.After(time.Hour), time.Minute), time.Hour)
+	is.Equal(comeBack(failedUnknown, 0), time.Duration(0))
+	is.Equal(comeBack(badRequest, 0), time.Duration(0))
+}
+
 func TestWorse(t *testing.T) {
 	is := is.New(t)
 	is.Equal(worse(outcome.NotRun, outcome.Unknown), outcome.Unknown)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -176,7 +176,7 @@
 		d.noteDecision(s.req, dec, last)
 		switch dec.verdict {
 		case giveUp:
-			return last.After(max(last.RetryAfter, dec.wait))
+			return last.After(comeBack(last, dec.wait))
 		case retry:
 			if !sleep(ctx, dec.wait) {
 				return d.stopped(ctx, last.Outcome)
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -18,7 +18,14 @@
 	"chervilloom/internal/view"
 )
 
-func leader(g *view.Group) *fleet.Member { return &g.Members[0] }
+// leader returns the member that takes the requests; the zero Member for a
+// group that has none.
+func leader(g *view.Group) *fleet.Member {
+	if len(g.Members) == 0 {
+		return &fleet.Member{}
+	}
+	return &g.Members[0]
+}
 
 // sendGroup makes one try at a group.
 func (d *Dispatcher) sendGroup(ctx context.Context, s *session, g *view.Group, t *try) *outcome.Error {
--- a/internal/identify/model.go
+++ b/internal/identify/model.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"unicode/utf8"
 
 	"chervilloom/internal/config"
 	"chervilloom/internal/engine"
@@ -38,7 +39,17 @@
 	if len(b) > 0 && b[0] == '[' {
 		return t.parts(b)
 	}
-	return json.Unmarshal(b, (*string)(t))
+	return unquote(b, (*string)(t))
+}
+
+// unquote reads a JSON string that the decoder has found well-formed. A prompt
+// without escapes, which most are, needs no second decoding.
+func unquote(b []byte, s *string) error {
+	if len(b) >= 2 && b[0] == '"' && bytes.IndexByte(b, '\\') < 0 && utf8.Valid(b) {
+		*s = string(b[1 : len(b)-1])
+		return nil
+	}
+	return json.Unmarshal(b, s)
 }
 
 func (t *text) parts(b []byte) error {
@@ -67,7 +78,7 @@
 		return p.Text, err
 	}
 	var s string
-	err := json.Unmarshal(raw, &s)
+	err := unquote(raw, &s)
 	return s, err
 }
 
