A paused node does not dispatch on an expired claim; shorter models

Cause: a node that is paused between its claim and the dispatch wakes believing that the row is still its own.

Refusals not sealed: TestNotRunFreesTheKey.

--- a/internal/once/bench_test.go
+++ b/internal/once/bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"net/http/httptest"
 	"slices"
 	"sync"
@@ -33,23 +32,14 @@
 	f.platform.SetFaults(standin.Faults{NoLimits: true, Slow: config.Duration(slow)})
 	server := httptest.NewServer(f.platform)
 	b.Cleanup(server.Close)
-	v := &fakeView{}
-	v.snap.Store(newBench(b).view.Snapshot())
 	for i := range 6 {
 		vm := fleet.VM(fmt.Sprint("n", i))
 		client := platform.NewClient(server.URL)
 		b.Cleanup(client.Close)
-		k, err := New(Options{
-			Self: fleet.Node{VM: vm, Incarnation: 1}, Table: client, Peers: f.net, View: v, Clock: clock.Boot{},
-			Log: slog.New(slog.DiscardHandler), Secret: testSecret, Write: limits,
+		k, stop := launch(Options{
+			Self: fleet.Node{VM: vm, Incarnation: 1}, Table: client, Peers: f.net, View: testView(), Clock: clock.Boot{}, Write: limits,
 		})
-		if err != nil {
-			b.Fatal(err)
-		}
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() { defer close(done); k.Run(ctx) }()
-		b.Cleanup(func() { cancel(); <-done })
+		b.Cleanup(stop)
 		f.keepers = append(f.keepers, k)
 		f.net.paths[vm] = k.Filter()(f.endpoint)
 	}
--- a/internal/once/edge_test.go
+++ b/internal/once/edge_test.go
@@ -157,7 +157,7 @@
 	k.writer.pace.AllowN(time.Now(), 1)
 	is.True(b.send("a", withKey("k")).end.Whole)
 	is.Equal(k.Flush(context.Background()), 0)
-	b.crash("a")
+	b.net.set("a", nil)
 	is.Equal(b.send("b", withKey("k")).body, "receipt 1")
 	is.Equal(b.endpoint.runs.Load(), int64(1))
 }
--- a/internal/once/fake_test.go
+++ b/internal/once/fake_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"strings"
 	"sync"
@@ -29,13 +28,10 @@
 type fakeTable struct {
 	mu      sync.Mutex
 	rows    map[string]platform.Row
-	latency time.Duration
 	down    atomic.Bool
 	lose    atomic.Int32 // how many of the next commits take effect and lose their answer
 	blind   atomic.Bool  // reads fail
 	commits atomic.Int64
-	writes  atomic.Int64
-	hold    chan struct{} // not nil: commits wait until it is closed
 }
 
 func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
@@ -62,12 +58,6 @@
 }
 
 func (f *fakeTable) Commit(ctx context.Context, txn platform.Txn) (platform.Result, error) {
-	if f.hold != nil {
-		<-f.hold
-	}
-	if f.latency > 0 {
-		time.Sleep(f.latency)
-	}
 	if f.down.Load() {
 		return platform.Result{}, platform.ErrDown
 	}
@@ -94,7 +84,6 @@
 	}
 	res.Committed = true
 	for _, w := range txn.Writes {
-		f.writes.Add(1)
 		if w.Delete {
 			delete(f.rows, w.Key)
 			continue
@@ -106,27 +95,47 @@
 	return res
 }
 
-// fakeView is a view of three nodes.
-type fakeView struct{ snap atomic.Pointer[view.Snapshot] }
+// fakeView is a view that does not change.
+type fakeView view.Snapshot
 
-func (v *fakeView) Snapshot() *view.Snapshot { return v.snap.Load() }
+func (v *fakeView) Snapshot() *view.Snapshot { return (*view.Snapshot)(v) }
+
+func testView() view.Source {
+	return &fakeView{Revision: 1, Config: &config.Document{Organisations: []config.Organisation{{Name: "org"}}}}
+}
 
-// fakeNet joins the nodes of a test.
+// fakeNet joins the nodes of a test. A node without a path is cut off.
 type fakeNet struct {
 	mu    sync.Mutex
 	paths map[fleet.VM]filter.Handler
 }
 
-func (n *fakeNet) Relay(ctx context.Context, to fleet.VM, req *request.Request, w answer.Writer) *outcome.Error {
+func (n *fakeNet) path(to, from fleet.VM) filter.Handler {
 	n.mu.Lock()
-	h := n.paths[to]
-	n.mu.Unlock()
+	defer n.mu.Unlock()
+	if n.paths[from] == nil {
+		return nil
+	}
+	return n.paths[to]
+}
+
+func (n *fakeNet) set(vm fleet.VM, h filter.Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.paths[vm] = h
+}
+
+func (n *fakeNet) Relay(ctx context.Context, to fleet.VM, req *request.Request, w answer.Writer) *outcome.Error {
+	h := n.path(to, req.From)
 	if h == nil {
 		return outcome.New(outcome.EndpointFailed, outcome.NotRun, "node not reached", "try again")
 	}
 	held := &got{}
 	h.Serve(ctx, req, held)
-	if !held.began {
+	switch {
+	case n.path(to, req.From) == nil:
+		return outcome.New(outcome.EndpointFailed, outcome.Unknown, "the link broke", "look up")
+	case !held.began:
 		return held.end.Error
 	}
 	w.Start(held.head)
@@ -158,7 +167,6 @@
 type endpoint struct {
 	runs atomic.Int64
 	fail atomic.Pointer[outcome.Error]
-	hold chan struct{} // not nil: runs wait until it is closed
 	body string
 }
 
@@ -168,67 +176,56 @@
 		return
 	}
 	e.runs.Add(1)
-	if e.hold != nil {
-		<-e.hold
-	}
 	w.Start(answer.Head{Status: 200})
 	w.Frame(answer.Frame{Data: []byte(e.body)})
 	w.Finish(answer.End{Whole: true, Bytes: uint64(len(e.body))})
 }
 
-// bench is three nodes that share a table and an endpoint.
+// bench is nodes that share a table and an endpoint.
 type bench struct {
 	t        testing.TB
 	table    *fakeTable
 	net      *fakeNet
 	endpoint *endpoint
 	clock    *clock.Manual
-	view     *fakeView
-	keepers  map[fleet.VM]*Keeper
 	limits   WriteLimits
 	maxSlots int
 	sequence fleet.Incarnation
 }
 
 func newBench(t testing.TB) *bench {
-	b := &bench{
+	return &bench{
 		t: t, table: newFakeTable(), net: &fakeNet{paths: map[fleet.VM]filter.Handler{}},
-		endpoint: &endpoint{body: "receipt 1"}, clock: clock.NewManual(1), view: &fakeView{},
-		keepers: map[fleet.VM]*Keeper{}, limits: WriteLimits{Gap: time.Microsecond, NoteDelay: time.Millisecond},
+		endpoint: &endpoint{body: "receipt 1"}, clock: clock.NewManual(1),
+		limits: WriteLimits{Gap: time.Microsecond, NoteDelay: time.Millisecond},
 	}
-	b.view.snap.Store(&view.Snapshot{Revision: 1, Config: &config.Document{Organisations: []config.Organisation{{Name: "org"}}}})
-	return b
 }
 
 var testSecret = []byte("a secret of the tests, long enough")
 
-// start starts a new life of the node on the VM.
-func (b *bench) start(vm fleet.VM) *Keeper {
-	b.sequence++
-	k, err := New(Options{
-		Self: fleet.Node{VM: vm, Incarnation: b.sequence}, Table: b.table, Peers: b.net, View: b.view, Clock: b.clock,
-		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Secret: testSecret,
-		Write: b.limits, SweepEvery: time.Hour, MaxEntries: b.maxSlots, ClaimWait: 10 * time.Second,
-	})
+// launch makes and runs a keeper.
+func launch(opt Options) (k *Keeper, stop func()) {
+	opt.Log, opt.Secret = slog.New(slog.DiscardHandler), testSecret
+	k, err := New(opt)
 	if err != nil {
-		b.t.Fatal(err)
+		panic(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); k.Run(ctx) }()
-	b.t.Cleanup(func() { cancel(); <-done })
-	b.keepers[vm] = k
-	b.net.mu.Lock()
-	b.net.paths[vm] = k.Filter()(b.endpoint)
-	b.net.mu.Unlock()
-	return k
+	return k, func() { cancel(); <-done }
 }
 
-// crash takes the node away.
-func (b *bench) crash(vm fleet.VM) {
-	b.net.mu.Lock()
-	delete(b.net.paths, vm)
-	b.net.mu.Unlock()
+// start starts a new life of the node on the VM.
+func (b *bench) start(vm fleet.VM) *Keeper {
+	b.sequence++
+	k, stop := launch(Options{
+		Self: fleet.Node{VM: vm, Incarnation: b.sequence}, Table: b.table, Peers: b.net, View: testView(), Clock: b.clock,
+		Write: b.limits, SweepEvery: time.Hour, MaxEntries: b.maxSlots, ClaimWait: 10 * time.Second,
+	})
+	b.t.Cleanup(stop)
+	b.net.set(vm, k.Filter()(b.endpoint))
+	return k
 }
 
 // send sends a call to the node.
@@ -238,11 +235,8 @@
 		Path: "/receipts", Body: []byte("driver 7"),
 	}
 	change(req)
-	b.net.mu.Lock()
-	h := b.net.paths[vm]
-	b.net.mu.Unlock()
 	g := &got{}
-	h.Serve(context.Background(), req, g)
+	b.net.path(vm, vm).Serve(context.Background(), req, g)
 	return g
 }
 
--- a/internal/once/model_test.go
+++ b/internal/once/model_test.go
@@ -4,18 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"log/slog"
-	"math/rand/v2"
 	"sync"
-	"testing"
-	"testing/synctest"
 	"time"
 
-	"pgregory.net/rapid"
-
 	"chervilloom/internal/answer"
 	"chervilloom/internal/clock"
+	"chervilloom/internal/filter"
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/outcome"
 	"chervilloom/internal/platform"
@@ -32,26 +26,6 @@
 
 func (bubbleClock) Now() clock.Instant { return clock.Instant(time.Now().UnixNano()) }
 
-// step is one step of a schedule; pick chooses among what is there.
-type step struct {
-	what string
-	pick int
-}
-
-var stepNames = []string{
-	"first key", "first key", "first ticket", "repeat", "repeat", "repeat", "repeat vouched", "repeat other body",
-	"land", "land", "land", "land late", "answer", "answer", "answer", "lose answer", "lose answer blind", "refuse down",
-	"end ran", "end ran", "end ran", "end not run", "end not run", "end unknown ran", "end unknown not run",
-	"restart", "cut", "leave", "time", "time",
-}
-
-func steps(t *rapid.T) []step {
-	one := rapid.Custom(func(t *rapid.T) step {
-		return step{rapid.SampledFrom(stepNames).Draw(t, "what"), rapid.IntRange(0, 1000).Draw(t, "pick")}
-	})
-	return rapid.SliceOfN(one, 5, 60).Draw(t, "steps")
-}
-
 // pendingTxn is a transaction on its way.
 type pendingTxn struct {
 	txn    platform.Txn
@@ -79,16 +53,16 @@
 }
 
 type model struct {
+	*fakeTable // its rows, and its reads
+	*fakeNet
+
 	mu      sync.Mutex // of all below
-	table   *fakeTable
 	vms     []fleet.VM
 	keepers map[fleet.VM]*Keeper
-	cut     map[fleet.VM]bool
 	stop    []func()
 	life    fleet.Incarnation
 	txns    []*pendingTxn
 	late    []*pendingTxn
-	blind   bool
 	runs    []*pendingRun
 	tries   []*modelTry
 	ran     map[string]int // executions by key
@@ -99,8 +73,8 @@
 
 func newModel() *model {
 	m := &model{
-		table: newFakeTable(), vms: []fleet.VM{"a", "b", "c"}, keepers: map[fleet.VM]*Keeper{},
-		cut: map[fleet.VM]bool{}, ran: map[string]int{}, ranBody: map[string]int{},
+		fakeTable: newFakeTable(), fakeNet: &fakeNet{paths: map[fleet.VM]filter.Handler{}},
+		vms: []fleet.VM{"a", "b", "c"}, keepers: map[fleet.VM]*Keeper{}, ran: map[string]int{}, ranBody: map[string]int{},
 	}
 	for _, vm := range m.vms {
 		m.start(vm)
@@ -110,19 +84,12 @@
 
 func (m *model) start(vm fleet.VM) {
 	m.life++
-	b := newBench(nil)
-	k, err := New(Options{
-		Self: fleet.Node{VM: vm, Incarnation: m.life}, Table: m, Peers: m, View: b.view, Clock: bubbleClock{},
-		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Secret: testSecret,
+	k, stop := launch(Options{
+		Self: fleet.Node{VM: vm, Incarnation: m.life}, Table: m, Peers: m, View: testView(), Clock: bubbleClock{},
 	})
-	if err != nil {
-		panic(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { defer close(done); k.Run(ctx) }()
-	m.stop = append(m.stop, func() { cancel(); <-done })
+	m.stop = append(m.stop, stop)
 	m.keepers[vm] = k
+	m.fakeNet.set(vm, k.Filter()(m))
 }
 
 // Commit implements Table: the schedule decides what becomes of it.
@@ -160,55 +127,6 @@
 	}
 }
 
-// Get implements Table.
-func (m *model) Get(ctx context.Context, table, key string) (platform.Row, error) {
-	if m.isBlind() {
-		return platform.Row{}, platform.ErrDown
-	}
-	return m.table.Get(ctx, table, key)
-}
-
-func (m *model) isBlind() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.blind
-}
-
-// List implements Table.
-func (m *model) List(ctx context.Context, table, prefix string) ([]platform.Row, error) {
-	return m.table.List(ctx, table, prefix)
-}
-
-// Relay implements Peers.
-func (m *model) Relay(ctx context.Context, to fleet.VM, req *request.Request, w answer.Writer) *outcome.Error {
-	k := m.reach(to, req.From)
-	if k == nil {
-		return outcome.New(outcome.EndpointFailed, outcome.NotRun, "node not reached", "try again")
-	}
-	held := &got{}
-	k.Filter()(m).Serve(ctx, req, held)
-	switch {
-	case m.reach(to, req.From) == nil:
-		return outcome.New(outcome.EndpointFailed, outcome.Unknown, "the link broke", "look up")
-	case !held.began:
-		return held.end.Error
-	}
-	w.Start(held.head)
-	w.Frame(answer.Frame{Data: []byte(held.body)})
-	w.Finish(held.end)
-	return nil
-}
-
-// reach returns the keeper on the VM, or nil when the two are cut off.
-func (m *model) reach(to, from fleet.VM) *Keeper {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.cut[to] || m.cut[from] {
-		return nil
-	}
-	return m.keepers[to]
-}
-
 // Serve is the endpoint: the schedule decides how the call ends.
 func (m *model) Serve(_ context.Context, req *request.Request, w answer.Writer) {
 	r := m.dispatched(req)
@@ -218,9 +136,9 @@
 func (m *model) dispatched(req *request.Request) *pendingRun {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	t := m.tries[atoi(req.ID)]
+	t := m.tries[req.PromptTokens] // the try's number, see send
 	if t.done && t.told == outcome.NotRun {
-		m.fail("try %s of %s was told not-run and is dispatched now", req.ID, t.key)
+		m.fail("a try of %s was told not-run and is dispatched now", t.key)
 	}
 	r := &pendingRun{try: t, end: make(chan string, 1)}
 	m.runs = append(m.runs, r)
@@ -266,7 +184,7 @@
 		o.overlapped = o.overlapped || o.key == key && !o.done
 	}
 	req := &request.Request{
-		ID: fmt.Sprint(len(m.tries)), Organisation: "org", Method: "POST", Path: "/receipts", Body: []byte(body),
+		PromptTokens: len(m.tries), Organisation: "org", Method: "POST", Path: "/receipts", Body: []byte(body),
 	}
 	if ticket == "" {
 		req.Key = key
@@ -313,224 +231,3 @@
 	}
 	return false
 }
-
-// do takes one step.
-func (m *model) do(s step) {
-	if s.what == "time" {
-		time.Sleep(time.Duration(s.pick) * 2 * time.Millisecond)
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.blind = false
-	vm := m.vms[s.pick%len(m.vms)]
-	switch s.what {
-	case "first key":
-		m.send(vm, fmt.Sprintf("k%d", len(m.tries)), "x", "", s.pick%2 == 0)
-	case "first ticket":
-		m.send(vm, fmt.Sprintf("t%d", len(m.tries)), "x", m.keepers[m.vms[s.pick/3%len(m.vms)]].newTicket("org"), s.pick%2 == 0)
-	case "repeat", "repeat other body", "repeat vouched":
-		m.repeat(vm, s)
-	case "land", "land late", "answer", "lose answer", "lose answer blind", "refuse down":
-		m.platform(s)
-	case "end ran", "end not run", "end unknown ran", "end unknown not run":
-		m.end(s)
-	case "restart":
-		m.start(vm)
-	case "cut":
-		m.cut[vm] = !m.cut[vm]
-	case "leave":
-		if len(m.tries) > 0 {
-			m.tries[s.pick%len(m.tries)].cancel()
-		}
-	}
-}
-
-func (m *model) repeat(vm fleet.VM, s step) {
-	if len(m.tries) == 0 {
-		return
-	}
-	old := m.tries[s.pick/3%len(m.tries)]
-	body := old.body
-	if s.what == "repeat other body" {
-		body = "y"
-	}
-	// A caller vouches truly: every earlier try was told not-run.
-	m.send(vm, old.key, body, old.ticket, s.what == "repeat vouched" && m.allToldNotRun(old.key))
-}
-
-func (m *model) allToldNotRun(key string) bool {
-	for _, t := range m.tries {
-		if t.key == key && !(t.done && t.told == outcome.NotRun) {
-			return false
-		}
-	}
-	return true
-}
-
-func (m *model) platform(s step) {
-	if s.what == "land late" && len(m.late) > 0 {
-		i := s.pick % len(m.late)
-		m.table.apply(m.late[i].txn)
-		m.late = append(m.late[:i:i], m.late[i+1:]...)
-	}
-	if len(m.txns) == 0 || s.what == "land late" {
-		return
-	}
-	p := m.txns[s.pick%len(m.txns)]
-	if s.what == "land" {
-		if !p.landed {
-			p.landed, p.result = true, m.table.apply(p.txn)
-		}
-		return
-	}
-	m.reply(p, s.what)
-}
-
-// reply ends the wait for a transaction.
-func (m *model) reply(p *pendingTxn, how string) {
-	if how == "refuse down" && p.landed {
-		return
-	}
-	m.forget(p)
-	switch how {
-	case "answer":
-		if !p.landed {
-			p.landed, p.result = true, m.table.apply(p.txn)
-		}
-		p.answer <- nil
-	case "refuse down":
-		p.answer <- platform.ErrDown
-	default:
-		m.blind = how == "lose answer blind"
-		if !p.landed {
-			m.late = append(m.late, p)
-		}
-		p.answer <- platform.ErrAmbiguous
-	}
-}
-
-func (m *model) end(s step) {
-	if len(m.runs) == 0 {
-		return
-	}
-	i := s.pick % len(m.runs)
-	r := m.runs[i]
-	m.runs = append(m.runs[:i:i], m.runs[i+1:]...)
-	r.end <- s.what
-}
-
-// settle ends all that is pending and lets every try end.
-func (m *model) settle(r *rand.Rand) {
-	for range 300 {
-		synctest.Wait()
-		if m.settleOne(r) {
-			time.Sleep(3 * time.Second)
-			synctest.Wait()
-			if m.allDone() {
-				return
-			}
-		}
-	}
-	m.fail("a try never got its answer")
-}
-
-// settleOne ends one thing that is pending, or reports that there is none.
-func (m *model) settleOne(r *rand.Rand) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.blind = false
-	switch {
-	case len(m.txns) > 0:
-		m.reply(m.txns[r.IntN(len(m.txns))], "answer")
-	case len(m.runs) > 0:
-		m.end(step{[]string{"end ran", "end not run", "end unknown ran"}[r.IntN(3)], r.IntN(1000)})
-	default:
-		return true
-	}
-	return false
-}
-
-// askAll repeats every call after all has settled: no key may be stuck.
-func (m *model) askAll(r *rand.Rand) {
-	from := m.sendAll(r)
-	m.settle(r)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, t := range m.tries[from:] {
-		if !t.got.end.Whole && t.got.end.Error.Kind == outcome.StillRunning {
-			m.fail("%s is stuck", t.key)
-		}
-	}
-}
-
-func (m *model) sendAll(r *rand.Rand) (from int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	clear(m.cut)
-	from = len(m.tries)
-	asked := map[string]bool{}
-	for _, t := range m.tries[:from] {
-		if !asked[t.key] {
-			asked[t.key] = true
-			m.send(m.vms[r.IntN(len(m.vms))], t.key, t.body, t.ticket, false)
-		}
-	}
-	return from
-}
-
-func (m *model) allDone() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if len(m.txns) > 0 || len(m.runs) > 0 {
-		return false
-	}
-	for _, t := range m.tries {
-		if !t.done {
-			return false
-		}
-	}
-	return true
-}
-
-func (m *model) run(schedule []step) error {
-	for _, s := range schedule {
-		m.do(s)
-		synctest.Wait()
-	}
-	r := rand.New(rand.NewPCG(uint64(len(schedule)), 1))
-	m.settle(r)
-	m.askAll(r)
-	m.mu.Lock()
-	m.over = true
-	for _, p := range m.txns {
-		p.answer <- platform.ErrDown
-	}
-	m.mu.Unlock()
-	for _, stop := range m.stop {
-		stop()
-	}
-	return m.fault
-}
-
-func atoi(s string) int {
-	var n int
-	fmt.Sscan(s, &n)
-	return n
-}
-
-func TestModelRunsAtMostOnce(t *testing.T) {
-	// Callers send calls with keys and tickets and repeat them anywhere, while
-	// writes land late or lose their answers, nodes restart, are cut off and
-	// wake again, and callers leave. Whatever the order: a call runs at most
-	// once, "not-run" and "ran" are true, an answer is that of the call's own
-	// run, and every try is answered.
-	rapid.Check(t, func(rt *rapid.T) {
-		schedule := steps(rt)
-		var fault error
-		synctest.Test(t, func(*testing.T) { fault = newModel().run(schedule) })
-		if fault != nil {
-			rt.Fatalf("%v\nschedule %v", fault, schedule)
-		}
-	})
-}
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -173,6 +173,15 @@
 	id        string // of the entry
 	mechanism string
 	hash      Hash
+	began     clock.Instant // before any claim was sent
+	valid     time.Duration // how long from then a claim keeps others away
+}
+
+func (k *Keeper) newTry(req *request.Request, w answer.Writer, next filter.Handler, mechanism string) *try {
+	return &try{
+		k: k, req: req, w: w, next: next, mechanism: mechanism, hash: bodyHash(req),
+		began: k.opt.Clock.Now(), valid: k.retention(),
+	}
 }
 
 // The mechanisms, as metrics and explanations name them.
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -45,7 +45,7 @@
 	b.start("b")
 	call := withTicket(k.newTicket("org"))
 	is.True(b.send("b", call).end.Whole)
-	b.crash("a")
+	b.net.set("a", nil)
 	is.Equal(b.send("b", call).outcome(), outcome.Unknown)
 	b.start("a")
 	for _, vm := range []fleet.VM{"a", "b"} {
@@ -77,14 +77,18 @@
 }
 
 func TestNotRunFreesTheKey(t *testing.T) {
-	// The dispatch is refused "not-run". The caller repeats through another
-	// node, and the call runs then.
+	// The dispatch is refused "not-run", which a caller is told also through
+	// another node: it is the holder's word, not the link's. The caller repeats
+	// through another node, and the call runs then.
 	is := is.New(t)
 	b := newBench(t)
-	b.start("a")
+	k := b.start("a")
 	b.start("b")
 	b.endpoint.fail.Store(outcome.New(outcome.NoCapacity, outcome.NotRun, "no capacity", "later"))
 	is.Equal(b.send("a", withKey("k")).outcome(), outcome.NotRun)
+	passedOn := b.send("b", withTicket(k.newTicket("org")))
+	is.Equal(passedOn.outcome(), outcome.NotRun)
+	is.Equal(passedOn.end.Error.Kind, outcome.NoCapacity)
 	b.endpoint.fail.Store(nil)
 	is.True(b.send("b", withKey("k")).end.Whole)
 	is.True(b.send("a", withKey("k")).end.Whole)
--- a/internal/once/try.go
+++ b/internal/once/try.go
@@ -19,19 +19,34 @@
 // state is held.
 func (t *try) refuseEarly(e *outcome.Error) { t.refuse(Refusal(t.req, e)) }
 
-// dispatch runs the call unless the caller has left before. A try that was on
-// its way when its connection broke would else run after a later try of the
-// same key was told "not-run".
+// dispatch runs the call unless that is of no use or not safe any more.
 func (t *try) dispatch(ctx context.Context) {
-	if ctx.Err() == nil {
+	e := t.tooLate(ctx)
+	if e == nil {
 		t.run(ctx)
 		return
 	}
-	e := outcome.New(outcome.CallerGone, outcome.NotRun, "the caller left before the call was sent", "repeat the call with the same key or ticket")
-	t.ended(outcome.NotRun, nil, 0, e)
+	t.ended(e.Outcome, nil, 0, e)
 	t.refuse(e)
 }
 
+// tooLate returns why the call is not to be dispatched. A try that was on its
+// way when its connection broke would else run after a later try of the same key
+// was told "not-run". A node that was paused since its claim would run a call
+// whose row has expired and was claimed by another.
+func (t *try) tooLate(ctx context.Context) *outcome.Error {
+	now := t.k.opt.Clock.Now()
+	switch {
+	case ctx.Err() != nil:
+		return outcome.New(outcome.CallerGone, outcome.NotRun, "the caller left before the call was sent",
+			"repeat the call with the same key or ticket")
+	case t.req.Deadline != 0 && !now.Before(t.req.Deadline), now.Sub(t.began) >= t.valid:
+		return outcome.New(outcome.DeadlineExceeded, outcome.NotRun, "the deadline passed before the call was sent",
+			"repeat the call with the same key or ticket and allow more time")
+	}
+	return nil
+}
+
 // run dispatches the call. It goes on when the caller leaves: cutting a call
 // that may not be repeated would leave its outcome unknown, and the caller's
 // repeat is to get its answer.
@@ -86,7 +101,7 @@
 
 // serveTicket answers a try that carries a ticket.
 func (k *Keeper) serveTicket(ctx context.Context, req *request.Request, w answer.Writer, next filter.Handler) {
-	t := &try{k: k, req: req, w: w, next: next, mechanism: byTicket, hash: bodyHash(req)}
+	t := k.newTry(req, w, next, byTicket)
 	ticket, err := k.sealer.open(req.Ticket)
 	switch {
 	case err == ErrTicketForeign:
@@ -110,8 +125,8 @@
 }
 
 func (t *try) holdTicket(ctx context.Context, ticket Ticket) {
-	if !t.k.opt.Clock.Now().Before(ticket.Expires) {
-		t.refuseEarly(expiredTicket())
+	if !t.began.Before(ticket.Expires) {
+		t.refuse(t.asVouched(expiredTicket()))
 		return
 	}
 	act, s, ok := t.k.mem.call(t.id, false, t.hash, ticket.Expires)
@@ -126,9 +141,9 @@
 
 // serveKey answers a try that carries a key and no ticket.
 func (k *Keeper) serveKey(ctx context.Context, req *request.Request, w answer.Writer, next filter.Handler) {
-	t := &try{k: k, req: req, w: w, next: next, mechanism: byKey, hash: bodyHash(req)}
+	t := k.newTry(req, w, next, byKey)
 	t.id = rowKey(req.Organisation, req.Key)
-	expires := k.opt.Clock.Now().Add(k.retention() + 2*k.opt.Skew)
+	expires := t.began.Add(t.valid + 2*k.opt.Skew)
 	act, s, ok := k.mem.call(t.id, true, t.hash, expires)
 	if !ok {
 		t.refuseEarly(tooManyKeys())
