Test of a node that is paused between its claim and the dispatch

Red without the check (now.Sub(t.began) >= t.valid): TestPausedNodeDoesNotDispatch, one run instead of none. Run: go test -race ./internal/once: ok.

--- a/internal/once/edge_test.go
+++ b/internal/once/edge_test.go
@@ -64,6 +64,19 @@
 	is.Equal(b.endpoint.runs.Load(), int64(1))
 }
 
+func TestPausedNodeDoesNotDispatch(t *testing.T) {
+	// The node is paused for a day after its claim landed and wakes believing
+	// that the row is its own. By then the row has expired and another node may
+	// have run the call: this one must not.
+	is := is.New(t)
+	b := newBench(t)
+	b.table.landed = func() { b.clock.Advance(defaultRetention) }
+	b.start("a")
+	g := b.send("a", withKey("k"))
+	is.Equal(b.endpoint.runs.Load(), int64(0))
+	is.Equal(g.end.Error.Kind, outcome.DeadlineExceeded)
+}
+
 func TestLongAnswerIsNotGivenAgain(t *testing.T) {
 	// The first answer is over the bound. The repeat is told that the call ran
 	// and that its answer cannot be given again; it does not run.
--- a/internal/once/fake_test.go
+++ b/internal/once/fake_test.go
@@ -32,6 +32,7 @@
 	lose    atomic.Int32 // how many of the next commits take effect and lose their answer
 	blind   atomic.Bool  // reads fail
 	commits atomic.Int64
+	landed  func() // not nil: called after each commit
 }
 
 func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
@@ -63,6 +64,9 @@
 	}
 	f.commits.Add(1)
 	res := f.apply(txn)
+	if f.landed != nil {
+		f.landed()
+	}
 	if f.lose.Add(-1) >= 0 {
 		return platform.Result{}, platform.ErrAmbiguous
 	}
