A caller who leaves before the lane has seen the request is not lost

TestCallersComeAndGo was red: Withdraw goes by another ring than Arrive and overtook it. The lane's goroutine panicked on the handle, or would have left the request in the queue for nobody. The call now remembers that it left.

Requests that go on with a stream pass admission by: they hold their slot already. Gauges of requests held and waiting; a log line when a pool loses or regains its last slots.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -52,8 +52,8 @@
 type Options struct {
 	View       view.Source
 	Clock      clock.Clock
-	Usage      Usage // nil: this node may use all of every cap
-	Log        *slog.Logger
+	Usage      Usage                 // nil: this node may use all of every cap
+	Log        *slog.Logger          // nil: none
 	Registerer prometheus.Registerer // nil: no metrics
 	Recorder   explain.Recorder      // nil: no explanations
 }
@@ -65,6 +65,7 @@
 	lookups *lane
 	metrics *metrics
 	tracer  trace.Tracer
+	empty   map[string]bool // pools and services that nothing serves; Run's
 }
 
 // New returns an Admitter. Its filter answers only while Run runs.
@@ -72,13 +73,18 @@
 	if o.Usage == nil {
 		o.Usage = wholeCaps{}
 	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
 	a := &Admitter{
 		opts:    o,
 		models:  newLane("model", NewModels(), o.Clock),
 		lookups: newLane("lookup", NewLookups(), o.Clock),
 		metrics: newMetrics(o.Registerer),
 		tracer:  otel.Tracer("chervilloom/admit"),
+		empty:   make(map[string]bool),
 	}
+	a.metrics.watch(o.Registerer, a.models, a.lookups)
 	if p := a.plan(); p != nil {
 		// Before any goroutine runs: a request that comes first would be told
 		// that the node knows no configuration.
@@ -119,9 +125,26 @@
 
 // replan gives both lanes the newest limits.
 func (a *Admitter) replan() {
-	if p := a.plan(); p != nil {
-		a.models.tell(*replan(p))
-		a.lookups.tell(*replan(p))
+	p := a.plan()
+	if p == nil {
+		return
+	}
+	a.logChanges(p)
+	a.models.tell(*replan(p))
+	a.lookups.tell(*replan(p))
+}
+
+// logChanges tells when nothing serves a pool or service any more, and when
+// something does again.
+func (a *Admitter) logChanges(p *Plan) {
+	for _, pools := range [][]Pool{p.Pools, p.Services} {
+		for i := range pools {
+			c := &pools[i]
+			if empty := c.Total == 0; empty != a.empty[c.Name] {
+				a.empty[c.Name] = empty
+				a.opts.Log.Info("capacity changed", "pool", c.Name, "slots", c.Total, "share", c.Share)
+			}
+		}
 	}
 }
 
@@ -137,6 +160,13 @@
 }
 
 func (a *Admitter) serve(ctx context.Context, req *request.Request, w answer.Writer, next filter.Handler) {
+	if req.ResumeID != "" {
+		// It goes on with a stream that was admitted when it began and holds its
+		// slot still; it never starts one. Refused here, the caller would lose
+		// the rest of the answer.
+		next.Serve(ctx, req, w)
+		return
+	}
 	l := a.lookups
 	if req.Class == request.ClassModel {
 		l = a.models
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -85,6 +85,7 @@
 	end   *endpoint
 	notes *explain.Store
 	clock *clock.Manual
+	stop  func() // ends Run and waits for it
 }
 
 func startRig(t *testing.T, s *view.Snapshot) *rig {
@@ -97,7 +98,8 @@
 	})
 	var wg sync.WaitGroup
 	wg.Go(func() { a.Run(ctx) })
-	t.Cleanup(func() { cancel(); wg.Wait() })
+	r.stop = func() { cancel(); wg.Wait() }
+	t.Cleanup(r.stop)
 	r.path = filter.Chain(r.end, a.Filter())
 	return r
 }
--- a/internal/admit/lane.go
+++ b/internal/admit/lane.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"chervilloom/internal/clock"
@@ -23,6 +24,7 @@
 // core is the pure part of a lane.
 type core interface {
 	Step(now clock.Instant, ev *Event, out []Decision) []Decision
+	Waiting() int
 }
 
 // message carries an event to the lane's goroutine.
@@ -33,8 +35,10 @@
 
 // call is the lane's side of one request.
 type call struct {
-	handle  Handle // set and read by the lane's goroutine only
+	handle  Handle // none until it has arrived
+	left    bool   // withdrawn before it arrived
 	decided chan Decision
+	// handle and left belong to the lane's goroutine.
 }
 
 // lane owns a core and feeds it from a ring. Its goroutine is the only one that
@@ -49,6 +53,8 @@
 	calls   []*call  // by handle
 	free    []Handle // handles not in use
 	out     []Decision
+	held    atomic.Int64 // handles in use
+	waiting atomic.Int64 // requests that wait
 }
 
 func newLane(name string, c core, clk clock.Clock) *lane {
@@ -80,14 +86,8 @@
 }
 
 func (l *lane) step(m *message) {
-	if m.event.Kind == Arrive {
-		m.call.handle = l.take(m.call)
-	}
-	if m.call != nil {
-		if l.calls[m.call.handle] != m.call {
-			return // its final decision was on the way already; the handle may be another's by now
-		}
-		m.event.Handle = m.call.handle
+	if m.call != nil && !l.enter(m) {
+		return
 	}
 	l.out = l.core.Step(l.clock.Now(), &m.event, l.out[:0])
 	for i := range l.out {
@@ -96,6 +96,30 @@
 	if m.event.Kind == Finish {
 		l.put(m.call.handle)
 	}
+	l.held.Store(int64(len(l.calls) - len(l.free)))
+	l.waiting.Store(int64(l.core.Waiting()))
+}
+
+// enter sets the event's handle. It reports false when there is nothing to
+// decide.
+func (l *lane) enter(m *message) bool {
+	c := m.call
+	switch {
+	case m.event.Kind == Arrive && c.left:
+		c.decided <- Decision{Verdict: Withdrawn, Reason: ReasonCallerGone}
+		return false
+	case m.event.Kind == Arrive:
+		c.handle = l.take(c)
+	case c.handle == none:
+		// Withdraw came by the other ring and overtook Arrive. Lost here, the
+		// request would wait in the queue for a caller who has left.
+		c.left = true
+		return false
+	case l.calls[c.handle] != c:
+		return false // its final decision was on the way already; the handle may be another's by now
+	}
+	m.event.Handle = c.handle
+	return true
 }
 
 // deliver tells the request what was decided. A call's channel holds the two
@@ -127,7 +151,7 @@
 // ask puts a request to the lane and returns the final decision about it. When
 // ctx ends the request is withdrawn; it may have been admitted just before.
 func (l *lane) ask(ctx context.Context, a *Arrival, onQueue func(Decision)) (*call, Decision) {
-	c := &call{decided: make(chan Decision, 2)}
+	c := &call{handle: none, decided: make(chan Decision, 2)}
 	if !l.ring.Offer(message{event: Event{Kind: Arrive, Arrival: *a}, call: c}) {
 		return c, Decision{Verdict: Refuse, Kind: outcome.Overloaded, Reason: ReasonLaneFull, RetryAfter: time.Second}
 	}
--- a/internal/admit/lookups.go
+++ b/internal/admit/lookups.go
@@ -70,6 +70,9 @@
 	return out
 }
 
+// Waiting returns 0: lookups do not wait.
+func (l *Lookups) Waiting() int { return 0 }
+
 func (l *Lookups) arrive(now clock.Instant, h Handle, a *Arrival) Decision {
 	if l.plan == nil {
 		return Decision{Handle: h, Verdict: Refuse, Kind: outcome.NoCapacity, Reason: ReasonNotConfigured, RetryAfter: noCapacityRetry}
--- a/internal/admit/metrics.go
+++ b/internal/admit/metrics.go
@@ -31,3 +31,17 @@
 		m.wait.WithLabelValues(lane).Observe(d.Wait.Seconds())
 	}
 }
+
+// watch shows how many requests each lane holds.
+func (m *metrics) watch(r prometheus.Registerer, lanes ...*lane) {
+	f := promauto.With(r)
+	for _, l := range lanes {
+		labels := prometheus.Labels{"lane": l.name}
+		f.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "chervilloom_admit_in_progress_requests", Help: "Requests that wait or are in progress.", ConstLabels: labels,
+		}, func() float64 { return float64(l.held.Load()) })
+		f.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "chervilloom_admit_waiting_requests", Help: "Requests that wait for a slot.", ConstLabels: labels,
+		}, func() float64 { return float64(l.waiting.Load()) })
+	}
+}
