Nothing is drained for want of word; changes carry their facts

Cause: three ways to drain every group by mistake: the table read before the list of VMs (no zone seems to have room), targets that do not name a spec, and a list of VMs that came back cut short.

Change: no plan before a list was read; a spec without a target keeps what it has; a list that misses more than a quarter of the answering VMs is not believed when it takes away. Explained changes name each member's state and its age.

--- a/internal/group/change.go
+++ b/internal/group/change.go
@@ -63,6 +63,42 @@
 	})
 }
 
+// facts are what is believed of the group's members, with the age of each.
+func (p *planner) facts(g *fleet.Group) []explain.Fact {
+	out := make([]explain.Fact, 0, len(g.Members)+1)
+	for i := range g.Members {
+		m := &g.Members[i]
+		out = append(out, p.memberFact(g, m))
+	}
+	if v := p.vms[g.Members[0].VM]; v != nil && v.LoadAt != 0 {
+		out = append(out, explain.Fact{
+			Name: "load", Value: fmt.Sprintf("%d running, %d waiting", v.Load.Running, v.Load.Waiting), Age: p.in.Now.Sub(v.LoadAt),
+		})
+	}
+	return out
+}
+
+func (p *planner) memberFact(g *fleet.Group, m *fleet.Member) explain.Fact {
+	f := explain.Fact{Name: string(m.VM), Value: "not known"}
+	v := p.vms[m.VM]
+	switch {
+	case v == nil:
+	case v.Probe.Failing != 0:
+		f.Value = fmt.Sprintf("%d probes unanswered", v.Probe.Failures)
+		f.Age = p.in.Now.Sub(v.Probe.Failing)
+	case v.Probe.Answered != 0:
+		f.Age = p.in.Now.Sub(v.Probe.Answered)
+		f.Value = view.StateFault(g, m, &v.Probe.State)
+		if v.Leaving {
+			f.Value = "is leaving"
+		}
+		if f.Value == "" {
+			f.Value = "reports the generation"
+		}
+	}
+	return f
+}
+
 // written marks the group's row as changed by this plan.
 func (p *planner) written(it *item) {
 	it.changed = true
@@ -75,7 +111,7 @@
 	g.Phase = fleet.PhaseServing
 	b := p.begin()
 	b.group(&g, it.row.Version)
-	b.done(Serve, &g)
+	b.done(Serve, &g, p.facts(&g)...)
 	p.written(it)
 }
 
@@ -86,7 +122,7 @@
 	since(p.mem.draining, g.ID, p.in.Now)
 	b := p.begin()
 	b.group(&g, it.row.Version)
-	b.done(Drain, &g)
+	b.done(Drain, &g, p.facts(&g)...)
 	p.written(it)
 }
 
@@ -102,7 +138,7 @@
 		}
 	}
 	b.group(&g, it.row.Version)
-	b.done(Dissolve, &g)
+	b.done(Dissolve, &g, p.facts(&g)...)
 	p.written(it)
 }
 
--- a/internal/group/faults_test.go
+++ b/internal/group/faults_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"chervilloom/internal/config"
+	"chervilloom/internal/engine"
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/view"
 )
@@ -268,3 +269,72 @@
 	is.Equal(s.fault, "")
 	is.Equal(s.servingCount(0), 2)
 }
+
+// The platform is down for a while. Groups that are formed go on taking
+// requests; a group that loses a member takes none, and nothing is claimed in
+// its place until the platform is back; then it is repaired.
+func TestPlatformOutage(t *testing.T) {
+	is := is.New(t)
+	s := newSim(doc(3, 2), 2, 1, true, 8)
+	s.run(10 * time.Second)
+	is.Equal(s.servingCount(1), 2)
+	s.table.down = true
+	commits := s.table.commits
+	s.run(20 * time.Second)
+	is.Equal(s.servingCount(0), 2)
+	is.Equal(s.servingCount(1), 2)
+	s.engines.byAddr[serving(s.nodes[0].Snapshot())[0].Members[0].Addr].dead = true
+	s.run(20 * time.Second)
+	is.Equal(s.servingCount(1), 1)
+	is.Equal(s.table.commits, commits)
+	s.table.down = false
+	s.run(20 * time.Second)
+	is.Equal(s.servingCount(0), 2)
+	is.Equal(s.fault, "")
+}
+
+// The owner loses the endpoints but not the platform and sees every member die.
+// The other node still sees them and says so; here it does not even say so, and
+// still nothing may be dissolved: groups all of whose members seem dead are kept.
+func TestOwnerCutOffFromTheEndpoints(t *testing.T) {
+	is := is.New(t)
+	s := newSim(doc(3, 2), 2, 1, true, 8)
+	s.run(10 * time.Second)
+	holder := s.holder()
+	s.nodes[holder].cut = true
+	s.run(30 * time.Second)
+	is.Equal(s.servingCount(holder), 0)
+	is.Equal(s.servingCount(1-holder), 2)
+	s.nodes[holder].cut = false
+	s.run(5 * time.Second)
+	is.Equal(s.servingCount(holder), 2)
+	for _, g := range s.rows().groups {
+		is.Equal(g.Group.Generation, fleet.Generation(1))
+	}
+	is.Equal(s.fault, "")
+}
+
+// An engine that ignores fences gets an order from an owner whose lease is about
+// to end, and it arrives when another node is the owner. So no order is begun,
+// and nothing is committed, without the margin left on the lease.
+func TestNothingIsBegunNearTheEndOfTheLease(t *testing.T) {
+	is := is.New(t)
+	s := newSim(doc(2, 1), 1, 1, false, 3)
+	s.run(simTick)
+	n := s.nodes[0]
+	n.probe()
+	grant, ok := n.lease.Held(s.clk.Now())
+	is.True(ok)
+	o := VMOrder{VM: s.list[0].VM, Addr: s.list[0].Addr, Order: engine.Order{
+		Verb: engine.VerbJoin, Fence: 1, Boot: s.engine(0).state.Boot, Group: "late",
+	}}
+	s.clk.Advance(grant.Left(s.clk.Now()) - n.rec.Timing.Margin)
+	n.rec.sendOrders(t.Context(), grant, []VMOrder{o})
+	is.Equal(s.engine(0).state.Group, fleet.GroupID(""))
+	commits := s.table.commits
+	n.rec.Step(t.Context())
+	is.Equal(s.table.commits, commits)
+	s.clk.Advance(-time.Second)
+	n.rec.sendOrders(t.Context(), grant, []VMOrder{o})
+	is.Equal(s.engine(0).state.Group, fleet.GroupID("late")) // it would have been obeyed
+}
--- a/internal/group/health.go
+++ b/internal/group/health.go
@@ -41,6 +41,36 @@
 	return alive
 }
 
+// health is healthOf with the list's word on missing VMs weighed.
+func (p *planner) health(v *view.VM) health {
+	h := healthOf(v, p.in.Now, &p.in.Tune)
+	if h == leaving && !v.Leaving && p.listFault {
+		return alive
+	}
+	return h
+}
+
+// listMisses reports whether the list lacks more of the zone's answering engine
+// VMs than go away in the ordinary course. A list that came back cut short would
+// otherwise have every group drained.
+func (p *planner) listMisses() bool {
+	answering, missed := 0, 0
+	for _, v := range p.vms {
+		r := &v.Record
+		if r.Kind != fleet.KindEngine || r.Zone != p.in.Snap.Zone || v.Probe.Answered == 0 || v.Probe.Failing != 0 {
+			continue
+		}
+		answering++
+		if !v.Listed {
+			missed++
+		}
+	}
+	return missed > max(unlistedAtOnce, answering/4)
+}
+
+// unlistedAtOnce is how many answering VMs may always be missing from the list.
+const unlistedAtOnce = 2
+
 // missing reports whether the VM has been gone from the list for long.
 func missing(v *view.VM, now clock.Instant, t *Tune) bool {
 	return !v.Listed && v.Unlisted != 0 && now.Sub(v.Unlisted) > t.MissingAfter
@@ -71,7 +101,7 @@
 	for i := range g.Members {
 		m := &g.Members[i]
 		v := p.vms[m.VM]
-		switch h := healthOf(v, p.in.Now, &p.in.Tune); {
+		switch h := p.health(v); {
 		case h == dead:
 			deadMembers++
 			a.gone = append(a.gone, i)
--- a/internal/group/orders.go
+++ b/internal/group/orders.go
@@ -30,7 +30,7 @@
 func (p *planner) reachable(v *view.VM) bool {
 	r := &v.Record
 	return r.Zone == p.in.Snap.Zone && r.Kind == fleet.KindEngine && !p.taken[r.VM] &&
-		p.mayOrder(r.VM) && healthOf(v, p.in.Now, &p.in.Tune) == alive
+		p.mayOrder(r.VM) && p.health(v) == alive
 }
 
 // orderLeave frees an engine that is in a group although its claim is free.
@@ -135,7 +135,7 @@
 		for i := range g.Members {
 			v := p.vms[g.Members[i].VM]
 			if v != nil && !v.Probe.State.Loaded && inPlace(g, &g.Members[i], &v.Probe.State) &&
-				healthOf(v, p.in.Now, &p.in.Tune) == alive {
+				p.health(v) == alive {
 				n++
 			}
 		}
--- a/internal/group/place.go
+++ b/internal/group/place.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
 	"chervilloom/internal/config"
+	"chervilloom/internal/explain"
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/view"
 )
@@ -38,7 +40,9 @@
 	b := p.begin()
 	p.claimMembers(b, &g)
 	b.group(&g, 0)
-	b.done(Form, &g)
+	b.done(Form, &g, explain.Fact{
+		Name: "free VMs of " + string(g.Domain), Value: strconv.Itoa(len(p.free[g.Domain])), Age: p.in.Now.Sub(p.in.Snap.At),
+	})
 	p.bySpec[s.Name].planned++
 	p.takeSpares(vms)
 	return true
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -108,7 +108,9 @@
 	taken  map[fleet.VM]bool  // rows written by this plan
 	items  []*item            // by group id
 	bySpec map[string]*census // every spec and every spec name that a group has
-	out    Plan
+	// listFault: the list misses too many VMs that answer to be believed.
+	listFault bool
+	out       Plan
 }
 
 // item is one group with what is concluded about it.
@@ -122,7 +124,9 @@
 // Make plans for one availability zone. It returns an empty plan while too
 // little is known.
 func Make(in *Input, mem *Memory) Plan {
-	if in.Snap.Config == nil || len(in.Snap.VMs) == 0 {
+	// Without a list of VMs no zone seems to have room for anything, and every
+	// group would be drained as one too many.
+	if in.Snap.Config == nil || in.Snap.ListSeen == 0 {
 		return Plan{}
 	}
 	p := newPlanner(in, mem)
@@ -149,6 +153,7 @@
 	for i := range in.Snap.VMs {
 		p.vms[in.Snap.VMs[i].Record.VM] = &in.Snap.VMs[i]
 	}
+	p.listFault = p.listMisses()
 	for i := range p.doc.Groups {
 		if s := &p.doc.Groups[i]; s.OneDomain && !slices.Contains(p.sizes, s.VMs) {
 			p.sizes = append(p.sizes, s.VMs)
@@ -182,7 +187,7 @@
 	if p.in.Claims[r.VM].Group != "" || v.Probe.State.Boot == "" {
 		return false
 	}
-	return healthOf(v, p.in.Now, &p.in.Tune) == alive
+	return p.health(v) == alive
 }
 
 func (p *planner) collectItems() {
--- a/internal/group/plan_test.go
+++ b/internal/group/plan_test.go
@@ -205,6 +205,8 @@
 	w.settle(t, 10)
 	w.wants["a"] = 1
 	is.Equal(kinds(w.settle(t, 5)), "[drain]")
+	w.idle(0) // idle, but other nodes may not have heard of the drain yet
+	is.Equal(kinds(w.settle(t, 5)), "[]")
 	w.now = w.now.Add(w.tune.DrainSettle)
 	w.idle(0)
 	w.now = w.now.Add(time.Second)
@@ -316,3 +318,60 @@
 		is.Equal(sum, want) // three fit into z and one into y
 	}
 }
+
+// Every group is drained at once. The owner has read the table but not yet the
+// list of VMs, or has no word on the targets, or gets a list that was cut short.
+// None of these says that a group is not wanted.
+func TestNothingIsDrainedForWantOfWord(t *testing.T) {
+	for name, lose := range map[string]func(*world){
+		"no targets": func(w *world) { w.wants = nil },
+		"a list cut short": func(w *world) {
+			for _, v := range w.vms {
+				v.Listed, v.Unlisted = false, w.now.Add(-time.Hour)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(specs(spec("a", 2, 2)), 8)
+			w.settle(t, 10)
+			lose(w)
+			is.Equal(kinds(w.plan(t).Changes), "[]")
+		})
+	}
+	t.Run("no list", func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(specs(spec("a", 2, 2)), 8)
+		w.settle(t, 10)
+		snap := w.snapshot()
+		snap.ListSeen = 0
+		for i := range snap.VMs { // known from claims and probes alone
+			snap.VMs[i].Record = fleet.Record{VM: snap.VMs[i].Record.VM}
+		}
+		p := Make(&Input{Now: w.now, Snap: snap, Claims: w.claims, Groups: w.groups, Targets: MinTargets(snap), Grant: w.grant, Tune: w.tune}, w.mem)
+		is.Equal(len(p.Changes)+len(p.Orders), 0)
+	})
+	t.Run("one VM missing is believed", func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(specs(spec("a", 2, 2)), 8)
+		w.settle(t, 10)
+		v := w.vms[w.group(0).Members[0].VM]
+		v.Listed, v.Unlisted = false, w.now.Add(-time.Hour)
+		is.Equal(kinds(w.plan(t).Changes), "[drain]")
+	})
+}
+
+func TestChangesCarryTheirFacts(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(specs(spec("a", 2, 1)), 3)
+	w.settle(t, 10)
+	m := w.group(0).Members[1].VM
+	w.kill(m)
+	c := w.plan(t).Changes[0]
+	is.Equal(c.Kind, Repair)
+	is.Equal(c.Reason, "repair: "+string(m)+" is dead")
+	is.Equal(len(c.Facts), 2)
+	is.Equal(c.Facts[1].Name, string(m))
+	is.Equal(c.Facts[1].Value, "30 probes unanswered")
+	is.Equal(c.Facts[1].Age, 10*time.Second)
+}
--- a/internal/group/repair.go
+++ b/internal/group/repair.go
@@ -119,7 +119,7 @@
 	n := 0
 	for i := range it.row.Group.Members {
 		v := p.vms[it.row.Group.Members[i].VM]
-		if healthOf(v, p.in.Now, &p.in.Tune) == alive {
+		if p.health(v) == alive {
 			n++
 		}
 	}
@@ -152,7 +152,7 @@
 	}
 	p.claimMembers(b, &g)
 	b.group(&g, it.row.Version)
-	b.done(Repair, &g)
+	b.done(Repair, &g, p.facts(old)...)
 	p.written(it)
 	p.takeSpares(spares)
 	return true
@@ -179,7 +179,7 @@
 		if slices.Contains(it.assess.gone, i) {
 			continue
 		}
-		if healthOf(p.vms[g.Members[i].VM], p.in.Now, &p.in.Tune) != alive {
+		if p.health(p.vms[g.Members[i].VM]) != alive {
 			return false
 		}
 	}
--- a/internal/group/scale.go
+++ b/internal/group/scale.go
@@ -14,6 +14,7 @@
 type census struct {
 	spec     *config.GroupSpec // nil: the configuration names it no more
 	want     int
+	untold   bool    // the targets do not name the spec
 	current  []*item // match the spec and serve or will serve
 	outdated []*item // another version, adapters or size
 	serving  int     // of current: whole
@@ -42,11 +43,18 @@
 	p.bySpec = make(map[string]*census, len(p.doc.Groups))
 	for i := range p.doc.Groups {
 		s := &p.doc.Groups[i]
-		p.bySpec[s.Name] = &census{spec: s, want: p.in.Targets[s.Name]}
+		want, told := p.in.Targets[s.Name]
+		p.bySpec[s.Name] = &census{spec: s, want: want, untold: !told}
 	}
 	for _, it := range p.items {
 		p.count(it)
 	}
+	for _, c := range p.bySpec {
+		// No word is not the word "none": what runs goes on.
+		if c.untold {
+			c.want = len(c.current) + len(c.outdated)
+		}
+	}
 }
 
 func (p *planner) count(it *item) {
--- a/internal/group/sim_test.go
+++ b/internal/group/sim_test.go
@@ -271,6 +271,10 @@
 func (s *sim) checkTable() {
 	r := s.rows()
 	owner := map[fleet.VM]fleet.GroupID{}
+	domains := map[fleet.VM]fleet.FabricDomain{}
+	for i := range s.list {
+		domains[s.list[i].VM] = s.list[i].Domain
+	}
 	for id, g := range r.groups {
 		if g.Group.Phase == fleet.PhaseDissolved {
 			continue
@@ -280,6 +284,9 @@
 				s.breach("%s is in %s and in %s", m.VM, other, id)
 			}
 			owner[m.VM] = id
+			if domains[m.VM] != g.Group.Domain { // every spec of the tests asks for one domain
+				s.breach("%s of %s is in another fabric domain", m.VM, id)
+			}
 			if c := r.claims[m.VM]; c.Group != id || c.Generation != g.Group.Generation || c.Fence != m.Fence {
 				s.breach("%s is a member of %s/%d but claimed by %s/%d", m.VM, id, g.Group.Generation, c.Group, c.Generation)
 			}
--- a/internal/group/world_test.go
+++ b/internal/group/world_test.go
@@ -47,7 +47,7 @@
 }
 
 func (w *world) snapshot() *view.Snapshot {
-	s := &view.Snapshot{At: w.now, Self: fleet.Node{VM: "n", Incarnation: 1}, Zone: "z", Revision: 1, Config: w.doc}
+	s := &view.Snapshot{At: w.now, Self: fleet.Node{VM: "n", Incarnation: 1}, Zone: "z", Revision: 1, Config: w.doc, ListSeen: w.now}
 	for _, v := range w.vms {
 		if v.Probe.Failing == 0 {
 			v.Probe.Answered = w.now
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -24,7 +24,9 @@
 	// PlatformSeen is when the platform last answered; the zero value means
 	// never.
 	PlatformSeen clock.Instant
-	leavings     []leavingKey // for the Teller
+	// ListSeen is when the newest list of VMs was asked for; 0: none was read yet.
+	ListSeen clock.Instant
+	leavings []leavingKey // for the Teller
 }
 
 // VM is what is believed of an engine or service VM.
