--- a/internal/group/metrics.go
+++ b/internal/group/metrics.go
@@ -14,6 +14,10 @@
 	readFailed prometheus.Counter
 	planTime   prometheus.Histogram
 	waiting    prometheus.Gauge
+	replicas   *prometheus.GaugeVec
+	downtime   *prometheus.CounterVec
+	stranded   prometheus.Gauge
+	strandedIn prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -40,13 +44,54 @@
 			Help: "Things that the newest plan could not do yet.",
 		}),
 	}
+	m.objective()
 	reg.MustRegister(m.changes, m.orders, m.readFailed, m.planTime, m.waiting)
+	reg.MustRegister(m.replicas, m.downtime, m.stranded, m.strandedIn)
 	return m
 }
 
-func (m *metrics) planned(took time.Duration, p *Plan) {
+// objective makes the metrics of what the users weigh against each other. Only
+// the holder of the zone's lease counts, so they add up over nodes.
+func (m *metrics) objective() {
+	m.replicas = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "chervilloom_group_replicas",
+		Help: "Replicas of each spec in the zone: wanted, serving and other.",
+	}, []string{"spec", "state"})
+	m.downtime = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "chervilloom_group_downtime_seconds_total",
+		Help: "Time for which wanted replicas did not serve, summed over replicas.",
+	}, []string{"spec"})
+	m.stranded = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "chervilloom_group_stranded_accelerators",
+		Help: "Accelerators of live VMs that are in no serving group.",
+	})
+	m.strandedIn = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "chervilloom_group_stranded_accelerator_seconds_total",
+		Help: "Time for which accelerators were stranded, summed over accelerators.",
+	})
+}
+
+// planned counts a plan; since is the time from the plan before, 0 for the first
+// of a tenure.
+func (m *metrics) planned(took, since time.Duration, p *Plan) {
 	m.planTime.Observe(took.Seconds())
 	m.waiting.Set(float64(len(p.Notes)))
+	for i := range p.Specs {
+		s := &p.Specs[i]
+		m.replicas.WithLabelValues(s.Name, "wanted").Set(float64(s.Wanted))
+		m.replicas.WithLabelValues(s.Name, "serving").Set(float64(s.Serving))
+		m.replicas.WithLabelValues(s.Name, "other").Set(float64(s.Other))
+		m.downtime.WithLabelValues(s.Name).Add(float64(s.Down) * since.Seconds())
+	}
+	m.stranded.Set(float64(p.Stranded))
+	m.strandedIn.Add(float64(p.Stranded) * since.Seconds())
+}
+
+// retired is called when the lease is lost: another node counts from now on.
+func (m *metrics) retired() {
+	m.replicas.Reset()
+	m.stranded.Set(0)
+	m.waiting.Set(0)
 }
 
 func (m *metrics) change(k Kind, result string) { m.changes.WithLabelValues(string(k), result).Inc() }
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -90,6 +90,16 @@
 	Changes []Change
 	Orders  []VMOrder
 	Notes   []Note
+	Specs   []SpecState // one for each spec of the configuration
+	// Stranded counts the accelerators of VMs that are alive and in no group that
+	// takes requests.
+	Stranded int
+}
+
+// SpecState is how a spec fares in the zone.
+type SpecState struct {
+	Name                         string
+	Wanted, Serving, Other, Down int // Other: forming, broken or draining; Down: wanted and not serving
 }
 
 // Note is a decision to do nothing yet, and why.
@@ -140,6 +150,7 @@
 	p.scale()
 	p.releaseOrphans()
 	p.orders()
+	p.account()
 	p.mem.sweep(p)
 	return p.out
 }
--- a/internal/group/plan_test.go
+++ b/internal/group/plan_test.go
@@ -375,3 +375,16 @@
 	is.Equal(c.Facts[1].Value, "30 probes unanswered")
 	is.Equal(c.Facts[1].Age, 10*time.Second)
 }
+
+func TestAccount(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(specs(spec("a", 4, 2)), 5, 4)
+	w.settle(t, 10)
+	p := w.plan(t)
+	is.Equal(p.Specs, []SpecState{{Name: "a", Wanted: 2, Serving: 2}})
+	is.Equal(p.Stranded, 8) // one spare of eight accelerators
+	w.kill(w.group(0).Members[0].VM, w.group(0).Members[1].VM)
+	p = w.plan(t)
+	is.Equal(p.Specs, []SpecState{{Name: "a", Wanted: 2, Serving: 1, Other: 1, Down: 1}})
+	is.Equal(p.Stranded, 3*8) // two survivors and the spare
+}
--- a/internal/group/reconciler.go
+++ b/internal/group/reconciler.go
@@ -108,6 +108,7 @@
 	fence   uint64
 	// retryRead: not to be read before; reads fail while the platform is down.
 	retryRead clock.Instant
+	lastPlan  clock.Instant // of this tenure; 0: none
 	told      map[Note]bool // notes of the plan before
 }
 
@@ -143,7 +144,10 @@
 	now := r.Clock.Now()
 	grant, ok := r.Lease.Held(now)
 	if !ok || grant.Left(now) < r.Timing.Margin {
-		r.fence = 0
+		if r.fence != 0 {
+			r.metrics.retired()
+		}
+		r.fence, r.lastPlan = 0, 0
 		r.read(ctx, now, r.slowRead())
 		return
 	}
@@ -195,7 +199,12 @@
 		Now: now, Snap: snap, Claims: r.rows.claims, Groups: r.rows.groupList(),
 		Targets: r.Targets(snap), Grant: grant, Tune: r.Tune,
 	}, r.mem)
-	r.metrics.planned(r.Clock.Now().Sub(now), &plan)
+	since := time.Duration(0)
+	if r.lastPlan != 0 {
+		since = now.Sub(r.lastPlan)
+	}
+	r.lastPlan = now
+	r.metrics.planned(r.Clock.Now().Sub(now), since, &plan)
 	r.explainNotes(plan.Notes)
 	if !r.commitAll(ctx, grant, plan.Changes) {
 		return // the orders were made for rows that are not known now
