--- /dev/null
+++ b/test/fleet_test.go
@@ -0,0 +1,248 @@
+package test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/operator"
+	"chervilloom/internal/platform"
+)
+
+// Names and keys of the test fleets. Engines are in zoneA; the nodes of the
+// other zones pass requests on.
+const (
+	zoneA, zoneB, zoneC = "baneshwor", "lalitpur", "bhaktapur"
+
+	callerKey     = "demo-counters"
+	operatorToken = "demo-operator"
+	operatorHash  = "9437e87fae95c03d3778f2575bb18ce30e647e51d86a8c37963364e1fc4f374e"
+	replicaSize   = 4
+)
+
+const documentText = `version: 1
+organisations:
+  - name: counters
+    # SHA-256 of the caller key "demo-counters"
+    key_hashes: ["0eb7fef755d6bb1a5f44c2d121d8fee01463b82e569cdffa118d1681f2d3dd02"]
+    weight: 10
+models:
+  - {name: clerk, current: "1", versions: ["1"]}
+groups:
+  - {name: clerk, model: clerk, model_version: "1", vms: 4, min: %d, max: %d, one_domain: true}
+services:
+  - {name: counter, not_repeatable: ["POST /receipts"], timeout: 5s}
+objective: {downtime_weight: 10, stranding_weight: 1}
+fence_checked: [%s]
+`
+
+const nodeSettings = `vm: %s
+availability_zone: %s
+ip: 127.0.0.1
+listen: {caller: "%s", operator: "127.0.0.1:0", peer: "127.0.0.1:0"}
+platform: {url: "http://%s"}
+peer: {secret: "test secret, for loopback only: 0123456789"}
+operators: [{name: tester, token_hash: "%s"}, {name: other, token_hash: "%s"}]
+seeds: [%s]
+log: {format: json}
+timing: {drain_notice: 300ms, revision_poll: 1s}
+`
+
+// plan describes a fleet.
+type plan struct {
+	zones        []string // of the nodes, one each
+	engines      int      // in zoneA, one fabric domain
+	replicas     int      // wanted of the one model; 0: one
+	tokensPerSec int      // of one stream; 0: 200
+	slots        int      // of one engine; 0: 64
+	ignoreFences bool
+	proxied      bool // endpoints are reached through proxies
+	services     int  // in zoneA
+}
+
+// endpoint is an engine or service process.
+type endpoint struct {
+	*process
+	vm     fleet.VM
+	addr   string // of the process itself
+	record fleet.Record
+	proxy  *proxy // nil: registered directly
+}
+
+// node is an entry node's process.
+type node struct {
+	*process
+	vm, zone               string
+	caller, operator, peer string
+	platform               *proxy
+	settings               func(seeds ...string) string
+}
+
+// testFleet is a fleet of processes.
+type testFleet struct {
+	t        *testing.T
+	plan     plan
+	platform *process
+	store    string // address of the platform
+	table    *platform.Client
+	engines  []*endpoint
+	services []*endpoint
+	nodes    []*node
+}
+
+// startFleet starts the processes and returns when the document is in force and
+// its groups serve.
+func startFleet(t *testing.T, p plan) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, plan: p}
+	f.platform = startProcess(t, "platform", "standin", "platform", "--listen", "127.0.0.1:0",
+		"--settings", writeFile(t, "platform.yaml", "no_limits: true\n"))
+	f.store = addrOf(f.platform.line(t, "listening "))
+	f.table = platform.NewClient("http://" + f.store)
+	t.Cleanup(f.table.Close)
+	for i := range p.engines {
+		f.addEngine(i + 1)
+	}
+	for i := range p.services {
+		f.addService(i + 1)
+	}
+	for i, zone := range p.zones {
+		f.nodes = append(f.nodes, f.startNode(fmt.Sprintf("entry-%d", i+1), zone))
+	}
+	f.acceptDocument()
+	f.awaitServing()
+	return f
+}
+
+func addrOf(line string) string { return strings.TrimPrefix(line, "listening ") }
+
+func (f *testFleet) addEngine(i int) *endpoint {
+	f.t.Helper()
+	vm := fmt.Sprintf("engine-%d", i)
+	text := fmt.Sprintf("vm: %s\nzone: %s\ndomain: fabric-a\naccelerators: 8\nslots: %d\ntokens_per_second: %d\n"+
+		"check_fence: %t\nload_time: 50ms\nload_lag: 100ms\n",
+		vm, zoneA, orDefault(f.plan.slots, 64), orDefault(f.plan.tokensPerSec, 200), !f.plan.ignoreFences)
+	e := f.startEndpoint("engine", text, fleet.Record{
+		VM: fleet.VM(vm), Kind: fleet.KindEngine, Zone: zoneA, Domain: "fabric-a", Accelerators: 8, State: fleet.StateLive,
+	})
+	f.engines = append(f.engines, e)
+	return e
+}
+
+func (f *testFleet) addService(i int) *endpoint {
+	f.t.Helper()
+	vm := fmt.Sprintf("counter-%d", i)
+	text := fmt.Sprintf("vm: %s\nzone: %s\nname: counter\n", vm, zoneA)
+	s := f.startEndpoint("service", text, fleet.Record{
+		VM: fleet.VM(vm), Kind: fleet.KindService, Service: "counter", Zone: zoneA, State: fleet.StateLive,
+	})
+	f.services = append(f.services, s)
+	return s
+}
+
+// startEndpoint starts a stand-in that registers itself, unless it is reached
+// through a proxy: then the proxy's address is registered.
+func (f *testFleet) startEndpoint(kind, text string, r fleet.Record) *endpoint {
+	f.t.Helper()
+	if !f.plan.proxied {
+		text += fmt.Sprintf("platform: http://%s\n", f.store)
+	}
+	p := startProcess(f.t, string(r.VM), "standin", kind, "--listen", "127.0.0.1:0",
+		"--settings", writeFile(f.t, string(r.VM)+".yaml", text))
+	e := &endpoint{process: p, vm: r.VM, addr: addrOf(p.line(f.t, "listening "))}
+	e.record = r
+	e.record.Addr = e.addr
+	if f.plan.proxied {
+		e.proxy = startProxy(f.t, string(r.VM), e.addr)
+		e.record.Addr = e.proxy.addr()
+		f.register(e.record)
+	}
+	return e
+}
+
+// register puts a record on the platform's list of VMs.
+func (f *testFleet) register(r fleet.Record) {
+	f.t.Helper()
+	post(f.t, f.store, "/admin/vms", r)
+}
+
+// startNode starts a node that reaches the platform through a proxy of its own.
+func (f *testFleet) startNode(vm, zone string) *node {
+	f.t.Helper()
+	n := &node{vm: vm, zone: zone, platform: startProxy(f.t, vm+" to platform", f.store)}
+	n.settings = func(seeds ...string) string {
+		return fmt.Sprintf(nodeSettings, vm, zone, "127.0.0.1:0", n.platform.addr(), operatorHash, otherHash, quoted(seeds))
+	}
+	n.start(f.t)
+	return n
+}
+
+// start starts the node's process, again after an end: the addresses are new.
+func (n *node) start(t *testing.T, seeds ...string) {
+	t.Helper()
+	n.process = startProcess(t, n.vm, "serve", "--settings", writeFile(t, n.vm+".yaml", n.settings(seeds...)))
+	var a struct{ Caller, Operator, Peer string }
+	must(t, json.Unmarshal([]byte(n.line(t, `"msg":"listening"`)), &a))
+	n.caller, n.operator, n.peer = a.Caller, a.Operator, a.Peer
+}
+
+func quoted(words []string) string {
+	var out []string
+	for _, w := range words {
+		out = append(out, fmt.Sprintf("%q", w))
+	}
+	return strings.Join(out, ", ")
+}
+
+func orDefault(v, def int) int {
+	if v == 0 {
+		return def
+	}
+	return v
+}
+
+// document returns the fleet's configuration document.
+func (f *testFleet) document() string {
+	n := orDefault(f.plan.replicas, 1)
+	checked := `"*"`
+	if f.plan.ignoreFences {
+		checked = ""
+	}
+	return fmt.Sprintf(documentText, n, n, checked)
+}
+
+func (f *testFleet) acceptDocument() {
+	f.t.Helper()
+	res, err := f.nodes[0].client().Apply(f.t.Context(), operator.ApplyRequest{Document: f.document()})
+	must(f.t, err)
+	if res.State != operator.ApplyAccepted {
+		f.t.Fatalf("the document was not accepted: %+v", res)
+	}
+}
+
+// awaitServing waits until every node believes that all replicas serve, sees
+// every other node, and the zone's services.
+func (f *testFleet) awaitServing() {
+	f.t.Helper()
+	for _, n := range f.nodes {
+		f.await(n, "all groups serve", func(s operator.Status) bool {
+			return s.Ready && f.groupsServe(s) && len(s.Nodes) == len(f.nodes)-1 && servicesSeen(s) >= f.servicesIn(n.zone)
+		})
+	}
+}
+
+func (f *testFleet) groupsServe(s operator.Status) bool {
+	if f.plan.engines < replicaSize {
+		return true
+	}
+	return len(wholeGroups(s)) >= orDefault(f.plan.replicas, 1)
+}
+
+func (f *testFleet) servicesIn(zone string) int {
+	if zone != zoneA {
+		return 0
+	}
+	return f.plan.services
+}
