Ejection, flush of outcomes and truthful refusals are wired

Cause: a filter before the keys told "not-run" for a keyed call although an earlier try of it may have run; ejection and the flush of recorded outcomes were built and not in the path. Ruled out: putting admission before the keys (repeats of answered calls would queue behind model calls and need a slot to be told their first answer).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,6 +84,7 @@
 	admit      *admit.Admitter
 	router     *route.Router
 	retries    *retry.Budget
+	ejector    *retry.Ejector
 	dispatcher *dispatch.Dispatcher
 	accept     *accept.Server
 
--- a/internal/node/path.go
+++ b/internal/node/path.go
@@ -33,18 +33,19 @@
 		return err
 	}
 	n.router = route.New(route.Options{Self: n.self, Zone: n.set.Zone, Seed: seed(), Clock: n.clock, Registerer: n.reg})
-	n.retries = retry.NewBudget(retry.BudgetOptions{Seed: seed(), Clock: n.clock, Registerer: n.reg})
+	n.retries = retry.NewBudget(retry.BudgetOptions{Seed: seed(), Registerer: n.reg})
+	n.ejector = retry.NewEjector(retry.OutlierOptions{}, nil, n.log, n.reg)
 	n.admit = admit.New(admit.Options{
 		View: n.view, Clock: n.clock, Log: n.log, Registerer: n.reg, Recorder: n.explained, Usage: n.usage,
 	})
 	n.dispatcher = dispatch.New(dispatch.Options{
-		View: n.view, Clock: n.clock, Router: n.router, Retry: n.retries, Peers: n.mesh,
+		View: n.view, Clock: n.clock, Router: ejecting{n.router, n.ejector}, Retry: n.retries, Peers: n.mesh,
 		Prober: freshener{n}, Explain: n.explained, Log: n.log, Registerer: n.reg,
 	})
 	keyed := filter.Chain(n.dispatcher,
 		acc.Timed("once", n.once.Filter()),
 		acc.Timed("admit", n.admit.Filter()))
-	callers := filter.Chain(keyed, acc.Filter, acc.Timed("identify", ident.Filter))
+	callers := filter.Chain(keyed, acc.Filter, acc.Timed("identify", once.Before(ident.Filter)))
 	n.mesh.SetHandler(relayed{key: keyed, dispatch: filter.Chain(n.dispatcher, acc.Filter)})
 	n.accept = accept.New(accept.Options{
 		Handler: callers, View: n.view, Clock: n.clock, Log: n.log, Registerer: n.reg,
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -16,6 +16,9 @@
 	// drainLimit bounds a graceful end. It is longer than the longest deadline
 	// of a request, so that no answer in progress is cut by it.
 	drainLimit = 35 * time.Minute
+	// flushTime bounds the wait for the table to take the outcomes of keyed
+	// calls that were answered last.
+	flushTime = 5 * time.Second
 	// leaveTime bounds the words of farewell to the other nodes.
 	leaveTime = 2 * time.Second
 	// leaveLinger lets the farewell reach the links before they are closed.
@@ -66,6 +69,7 @@
 	s.start("configuration", n.config.Run)
 	s.start("configuration to view", n.passConfig)
 	s.start("keys", forever(n.once.Run))
+	s.start("candidates", n.followCandidates)
 	s.start("admission", forever(n.admit.Run))
 	s.start("cancels", n.dispatcher.Run)
 }
@@ -97,6 +101,11 @@
 	n.announce(true)
 	err := n.accept.Drain(ctx)
 	err = errors.Join(err, n.mesh.Drain(ctx), callers.Shutdown(ctx))
+	flush, cancelFlush := context.WithTimeout(ctx, flushTime)
+	defer cancelFlush()
+	if left := n.once.Flush(flush); left > 0 {
+		n.log.Warn("outcomes of keyed calls were not written; their repeats get \"unknown\"", "calls", left)
+	}
 	leave, done := context.WithTimeout(context.Background(), leaveTime)
 	defer done()
 	if lerr := n.members.Leave(leave); lerr != nil {
