--- a/cmd/chervilloom/main.go
+++ b/cmd/chervilloom/main.go
@@ -48,7 +48,7 @@
 	commands := []command{
 		newServe(), newCheck(), newStatus(), newExplain(), newDrain(),
 		newConfigGet(), newConfigApply(), newConfigHistory(),
-		newDemo(), newStandin(), newVersion(),
+		newDemo(), newLoad(), newStandin(), newVersion(),
 	}
 	attach(parser, commands)
 	if err := parser.Parse(); err != nil {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -38,6 +38,7 @@
 		Nodes:    nodeStatus(snap, now),
 		Groups:   groupStatus(snap, now),
 		Duties:   n.dutyStatus(now),
+		Limits:   n.limitStatus(snap),
 	}
 	s.Endpoints, s.FreeEngines = endpointStatus(snap, now)
 	return s
@@ -92,7 +93,7 @@
 		vm := &snap.VMs[i]
 		st := operator.EndpointStatus{
 			VM: string(vm.Record.VM), Kind: string(vm.Record.Kind), Zone: string(vm.Record.Zone),
-			Domain: string(vm.Record.Domain), State: endpointState(vm), SeenAgo: ago(now, vm.Probe.Answered),
+			Domain: string(vm.Record.Domain), State: endpointState(snap, vm), SeenAgo: ago(now, vm.Probe.Answered),
 		}
 		if vm.Claim != nil {
 			st.Group = string(vm.Claim.Group)
@@ -105,8 +106,10 @@
 	return out, free
 }
 
-func endpointState(vm *view.VM) string {
+func endpointState(snap *view.Snapshot, vm *view.VM) string {
 	switch {
+	case vm.Record.Zone != snap.Zone:
+		return "elsewhere"
 	case vm.Leaving:
 		return "leaving"
 	case vm.Probe.Answered == 0 && vm.Probe.Failing == 0:
@@ -125,3 +128,18 @@
 	}
 	return []operator.DutyStatus{st}
 }
+
+func (n *Node) limitStatus(snap *view.Snapshot) []operator.LimitStatus {
+	if snap.Config == nil {
+		return nil
+	}
+	var out []operator.LimitStatus
+	for _, o := range snap.Config.Organisations {
+		models, lookups := n.usage.Shares(fleet.Organisation(o.Name))
+		out = append(out, operator.LimitStatus{
+			Organisation: o.Name, Weight: o.Weight, Rate: o.Rate, Lookups: o.Lookups,
+			RateShare: models, LookupsShare: lookups,
+		})
+	}
+	return out
+}
--- a/internal/operator/text.go
+++ b/internal/operator/text.go
@@ -99,13 +99,16 @@
 func writeLimits(w io.Writer, limits []LimitStatus) {
 	var rows [][]string
 	for _, l := range limits {
-		limit := "none"
-		if l.Limit > 0 {
-			limit = fmt.Sprintf("%.1f/s", l.Limit)
-		}
-		rows = append(rows, []string{l.Organisation, fmt.Sprintf("%.1f/s", l.Rate), limit})
+		rows = append(rows, []string{l.Organisation, fmt.Sprint(l.Weight), capped(l.Rate, l.RateShare), capped(l.Lookups, l.LookupsShare)})
+	}
+	table(w, "organisations", []string{"ORGANISATION", "WEIGHT", "MODEL REQUESTS", "PLAIN CALLS"}, rows)
+}
+
+func capped(limit, share float64) string {
+	if limit == 0 {
+		return "no cap"
 	}
-	table(w, "organisations", []string{"ORGANISATION", "RATE", "LIMIT"}, rows)
+	return fmt.Sprintf("%g/s, %.0f%% here", limit, 100*share)
 }
 
 // WriteExplanation writes e for a person.
--- a/internal/operator/types.go
+++ b/internal/operator/types.go
@@ -51,7 +51,7 @@
 	Zone       string        `json:"zone"`
 	Domain     string        `json:"domain"`
 	Model      string        `json:"model"`
-	VMs        []string      `json:"vms"`
+	VMs        []string      `json:"vms"` // of a group of another zone: its leader alone
 	Whole      bool          `json:"whole"`
 	Reason     string        `json:"reason,omitempty"`
 	Running    int           `json:"running"`
@@ -65,7 +65,7 @@
 	Kind    string        `json:"kind"`
 	Zone    string        `json:"zone"`
 	Domain  string        `json:"domain,omitempty"`
-	State   string        `json:"state"` // present, unseen, failing, leaving
+	State   string        `json:"state"` // present, unseen, failing, leaving; elsewhere: another zone watches it
 	Group   string        `json:"group,omitempty"`
 	SeenAgo time.Duration `json:"seen_ago"` // -1: never
 }
@@ -79,11 +79,15 @@
 	Left  time.Duration `json:"left"` // of the lease, when held by this node
 }
 
-// LimitStatus is the use of one organisation's share.
+// LimitStatus is an organisation's limits over all nodes, and the parts of them
+// that this node may use now.
 type LimitStatus struct {
 	Organisation string  `json:"organisation"`
-	Rate         float64 `json:"rate"`  // requests a second over all nodes, as known here
-	Limit        float64 `json:"limit"` // 0: no cap
+	Weight       int     `json:"weight"`
+	Rate         float64 `json:"rate"`          // model requests a second; 0: no cap
+	RateShare    float64 `json:"rate_share"`    // 0..1
+	Lookups      float64 `json:"lookups"`       // plain calls a second; 0: no cap
+	LookupsShare float64 `json:"lookups_share"` // 0..1
 }
 
 // Explanation is what was decided about a subject, by all nodes that answered.
