Rows of dead nodes are swept; a second process of a VM stops the first

Two processes with one VM name would both answer for its tickets. Ruled out: rows that expire by wall clock (the clocks of VMs are not compared); deleting as soon as a node looks dead (a cut zone looks the same). Conclusion: the table holds the live nodes and those of the last half hour.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -14,14 +14,17 @@
 	"sync"
 	"time"
 
+	"chervilloom/internal/clock"
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/peer"
 	"chervilloom/internal/platform"
 )
 
 const (
-	// leastInterval is the time between two looks at the table of a small fleet.
-	leastInterval = 2 * time.Second
+	// defaultLeast is the time between two looks at the table of a small fleet.
+	defaultLeast = 2 * time.Second
+	// leaveTime bounds the deletion of the node's own row.
+	leaveTime = 2 * time.Second
 	// readsPerSecond bounds the looks of all nodes together.
 	readsPerSecond = 50
 )
@@ -50,8 +53,18 @@
 	Log   *slog.Logger
 	// Found is told of all peers known after each look that changed them.
 	Found func([]peer.Peer)
+	// Owns reports whether this node has the duty of the subject (SweepSubject).
+	Owns func(subject string) bool
+	// Alive reports whether membership believes the VM's node to be alive or
+	// suspect.
+	Alive func(fleet.VM) bool
+	Clock clock.Clock
+	Least time.Duration // between two looks of a small fleet; default 2s
 }
 
+// SweepSubject names the duty of deleting the rows of nodes that are gone.
+const SweepSubject = "discovery/sweep"
+
 // Directory keeps the addresses of the other nodes.
 type Directory struct {
 	opt Options
@@ -61,12 +74,17 @@
 	listed map[fleet.VM]fleet.Record
 	told   []peer.Peer
 
-	registered bool // touched by Run alone
+	// touched by Run alone
+	registered bool
+	gone       map[fleet.VM]clock.Instant // since when a row's node is neither alive nor listed
 }
 
 // New returns a directory that knows nobody.
 func New(opt Options) *Directory {
-	return &Directory{opt: opt, rows: map[fleet.VM]Row{}, listed: map[fleet.VM]fleet.Record{}}
+	if opt.Least == 0 {
+		opt.Least = defaultLeast
+	}
+	return &Directory{opt: opt, rows: map[fleet.VM]Row{}, listed: map[fleet.VM]fleet.Record{}, gone: map[fleet.VM]clock.Instant{}}
 }
 
 // Run writes the node's own row and reads the others' until ctx ends, then
@@ -88,7 +106,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	shared := time.Duration(len(d.rows)+1) * time.Second / readsPerSecond
-	return max(leastInterval, shared)
+	return max(d.opt.Least, shared)
 }
 
 func (d *Directory) look(ctx context.Context) {
@@ -109,6 +127,9 @@
 	d.rows = known
 	d.mu.Unlock()
 	d.tell()
+	if d.opt.Owns(SweepSubject) {
+		d.sweep(ctx, rows)
+	}
 }
 
 func parse(rows []platform.Row, self fleet.VM) (others map[fleet.VM]Row, own Row) {
@@ -200,7 +221,7 @@
 
 // leave deletes the node's row, unless a later life of the VM has written it.
 func (d *Directory) leave() {
-	ctx, cancel := context.WithTimeout(context.Background(), leastInterval)
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTime)
 	defer cancel()
 	row, err := d.opt.Table.Get(ctx, platform.TableNodes, string(d.opt.Self))
 	if err != nil || row.Version == 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,6 +69,7 @@
 	engines   *engine.Client
 	mesh      *peer.Mesh
 	members   *membership.Service
+	replaced  chan fleet.Node
 	directory *discovery.Directory
 	view      *view.Merger
 	lists     *view.ListPoller
@@ -95,6 +96,7 @@
 func New(o Options) (*Node, error) {
 	n := &Node{
 		set: o.Settings, clock: o.Clock, log: o.Log, reg: o.Registry,
+		replaced: make(chan fleet.Node, 1),
 		// Wall time only has to grow from one start of this VM's process to
 		// the next; a process starts at most once in a nanosecond.
 		self: fleet.Node{VM: o.Settings.VM, Incarnation: fleet.Incarnation(time.Now().UnixNano())},
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"slices"
+	"time"
 
 	"chervilloom/internal/discovery"
 	"chervilloom/internal/fleet"
@@ -27,6 +30,7 @@
 	state := membership.New(n.self, n.set.Zone, n.mesh.Addr(), membership.Defaults(), rng)
 	n.members, err = membership.NewService(membership.Options{
 		State: state, Mesh: n.mesh, Clock: n.clock, Log: n.log, Registerer: n.reg,
+		OnPause: n.paused, OnReplaced: n.replacedBy,
 	})
 	if err != nil {
 		return err
@@ -57,6 +61,7 @@
 			Caller: n.caller.Addr().String(), Operator: n.operator.Addr().String(),
 		},
 		Table: n.platform, Log: n.log, Found: n.found,
+		Owns: n.owns, Alive: n.alive, Clock: n.clock,
 	})
 	n.lists = &view.ListPoller{
 		List: listed{n.platform, n.directory}, Clock: n.clock, View: n.view, Log: n.log,
@@ -93,3 +98,29 @@
 	}
 	return records, err
 }
+
+// paused tells operators that the process did not run for a while. Leases and
+// claims that lapsed meanwhile are seen as lapsed by CLOCK_BOOTTIME.
+func (n *Node) paused(gap time.Duration) {
+	n.log.Warn("this process did not run for a while; look at the VM's host when it happens again", "gap", gap)
+}
+
+// replacedBy has the node stop: another process with this VM's name is a member,
+// and two lives of one VM would answer for the same tickets and leases.
+func (n *Node) replacedBy(by fleet.Node) {
+	select {
+	case n.replaced <- by:
+	default: // it is stopping already
+	}
+}
+
+func (n *Node) watchReplaced(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case by := <-n.replaced:
+		return fmt.Errorf("a later process of this VM is a member, %s; run one process for each VM", by)
+	}
+}
+
+func (n *Node) alive(vm fleet.VM) bool { return slices.Contains(n.liveNodes(), vm) }
