--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -62,7 +62,8 @@
 	case !transient(f.err.Kind):
 		return "another try would end the same way"
 	case f.err.Outcome != outcome.NotRun && !f.idempotent:
-		// It may have run. A second receipt is worse than an honest unknown.
+		// It may have run. Told "unknown", the caller can look the effect up; a
+		// second run could not be undone.
 		return "it may have run and may run at most once"
 	case f.tries >= f.maxTries:
 		return "the tries are used up"
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -109,8 +109,8 @@
 }
 
 // checkEngine refuses what is not this generation's answer. The engine may
-// have been given to another group, or may have restarted as if nothing had
-// happened, since its members were last probed: what it says then is the
+// have been given to another group, or may have restarted and answer
+// again, since its members were last probed: what it says then is the
 // answer of another model or of a replica with a member missing.
 func checkEngine(resp *http.Response, g *view.Group) *outcome.Error {
 	if resp.StatusCode >= 400 && resp.Header.Get(engine.HeaderNotRun) == "true" {
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -20,10 +20,10 @@
 )
 
 // lookUp sends a lookup and, when no answer has come for a while, sends it to
-// a second endpoint as well: the first may be paused, which nothing shows for
-// seconds, while a clerk stands at the window. The first whole answer wins.
-// Lookups may run twice, and the second try is taken from the retry budget, so
-// that a slow service is not asked twice by everybody.
+// a second endpoint as well: the first may be paused, which its probes do not
+// show for seconds. The first whole answer wins. Lookups may run twice, and the
+// second try is taken from the retry budget, so that a slow service is not
+// asked twice for every lookup.
 func (d *Dispatcher) lookUp(ctx context.Context, s *session, first route.Choice) *outcome.Error {
 	raceCtx, end := context.WithCancel(ctx) // closes what is left of both answers
 	defer end()
--- a/internal/dispatch/linger.go
+++ b/internal/dispatch/linger.go
@@ -13,8 +13,8 @@
 	lingerInterval = 50 * time.Millisecond
 )
 
-// linger keeps the streams whose callers have left for a while. A phone that
-// changes its network comes back with the last event's id; a stream cancelled
+// linger keeps the streams whose callers have left for a while. A caller that
+// lost its connection comes back with the last event's id; a stream cancelled
 // at once would have nothing left for it. A caller that comes back through
 // another node is passed to the one that keeps the stream, so that no node
 // cancels what another one reads.
--- a/internal/dispatch/lost.go
+++ b/internal/dispatch/lost.go
@@ -31,7 +31,7 @@
 
 // lost returns why an answer cannot be expected of its generation any more, or
 // "". Losing one member kills a replica, but its leader may hold the
-// connection open as if nothing had happened until the caller's deadline.
+// connection open without sending anything until the caller's deadline.
 func lost(a *awaited, snap *view.Snapshot, now clock.Instant) string {
 	for i := range a.members {
 		if reason := memberLost(a, &a.members[i], snap, now); reason != "" {
