A life first heard of while the list says leaving is doubted, not marked for good

Cause: found by the random property (a generated case that a run had left on disk fails on the code before): a node that has just started reads a list that lags and calls a VM leaving; the VM has restarted; its first answer was taken as the life that leaves, and the VM was never used again.

Ruled out: marking only if the list still says so at the first answer (the case still fails, the list lags past it); no mark at all (a list that flips back would bring a leaving endpoint back).

Change: such a life counts as leaving while the list says so and 30 s longer.

Shown red: that case on the code before; TestListedLeavingBeforeAnyLifeIsKnown by two mutations of the code now, a mark that waits for the first answer (as before) and no doubt at all.

--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -20,7 +20,7 @@
 	snap.VMs = make([]VM, 0, len(s.vms))
 	for _, v := range s.sorted() {
 		snap.VMs = append(snap.VMs, VM{
-			Record: v.record, Listed: v.listed, Unlisted: v.unlisted, Leaving: v.isLeaving(),
+			Record: v.record, Listed: v.listed, Unlisted: v.unlisted, Leaving: v.isLeaving(now),
 			Probe: v.probe, Load: v.load, LoadAt: v.loadAt, Claim: v.claim,
 		})
 	}
@@ -51,7 +51,7 @@
 	out := make([]Group, 0, len(s.groups)+len(s.remote))
 	for _, g := range s.groups {
 		if g.group.Phase != fleet.PhaseDissolved && g.group.Zone == s.zone {
-			out = append(out, s.localGroup(g))
+			out = append(out, s.localGroup(g, now))
 		}
 	}
 	for _, r := range s.remote {
@@ -63,14 +63,14 @@
 	return out
 }
 
-func (s *State) localGroup(g *groupState) Group {
+func (s *State) localGroup(g *groupState, now clock.Instant) Group {
 	out := Group{Group: g.group, RowVersion: g.version}
 	limit := s.probeFresh()
 	out.Whole = true
 	for i := range g.group.Members {
 		m := &g.group.Members[i]
 		v := s.vms[m.VM]
-		if why := v.memberFault(&g.group, m); why != "" {
+		if why := v.memberFault(&g.group, m, now); why != "" {
 			out.Whole, out.Reason, out.FreshUntil = false, fmt.Sprintf("%s %s", m.VM, why), 0
 			break
 		}
@@ -98,11 +98,11 @@
 // memberFault says why the member keeps its group from being whole; empty when
 // it does not. Boot ids are compared, not addresses: a VM that restarted under
 // its old address answers probes but has lost what it held.
-func (v *vmState) memberFault(g *fleet.Group, m *fleet.Member) string {
+func (v *vmState) memberFault(g *fleet.Group, m *fleet.Member, now clock.Instant) string {
 	if v == nil || v.probe.Answered == 0 {
 		return "has not answered a probe yet"
 	}
-	if v.isLeaving() {
+	if v.isLeaving(now) {
 		return "is leaving"
 	}
 	return StateFault(g, m, &v.probe.State)
--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -18,6 +18,9 @@
 	// forgetAfter is how long a VM that left the list and answers no probe is
 	// still remembered: longer than the list lags.
 	forgetAfter = 10 * time.Minute
+	// listSettle is how long a doubted life counts as leaving after the list has
+	// called it live: longer than the list is behind itself.
+	listSettle = 30 * time.Second
 	// keptBoots is how many leaving lives are remembered for each VM.
 	keptBoots = 4
 	// maxLeavings bounds the leaving lives that are still to be told to peers.
@@ -56,11 +59,18 @@
 	// lagging list that calls the VM live again must not bring them back.
 	leaving []fleet.BootID
 	// pending: said to be leaving before any life was known.
-	pending   bool
-	stateHash uint64 // of probe.State, when hashed
-	hashed    bool
-	cached    fleet.BootID
-	prefixes  map[uint64]struct{}
+	pending bool
+	// doubted is a life that was first heard of when the list already called the
+	// VM leaving: the list may mean it, or lag and mean the one before. It counts
+	// as leaving while the list says so and until doubtUntil. Marked for good, a
+	// VM that has restarted would never be used again; not doubted at all, a list
+	// that flips back would bring a leaving endpoint back.
+	doubted    fleet.BootID
+	doubtUntil clock.Instant
+	stateHash  uint64 // of probe.State, when hashed
+	hashed     bool
+	cached     fleet.BootID
+	prefixes   map[uint64]struct{}
 }
 
 type groupState struct {
@@ -175,8 +185,12 @@
 	// Only the change from live to leaving marks a life for good: while the
 	// list lags, a VM that has already restarted is still called leaving, and
 	// its new life must be usable once the list has caught up.
-	if leaving && !v.listLeaving {
-		s.mark(v, v.probe.State.Boot, "")
+	boot := v.probe.State.Boot
+	switch {
+	case leaving && !v.listLeaving && boot != "":
+		s.mark(v, boot, "")
+	case !leaving && v.listLeaving && v.doubted == boot:
+		v.doubtUntil = s.listAt.Add(listSettle)
 	}
 	v.listLeaving = leaving
 }
@@ -197,11 +211,14 @@
 	return true
 }
 
-func (v *vmState) isLeaving() bool {
+func (v *vmState) isLeaving(now clock.Instant) bool {
 	if v.listLeaving || v.pending {
 		return true
 	}
 	boot := v.probe.State.Boot
+	if boot == v.doubted && now.Before(v.doubtUntil) {
+		return true
+	}
 	return boot != "" && slices.Contains(v.leaving, boot)
 }
 
@@ -279,6 +296,9 @@
 	if !e.Sent.After(p.Answered) {
 		return false
 	}
+	if p.State.Boot == "" && v.listLeaving {
+		v.doubted = e.State.Boot
+	}
 	v.hashed = false
 	*p = Probe{State: e.State, Answered: e.Sent, RTT: e.RTT}
 	if v.pending && e.State.Boot != "" {
--- a/internal/view/state_test.go
+++ b/internal/view/state_test.go
@@ -77,6 +77,29 @@
 	is.True(!only(s, 40).Leaving)
 }
 
+// A VM that has restarted is never used again by a node that has just started.
+// The list called the VM leaving before the node had heard of any life of it.
+// When the first life answers, the list may mean it, or lag and mean the one
+// before: the life is not used until the list has called it live for a while.
+func TestListedLeavingBeforeAnyLifeIsKnown(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	s.Apply(List{At: at(0), Records: []fleet.Record{record("a", fleet.StateLeaving)}})
+	is.True(only(s, 0).Leaving)
+	s.Apply(answer("a", "b1", 10))
+	is.True(only(s, 10).Leaving)
+	s.Apply(List{At: at(20), Records: []fleet.Record{record("a", fleet.StateLive)}})
+	is.True(only(s, 30).Leaving)
+	is.True(s.Snapshot(at(19).Add(listSettle)).VMs[0].Leaving)
+	is.True(!s.Snapshot(at(20).Add(listSettle)).VMs[0].Leaving)
+
+	s = newState() // the list has caught up before the first answer
+	s.Apply(List{At: at(0), Records: []fleet.Record{record("a", fleet.StateLeaving)}})
+	s.Apply(List{At: at(10), Records: []fleet.Record{record("a", fleet.StateLive)}})
+	s.Apply(answer("a", "b1", 20))
+	is.True(!only(s, 20).Leaving)
+}
+
 func TestLeavingBeforeAnyLifeIsKnown(t *testing.T) {
 	is := is.New(t)
 	s := newState()
