peer: a hop counts once

Cause: the sender and the frame both counted, so a call passed on to the holder of its ticket and from there to another zone arrived as the third hop and was refused. The sender counts; the frame carries its count. Red before: TestTicketHeldWhereNoServiceIs (test).

--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -104,7 +104,7 @@
 	switch {
 	case h.to == h.mesh.opts.Self.VM:
 		return outcome.New(outcome.Internal, outcome.NotRun, "the node would pass the request to itself", remedyTryAgain)
-	case h.req.Hops >= maxHops:
+	case h.req.Hops > maxHops:
 		return outcome.New(outcome.Internal, outcome.NotRun, "the request has gone through too many nodes", remedyTryAgain)
 	case len(h.req.Body) > MaxBodyBytes:
 		return outcome.New(outcome.TooLarge, outcome.NotRun, fmt.Sprintf("the body is over %d bytes", MaxBodyBytes), "send a smaller body")
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -46,7 +46,7 @@
 	MaxTokens    int                `cbor:"21,keyasint,omitempty"`
 	ResumeID     string             `cbor:"22,keyasint,omitempty"`
 	Stage        request.Stage      `cbor:"23,keyasint"`
-	Hops         int                `cbor:"24,keyasint"` // nodes passed through before the receiver
+	Hops         int                `cbor:"24,keyasint"` // nodes passed through, the sender included
 }
 
 // endFrame closes an answer. First, Frames, Bytes and Hash describe the data
@@ -110,7 +110,7 @@
 		Age: now.Sub(r.Arrived), Target: r.Target, Service: r.Service, Method: r.Method,
 		Path: r.Path, Header: r.Header, BodyBytes: len(r.Body), BodyHash: hash,
 		Stream: r.Stream, Prefix: r.Prefix, PromptTokens: r.PromptTokens,
-		MaxTokens: r.MaxTokens, ResumeID: r.ResumeID, Stage: r.Stage, Hops: r.Hops + 1,
+		MaxTokens: r.MaxTokens, ResumeID: r.ResumeID, Stage: r.Stage, Hops: r.Hops,
 	}
 	if r.Deadline != 0 {
 		f.Remaining = r.Deadline.Sub(now)
