route: the holder of a key may use another zone

Cause: a call passed on to the holder of its key or ticket counted as passed on to a zone, and the holder refused it (no_capacity, not-run) when its own zone has no such service: each ticket of a zone without the service failed through every node but the holder. It is passed on as StageDispatch then, which goes no further. Red before: TestTicketHeldWhereNoServiceIs, once_test.go:236, three of nine calls; TestPlatformDownTicketRuns, once_test.go:115.

--- a/internal/route/facts.go
+++ b/internal/route/facts.go
@@ -18,6 +18,12 @@
 // FactsOf reads the facts of a request.
 func FactsOf(req *request.Request, tried []Tried) Facts {
 	f := Facts{Hops: req.Hops, Tried: tried}
+	if req.Stage == request.StageKey {
+		// The holder of a key or ticket chooses as if a caller had asked it: its
+		// availability zone may lack what the request needs. It passes the
+		// request on as StageDispatch, so that no request goes in circles.
+		f.Hops = 0
+	}
 	if req.Class == request.ClassModel {
 		f.Target = req.Target
 		f.Prefix = req.Prefix
