dispatch: resumes that bring nothing end

Cause: the bound on resumes began anew with each answer to a resume, so that an endpoint that takes every resume and sends no event was asked each 10 ms until the caller's deadline. The bound now runs from the last event. Red before: TestCleanEndWithoutMarkerIsToldAsCut (test) ran into the test's own timeout of 100 s; now the caller is told after resumeLimit (8 s).

--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"chervilloom/internal/answer"
+	"chervilloom/internal/clock"
 	"chervilloom/internal/outcome"
 	"chervilloom/internal/relay"
 	"chervilloom/internal/view"
@@ -35,14 +36,21 @@
 	t    *try
 	head answer.Head
 	st   *relay.Stream
+
+	silent clock.Instant // when the stream broke first since its last event
+	wait   time.Duration // before the next resume
 }
 
 // run passes the stream on. It closes resp's body. ctx is the request's,
 // guarded the one that also ends when the replica is lost.
 func (f *following) run(ctx, guarded context.Context, resp *http.Response) *outcome.Error {
 	for {
+		before := f.t.tokens
 		err := f.copy(resp)
 		resp.Body.Close()
+		if f.t.tokens > before {
+			f.wait = 0
+		}
 		if err == io.EOF {
 			return f.s.start(f.head) // a resumed stream may have had only its end left
 		}
@@ -57,6 +65,15 @@
 	}
 }
 
+// mark begins the bound on resumes, once until events come again. An endpoint
+// that takes every resume and sends nothing would otherwise be asked without
+// end, and the caller would wait for its deadline.
+func (f *following) mark() {
+	if f.wait == 0 {
+		f.silent, f.wait = f.d.opt.Clock.Now(), firstWait
+	}
+}
+
 func (f *following) abandoned() abandoned {
 	return abandoned{leader(f.g).Addr, f.st.Ref().Stream}
 }
@@ -105,12 +122,14 @@
 // reopen asks the endpoint for the rest of the stream. Asking runs nothing, so
 // that it is safe for any request.
 func (f *following) reopen(ctx, guarded context.Context, cause error) (*http.Response, *outcome.Error) {
-	end := f.d.opt.Clock.Now().Add(resumeLimit)
-	for wait := firstWait; ; wait = min(2*wait, longestWait) {
+	f.mark()
+	for {
+		wait := f.wait
+		f.wait = min(2*wait, longestWait)
 		switch {
 		case !sleep(guarded, wait):
 			return nil, f.lost(ctx, because(guarded, cause))
-		case !f.d.opt.Clock.Now().Before(end):
+		case !f.d.opt.Clock.Now().Before(f.silent.Add(resumeLimit)):
 			f.t.blamed = true
 			return nil, answerCut("the endpoint's stream broke and cannot be resumed", cause)
 		}
