--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -230,6 +230,7 @@
 		f.await(n, "all groups serve", func(s operator.Status) bool {
 			return s.Ready && f.groupsServe(s) && len(s.Nodes) == len(f.nodes)-1 && servicesSeen(s) >= f.servicesIn(n.zone)
 		})
+		f.awaitLookup(n)
 	}
 }
 
@@ -240,6 +241,22 @@
 	return len(wholeGroups(s)) >= orDefault(f.plan.replicas, 1)
 }
 
+// awaitLookup waits until the node passes lookups on: an availability zone
+// without services hears of those of the others a little later.
+func (f *testFleet) awaitLookup(n *node) {
+	f.t.Helper()
+	if f.plan.services == 0 {
+		return
+	}
+	var last told
+	until(f.t, n.vm+" passes lookups on",
+		func() bool {
+			last = n.call(f.t.Context(), "GET", "/first", "", nil)
+			return last.whole()
+		},
+		func() string { return last.String() })
+}
+
 func (f *testFleet) servicesIn(zone string) int {
 	if zone != zoneA {
 		return 0
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -19,7 +19,7 @@
 const patience = 60 * time.Second
 
 // logKept is how many of a process's last lines are shown when a test fails.
-const logKept = 60
+const logKept = 20
 
 // process is one process of the program under test.
 type process struct {
