--- a/cmd/chervilloom/demo.go
+++ b/cmd/chervilloom/demo.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/integrii/flaggy"
 
 	"chervilloom/internal/demo"
@@ -50,7 +51,7 @@
 	for _, a := range answers {
 		fmt.Printf("%-15s %d  outcome=%s  %s\n", a.Name, a.Status, a.Outcome, a.Text)
 		if a.Err != nil {
-			failed = errors.Join(failed, fmt.Errorf("%s: %w", a.Name, a.Err))
+			failed = errors.Join(failed, merry.Errorf("%s: %w", a.Name, a.Err))
 		}
 	}
 	return failed
--- a/cmd/chervilloom/load.go
+++ b/cmd/chervilloom/load.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"os"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/integrii/flaggy"
 
 	"chervilloom/internal/load"
@@ -62,7 +62,7 @@
 	case "text":
 		return report.WriteTable(os.Stdout)
 	}
-	return &exitError{exitUsage, fmt.Errorf("output %q is not known: write text or json", f.output)}
+	return &exitError{exitUsage, merry.Errorf("output %q is not known: write text or json", f.output)}
 }
 
 func writeFile(name string, write func(io.Writer) error) error {
--- a/cmd/chervilloom/remote.go
+++ b/cmd/chervilloom/remote.go
@@ -8,6 +8,7 @@
 	"os"
 	"strings"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/integrii/flaggy"
 
 	"chervilloom/internal/fleet"
@@ -42,7 +43,7 @@
 	if r.token != "" {
 		b, err := os.ReadFile(r.token)
 		if err != nil {
-			return nil, fmt.Errorf("the token file cannot be read, give one with --token-file: %w", err)
+			return nil, merry.Errorf("the token file cannot be read, give one with --token-file: %w", err)
 		}
 		token = strings.TrimSpace(string(b))
 	}
@@ -60,7 +61,7 @@
 		text()
 		return nil
 	}
-	return &exitError{exitUsage, fmt.Errorf("output %q is not known: write text or json", r.output)}
+	return &exitError{exitUsage, merry.Errorf("output %q is not known: write text or json", r.output)}
 }
 
 func newStatus() command {
@@ -98,7 +99,7 @@
 			return err
 		}
 		if len(e.Steps) == 0 {
-			return fmt.Errorf("no node that answered remembers %q: it may be older than the nodes' memory; not asked: %v", id, e.Unreached)
+			return merry.Errorf("no node that answered remembers %q: it may be older than the nodes' memory; not asked: %v", id, e.Unreached)
 		}
 		return r.print(e, func() { operator.WriteExplanation(os.Stdout, e) })
 	}}
@@ -175,11 +176,11 @@
 	case operator.ApplyAccepted:
 		return nil
 	case operator.ApplyConflict:
-		return &exitError{exitConflict, fmt.Errorf("not accepted: revision %d came first; get it, make the change again and apply with --base %d", res.Revision, res.Revision)}
+		return &exitError{exitConflict, merry.Errorf("not accepted: revision %d came first; get it, make the change again and apply with --base %d", res.Revision, res.Revision)}
 	case operator.ApplyUnknown:
 		return &exitError{exitUnknown, errors.New("not known whether it was accepted: look at the history before trying again")}
 	}
-	return fmt.Errorf("not accepted: %s", res.Message)
+	return merry.Errorf("not accepted: %s", res.Message)
 }
 
 func newConfigHistory() command {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"chervilloom/internal/clock"
@@ -167,7 +168,7 @@
 func (f *Fleet) accept(ctx context.Context) error {
 	res := f.Nodes[0].Apply(ctx, operator.ApplyRequest{Document: string(document)}, "demo")
 	if res.State != operator.ApplyAccepted {
-		return fmt.Errorf("demo: the document was not accepted: %s %s", res.State, res.Message)
+		return merry.Errorf("demo: the document was not accepted: %s %s", res.State, res.Message)
 	}
 	return nil
 }
@@ -180,7 +181,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("demo: the fleet was not ready in time: %w", context.Cause(ctx))
+			return merry.Errorf("demo: the fleet was not ready in time: %w", context.Cause(ctx))
 		case <-time.After(readyPoll):
 		}
 	}
--- a/internal/demo/smoke.go
+++ b/internal/demo/smoke.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strings"
 
+	"github.com/ansel1/merry/v2"
+
 	"chervilloom/internal/engine"
 	"chervilloom/internal/outcome"
 	standin "chervilloom/internal/standin/engine"
@@ -84,7 +86,7 @@
 		return a.failed(err)
 	}
 	if res.StatusCode != http.StatusOK {
-		return a.failed(fmt.Errorf("%s: %s", res.Status, bytes.TrimSpace(body)))
+		return a.failed(merry.Errorf("%s: %s", res.Status, bytes.TrimSpace(body)))
 	}
 	a.Text, a.Err = c.check(body)
 	return a
@@ -118,7 +120,7 @@
 		}
 	}
 	if !done {
-		return "", fmt.Errorf("the stream has no end marker")
+		return "", merry.Errorf("the stream has no end marker")
 	}
 	return compare(request, strings.Join(got, ""))
 }
@@ -129,7 +131,7 @@
 		return "", err
 	}
 	if len(a.Choices) != 1 || a.Choices[0].Message == nil {
-		return "", fmt.Errorf("the answer has no message")
+		return "", merry.Errorf("the answer has no message")
 	}
 	return compare(request, a.Choices[0].Message.Content)
 }
@@ -137,7 +139,7 @@
 func compare(request []byte, got string) (string, error) {
 	want := strings.Join(standin.ExpectedTokens(request), "")
 	if got != want {
-		return got, fmt.Errorf("not the answer to this request: want %q", want)
+		return got, merry.Errorf("not the answer to this request: want %q", want)
 	}
 	return got, nil
 }
@@ -149,10 +151,10 @@
 			return "", err
 		}
 		if a.Check != service.CheckOf(method, path, []byte(body)) {
-			return string(b), fmt.Errorf("not the answer to this request")
+			return string(b), merry.Errorf("not the answer to this request")
 		}
 		if a.Runs != 1 {
-			return string(b), fmt.Errorf("the call ran %d times", a.Runs)
+			return string(b), merry.Errorf("the call ran %d times", a.Runs)
 		}
 		return strings.TrimSpace(string(b)), nil
 	}
--- a/internal/node/leaving.go
+++ b/internal/node/leaving.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"fmt"
+
+	"github.com/ansel1/merry/v2"
 
 	"chervilloom/internal/explain"
 	"chervilloom/internal/operator"
@@ -14,13 +15,13 @@
 func (n *Node) Drain(ctx context.Context, req operator.DrainRequest, by string) error {
 	vm := findVM(n.view.Snapshot(), req)
 	if vm == nil {
-		return fmt.Errorf("no endpoint %q is known here: take a VM from status", req.VM)
+		return merry.Errorf("no endpoint %q is known here: take a VM from status", req.VM)
 	}
 	reason := "operator " + by
 	n.view.Put(view.MarkLeaving{VM: req.VM, Boot: vm.Probe.State.Boot, Reason: reason})
 	n.explained.Note(explain.Step{Subject: string(req.VM), Stage: "drain", Decision: "leaving", Reason: reason})
 	if err := n.engines.Leave(ctx, vm.Record.Addr); err != nil {
-		return fmt.Errorf("only this node knows that %s is leaving, the endpoint did not answer; order it again: %w", req.VM, err)
+		return merry.Errorf("only this node knows that %s is leaving, the endpoint did not answer; order it again: %w", req.VM, err)
 	}
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,12 +5,12 @@
 import (
 	"crypto/tls"
 	"errors"
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"chervilloom/internal/accept"
@@ -113,10 +113,10 @@
 
 func (n *Node) listen() (err error) {
 	if n.caller, err = listen(n.set.Listen.Caller.String(), n.set.CallerTLS); err != nil {
-		return fmt.Errorf("caller listener: %w", err)
+		return merry.Errorf("caller listener: %w", err)
 	}
 	if n.operator, err = listen(n.set.Listen.Operator.String(), n.set.OperatorTLS); err != nil {
-		return errors.Join(fmt.Errorf("operator listener: %w", err), n.caller.Close())
+		return errors.Join(merry.Errorf("operator listener: %w", err), n.caller.Close())
 	}
 	return nil
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"chervilloom/internal/discovery"
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/membership"
@@ -119,7 +120,7 @@
 	case <-ctx.Done():
 		return nil
 	case by := <-n.replaced:
-		return fmt.Errorf("a later process of this VM is a member, %s; run one process for each VM", by)
+		return merry.Errorf("a later process of this VM is a member, %s; run one process for each VM", by)
 	}
 }
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/view"
 )
@@ -45,7 +47,7 @@
 	case <-ctx.Done():
 		n.log.Info("stopping: finishing the requests in progress")
 	case err = <-failed:
-		n.log.Error("stopping after a failure", "error", err)
+		n.log.Error("stopping after a failure", "error", err, "stack", merry.Stacktrace(err))
 	}
 	duties.stop()
 	leases.stop()
--- a/internal/node/stage.go
+++ b/internal/node/stage.go
@@ -3,8 +3,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
+
+	"github.com/ansel1/merry/v2"
 )
 
 // stage is a set of goroutines that are stopped together. The stages of a node
@@ -38,7 +39,7 @@
 			err = errors.New("it ended by itself")
 		}
 		select {
-		case s.failed <- fmt.Errorf("node: %s: %w", name, err):
+		case s.failed <- merry.Errorf("node: %s: %w", name, err):
 		default: // the node stops for an earlier failure already
 		}
 	}()
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -4,10 +4,10 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"log/slog"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"go.opentelemetry.io/otel"
@@ -109,5 +109,5 @@
 	case ExporterOTLP:
 		return otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(o.OTLPEndpoint))
 	}
-	return nil, fmt.Errorf("telemetry: exporter %q is not known; write none, stdout or otlp", o.Exporter)
+	return nil, merry.Errorf("telemetry: exporter %q is not known; write none, stdout or otlp", o.Exporter)
 }
