--- a/internal/admit/bench_test.go
+++ b/internal/admit/bench_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"chervilloom/internal/clock"
+	"chervilloom/internal/config"
 	"chervilloom/internal/fleet"
+	"chervilloom/internal/view"
 )
 
 // benchPlan has the given number of organisations and one pool.
@@ -156,11 +158,59 @@
 	})
 }
 
-// BenchmarkPlan works out the limits of a snapshot.
+// BenchmarkPlan works out the limits of a snapshot: today's sizes, and 200
+// organisations, 20 models of 3 versions and 5 adapters, 600 VMs and 370 nodes.
 func BenchmarkPlan(b *testing.B) {
-	s := testSnapshot(4)
+	for _, c := range []struct {
+		name                                  string
+		orgs, models, groups, services, nodes int
+	}{
+		{"today", 10, 2, 12, 3, 5},
+		{"large", 200, 20, 120, 120, 369},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			s := planSnapshot(c.orgs, c.models, c.groups, c.services, c.nodes)
+			b.ReportAllocs()
+			for b.Loop() {
+				PlanOf(s, wholeCaps{}.Shares)
+			}
+		})
+	}
+}
+
+func planSnapshot(orgs, models, groups, services, nodes int) *view.Snapshot {
+	s := &view.Snapshot{Zone: "a", Revision: 1, Config: &config.Document{Services: []config.Service{{Name: "fees"}}}}
+	for i := range orgs {
+		s.Config.Organisations = append(s.Config.Organisations, config.Organisation{Name: fmt.Sprint("organisation-", i), Weight: 1})
+	}
+	versions, adapters := []string{"1", "2", "3"}, []string{"v", "w", "x", "y", "z"}
+	for i := range models {
+		m := config.Model{Name: fmt.Sprint("m", i), Current: "1", Versions: versions, Adapters: adapters}
+		s.Config.Models = append(s.Config.Models, m)
+		s.Config.Groups = append(s.Config.Groups, config.GroupSpec{Name: fmt.Sprint("g", i), Model: m.Name, ModelVer: "1", Adapters: adapters})
+	}
+	for i := range groups {
+		g := fleet.Group{ID: fleet.GroupID(fmt.Sprint("g", i)), Zone: "a", Model: fmt.Sprint("m", i%models), Version: "1", Adapters: adapters}
+		s.Groups = append(s.Groups, view.Group{Group: g, Whole: true, Load: fleet.Load{Slots: 16}})
+	}
+	for i := range services {
+		r := fleet.Record{VM: fleet.VM(fmt.Sprint("s", i)), Kind: fleet.KindService, Service: "fees", Zone: "a"}
+		s.VMs = append(s.VMs, view.VM{Record: r, Load: fleet.Load{Slots: 64}})
+	}
+	for i := range nodes {
+		n := fleet.Node{VM: fleet.VM(fmt.Sprint("n", i)), Incarnation: 1}
+		s.Nodes = append(s.Nodes, view.Node{Node: n, Zone: "a", State: view.NodeAlive})
+	}
+	return s
+}
+
+// BenchmarkReplan gives a lane the limits of 200 organisations.
+func BenchmarkReplan(b *testing.B) {
+	plan, _ := benchPlan(200, 64)
+	core := NewModels()
+	var out []Decision
 	b.ReportAllocs()
 	for b.Loop() {
-		PlanOf(s, wholeCaps{}.Shares)
+		out = core.Step(simStart, &Event{Kind: Replan, Plan: plan}, out[:0])
 	}
 }
--- a/internal/admit/policy_test.go
+++ b/internal/admit/policy_test.go
@@ -80,6 +80,8 @@
 		to.refused += v.refused
 		to.work += v.work
 		to.refusedLater += v.refusedLater
+		to.sends += v.sends
+		to.answered = append(to.answered, v.answered...)
 		to.waits = append(to.waits, v.waits...)
 		to.totals = append(to.totals, v.totals...)
 	}
@@ -225,3 +227,40 @@
 		is.True(busy > 0.9)
 	}
 }
+
+// For a minute three times as many requests come as the engines can answer, then
+// fewer than half. Callers who heed Retry-After are spread over the time in which
+// there is room. Those who try again each second either give up before it, or
+// send many times as much.
+func TestCallersWhoComeBack(t *testing.T) {
+	is := is.New(t)
+	sends := map[string]float64{}
+	answered := map[string]float64{}
+	eachSecond := func(*Decision) time.Duration { return time.Second }
+	for _, c := range []struct {
+		name  string
+		tries int
+		wait  func(d *Decision) time.Duration
+	}{
+		{"as told, 10 tries", 10, func(d *Decision) time.Duration {
+			return max(time.Second, (d.RetryAfter + time.Second - 1).Truncate(time.Second))
+		}},
+		{"each second, 10 tries", 10, eachSecond},
+		{"each second, no bound", 1 << 30, eachSecond},
+	} {
+		var all tally
+		for seed := range simSeeds {
+			b := modelBench(seed, spread(modelCapacity(), 0.4, ""))
+			b.warm, b.surge, b.surgeUntil, b.comeBack, b.tries = 0, 7.5, time.Minute, c.wait, c.tries
+			add(&all, b.run(NewModels()), inOrder...)
+		}
+		sends[c.name] = float64(all.sends) / float64(all.offered)
+		answered[c.name] = float64(all.good) / float64(all.offered)
+		t.Logf("%-21s: answered %.1f%% of %d, %.2f sends a request, from first try to answer p50 %.1fs p90 %.1fs p99 %.1fs",
+			c.name, 100*answered[c.name], all.offered, sends[c.name],
+			quantile(all.answered, 0.5), quantile(all.answered, 0.9), quantile(all.answered, 0.99))
+	}
+	is.True(answered["as told, 10 tries"] > answered["each second, 10 tries"])
+	is.True(sends["as told, 10 tries"] < sends["each second, 10 tries"])
+	is.True(sends["as told, 10 tries"] < sends["each second, no bound"]/5)
+}
--- a/internal/admit/sim_test.go
+++ b/internal/admit/sim_test.go
@@ -38,6 +38,13 @@
 	weights  map[fleet.Organisation]float64
 	lookup   bool
 	shape    func(r *rand.Rand) simRequest
+	// comeBack says after what time a refused caller sends the request again, up
+	// to tries times in all; nil: never.
+	comeBack func(d *Decision) time.Duration
+	tries    int
+	// surge multiplies all rates from the start until the given time.
+	surge      float64
+	surgeUntil time.Duration
 }
 
 // simRequest is what the driver knows of a request.
@@ -51,6 +58,8 @@
 	admitted clock.Instant
 	began    clock.Instant
 	counted  bool
+	first    clock.Instant // when it was sent for the first time
+	tries    int
 }
 
 // modelShape draws a request of the model lane: bounds of 32 to 512 tokens, of
@@ -81,11 +90,12 @@
 const meanModelService = 110*time.Millisecond + time.Duration(0.65*(32+64+128+256+512)/5*float64(simPerToken))
 
 type simEvent struct {
-	at   clock.Instant
-	seq  int
-	kind simKind
-	h    Handle
-	load int
+	at    clock.Instant
+	seq   int
+	kind  simKind
+	h     Handle
+	load  int
+	again *simRequest
 }
 
 type simKind int
@@ -95,6 +105,7 @@
 	simDone
 	simTick
 	simReport
+	simAgain
 )
 
 type simHeap []simEvent
@@ -119,6 +130,8 @@
 type tally struct {
 	offered, good, late, refused int
 	refusedLater                 int       // of refused: after waiting
+	sends                        int       // tries of all requests
+	answered                     []float64 // seconds from the first try to the answer, of the good ones
 	refusedAfter                 []float64 // seconds that these had waited
 	work                         float64   // slot-seconds of the good ones
 	waits                        []float64 // seconds from arrival to the engines' beginning
@@ -169,7 +182,11 @@
 func (s *sim) over() bool { return s.now.Sub(simStart) >= s.length }
 
 func (s *sim) nextArrival(load int) {
-	gap := s.rng.ExpFloat64() / s.loads[load].rate
+	rate := s.loads[load].rate
+	if s.now.Sub(simStart) < s.surgeUntil {
+		rate *= s.surge
+	}
+	gap := s.rng.ExpFloat64() / rate
 	s.at(time.Duration(gap*float64(time.Second)), simEvent{kind: simArrive, load: load})
 }
 
@@ -190,6 +207,8 @@
 		}
 	case simReport:
 		s.report()
+	case simAgain:
+		s.send(e.again)
 	}
 }
 
@@ -227,13 +246,20 @@
 
 func (s *sim) arrive(o fleet.Organisation) {
 	q := s.shape(s.rng)
-	q.org, q.came = o, s.now
+	q.org, q.first = o, s.now
 	q.counted = s.now.Sub(simStart) >= s.warm
-	h := s.take(&q)
 	if q.counted {
 		s.tallies[o].offered++
 	}
-	a := Arrival{Organisation: o, Target: simTarget, Service: "p", PromptTokens: q.prompt, MaxTokens: q.bound}
+	s.send(&q)
+}
+
+func (s *sim) send(q *simRequest) {
+	q.came = s.now
+	q.tries++
+	s.tallies[q.org].sends++
+	h := s.take(q)
+	a := Arrival{Organisation: q.org, Target: simTarget, Service: "p", PromptTokens: q.prompt, MaxTokens: q.bound}
 	if q.patience > 0 {
 		a.Deadline = s.now.Add(q.patience)
 	}
@@ -261,6 +287,11 @@
 			s.waiting = append(s.waiting, d.Handle)
 		case Refuse:
 			q := s.open[d.Handle]
+			s.free = append(s.free, d.Handle)
+			if s.comeBack != nil && q.tries < s.tries {
+				s.at(s.comeBack(&d), simEvent{kind: simAgain, again: q})
+				continue
+			}
 			if q.counted {
 				t := s.tallies[q.org]
 				t.refused++
@@ -269,7 +300,6 @@
 					t.refusedAfter = append(t.refusedAfter, s.now.Sub(q.came).Seconds())
 				}
 			}
-			s.free = append(s.free, d.Handle)
 		}
 	}
 	s.begin()
@@ -316,6 +346,7 @@
 		return
 	}
 	t.good++
+	t.answered = append(t.answered, s.now.Sub(q.first).Seconds())
 	t.work += s.now.Sub(q.began).Seconds()
 }
 
--- a/internal/usage/bench_test.go
+++ b/internal/usage/bench_test.go
@@ -43,6 +43,9 @@
 	}},
 }
 
+// gossipSeed is another one in each run, also with -count.
+var gossipSeed uint64
+
 // BenchmarkGossip reports the bytes a second of usage messages, 80 for headers
 // of each counted in, after a minute, with caps of 100 a second and Poisson arrivals: sent by a node to
 // each other one, received by a node, by a zone of a third of the nodes, and by
@@ -52,8 +55,9 @@
 		for _, orgs := range []int{10, 200} {
 			for _, c := range gossipCases {
 				b.Run(fmt.Sprintf("nodes=%d/organisations=%d/%s", nodes, orgs, c.name), func(b *testing.B) {
-					for i := 0; b.Loop(); i++ {
-						sent, most := gossip(uint64(i), nodes, orgs, c)
+					for b.Loop() {
+						gossipSeed++
+						sent, most := gossip(gossipSeed, nodes, orgs, c)
 						b.ReportMetric(sent, "B/s-sent")
 						b.ReportMetric(sent*float64(nodes-1), "B/s-received")
 						b.ReportMetric(sent*float64(nodes-1)*float64(nodes)/3, "B/s-zone")
