The operators' console: forms to one validated document

Operators had the command line alone. Every node now serves pages under /console/ on the operator listener: overview, a form for each part of the document and the document as text, preview with the difference against the base, acceptance with the nodes on which it is in force, conflict with a three-way rebase, history with roll back, explain and drain. It runs without script. What is edited travels in the forms, because nodes keep nothing and the balancer may hand the next step to another node.

Sessions are signed cookies. The key comes from the peers' secret, so that every node accepts them; ruled out were a random key for each process (an operator behind the balancer would be logged out at every other request) and stored sessions (nodes keep nothing). The price: log-out makes the browser forget, a stolen cookie lasts until its ten hours or the operator's token end. Where the peers use certificate files there is no shared secret and a session holds at one node.

RollBack takes the base revision that the operator saw: before, a roll back decided on an old view would have undone a revision accepted since. ApplyResult and Revision name the attempt, so that a lost answer can be read back.

A lost answer is shown as "not known yet" until the history has the attempt's row (accepted) or another one's row under its number (not accepted). The end of a second try is never told as the end of the first.

--- /dev/null
+++ b/internal/console/help.go
@@ -0,0 +1,32 @@
+package console
+
+// help explains the controls, by part and key.
+var help = map[string]string{
+	"organisations.name":         "Letters, digits, dot, dash and underscore",
+	"organisations.key_hashes":   "Hex SHA-256 of each caller key, one a line",
+	"organisations.weight":       "Share of contended capacity, 1 to 1000",
+	"organisations.rate":         "Model requests a second over all nodes; empty: no cap",
+	"organisations.lookups":      "Plain calls a second over all nodes; empty: no cap",
+	"organisations.priority":     "Handed to the engines, 0 to 100",
+	"models.current":             "Version for requests that name none",
+	"models.versions":            "One a line",
+	"models.adapters":            "One a line",
+	"groups.model":               "Name of a model",
+	"groups.model_version":       "One of that model's versions",
+	"groups.adapters":            "One a line",
+	"groups.vms":                 "VMs of one replica, 1 to 64",
+	"groups.min":                 "Fewest replicas, all zones together",
+	"groups.max":                 "Most replicas, all zones together",
+	"groups.one_domain":          "All VMs of a replica in one fabric domain",
+	"groups.zones":               "Availability zones, one a line; empty: all",
+	"services.not_repeatable":    "Calls that may run at most once, one a line, such as POST /receipts",
+	"services.timeout":           "For a call without a deadline, such as 2s; empty: 5s",
+	"objective.downtime_weight":  "For each second of group downtime",
+	"objective.stranding_weight": "For each second of a stranded accelerator",
+	"policy.routing":             "Empty: weighted",
+	"policy.retry_budget":        "Retries for each first try, 0 to 1; empty: 0.1",
+	"policy.probe_fresh":         "Age up to which a probe lets a group serve; empty: 1.5s",
+	"policy.lease":               "Term of duty leases; empty: 6s",
+	"policy.queue_limit":         "Model requests waiting at a node; empty: 256",
+	"policy.key_retention":       "How long an idempotency key is remembered; empty: 24h",
+}
--- a/internal/node/configure.go
+++ b/internal/node/configure.go
@@ -34,9 +34,19 @@
 	return applyResult(rec, err)
 }
 
-// RollBack accepts the document of an old revision as the next one.
-func (n *Node) RollBack(ctx context.Context, to uint64, author string) operator.ApplyResult {
-	base, _, _ := n.config.Current()
+// ConfigAt returns the revision with the number from memory or the table.
+func (n *Node) ConfigAt(ctx context.Context, number uint64) (operator.ConfigView, error) {
+	rec, err := n.config.Get(ctx, number)
+	if err != nil {
+		return operator.ConfigView{}, err
+	}
+	return operator.ConfigView{
+		Revision: number, Hash: fmt.Sprintf("%016x", rec.Stamp.Hash), Document: string(rec.Document),
+	}, nil
+}
+
+// RollBack accepts the document of an old revision as the one after base.
+func (n *Node) RollBack(ctx context.Context, base, to uint64, author string) operator.ApplyResult {
 	rec, err := n.config.RollBack(ctx, base, to, author)
 	return applyResult(rec, err)
 }
@@ -61,7 +71,10 @@
 		}
 		return r
 	case errors.As(err, &ambiguous):
-		return operator.ApplyResult{State: operator.ApplyUnknown, Revision: ambiguous.Stamp.Number, Message: ambiguous.Error()}
+		return operator.ApplyResult{
+			State: operator.ApplyUnknown, Revision: ambiguous.Stamp.Number,
+			Attempt: ambiguous.Attempt, Message: ambiguous.Error(),
+		}
 	}
 	return operator.ApplyResult{State: operator.ApplyRefused, Message: err.Error()}
 }
@@ -76,7 +89,7 @@
 	for _, r := range records {
 		out = append(out, operator.Revision{
 			Number: r.Stamp.Number, Author: r.Author, Time: time.UnixMilli(r.Stamp.Time).UTC(),
-			Hash: fmt.Sprintf("%016x", r.Stamp.Hash),
+			Hash: fmt.Sprintf("%016x", r.Stamp.Hash), Attempt: r.Attempt,
 		})
 	}
 	return out, nil
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chervilloom/internal/clock"
+	"chervilloom/internal/console"
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/operator"
 	"chervilloom/internal/view"
@@ -22,11 +23,23 @@
 	for _, o := range n.set.Operators {
 		tokens = append(tokens, operator.Token{Name: o.Name, Hash: o.TokenHash})
 	}
+	auth := operator.NewAuthenticator(tokens)
 	return operator.New(operator.Options{
-		Fleet: n, Auth: operator.NewAuthenticator(tokens), Registry: n.reg, Log: n.log,
+		Fleet: n, Auth: auth, Registry: n.reg, Log: n.log,
+		Console: console.New(console.Options{Fleet: n, Auth: auth, Secret: n.consoleSecret(), Log: n.log}),
 	})
 }
 
+// consoleSecret is shared by all nodes where the peers share a secret, so that
+// an operator's session holds at each of them.
+func (n *Node) consoleSecret() []byte {
+	secret, err := n.set.PeerSecret()
+	if err != nil {
+		n.log.Warn("console sessions hold at this node only", "error", err)
+	}
+	return secret
+}
+
 // Status returns what this node believes of the fleet.
 func (n *Node) Status() operator.Status {
 	snap, now := n.view.Snapshot(), n.clock.Now()
--- a/internal/operator/auth.go
+++ b/internal/operator/auth.go
@@ -55,6 +55,17 @@
 	return name, ok
 }
 
+// HashOf returns the token hash of the operator with the name. Console sessions
+// are signed with it, so that a changed token ends them.
+func (a *Authenticator) HashOf(name string) (hash string, ok bool) {
+	for _, t := range a.tokens {
+		if t.Name == name {
+			return strings.ToLower(t.Hash), true
+		}
+	}
+	return "", false
+}
+
 // Blocked reports whether the remote address has used up its wrong tries.
 func (a *Authenticator) Blocked(remote string) bool {
 	a.mu.Lock()
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -21,7 +21,11 @@
 	Explain(ctx context.Context, subject string) Explanation
 	Config() ConfigView
 	Apply(ctx context.Context, req ApplyRequest, operator string) ApplyResult
-	RollBack(ctx context.Context, to uint64, operator string) ApplyResult
+	// ConfigAt returns the revision with the number from memory or the table.
+	ConfigAt(ctx context.Context, number uint64) (ConfigView, error)
+	// RollBack accepts the document of revision to as the one after base, which
+	// is the revision that the operator saw in force.
+	RollBack(ctx context.Context, base, to uint64, operator string) ApplyResult
 	History(ctx context.Context) ([]Revision, error)
 	Drain(ctx context.Context, req DrainRequest, operator string) error
 }
--- a/internal/operator/types.go
+++ b/internal/operator/types.go
@@ -121,7 +121,8 @@
 // ApplyResult is the end of an attempt.
 type ApplyResult struct {
 	State    ApplyState `json:"state"`
-	Revision uint64     `json:"revision,omitempty"` // accepted: the new one; conflict: the present one
+	Revision uint64     `json:"revision,omitempty"` // accepted: the new one; conflict: the present one; unknown: the one it has if accepted
+	Attempt  string     `json:"attempt,omitempty"`  // unknown: stands in the history if it was accepted
 	Message  string     `json:"message,omitempty"`
 	Problems []string   `json:"problems,omitempty"` // invalid: file:line:col: what is wrong; remedy
 	Changes  []string   `json:"changes,omitempty"`  // conflict: what changed since Base
@@ -133,6 +134,9 @@
 	Author string    `json:"author"`
 	Time   time.Time `json:"time"`
 	Hash   string    `json:"hash"`
+	// Attempt is the write that accepted the revision; it tells an author whose
+	// answer was lost whether the revision is theirs.
+	Attempt string `json:"attempt,omitempty"`
 }
 
 // DrainRequest asks that an endpoint or a group takes no new request.
