Seeds without a name; softer growth of the suspicion

A seed of the settings is an address without a VM. The link refused it, because no certificate names the empty VM, so a node that starts while the platform is down knew nobody. SendAddr sends to whoever of the deployment answers, and remembers who that was. Red before: TestServiceOverLinks with a nameless seed does not get past its first step; the third node is never seen.

--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -55,7 +55,7 @@
 // the suspicion and of its refutation take a number of rounds that grows with
 // the logarithm of n.
 func (c *Config) suspicion(n int) time.Duration {
-	return time.Duration(float64(c.Suspicion) * max(1, math.Log10(float64(n))))
+	return time.Duration(float64(c.Suspicion) * max(1, (1+math.Log10(float64(n)))/2))
 }
 
 // tellings returns how many times a node tells one piece of news to n members.
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -79,7 +79,7 @@
 	return f
 }
 
-// start runs a new life of node i, with three other nodes as seeds.
+// start runs a new life of node i, with the first three nodes as seeds.
 func (f *testFleet) start(i int, life fleet.Incarnation) *testNode {
 	vm := vmName(i)
 	zone := fleet.AvailabilityZone(fmt.Sprint("z", i%3))
@@ -95,6 +95,7 @@
 	for _, j := range []int{0, 1, 2} {
 		seeds = append(seeds, Seed{VM: vmName(j), Addr: addrOf(j)})
 	}
+	seeds[2].VM = "" // as the settings list it
 	f.at(f.now, n, Seeds{Nodes: seeds})
 	f.at(f.now.Add(time.Duration(f.rng.Int64N(int64(f.cfg.TickPeriod)))), n, Tick{})
 	return n
@@ -165,6 +166,9 @@
 	f.packets++
 	f.bytes += len(b) + wireOverhead
 	to := f.byVM[a.To]
+	if a.To == "" {
+		to = f.atAddr(a.Addr)
+	}
 	if to == nil || !to.up || (f.cut != nil && f.cut(from, to)) || f.rng.Float64() < f.loss {
 		return
 	}
@@ -176,6 +180,15 @@
 	f.at(f.now.Add(delay), to, Received{From: from.self.Node(), Message: m})
 }
 
+func (f *testFleet) atAddr(addr string) *testNode {
+	for _, n := range f.nodes {
+		if n.self.Addr == addr {
+			return n
+		}
+	}
+	return nil
+}
+
 func (f *testFleet) kill(i int) { f.nodes[i].up = false }
 
 func (f *testFleet) pause(i int, d time.Duration) { f.nodes[i].paused = f.now.Add(d) }
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -21,6 +21,8 @@
 // Mesh is what Service needs of the links between nodes.
 type Mesh interface {
 	Send(to fleet.VM, topic string, payload []byte) error
+	// SendAddr sends to whoever of the deployment answers at the address.
+	SendAddr(addr, topic string, payload []byte) error
 	Subscribe(topic string, f func(from fleet.Node, payload []byte))
 	Learn(vm fleet.VM, addr string)
 }
@@ -204,16 +206,23 @@
 		s.opts.Log.Error("membership message not encoded", "error", err)
 		return
 	}
-	if a.Addr != "" {
-		s.opts.Mesh.Learn(a.To, a.Addr)
-	}
-	if err := s.opts.Mesh.Send(a.To, Topic, payload); err != nil {
-		s.opts.Log.Error("membership message not sent", "to", a.To, "error", err)
+	if err := s.hand(a, payload); err != nil {
+		s.opts.Log.Error("membership message not sent", "to", a.To, "addr", a.Addr, "error", err)
 		return
 	}
 	s.metrics.bytes.Add(float64(len(payload)))
 }
 
+func (s *Service) hand(a Send, payload []byte) error {
+	if a.To == "" {
+		return s.opts.Mesh.SendAddr(a.Addr, Topic, payload)
+	}
+	if a.Addr != "" {
+		s.opts.Mesh.Learn(a.To, a.Addr)
+	}
+	return s.opts.Mesh.Send(a.To, Topic, payload)
+}
+
 func (s *Service) publish() {
 	nodes := s.opts.State.Nodes()
 	s.nodes.Store(&nodes)
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -43,7 +43,8 @@
 func (Announce) event() {}
 func (Leave) event()    {}
 
-// Seed is a node that may be a member.
+// Seed is a node that may be a member. VM is empty when only its address is
+// known.
 type Seed struct {
 	VM   fleet.VM
 	Zone fleet.AvailabilityZone
@@ -55,8 +56,8 @@
 
 // The actions.
 type (
-	// Send asks for a message to be sent. Addr may be empty: the link to the VM
-	// is then the one that the VM opened.
+	// Send asks for a message to be sent. An empty To stands for whoever answers
+	// at Addr.
 	Send struct {
 		To      fleet.VM
 		Addr    string
@@ -97,7 +98,7 @@
 	members  map[fleet.VM]*member // all but self
 	names    []fleet.VM           // keys of members in order
 	suspects []fleet.VM           // in the order in which they were suspected
-	seeds    []Seed               // by VM
+	seeds    []Seed               // by VM and address
 	round    []fleet.VM           // ping order; shuffled each time it is used up
 	next     int
 	live     int // members that are alive or suspect
@@ -264,11 +265,11 @@
 func (s *State) setSeeds(seeds []Seed) {
 	s.seeds = s.seeds[:0]
 	for _, seed := range seeds {
-		if seed.VM != s.self.VM && seed.Addr != "" {
+		if seed.VM != s.self.VM && seed.Addr != "" && seed.Addr != s.self.Addr {
 			s.seeds = append(s.seeds, seed)
 		}
 	}
-	slices.SortFunc(s.seeds, func(a, b Seed) int { return cmp.Compare(a.VM, b.VM) })
+	slices.SortFunc(s.seeds, func(a, b Seed) int { return cmp.Or(cmp.Compare(a.VM, b.VM), cmp.Compare(a.Addr, b.Addr)) })
 }
 
 // leavers is how many members are told directly that this node leaves.
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -1,6 +1,11 @@
 package membership
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"chervilloom/internal/fleet"
+)
 
 // syncRandom compares states with one random member.
 func (s *State) syncRandom() {
@@ -37,10 +42,23 @@
 		}
 	}
 	for _, seed := range s.seeds {
-		// A seed whose member has left may be a new process on the same VM.
-		if m := s.members[seed.VM]; m == nil || m.Status == Left {
+		if !s.metAt(seed) {
 			out = append(out, seed)
 		}
 	}
 	return out
 }
+
+// metAt reports whether the seed is a member that this node is in touch with or
+// asks anyway. One that has left may be a new process on the same VM, and a dead
+// one's address may have gone to another VM.
+func (s *State) metAt(seed Seed) bool {
+	if seed.VM != "" {
+		m := s.members[seed.VM]
+		return m != nil && m.Status != Left
+	}
+	return slices.ContainsFunc(s.names, func(vm fleet.VM) bool {
+		m := s.members[vm]
+		return m.Addr == seed.Addr && m.live()
+	})
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -55,6 +55,13 @@
 	}
 }
 
+// learnAddr sets the address unless one is known.
+func (l *link) learnAddr(addr string) {
+	if l.address() == "" {
+		l.setAddr(addr)
+	}
+}
+
 func (l *link) address() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -143,7 +150,7 @@
 	la.dialing = nil
 	if d.err != nil {
 		la.cause = d.err
-		la.wait = backOff(la.wait, rand.Float64())
+		la.wait = backOff(la.wait, draw())
 		la.retryAt = m.opts.Clock.Now().Add(la.wait)
 	} else {
 		la.wait, la.retryAt, la.cause = 0, 0, nil
@@ -175,6 +182,12 @@
 	la.mu.Unlock()
 }
 
+func (la *lane) live() bool {
+	la.mu.Lock()
+	defer la.mu.Unlock()
+	return la.conn != nil && la.conn.alive()
+}
+
 func (la *lane) retryNow() {
 	la.mu.Lock()
 	defer la.mu.Unlock()
@@ -241,6 +254,8 @@
 	return backOffBase + time.Duration(draw*float64(top-backOffBase))
 }
 
+func draw() float64 { return rand.Float64() }
+
 // dial connects to the link's VM and exchanges Hellos.
 func (m *Mesh) dial(l *link, protocol string) (*conn, error) {
 	addr := l.address()
@@ -249,7 +264,7 @@
 	}
 	ctx, cancel := context.WithTimeout(m.ctx, dialTimeout)
 	defer cancel()
-	c, err := m.dialAddr(ctx, l, protocol, addr)
+	c, err := m.dialAddr(ctx, l.vm, protocol, addr)
 	if err != nil {
 		m.metrics.dialFailures.WithLabelValues(laneLabel(protocol)).Inc()
 		return nil, fmt.Errorf("peer: %s at %s can't be reached: %w", l.vm, addr, err)
@@ -257,19 +272,21 @@
 	return c, nil
 }
 
-func (m *Mesh) dialAddr(ctx context.Context, l *link, protocol, addr string) (*conn, error) {
+// dialAddr connects to the address. An empty VM stands for whoever of the
+// deployment answers there.
+func (m *Mesh) dialAddr(ctx context.Context, vm fleet.VM, protocol, addr string) (*conn, error) {
 	to, err := net.ResolveUDPAddr("udp", addr)
 	if err != nil {
 		return nil, err
 	}
-	q, err := m.quic.Dial(ctx, to, m.opts.Identity.clientTLS(l.vm, protocol), quicConfig(protocol))
+	q, err := m.quic.Dial(ctx, to, m.opts.Identity.clientTLS(vm, protocol), quicConfig(protocol))
 	if err != nil {
 		return nil, err
 	}
 	// The handshake is over for the dialler before the other side has looked at
 	// the dialler's certificate. Its Hello is the proof that it let us in;
 	// without waiting for it a refused relay would end as unknown.
-	c, err := m.greet(ctx, q, l.vm)
+	c, err := m.greet(ctx, q)
 	if err != nil {
 		q.CloseWithError(closeRefused, err.Error())
 		return nil, err
@@ -281,23 +298,28 @@
 // admit takes a connection that a peer dialled.
 func (m *Mesh) admit(q *quic.Conn) {
 	state := q.ConnectionState().TLS
-	vm := fleet.VM(state.PeerCertificates[0].Subject.CommonName)
 	ctx, cancel := context.WithTimeout(m.ctx, dialTimeout)
 	defer cancel()
-	c, err := m.greet(ctx, q, vm)
+	c, err := m.greet(ctx, q)
 	if err != nil {
 		q.CloseWithError(closeRefused, err.Error())
-		m.opts.Log.Warn("peer refused", "vm", vm, "addr", q.RemoteAddr().String(), "error", err)
+		m.opts.Log.Warn("peer refused", "vm", certifiedVM(q), "addr", q.RemoteAddr().String(), "error", err)
 		return
 	}
 	if state.NegotiatedProtocol == controlLane {
-		m.link(vm).control.adopt(c)
+		m.link(c.node.VM).control.adopt(c)
 	}
 	m.serve(c, state.NegotiatedProtocol)
 }
 
+// certifiedVM returns the VM that the other side's certificate names. The
+// certificate was verified in the handshake.
+func certifiedVM(q *quic.Conn) fleet.VM {
+	return fleet.VM(q.ConnectionState().TLS.PeerCertificates[0].Subject.CommonName)
+}
+
 // greet sends this node's Hello and reads the other's.
-func (m *Mesh) greet(ctx context.Context, q *quic.Conn, vm fleet.VM) (*conn, error) {
+func (m *Mesh) greet(ctx context.Context, q *quic.Conn) (*conn, error) {
 	out, err := q.OpenUniStream()
 	if err != nil {
 		return nil, err
@@ -324,7 +346,7 @@
 		return nil, err
 	}
 	in.CancelRead(0)
-	if other.Version != protocolVersion || other.Node.VM != vm {
+	if vm := certifiedVM(q); other.Version != protocolVersion || other.Node.VM != vm {
 		return nil, fmt.Errorf("%w: %s speaks version %d for %q", errFrame, vm, other.Version, other.Node.VM)
 	}
 	return &conn{Conn: q, node: other.Node, zone: other.Zone}, nil
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -110,6 +110,8 @@
 	topics map[string]*topic
 	depths map[string]int
 	calls  map[string]callHandler
+
+	strangers map[string]*stranger // by address
 }
 
 // New binds the socket. Links are served once Run runs.
@@ -130,6 +132,7 @@
 	m := &Mesh{
 		opts: o, links: map[fleet.VM]*link{}, topics: map[string]*topic{},
 		depths: map[string]int{}, calls: map[string]callHandler{}, conns: map[*conn]struct{}{},
+		strangers: map[string]*stranger{},
 	}
 	if m.metrics, err = newMetrics(o.Registerer); err != nil {
 		return nil, err
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -335,3 +335,28 @@
 	is.True(first.end.Whole)
 	is.Equal(first.text(), "late")
 }
+
+// A seed from the settings is an address without a name. The VM that answers
+// there gets the message and is known from then on; this node's own address
+// among the seeds leads nowhere.
+func TestSendToAnAddress(t *testing.T) {
+	is := is.New(t)
+	a, b := startMesh(t, "a", nil), startMesh(t, "b", nil)
+	got := make(chan string, 16)
+	b.Subscribe("news", func(from fleet.Node, p []byte) { got <- from.String() + " " + string(p) })
+	ctx := testContext(t)
+	for want := range 3 {
+		text := fmt.Sprint("hello ", want)
+		is.NoErr(a.SendAddr(a.Addr(), "news", []byte(text)))
+		is.NoErr(a.SendAddr(b.Addr(), "news", []byte(text)))
+		select {
+		case s := <-got:
+			is.Equal(s, "a#1 "+text)
+		case <-ctx.Done():
+			t.Fatal("message not delivered")
+		}
+	}
+	_, err := a.Call(ctx, "b", "none", nil)
+	var failed *CallError
+	is.True(errors.As(err, &failed))
+}
