Hold back answers of other nodes; no wait that outlasts the deadline

An answer that is not a stream and comes through another node is held back like one of an endpoint, so that an idempotent request whose link dies within it is tried elsewhere (before: told as cut). A retry whose back-off ends after the deadline is given up at once, with when to come back, instead of held until the deadline. Metrics of hedges and of answers given up.

--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -20,9 +20,10 @@
 	maxTries   int
 	err        *outcome.Error // of the newest try
 	idempotent bool
-	begun      bool // the caller has a part of the answer
-	exhausted  bool // the router has nothing left to try
-	over       bool // the deadline passed or the caller left
+	begun      bool          // the caller has a part of the answer
+	exhausted  bool          // the router has nothing left to try
+	over       bool          // the deadline passed or the caller left
+	left       time.Duration // up to the deadline
 }
 
 // decision is the next step with its reason.
@@ -42,6 +43,11 @@
 	if !ok {
 		return decision{verdict: giveUp, wait: wait, reason: "the retry budget is spent"}
 	}
+	if wait >= f.left {
+		// Holding the answer back for a try that cannot be made would keep the
+		// caller from asking elsewhere.
+		return decision{verdict: giveUp, wait: wait, reason: "the deadline passes before the next try"}
+	}
 	if f.err.Outcome == outcome.NotRun {
 		return decision{verdict: retry, wait: wait, reason: "the try did not run"}
 	}
--- a/internal/dispatch/decide_test.go
+++ b/internal/dispatch/decide_test.go
@@ -37,12 +37,16 @@
 		{"time over", facts{err: failedNotRun, idempotent: true, over: true}, true, giveUp, false},
 		{"the caller's fault", facts{err: badRequest, idempotent: true}, true, giveUp, false},
 		{"deadline", facts{err: tooLate, idempotent: true}, true, giveUp, false},
+		{"the wait outlasts the deadline", facts{err: failedNotRun, left: time.Second}, true, giveUp, true},
 		{"tries used up", facts{err: failedNotRun, idempotent: true, tries: 4}, true, giveUp, false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			tc.f.maxTries = 4
+			if tc.f.left == 0 {
+				tc.f.left = time.Minute
+			}
 			asked := false
 			dec := next(tc.f, func() (bool, time.Duration) {
 				asked = true
@@ -63,7 +67,7 @@
 		f := facts{
 			tries: rapid.IntRange(0, 5).Draw(t, "tries"), maxTries: 4, err: rapid.SampledFrom(errs).Draw(t, "err"),
 			idempotent: rapid.Bool().Draw(t, "idempotent"), begun: rapid.Bool().Draw(t, "begun"),
-			exhausted: rapid.Bool().Draw(t, "exhausted"), over: rapid.Bool().Draw(t, "over"),
+			left: time.Minute, exhausted: rapid.Bool().Draw(t, "exhausted"), over: rapid.Bool().Draw(t, "over"),
 		}
 		dec := next(f, func() (bool, time.Duration) { return true, 0 })
 		if dec.verdict == retry && (f.begun || !f.idempotent && f.err.Outcome != outcome.NotRun) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -172,7 +172,7 @@
 		if last == nil {
 			return nil
 		}
-		dec := next(s.facts(ctx, last, d.opt.Tries), d.budget(s.req.Class))
+		dec := next(s.facts(ctx, last, d.opt.Tries, d.left(s.req)), d.budget(s.req.Class))
 		d.noteDecision(s.req, dec, last)
 		switch dec.verdict {
 		case giveUp:
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -129,8 +129,10 @@
 	return nil
 }
 
+const eventStream = "text/event-stream"
+
 func isEventStream(resp *http.Response) bool {
-	return mediaType(resp.Header) == "text/event-stream" && resp.StatusCode == http.StatusOK
+	return mediaType(resp.Header) == eventStream && resp.StatusCode == http.StatusOK
 }
 
 // mediaType returns the content type without its parameters, in lower case.
--- a/internal/dispatch/guard.go
+++ b/internal/dispatch/guard.go
@@ -51,16 +51,19 @@
 	}
 }
 
-// look gives up what is lost by the snapshot.
-func (g *guard) look(snap *view.Snapshot, now clock.Instant) {
+// look gives up what is lost by the snapshot and returns how many that were.
+func (g *guard) look(snap *view.Snapshot, now clock.Instant) (given int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for w := range g.waits {
 		w.awaited.begun = w.begun.Load()
 		if reason := lost(&w.awaited, snap, now); reason != "" {
 			w.cancel(errors.New("dispatch: " + reason))
+			delete(g.waits, w)
+			given++
 		}
 	}
+	return given
 }
 
 // guardLoop looks at each new snapshot, and again as time passes.
@@ -72,7 +75,8 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			d.guard.look(d.opt.View.Snapshot(), d.opt.Clock.Now())
+			given := d.guard.look(d.opt.View.Snapshot(), d.opt.Clock.Now())
+			d.metrics.lost.Add(float64(given))
 		}
 	}
 }
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
 	"time"
 
@@ -87,12 +88,11 @@
 	}
 	a := r.ask(r.ctx, c, t)
 	r.got <- a
-	if a.err != nil {
-		return
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.closed {
+	won := a.err == nil && !r.closed
+	r.d.metrics.hedges.WithLabelValues(strconv.FormatBool(won)).Inc()
+	if !won {
 		return
 	}
 	if 2*a.took < r.d.opt.HedgeAfter {
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -19,6 +19,8 @@
 	tries          *prometheus.CounterVec
 	decisions      *prometheus.CounterVec
 	resumes        prometheus.Counter
+	hedges         *prometheus.CounterVec
+	lost           prometheus.Counter
 	cancelsDropped prometheus.Counter
 }
 
@@ -33,12 +35,18 @@
 		resumes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "chervilloom_dispatch_resumes_total", Help: "Streams asked for again at their endpoint.",
 		}),
+		hedges: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chervilloom_dispatch_hedges_total", Help: "Second tries of slow lookups, by whether they answered first.",
+		}, []string{"first"}),
+		lost: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chervilloom_dispatch_lost_total", Help: "Answers given up because their replica lost a member.",
+		}),
 		cancelsDropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "chervilloom_dispatch_cancels_dropped_total", Help: "Abandoned streams not cancelled because the ring was full.",
 		}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.tries, m.decisions, m.resumes, m.cancelsDropped)
+		reg.MustRegister(m.tries, m.decisions, m.resumes, m.hedges, m.lost, m.cancelsDropped)
 	}
 	return m
 }
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -43,10 +43,13 @@
 
 // peerWriter takes an answer from another node. It does not finish the
 // caller's answer: what the other node could not finish may go on elsewhere.
+// An answer that is not a stream is held back up to the bound, as one of an
+// endpoint is, so that a link that dies within it leaves the caller with nothing.
 type peerWriter struct {
 	d     *Dispatcher
 	s     *session
 	t     *try
+	held  *reply // nil: the answer is passed on as it comes
 	end   *answer.End
 	count uint64
 	err   *outcome.Error // the caller took no more, or a piece was missing
@@ -55,14 +58,38 @@
 // Start opens the caller's answer, or goes on with it.
 func (p *peerWriter) Start(h answer.Head) error {
 	p.t.first(p.d.opt.Clock.Now())
+	if !h.Stream && mediaType(h.Header) != eventStream {
+		p.held = &reply{head: h}
+		return nil
+	}
 	return p.keep(p.s.start(h))
 }
 
-// Frame passes on a piece.
+// Frame passes on a piece, or holds it back.
 func (p *peerWriter) Frame(f answer.Frame) error {
 	p.count++
-	p.t.tokens++
-	return p.keep(p.s.frame(f))
+	if p.held == nil {
+		p.t.tokens++
+		return p.keep(p.s.frame(f))
+	}
+	p.held.held = append(p.held.held, f.Data...)
+	if len(p.held.held) <= p.d.opt.AnswerBuffer {
+		return nil
+	}
+	return p.keep(p.release())
+}
+
+// release passes on what was held back, and what follows as it comes.
+func (p *peerWriter) release() *outcome.Error {
+	r := p.held
+	p.held = nil
+	if r == nil {
+		return nil
+	}
+	if err := p.s.start(r.head); err != nil || len(r.held) == 0 {
+		return err
+	}
+	return p.s.frame(answer.Frame{Offset: p.s.bytes, Data: r.held})
 }
 
 func (p *peerWriter) keep(err *outcome.Error) error {
@@ -84,7 +111,7 @@
 	case p.end == nil:
 		return answerCut("the other node's answer has no end", nil)
 	case p.end.Whole && p.end.Frames == p.count:
-		return nil
+		return p.release()
 	case p.end.Error != nil:
 		return p.end.Error
 	}
--- a/internal/dispatch/node_test.go
+++ b/internal/dispatch/node_test.go
@@ -138,3 +138,34 @@
 	is.Equal(len(c.frames), 3)
 	is.Equal(c.end.Frames, uint64(3))
 }
+
+// The link to another node dies within an answer that is not a stream. The
+// caller has nothing of it yet, and the request is idempotent: the next node
+// gives the whole answer.
+func TestCutAnswerOfANodeIsTriedElsewhere(t *testing.T) {
+	for _, size := range []int{10, 3000} { // within and beyond what is held back
+		is := is.New(t)
+		cut := func(_ context.Context, _ *request.Request, w answer.Writer) *outcome.Error {
+			w.Start(answer.Head{Status: 200})
+			w.Frame(answer.Frame{Data: make([]byte, size)})
+			w.Finish(answer.End{Frames: 1, Error: outcome.New(outcome.AnswerCut, outcome.Unknown, "the link broke", "look it up")})
+			return nil
+		}
+		whole := func(_ context.Context, _ *request.Request, w answer.Writer) *outcome.Error {
+			w.Start(answer.Head{Status: 200})
+			w.Frame(answer.Frame{Data: []byte("an")})
+			w.Frame(answer.Frame{Data: []byte("swer")})
+			w.Finish(answer.End{Whole: true, Frames: 2})
+			return nil
+		}
+		near, _ := twoZones(t, fakePeers{"a": cut, "b": whole})
+		near.d.opt.AnswerBuffer = 1000
+		c := near.serve(context.Background(), near.chat("q", 20, false))
+		is.Equal(c.end.Whole, size == 10)
+		if c.end.Whole {
+			is.Equal(c.body(), "answer")
+		} else {
+			is.Equal(c.end.Error.Kind, outcome.AnswerCut)
+		}
+	}
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -119,8 +120,10 @@
 	return &c
 }
 
-func (s *session) facts(ctx context.Context, err *outcome.Error, maxTries int) facts {
+func (s *session) facts(ctx context.Context, err *outcome.Error, maxTries int, left time.Duration) facts {
 	return facts{
+		left: left,
+
 		tries: s.tries, maxTries: maxTries, err: err,
 		idempotent: s.req.Idempotent, begun: s.begun, exhausted: s.exhausted,
 		over: s.gone || ctx.Err() != nil,
