--- a/internal/admit/flow.go
+++ b/internal/admit/flow.go
@@ -1,9 +1,6 @@
 package admit
 
 import (
-	"math"
-	"time"
-
 	"chervilloom/internal/clock"
 	"chervilloom/internal/fleet"
 )
@@ -32,11 +29,9 @@
 	first    Handle  // queued requests in order of priority, then arrival
 	last     Handle
 	queued   int
-	cost     float64       // of the queued requests
-	since    clock.Instant // when the flow began to wait; set while queued
-	served   float64       // decayed cost admitted since then
-	decayed  clock.Instant // when served was true
-	at       int           // place in the pool's heap; -1: nothing queued
+	cost     float64 // of the queued requests
+	pace     pace    // at which it is served while it waits
+	at       int     // place in the pool's heap; -1: nothing queued
 }
 
 // none ends the lists of handles.
@@ -53,36 +48,6 @@
 	return f
 }
 
-const (
-	// servedMemory is the time constant of the rate at which a flow is served.
-	servedMemory = 5.0 // seconds
-	// servedTrust is how long a flow waits before that rate is believed.
-	servedTrust = time.Second
-)
-
-// wake starts the measure of a flow that begins to wait.
-func (f *flow) wake(now clock.Instant) { f.since, f.decayed, f.served = now, now, 0 }
-
-// serve counts a request that was admitted while the flow waits.
-func (f *flow) serve(now clock.Instant, cost float64) {
-	if f.at < 0 {
-		return
-	}
-	f.served = f.served*math.Exp(-now.Sub(f.decayed).Seconds()/servedMemory) + cost
-	f.decayed = now
-}
-
-// rate returns the cost per second at which the flow is served while it waits;
-// 0 when it has not waited long enough to tell.
-func (f *flow) rate(now clock.Instant) float64 {
-	age := now.Sub(f.since)
-	if f.at < 0 || age < servedTrust || f.served == 0 {
-		return 0
-	}
-	kept := math.Exp(-now.Sub(f.decayed).Seconds() / servedMemory)
-	return f.served * kept / (servedMemory * (1 - math.Exp(-age.Seconds()/servedMemory)))
-}
-
 // entry is one request that is queued or in progress.
 type entry struct {
 	state    entryState
--- a/internal/admit/models.go
+++ b/internal/admit/models.go
@@ -25,6 +25,9 @@
 	// allowanceSeconds is how much of its share, in time, an organisation may
 	// use ahead when it was idle.
 	allowanceSeconds = 8.0
+	// usualWeight is the weight of the newest admission in the mean weight of the
+	// organisations that wait.
+	usualWeight = 0.05
 	// organisationQueueShare is the part of the queue that one organisation may
 	// fill.
 	organisationQueueShare = 0.5
@@ -54,6 +57,8 @@
 	allowance float64       // virtual time that a flow may run ahead
 	ready     []*flow       // heap by start: flows with queued requests
 	weight    float64       // of the flows in ready
+	usual     float64       // decayed mean of weight
+	pace      pace          // at which the queue is served
 	cost      float64       // of all queued requests
 	total     float64       // slots in reach
 	lost      clock.Instant // since when total is 0; 0: it is not
@@ -121,7 +126,7 @@
 		prev:     none,
 	}
 	if a.Admitted {
-		return m.arriveRelayed(h, e, out)
+		return m.arriveRelayed(now, h, e, out)
 	}
 	return m.arriveOwn(now, h, e, out)
 }
@@ -129,12 +134,12 @@
 // arriveRelayed admits a request that another node admitted, unless this node's
 // part of the system is full beyond all of its slots: the sender then has the
 // truth at once and may try elsewhere.
-func (m *Models) arriveRelayed(h Handle, e *entry, out []Decision) []Decision {
+func (m *Models) arriveRelayed(now clock.Instant, h Handle, e *entry, out []Decision) []Decision {
 	p := e.flow.pool
 	if float64(p.inflight+p.relayed) >= p.total {
 		e.state = entryFree
 		d := p.decision(h, Refuse, outcome.Overloaded, ReasonSaturated)
-		d.RetryAfter = p.slotTime()
+		d.RetryAfter = p.slotTime(now)
 		return append(out, d)
 	}
 	e.state = entryRelayed
@@ -168,7 +173,7 @@
 	e.charged = true
 	m.enqueue(now, h, e)
 	d := p.decision(h, Queue, "", ReasonBusy)
-	d.Wait = p.wait(e.flow, e.flow.cost-e.cost)
+	d.Wait = p.wait(now, e.flow, e.flow.cost-e.cost)
 	d.Waiting = m.queued
 	d.Service = p.estimate.service(e.cost)
 	return append(out, d)
@@ -198,7 +203,7 @@
 	d := p.decision(h, Refuse, outcome.Overloaded, reason)
 	d.Wait = p.tailWait(now, e.flow)
 	d.Waiting = m.queued
-	d.RetryAfter = p.book(now, p.slotTime(), e.cost)
+	d.RetryAfter = p.book(now, p.slotTime(now), e.cost)
 	return d
 }
 
@@ -209,7 +214,9 @@
 	p.virtual = p.startOf(f)
 	f.finish = max(p.virtual, f.finish) + e.cost/f.org.weight
 	p.restart(f)
-	f.serve(now, e.cost)
+	f.pace.serve(now, e.cost)
+	p.pace.serve(now, e.cost)
+	p.usual += (p.weight - p.usual) * usualWeight
 	e.state = entryRunning
 	p.inflight++
 	f.inflight++
@@ -324,7 +331,7 @@
 	for h := f.first; h != none; {
 		e := &m.entries[h]
 		next := e.next
-		if f.pool.hopeless(now, e, f.pool.wait(f, ahead)) {
+		if f.pool.hopeless(now, e, f.pool.wait(now, f, ahead)) {
 			out = m.refuseQueued(now, h, outcome.Overloaded, ReasonDeadline, out)
 		} else {
 			ahead += e.cost
--- a/internal/admit/policy_test.go
+++ b/internal/admit/policy_test.go
@@ -81,6 +81,7 @@
 		to.work += v.work
 		to.refusedLater += v.refusedLater
 		to.sends += v.sends
+		to.inner = append(to.inner, v.inner...)
 		to.answered = append(to.answered, v.answered...)
 		to.waits = append(to.waits, v.waits...)
 		to.totals = append(to.totals, v.totals...)
@@ -264,3 +265,36 @@
 	is.True(sends["as told, 10 tries"] < sends["each second, 10 tries"])
 	is.True(sends["as told, 10 tries"] < sends["each second, no bound"]/5)
 }
+
+// Six nodes share the engines without talking about them, and twice as many
+// requests come as can be answered: evenly, or half of them to one node. The
+// engines also slow down as they fill. The nodes' limits add up to about the
+// slots, and the engines' own queue stays short.
+func TestNodesShareEngines(t *testing.T) {
+	is := is.New(t)
+	const nodes = 6
+	for _, c := range []struct {
+		name     string
+		node     func(r *rand.Rand) int
+		slowdown float64
+	}{
+		{"evenly", func(r *rand.Rand) int { return r.IntN(nodes) }, 0},
+		{"half to one node", func(r *rand.Rand) int { return r.IntN(2) * r.IntN(nodes) }, 0},
+		{"evenly, engines that slow down by half", func(r *rand.Rand) int { return r.IntN(nodes) }, 0.5},
+	} {
+		var all tally
+		for seed := range simSeeds {
+			b := modelBench(seed, spread(modelCapacity(), 2, ""))
+			b.share, b.node, b.slowdown = simSlots/6.0, c.node, c.slowdown
+			cores := make([]stepper, nodes)
+			for i := range cores {
+				cores[i] = NewModels()
+			}
+			add(&all, b.run(cores...), inOrder...)
+		}
+		busy := all.work / slotSeconds
+		t.Logf("%s: in time %d of %d, late %d, refused after waiting %d, slots at useful work %.1f%%, in the engines' queue p50 %.2fs p99 %.2fs",
+			c.name, all.good, all.offered, all.late, all.refusedLater, 100*busy, quantile(all.inner, 0.5), quantile(all.inner, 0.99))
+		is.True(busy > 0.9)
+	}
+}
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -19,8 +19,11 @@
 	m.queued++
 	if f.at < 0 {
 		f.start = p.startOf(f)
+		if len(p.ready) == 0 {
+			p.pace.begin(now)
+		}
 		p.push(f)
-		f.wake(now)
+		f.pace.begin(now)
 	}
 }
 
@@ -68,9 +71,11 @@
 	if f.queued == 0 {
 		f.cost = 0
 		p.remove(f)
+		f.pace.end()
 	}
 	if len(p.ready) == 0 {
 		p.cost, p.weight = 0, 0 // no rounding errors are carried on
+		p.pace.end()
 	}
 }
 
--- a/internal/admit/sim_test.go
+++ b/internal/admit/sim_test.go
@@ -45,6 +45,11 @@
 	// surge multiplies all rates from the start until the given time.
 	surge      float64
 	surgeUntil time.Duration
+	// slowdown is by how much of its time a request takes longer when all slots
+	// are busy.
+	slowdown float64
+	// node picks the node that a request comes to; nil: the first.
+	node func(r *rand.Rand) int
 }
 
 // simRequest is what the driver knows of a request.
@@ -60,6 +65,7 @@
 	counted  bool
 	first    clock.Instant // when it was sent for the first time
 	tries    int
+	node     int
 }
 
 // modelShape draws a request of the model lane: bounds of 32 to 512 tokens, of
@@ -131,6 +137,7 @@
 	offered, good, late, refused int
 	refusedLater                 int       // of refused: after waiting
 	sends                        int       // tries of all requests
+	inner                        []float64 // seconds in the engines' own queue
 	answered                     []float64 // seconds from the first try to the answer, of the good ones
 	refusedAfter                 []float64 // seconds that these had waited
 	work                         float64   // slot-seconds of the good ones
@@ -140,7 +147,7 @@
 
 type sim struct {
 	bench
-	core    stepper
+	cores   []stepper // of the nodes that share the engines
 	rng     *rand.Rand
 	now     clock.Instant
 	events  simHeap
@@ -151,13 +158,12 @@
 	waiting []Handle // queue inside the engines
 	out     []Decision
 	tallies map[fleet.Organisation]*tally
-	steps   int
 }
 
 const simStart = clock.Instant(time.Second)
 
-func (b bench) run(core stepper) map[fleet.Organisation]*tally {
-	s := &sim{bench: b, core: core, rng: rand.New(rand.NewPCG(b.seed, 7)), now: simStart, tallies: map[fleet.Organisation]*tally{}}
+func (b bench) run(cores ...stepper) map[fleet.Organisation]*tally {
+	s := &sim{bench: b, cores: cores, rng: rand.New(rand.NewPCG(b.seed, 7)), now: simStart, tallies: map[fleet.Organisation]*tally{}}
 	for i, l := range b.loads {
 		s.tallies[l.org] = &tally{}
 		s.nextArrival(i)
@@ -201,7 +207,7 @@
 	case simDone:
 		s.done(e.h)
 	case simTick:
-		s.step(&Event{Kind: Tick})
+		s.all(&Event{Kind: Tick})
 		if !s.over() || len(s.waiting) > 0 || s.busy > 0 {
 			s.at(tickEvery, simEvent{kind: simTick})
 		}
@@ -236,7 +242,7 @@
 		}
 		p.Organisations = append(p.Organisations, Organisation{Name: l.org, Weight: w})
 	}
-	s.step(&Event{Kind: Replan, Plan: p})
+	s.all(&Event{Kind: Replan, Plan: p})
 	if !s.over() {
 		s.at(time.Second, simEvent{kind: simReport})
 	}
@@ -251,6 +257,9 @@
 	if q.counted {
 		s.tallies[o].offered++
 	}
+	if s.node != nil {
+		q.node = s.node(s.rng)
+	}
 	s.send(&q)
 }
 
@@ -263,7 +272,7 @@
 	if q.patience > 0 {
 		a.Deadline = s.now.Add(q.patience)
 	}
-	s.step(&Event{Kind: Arrive, Handle: h, Arrival: a})
+	s.step(q.node, &Event{Kind: Arrive, Handle: h, Arrival: a})
 }
 
 func (s *sim) take(q *simRequest) Handle {
@@ -277,9 +286,15 @@
 	return Handle(len(s.open) - 1)
 }
 
-func (s *sim) step(ev *Event) {
-	s.steps++
-	s.out = s.core.Step(s.now, ev, s.out[:0])
+// all gives an event to every node.
+func (s *sim) all(ev *Event) {
+	for i := range s.cores {
+		s.step(i, ev)
+	}
+}
+
+func (s *sim) step(node int, ev *Event) {
+	s.out = s.cores[node].Step(s.now, ev, s.out[:0])
 	for _, d := range slices.Clone(s.out) {
 		switch d.Verdict {
 		case Admit:
@@ -313,7 +328,8 @@
 		q := s.open[h]
 		q.began = s.now
 		s.busy++
-		d := q.prefill() + q.decode()
+		slow := 1 + s.slowdown*float64(s.busy)/float64(s.slots)
+		d := time.Duration(float64(q.prefill()+q.decode()) * slow)
 		if s.lookup {
 			d = time.Duration(s.rng.ExpFloat64() * float64(simLookup))
 		}
@@ -331,7 +347,7 @@
 		c.Tokens = q.tokens
 		c.FirstToken = q.began.Sub(q.admitted) + q.prefill()
 	}
-	s.step(&Event{Kind: Finish, Handle: h, Completion: c})
+	s.step(q.node, &Event{Kind: Finish, Handle: h, Completion: c})
 }
 
 func (s *sim) count(q *simRequest) {
@@ -340,6 +356,7 @@
 	}
 	t := s.tallies[q.org]
 	t.waits = append(t.waits, q.began.Sub(q.came).Seconds())
+	t.inner = append(t.inner, q.began.Sub(q.admitted).Seconds())
 	t.totals = append(t.totals, s.now.Sub(q.came).Seconds())
 	if q.patience > 0 && s.now.Sub(q.came) > q.patience {
 		t.late++
