Who watches is computed once for the same nodes, and is the same for telling

And Gossip counted suspected and draining nodes among those that watch while probing did not, so that some endpoints were told of by nobody.

--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -17,6 +17,7 @@
 	"chervilloom/internal/clock"
 	"chervilloom/internal/engine"
 	"chervilloom/internal/fleet"
+	"chervilloom/internal/membership"
 	"chervilloom/internal/view"
 )
 
@@ -158,7 +159,7 @@
 			view.Node{Node: fleet.Node{VM: "dead"}, Zone: "z", State: view.NodeDead},
 			view.Node{Node: fleet.Node{VM: "draining"}, Zone: "z", State: view.NodeAlive, Draining: true},
 			view.Node{Node: fleet.Node{VM: "other"}, Zone: "y", State: view.NodeAlive})
-		for _, r := range Watched(w.snap, 2) {
+		for _, r := range Watched(w.snap, twoWatchers()) {
 			count[r.VM]++
 		}
 	}
@@ -374,3 +375,21 @@
 	}
 	return worst
 }
+
+func twoWatchers() *view.Assignment {
+	return &view.Assignment{First: membership.TopK, Watchers: 2}
+}
+
+// BenchmarkWatched finds a node's endpoints among 200 of its zone with 123 nodes.
+func BenchmarkWatched(b *testing.B) {
+	w, _ := fleetOf(200)
+	for i := 1; i < 123; i++ {
+		vm := fleet.VM(fmt.Sprintf("n%d", i))
+		w.snap.Nodes = append(w.snap.Nodes, view.Node{Node: fleet.Node{VM: vm}, Zone: "z", State: view.NodeAlive})
+	}
+	share := twoWatchers()
+	b.ReportAllocs()
+	for b.Loop() {
+		Watched(w.snap, share)
+	}
+}
--- a/internal/probe/prober.go
+++ b/internal/probe/prober.go
@@ -13,6 +13,7 @@
 
 	"chervilloom/internal/clock"
 	"chervilloom/internal/fleet"
+	"chervilloom/internal/membership"
 	"chervilloom/internal/view"
 )
 
@@ -26,10 +27,11 @@
 	rng       *rand.Rand // used by Run's goroutine alone
 	metrics   *metrics
 
-	jobs chan *target // scheduler to workers; full: the probe waits its turn
-	done chan *target // workers to scheduler; full: the worker waits
-	plan schedule     // touched by Run's goroutine alone
-	all  map[fleet.VM]*target
+	jobs  chan *target // scheduler to workers; full: the probe waits its turn
+	done  chan *target // workers to scheduler; full: the worker waits
+	plan  schedule     // this and what follows: touched by Run's goroutine alone
+	all   map[fleet.VM]*target
+	share view.Assignment
 
 	checks singleflight.Group // by group and generation
 }
@@ -56,6 +58,7 @@
 		jobs:    make(chan *target, set.Workers),
 		done:    make(chan *target, set.Workers),
 		all:     map[fleet.VM]*target{},
+		share:   view.Assignment{First: membership.TopK, Watchers: set.Watchers},
 	}
 }
 
@@ -89,7 +92,7 @@
 // refresh brings the targets in line with the newest snapshot.
 func (p *Prober) refresh() {
 	now := p.clock.Now()
-	want := Watched(p.source.Snapshot(), p.set.Watchers)
+	want := Watched(p.source.Snapshot(), &p.share)
 	keep := make(map[fleet.VM]bool, len(want))
 	for _, r := range want {
 		keep[r.VM] = true
--- a/internal/view/gossip.go
+++ b/internal/view/gossip.go
@@ -37,6 +37,7 @@
 	zone   *Teller
 	remote *Teller
 	met    map[fleet.Node]bool // peers that were told everything once
+	share  Assignment
 	bytes  *prometheus.CounterVec
 	broken prometheus.Counter
 
@@ -64,6 +65,7 @@
 	g := &Gossip{
 		opt: o, zone: NewTeller(false, now), remote: NewTeller(true, now),
 		met: map[fleet.Node]bool{}, hearer: NewHearer(),
+		share: Assignment{First: o.First, Watchers: o.Watchers},
 		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chervilloom_view_gossip_bytes_total",
 			Help: "Bytes of digests, by direction and topic, without the transport's.",
@@ -114,7 +116,10 @@
 
 func (g *Gossip) tell(s *Snapshot, now clock.Instant) {
 	near, far := g.peers(s)
-	d := newDuties(s, near, g.opt)
+	// The nodes that share the watching, not those that are told: a node must
+	// tell of what its own probes watch.
+	g.share.Update(append(s.ZoneNodes(), s.Self.VM))
+	d := &duties{self: s.Self.VM, share: &g.share, holds: g.opt.Holds}
 	g.greet(s, d, now)
 	g.spread(near, TopicZone, g.zone.Next(s, d, now, ZoneEvery(len(near))))
 	g.spread(far, TopicRemote, g.remote.Next(s, d, now, RemoteEvery(len(far))))
@@ -180,32 +185,18 @@
 	}
 }
 
-// duties answers for one snapshot.
+// duties answers for this node.
 type duties struct {
 	self  fleet.VM
-	nodes []fleet.VM // of the zone, this one included
-	opt   GossipOptions
-}
-
-func newDuties(s *Snapshot, near []fleet.VM, o GossipOptions) *duties {
-	return &duties{self: s.Self.VM, nodes: append(append([]fleet.VM(nil), near...), s.Self.VM), opt: o}
+	share *Assignment
+	holds func() bool
 }
 
 // Watches implements Duties.
-func (d *duties) Watches(subject string) bool {
-	for _, vm := range d.opt.First(subject, d.nodes, d.opt.Watchers) {
-		if vm == d.self {
-			return true
-		}
-	}
-	return false
-}
+func (d *duties) Watches(subject string) bool { return d.share.Watches(d.self, subject) }
 
 // Leads implements Duties.
-func (d *duties) Leads(subject string) bool {
-	first := d.opt.First(subject, d.nodes, 1)
-	return len(first) > 0 && first[0] == d.self
-}
+func (d *duties) Leads(subject string) bool { return d.share.Leads(d.self, subject) }
 
 // Holds implements Duties.
-func (d *duties) Holds() bool { return d.opt.Holds != nil && d.opt.Holds() }
+func (d *duties) Holds() bool { return d.holds != nil && d.holds() }
--- a/internal/view/hearer.go
+++ b/internal/view/hearer.go
@@ -74,10 +74,10 @@
 		h.fact(&d.Facts[i])
 	}
 	for _, s := range d.Same {
-		h.put(told1{kind: "same", vm: s.VM, from: h.from, hash: s.Hash, at: h.ago(s.Age)})
+		h.put(toldProbe{kind: toldSame, vm: s.VM, from: h.from, hash: s.Hash, at: h.ago(s.Age)})
 	}
 	for _, f := range d.Failing {
-		h.put(told1{kind: "failing", vm: f.VM, from: h.from, at: h.ago(f.Age), failures: f.Failures})
+		h.put(toldProbe{kind: toldFailing, vm: f.VM, from: h.from, at: h.ago(f.Age), failures: f.Failures})
 	}
 	for i := range d.Loads {
 		h.put(toldOfLoad{from: h.from, at: h.sent, load: d.Loads[i]})
--- a/internal/view/remote.go
+++ b/internal/view/remote.go
@@ -11,10 +11,18 @@
 // word from there.
 const remoteForget = 30 * time.Second
 
-// told1 is one peer's word on the newest probe of a VM, which it names by hash:
-// "same" that the state with the hash was found, "failing" that none answered.
-type told1 struct {
-	kind     string
+// toldKind is what a peer says of its newest probe of a VM.
+type toldKind string
+
+const (
+	toldSame    toldKind = "same"    // the state with the hash was found
+	toldFailing toldKind = "failing" // none answered since an instant
+)
+
+// toldProbe is one peer's word on the newest probe of a VM, which it names by
+// hash.
+type toldProbe struct {
+	kind     toldKind
 	vm       uint32
 	from     fleet.VM
 	hash     uint64
@@ -57,7 +65,7 @@
 	state       wireUnmoved
 }
 
-func (e told1) subject() subject         { return subject{e.kind, hashKey(e.vm), e.from} }
+func (e toldProbe) subject() subject     { return subject{string(e.kind), hashKey(e.vm), e.from} }
 func (e toldOfLoad) subject() subject    { return subject{"told load", hashKey(e.load.VM), e.from} }
 func (e toldRow) subject() subject       { return subject{"row", string(e.row.Group.ID), e.from} }
 func (e remoteSummary) subject() subject { return subject{kind: "remote", id: string(e.group.ID)} }
@@ -83,13 +91,13 @@
 	return s.hashes[h]
 }
 
-func (s *State) applyTold(e told1) bool {
+func (s *State) applyTold(e toldProbe) bool {
 	v := s.byHash(e.vm)
 	if v == nil || !e.at.After(v.probe.Answered) {
 		return false
 	}
 	p := &v.probe
-	if e.kind == "failing" {
+	if e.kind == toldFailing {
 		p.fail(e.at, e.failures)
 		return true
 	}
--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -115,7 +115,7 @@
 		return s.applyRemote(e)
 	case unmoved:
 		return s.applyUnmoved(e)
-	case told1:
+	case toldProbe:
 		return s.applyTold(e)
 	case toldOfLoad:
 		return s.applyToldLoad(e)
