--- a/internal/group/measure_test.go
+++ b/internal/group/measure_test.go
@@ -9,6 +9,7 @@
 
 	"chervilloom/internal/config"
 	"chervilloom/internal/fleet"
+	"chervilloom/internal/lease"
 	"chervilloom/internal/view"
 )
 
@@ -129,6 +130,51 @@
 	return 0
 }
 
+// BenchmarkHolderDiesToo reports the time from the death of a member until its
+// group is whole again when the node that holds the zone's lease dies in the same
+// moment, for two terms of the lease and for a successor that comes first in rank
+// or second, as long as the others have not noticed that the holder is dead.
+func BenchmarkHolderDiesToo(b *testing.B) {
+	for _, term := range []time.Duration{3 * time.Second, 6 * time.Second} {
+		for _, rank := range []int{0, 1} {
+			b.Run(fmt.Sprintf("term-%v/rank-%d", term, rank), func(b *testing.B) {
+				var took []time.Duration
+				for n := range b.N {
+					for seed := range uint64(20) {
+						took = append(took, holderDies(rand.New(rand.NewPCG(seed, uint64(n))), term, rank))
+					}
+				}
+				slices.Sort(took)
+				b.ReportMetric(took[len(took)/2].Seconds(), "p50-s")
+				b.ReportMetric(took[len(took)-1].Seconds(), "max-s")
+			})
+		}
+	}
+}
+
+func holderDies(rng *rand.Rand, term time.Duration, rank int) time.Duration {
+	s := newSim(doc(8, 1), 2, 7, true, 10)
+	s.tick, s.trusted = 50*time.Millisecond, true
+	for i, n := range s.nodes {
+		n.every, n.planEvery = 6, 4
+		n.lease.Params = lease.DefaultParams(term)
+		n.lease.Rank = func() int { return i * rank }
+	}
+	s.run(15*time.Second + time.Duration(rng.Int64N(int64(term))))
+	holder := s.holder()
+	other := s.nodes[1-holder]
+	g := serving(other.Snapshot())[0]
+	s.nodes[holder].paused = true
+	s.engines.byAddr[g.Members[rng.IntN(8)].Addr].dead = true
+	died := s.clk.Now()
+	for {
+		s.run(s.tick)
+		if now := serving(other.Snapshot()); len(now) == 1 && now[0].Generation > g.Generation {
+			return s.clk.Now().Sub(died)
+		}
+	}
+}
+
 // BenchmarkLoadsAfterADarkDomain lets a domain with six groups of eight go dark
 // beside a free one, with a weight store that serves 16 VMs at full speed, 5 s
 // each, and reports when the groups serve again: the mean, the first and the
