Leases take the term that the configuration asks for

Cause: policy.lease was read by nobody. Ruled out: reading the term once at the start (no revision is known then). Change: lease.Manager follows Term; a row written before keeps its own term. Red without follow(): TestTermFollowsTheConfiguration. go test -race ./internal/lease: ok.

--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -39,6 +39,9 @@
 	// among the live nodes of the availability zone.
 	Rank func() int
 	Log  *slog.Logger
+	// Term returns the term that the configuration in force asks for; nil: the
+	// one in Params stays. A row written before the change keeps its own term.
+	Term func() time.Duration
 
 	mu   sync.Mutex
 	held Grant
@@ -84,6 +87,7 @@
 // Step reads the row where needed, decides once, acts, and returns how long to
 // pause before the next step.
 func (m *Manager) Step(ctx context.Context) time.Duration {
+	m.follow()
 	rank := m.Rank()
 	poll := m.Params.Term / 6
 	held := m.heldRaw()
@@ -106,6 +110,16 @@
 	return poll
 }
 
+// follow takes up a changed term.
+func (m *Manager) follow() {
+	if m.Term == nil {
+		return
+	}
+	if term := m.Term(); term != m.Params.Term {
+		m.Params = DefaultParams(term)
+	}
+}
+
 // read reports whether the row was read.
 func (m *Manager) read(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, m.Params.Term/3)
--- a/internal/lease/manager_test.go
+++ b/internal/lease/manager_test.go
@@ -252,3 +252,23 @@
 	is.Equal(tab.row.Version, uint64(3))
 	is.True(errors.Is(m.note(tab.row), errUnreadable))
 }
+
+// An operator makes the leases longer while one is held. The holder renews with
+// the new term, and the other node, which read the row, waits the new one out.
+func TestTermFollowsTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewManual(clock.Instant(time.Hour))
+	term := 6 * time.Second
+	m := manager(&table{clock: clk}, nodeA, clk, 0)
+	m.Term = func() time.Duration { return term }
+	m.Step(context.Background())
+	g, held := m.Held(clk.Now())
+	is.True(held)
+	is.Equal(g.Left(clk.Now()), 6*time.Second)
+	term = 30 * time.Second
+	clk.Advance(5 * time.Second)
+	m.Step(context.Background())
+	g, held = m.Held(clk.Now())
+	is.True(held)
+	is.Equal(g.Left(clk.Now()), 30*time.Second)
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -26,6 +26,7 @@
 	n.leases = &lease.Manager{
 		Duty: duty, Self: n.self, Params: lease.DefaultParams(defaultLease),
 		Table: n.platform, Clock: n.clock, Log: n.log,
+		Term: func() time.Duration { return n.policy().Lease.Or(defaultLease) },
 		Rank: func() int { return lease.Position(duty, n.self.VM, probe.ZoneNodes(n.view.Snapshot())) },
 	}
 	n.groups = group.New(group.Deps{
