Capacity: how many replicas of each spec, where, and why

Cause: the group planner needs targets that follow demand by time of day and weigh downtime against stranded accelerators as each user does. Change: package capacity: pure Decide (least expected cost of a second under the forecast and outages; up at once, down one at a time after a wait by the weights; greedy by saving per VM where specs compete; spread over zones), History by quarter-hours of a week with CBOR, advice on exporting KV cache before a drain. A property found that more demand could mean fewer replicas under weights that prize idle accelerators: the replicas that the mean demand fills now count as needed for sure. Conclusion: both users pay least under their own weights; the example weights and the trace are ours, not measured at the users'.

--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,334 @@
+package capacity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"chervilloom/internal/config"
+	"chervilloom/internal/fleet"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var noon = time.Date(2026, 3, 3, 12, 5, 0, 0, time.UTC)
+
+// input asks demand of one spec in three zones that hold the given replicas.
+func input(o config.Objective, demand float64, held ...int) Input {
+	in := traceInput(o, NewHistory(), noon, demand, 0, 0)
+	for i, n := range held {
+		in.Held[i].Replicas = n
+	}
+	return in
+}
+
+func TestTargets(t *testing.T) {
+	busy, dark := input(sagarmatha, 40, 2, 2, 2), input(sagarmatha, 40, 3, 3, 2)
+	dark.Zones[2].VMs = 0
+	bound := input(sagarmatha, 40)
+	bound.Config.Groups[0].Zones = []string{"z2"}
+	idle := input(lapwise, 0, 1, 1, 1)
+	idle.Held[0].Draining = 1
+	none := input(sagarmatha, 40)
+	none.Config = nil
+	cases := []struct {
+		name string
+		in   Input
+		want []int
+	}{
+		{"goes up at once and evenly", busy, []int{3, 3, 2}},
+		{"a dark zone's replicas go to the others", dark, []int{4, 4, 0}},
+		{"a spec stays in its zones", bound, []int{6}},
+		{"goes down one at a time", input(lapwise, 0, 1, 1, 2), []int{1, 1, 1}},
+		{"does not move a replica for an even spread", input(sagarmatha, 25, 3, 1, 1), []int{3, 1, 1}},
+		{"waits for the last one to drain", idle, []int{1, 1, 1}},
+		{"keeps its least", input(lapwise, 0, 1, 0, 0), []int{1, 0, 0}},
+		{"nothing is decided without a configuration", none, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			got := Decide(c.in)
+			is.Equal(len(got), len(c.want))
+			for i, n := range c.want {
+				is.Equal(got[i].Replicas, n)
+				is.True(got[i].Reason != "")
+			}
+		})
+	}
+}
+
+// The demand of a counter falls for a minute and comes back. A replica that was
+// drained in between has to load its weights again while the counter waits.
+func TestShortLullKeepsReplicas(t *testing.T) {
+	is := is.New(t)
+	h := NewHistory()
+	at, held := noon, 8
+	for range 30 {
+		h.Observe("s", WeekSlot(at), 40)
+		at = at.Add(time.Minute)
+	}
+	h.Observe("s", WeekSlot(at), 10)
+	is.True(sum(Decide(traceInput(sagarmatha, h, at, 10, held, 0))) >= held)
+	for range 120 {
+		at = at.Add(time.Minute)
+		h.Observe("s", WeekSlot(at), 10)
+		held = sum(Decide(traceInput(sagarmatha, h, at, 10, held, 0)))
+	}
+	is.True(held <= 4)
+}
+
+// The history knows that the counters open at eight. Replicas that are formed
+// only when the clerks have begun to ask are four minutes late.
+func TestForecastIsAheadOfTheOpening(t *testing.T) {
+	is := is.New(t)
+	tr := newTrace(1)
+	h := tr.learned()
+	at := traceStart.Add((learnWeeks*7 + 2) * 24 * time.Hour).Add(8*time.Hour + 20*time.Minute)
+	asked := shape(at)
+	for range 5 {
+		h.Observe("s", WeekSlot(at), asked)
+	}
+	f := h.series("s").soon(at, 40*time.Minute, asked)
+	is.True(f.mean > 1.1*asked)
+}
+
+// A holiday halves one Wednesday. The next Wednesday must not start with half
+// the replicas that it needs.
+func TestHolidayChangesTheUsualDayLittle(t *testing.T) {
+	is := is.New(t)
+	h := NewHistory()
+	for week := range 4 {
+		for slot := range WeekSlots {
+			demand := 40.0
+			if week == 3 && slot/SlotsPerDay == 3 {
+				demand = 20
+			}
+			h.Observe("s", slot, demand)
+		}
+	}
+	usual, known := h.series("s").usual(3*SlotsPerDay + 40)
+	is.True(known)
+	is.True(usual > 37)
+}
+
+func TestWeightsDecideHowMuchIsSpare(t *testing.T) {
+	is := is.New(t)
+	before := 0
+	for _, w := range []float64{1, 10, 100, 1000, 10000} {
+		n := sum(Decide(input(config.Objective{DowntimeWeight: w, StrandingWeight: 1}, 30)))
+		is.True(n >= before)
+		before = n
+	}
+	few := sum(Decide(input(lapwise, 30)))
+	many := sum(Decide(input(sagarmatha, 30)))
+	is.True(many > few)
+}
+
+// Whatever stranding weighs, a replica that the demand fills is not idle: it is
+// there, or callers wait for nothing saved.
+func TestFilledReplicasAreKeptUnderAnyWeights(t *testing.T) {
+	is := is.New(t)
+	o := config.Objective{DowntimeWeight: 1, StrandingWeight: 1}
+	is.True(sum(Decide(input(o, 30))) >= 4)
+}
+
+func TestHistoryRoundTrip(t *testing.T) {
+	is := is.New(t)
+	h := newTrace(2).learned()
+	data, err := h.Marshal()
+	is.NoErr(err)
+	is.True(len(data) < 8<<10)
+	back, err := Unmarshal(data)
+	is.NoErr(err)
+	again, err := back.Marshal()
+	is.NoErr(err)
+	is.Equal(string(again), string(data))
+	for cut := 0; cut < len(data); cut += 97 {
+		_, err := Unmarshal(data[:cut])
+		is.True(err != nil)
+	}
+}
+
+func TestImpossibleMeasuresAreNotLearned(t *testing.T) {
+	is := is.New(t)
+	h := NewHistory()
+	nan := 0.0
+	nan /= nan
+	for _, x := range []float64{nan, -1, 1e300} {
+		h.Observe("s", 5, x)
+	}
+	h.Observe("s", -1, 3)
+	h.Observe("s", WeekSlots, 3)
+	is.Equal(len(h.specs), 0)
+	is.Equal(sum(Decide(input(sagarmatha, nan))), 1)
+}
+
+func drawInput(t *rapid.T) Input {
+	in := Input{
+		Wall:    noon,
+		History: NewHistory(),
+		Config: &config.Document{Objective: config.Objective{
+			DowntimeWeight:  rapid.Float64Range(0, 1000).Draw(t, "downtime"),
+			StrandingWeight: rapid.Float64Range(0, 100).Draw(t, "stranding"),
+		}},
+	}
+	for z := range rapid.IntRange(1, 3).Draw(t, "zones") {
+		name := fleet.AvailabilityZone(fmt.Sprintf("z%d", z+1))
+		in.Zones = append(in.Zones, Zone{Name: name, VMs: rapid.IntRange(0, 30).Draw(t, "vms"), Accelerators: 2})
+	}
+	for i := range rapid.IntRange(1, 4).Draw(t, "specs") {
+		spec := config.GroupSpec{Name: fmt.Sprint("s", i), VMs: rapid.IntRange(1, 8).Draw(t, "size"), Min: rapid.IntRange(0, 3).Draw(t, "min")}
+		spec.Max = spec.Min + rapid.IntRange(0, 8).Draw(t, "more")
+		in.Config.Groups = append(in.Config.Groups, spec)
+		for _, z := range in.Zones {
+			in.Held = append(in.Held, Held{Spec: spec.Name, Zone: z.Name, Replicas: rapid.IntRange(0, 3).Draw(t, "held"), Draining: rapid.IntRange(0, 1).Draw(t, "draining")})
+			in.Demand = append(in.Demand, Demand{Spec: spec.Name, Zone: z.Name, Running: rapid.Float64Range(0, 60).Draw(t, "running")})
+		}
+	}
+	for range rapid.IntRange(0, 40).Draw(t, "observed") {
+		in.History.Observe("s0", rapid.IntRange(0, WeekSlots-1).Draw(t, "slot"), rapid.Float64Range(0, 60).Draw(t, "demand"))
+	}
+	return in
+}
+
+// Whatever is asked and held: no zone gets more replicas than its VMs make, no
+// spec more than its greatest number, and each spec its least number unless
+// there is no room for one more of it.
+func TestTargetsKeepTheBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := drawInput(t)
+		got := Decide(in)
+		free := make(map[fleet.AvailabilityZone]int)
+		for _, z := range in.Zones {
+			free[z.Name] = z.VMs
+		}
+		total := make(map[string]int)
+		for _, tg := range got {
+			spec := specOf(&in, tg.Spec)
+			free[tg.Zone] -= tg.Replicas * spec.VMs
+			total[tg.Spec] += tg.Replicas
+			if tg.Replicas < 0 {
+				t.Fatal("negative")
+			}
+		}
+		for z, n := range free {
+			if n < 0 {
+				t.Fatalf("zone %s is %d VMs short", z, -n)
+			}
+		}
+		for _, spec := range in.Config.Groups {
+			checkTotal(t, spec, total[spec.Name], free)
+		}
+	})
+}
+
+func checkTotal(t *rapid.T, spec config.GroupSpec, n int, free map[fleet.AvailabilityZone]int) {
+	if n > spec.Max {
+		t.Fatalf("%s: %d replicas over the most of %d", spec.Name, n, spec.Max)
+	}
+	for z, left := range free {
+		if n < spec.Min && left >= spec.VMs {
+			t.Fatalf("%s: %d replicas under the least of %d, with room in %s", spec.Name, n, spec.Min, z)
+		}
+	}
+}
+
+func specOf(in *Input, name string) *config.GroupSpec {
+	for i := range in.Config.Groups {
+		if in.Config.Groups[i].Name == name {
+			return &in.Config.Groups[i]
+		}
+	}
+	return nil
+}
+
+// With room for all, a decision takes at most one replica of a spec and none
+// while one drains; more demand never gives fewer replicas.
+func TestDownSlowlyAndMoreForMore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := drawInput(t)
+		for i := range in.Zones {
+			in.Zones[i].VMs = 1000
+		}
+		in.Config.Groups = in.Config.Groups[:1]
+		spec := in.Config.Groups[0]
+		held, draining := 0, 0
+		for _, h := range in.Held {
+			if h.Spec == spec.Name {
+				held, draining = held+h.Replicas, draining+h.Draining
+			}
+		}
+		n := sum(Decide(in))
+		least := min(held, spec.Max)
+		if draining == 0 {
+			least = min(held-1, spec.Max)
+		}
+		if n < least {
+			t.Fatalf("%d of %d held with %d draining", n, held, draining)
+		}
+		in.Demand[0].Running += 10
+		if more := sum(Decide(in)); more < n {
+			t.Fatalf("%d replicas for more demand, %d before", more, n)
+		}
+	})
+}
+
+func TestAdviseExport(t *testing.T) {
+	base := Export{
+		Group: "g", PrefillPerTok: 200 * time.Microsecond, BytesPerSecond: 1e9,
+		PerObject: 5 * time.Millisecond, Within: 10 * time.Second, Useful: 30 * time.Minute,
+	}
+	hot := Heat{Prefix: 1, Tokens: 4000, PerHour: 60, Bytes: 100e6}
+	cold, elsewhere, big := hot, hot, hot
+	cold.Prefix, cold.PerHour = 2, 0.1
+	elsewhere.Prefix, elsewhere.Held = 3, true
+	big.Prefix, big.Bytes = 4, 2e9
+	hotter := Heat{Prefix: 5, Tokens: 8000, PerHour: 60, Bytes: 100e6}
+	short, down := base, base
+	short.Within = 150 * time.Millisecond
+	down.BytesPerSecond = 0
+	cases := []struct {
+		name string
+		e    Export
+		heat []Heat
+		want []uint64
+		why  string
+	}{
+		{"hot ones pay, best first", base, []Heat{hot, cold, hotter}, []uint64{5, 1}, reasonExport},
+		{"not what another replica has", base, []Heat{elsewhere}, nil, reasonCold},
+		{"not what is dearer to move than to compute", base, []Heat{big}, nil, reasonCold},
+		{"only what the drain leaves time for", short, []Heat{hot, hotter}, []uint64{5}, reasonExport},
+		{"no rate is known", down, []Heat{hot}, nil, reasonNoRoute},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			c.e.Heat = c.heat
+			a := AdviseExport(c.e)
+			is.Equal(a.Prefixes, c.want)
+			is.Equal(a.Reason, c.why)
+			is.Equal(a.Saves > 0, len(c.want) > 0)
+		})
+	}
+}
+
+// Each user pays least with the decision made under its own weights.
+func TestOwnWeightsPayLeast(t *testing.T) {
+	is := is.New(t)
+	all := make([]result, len(contenders))
+	for i, c := range contenders {
+		all[i] = runAll(c, 1)
+	}
+	for u, user := range users {
+		for i := range all {
+			if i != u {
+				is.True(all[u].cost(user.objective) < all[i].cost(user.objective))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/capacity/place.go
@@ -0,0 +1,104 @@
+package capacity
+
+// stayBonus is what a replica that exists in a zone is worth against an even
+// spread, in replicas: a move costs a drain and a load of weights.
+const stayBonus = 1.5
+
+// floor is the VMs that are left in each zone.
+type floor struct{ free []int }
+
+func newFloor(in *Input) *floor {
+	f := &floor{free: make([]int, len(in.Zones))}
+	for i, z := range in.Zones {
+		f.free[i] = z.VMs
+	}
+	return f
+}
+
+// placeMinimum gives each spec its least number of replicas, in turns, so that
+// no spec takes the room of another one's first replica.
+func (f *floor) placeMinimum(plans []*plan) {
+	for more := true; more; {
+		more = false
+		for _, p := range plans {
+			if p.total < min(p.spec.Min, p.spec.Max) && f.place(p) {
+				more = true
+			}
+		}
+	}
+}
+
+// placeNeeded gives replicas to the specs that they save most, for each VM,
+// until no replica saves anything or no room is left.
+func (f *floor) placeNeeded(plans []*plan) {
+	full := make(map[*plan]bool)
+	for {
+		var best *plan
+		for _, p := range plans {
+			if !full[p] && p.gain() > 0 && (best == nil || p.gain() > best.gain()) {
+				best = p
+			}
+		}
+		if best == nil {
+			return
+		}
+		if !f.place(best) {
+			full[best] = true
+		}
+	}
+}
+
+// placeHeld keeps replicas that exist and are worth the wait.
+func (f *floor) placeHeld(plans []*plan) {
+	for _, p := range plans {
+		for p.total < p.kept() {
+			if !f.keep(p) {
+				break
+			}
+		}
+	}
+}
+
+// place puts one more replica of the spec into the zone that has fewest for its
+// share. It reports whether a zone had room.
+func (f *floor) place(p *plan) bool {
+	best, least := -1, 0.0
+	for k, z := range p.zones {
+		if f.free[z] < p.spec.VMs {
+			continue
+		}
+		level := float64(p.placed[k]+1) / max(p.share[k], 0.01) / float64(len(p.zones))
+		if p.held[k] > p.placed[k] {
+			level -= stayBonus
+		}
+		if best < 0 || level < least {
+			best, least = k, level
+		}
+	}
+	return f.take(p, best)
+}
+
+// keep puts one more replica into a zone that holds more than were placed.
+func (f *floor) keep(p *plan) bool {
+	best := -1
+	for k, z := range p.zones {
+		extra := p.held[k] - p.placed[k]
+		if extra <= 0 || f.free[z] < p.spec.VMs {
+			continue
+		}
+		if best < 0 || extra > p.held[best]-p.placed[best] {
+			best = k
+		}
+	}
+	return f.take(p, best)
+}
+
+func (f *floor) take(p *plan, k int) bool {
+	if k < 0 {
+		return false
+	}
+	f.free[p.zones[k]] -= p.spec.VMs
+	p.placed[k]++
+	p.total++
+	return true
+}
