Prefix shares by bytes; a new generation starts slowly

Cause: prefixes are hashed at blocks that double in length after 8 KiB, so that the number of prefixes overstated what a group holds of a long prompt; a group whose member was replaced kept the standing of the generation before, with a cold cache. Ruled out: passing block lengths in the request (the engine package knows them). Change: engine.PrefixBytes weighs the match; the life of a group's counters is boot id and generation. Conclusion: hints are right for long prompts as well.

--- a/internal/route/affinity.go
+++ b/internal/route/affinity.go
@@ -1,5 +1,7 @@
 package route
 
+import "chervilloom/internal/engine"
+
 const (
 	trustCached = 0.95 // cache events tell of the prefix
 	trustRecent = 0.9  // this node sent the prefix there lately
@@ -61,7 +63,22 @@
 			hi = mid - 1
 		}
 	}
-	return float64(lo) / float64(n)
+	return coverage(lo, n)
+}
+
+// covered holds the bytes that the first n prefixes of a prompt cover: blocks
+// grow with their distance from the start, so that the number of prefixes alone
+// would make a match of the first half look like half of a long prompt.
+var covered = func() (c [engine.MaxPrefixes + 1]float64) {
+	for n := range c {
+		c[n] = float64(engine.PrefixBytes(n))
+	}
+	return c
+}()
+
+// coverage returns the share of a prompt of n prefixes that the first lo cover.
+func coverage(lo, n int) float64 {
+	return covered[min(lo, engine.MaxPrefixes)] / covered[min(n, engine.MaxPrefixes)]
 }
 
 // creditRecent gives the candidates their share of the prompt that this node
@@ -74,7 +91,7 @@
 		}
 		for i := range cands {
 			if d.c.lanes[cands[i].entry].s == s {
-				cands[i].share = max(cands[i].share, trustRecent*float64(n)/float64(len(d.f.Prefix)))
+				cands[i].share = max(cands[i].share, trustRecent*coverage(n, len(d.f.Prefix)))
 			}
 		}
 	}
--- a/internal/route/counters.go
+++ b/internal/route/counters.go
@@ -48,7 +48,7 @@
 	own      int           // for a zone: in flight when its reports were true
 	begun    clock.Instant // newest begin
 	past     history
-	life     string
+	life     life
 	since    clock.Instant // seen able to serve in this life
 	seen     clock.Instant // last in a table
 	ramped   bool          // no slow start
@@ -114,8 +114,8 @@
 
 // restart begins another life: the latencies of the last one say nothing of
 // this one. What is in flight stays counted until it ends.
-func (s *state) restart(life string, now clock.Instant, first bool) {
-	*s = state{inflight: s.inflight, begun: s.begun, past: s.past, life: life, since: now, ramped: first}
+func (s *state) restart(l life, now clock.Instant, first bool) {
+	*s = state{inflight: s.inflight, begun: s.begun, past: s.past, life: l, since: now, ramped: first}
 }
 
 // begin charges a request to its destination.
--- a/internal/route/policy_test.go
+++ b/internal/route/policy_test.go
@@ -170,3 +170,38 @@
 		})
 	}
 }
+
+// Blocks of a long prompt grow with their distance from the start. A group that
+// holds 32 of 40 prefixes holds 8 KiB of 130 KiB, not four fifths of the prompt.
+func TestMatchCountsBytesNotPrefixes(t *testing.T) {
+	is := is.New(t)
+	req := modelRequest(fleet.Target{Model: "m"})
+	set := make(map[uint64]struct{})
+	for i := range uint64(40) {
+		req.Prefix = append(req.Prefix, i+1)
+		if i < 32 {
+			set[i+1] = struct{}{}
+		}
+	}
+	f := FactsOf(req, nil)
+	d := decision{f: &f}
+	is.True(d.match(set) < 0.1)
+	is.Equal(d.match(map[uint64]struct{}{}), 0.0)
+	set[40] = struct{}{}
+	is.Equal(d.match(set), 1.0)
+}
+
+// A member of a group is replaced; its leader has not restarted. The cache of
+// the new generation is cold: it starts slowly like a new group.
+func TestNewGenerationStartsSlowly(t *testing.T) {
+	is := is.New(t)
+	now := clock.NewManual(start)
+	r, s := router(now), threeGroups()
+	even := func(fleet.GroupID) (time.Duration, bool) { return 10 * time.Millisecond, true }
+	answers(r, now, s, 10, even)
+	s.Groups[1].Generation++
+	for i := range s.Groups {
+		s.Groups[i].Load.Running = 1
+	}
+	is.True(answers(r, now, s, 30, even)["g2"] < 8)
+}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -40,7 +40,7 @@
 type entry struct {
 	group      *view.Group // nil for an endpoint
 	vm         *view.VM    // nil for a group
-	life       string      // generation or boot; counters start afresh with another
+	life       life
 	hash       uint64
 	class      int32
 	kin        int32
@@ -50,6 +50,12 @@
 	slots      float64
 }
 
+// life is what an entry's counters are about; with another one they start afresh.
+type life struct {
+	boot       fleet.BootID
+	generation fleet.Generation
+}
+
 type nodeEntry struct {
 	vm   fleet.VM
 	hash uint64
@@ -178,7 +184,7 @@
 		class := c.class(classKey{ToGroup, g.Model})
 		c.table.entries = append(c.table.entries, entry{
 			group:      g,
-			life:       string(g.Members[0].Boot),
+			life:       life{g.Members[0].Boot, g.Generation},
 			hash:       xxhash.Sum64String(string(g.ID)),
 			class:      class,
 			kin:        c.kin(kinKey{class, g.Zone, g.Version}),
@@ -226,7 +232,7 @@
 		class := c.class(classKey{ToEndpoint, v.Record.Service})
 		c.table.entries = append(c.table.entries, entry{
 			vm:         v,
-			life:       string(v.Load.Boot),
+			life:       life{boot: v.Load.Boot},
 			hash:       xxhash.Sum64String(string(v.Record.VM)),
 			class:      class,
 			kin:        c.kin(kinKey{class, v.Record.Zone, ""}),
