--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -46,8 +46,8 @@
 // Zone is what an availability zone can hold.
 type Zone struct {
 	Name         fleet.AvailabilityZone
-	VMs          int // live engine VMs, free or in groups; 0: the zone is dark
-	Accelerators int // of one VM; 0 counts as 1
+	Domains      []int // live engine VMs of each fabric domain, free or in groups; none: the zone is dark
+	Accelerators int   // of one VM; 0 counts as 1
 }
 
 // Held is what exists of a spec in a zone.
@@ -115,8 +115,10 @@
 func (in *Input) accelerators() float64 {
 	sum, vms := 0, 0
 	for _, z := range in.Zones {
-		sum += z.VMs * max(1, z.Accelerators)
-		vms += z.VMs
+		for _, n := range z.Domains {
+			sum += n * max(1, z.Accelerators)
+			vms += n
+		}
 	}
 	if vms == 0 {
 		return 1
