Load report: refused means told as not run, all else failed

An answer of status 500 without a body, and errors that leave the outcome unknown, were counted as refused in the seconds of the report. Texts of refusals are no longer kept: they hold times that differ with each request.

--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -79,6 +79,7 @@
 	gaps    []time.Duration
 	tokens  int
 	outcome string
+	refused bool   // told by the system as not run
 	detail  string // for what is wrong or failed
 	tries   int
 }
@@ -231,6 +232,7 @@
 		return r, 0
 	}
 	r.outcome = fmt.Sprintf("%s (%s)", body.Error.Type, body.Error.Outcome)
+	r.refused = body.Error.Outcome == outcome.NotRun
 	r.detail = body.Error.Message
 	if body.Error.Outcome != outcome.NotRun {
 		return r, 0
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -64,8 +64,8 @@
 type Second struct {
 	Second  int `json:"second"` // from the start of the run
 	Whole   int `json:"whole"`
-	Refused int `json:"refused"`
-	Failed  int `json:"failed"` // wrong, cut, without answer or too late
+	Refused int `json:"refused"` // told as not run
+	Failed  int `json:"failed"`  // all else: wrong, cut, unknown, without answer or too late
 	NotSent int `json:"not_sent"`
 }
 
--- a/internal/load/report_test.go
+++ b/internal/load/report_test.go
@@ -35,7 +35,7 @@
 		case i%10 == 3:
 			r.outcome, r.detail = outcomeCut, "the stream ended without [DONE]"
 		case i%10 == 4:
-			r.outcome, r.detail, r.tries = "overloaded (not-run)", "the queue is full", 2
+			r.outcome, r.refused, r.tries = "overloaded (not-run)", true, 2
 		case i > 90:
 			r.outcome = outcomeNotSent
 		}
--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -75,9 +75,11 @@
 	t.retries += r.tries - 1
 	record(t.late, r.late)
 	k.tokens += r.tokens
-	if r.outcome == outcomeWhole {
+	switch {
+	case r.outcome == outcomeWhole:
 		record(k.total, r.total)
-	} else if len(k.details) < detailsKept || k.details[r.detail] > 0 {
+	case r.refused: // counted by kind; its text holds times that differ each time
+	case len(k.details) < detailsKept || k.details[r.detail] > 0:
 		k.details[r.detail]++
 	}
 	if r.first > 0 {
@@ -91,15 +93,15 @@
 // second counts the result in the second of its intended start.
 func (t *tally) second(r *result) {
 	s := &t.seconds[min(int(r.at/time.Second), len(t.seconds)-1)]
-	switch r.outcome {
-	case outcomeWhole:
+	switch {
+	case r.outcome == outcomeWhole:
 		s.Whole++
-	case outcomeNotSent:
+	case r.outcome == outcomeNotSent:
 		s.NotSent++
-	case outcomeWrong, outcomeCut, outcomeTransport, outcomeTimeout:
-		s.Failed++
-	default:
+	case r.refused:
 		s.Refused++
+	default:
+		s.Failed++
 	}
 }
 
