--- a/internal/admit/plan.go
+++ b/internal/admit/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"strings"
 
 	"chervilloom/internal/clock"
@@ -203,7 +202,7 @@
 	p := Pool{Name: name}
 	for i := range s.VMs {
 		v := &s.VMs[i]
-		if v.Record.Kind != fleet.KindService || v.Record.Service != name || v.Leaving {
+		if v.Record.Kind != fleet.KindService || v.Record.Service != name || v.Leaving || lost(s, v) {
 			continue
 		}
 		slots := v.Load.Slots
@@ -218,7 +217,8 @@
 	return p
 }
 
-// String returns the pool as explanations show it.
-func (p Pool) String() string {
-	return p.Name + " share " + strconv.FormatFloat(p.Share, 'f', 1, 64) + " of " + strconv.FormatFloat(p.Total, 'f', 0, 64)
+// lost reports whether the VM has not answered probes for longer than a late
+// answer explains. VMs that other zones watch are not probed from here.
+func lost(s *view.Snapshot, v *view.VM) bool {
+	return v.Probe.Failing != 0 && s.At.Sub(v.Probe.Failing) >= capacityGrace
 }
