peer, node: seeds are asked who they are

Cause: a seed of the settings is an address without a VM, and a link checks the name of the VM that answers: 'VM "entry-1" answers at the address of ""'. All seeds also shared one link. A node that started while the platform was down met nobody and never became ready. The node now asks each seed for its name until it has answered, and goes on with the link that this made. Not covered: seeds are tried until each has answered once.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,6 +71,7 @@
 	members   *membership.Service
 	replaced  chan fleet.Node
 	directory *discovery.Directory
+	contacts  contacts
 	view      *view.Merger
 	lists     *view.ListPoller
 	gossip    *view.Gossip
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -70,22 +70,6 @@
 	n.found(nil)
 }
 
-// found passes the addresses of possible members on, the settings' seeds among
-// them. A seed has no VM name until it answers.
-func (n *Node) found(peers []peer.Peer) {
-	n.mesh.SetPeers(peers)
-	var seeds []membership.Seed
-	for _, p := range peers {
-		seeds = append(seeds, membership.Seed{VM: p.VM, Zone: p.Zone, Addr: p.Addr})
-	}
-	for _, s := range n.set.Seeds {
-		seeds = append(seeds, membership.Seed{Addr: s.String()})
-	}
-	if !n.members.SetSeeds(seeds) {
-		n.log.Warn("the list of nodes was dropped; the next look brings it again")
-	}
-}
-
 // listed hands each list of VMs to discovery as well.
 type listed struct {
 	list      view.Lister
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -62,6 +62,7 @@
 func (n *Node) startBackground(s *stage) {
 	s.start("peer links", n.mesh.Run)
 	s.start("membership", n.members.Run)
+	s.start("seeds", n.meetSeeds)
 	s.start("one process for the VM", n.watchReplaced)
 	s.start("view", n.view.Run)
 	s.start("list of VMs", n.lists.Run)
