--- a/test/caller_test.go
+++ b/test/caller_test.go
@@ -224,14 +224,20 @@
 	post(t, addr, "/faults", set)
 }
 
-// executions returns the counts of what ran at an endpoint.
-func (e *endpoint) executions(t *testing.T) map[string]int {
+// get reads JSON from a stand-in.
+func get(t *testing.T, addr, path string, v any) {
 	t.Helper()
-	res, err := http.Get("http://" + e.addr + "/executions")
+	res, err := http.Get("http://" + addr + path)
 	must(t, err)
 	defer res.Body.Close()
+	must(t, json.NewDecoder(res.Body).Decode(v))
+}
+
+// executions returns the counts of what ran at an endpoint.
+func (e *endpoint) executions(t *testing.T) map[string]int {
+	t.Helper()
 	counts := map[string]int{}
-	must(t, json.NewDecoder(res.Body).Decode(&counts))
+	get(t, e.addr, "/executions", &counts)
 	return counts
 }
 
