--- a/test/claims_test.go
+++ b/test/claims_test.go
@@ -34,6 +34,7 @@
 	work.Go(func() {
 		for ctx.Err() == nil {
 			w.look(ctx)
+			time.Sleep(5 * time.Millisecond) // leaves the processor to the fleet
 		}
 	})
 	return func() {
