--- a/test/config_test.go
+++ b/test/config_test.go
@@ -137,22 +137,45 @@
 }
 
 // A node restarts while the platform is down. It knows no revision and is not
-// ready until a peer, found by its seeds, tells it the one in force; then it
-// answers callers.
+// ready until a peer, found by its seeds, tells it the one in force.
 func TestRestartWhilePlatformIsDownLearnsFromPeers(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, plan{zones: []string{zoneA, zoneB, zoneC}, services: 1})
 	doc := f.weighted(40)
 	revision := f.accept(f.nodes[0], 1, doc)
 	f.inForce(revision, doc, f.nodes...)
-
-	faults(t, f.store, map[string]any{"down": "unavailable"})
-	n := f.nodes[2]
-	n.kill()
-	n.start(t, f.nodes[0].peer, f.nodes[1].peer)
+	n := f.restartWithoutPlatform()
 	f.inForce(revision, doc, n)
 	f.await(n, "the node is ready", func(s operator.Status) bool { return s.Ready })
-	f.awaitLookup(n)
+}
+
+// restartWithoutPlatform takes the platform down and kills and starts the last
+// node, which has the others as seeds.
+func (f *testFleet) restartWithoutPlatform() *node {
+	f.t.Helper()
+	faults(f.t, f.store, map[string]any{"down": "unavailable"})
+	n := f.nodes[len(f.nodes)-1]
+	n.kill()
+	n.start(f.t, f.nodes[0].peer, f.nodes[1].peer)
+	return n
+}
+
+// A node of a zone without engines restarts while the platform is down. Callers
+// get models through it, because the other zones' nodes tell it of their groups.
+func TestRestartedNodePassesModelsOnWithoutPlatform(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, plan{zones: []string{zoneA, zoneB, zoneC}, engines: 4})
+	f.restartWithoutPlatform()
+	f.mustAnswer()
+}
+
+// A node of a zone without services restarts while the platform is down, and a
+// node of the zone that has them goes on serving. Callers get lookups through
+// the restarted node: what one node can do, the others can pass on.
+func TestRestartedNodePassesLookupsOnWithoutPlatform(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, plan{zones: []string{zoneA, zoneB, zoneC}, services: 1})
+	f.awaitLookup(f.restartWithoutPlatform())
 }
 
 // The platform's store is rolled back to a copy of before the newest revisions.
