--- a/internal/console/edit_test.go
+++ b/internal/console/edit_test.go
@@ -65,6 +65,19 @@
 	is.Equal(f.revisions[1].Author, "asha")
 }
 
+// A new deployment has no revision yet: the first document is written from the
+// start and becomes revision 1.
+func TestFirstDocument(t *testing.T) {
+	is := is.New(t)
+	f := &fakeFleet{}
+	b := login(t, serve(t, f), ashaToken)
+	is.Equal(b.get("/console/").status, http.StatusOK)
+	is.Equal(b.get("/console/history").status, http.StatusOK)
+	is.Equal(b.get("/console/edit/models").form(t, "/console/edit").Get("draft"), crlf(firstDocument))
+	is.Equal(b.accept(b.preview("text", "draft", crlf(testDocument))).path, "/console/revisions/1")
+	is.Equal(f.documents, []string{testDocument})
+}
+
 func TestAddAndRemoveElements(t *testing.T) {
 	is := is.New(t)
 	f := newFakeFleet()
--- a/internal/console/fake_test.go
+++ b/internal/console/fake_test.go
@@ -97,6 +97,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := len(f.documents)
+	if n == 0 {
+		return operator.ConfigView{}
+	}
 	return operator.ConfigView{Revision: uint64(n), Document: f.documents[n-1]}
 }
 
