Console overview follows the status; the test renders every list

Cause: the status names an organisation's caps and shares now, and the overview still asked for the old field, which a template finds only when it runs: with an organisation in the document the page answered 500. The test through real nodes found it (500 where 200 was expected); the page test had no organisation in its status and looked for scripts only. It now has one and refuses a 500; it was red with the old template.

An endpoint that another zone watches goes by its own state.

--- a/internal/console/edit_test.go
+++ b/internal/console/edit_test.go
@@ -150,7 +150,8 @@
 	f.status.Nodes = []operator.NodeStatus{{Node: evil, State: evil}}
 	f.status.Groups = []operator.GroupStatus{{Group: evil, Reason: evil, Model: evil, VMs: []string{evil}}}
 	f.status.Endpoints = []operator.EndpointStatus{{VM: evil, State: evil, Group: evil, Domain: evil}}
-	f.status.Duties = []operator.DutyStatus{{Duty: evil}}
+	f.status.Duties = []operator.DutyStatus{{Duty: evil}, {Duty: "groups/z", Held: true}}
+	f.status.Limits = []operator.LimitStatus{{Organisation: evil, Rate: 50, RateShare: 0.5}}
 	f.explained = operator.Explanation{Unreached: []string{evil}, Steps: []explain.Step{
 		{Stage: evil, Decision: evil, Reason: evil, Node: evil, Facts: []explain.Fact{{Name: evil, Value: evil}}},
 	}}
@@ -163,9 +164,24 @@
 		b.preview("organisations", "organisations[0].name", evil, "organisations[0].key_hashes", evil, "organisations[0].weight", evil),
 	} {
 		is.New(t).True(!strings.Contains(p.body, "<script"))
+		is.New(t).True(p.status != http.StatusInternalServerError)
 	}
 }
 
+// A node does not watch the endpoints of other availability zones. They are no
+// warning on its overview, which would have warnings only otherwise.
+func TestEndpointsElsewhereAreNoWarning(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet()
+	f.status.Endpoints = []operator.EndpointStatus{{VM: "engine-1", State: "elsewhere", Zone: "lalitpur", SeenAgo: -1}}
+	b := login(t, serve(t, f), ashaToken)
+	page := b.get("/console/").body
+	is.True(strings.Contains(page, "watched in lalitpur"))
+	f.status.Endpoints[0].State = "failing"
+	is.True(strings.Contains(b.get("/console/").body, `<span class="warn">failing</span>`))
+	is.True(!strings.Contains(page, `<span class="warn">elsewhere`))
+}
+
 func TestDrainAsksFirst(t *testing.T) {
 	is := is.New(t)
 	f := newFakeFleet()
--- a/internal/console/export_test.go
+++ b/internal/console/export_test.go
@@ -15,7 +15,9 @@
 func LogIn(t *testing.T, base, token string) Operator {
 	t.Helper()
 	b := newBrowser(t, base)
-	is.New(t).Equal(b.login(token).path, "/console/")
+	page := b.login(token)
+	is.New(t).Equal(page.path, "/console/")
+	is.New(t).Equal(page.status, http.StatusOK)
 	return Operator{b}
 }
 
--- a/internal/console/render.go
+++ b/internal/console/render.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"embed"
+	"fmt"
 	"html/template"
 	"net/http"
 	"time"
@@ -39,7 +40,16 @@
 	return d.Round(ageUnit).String()
 }
 
-var templates = template.Must(template.New("").Funcs(template.FuncMap{"age": age}).ParseFS(templateFiles, "templates/*.html"))
+// capped shows a cap over all nodes, and the share of it that this node hands
+// out now.
+func capped(limit, share float64) string {
+	if limit == 0 {
+		return "no cap"
+	}
+	return fmt.Sprintf("%g/s, %.0f%% of it here", limit, 100*share)
+}
+
+var templates = template.Must(template.New("").Funcs(template.FuncMap{"age": age, "capped": capped}).ParseFS(templateFiles, "templates/*.html"))
 
 // render writes a page whole or, when its template fails, an error: a page cut
 // in the middle could show a form without its base revision.
