--- a/internal/console/accept.go
+++ b/internal/console/accept.go
@@ -85,9 +85,8 @@
 	Message string
 	Theirs  []change // since the draft's base
 	Mine    []change
-	Unread  string   // why the changes cannot be shown
-	Clashes []clash  // not empty: to decide
-	Options []string // of a clash
+	Unread  string  // why the changes cannot be shown
+	Clashes []clash // not empty: to decide
 }
 
 func (c *console) conflict(w http.ResponseWriter, r *http.Request, s session, d draft, current uint64, message string) {
