--- a/test/scale/path_test.go
+++ b/test/scale/path_test.go
@@ -45,6 +45,17 @@
 	return 0
 }
 
+// unanswered logs what became of the requests that got no whole answer, and
+// returns their number.
+func unanswered(b *testing.B, r *load.Report) int {
+	b.Helper()
+	n := r.Sent + r.NotSent - answered(r)
+	if n > 0 {
+		b.Logf("outcomes %v, details %v", r.Kinds[0].Outcomes, r.Kinds[0].Details)
+	}
+	return n
+}
+
 // BenchmarkAdded compares lookups through a node with lookups at the service
 // itself, in turn and in one run; each side gets the rate.
 func BenchmarkAdded(b *testing.B) {
@@ -73,7 +84,8 @@
 	}
 	b.ReportMetric(float64(direct.Kinds[0].Total.P50), "direct-p50-us")
 	b.ReportMetric(float64(direct.Kinds[0].Total.P99), "direct-p99-us")
-	b.ReportMetric(float64(node.Sent-answered(node)+direct.Sent-answered(direct)), "not-ok")
+	b.ReportMetric(float64(unanswered(b, node)), "not-ok")
+	b.ReportMetric(float64(unanswered(b, direct)), "direct-not-ok")
 	b.ReportMetric(loadAverage(b), "machine-load")
 	b.ReportMetric(0, "ns/op")
 }
@@ -111,7 +123,7 @@
 		b.ReportMetric(s.core(), "core%")
 		b.ReportMetric(s.to.memory/1e6, "MB")
 		b.ReportMetric(float64(ok)/loadTime.Seconds(), "answered/s")
-		b.ReportMetric(float64(r.Sent+r.NotSent-ok), "not-ok")
+		b.ReportMetric(float64(unanswered(b, r)), "not-ok")
 		b.ReportMetric(float64(r.Kinds[0].Tokens)/float64(max(ok, 1)), "tokens/request")
 		b.ReportMetric(float64(r.Kinds[0].Total.P50), "p50-us")
 		b.ReportMetric(float64(r.Kinds[0].Total.P99), "p99-us")
@@ -149,7 +161,7 @@
 		b.ReportMetric(held, "held")
 		b.ReportMetric((at.memory-before.memory)/1e3/max(held, 1), "KB/stream")
 		b.ReportMetric(at.memory/1e6, "MB")
-		b.ReportMetric(float64(r.Sent+r.NotSent-answered(r)), "not-ok")
+		b.ReportMetric(float64(unanswered(b, r)), "not-ok")
 		b.ReportMetric(loadAverage(b), "machine-load")
 	}
 	b.ReportMetric(0, "ns/op")
