Callers' interface: truth of early refusals, bodies of strangers, impossible statuses

Cause: three faults found by reading the path as an adversary, each shown red first (refuse_test.go). - A node that shuts down, or refuses a body, told a repeat under a key or ticket 'not-run' although an earlier try may have run; the rule that once.Refusal states was not kept here. Red: not-run != unknown. - The body of a caller without a known key was read whole, up to the bound and without a time limit, before the key was looked at. The key comes first now. Red: the test hung until its timeout. - A status below 200 or above 999 made net/http panic after the answer had been marked finished; the caller got an empty 200. Start refuses it. Red: 200 != 500. Ruled out: http.Server.ReadTimeout, which would cut long streams; full duplex, which still waits for the body after the answer.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -25,6 +25,7 @@
 	"chervilloom/internal/clock"
 	"chervilloom/internal/filter"
 	"chervilloom/internal/fleet"
+	"chervilloom/internal/once"
 	"chervilloom/internal/outcome"
 	"chervilloom/internal/request"
 	"chervilloom/internal/view"
@@ -33,7 +34,7 @@
 // Header names between callers and the system.
 const (
 	HeaderRequest = "Chervilloom-Request" // id of the request, in every answer
-	HeaderTicket  = "Chervilloom-Ticket"
+	HeaderTicket  = once.TicketHeader
 	HeaderKey     = "Idempotency-Key"
 	HeaderResume  = "Last-Event-Id"
 	headerCallers = "X-Request-Id"
@@ -61,8 +62,8 @@
 	Ready func() (bool, string)
 	// Tickets answers POST /tickets.
 	Tickets http.Handler
-	// Authorise tells whose key a header carries, for the paths that do not
-	// go through Handler.
+	// Authorise tells whose key a header carries. It is asked before a body is
+	// read, and for the paths that do not go through Handler.
 	Authorise func(http.Header) (fleet.Organisation, *outcome.Error)
 	// Notice is how long Drain goes on accepting requests, so that balancers
 	// can see that the node is not ready.
@@ -127,7 +128,7 @@
 		w.Header().Set(HeaderRequest, id)
 		if s.flight.enter() == phaseClosed {
 			s.closing(w.Header())
-			writeError(w, shuttingDown(), id)
+			s.refuseTry(w, r, shuttingDown(), id)
 			return
 		}
 		defer s.flight.leave()
@@ -157,9 +158,13 @@
 	arrived := s.opt.Clock.Now()
 	ctx, span := s.span(r, id)
 	defer span.End()
+	if err := s.admitBody(w, r); err != nil {
+		s.refuseTry(w, r, err, id)
+		return
+	}
 	body, err := s.readBody(w, r)
 	if err != nil {
-		s.refuse(w, r, err, id)
+		s.refuseTry(w, r, err, id)
 		return
 	}
 	req := newRequest(ctx, r, id, arrived, body)
@@ -200,6 +205,23 @@
 	return ctx, span
 }
 
+// admitBody refuses a caller without a known key before the body is read. The
+// bodies that strangers send slowly over many connections would otherwise fill
+// the memory until callers with keys are cut off; of those who have a key, the
+// limits of their organisation come next. The read deadline keeps net/http,
+// which reads what is left of a body before it answers, from waiting for it.
+func (s *Server) admitBody(w http.ResponseWriter, r *http.Request) *outcome.Error {
+	if s.opt.Authorise == nil {
+		return nil
+	}
+	_, err := s.opt.Authorise(r.Header)
+	if err != nil && r.ContentLength != 0 {
+		http.NewResponseController(w).SetReadDeadline(time.Now())
+		w.Header().Set("Connection", "close")
+	}
+	return err
+}
+
 // readBody reads the whole body: nothing is sent anywhere before the request
 // is complete, so a caller that fails half-way is "not run".
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *outcome.Error) {
@@ -232,6 +254,13 @@
 	return req
 }
 
+// refuseTry refuses a call before its key or ticket was looked up: "not-run" of
+// this try would be false of the call when an earlier try may have run.
+func (s *Server) refuseTry(w http.ResponseWriter, r *http.Request, err *outcome.Error, id string) {
+	try := &request.Request{Header: r.Header, Key: r.Header.Get(HeaderKey), Ticket: r.Header.Get(HeaderTicket)}
+	s.refuse(w, r, once.Refusal(try, err), id)
+}
+
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, err *outcome.Error, id string) {
 	s.metrics.refused.WithLabelValues(string(err.Kind)).Inc()
 	s.opt.Log.LogAttrs(r.Context(), slog.LevelInfo, "request refused",
--- /dev/null
+++ b/internal/accept/refuse_test.go
@@ -0,0 +1,91 @@
+package accept
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"chervilloom/internal/answer"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/once"
+	"chervilloom/internal/outcome"
+	"chervilloom/internal/request"
+)
+
+// A clerk repeats a receipt under its key after the first answer was lost, and
+// the repeat meets a node that shuts down, or is refused for its body. This
+// try did not run, but the first one may have: told "not-run", the clerk would
+// send it under a new key and issue two receipts.
+func TestRefusedRepeatIsNotToldNotRun(t *testing.T) {
+	long := strings.Repeat("x", 2000)
+	cases := []struct {
+		name, body string
+		closed     bool
+		header     []string
+		want       outcome.Outcome
+	}{
+		{"closing, key", "", true, []string{HeaderKey, "k"}, outcome.Unknown},
+		{"closing, ticket", "", true, []string{HeaderTicket, "t"}, outcome.Unknown},
+		{"closing, key, vouched first", "", true, []string{HeaderKey, "k", once.KeyStateHeader, once.KeyStateFirst}, outcome.NotRun},
+		{"closing, no key", "", true, nil, outcome.NotRun},
+		{"too long, key", long, false, []string{HeaderKey, "k"}, outcome.Unknown},
+		{"too long, no key", long, false, nil, outcome.NotRun},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			s, url := serve(t, echo, nil)
+			if tc.closed {
+				is.NoErr(s.Drain(context.Background()))
+			}
+			resp := do(t, "POST", url+"/services/counter/receipts", strings.NewReader(tc.body), tc.header...)
+			is.True(resp.StatusCode >= 400)
+			is.Equal(resp.Header.Get(outcome.Header), string(tc.want))
+			is.Equal(told(t, resp.Body).Error.Outcome, tc.want)
+		})
+	}
+}
+
+// Somebody without a key opens many connections and sends long bodies slowly.
+// Each is refused by its header alone: read first, the bodies of strangers
+// would fill the node's memory and callers with keys would be cut off.
+func TestStrangersBodyIsNotRead(t *testing.T) {
+	is := is.New(t)
+	served := false
+	_, url := serve(t, func(context.Context, *request.Request, answer.Writer) { served = true }, func(o *Options) {
+		o.Authorise = func(http.Header) (fleet.Organisation, *outcome.Error) {
+			return "", outcome.New(outcome.Unauthorised, outcome.NotRun, "the key is not known", "check the key")
+		}
+	})
+	endless, end := io.Pipe() // gives nothing until the answer has come
+	defer end.Close()
+	resp := do(t, "POST", url+chatPath, io.MultiReader(bytes.NewReader([]byte("{")), endless))
+	is.Equal(resp.StatusCode, http.StatusUnauthorized)
+	is.True(resp.Close) // what is left of the body is not waited for
+	is.Equal(told(t, resp.Body).Error.Type, outcome.Unauthorised)
+	is.True(!served)
+}
+
+// The path ends an answer with a status that HTTP has no answer for, as an
+// endpoint's "000" would be. net/http panics on it; the caller must be told of
+// a failure and not be given an empty success.
+func TestImpossibleStatusIsNoSuccess(t *testing.T) {
+	for _, status := range []int{0, 99, 101, 103, 1000} {
+		for _, stream := range []bool{false, true} {
+			is := is.New(t)
+			_, url := serve(t, func(_ context.Context, _ *request.Request, w answer.Writer) {
+				w.Start(answer.Head{Status: status, Stream: stream, Header: http.Header{"Content-Encoding": {"gzip"}}})
+				w.Finish(answer.End{Whole: true})
+			}, nil)
+			resp := do(t, "GET", url+"/services/counter/x", nil)
+			is.Equal(resp.StatusCode, http.StatusInternalServerError)
+			is.Equal(resp.Header.Get(outcome.Header), string(outcome.Unknown))
+			is.Equal(told(t, resp.Body).Error.Type, outcome.Internal)
+		}
+	}
+}
--- a/internal/accept/writer.go
+++ b/internal/accept/writer.go
@@ -46,10 +46,23 @@
 // be told from a whole one: it is held back to its end.
 const roomHTTP10 = 64 << 20
 
+// The statuses that an answer can have. net/http panics on one that has not
+// three digits, and takes those below 200 for what comes before an answer: the
+// caller would get an empty success.
+const (
+	minStatus = 200
+	maxStatus = 999
+)
+
+var errStatus = errors.New("accept: the path gave a status that no answer has; look up which endpoint answered")
+
 var errTooLong = errors.New("accept: the answer is too long for HTTP/1.0; have the caller use HTTP/1.1")
 
 // Start takes the head of the answer.
 func (w *writer) Start(h answer.Head) error {
+	if h.Status < minStatus || h.Status > maxStatus {
+		return errStatus
+	}
 	w.head, w.started = h, true
 	if h.Stream || w.isFeed() {
 		return w.open()
@@ -191,7 +204,7 @@
 }
 
 func bodyAllowed(status int) bool {
-	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
+	return status != http.StatusNoContent && status != http.StatusNotModified
 }
 
 // tellCut tells within a stream why it ends here. The connection is aborted
