--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -32,7 +32,6 @@
 	DissolveAfter time.Duration // a group that cannot be repaired is dissolved after this
 	DrainSettle   time.Duration // all nodes know of a drain after this
 	DrainLimit    time.Duration // a drain that takes longer is cut
-	LeaveLimit    time.Duration // the same when a member is leaving: the VM will not wait
 	LoadLimit     time.Duration // a member that has loaded for longer is started anew
 	LoadsAtOnce   int           // VMs of the zone that load weights at once
 	// UnfencedSettle is how long after taking a lease over from another node
@@ -41,12 +40,17 @@
 	UnfencedSettle time.Duration
 }
 
+// drainLimit is longer than the longest deadline that a request may have (30
+// minutes), so that a drain cuts nothing that its caller still waits for. A VM
+// that is gone before that ends the drain at once: its group is broken.
+const drainLimit = 31 * time.Minute
+
 // DefaultTune returns the defaults.
 func DefaultTune() Tune {
 	return Tune{
 		DeadAfter: 1500 * time.Millisecond, DeadProbes: 3, StaleAfter: 3 * time.Second,
 		MissingAfter: 30 * time.Second, DissolveAfter: time.Minute,
-		DrainSettle: 3 * time.Second, DrainLimit: 10 * time.Minute, LeaveLimit: 30 * time.Second,
+		DrainSettle: 3 * time.Second, DrainLimit: drainLimit,
 		LoadLimit: 10 * time.Minute, LoadsAtOnce: 16, UnfencedSettle: 2 * time.Second,
 	}
 }
--- a/internal/group/repair.go
+++ b/internal/group/repair.go
@@ -28,15 +28,11 @@
 	g := &it.row.Group
 	began := since(p.mem.draining, g.ID, p.in.Now)
 	took := p.in.Now.Sub(began)
-	limit := p.in.Tune.DrainLimit
-	if it.assess.state == fading {
-		limit = p.in.Tune.LeaveLimit
-	}
 	leader := p.vms[g.Members[0].VM]
 	switch {
 	case it.assess.state == broken || it.assess.state == dark:
 		return "draining, and " + it.assess.reason, true
-	case took > limit:
+	case took > p.in.Tune.DrainLimit:
 		return "the drain took too long", true
 	case leader == nil || leader.Load.Boot != g.Members[0].Boot || leader.Load.Running+leader.Load.Waiting > 0:
 		return "", false
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"chervilloom/internal/capacity"
 	"chervilloom/internal/config"
 	"chervilloom/internal/engine"
 	"chervilloom/internal/fleet"
@@ -29,9 +30,13 @@
 		Term: func() time.Duration { return n.policy().Lease.Or(defaultLease) },
 		Rank: func() int { return lease.Position(duty, n.self.VM, probe.ZoneNodes(n.view.Snapshot())) },
 	}
+	n.capacity = capacity.NewTracker(capacity.Options{
+		Zone: n.set.Zone, Clock: n.clock, Objects: n.platform, Log: n.log, Explain: n.explained, Registerer: n.reg,
+	})
 	n.groups = group.New(group.Deps{
 		Zone: n.set.Zone, Table: n.platform, Orders: n.engines, Lease: n.leases,
 		View: n.view, Sink: n.view, Clock: n.clock, Explain: n.explained, Log: n.log, Registry: n.reg,
+		Targets: n.capacity.Targets,
 	})
 	n.buildGossip()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 
 	"chervilloom/internal/accept"
 	"chervilloom/internal/admit"
+	"chervilloom/internal/capacity"
 	"chervilloom/internal/clock"
 	"chervilloom/internal/discovery"
 	"chervilloom/internal/dispatch"
@@ -78,6 +79,7 @@
 	prober    *probe.Prober
 	leases    *lease.Manager
 	groups    *group.Reconciler
+	capacity  *capacity.Tracker
 	config    *revision.Keeper
 	explained *explain.Store
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -39,6 +39,7 @@
 	n.startBackground(background)
 	leases.start("leases", n.leases.Run)
 	duties.start("groups", n.groups.Run)
+	duties.start("demand", n.capacity.Run)
 	callers := n.serve(background, "callers", n.accept, n.caller)
 	operators := n.serve(background, "operators", n.operatorHandler(), n.operator)
 
