--- a/internal/node/path.go
+++ b/internal/node/path.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"chervilloom/internal/accept"
@@ -21,8 +20,6 @@
 	"chervilloom/internal/view"
 )
 
-var errNoSecret = errors.New("node: peer.secret is needed besides certificate files: tickets are authenticated by it")
-
 // buildPath joins the filters of the request path. A caller's request goes
 // through all of them; one that another node passed on enters at the stage that
 // it names.
@@ -60,9 +57,6 @@
 	if err != nil {
 		return err
 	}
-	if secret == nil {
-		return errNoSecret
-	}
 	n.once, err = once.New(once.Options{
 		Self: n.self, Table: n.platform, Peers: n.mesh, View: n.view, Clock: n.clock,
 		Log: n.log, Explain: n.explained, Registerer: n.reg, Secret: secret,
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -41,17 +41,17 @@
 	return nil
 }
 
-// identity makes the node's certificate from the deployment's secret, or reads
-// it from the files that the settings name.
+// identity reads the node's certificate from the files that the settings name,
+// or makes one from the deployment's secret.
 func (n *Node) identity() (peer.Identity, error) {
+	if p := n.set.Peer; p.CertFile != "" {
+		return peer.IdentityFromFiles(p.CertFile, p.KeyFile, p.CAFile)
+	}
 	secret, err := n.set.PeerSecret()
 	if err != nil {
 		return peer.Identity{}, err
 	}
-	if secret != nil {
-		return peer.IdentityFromSecret(n.self.VM, secret)
-	}
-	return peer.IdentityFromFiles(n.set.Peer.CertFile, n.set.Peer.KeyFile, n.set.Peer.CAFile)
+	return peer.IdentityFromSecret(n.self.VM, secret)
 }
 
 func (n *Node) buildDiscovery() {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -92,15 +92,14 @@
 }
 
 func (c checker) peer(p *Peer) {
-	const choice = "write exactly one of peer.secret_file, peer.secret, or peer.cert_file with key_file and ca_file"
-	files := p.CertFile != "" || p.KeyFile != "" || p.CAFile != ""
-	ways := count(p.Secret != "", p.SecretFile != "", files)
-	if ways == 0 {
-		c.Addf("peer", choice, "nothing tells the nodes how to know each other")
-		return
-	}
-	if ways > 1 {
-		c.Addf("peer", choice, "more than one way for the nodes to know each other")
+	const choice = "write exactly one of peer.secret_file and peer.secret"
+	switch {
+	case p.Secret == "" && p.SecretFile == "":
+		// Certificates do not stand for it: tickets and operators' sessions are
+		// authenticated by the secret as well.
+		c.Addf("peer", choice, "the deployment's secret is missing")
+	case p.Secret != "" && p.SecretFile != "":
+		c.Addf("peer", choice, "the deployment's secret is given twice")
 	}
 	if p.Secret != "" {
 		if err := checkSecret(p.Secret); err != nil {
@@ -108,23 +107,13 @@
 		}
 	}
 	c.file("peer.secret_file", p.SecretFile)
-	if files {
+	if p.CertFile != "" || p.KeyFile != "" || p.CAFile != "" {
 		c.requiredFile("peer.cert_file", p.CertFile)
 		c.requiredFile("peer.key_file", p.KeyFile)
 		c.requiredFile("peer.ca_file", p.CAFile)
 	}
 }
 
-func count(values ...bool) int {
-	n := 0
-	for _, v := range values {
-		if v {
-			n++
-		}
-	}
-	return n
-}
-
 func (c checker) requiredFile(path, name string) {
 	c.required(path, name)
 	c.file(path, name)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,7 +37,7 @@
 // Listen holds the addresses the node listens on. Port 0 lets the kernel choose.
 type Listen struct {
 	Caller   netip.AddrPort `yaml:"caller"`   // TCP, HTTP
-	Operator netip.AddrPort `yaml:"operator"` // TCP, HTTP: console, metrics, health
+	Operator netip.AddrPort `yaml:"operator"` // TCP, HTTP: console, operators' calls, metrics
 	Peer     netip.AddrPort `yaml:"peer"`     // UDP, QUIC
 }
 
@@ -46,8 +46,9 @@
 	URL string `yaml:"url"` // http or https, host by IP number
 }
 
-// Peer holds what the nodes know each other by: one secret of the deployment
-// from which the identities are derived, or certificate files.
+// Peer holds what the nodes know each other by: one secret of the deployment,
+// from which their identities are derived unless certificate files are given.
+// The secret authenticates tickets and operators' sessions in any case.
 type Peer struct {
 	Secret     string `yaml:"secret"`
 	SecretFile string `yaml:"secret_file"`
@@ -190,8 +191,8 @@
 	}
 }
 
-// PeerSecret returns the deployment's secret, nil when the peers use
-// certificate files. White space around it is no part of it.
+// PeerSecret returns the deployment's secret. White space around it is no part
+// of it.
 func (s *Settings) PeerSecret() ([]byte, error) {
 	secret := s.Peer.Secret
 	if s.Peer.SecretFile != "" {
@@ -204,9 +205,6 @@
 			return nil, fmt.Errorf("%s: %w", s.Peer.SecretFile, err)
 		}
 	}
-	if secret == "" {
-		return nil, nil
-	}
 	return []byte(strings.TrimSpace(secret)), nil
 }
 
