--- a/test/config_test.go
+++ b/test/config_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chervilloom/internal/operator"
+	"chervilloom/internal/platform"
 )
 
 // weighted returns the fleet's document with the organisation's weight set: two
@@ -105,6 +106,8 @@
 func TestTwoOperatorsOnOneBase(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, plan{zones: []string{zoneA, zoneB, zoneC}, services: 1})
+	// Both read the head before either writes it.
+	faults(t, f.store, map[string]any{"slow": "100ms"})
 	base := uint64(1)
 	for round := range 5 {
 		docs := []string{f.weighted(30 + 2*round), f.weighted(31 + 2*round)}
@@ -192,9 +195,13 @@
 	f.inForce(base, doc, f.nodes...)
 
 	faults(t, f.store, map[string]any{"restore": true})
+	rolledBack := f.revisionHead()
 	restarted := f.nodes[2]
 	restarted.kill()
 	restarted.start(t, f.nodes[0].peer, f.nodes[1].peer)
+	until(t, "the nodes have met the older table and healed it",
+		func() bool { return f.revisionHead() != rolledBack },
+		func() string { return rolledBack })
 	f.inForce(base, doc, f.nodes...)
 
 	last := f.weighted(52)
@@ -212,3 +219,11 @@
 	f.inForce(next, last, f.nodes...)
 	stop()
 }
+
+// revisionHead returns the row of the newest revision.
+func (f *testFleet) revisionHead() string {
+	f.t.Helper()
+	row, err := f.table.Get(f.t.Context(), platform.TableRevisions, "head")
+	must(f.t, err)
+	return string(row.Value)
+}
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -47,7 +47,7 @@
 operators: [{name: tester, token_hash: "%s"}, {name: other, token_hash: "%s"}]
 seeds: [%s]
 log: {format: json}
-timing: {drain_notice: 300ms, revision_poll: 1s}
+timing: {drain_notice: 1s, revision_poll: 1s}
 `
 
 // plan describes a fleet.
--- a/test/member_test.go
+++ b/test/member_test.go
@@ -50,8 +50,9 @@
 
 // A member restarts on its address and answers probes "as if nothing had
 // happened", but its part of the model is gone. Its new boot id ends the
-// generation: running streams are told as cut, no answer comes from members of
-// two lives, and a later generation serves.
+// generation: running streams are told as cut, and while the platform is away,
+// so that no other generation can be made, requests are refused "not run". Then
+// a later generation serves: no answer comes from members of two lives.
 func TestMemberRestartedOnItsAddress(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, plan{zones: []string{zoneA, zoneB}, engines: 4, tokensPerSec: 20})
@@ -59,16 +60,44 @@
 	victim := f.engine(old.VMs[2])
 
 	streams := longStreams(t, f.nodes, 400)
+	for _, n := range f.nodes {
+		n.platform.cut()
+	}
 	faults(t, victim.addr, map[string]any{"restart": true})
 	for _, s := range streams() {
 		if err := checkChat(s.body, s.told); err != nil || s.done {
 			t.Errorf("a stream of a broken generation must be told as cut: %v %v", err, s.told)
 		}
 	}
+	f.refusesWhileBroken(f.engine(old.VMs[0]))
+	for _, n := range f.nodes {
+		n.platform.mend()
+	}
 	f.repaired(old)
 	f.mustAnswer()
 }
 
+// refusesWhileBroken waits until no node believes that a group is whole and
+// then checks that requests are refused and do not reach the leader.
+func (f *testFleet) refusesWhileBroken(leader *endpoint) {
+	f.t.Helper()
+	f.awaitAll("the group takes no requests", func(s operator.Status) bool { return len(wholeGroups(s)) == 0 })
+	before := leader.ran(f.t, "")
+	for i, n := range f.nodes {
+		body := chatBody(fmt.Sprintf("while broken %d", i), 4, true)
+		a := n.chat(f.t.Context(), body, nil)
+		if err := checkChat(body, a); err != nil || a.outcome != outcome.NotRun || a.status != http.StatusServiceUnavailable {
+			f.t.Errorf("want a refusal that did not run, got %v %v", a, err)
+		}
+		if a.header.Get("Retry-After") == "" {
+			f.t.Errorf("the refusal does not say when to come back: %v", a)
+		}
+	}
+	if after := leader.ran(f.t, ""); after != before {
+		f.t.Errorf("%d requests ran at the leader of a group that is not whole", after-before)
+	}
+}
+
 // A member is paused and goes on later. While it is silent the group is not
 // whole: requests are refused "not run" and none reaches the leader. When it
 // goes on the model serves again, with this member or with a spare.
@@ -79,21 +108,7 @@
 	victim, leader := f.engine(old.VMs[3]), f.engine(old.VMs[0])
 
 	victim.signal(t, syscall.SIGSTOP)
-	f.awaitAll("the group takes no requests", func(s operator.Status) bool { return len(wholeGroups(s)) == 0 })
-	before := leader.ran(t, "")
-	for i, n := range f.nodes {
-		body := chatBody(fmt.Sprintf("while paused %d", i), 4, true)
-		a := n.chat(t.Context(), body, nil)
-		if err := checkChat(body, a); err != nil || a.outcome != outcome.NotRun || a.status != http.StatusServiceUnavailable {
-			t.Errorf("want a refusal that did not run, got %v %v", a, err)
-		}
-		if a.header.Get("Retry-After") == "" {
-			t.Errorf("the refusal does not say when to come back: %v", a)
-		}
-	}
-	if after := leader.ran(t, ""); after != before {
-		t.Errorf("%d requests ran at the leader of a group that is not whole", after-before)
-	}
+	f.refusesWhileBroken(leader)
 	victim.signal(t, syscall.SIGCONT)
 	f.awaitServing()
 	f.mustAnswer()
--- a/test/shutdown_test.go
+++ b/test/shutdown_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -21,8 +22,9 @@
 	t.Parallel()
 	f := startFleet(t, plan{zones: []string{zoneA, zoneA, zoneB}, engines: 4, services: 1, tokensPerSec: 50})
 	leaving, other, far := f.nodes[0], f.nodes[1], f.nodes[2]
-	own := longStreams(t, []*node{leaving, leaving, leaving, leaving}, 200)
-	relayed := longStreams(t, []*node{far, far, far, far, far, far, far, far}, 200)
+	own := longStreams(t, []*node{leaving, leaving, leaving, leaving}, 150)
+	// The relayed hops outlast all else that the node has in progress.
+	relayed := longStreams(t, []*node{far, far, far, far, far, far, far, far}, 300)
 	stop := keepBalanced(t, leaving, other, far)
 
 	leaving.signal(t, syscall.SIGTERM)
@@ -41,18 +43,53 @@
 	f.mustAnswer()
 }
 
-// keepBalanced has callers go to the first node that is ready, in turn through
-// the nodes, over kept connections. The function that it returns stops them and
-// returns the answers that were not whole.
+// balancer knows which nodes are ready, as of its last look.
+type balancer struct {
+	nodes []*node
+	ready []atomic.Bool
+}
+
+// watch looks at the nodes' readiness until ctx ends.
+func (b *balancer) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		for i, n := range b.nodes {
+			res, err := http.Get("http://" + n.caller + "/readyz")
+			b.ready[i].Store(err == nil && res.StatusCode == http.StatusOK)
+			if err == nil {
+				res.Body.Close()
+			}
+		}
+		time.Sleep(50 * time.Millisecond) // paces the looks; proves nothing
+	}
+}
+
+// pick returns the first ready node, from the given one on.
+func (b *balancer) pick(from int) *node {
+	for k := range b.nodes {
+		if i := (from + k) % len(b.nodes); b.ready[i].Load() {
+			return b.nodes[i]
+		}
+	}
+	return b.nodes[from%len(b.nodes)]
+}
+
+// keepBalanced has callers go through a balancer, over kept connections. The
+// function that it returns stops them and returns the answers that were not
+// whole.
 func keepBalanced(t *testing.T, nodes ...*node) func() []told {
 	ctx, cancel := context.WithCancel(t.Context())
+	lb := &balancer{nodes: nodes, ready: make([]atomic.Bool, len(nodes))}
+	for i := range nodes {
+		lb.ready[i].Store(true)
+	}
+	go lb.watch(ctx)
 	var mu sync.Mutex
 	var bad []told
 	var work sync.WaitGroup
 	for i := range 8 {
 		work.Go(func() {
 			for k := 0; ctx.Err() == nil; k++ {
-				n := firstReady(nodes, i+k)
+				n := lb.pick(i + k)
 				var a told
 				var err error
 				if k%2 == 0 {
@@ -79,21 +116,6 @@
 	}
 }
 
-// firstReady returns the first node, from the given one on, whose readiness
-// holds now.
-func firstReady(nodes []*node, from int) *node {
-	for k := range nodes {
-		n := nodes[(from+k)%len(nodes)]
-		if res, err := http.Get("http://" + n.caller + "/readyz"); err == nil {
-			res.Body.Close()
-			if res.StatusCode == http.StatusOK {
-				return n
-			}
-		}
-	}
-	return nodes[from%len(nodes)]
-}
-
 // All nodes are cut from the platform. What is formed goes on serving through
 // every node, a new configuration is refused and nothing is formed; when the
 // platform is back all is as before.
--- a/test/truth_test.go
+++ b/test/truth_test.go
@@ -27,15 +27,15 @@
 	keyed              bool
 }
 
-// A service breaks the connection at each stage of a request, once and always.
+// Two services break the connection at each stage of a request, once and always.
 // Whatever the caller is told must be true: "not run" only with a count of zero,
 // also when looked at later, "ran" only with a count above zero, and a receipt
 // never counts twice. Lookups may be tried again, receipts only when they
-// surely did not run; the node sees a broken connection, not the count.
+// surely did not run, though another service
+// stands ready; the node sees a broken connection, not the count.
 func TestToldOutcomeIsTrueAtEachStage(t *testing.T) {
 	t.Parallel()
-	f := startFleet(t, plan{zones: []string{zoneA, zoneB}, services: 1})
-	svc := f.services[0]
+	f := startFleet(t, plan{zones: []string{zoneA, zoneB}, services: 2})
 	calls := []truthCall{
 		{method: "GET", path: "/licences"},
 		{method: "POST", path: "/receipts", body: `{"fee":1500}`},
@@ -47,13 +47,13 @@
 		for _, times := range []int{1, fault.Always} {
 			for i, c := range calls {
 				for _, n := range f.nodes {
-					asked = append(asked, f.askAtStage(svc, n, c, stage, times, i))
+					asked = append(asked, f.askAtStage(n, c, stage, times, i))
 				}
 			}
 		}
 	}
 	for _, a := range asked { // again: a run that comes after the answer makes it a lie
-		a.check(t, svc)
+		a.check(f)
 	}
 	t.Logf("%d calls at %d stages", len(asked), len(stageNames()))
 }
@@ -67,7 +67,7 @@
 	path  string // unique
 }
 
-func (f *testFleet) askAtStage(svc *endpoint, n *node, c truthCall, stage string, times, i int) toldCall {
+func (f *testFleet) askAtStage(n *node, c truthCall, stage string, times, i int) toldCall {
 	f.t.Helper()
 	// An idle connection is at hand, so that stages of reused ones are met.
 	if a := n.call(f.t.Context(), "GET", "/warm", "", nil); !a.whole() {
@@ -78,16 +78,27 @@
 	if c.keyed {
 		header = map[string]string{"Idempotency-Key": path}
 	}
-	faults(f.t, svc.addr, map[string]any{stage: times})
+	f.faultServices(map[string]any{stage: times})
 	a := toldCall{told: n.call(f.t.Context(), c.method, path, c.body, header), call: c, stage: stage, times: times, path: path}
-	faults(f.t, svc.addr, map[string]any{stage: 0})
-	a.check(f.t, svc)
+	f.faultServices(map[string]any{stage: 0})
+	a.check(f)
 	return a
 }
 
-func (a toldCall) check(t *testing.T, svc *endpoint) {
+func (f *testFleet) faultServices(set map[string]any) {
+	f.t.Helper()
+	for _, svc := range f.services {
+		faults(f.t, svc.addr, set)
+	}
+}
+
+func (a toldCall) check(f *testFleet) {
+	t := f.t
 	t.Helper()
-	runs := svc.ran(t, " "+a.path+" ")
+	runs := 0
+	for _, svc := range f.services {
+		runs += svc.ran(t, " "+a.path+" ")
+	}
 	id := fmt.Sprintf("%s %s, %s %d times", a.call.method, a.path, a.stage, a.times)
 	once := strings.HasPrefix(a.call.path, "/receipts")
 	switch {
