Dispatch: refusals without an end, statuses that no answer has

An endpoint that promised in its header that nothing ran, and never ended its text, held the call until the caller's deadline instead of its being tried elsewhere. The text gets 100 ms now. Ruled out: reading no text at all; operators need it in the logs.

--- a/internal/dispatch/errors.go
+++ b/internal/dispatch/errors.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"chervilloom/internal/outcome"
 )
@@ -58,7 +59,14 @@
 // excerptBytes of an endpoint's refusal go into the logs.
 const excerptBytes = 200
 
+// excerptTime bounds the wait for that text. What counts is in the header: an
+// endpoint that never ends its text would keep a call that did not run from
+// being tried elsewhere until the caller's deadline.
+const excerptTime = 100 * time.Millisecond
+
 func excerpt(resp *http.Response) string {
+	stop := time.AfterFunc(excerptTime, func() { resp.Body.Close() })
+	defer stop.Stop()
 	b, _ := io.ReadAll(io.LimitReader(resp.Body, excerptBytes))
 	return string(b)
 }
@@ -84,6 +92,10 @@
 		"find out whether the request ran before sending it again").After(retryAfter(resp.Header)).WithCause(cause)
 }
 
+// isAnswer reports whether the status ends an exchange. net/http passes on 101
+// and what is below 100; a caller could make nothing of either.
+func isAnswer(resp *http.Response) bool { return resp.StatusCode >= http.StatusOK }
+
 func refusedWith(resp *http.Response) string {
 	return "the endpoint refused with status " + strconv.Itoa(resp.StatusCode)
 }
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -123,7 +123,7 @@
 			"the endpoint answered for another generation", "send the request again").
 			WithCause(fmt.Errorf("dispatch: got %q boot %q, want %q boot %q", gen, boot, want, leader(g).Boot))
 	}
-	if resp.StatusCode >= 500 || resp.StatusCode == http.StatusTooManyRequests {
+	if !isAnswer(resp) || resp.StatusCode >= 500 || resp.StatusCode == http.StatusTooManyRequests {
 		return refusedUnknown(resp)
 	}
 	return nil
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -61,6 +61,9 @@
 // answers is the caller's answer, errors included; only for a call that may be
 // repeated is a failing gateway or server a reason to ask another one.
 func checkService(resp *http.Response, idempotent bool) *outcome.Error {
+	if !isAnswer(resp) {
+		return refusedUnknown(resp)
+	}
 	switch resp.StatusCode {
 	case http.StatusServiceUnavailable:
 		if promisesNotRun(resp.Header) {
