Dispatch: cancel a stream that cannot be resumed

Cause: when an engine took each resume and broke it again, the caller was told that the answer is cut, but the engine was not told to stop: it went on producing for nobody and kept its slot. The stream is cancelled now. Red before: TestStreamThatCannotBeResumedIsCancelled, 'the stream was not cancelled' after 20 s. Run: go test -race ./internal/dispatch, ok.

--- a/internal/dispatch/adversary_test.go
+++ b/internal/dispatch/adversary_test.go
@@ -6,11 +6,17 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"chervilloom/internal/fleet"
 	"chervilloom/internal/outcome"
+	"chervilloom/internal/relay"
+	standin "chervilloom/internal/standin/engine"
+	"chervilloom/internal/view"
 )
 
 // A clerk sends a receipt. The first endpoint refuses it, promises that nothing
@@ -63,3 +69,38 @@
 func answerRaw(conn net.Conn, status string) {
 	fmt.Fprintf(conn, "HTTP/1.1 %s\r\nConnection: Upgrade\r\nUpgrade: x\r\nContent-Length: 0\r\n\r\n", status)
 }
+
+// A scorer's stream breaks, and its engine takes each resume and breaks it
+// again before a token came. The caller is told that the answer is cut; the
+// engine is told to cancel, or it would go on producing for nobody.
+func TestStreamThatCannotBeResumedIsCancelled(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, nil)
+	cancelled := make(chan string, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.Method == http.MethodDelete {
+			cancelled <- req.URL.Path
+			return
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(srv.Close)
+	e := r.addEngine(standin.Options{})
+	r.change(func(s *view.Snapshot) {
+		m := e.State()
+		s.Groups[0].Members = []fleet.Member{{VM: "e1", Boot: m.Boot, Addr: srv.Listener.Addr().String()}}
+	})
+	ref := relay.StreamRef{VM: "e1", Group: "g1", Generation: 1, Stream: relay.NewStreamID("sagarmatha", "n1")}
+	s := newSession(r.chat("a", 8, true), newCollector())
+	f := &following{d: r.d, s: s, g: &r.Snapshot().Groups[0], t: &try{}, st: relay.NewStream(ref, 1)}
+	f.wait, f.silent = time.Millisecond, r.clock.Now().Add(-2*resumeLimit)
+	_, cut := f.reopen(context.Background(), context.Background(), nil)
+	is.Equal(cut.Kind, outcome.AnswerCut)
+	is.True(f.t.blamed)
+	select {
+	case path := <-cancelled:
+		is.Equal(path, "/v1/streams/"+ref.Stream)
+	case <-time.After(patience):
+		t.Fatal("the stream was not cancelled")
+	}
+}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -130,6 +130,7 @@
 		case !sleep(guarded, wait):
 			return nil, f.lost(ctx, because(guarded, cause))
 		case !f.d.opt.Clock.Now().Before(f.silent.Add(resumeLimit)):
+			f.d.abandon(f.abandoned()) // the engine may still produce for nobody
 			f.t.blamed = true
 			return nil, answerCut("the endpoint's stream broke and cannot be resumed", cause)
 		}
