Identify: a rule for GET covers HEAD

Cause: a service's 'GET /next' that may run at most once was taken for repeatable when asked with HEAD, which most servers answer by running GET's handler: it was hedged, retried and resent by net/http. Red before: TestNotRepeatableInAnySpelling/HEAD_/next. Run: go test -race ./internal/identify, ok.

--- a/internal/identify/identify_test.go
+++ b/internal/identify/identify_test.go
@@ -152,6 +152,7 @@
 		{"POST", "/%zz", request.ClassCall}, // cannot be read: not taken for repeatable
 		{"PUT", "/laps/3", request.ClassCall},
 		{"GET", "/next", request.ClassCall},
+		{"HEAD", "/next", request.ClassCall}, // most servers run GET's handler
 		{"POST", "/search", request.ClassLookup},
 		{"PUT", "/receipts", request.ClassLookup},
 		{"GET", "/receipts", request.ClassLookup},
--- a/internal/identify/service.go
+++ b/internal/identify/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/url"
 	"path"
 	"strings"
@@ -46,7 +47,7 @@
 	p, ok := normalise(target)
 	for _, rule := range svc.NotRepeatable {
 		m, prefix, _ := strings.Cut(rule, " ")
-		if !strings.EqualFold(m, method) {
+		if !sameHandler(m, method) {
 			continue
 		}
 		if !ok || strings.HasPrefix(p, strings.ToLower(prefix)) {
@@ -56,6 +57,16 @@
 	return true
 }
 
+// sameHandler reports whether a rule's method covers the request's. Servers
+// answer HEAD by running the handler of GET and leaving the body out, so that
+// a HEAD has the same effect.
+func sameHandler(rule, method string) bool {
+	if strings.EqualFold(method, http.MethodHead) && strings.EqualFold(rule, http.MethodGet) {
+		return true
+	}
+	return strings.EqualFold(rule, method)
+}
+
 func normalise(target string) (string, bool) {
 	u, err := url.ParseRequestURI(target)
 	if err != nil {
