Account: requests whose path panics or gives no end

Cause: a request whose path panicked was in no log line and no metric, and one that ended without a reason was counted as 'ran ok', although its caller is told of an internal failure with outcome 'unknown'. Red before: TestRequestWithoutEndIsAccountedFor, all three cases 0 != 1. Run: go test -race ./internal/account, ok.

--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -64,8 +64,9 @@
 		rec := &Record{}
 		started := a.opt.Clock.Now()
 		ww := &writer{Writer: w, clock: a.opt.Clock}
+		// Deferred: a request whose path panics is accounted for as well.
+		defer a.close(ctx, req, rec, ww, started)
 		next.Serve(context.WithValue(ctx, recordKey{}, rec), req, ww)
-		a.close(ctx, req, rec, ww, started)
 	})
 }
 
@@ -78,8 +79,11 @@
 	if w.first != 0 {
 		l.first = w.first.Sub(started)
 	}
-	if e := w.end.Error; e != nil {
+	switch e := w.end.Error; {
+	case e != nil:
 		l.outcome, l.kind = e.Outcome, string(e.Kind)
+	case !w.end.Whole: // what the caller is told when the path gave no end
+		l.outcome, l.kind = outcome.Unknown, string(outcome.Internal)
 	}
 	a.metrics.observe(req, l, w.first != 0)
 	a.log(ctx, req, l)
--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -147,3 +147,30 @@
 		h.Serve(context.Background(), req, nowhere{})
 	}
 }
+
+// A filter panics, or ends a request without saying how. The caller is told of
+// a failure whose outcome is unknown; the books must say the same and not
+// leave the request out or call it well.
+func TestRequestWithoutEndIsAccountedFor(t *testing.T) {
+	cases := []struct {
+		name string
+		path filter.Func
+	}{
+		{"no end", func(context.Context, *request.Request, answer.Writer) {}},
+		{"no reason", func(_ context.Context, _ *request.Request, w answer.Writer) { w.Finish(answer.End{}) }},
+		{"panic", func(context.Context, *request.Request, answer.Writer) { panic("fault") }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			reg := prometheus.NewPedanticRegistry()
+			h := New(Options{Clock: clock.NewManual(1), Registerer: reg}).Filter(tc.path)
+			func() {
+				defer func() { is.Equal(recover() != nil, tc.name == "panic") }() // goes on to who tells the caller
+				h.Serve(context.Background(), &request.Request{}, nowhere{})
+			}()
+			got := gather(t, reg)[`chervilloom_path_requests_total class=unidentified kind=internal outcome=unknown`]
+			is.Equal(got.GetCounter().GetValue(), 1.0)
+		})
+	}
+}
