Callers' interface: carriage returns within an event

Cause: only line feeds started a new data line, but readers of server-sent events end a line at a carriage return too: what followed one within an event was dropped by the caller's reader, and the answer still looked whole. Red before: TestLineEndsWithinAnEventLoseNothing.

--- a/internal/accept/refuse_test.go
+++ b/internal/accept/refuse_test.go
@@ -89,3 +89,24 @@
 		}
 	}
 }
+
+// An engine's event holds line ends within its JSON. A reader of server-sent
+// events takes a carriage return for a line's end as well: the rest of the
+// event would be a field it does not know, and be lost without notice.
+func TestLineEndsWithinAnEventLoseNothing(t *testing.T) {
+	for _, data := range []string{"{\n\"a\":1}", "{\r\"a\":1}", "{\r\n\"a\":1}"} {
+		is := is.New(t)
+		_, url := serve(t, func(_ context.Context, _ *request.Request, w answer.Writer) {
+			w.Start(answer.Head{Status: 200, Stream: true})
+			w.Frame(answer.Frame{ID: "s:0", Data: []byte(data)})
+			w.Finish(answer.End{Whole: true})
+		}, nil)
+		body, err := io.ReadAll(do(t, "POST", url+chatPath, nil).Body)
+		is.NoErr(err)
+		lines := strings.FieldsFunc(string(body), func(c rune) bool { return c == '\n' || c == '\r' })
+		is.Equal(lines[0], "id: s:0")
+		is.Equal(lines[1], "data: {")
+		is.Equal(lines[len(lines)-2], `data: "a":1}`)
+		is.Equal(lines[len(lines)-1], "data: [DONE]")
+	}
+}
--- a/internal/accept/writer.go
+++ b/internal/accept/writer.go
@@ -150,14 +150,17 @@
 	return w.ctl.Flush()
 }
 
-// appendEventData writes data lines; a line feed within the data starts a new one.
+// appendEventData writes data lines. A line feed or carriage return within the
+// data starts a new one: readers of server-sent events end a line at either,
+// and would drop what follows as an unknown field.
 func appendEventData(b, data []byte) []byte {
 	b = append(b, "data: "...)
 	for _, c := range data {
-		b = append(b, c)
-		if c == '\n' {
-			b = append(b, "data: "...)
+		if c == '\n' || c == '\r' {
+			b = append(b, "\ndata: "...)
+			continue
 		}
+		b = append(b, c)
 	}
 	return append(b, '\n', '\n')
 }
