Identify: the event id of a service's own feed is the service's

Cause: a Last-Event-Id on a call of a plain service marked it as the resume of a model's stream. The header was taken off, the call refused as 'not run' (a browser that reconnects to a feed gets that header from its own library), and a keyed call went past the memory of its key before it was refused, so that 'not run' could be false of an earlier try. Red before: TestEventIDOfAServiceIsTheServices, both methods (17 != ''). Run: go test -race ./internal/identify, ok.

--- a/internal/identify/decide.go
+++ b/internal/identify/decide.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -49,7 +48,7 @@
 	if err := setDeadline(req, timeout, f.Now); err != nil {
 		return err
 	}
-	stripHeaders(req.Header)
+	stripHeaders(req)
 	return nil
 }
 
@@ -107,11 +106,13 @@
 
 // stripHeaders removes what no later filter needs: an endpoint has no use for
 // a caller's key and must not see it.
-func stripHeaders(h http.Header) {
-	h.Del("Authorization")
-	h.Del("Last-Event-Id")
-	h.Del(HeaderDeadline)
-	h.Del(HeaderIdempotent)
+func stripHeaders(req *request.Request) {
+	req.Header.Del("Authorization")
+	req.Header.Del(HeaderDeadline)
+	req.Header.Del(HeaderIdempotent)
+	if req.Class == request.ClassModel {
+		req.Header.Del("Last-Event-Id")
+	}
 }
 
 func refuse(k outcome.Kind, message, remedy string) *outcome.Error {
--- a/internal/identify/identify_test.go
+++ b/internal/identify/identify_test.go
@@ -250,6 +250,23 @@
 	is.True(req.Stream)
 }
 
+// A scorer's phone follows a service's own events, loses its connection, and
+// sends the id of the last event as browsers do. The id is the service's: taken
+// for one of a model's stream, the call would be refused, and a receipt sent
+// with such a header would go past the memory of its key.
+func TestEventIDOfAServiceIsTheServices(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		is := is.New(t)
+		req := newRequest(method, "/services/counter/receipts", "")
+		req.Header.Set("Last-Event-Id", "17")
+		req.ResumeID = "17"
+		is.True(Identify(req, facts()) == nil)
+		is.Equal(req.ResumeID, "")
+		is.Equal(req.Header.Get("Last-Event-Id"), "17")
+		is.Equal(req.Idempotent, method == "GET")
+	}
+}
+
 // changingView is a view.Source whose snapshot is replaced.
 type changingView struct{ snap *view.Snapshot }
 
--- a/internal/identify/service.go
+++ b/internal/identify/service.go
@@ -24,6 +24,7 @@
 			"ask for one of: "+names(doc.Services, func(s config.Service) string { return s.Name }))
 	}
 	req.Service = name
+	req.ResumeID = "" // the id of a service's own event: its header goes on to the service
 	req.Path = absolute(strings.TrimPrefix(rest, name))
 	req.Idempotent = repeatable(svc, req.Method, req.Path)
 	req.Class = request.ClassCall
