Engine client: follow no redirect

Cause: an order that was answered with a redirect became a GET of the other place, and a 200 there read as 'the order was taken'. A redirect is a StatusError now, as in the platform's client. Red before: TestOrdersAreNotRedirected.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -76,7 +76,7 @@
 	}
 	c := &Client{
 		transport: tr,
-		http:      &http.Client{Transport: tr},
+		http:      &http.Client{Transport: tr, CheckRedirect: noRedirect},
 		timeout:   defaultTimeout,
 		tracer:    otel.Tracer("chervilloom/engine"),
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -93,6 +93,10 @@
 	return c
 }
 
+// noRedirect has a redirect told as a StatusError. Followed, it would turn an
+// order into a GET, and the answer to that into "the order was taken".
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Close closes the idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -80,6 +80,26 @@
 	is.Equal(orders.Load(), int32(1))
 }
 
+// An order meets a server that sends it elsewhere: by the usual rules it would
+// become a GET, and the answer to that would read as "the order was taken".
+func TestOrdersAreNotRedirected(t *testing.T) {
+	is := is.New(t)
+	var followed atomic.Int32
+	c, addr := answered(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/elsewhere" {
+			followed.Add(1)
+			_, _ = w.Write([]byte(`{}`))
+			return
+		}
+		http.Redirect(w, r, "/elsewhere", http.StatusFound)
+	})
+	_, err := c.Order(t.Context(), addr, engine.Order{Verb: engine.VerbJoin})
+	var status *engine.StatusError
+	is.True(errors.As(err, &status))
+	is.Equal(status.Status, http.StatusFound)
+	is.Equal(followed.Load(), int32(0))
+}
+
 // The hashes of a prompt start with those of any prompt that it extends, and
 // differ by model and by adapter.
 func TestPrefixesGrow(t *testing.T) {
