Platform client: an answer beyond the bound is an error

Cause: of an object longer than 64 MiB the first 64 MiB were returned as the whole. Red before: TestObjectBeyondTheBoundIsNotCut.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -50,6 +50,8 @@
 // again does not help. Nothing was changed.
 var ErrRefused = errors.New("platform: refused the request; it does not fit the platform's protocol")
 
+var errTooLong = errors.New("an answer of more than 64 MiB; keep objects and tables smaller")
+
 // Option changes how a Client works.
 type Option func(*Client)
 
@@ -302,7 +304,10 @@
 		return a
 	}
 	defer res.Body.Close()
-	a.body, a.err = io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	a.body, a.err = io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
+	if len(a.body) > maxAnswerBytes {
+		a.err = errTooLong // the part that fits must not pass for the whole
+	}
 	a.header = res.Header
 	a.status = res.StatusCode
 	return a
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -369,3 +369,18 @@
 	}
 	return 0
 }
+
+// An object is longer than the client takes. It is told so: the part that fits,
+// given as the whole, would be loaded as if nothing were missing.
+func TestObjectBeyondTheBoundIsNotCut(t *testing.T) {
+	is := is.New(t)
+	const bound = 64 << 20
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, bound+1))
+	}))
+	t.Cleanup(srv.Close)
+	c := platform.NewClient(srv.URL, platform.WithTryTimeout(testTime))
+	t.Cleanup(c.Close)
+	_, err := c.GetObject(t.Context(), "weights")
+	is.True(errors.Is(err, platform.ErrDown))
+}
