--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -56,10 +56,6 @@
 	return out
 }
 
-func (q *newsQueue) hasUrgent() bool {
-	return slices.ContainsFunc(q.items, func(it item) bool { return it.level == urgent })
-}
-
 // send completes the message with this node's entry and news, and asks for it
 // to be sent. A member that others take for gone is told so first: its
 // refutation is the quickest way to put it right.
