A node learns the list of VMs from its peers, and asks again for what it missed

Cause: test.TestRestartWhilePlatformIsDownLearnsFromPeers was red (62 s, no capacity): a node that starts while the platform is down had no list of VMs, so what peers told of the counter service had no address.

Change: a node without a list asks one peer after the other for it; a node that hears of a VM, state or group that it does not know asks that peer, at most once a second, to tell everything again.

Shown red by mutation: TestListIsLearnedFromPeers without asking for the list, TestLostTellingIsAskedFor without asking again.

--- a/internal/view/digest_test.go
+++ b/internal/view/digest_test.go
@@ -26,11 +26,11 @@
 func pass(t testing.TB, h *Hearer, to *State, messages [][]byte, now clock.Instant) {
 	t.Helper()
 	for _, m := range messages {
-		events, err := h.Hear(peer, m, now)
+		heard, err := h.Hear(peer, m, now)
 		if err != nil {
 			t.Fatal(err)
 		}
-		for _, e := range events {
+		for _, e := range heard.Events {
 			to.Apply(e)
 		}
 	}
@@ -194,12 +194,12 @@
 			slices.SortStableFunc(post, func(a, b letter) int { return int(a.arrives - b.arrives) })
 			for len(post) > 0 && !post[0].arrives.After(now) {
 				shortest = min(shortest, post[0].delay)
-				events, err := hearer.Hear(peer, post[0].body, post[0].arrives)
+				heard, err := hearer.Hear(peer, post[0].body, post[0].arrives)
 				if err != nil {
 					t.Fatal(err)
 				}
 				before := only(to, ms).Probe.Answered
-				for _, e := range events {
+				for _, e := range heard.Events {
 					to.Apply(e)
 				}
 				post = post[1:]
@@ -244,6 +244,7 @@
 	from.Apply(answer("a", "b2", 1200))
 	pass(t, hearer, to, next(1200), at(1200))
 	is.Equal(only(to, 1200).Probe.Answered, at(400))
+	is.Equal(to.missed[peer.VM], at(1200)) // and the teller is asked for all
 	from.Apply(answer("a", "b2", 32000))
 	pass(t, hearer, to, next(32000), at(32000)) // told whole again after a while
 	is.Equal(only(to, 32000).Probe.State.Boot, fleet.BootID("b2"))
@@ -263,9 +264,9 @@
 	message := NewTeller(false, at(0)).Next(from.Snapshot(at(100)), all{}, at(100), time.Second)[0]
 	h := NewHearer()
 	hear := func(life fleet.Incarnation) {
-		events, err := h.Hear(fleet.Node{VM: "n2", Incarnation: life}, message, at(100))
+		heard, err := h.Hear(fleet.Node{VM: "n2", Incarnation: life}, message, at(100))
 		is.NoErr(err)
-		for _, e := range events {
+		for _, e := range heard.Events {
 			to.Apply(e)
 		}
 	}
--- a/internal/view/gossip.go
+++ b/internal/view/gossip.go
@@ -38,15 +38,22 @@
 	remote *Teller
 	met    map[fleet.Node]bool // peers that were told everything once
 	share  Assignment
-	bytes  *prometheus.CounterVec
-	broken prometheus.Counter
+	// askAgain is when the list is asked for again, asked how often it was.
+	askAgain clock.Instant
+	asked    int
+	askedAll map[fleet.VM]clock.Instant
+	bytes    *prometheus.CounterVec
+	broken   prometheus.Counter
 
 	mu     sync.Mutex
 	hearer *Hearer
+	wants  map[fleet.VM]bool // peers that asked for everything
 }
 
 const (
 	gossipTick     = 100 * time.Millisecond
+	askEvery       = 500 * time.Millisecond
+	askAllEvery    = time.Second
 	defaultWatches = 2
 	// The intervals between regular digests grow with the number of peers, so
 	// that what a node sends and receives stays about the same.
@@ -65,6 +72,7 @@
 	g := &Gossip{
 		opt: o, zone: NewTeller(false, now), remote: NewTeller(true, now),
 		met: map[fleet.Node]bool{}, hearer: NewHearer(),
+		askedAll: map[fleet.VM]clock.Instant{}, wants: map[fleet.VM]bool{},
 		share: Assignment{First: o.First, Watchers: o.Watchers},
 		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chervilloom_view_gossip_bytes_total",
@@ -88,16 +96,88 @@
 func (g *Gossip) handle(topic string, from fleet.Node, payload []byte) {
 	g.bytes.WithLabelValues("received", topic).Add(float64(len(payload)))
 	g.mu.Lock()
-	events, err := g.hearer.Hear(from, payload, g.opt.Clock.Now())
+	heard, err := g.hearer.Hear(from, payload, g.opt.Clock.Now())
 	g.mu.Unlock()
 	if err != nil {
 		g.broken.Inc()
 		g.opt.Log.Warn("digest dropped; do all nodes run the same release?", "from", from, "err", err)
 		return
 	}
-	for _, e := range events {
+	for _, e := range heard.Events {
 		g.opt.View.Put(e)
 	}
+	if heard.WantList {
+		g.answerList(from.VM)
+	}
+	if heard.WantAll {
+		g.mu.Lock()
+		g.wants[from.VM] = true
+		g.mu.Unlock()
+	}
+}
+
+// answerAll tells everything to the peers that asked for it since the last tick.
+func (g *Gossip) answerAll(s *Snapshot, d Duties, now clock.Instant) {
+	g.mu.Lock()
+	wants := g.wants
+	g.wants = map[fleet.VM]bool{}
+	g.mu.Unlock()
+	for i := range s.Nodes {
+		if n := &s.Nodes[i]; wants[n.VM] {
+			g.tellAll(n, s, d, now)
+		}
+	}
+}
+
+func (g *Gossip) tellAll(n *Node, s *Snapshot, d Duties, now clock.Instant) {
+	t, topic := g.zone, TopicZone
+	if n.Zone != s.Zone {
+		t, topic = g.remote, TopicRemote
+	}
+	g.spread([]fleet.VM{n.VM}, topic, t.All(s, d, now))
+}
+
+// askAll asks the peers that spoke of what this node does not know to tell all
+// again: waiting for their slow refresh would leave endpoints and groups unused
+// for half a minute.
+func (g *Gossip) askAll(s *Snapshot, now clock.Instant) {
+	for peer, at := range s.missed {
+		if now.Sub(at) > missKept || now.Sub(g.askedAll[peer]) < askAllEvery {
+			continue
+		}
+		g.askedAll[peer] = now
+		g.spread([]fleet.VM{peer}, TopicRemote, [][]byte{encode(&digest{Uptime: g.uptime(), WantAll: true})})
+	}
+}
+
+// answerList sends the list of VMs to a peer that has none.
+func (g *Gossip) answerList(to fleet.VM) {
+	s := g.opt.View.Snapshot()
+	if s.ListSeen == 0 {
+		return
+	}
+	d := digest{Uptime: g.uptime(), ListAge: millis(g.opt.Clock.Now(), s.ListSeen)}
+	for i := range s.VMs {
+		if s.VMs[i].Listed {
+			d.Records = append(d.Records, toWireRecord(&s.VMs[i].Record))
+		}
+	}
+	g.spread([]fleet.VM{to}, TopicRemote, [][]byte{encode(&d)})
+}
+
+func (g *Gossip) uptime() uint64 {
+	return uint64(g.opt.Clock.Now().Sub(g.remote.born) / time.Millisecond)
+}
+
+// askList asks one peer after the other for the list of VMs while this node has
+// none: the platform may be down, and without the list no endpoint is known.
+func (g *Gossip) askList(s *Snapshot, peers []fleet.VM, now clock.Instant) {
+	if s.ListSeen != 0 || len(peers) == 0 || now.Before(g.askAgain) {
+		return
+	}
+	g.askAgain = now.Add(askEvery)
+	g.asked++
+	g.spread([]fleet.VM{peers[g.asked%len(peers)]}, TopicRemote, [][]byte{encode(&digest{Uptime: g.uptime(), WantList: true})})
 }
 
 // Run tells until ctx ends.
@@ -121,6 +201,9 @@
 	g.share.Update(append(s.ZoneNodes(), s.Self.VM))
 	d := &duties{self: s.Self.VM, share: &g.share, holds: g.opt.Holds}
 	g.greet(s, d, now)
+	g.askList(s, append(near, far...), now)
+	g.askAll(s, now)
+	g.answerAll(s, d, now)
 	g.spread(near, TopicZone, g.zone.Next(s, d, now, ZoneEvery(len(near))))
 	g.spread(far, TopicRemote, g.remote.Next(s, d, now, RemoteEvery(len(far))))
 }
@@ -164,11 +247,7 @@
 		if g.met[n.Node] {
 			continue
 		}
-		t, topic := g.zone, TopicZone
-		if n.Zone != s.Zone {
-			t, topic = g.remote, TopicRemote
-		}
-		g.spread([]fleet.VM{n.VM}, topic, t.All(s, d, now))
+		g.tellAll(n, s, d, now)
 	}
 	g.met = present
 }
--- a/internal/view/gossip_test.go
+++ b/internal/view/gossip_test.go
@@ -15,6 +15,43 @@
 	"chervilloom/internal/fleet"
 )
 
+// A node that starts while the platform is down refuses every request: it knows
+// no endpoint. It asks its peers for the list of VMs, one after the other, until
+// one answers; what they tell of the endpoints then has a place.
+func TestListIsLearnedFromPeers(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewManual(t0)
+	links, mergers := pair(clk)
+	counter := fleet.Record{VM: "s", Kind: fleet.KindService, Addr: "s:1", Service: "counter", Zone: "z", State: fleet.StateLive}
+	mergers[1].state.Apply(List{At: at(0), Records: []fleet.Record{counter}})
+	mergers[1].state.Apply(answer("s", "b1", 10))
+	stepPair(clk, links, mergers, 10)
+	got := mergers[0].Snapshot()
+	is.Equal(len(got.VMs), 1)
+	is.Equal(got.VMs[0].Record, counter)
+	is.True(got.VMs[0].Listed)
+	is.Equal(got.VMs[0].Probe.Answered, at(10))
+	is.Equal(got.PlatformSeen, clock.Instant(0)) // not by this node
+	mergers[0].state.Apply(List{At: clk.Now()})  // its own read counts from then on
+	is.True(!mergers[0].state.Apply(toldList{list: List{At: clk.Now().Add(1), Records: []fleet.Record{counter}}}))
+}
+
+// A group stays unused for half a minute. The message that told of it was lost;
+// the peer goes on saying that it is unchanged. The hearer asks for everything.
+func TestLostTellingIsAskedFor(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewManual(t0)
+	links, mergers := pair(clk)
+	mergers[1].state.Apply(List{At: at(0), Records: []fleet.Record{record("a", fleet.StateLive), record("b", fleet.StateLive)}})
+	mergers[0].state.Apply(List{At: at(0), Records: nil})
+	group2(mergers[1].state)
+	links[1].lose = 2 // the greeting and the first regular digest
+	stepPair(clk, links, mergers, 15)
+	got := mergers[0].Snapshot().Groups
+	is.Equal(len(got), 1)
+	is.True(got[0].Whole)
+}
+
 // outbox keeps what was sent.
 type outbox struct{ sent []string }
 
@@ -74,13 +111,48 @@
 	is.True(slices.Contains(out.sent, "n2 view.zone"))
 }
 
+// pair is two nodes in zones y and z that are stepped by hand.
+func pair(clk *clock.Manual) ([]*mesh, []*Merger) {
+	nodes := []fleet.Node{{VM: "n1", Incarnation: 1}, {VM: "n2", Incarnation: 1}}
+	zones := []fleet.AvailabilityZone{"y", "z"}
+	links := []*mesh{{from: nodes[0]}, {from: nodes[1]}}
+	var mergers []*Merger
+	for i, self := range nodes {
+		m := NewMerger(self, zones[i], clk)
+		links[1-i].to = NewGossip(GossipOptions{
+			View: m, Clock: clk, Send: links[i], Log: slog.New(slog.DiscardHandler), Registry: prometheus.NewRegistry(),
+			First: func(_ string, nodes []fleet.VM, k int) []fleet.VM { return nodes[:min(k, len(nodes))] },
+		})
+		m.state.Apply(Members{Nodes: []Node{{Node: nodes[1-i], Zone: zones[1-i], State: NodeAlive}}})
+		mergers = append(mergers, m)
+	}
+	return links, mergers
+}
+
+// stepPair lets both nodes merge and tell, n times, 100 ms apart.
+func stepPair(clk *clock.Manual, links []*mesh, mergers []*Merger, n int) {
+	for range n {
+		clk.Advance(100 * time.Millisecond)
+		for i, m := range mergers {
+			m.merge()
+			m.publish()
+			links[1-i].to.tell(m.Snapshot(), clk.Now())
+		}
+	}
+}
+
 // mesh hands what is sent to the gossip of the addressee.
 type mesh struct {
 	from fleet.Node
 	to   *Gossip
+	lose int // that many messages are lost
 }
 
 func (m *mesh) Send(_ fleet.VM, topic string, payload []byte) error {
+	if m.lose > 0 {
+		m.lose--
+		return nil
+	}
 	if topic == TopicZone {
 		m.to.HandleZone(m.from, payload)
 	} else {
--- a/internal/view/hearer.go
+++ b/internal/view/hearer.go
@@ -26,17 +26,24 @@
 // NewHearer returns a hearer that has heard nobody.
 func NewHearer() *Hearer { return &Hearer{senders: map[fleet.VM]*sender{}} }
 
-// Hear returns the events that a message stands for.
-func (h *Hearer) Hear(from fleet.Node, payload []byte, now clock.Instant) ([]Event, error) {
+// Heard is what a message stands for.
+type Heard struct {
+	Events   []Event
+	WantList bool // the sender asks for the list of VMs
+	WantAll  bool // the sender asks for all that this node tells
+}
+
+// Hear reads a message.
+func (h *Hearer) Hear(from fleet.Node, payload []byte, now clock.Instant) (Heard, error) {
 	d, err := decode(payload)
 	if err != nil {
-		return nil, err
+		return Heard{}, err
 	}
 	// A message that was held up on its way would make old facts look fresh. The
 	// sender's uptime shows how much longer than the quickest it took.
 	e := &hearing{from: from.VM, now: now, sent: now.Add(-h.held(from, d.Uptime, now))}
 	e.take(d)
-	return e.events, nil
+	return Heard{Events: e.events, WantList: d.WantList, WantAll: d.WantAll}, nil
 }
 
 // held returns how much longer than the sender's quickest message this one took.
@@ -74,10 +81,10 @@
 		h.fact(&d.Facts[i])
 	}
 	for _, s := range d.Same {
-		h.put(toldProbe{kind: toldSame, vm: s.VM, from: h.from, hash: s.Hash, at: h.ago(s.Age)})
+		h.put(toldProbe{kind: toldSame, vm: s.VM, from: h.from, heard: h.now, hash: s.Hash, at: h.ago(s.Age)})
 	}
 	for _, f := range d.Failing {
-		h.put(toldProbe{kind: toldFailing, vm: f.VM, from: h.from, at: h.ago(f.Age), failures: f.Failures})
+		h.put(toldProbe{kind: toldFailing, vm: f.VM, from: h.from, heard: h.now, at: h.ago(f.Age), failures: f.Failures})
 	}
 	for i := range d.Loads {
 		h.put(toldOfLoad{from: h.from, at: h.sent, load: d.Loads[i]})
@@ -91,11 +98,22 @@
 	for _, u := range d.Unmoved {
 		h.put(unmoved{from: h.from, heard: h.now, sent: h.sent, state: u})
 	}
+	if len(d.Records) > 0 {
+		h.list(d)
+	}
 	for _, l := range d.Leavings {
 		h.put(MarkLeaving{VM: l.VM, Boot: l.Boot, From: h.from, Reason: "told by " + string(h.from)})
 	}
 }
 
+func (h *hearing) list(d *digest) {
+	records := make([]fleet.Record, len(d.Records))
+	for i := range d.Records {
+		records[i] = d.Records[i].record()
+	}
+	h.put(toldList{from: h.from, list: List{At: h.ago(d.ListAge), Records: records}})
+}
+
 func (h *hearing) fact(f *wireFact) {
 	if f.Answered {
 		h.put(Probed{
--- a/internal/view/remote.go
+++ b/internal/view/remote.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"maps"
 	"time"
 
 	"chervilloom/internal/clock"
@@ -25,6 +26,7 @@
 	kind     toldKind
 	vm       uint32
 	from     fleet.VM
+	heard    clock.Instant
 	hash     uint64
 	at       clock.Instant
 	failures int
@@ -37,6 +39,12 @@
 	load wireLoad
 }
 
+// toldList is the list of VMs as a peer last read it.
+type toldList struct {
+	from fleet.VM
+	list List
+}
+
 // toldRow is a group row that a peer knows.
 type toldRow struct {
 	from fleet.VM
@@ -67,6 +75,7 @@
 
 func (e toldProbe) subject() subject     { return subject{string(e.kind), hashKey(e.vm), e.from} }
 func (e toldOfLoad) subject() subject    { return subject{"told load", hashKey(e.load.VM), e.from} }
+func (e toldList) subject() subject      { return subject{kind: "told list"} }
 func (e toldRow) subject() subject       { return subject{"row", string(e.row.Group.ID), e.from} }
 func (e remoteSummary) subject() subject { return subject{kind: "remote", id: string(e.group.ID)} }
 func (e unmoved) subject() subject       { return subject{"unmoved", hashKey(e.state.ID), e.from} }
@@ -93,7 +102,10 @@
 
 func (s *State) applyTold(e toldProbe) bool {
 	v := s.byHash(e.vm)
-	if v == nil || !e.at.After(v.probe.Answered) {
+	if v == nil {
+		return s.miss(e.from, e.heard)
+	}
+	if !e.at.After(v.probe.Answered) {
 		return false
 	}
 	p := &v.probe
@@ -102,12 +114,24 @@
 		return true
 	}
 	if p.Answered == 0 || v.hash() != e.hash {
-		return false // this node missed a change; the next whole telling mends it
+		return s.miss(e.from, e.heard)
 	}
 	p.Answered, p.Failing, p.Failures = e.at, 0, 0
 	return true
 }
 
+// applyToldList takes a peer's list when this node has none: it started while
+// the platform was down. Its own reads replace it.
+func (s *State) applyToldList(e toldList) bool {
+	if s.listAt != 0 || e.list.At == 0 {
+		return false
+	}
+	seen := s.platform
+	s.applyList(e.list)
+	s.platform = seen // it was the peer that the platform answered
+	return true
+}
+
 func (s *State) applyToldLoad(e toldOfLoad) bool {
 	v := s.byHash(e.load.VM)
 	if v == nil {
@@ -153,9 +177,24 @@
 		e.state.apply(&r.group, e.sent)
 		return true
 	}
-	return false
+	return s.miss(e.from, e.heard)
 }
 
+// miss notes that a peer spoke of something that this node does not know: a
+// message of its was lost. It is asked to tell all again.
+func (s *State) miss(peer fleet.VM, at clock.Instant) bool {
+	s.missed = maps.Clone(s.missed)
+	if s.missed == nil {
+		s.missed = map[fleet.VM]clock.Instant{}
+	}
+	maps.DeleteFunc(s.missed, func(_ fleet.VM, old clock.Instant) bool { return at.Sub(old) > missKept })
+	s.missed[peer] = at
+	return true
+}
+
+// missKept is how long a miss is remembered.
+const missKept = 2 * time.Second
+
 // forgetRemote drops the groups of which nothing was heard for long.
 func (s *State) forgetRemote(now clock.Instant) {
 	for id, r := range s.remote {
--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -15,7 +15,7 @@
 func (s *State) Snapshot(now clock.Instant) *Snapshot {
 	snap := &Snapshot{
 		At: now, Self: s.self, Zone: s.zone, Revision: s.revision, Config: s.doc,
-		PlatformSeen: s.platform, ListSeen: s.listAt, Nodes: s.nodes, leavings: s.leavings,
+		PlatformSeen: s.platform, ListSeen: s.listAt, Nodes: s.nodes, leavings: s.leavings, missed: s.missed,
 	}
 	snap.VMs = make([]VM, 0, len(s.vms))
 	for _, v := range s.sorted() {
--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -42,8 +42,10 @@
 	hashes   map[uint32]*vmState // by short hash; nil: to be made again
 	// leavings are the newest lives that this node itself learned to be leaving.
 	leavings []leavingKey
-	nodes    []Node
-	order    []*vmState // by VM; nil: to be sorted again
+	// missed holds the peers that spoke of what this node does not know, and when.
+	missed map[fleet.VM]clock.Instant
+	nodes  []Node
+	order  []*vmState // by VM; nil: to be sorted again
 }
 
 type vmState struct {
@@ -117,6 +119,8 @@
 		return s.applyUnmoved(e)
 	case toldProbe:
 		return s.applyTold(e)
+	case toldList:
+		return s.applyToldList(e)
 	case toldOfLoad:
 		return s.applyToldLoad(e)
 	case toldRow:
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -26,7 +26,8 @@
 	PlatformSeen clock.Instant
 	// ListSeen is when the newest list of VMs was asked for; 0: none was read yet.
 	ListSeen clock.Instant
-	leavings []leavingKey // for the Teller
+	leavings []leavingKey               // for the Teller
+	missed   map[fleet.VM]clock.Instant // for Gossip
 }
 
 // VM is what is believed of an engine or service VM.
--- a/internal/view/wire.go
+++ b/internal/view/wire.go
@@ -31,6 +31,26 @@
 	Groups   []wireSummary
 	Unmoved  []wireUnmoved
 	Leavings []wireLeaving
+	// WantList asks for the list of VMs; ListAge and Records are the answer.
+	// WantAll asks for everything that the addressee tells.
+	WantList bool
+	WantAll  bool
+	ListAge  uint32
+	Records  []wireRecord
+}
+
+// wireRecord is a row of the platform's list of VMs.
+type wireRecord struct {
+	_            struct{} `cbor:",toarray"`
+	VM           fleet.VM
+	Kind         fleet.Kind
+	Addr         string
+	Caller       string
+	Service      string
+	Zone         fleet.AvailabilityZone
+	Domain       fleet.FabricDomain
+	Accelerators int
+	State        fleet.State
 }
 
 // wireFact is the whole state of an endpoint as last probed.
@@ -191,6 +211,20 @@
 	}
 }
 
+func toWireRecord(r *fleet.Record) wireRecord {
+	return wireRecord{
+		VM: r.VM, Kind: r.Kind, Addr: r.Addr, Caller: r.Caller, Service: r.Service,
+		Zone: r.Zone, Domain: r.Domain, Accelerators: r.Accelerators, State: r.State,
+	}
+}
+
+func (w *wireRecord) record() fleet.Record {
+	return fleet.Record{
+		VM: w.VM, Kind: w.Kind, Addr: w.Addr, Caller: w.Caller, Service: w.Service,
+		Zone: w.Zone, Domain: w.Domain, Accelerators: w.Accelerators, State: w.State,
+	}
+}
+
 func toWireGroup(g *fleet.Group, members int) wireGroup {
 	w := wireGroup{
 		ID: g.ID, Spec: g.Spec, Generation: g.Generation, Phase: g.Phase, Zone: g.Zone, Domain: g.Domain,
