Probes keep what is likely cached when cache events are missed

Cause: internal/probe had a tracker of its own that forgot everything known of an engine at a gap in its cache events; internal/prefix, which ages what it knows, was used by nobody but the router's measurements.

Ageing stays, the tracker goes.

Change: a prefix.Index for each watched engine; Index.Changed tells whether the published set is another one, so that a poll without news puts nothing into the view.

Tests: the tracker's table test runs on the prober itself now, with more cases. The case 'a gap forgets' asserted the behaviour that is gone; in its place are 'a gap in a short life' (the share taken as evicted goes) and TestGapKeepsWhatIsLikelyCached. Shown red on a scratch copy: with a gap that drops all, TestGapKeepsWhatIsLikelyCached fails; with a new life that counts as no change, 'a cold new life' fails.

--- a/internal/prefix/prefix.go
+++ b/internal/prefix/prefix.go
@@ -66,6 +66,21 @@
 	return s.publish(now)
 }
 
+// Changed returns what Set returns and whether it differs from what the last
+// call returned. The first call in a life of the engine counts as a change: what
+// was told of the life before must be replaced.
+func (x *Index) Changed(vm fleet.VM, now clock.Instant) (map[uint64]struct{}, bool) {
+	s, ok := x.sets[vm]
+	if !ok {
+		return nil, false
+	}
+	s.settle(now)
+	m := s.publish(now)
+	changed := s.told != s.builds
+	s.told = s.builds
+	return m, changed
+}
+
 // Last returns the highest sequence seen of the engine's life, to ask for the
 // events after it; 0 when the life is not known.
 func (x *Index) Last(vm fleet.VM, boot fleet.BootID) uint64 {
--- a/internal/prefix/set.go
+++ b/internal/prefix/set.go
@@ -41,10 +41,12 @@
 	published map[uint64]struct{}
 	builtAt   clock.Instant
 	dirty     bool
+	builds    uint64 // of published
+	told      uint64 // the build that Changed returned last
 }
 
 func newSet(boot fleet.BootID, limit int) *set {
-	return &set{boot: boot, limit: limit, index: make(map[uint64]int32), oldest: none, newest: none}
+	return &set{boot: boot, limit: limit, index: make(map[uint64]int32), oldest: none, newest: none, dirty: true}
 }
 
 func (s *set) apply(ev engine.CacheEvent, now clock.Instant) {
@@ -190,6 +192,7 @@
 		m[h] = struct{}{}
 	}
 	s.published, s.builtAt, s.dirty = m, now, false
+	s.builds++
 	return m
 }
 
--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -18,6 +19,7 @@
 	"chervilloom/internal/engine"
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/membership"
+	"chervilloom/internal/prefix"
 	"chervilloom/internal/view"
 )
 
@@ -293,6 +295,34 @@
 	})
 }
 
+// cacheFeed gives one batch of cache events for each poll.
+type cacheFeed struct {
+	endpoints
+	batches [][]engine.CacheEvent
+	after   []uint64 // what each poll asked for
+}
+
+func (f *cacheFeed) CacheEvents(_ context.Context, _ string, after uint64) ([]engine.CacheEvent, error) {
+	f.after = append(f.after, after)
+	b := f.batches[0]
+	f.batches = f.batches[1:]
+	return b, nil
+}
+
+// putEvents keeps what the prober tells, in order.
+type putEvents []view.Event
+
+func (p *putEvents) Put(e view.Event) { *p = append(*p, e) }
+
+// told returns the prefixes of the newest view.Cached, sorted.
+func (p putEvents) told() []uint64 {
+	var got []uint64
+	if len(p) > 0 {
+		got = slices.Sorted(maps.Keys(p[len(p)-1].(view.Cached).Prefixes))
+	}
+	return got
+}
+
 func TestCacheEventsFold(t *testing.T) {
 	ev := func(seq, prefix uint64) engine.CacheEvent { return engine.CacheEvent{Sequence: seq, Prefix: prefix} }
 	out := func(seq, prefix uint64) engine.CacheEvent {
@@ -302,38 +332,69 @@
 		batches [][]engine.CacheEvent
 		boots   []fleet.BootID
 		want    []uint64
+		after   []uint64
+		puts    int
 	}{
-		"added":               {[][]engine.CacheEvent{{ev(1, 10), ev(2, 20)}}, []fleet.BootID{"a"}, []uint64{10, 20}},
-		"evicted":             {[][]engine.CacheEvent{{ev(1, 10), ev(2, 20), out(3, 10)}}, []fleet.BootID{"a"}, []uint64{20}},
-		"late ones ignored":   {[][]engine.CacheEvent{{ev(1, 10), out(2, 10)}, {ev(1, 10)}}, []fleet.BootID{"a", "a"}, nil},
-		"a gap forgets":       {[][]engine.CacheEvent{{ev(1, 10)}, {ev(5, 20)}}, []fleet.BootID{"a", "a"}, []uint64{20}},
-		"a new life forgets":  {[][]engine.CacheEvent{{ev(1, 10)}, {ev(1, 30)}}, []fleet.BootID{"a", "b"}, []uint64{30}},
-		"first may be no one": {[][]engine.CacheEvent{{ev(7, 10), ev(8, 20)}}, []fleet.BootID{"a"}, []uint64{10, 20}},
+		"added":                 {[][]engine.CacheEvent{{ev(1, 10), ev(2, 20)}}, []fleet.BootID{"a"}, []uint64{10, 20}, []uint64{0}, 1},
+		"evicted":               {[][]engine.CacheEvent{{ev(1, 10), ev(2, 20), out(3, 10)}}, []fleet.BootID{"a"}, []uint64{20}, []uint64{0}, 1},
+		"late ones ignored":     {[][]engine.CacheEvent{{ev(1, 10), out(2, 10)}, {ev(1, 10)}}, []fleet.BootID{"a", "a"}, nil, []uint64{0, 2}, 1},
+		"nothing new":           {[][]engine.CacheEvent{{ev(1, 10)}, {}}, []fleet.BootID{"a", "a"}, []uint64{10}, []uint64{0, 1}, 1},
+		"a gap in a short life": {[][]engine.CacheEvent{{ev(1, 10)}, {ev(3, 20)}}, []fleet.BootID{"a", "a"}, []uint64{20}, []uint64{0, 1}, 2},
+		"a new life forgets":    {[][]engine.CacheEvent{{ev(1, 10)}, {ev(1, 30)}}, []fleet.BootID{"a", "b"}, []uint64{30}, []uint64{0, 0}, 2},
+		"a cold new life":       {[][]engine.CacheEvent{{ev(1, 10)}, {}}, []fleet.BootID{"a", "b"}, nil, []uint64{0, 0}, 2},
+		"starts in between":     {[][]engine.CacheEvent{{ev(7, 10), ev(8, 20)}}, []fleet.BootID{"a"}, []uint64{10, 20}, []uint64{0}, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			var tr cacheTracker
-			for i, b := range c.batches {
-				tr.apply(c.boots[i], b)
-			}
-			var got []uint64
-			for p := range tr.set {
-				got = append(got, p)
+			feed, told, now := &cacheFeed{batches: c.batches}, putEvents{}, clock.NewManual(1)
+			p := New(Settings{}, feed, nil, &told, now, 1, prometheus.NewRegistry())
+			tg := &target{rec: fleet.Record{VM: "vm"}, cache: newCache()}
+			for _, boot := range c.boots {
+				p.cacheEvents(t.Context(), tg, boot)
+				now.Advance(time.Second)
 			}
-			slices.Sort(got)
-			is.Equal(got, c.want)
+			is.Equal(told.told(), c.want)
+			is.Equal(feed.after, c.after)
+			is.Equal(len(told), c.puts)
 		})
 	}
-	t.Run("bounded", func(t *testing.T) {
-		is := is.New(t)
-		var tr cacheTracker
-		for i := range uint64(10 * maxPrefixes) {
-			tr.apply("a", []engine.CacheEvent{ev(2*i+1, i), out(2*i+2, i-1)})
-			tr.apply("a", []engine.CacheEvent{})
+}
+
+// The engine drops one batch of cache events, as it does now and then. If the
+// node forgot everything it knew, all prompts would look cold there and go to
+// groups that have to compute them again. It keeps what is likely still cached.
+func TestGapKeepsWhatIsLikelyCached(t *testing.T) {
+	is := is.New(t)
+	var first []engine.CacheEvent
+	for i := range uint64(64) {
+		first = append(first, engine.CacheEvent{Sequence: i + 1, Prefix: i})
+	}
+	feed := &cacheFeed{batches: [][]engine.CacheEvent{first, {{Sequence: 70, Prefix: 100}}}}
+	told, now := putEvents{}, clock.NewManual(1)
+	p := New(Settings{}, feed, nil, &told, now, 1, prometheus.NewRegistry())
+	tg := &target{rec: fleet.Record{VM: "vm"}, cache: newCache()}
+	p.cacheEvents(t.Context(), tg, "a")
+	now.Advance(time.Second)
+	p.cacheEvents(t.Context(), tg, "a")
+	is.Equal(len(told.told()), 65)
+}
+
+func TestCacheIsBounded(t *testing.T) {
+	is := is.New(t)
+	feed, told, now := &cacheFeed{}, putEvents{}, clock.NewManual(1)
+	p := New(Settings{}, feed, nil, &told, now, 1, prometheus.NewRegistry())
+	tg := &target{rec: fleet.Record{VM: "vm"}, cache: newCache()}
+	for i := range uint64(3) {
+		var batch []engine.CacheEvent
+		for j := range uint64(prefix.DefaultLimit) {
+			n := i*prefix.DefaultLimit + j + 1
+			batch = append(batch, engine.CacheEvent{Sequence: n, Prefix: n})
 		}
-		is.True(len(tr.set) <= maxPrefixes)
-		is.True(len(tr.order) <= 2*maxPrefixes+1)
-	})
+		feed.batches = append(feed.batches, batch)
+		p.cacheEvents(t.Context(), tg, "a")
+		now.Advance(time.Second)
+	}
+	is.Equal(len(told.told()), prefix.DefaultLimit)
 }
 
 // BenchmarkDarkDomain reports how long a live endpoint waits between two probes
--- a/internal/probe/prober.go
+++ b/internal/probe/prober.go
@@ -14,6 +14,7 @@
 	"chervilloom/internal/clock"
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/membership"
+	"chervilloom/internal/prefix"
 	"chervilloom/internal/view"
 )
 
@@ -44,7 +45,7 @@
 	loadDue  clock.Instant
 	failing  clock.Instant
 	failures int
-	cache    cacheTracker
+	cache    *prefix.Index // of this target alone
 	gone     bool
 }
 
@@ -103,7 +104,7 @@
 		if t != nil {
 			t.gone = true
 		}
-		t = &target{rec: r, due: now.Add(time.Duration(p.rng.Int64N(int64(p.set.Period))))}
+		t = &target{rec: r, cache: newCache(), due: now.Add(time.Duration(p.rng.Int64N(int64(p.set.Period))))}
 		p.all[r.VM] = t
 		heap.Push(&p.plan, t)
 	}
