--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -135,4 +135,8 @@
 type KVMove struct {
 	Object   string   `json:"object"`
 	Prefixes []uint64 `json:"prefixes"`
+	// Generation is the GenerationTag of the place that the move is meant for.
+	// An engine that checks it refuses with 412 in any other place: KV cache of
+	// other weights gives wrong answers. Empty: unchecked.
+	Generation string `json:"generation,omitempty"`
 }
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -82,8 +82,13 @@
 		return
 	}
 	e.mu.Lock()
+	meant := e.meant(&m)
 	held := e.cache.held(m.Prefixes)
 	e.mu.Unlock()
+	if !meant {
+		http.Error(w, "in another generation", http.StatusPreconditionFailed)
+		return
+	}
 	data, err := json.Marshal(held)
 	if err == nil {
 		err = e.opts.Objects.PutObject(r.Context(), m.Object, data)
@@ -102,13 +107,26 @@
 		err = json.Unmarshal(data, &prefixes)
 	}
 	e.mu.Lock()
-	for _, p := range prefixes {
-		e.cache.add(e.clock.Now(), p)
+	meant := e.meant(&m)
+	if meant {
+		for _, p := range prefixes {
+			e.cache.add(e.clock.Now(), p)
+		}
 	}
 	e.mu.Unlock()
+	if !meant {
+		http.Error(w, "in another generation", http.StatusPreconditionFailed)
+		return
+	}
 	done(w, err)
 }
 
+// meant reports whether the move is for the place that the engine is in. e.mu is
+// held.
+func (e *Engine) meant(m *engine.KVMove) bool {
+	return m.Generation == "" || m.Generation == engine.GenerationTag(e.state.Group, e.state.Generation)
+}
+
 func (e *Engine) readMove(w http.ResponseWriter, r *http.Request, m *engine.KVMove) bool {
 	if e.opts.Objects == nil {
 		http.Error(w, "the engine has no object store", http.StatusNotImplemented)
