--- /dev/null
+++ b/test/experiment/main_test.go
@@ -0,0 +1,39 @@
+package experiment
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+)
+
+// workDir holds the program under test, built once by the first experiment.
+var (
+	workDir string
+	build   = sync.OnceValues(buildProgram)
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	var err error
+	if workDir, err = os.MkdirTemp("", "chervilloom-experiment-"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(workDir)
+	return m.Run()
+}
+
+func buildProgram() (string, error) {
+	path := filepath.Join(workDir, "chervilloom")
+	out, err := exec.Command("go", "build", "-o", path, "chervilloom/cmd/chervilloom").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("the program does not build: %w\n%s", err, out)
+	}
+	return path, nil
+}
