--- a/test/experiment/fleet_test.go
+++ b/test/experiment/fleet_test.go
@@ -91,7 +91,8 @@
 type testFleet struct {
 	tb       testing.TB
 	shape    shape
-	store    string
+	platform *endpoint
+	store    string // address of the platform
 	engines  []*endpoint
 	services []*endpoint
 	nodes    []*node
@@ -101,7 +102,8 @@
 func startFleet(tb testing.TB, s shape) *testFleet {
 	tb.Helper()
 	f := &testFleet{tb: tb, shape: s}
-	f.store = f.standin("platform", "platform", "no_limits: true\n").addr
+	f.platform = f.standin("platform", "platform", "no_limits: true\n")
+	f.store = f.platform.addr
 	for d := range s.domains {
 		for i := range replicaSize {
 			f.addEngine(d, i)
