Explanations say nothing where a step has no reason

Cause: 'account: ran ok, because ' ended in nothing. Ruled out: a made-up reason in account. Change: the text leaves the clause out. Conclusion: explain reads as a sentence at every step.

--- a/internal/operator/text.go
+++ b/internal/operator/text.go
@@ -115,7 +115,11 @@
 func WriteExplanation(w io.Writer, e Explanation) {
 	fmt.Fprintf(w, "%s\n", e.Subject)
 	for _, s := range e.Steps {
-		fmt.Fprintf(w, "  %s  %s  %s: %s, because %s\n", s.At.Format("15:04:05.000"), s.Node, s.Stage, s.Decision, s.Reason)
+		fmt.Fprintf(w, "  %s  %s  %s: %s", s.At.Format("15:04:05.000"), s.Node, s.Stage, s.Decision)
+		if s.Reason != "" {
+			fmt.Fprintf(w, ", because %s", s.Reason)
+		}
+		fmt.Fprintln(w)
 		for _, f := range s.Facts {
 			fmt.Fprintf(w, "      %s = %s", f.Name, f.Value)
 			if f.Age > 0 {
