--- a/test/claims_test.go
+++ b/test/claims_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -139,6 +140,48 @@
 	}
 }
 
+// The holder's writes are under way for longer than its lease: they are held
+// back while the other node takes the lease and repairs the group, and land
+// then. Nothing of them takes effect, because each names the versions of the
+// lease, the group and the VMs that it was planned on.
+func TestLateWritesOfAnOldHolder(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, plan{zones: []string{zoneA, zoneA, zoneB}, engines: 10, replicas: 2, ignoreFences: true})
+	stop := f.watchClaims()
+	holder, other := f.leaseHolder()
+	groups := wholeGroups(other.status(t))
+
+	holder.writes.hold()
+	f.engine(groups[0].VMs[1]).kill()
+	f.engine(groups[1].VMs[2]).kill()
+	until(t, "the holder has sent a repair", func() bool { return holder.writes.holding() > 0 }, func() string { return "" })
+	f.await(other, "the other node holds the lease", holdsLease)
+	f.await(other, "both groups are repaired", func(s operator.Status) bool { return repairedSince(s, groups) })
+	before := f.groupRows()
+	holder.writes.release()
+	if after := f.groupRows(); after != before {
+		t.Errorf("a late write took effect:\n%s\nbefore:\n%s", after, before)
+	}
+	f.awaitServing()
+	f.mustAnswer()
+	f.enginesAsInTable()
+	stop()
+}
+
+// groupRows returns the rows of claims and groups as text.
+func (f *testFleet) groupRows() string {
+	f.t.Helper()
+	var out strings.Builder
+	for _, table := range []string{platform.TableVMs, platform.TableGroups} {
+		rows, err := f.table.List(f.t.Context(), table, "")
+		must(f.t, err)
+		for _, r := range rows {
+			fmt.Fprintf(&out, "%s %s %s\n", r.Table, r.Key, r.Value)
+		}
+	}
+	return out.String()
+}
+
 // A holder is paused again and again for short and long times while members
 // restart, so that it wakes at any step of a repair. The table stays sound.
 func TestLeaseHolderPausedDuringRepairs(t *testing.T) {
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -77,6 +77,7 @@
 	vm, zone               string
 	caller, operator, peer string
 	platform               *proxy
+	writes                 *writeHold // before the platform
 	settings               func(seeds ...string) string
 }
 
@@ -171,7 +172,8 @@
 // startNode starts a node that reaches the platform through a proxy of its own.
 func (f *testFleet) startNode(vm, zone string) *node {
 	f.t.Helper()
-	n := &node{vm: vm, zone: zone, platform: startProxy(f.t, vm+" to platform", f.store)}
+	hold, addr := startWriteHold(f.t, f.store)
+	n := &node{vm: vm, zone: zone, writes: hold, platform: startProxy(f.t, vm+" to platform", addr)}
 	n.settings = func(seeds ...string) string {
 		return fmt.Sprintf(nodeSettings, vm, zone, "127.0.0.1:0", n.platform.addr(), operatorHash, otherHash, quoted(seeds))
 	}
--- a/test/shutdown_test.go
+++ b/test/shutdown_test.go
@@ -25,7 +25,8 @@
 	own := longStreams(t, []*node{leaving, leaving, leaving, leaving}, 150)
 	// The relayed hops outlast all else that the node has in progress.
 	relayed := longStreams(t, []*node{far, far, far, far, far, far, far, far}, 300)
-	stop := keepBalanced(t, leaving, other, far)
+	lb, stop := keepBalanced(t, leaving, other, far)
+	until(t, "callers are at work", func() bool { return lb.calls.Load() > 200 }, func() string { return "" })
 
 	leaving.signal(t, syscall.SIGTERM)
 	for _, s := range append(own(), relayed()...) {
@@ -47,6 +48,7 @@
 type balancer struct {
 	nodes []*node
 	ready []atomic.Bool
+	calls atomic.Int64
 }
 
 // watch looks at the nodes' readiness until ctx ends.
@@ -76,7 +78,7 @@
 // keepBalanced has callers go through a balancer, over kept connections. The
 // function that it returns stops them and returns the answers that were not
 // whole.
-func keepBalanced(t *testing.T, nodes ...*node) func() []told {
+func keepBalanced(t *testing.T, nodes ...*node) (*balancer, func() []told) {
 	ctx, cancel := context.WithCancel(t.Context())
 	lb := &balancer{nodes: nodes, ready: make([]atomic.Bool, len(nodes))}
 	for i := range nodes {
@@ -86,13 +88,13 @@
 	var mu sync.Mutex
 	var bad []told
 	var work sync.WaitGroup
-	for i := range 8 {
+	for i := range 24 {
 		work.Go(func() {
 			for k := 0; ctx.Err() == nil; k++ {
 				n := lb.pick(i + k)
 				var a told
 				var err error
-				if k%2 == 0 {
+				if k%4 == 0 {
 					body := chatBody(fmt.Sprintf("balanced %d %d", i, k), 5, true)
 					a = n.chat(context.WithoutCancel(ctx), body, nil)
 					err = checkChat(body, a)
@@ -101,6 +103,7 @@
 					a = n.call(context.WithoutCancel(ctx), "POST", path, receipt, nil)
 					err = checkCall("POST", path, receipt, a)
 				}
+				lb.calls.Add(1)
 				if err != nil || !a.whole() {
 					mu.Lock()
 					bad = append(bad, a)
@@ -109,7 +112,7 @@
 			}
 		})
 	}
-	return func() []told {
+	return lb, func() []told {
 		cancel()
 		work.Wait()
 		return bad
