--- a/internal/identify/identify_test.go
+++ b/internal/identify/identify_test.go
@@ -151,6 +151,10 @@
 		{"post", "/receipts", request.ClassCall},
 		{"POST", "/%zz", request.ClassCall}, // cannot be read: not taken for repeatable
 		{"PUT", "/laps/3", request.ClassCall},
+		{"PUT", "/laps", request.ClassCall}, // the rule is "/Laps/"; servers take both
+		{"POST", "/receipts;v=2", request.ClassCall},
+		{"POST", "/receipts.json", request.ClassCall},
+		{"POST", "/receiptsheet", request.ClassLookup},
 		{"GET", "/next", request.ClassCall},
 		{"HEAD", "/next", request.ClassCall}, // most servers run GET's handler
 		{"POST", "/search", request.ClassLookup},
