Tests share the wait and the connection faults

Four packages had a polling wait of their own under four names, and the stand-ins' tests had the same table of connection faults: both are in internal/testkit now, which only tests import. Run: go test -race of accept, dispatch, revision and standin/..., ok.

--- a/internal/accept/drain_test.go
+++ b/internal/accept/drain_test.go
@@ -12,6 +12,7 @@
 	"chervilloom/internal/answer"
 	"chervilloom/internal/outcome"
 	"chervilloom/internal/request"
+	"chervilloom/internal/testkit"
 )
 
 // held is a path whose answers wait until they are let go.
@@ -26,17 +27,6 @@
 	echo(ctx, req, w)
 }
 
-func waitFor(t *testing.T, what string, cond func() bool) {
-	t.Helper()
-	end := time.Now().Add(20 * time.Second)
-	for !cond() {
-		if time.Now().After(end) {
-			t.Fatal("never: " + what)
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
 // A node is told to stop while a clerk waits for a receipt. First the node
 // fails its readiness, so that the balancer sends no more; requests that still
 // come are answered, on connections that then close. After that new requests
@@ -56,7 +46,7 @@
 
 	drained := make(chan error, 1)
 	go func() { drained <- s.Drain(context.Background()) }()
-	waitFor(t, "readiness fails", func() bool { return do(t, "GET", url+"/readyz", nil).StatusCode == 503 })
+	testkit.Eventually(t, "readiness fails", func() bool { return do(t, "GET", url+"/readyz", nil).StatusCode == 503 })
 
 	ask("/late")
 	select {
@@ -64,7 +54,7 @@
 	case resp := <-answers: // the machine was slow and the notice over
 		answers <- resp
 	}
-	waitFor(t, "new requests are refused", func() bool {
+	testkit.Eventually(t, "new requests are refused", func() bool {
 		resp := do(t, "GET", url+"/v1/models", nil)
 		is.True(resp.Close)
 		if resp.StatusCode == http.StatusOK {
--- a/internal/dispatch/hedge_test.go
+++ b/internal/dispatch/hedge_test.go
@@ -12,13 +12,14 @@
 	"chervilloom/internal/outcome"
 	"chervilloom/internal/request"
 	"chervilloom/internal/standin/service"
+	"chervilloom/internal/testkit"
 	"chervilloom/internal/view"
 )
 
 // ended waits until each try that began has ended.
 func (r *rig) ended(tries int) {
 	r.t.Helper()
-	eventually(r.t, "every try ends", func() bool {
+	testkit.Eventually(r.t, "every try ends", func() bool {
 		r.router.mu.Lock()
 		defer r.router.mu.Unlock()
 		return len(r.router.results) == tries && r.router.begun == tries
@@ -51,7 +52,7 @@
 	first.SetFaults(service.Faults{Stall: true})
 	c := newCollector()
 	go r.d.Serve(context.Background(), r.lookup("a"), c)
-	eventually(t, "the budget is asked", func() bool {
+	testkit.Eventually(t, "the budget is asked", func() bool {
 		r.retry.mu.Lock()
 		defer r.retry.mu.Unlock()
 		return r.retry.asked == 1
--- a/internal/dispatch/lost_test.go
+++ b/internal/dispatch/lost_test.go
@@ -12,6 +12,7 @@
 	"chervilloom/internal/outcome"
 	"chervilloom/internal/request"
 	standin "chervilloom/internal/standin/engine"
+	"chervilloom/internal/testkit"
 	"chervilloom/internal/view"
 )
 
@@ -97,7 +98,7 @@
 	q := r.chat("a", 50000, true)
 	q.Deadline = r.clock.Now().Add(10 * patience)
 	go r.d.Serve(context.Background(), q, c)
-	eventually(t, "events come", func() bool { return c.count() > 2 })
+	testkit.Eventually(t, "events come", func() bool { return c.count() > 2 })
 	e.SetFaults(standin.Faults{Stall: true})
 	r.see("z", view.Probe{State: fleet.EngineState{Boot: "after", Group: "", Fence: 0}})
 	<-c.done
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -21,6 +21,7 @@
 	"chervilloom/internal/route"
 	standin "chervilloom/internal/standin/engine"
 	"chervilloom/internal/standin/service"
+	"chervilloom/internal/testkit"
 	"chervilloom/internal/view"
 )
 
@@ -33,7 +34,7 @@
 )
 
 // patience bounds waits for what must happen; no verdict depends on it.
-const patience = 20 * time.Second
+const patience = testkit.Patience
 
 // rig is a dispatcher in front of stand-in endpoints.
 type rig struct {
@@ -348,15 +349,3 @@
 		Target: fleet.Target{Model: "renewals"}, Deadline: r.deadline(),
 	}
 }
-
-// eventually fails the test when cond does not come to hold.
-func eventually(t *testing.T, what string, cond func() bool) {
-	t.Helper()
-	end := time.Now().Add(patience)
-	for !cond() {
-		if time.Now().After(end) {
-			t.Fatal("never: " + what)
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
--- a/internal/dispatch/stream_test.go
+++ b/internal/dispatch/stream_test.go
@@ -22,6 +22,7 @@
 	"chervilloom/internal/request"
 	standin "chervilloom/internal/standin/engine"
 	"chervilloom/internal/standin/fault"
+	"chervilloom/internal/testkit"
 	"chervilloom/internal/view"
 )
 
@@ -137,12 +138,12 @@
 		defer close(done)
 		r.d.Serve(ctx, r.chat("a", 5000, true), c)
 	}()
-	eventually(t, "events come", func() bool { return c.count() > 2 })
+	testkit.Eventually(t, "events come", func() bool { return c.count() > 2 })
 	cancel()
 	<-done
 	is.Equal(c.end.Error.Kind, outcome.CallerGone)
 	is.Equal(c.end.Error.Outcome, outcome.Ran)
-	eventually(t, "the engine is told", func() bool { return cancelled.Load() == 1 })
+	testkit.Eventually(t, "the engine is told", func() bool { return cancelled.Load() == 1 })
 }
 
 // countCancels counts the cancels that reach the engine of the first group.
@@ -299,7 +300,7 @@
 		defer close(done)
 		r.d.Serve(context.Background(), r.chat("a", 5000, true), c)
 	}()
-	eventually(t, "events come", func() bool { return c.count() > 2 })
+	testkit.Eventually(t, "events come", func() bool { return c.count() > 2 })
 	e.Restart()
 	<-done
 	is.Equal(c.finished, 1)
--- a/internal/revision/keeper_test.go
+++ b/internal/revision/keeper_test.go
@@ -13,6 +13,7 @@
 
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/revision"
+	"chervilloom/internal/testkit"
 )
 
 const (
@@ -50,19 +51,6 @@
 	return k, stop
 }
 
-// eventually polls until the condition holds.
-func eventually(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	ctx := testContext(t)
-	for !holds() {
-		select {
-		case <-ctx.Done():
-			t.Fatalf("never: %s", what)
-		case <-time.After(time.Millisecond):
-		}
-	}
-}
-
 func number(k *revision.Keeper) uint64 {
 	n, _, _ := k.Current()
 	return n
@@ -70,7 +58,7 @@
 
 func await(t *testing.T, k *revision.Keeper, n uint64) {
 	t.Helper()
-	eventually(t, "the revision is in force", func() bool { return number(k) == n })
+	testkit.Eventually(t, "the revision is in force", func() bool { return number(k) == n })
 }
 
 // acceptAll accepts n revisions after base.
@@ -110,7 +98,7 @@
 	await(t, b, 1)
 	m.set(func() { m.cut["b"] = true })
 	acceptAll(t, a, 1, 2)
-	eventually(t, "announced to nobody", func() bool {
+	testkit.Eventually(t, "announced to nobody", func() bool {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		return m.told["a"] == 3
@@ -148,9 +136,9 @@
 	stopB()
 	tab.restore(old)
 	b, _ := start(t, m, tab, "b", patient)
-	eventually(t, "the node is ready", b.Ready)
+	testkit.Eventually(t, "the node is ready", b.Ready)
 	is.Equal(number(b), uint64(3))
-	eventually(t, "the table is healed", func() bool {
+	testkit.Eventually(t, "the table is healed", func() bool {
 		head, err := b.Store().Head(ctx)
 		return err == nil && head.Stamp.Number == 3
 	})
@@ -189,7 +177,7 @@
 	payload, err := cbor.Marshal(revision.Announcement{Stamp: revision.Stamp{Number: 2, Time: 1, Hash: 2}})
 	is.NoErr(err)
 	a.HandleAnnounce(fleet.Node{VM: "gone"}, payload)
-	eventually(t, "accepted", func() bool {
+	testkit.Eventually(t, "accepted", func() bool {
 		rec, err := a.Accept(testContext(t), 1, document(2), "asha")
 		return err == nil && rec.Stamp.Number == 3
 	})
@@ -217,7 +205,7 @@
 	k.HandleAnnounce(fleet.Node{VM: "bad"}, announce)
 	<-damaged.asked
 	// The second question comes after the first answer was judged.
-	eventually(t, "asked again", func() bool {
+	testkit.Eventually(t, "asked again", func() bool {
 		k.HandleAnnounce(fleet.Node{VM: "bad"}, announce)
 		return len(damaged.asked) > 0
 	})
--- a/internal/standin/engine/helpers_test.go
+++ b/internal/standin/engine/helpers_test.go
@@ -11,12 +11,12 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
 
 	"go.uber.org/goleak"
 
 	"chervilloom/internal/engine"
 	"chervilloom/internal/fleet"
+	"chervilloom/internal/testkit"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -57,7 +57,7 @@
 	return v
 }
 
-const testTime = 20 * time.Second
+const testTime = testkit.Patience
 
 func within(t *testing.T) context.Context {
 	ctx, cancel := context.WithTimeout(context.Background(), testTime)
@@ -179,13 +179,3 @@
 		e.tokens = append(e.tokens, c.Choices[0].Delta.Content)
 	}
 }
-
-// poll waits until cond holds.
-func poll(t *testing.T, what string, cond func() bool) {
-	t.Helper()
-	for end := time.Now().Add(testTime); !cond(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("never came: " + what)
-		}
-	}
-}
--- a/internal/standin/engine/load_test.go
+++ b/internal/standin/engine/load_test.go
@@ -20,6 +20,7 @@
 	"chervilloom/internal/identify"
 	"chervilloom/internal/request"
 	"chervilloom/internal/standin/platform"
+	"chervilloom/internal/testkit"
 )
 
 func loadOf(t *testing.T, v *vm) fleet.Load {
@@ -73,7 +74,7 @@
 			mu.Unlock()
 			s.release()
 		})
-		poll(t, "a waiter", func() bool { mu.Lock(); defer mu.Unlock(); return waiting == i+1 })
+		testkit.Eventually(t, "a waiter", func() bool { mu.Lock(); defer mu.Unlock(); return waiting == i+1 })
 	}
 	is.Equal(s.acquire(ctx, 9), errQueueFull)
 	s.release()
--- a/internal/standin/engine/replica_test.go
+++ b/internal/standin/engine/replica_test.go
@@ -8,6 +8,7 @@
 
 	"chervilloom/internal/config"
 	"chervilloom/internal/engine"
+	"chervilloom/internal/testkit"
 )
 
 // pair starts a replica of two VMs, in generation 1, with the first as rank 0.
@@ -68,7 +69,7 @@
 	is.NoErr(err)
 	b.Restart()
 	b.join(1, 2, 1, a.addr, b.addr)
-	poll(t, "a replica that gave up", func() bool {
+	testkit.Eventually(t, "a replica that gave up", func() bool {
 		_, err = content(a.chat(within(t), "after", prompt("x", 1, false)))
 		return err != nil
 	})
@@ -103,7 +104,7 @@
 	res, err := a.chat(within(t), "r", body)
 	is.NoErr(err)
 	b.SetFaults(Faults{Stall: true})
-	poll(t, "a stalled replica", func() bool {
+	testkit.Eventually(t, "a stalled replica", func() bool {
 		a.mu.Lock()
 		r := a.replica
 		a.mu.Unlock()
@@ -139,7 +140,7 @@
 		_, err := content(a.chat(ctx, "r", prompt("x", MaxTokens, false)))
 		done <- err
 	}()
-	poll(t, "a request that runs", func() bool { return a.Executions("r") == 1 })
+	testkit.Eventually(t, "a request that runs", func() bool { return a.Executions("r") == 1 })
 	b.Restart()
 	is.True(<-done != nil)
 }
--- a/internal/standin/engine/stream_test.go
+++ b/internal/standin/engine/stream_test.go
@@ -16,6 +16,7 @@
 	"chervilloom/internal/config"
 	"chervilloom/internal/engine"
 	"chervilloom/internal/standin/fault"
+	"chervilloom/internal/testkit"
 )
 
 // A streamed answer numbers its tokens, ends with the count and the end marker,
@@ -111,7 +112,7 @@
 	v := start(t, o)
 	v.join(1, 1, 0)
 	is.NoErr(readEvents(v.chat(within(t), "r", prompt("x", 1, true))).err)
-	poll(t, "the end of the stream", func() bool {
+	testkit.Eventually(t, "the end of the stream", func() bool {
 		v.mu.Lock()
 		defer v.mu.Unlock()
 		return len(v.ended) == 1
@@ -143,7 +144,7 @@
 		_, err := content(v.chat(context.Background(), "next", prompt("y", 1, false)))
 		next <- err
 	}()
-	poll(t, "a request that waits", func() bool { return loadOf(t, v).Waiting == 1 })
+	testkit.Eventually(t, "a request that waits", func() bool { return loadOf(t, v).Waiting == 1 })
 	res, err := v.call(within(t), http.MethodDelete, "/v1/streams/long", "")
 	is.NoErr(err)
 	is.NoErr(res.Body.Close())
@@ -169,10 +170,10 @@
 		_, err := content(v.chat(ctx, "left", prompt("y", 1, false)))
 		left <- err
 	}()
-	poll(t, "a request that waits", func() bool { return loadOf(t, v).Waiting == 1 })
+	testkit.Eventually(t, "a request that waits", func() bool { return loadOf(t, v).Waiting == 1 })
 	cancel()
 	is.True(<-left != nil)
-	poll(t, "an empty queue", func() bool { return loadOf(t, v).Waiting == 0 })
+	testkit.Eventually(t, "an empty queue", func() bool { return loadOf(t, v).Waiting == 0 })
 	is.Equal(v.Executions("left"), 0)
 }
 
@@ -188,33 +189,21 @@
 	is.NoErr(err)
 	cancel()
 	_ = readEvents(res, nil)
-	poll(t, "a free slot", func() bool { return loadOf(t, v).Running == 0 })
+	testkit.Eventually(t, "a free slot", func() bool { return loadOf(t, v).Running == 0 })
 }
 
 // Each connection fault is told by the caller as no whole answer; only the
 // count of executions knows whether the request ran.
 func TestConnectionFaults(t *testing.T) {
-	for name, tt := range map[string]struct {
-		stages fault.Stages
-		runs   int
-	}{
-		"before the body":      {fault.Stages{DropBeforeBody: 1}, 0},
-		"half the body":        {fault.Stages{DropHalfBody: 1}, 0},
-		"after the body":       {fault.Stages{DropAfterBody: 1}, 0},
-		"after running":        {fault.Stages{DropAfterRun: 1}, 1},
-		"half the answer":      {fault.Stages{CutAnswer: 1}, 1},
-		"clean half":           {fault.Stages{CutAnswerClean: 1}, 1},
-		"refused":              {fault.Stages{RefuseNotRun: 1}, 0},
-		"failed after running": {fault.Stages{FailAfterRun: 1}, 1},
-	} {
-		t.Run(name, func(t *testing.T) {
+	for _, tt := range testkit.ConnectionFaults() {
+		t.Run(tt.Name, func(t *testing.T) {
 			is := is.New(t)
 			v := start(t, fast("e"))
 			v.join(1, 1, 0)
-			v.SetFaults(Faults{Stages: tt.stages})
+			v.SetFaults(Faults{Stages: tt.Stages})
 			_, err := content(v.chat(within(t), "r", prompt("x", 8, false)))
 			is.True(err != nil)
-			is.Equal(v.Executions("r"), tt.runs)
+			is.Equal(v.Executions("r"), tt.Runs)
 			body := prompt("x", 8, false)
 			got, err := content(v.chat(within(t), "again", body))
 			is.NoErr(err)
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -14,6 +14,7 @@
 
 	"chervilloom/internal/engine"
 	"chervilloom/internal/standin/fault"
+	"chervilloom/internal/testkit"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -95,32 +96,22 @@
 // A call loses its connection at each stage. The caller gets no whole answer in
 // any of them; whether the receipt was issued is known to the count alone.
 func TestConnectionFaults(t *testing.T) {
-	for name, tt := range map[string]struct {
-		stages fault.Stages
-		runs   int
-	}{
-		"before the body":           {fault.Stages{DropBeforeBody: 1}, 0},
-		"half the body":             {fault.Stages{DropHalfBody: 1}, 0},
-		"after the body":            {fault.Stages{DropAfterBody: 1}, 0},
-		"after running":             {fault.Stages{DropAfterRun: 1}, 1},
-		"half the answer":           {fault.Stages{CutAnswer: 1}, 1},
-		"clean half":                {fault.Stages{CutAnswerClean: 1}, 1},
-		"refused":                   {fault.Stages{RefuseNotRun: 1}, 0},
-		"failed after running":      {fault.Stages{FailAfterRun: 1}, 1},
-		"reused connection closed":  {fault.Stages{DropReused: 1}, 0},
-		"reused, closed after run":  {fault.Stages{DropReusedAfter: 1}, 1},
-		"always, after the body":    {fault.Stages{DropAfterBody: fault.Always}, 0},
-		"always, after running too": {fault.Stages{DropAfterRun: fault.Always}, 1},
-	} {
-		t.Run(name, func(t *testing.T) {
+	cases := append(testkit.ConnectionFaults(),
+		testkit.ConnectionFault{Name: "reused connection closed", Stages: fault.Stages{DropReused: 1}, Runs: 0},
+		testkit.ConnectionFault{Name: "reused, closed after run", Stages: fault.Stages{DropReusedAfter: 1}, Runs: 1},
+		testkit.ConnectionFault{Name: "always, after the body", Stages: fault.Stages{DropAfterBody: fault.Always}, Runs: 0},
+		testkit.ConnectionFault{Name: "always, after running too", Stages: fault.Stages{DropAfterRun: fault.Always}, Runs: 1},
+	)
+	for _, tt := range cases {
+		t.Run(tt.Name, func(t *testing.T) {
 			is := is.New(t)
 			c := start(t)
 			_, _, err := c.call("POST", "/receipts", "x", "opens the connection")
 			is.NoErr(err)
-			c.SetFaults(Faults{Stages: tt.stages})
+			c.SetFaults(Faults{Stages: tt.Stages})
 			_, _, err = c.call("POST", "/receipts", strings.Repeat("x", 4096), "a")
 			is.True(err != nil)
-			is.Equal(c.Executions("POST", "/receipts", "a"), tt.runs)
+			is.Equal(c.Executions("POST", "/receipts", "a"), tt.Runs)
 		})
 	}
 }
