Stand-ins share the gate, the counting of hits and the paths of the tests' calls

The engine and the service held the same code that lets the tests' calls past a stall, and the platform had a copy of the counting of hits. Two bare durations of the engine's transport have names. Run: go test -race ./internal/standin/..., ok.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -35,6 +35,8 @@
 	DefaultStreamKept             = time.Minute
 	DefaultOrphanAfter            = 10 * time.Second
 	minPeerTimeout                = 250 * time.Millisecond
+	peerDialTimeout               = time.Second
+	peerIdleTimeout               = 10 * time.Second
 	streamsKept                   = 1024
 	shutdownCause           cause = "the engine was closed"
 	restartCause            cause = "the engine restarted"
@@ -156,8 +158,8 @@
 		opts:  o,
 		clock: o.Clock,
 		peers: &http.Transport{
-			DialContext:     (&net.Dialer{Timeout: time.Second}).DialContext,
-			IdleConnTimeout: 10 * time.Second,
+			DialContext:     (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+			IdleConnTimeout: peerIdleTimeout,
 		},
 		runs: fault.NewExecutions(),
 	}
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -13,14 +13,7 @@
 //
 //	POST /faults      Faults; "restart": true begins a new life. GET shows them
 //	GET  /executions  how often each X-Request-Id ran
-func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != "/faults" && r.URL.Path != "/executions" {
-		if _, err := e.gate.Wait(r.Context()); err != nil {
-			return
-		}
-	}
-	e.mux.ServeHTTP(w, r)
-}
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.gate.Serve(w, r, e.mux) }
 
 func (e *Engine) routes() *http.ServeMux {
 	mux := http.NewServeMux()
@@ -34,9 +27,9 @@
 	mux.HandleFunc("POST /kv/export", e.serveExport)
 	mux.HandleFunc("POST /kv/import", e.serveImport)
 	mux.HandleFunc("POST /leave", e.serveLeave)
-	mux.HandleFunc("GET /faults", e.serveFaults)
-	mux.HandleFunc("POST /faults", e.serveSetFaults)
-	mux.Handle("GET /executions", e.runs)
+	mux.HandleFunc("GET "+fault.PathFaults, e.serveFaults)
+	mux.HandleFunc("POST "+fault.PathFaults, e.serveSetFaults)
+	mux.Handle("GET "+fault.PathExecutions, e.runs)
 	return mux
 }
 
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -77,25 +77,25 @@
 	reused := s.seen(r.RemoteAddr)
 	f := &s.stages
 	switch {
-	case reused && take(&f.DropReused):
+	case reused && Take(&f.DropReused):
 		return BeforeBody
-	case reused && take(&f.DropReusedAfter):
+	case reused && Take(&f.DropReusedAfter):
 		return AfterRun
-	case take(&f.DropBeforeBody):
+	case Take(&f.DropBeforeBody):
 		return BeforeBody
-	case take(&f.DropHalfBody):
+	case Take(&f.DropHalfBody):
 		return HalfBody
-	case take(&f.DropAfterBody):
+	case Take(&f.DropAfterBody):
 		return AfterBody
-	case take(&f.DropAfterRun):
+	case Take(&f.DropAfterRun):
 		return AfterRun
-	case take(&f.CutAnswer):
+	case Take(&f.CutAnswer):
 		return HalfAnswer
-	case take(&f.CutAnswerClean):
+	case Take(&f.CutAnswerClean):
 		return HalfAnswerClean
-	case take(&f.RefuseNotRun):
+	case Take(&f.RefuseNotRun):
 		return Refuse
-	case take(&f.FailAfterRun):
+	case Take(&f.FailAfterRun):
 		return Fail
 	default:
 		return None
@@ -114,7 +114,8 @@
 	return false
 }
 
-func take(n *int) bool {
+// Take uses up one hit of a counting fault and reports whether there was one.
+func Take(n *int) bool {
 	if *n == 0 {
 		return false
 	}
--- a/internal/standin/fault/gate.go
+++ b/internal/standin/fault/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 )
 
@@ -49,3 +50,21 @@
 		}
 	}
 }
+
+// The calls of tests, which a stalled stand-in answers too: how else would the
+// stall be ended.
+const (
+	PathFaults     = "/faults"
+	PathExecutions = "/executions"
+)
+
+// Serve serves r by h once the gate is open, and the calls of tests at once. A
+// caller that leaves before gets nothing.
+func (g *Gate) Serve(w http.ResponseWriter, r *http.Request, h http.Handler) {
+	if r.URL.Path != PathFaults && r.URL.Path != PathExecutions {
+		if _, err := g.Wait(r.Context()); err != nil {
+			return
+		}
+	}
+	h.ServeHTTP(w, r)
+}
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chervilloom/internal/config"
+	"chervilloom/internal/standin/fault"
 )
 
 // Down says how the platform fails while it is down.
@@ -17,7 +18,7 @@
 )
 
 // Always makes a fault that counts requests hit every one.
-const Always = -1
+const Always = fault.Always
 
 // Faults are the switches of the stand-in. The zero value is a platform
 // without faults.
@@ -48,17 +49,6 @@
 	Restore bool `json:"restore"`
 }
 
-// take uses up one hit of a counting fault.
-func take(n *int) bool {
-	if *n == 0 {
-		return false
-	}
-	if *n > 0 {
-		*n--
-	}
-	return true
-}
-
 func (f *Faults) slow() time.Duration { return time.Duration(f.Slow) }
 
 func (f *Faults) lag() time.Duration { return time.Duration(f.ListLag) }
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -18,6 +18,7 @@
 	"chervilloom/internal/config"
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/platform"
+	"chervilloom/internal/standin/fault"
 )
 
 // Default rates of the service, in rows written and reads a second.
@@ -199,9 +200,9 @@
 	case !p.faults.NoLimits && !p.withinRate(a):
 		p.stats.Limited++
 		return fateLimited
-	case a.write && take(&p.faults.DropBefore):
+	case a.write && fault.Take(&p.faults.DropBefore):
 		return fateClosed
-	case a.write && take(&p.faults.LoseAnswers):
+	case a.write && fault.Take(&p.faults.LoseAnswers):
 		return fateLoseAnswer
 	default:
 		return fatePass
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -146,14 +146,7 @@
 
 // ServeHTTP serves GET /state, /load, POST /leave, and any other path as the
 // service's calls; for tests GET and POST /faults and GET /executions.
-func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != "/faults" && r.URL.Path != "/executions" {
-		if _, err := s.gate.Wait(r.Context()); err != nil {
-			return
-		}
-	}
-	s.mux.ServeHTTP(w, r)
-}
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.gate.Serve(w, r, s.mux) }
 
 func (s *Service) routes() *http.ServeMux {
 	mux := http.NewServeMux()
@@ -163,9 +156,9 @@
 		s.Leave()
 		w.WriteHeader(http.StatusNoContent)
 	})
-	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) { fault.Reply(w, http.StatusOK, s.Faults()) })
-	mux.HandleFunc("POST /faults", s.serveSetFaults)
-	mux.Handle("GET /executions", s.runs)
+	mux.HandleFunc("GET "+fault.PathFaults, func(w http.ResponseWriter, _ *http.Request) { fault.Reply(w, http.StatusOK, s.Faults()) })
+	mux.HandleFunc("POST "+fault.PathFaults, s.serveSetFaults)
+	mux.Handle("GET "+fault.PathExecutions, s.runs)
 	mux.HandleFunc("/", s.serveCall)
 	return mux
 }
