One wait and one ticker loop that end with a context

dispatch, once and revision each had the same wait under two names, and three loops around a ticker: clock.Sleep and clock.Every take their place. A wait of nothing in revision now returns at once instead of through a timer. Run: go test -race of dispatch, once and revision, ok.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -178,7 +178,7 @@
 		case giveUp:
 			return last.After(comeBack(last, dec.wait))
 		case retry:
-			if !sleep(ctx, dec.wait) {
+			if !clock.Sleep(ctx, dec.wait) {
 				return d.stopped(ctx, last.Outcome)
 			}
 		}
@@ -267,18 +267,3 @@
 	}
 	return r
 }
-
-// sleep waits for d and reports whether ctx still holds.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/dispatch/guard.go
+++ b/internal/dispatch/guard.go
@@ -68,15 +68,8 @@
 
 // guardLoop looks at each new snapshot, and again as time passes.
 func (d *Dispatcher) guardLoop(ctx context.Context) {
-	t := time.NewTicker(guardInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			given := d.guard.look(d.opt.View.Snapshot(), d.opt.Clock.Now())
-			d.metrics.lost.Add(float64(given))
-		}
-	}
+	clock.Every(ctx, guardInterval, func() {
+		given := d.guard.look(d.opt.View.Snapshot(), d.opt.Clock.Now())
+		d.metrics.lost.Add(float64(given))
+	})
 }
--- a/internal/dispatch/linger.go
+++ b/internal/dispatch/linger.go
@@ -66,16 +66,9 @@
 }
 
 func (d *Dispatcher) lingerLoop(ctx context.Context) {
-	t := time.NewTicker(lingerInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			for _, a := range d.linger.over(d.opt.Clock.Now()) {
-				d.abandon(a)
-			}
+	clock.Every(ctx, lingerInterval, func() {
+		for _, a := range d.linger.over(d.opt.Clock.Now()) {
+			d.abandon(a)
 		}
-	}
+	})
 }
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -127,7 +127,7 @@
 		wait := f.wait
 		f.wait = min(2*wait, longestWait)
 		switch {
-		case !sleep(guarded, wait):
+		case !clock.Sleep(guarded, wait):
 			return nil, f.lost(ctx, because(guarded, cause))
 		case !f.d.opt.Clock.Now().Before(f.silent.Add(resumeLimit)):
 			f.d.abandon(f.abandoned()) // the engine may still produce for nobody
--- a/internal/once/sweep.go
+++ b/internal/once/sweep.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"github.com/google/uuid"
 
+	"chervilloom/internal/clock"
 	"chervilloom/internal/platform"
 )
 
@@ -26,16 +26,7 @@
 type sweepCursor struct{ next int }
 
 func (k *Keeper) sweepLoop(ctx context.Context) {
-	tick := time.NewTicker(k.opt.SweepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			k.sweepOnce(ctx)
-		}
-	}
+	clock.Every(ctx, k.opt.SweepEvery, func() { k.sweepOnce(ctx) })
 }
 
 func (k *Keeper) sweepOnce(ctx context.Context) {
--- a/internal/once/writer.go
+++ b/internal/once/writer.go
@@ -180,7 +180,7 @@
 	if !ok {
 		return nil, false
 	}
-	if !sleep(ctx, w.limits.Gap-time.Since(w.lastStart)) {
+	if !clock.Sleep(ctx, w.limits.Gap-time.Since(w.lastStart)) {
 		first.done(writeFailed, platform.Row{})
 		return nil, false
 	}
@@ -252,17 +252,3 @@
 	w.downUntil.Store(int64(w.clock.Now().Add(pause)))
 	w.log.Warn("claims of keys are refused, the table does not answer; it is asked again soon", "pause", pause, "err", err)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/revision/spread.go
+++ b/internal/revision/spread.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"chervilloom/internal/clock"
 	"chervilloom/internal/fleet"
 )
 
@@ -68,7 +69,7 @@
 		if state.PeerHeard && state.Seen == state.Highest() {
 			return
 		}
-		if !pause(ctx, joinRetry) {
+		if !clock.Sleep(ctx, joinRetry) {
 			return
 		}
 	}
@@ -116,7 +117,7 @@
 func (k *Keeper) runPoll(ctx context.Context, r *rand.Rand) {
 	for {
 		k.poll(ctx)
-		if !pause(ctx, jittered(PollInterval(k.opts.Poll, 1+len(k.opts.Nodes())), r)) {
+		if !clock.Sleep(ctx, jittered(PollInterval(k.opts.Poll, 1+len(k.opts.Nodes())), r)) {
 			return
 		}
 	}
@@ -246,7 +247,7 @@
 			return
 		case <-k.heal:
 			if k.lacksLinks(ctx) {
-				pause(ctx, healPatience*k.opts.Poll)
+				clock.Sleep(ctx, healPatience*k.opts.Poll)
 			}
 			k.healOnce(ctx)
 		}
--- a/internal/revision/store.go
+++ b/internal/revision/store.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"chervilloom/internal/clock"
 	"chervilloom/internal/config"
 	"chervilloom/internal/platform"
 )
@@ -32,7 +33,7 @@
 	if now == nil {
 		now = time.Now
 	}
-	return &Store{table: table, now: now, newAttempt: uuid.NewString, pause: pause}
+	return &Store{table: table, now: now, newAttempt: uuid.NewString, pause: clock.Sleep}
 }
 
 // Head is the head row as read.
@@ -343,15 +344,3 @@
 	}
 	return records[len(records)-1]
 }
-
-// pause waits for d and reports whether ctx still holds.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
