--- a/internal/kv/uses.go
+++ b/internal/kv/uses.go
@@ -37,7 +37,7 @@
 
 type groupUses struct {
 	last     clock.Instant
-	prefixes map[uint64]*counted
+	prefixes map[uint64]counted
 }
 
 type counted struct {
@@ -78,7 +78,7 @@
 	if len(u.groups) >= maxGroups {
 		u.dropOldest()
 	}
-	g := &groupUses{prefixes: make(map[uint64]*counted)}
+	g := &groupUses{prefixes: make(map[uint64]counted)}
 	u.groups[id] = g
 	return g
 }
@@ -96,11 +96,12 @@
 func (g *groupUses) note(h, parent uint64, depth int, now clock.Instant) {
 	c, ok := g.prefixes[h]
 	if !ok {
-		g.prefixes[h] = &counted{parent: parent, depth: depth, last: now}
-		return
+		c = counted{parent: parent, depth: depth}
+	} else {
+		c.count = c.at(now) + 1
 	}
-	c.count = c.at(now) + 1
 	c.last = now
+	g.prefixes[h] = c
 }
 
 func (c *counted) at(now clock.Instant) float64 {
