--- a/test/experiment/client_test.go
+++ b/test/experiment/client_test.go
@@ -145,6 +145,10 @@
 }
 
 func (s *reading) String() string {
+	told := map[string]int{}
+	for _, t := range s.told {
+		told[t]++
+	}
 	return fmt.Sprintf("%d of %d tokens, done %t, %d cuts, told %v, fault %q",
-		len(s.tokens), len(standin.ExpectedTokens([]byte(s.body))), s.done, s.cuts, s.told, s.fault)
+		len(s.tokens), len(standin.ExpectedTokens([]byte(s.body))), s.done, s.cuts, told, s.fault)
 }
