Callers' interface: a body that never ends is given up

Cause: a caller with a key that began a body and sent nothing more held the memory, and a place among the requests in progress, for ever; a shutdown waited for it to its bound. A body has a minute now, and the refusal names the time. Red before: TestBodyThatNeverEndsIsGivenUp (with the deadline taken out, hung to its timeout). TestBodyTimeoutDoesNotCutTheAnswer was red with the deadline set after the body as well. Tried and taken out again: lifting the deadline after the body; net/http does so itself, and the test stayed green without it. Run: go test -race -count 3 ./internal/accept, ok.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -10,6 +10,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"strings"
 	"time"
@@ -44,6 +45,7 @@
 const (
 	DefaultBodyLimit    = 4 << 20
 	DefaultAnswerBuffer = 8 << 20
+	DefaultBodyTimeout  = time.Minute
 )
 
 // Options are what the server needs. Tickets, Authorise, Ready and Registerer
@@ -55,6 +57,8 @@
 	Log        *slog.Logger
 	Registerer prometheus.Registerer
 	BodyLimit  int64 // bytes of a request's body
+	// BodyTimeout is how long a caller may take to send a body.
+	BodyTimeout time.Duration
 	// AnswerBuffer is how many bytes of an answer are held back until it is
 	// whole; what is longer is sent as it comes.
 	AnswerBuffer int
@@ -87,6 +91,9 @@
 	if opt.AnswerBuffer == 0 {
 		opt.AnswerBuffer = DefaultAnswerBuffer
 	}
+	if opt.BodyTimeout == 0 {
+		opt.BodyTimeout = DefaultBodyTimeout
+	}
 	if opt.Log == nil {
 		opt.Log = slog.New(slog.DiscardHandler)
 	}
@@ -225,16 +232,31 @@
 // readBody reads the whole body: nothing is sent anywhere before the request
 // is complete, so a caller that fails half-way is "not run".
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *outcome.Error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	// net/http lifts the deadline at the body's end, when it begins to wait for
+	// the caller to leave.
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.opt.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.opt.BodyLimit))
+	if err != nil {
+		return nil, s.badBody(w, err)
+	}
+	return body, nil
+}
+
+func (s *Server) badBody(w http.ResponseWriter, err error) *outcome.Error {
 	var large *http.MaxBytesError
 	switch {
-	case err == nil:
-		return body, nil
 	case errors.As(err, &large):
-		return nil, outcome.New(outcome.TooLarge, outcome.NotRun,
+		return outcome.New(outcome.TooLarge, outcome.NotRun,
 			"the body is longer than "+bytesText(s.opt.BodyLimit), "send less, or have the operator raise the bound")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		return outcome.New(outcome.BadRequest, outcome.NotRun,
+			"the body did not come within "+s.opt.BodyTimeout.String(), "send the request again over a better connection").WithCause(err)
 	}
-	return nil, outcome.New(outcome.BadRequest, outcome.NotRun,
+	return outcome.New(outcome.BadRequest, outcome.NotRun,
 		"the body ended early", "send the request again").WithCause(err)
 }
 
--- a/internal/accept/refuse_test.go
+++ b/internal/accept/refuse_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -110,3 +111,40 @@
 		is.Equal(lines[len(lines)-1], "data: [DONE]")
 	}
 }
+
+// A caller with a key begins a body and sends nothing more. It is refused after
+// a while as "not run": the body's memory and the place among the requests in
+// progress, for which a shutdown waits, would otherwise be held for ever.
+func TestBodyThatNeverEndsIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	s, url := serve(t, echo, func(o *Options) { o.BodyTimeout = 20 * time.Millisecond })
+	endless, end := io.Pipe()
+	defer end.Close()
+	resp := do(t, "POST", url+"/services/counter/receipts", io.MultiReader(strings.NewReader("{"), endless))
+	is.Equal(resp.StatusCode, http.StatusBadRequest)
+	is.True(resp.Close)
+	body := told(t, resp.Body)
+	is.Equal(body.Error.Outcome, outcome.NotRun)
+	is.True(strings.Contains(body.Error.Message, "20ms"))
+	is.NoErr(s.Drain(context.Background())) // waits for nothing
+}
+
+// The time for a body ends with the body: an answer may take longer.
+func TestBodyTimeoutDoesNotCutTheAnswer(t *testing.T) {
+	is := is.New(t)
+	const timeout = 50 * time.Millisecond
+	_, url := serve(t, func(ctx context.Context, req *request.Request, w answer.Writer) {
+		select {
+		case <-ctx.Done(): // what a read that fails would end
+		case <-time.After(4 * timeout):
+		}
+		is.NoErr(ctx.Err())
+		echo(ctx, req, w)
+	}, func(o *Options) { o.BodyTimeout = timeout })
+	for range 2 { // the second comes over the same connection
+		resp := do(t, "POST", url+"/services/counter/x", strings.NewReader("body"))
+		body, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(string(body), "POST /services/counter/x body")
+	}
+}
