Dispatch: an endpoint's advice on when to come back is bounded

Cause: 'Retry-After:' was told to callers as it came, and larger numbers ran over. Red before: TestAdviceOfAnEndpointIsBounded (277777h != 1m). Run: go test -race ./internal/dispatch, ok.

--- a/internal/dispatch/adversary_test.go
+++ b/internal/dispatch/adversary_test.go
@@ -104,3 +104,14 @@
 		t.Fatal("the stream was not cancelled")
 	}
 }
+
+// An endpoint advises to come back in years, or in no time that there is. The
+// caller is never told to stay away for longer than others need to take over.
+func TestAdviceOfAnEndpointIsBounded(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"": 0, "soon": 0, "-5": 0, "0": 0, "7": 7 * time.Second, "60": time.Minute,
+		"1000000000": time.Minute, "18446744074": time.Minute,
+	} {
+		is.New(t).Equal(retryAfter(http.Header{"Retry-After": {value}}), want)
+	}
+}
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -141,10 +141,16 @@
 	return strings.ToLower(strings.TrimSpace(t))
 }
 
+// maxAdvice bounds the advice of an endpoint on when to come back. Others may
+// take the request long before, and beyond some 292 years of seconds the
+// product would run over into a time that has passed.
+const maxAdvice = time.Minute
+
+// retryAfter returns the advice of an answer's header, 0 when there is none.
 func retryAfter(h http.Header) time.Duration {
-	s, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || s < 0 {
+	s, err := strconv.ParseUint(h.Get("Retry-After"), 10, 64)
+	if err != nil {
 		return 0
 	}
-	return time.Duration(s) * time.Second
+	return time.Duration(min(s, uint64(maxAdvice/time.Second))) * time.Second
 }
