--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -114,8 +114,8 @@
 		slog.String("group", string(l.head.Group)),
 		slog.Uint64("generation", uint64(l.head.Generation)),
 		slog.Int64("tries", l.tries),
-		slog.Duration("first", l.first),
-		slog.Duration("total", l.total),
+		slog.Float64("first_seconds", l.first.Seconds()),
+		slog.Float64("total_seconds", l.total.Seconds()),
 		slog.Uint64("frames", l.end.Frames),
 		slog.Uint64("bytes", l.end.Bytes),
 	}
--- a/internal/once/writer.go
+++ b/internal/once/writer.go
@@ -250,5 +250,5 @@
 	}
 	w.downFor.Store(int64(2 * pause))
 	w.downUntil.Store(int64(w.clock.Now().Add(pause)))
-	w.log.Warn("claims of keys are refused, the table does not answer; it is asked again soon", "pause", pause, "err", err)
+	w.log.Warn("claims of keys are refused, the table does not answer; it is asked again soon", "pause_seconds", pause.Seconds(), "err", err)
 }
--- a/internal/revision/spread.go
+++ b/internal/revision/spread.go
@@ -128,7 +128,7 @@
 	defer cancel()
 	head, err := k.store.Head(ctx)
 	if err != nil {
-		k.opts.Log.Debug("head of the revisions cannot be read", "error", err)
+		k.opts.Log.Debug("head of the revisions cannot be read; the next look tries again", "error", err)
 		return
 	}
 	k.learn(HeadRead{head.Stamp})
