Settings: no body limit beyond what nodes pass on to each other

Cause: with a larger one, a body was served or refused by where its endpoint is. The check for a negative size is gone: a size is never below 1 once read. Red before: TestBodyLimitFitsBetweenNodes. Run: go test -race ./internal/settings, ok.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -37,8 +37,8 @@
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, LogText, LogJSON)
 	c.timing(&s.Timing)
-	if s.BodyLimit < 0 {
-		c.Addf("body_limit", "write a size such as 4MiB", "a negative size")
+	if s.BodyLimit > MaxBodyLimit {
+		c.Addf("body_limit", "write a size up to 64MiB", "nodes do not pass on bodies of %d bytes", s.BodyLimit)
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,7 +30,7 @@
 	Operators   []Operator             `yaml:"operators"`
 	Trace       Trace                  `yaml:"trace"`
 	Log         Log                    `yaml:"log"`
-	BodyLimit   ByteSize               `yaml:"body_limit"` // largest request body; default 4MiB
+	BodyLimit   ByteSize               `yaml:"body_limit"` // largest request body, up to MaxBodyLimit; default 4MiB
 	Timing      Timing                 `yaml:"timing"`
 }
 
@@ -123,6 +123,9 @@
 	RevisionPoll config.Duration `yaml:"revision_poll"`
 }
 
+// MaxBodyLimit is the largest body that nodes pass on to each other.
+const MaxBodyLimit = 64 << 20
+
 // The defaults.
 const (
 	DefaultBodyLimit       = 4 << 20
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"github.com/sebdah/goldie/v2"
 
+	"chervilloom/internal/peer"
 	"chervilloom/internal/settings"
 	"chervilloom/internal/yamlcheck"
 )
@@ -85,3 +86,17 @@
 	is.True(err != nil)
 	goldie.New(t, goldie.WithNameSuffix(".golden")).Assert(t, "wrong", []byte(err.Error()+"\n"))
 }
+
+// A node that took longer bodies than nodes pass on to each other would serve
+// some and refuse others, by where their endpoint is.
+func TestBodyLimitFitsBetweenNodes(t *testing.T) {
+	is := is.New(t)
+	is.Equal(settings.MaxBodyLimit, peer.MaxBodyBytes)
+	_, err := settings.Parse("node.yaml", []byte(good+"body_limit: 64MiB\n"))
+	is.NoErr(err)
+	_, err = settings.Parse("node.yaml", []byte(good+"body_limit: 65MiB\n"))
+	problems, ok := err.(yamlcheck.Problems)
+	is.True(ok)
+	is.Equal(len(problems), 1)
+	is.Equal(problems[0].Path, "body_limit")
+}
