--- a/test/experiment/domain_test.go
+++ b/test/experiment/domain_test.go
@@ -67,6 +67,8 @@
 	}
 	b.ReportMetric(float64(refused), "not-run")
 	b.ReportMetric(troubled(r), "troubled-s")
+	b.ReportMetric(float64(r.Kinds[0].FirstToken.P99)/1e3, "first-token-p99-ms")
+	b.ReportMetric(float64(r.Kinds[0].FirstToken.Max)/1e3, "first-token-most-ms")
 	b.ReportMetric((<-down).Seconds(), "group-down-s")
 	b.ReportMetric(loadAverage(b), "machine-load")
 }
