Node: probes serve dispatch without adapters between them

Cause: adapters from when the packages had other names for the same calls. Ruled out: keeping them for tests (none uses them). Change: node hands the engines' client to probe and probe to dispatch as they are. Conclusion: two types less.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -1,13 +1,10 @@
 package node
 
 import (
-	"context"
 	"time"
 
 	"chervilloom/internal/capacity"
 	"chervilloom/internal/config"
-	"chervilloom/internal/engine"
-	"chervilloom/internal/fleet"
 	"chervilloom/internal/group"
 	"chervilloom/internal/lease"
 	"chervilloom/internal/membership"
@@ -22,7 +19,7 @@
 
 func (n *Node) buildControl() {
 	n.buildConfig()
-	n.prober = probe.New(probe.Settings{}, probed{n.engines}, n.view, n.view, n.clock, seed(), n.reg)
+	n.prober = probe.New(probe.Settings{}, n.engines, n.view, n.view, n.clock, seed(), n.reg)
 	duty := group.Duty(n.set.Zone)
 	n.leases = &lease.Manager{
 		Duty: duty, Self: n.self, Params: lease.DefaultParams(defaultLease),
@@ -68,14 +65,6 @@
 	n.mesh.HandleCall(methodExplain, n.handleExplain)
 }
 
-// probed gives the engine client the names that probes use.
-type probed struct{ *engine.Client }
-
-// Load returns the endpoint's load report.
-func (p probed) Load(ctx context.Context, addr string) (fleet.Load, error) {
-	return p.LoadReport(ctx, addr)
-}
-
 // policy returns the policy in force, zero while no revision is known.
 func (n *Node) policy() config.Policy {
 	if doc := n.view.Snapshot().Config; doc != nil {
--- a/internal/node/path.go
+++ b/internal/node/path.go
@@ -8,7 +8,6 @@
 	"chervilloom/internal/account"
 	"chervilloom/internal/admit"
 	"chervilloom/internal/answer"
-	"chervilloom/internal/clock"
 	"chervilloom/internal/dispatch"
 	"chervilloom/internal/filter"
 	"chervilloom/internal/identify"
@@ -17,7 +16,6 @@
 	"chervilloom/internal/request"
 	"chervilloom/internal/retry"
 	"chervilloom/internal/route"
-	"chervilloom/internal/view"
 )
 
 // buildPath joins the filters of the request path. A caller's request goes
@@ -37,7 +35,7 @@
 	})
 	n.dispatcher = dispatch.New(dispatch.Options{
 		View: n.view, Clock: n.clock, Router: ejecting{n.router, n.ejector}, Retry: n.retries, Peers: n.mesh,
-		Prober: freshener{n}, Explain: n.explained, Log: n.log, Registerer: n.reg,
+		Prober: n.prober, Explain: n.explained, Log: n.log, Registerer: n.reg,
 	})
 	keyed := filter.Chain(n.dispatcher,
 		acc.Timed("once", n.once.Filter()),
@@ -90,16 +88,3 @@
 	}
 	r.dispatch.Serve(ctx, req, w)
 }
-
-// freshener asks the members of a group whose probes have grown old.
-type freshener struct{ n *Node }
-
-func (f freshener) Probe(ctx context.Context, g *view.Group) (clock.Instant, bool) {
-	sent := f.n.clock.Now()
-	if err := f.n.prober.Check(ctx, &g.Group); err != nil {
-		return 0, false
-	}
-	return sent.Add(f.n.policy().ProbeFresh.Or(view.DefaultProbeFresh)), true
-}
-
-var _ dispatch.Prober = freshener{}
