A node may advertise another peer address than the one it listens on

Cause: the address that others reach a node at was always the bound one, so that no translation of addresses, and in tests no relay that loses or delays datagrams, fits between two nodes. Ruled out: rewriting the row in the table from outside (the membership tells the bound address as well). Change: peer.advertise in the settings; the row and the membership's entry hold it.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -28,7 +28,7 @@
 		return err
 	}
 	rng := rand.New(rand.NewPCG(seed(), seed()))
-	state := membership.New(n.self, n.set.Zone, n.mesh.Addr(), membership.Defaults(), rng)
+	state := membership.New(n.self, n.set.Zone, n.peerAddr(), membership.Defaults(), rng)
 	n.members, err = membership.NewService(membership.Options{
 		State: state, Mesh: n.mesh, Clock: n.clock, Log: n.log, Registerer: n.reg,
 		OnPause: n.paused, OnReplaced: n.replacedBy,
@@ -41,6 +41,14 @@
 	return nil
 }
 
+// peerAddr returns where the other nodes reach this one.
+func (n *Node) peerAddr() string {
+	if a := n.set.Peer.Advertise; a.IsValid() {
+		return a.String()
+	}
+	return n.mesh.Addr()
+}
+
 // identity reads the node's certificate from the files that the settings name,
 // or makes one from the deployment's secret.
 func (n *Node) identity() (peer.Identity, error) {
@@ -58,7 +66,7 @@
 	n.directory = discovery.New(discovery.Options{
 		Self: n.self.VM,
 		Row: discovery.Row{
-			Incarnation: n.self.Incarnation, Zone: n.set.Zone, Peer: n.mesh.Addr(),
+			Incarnation: n.self.Incarnation, Zone: n.set.Zone, Peer: n.peerAddr(),
 			Caller: n.caller.Addr().String(), Operator: n.operator.Addr().String(),
 		},
 		Table: n.platform, Log: n.log, Found: n.found,
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -107,6 +107,9 @@
 		}
 	}
 	c.file("peer.secret_file", p.SecretFile)
+	if p.Advertise.IsValid() && p.Advertise.Port() == 0 {
+		c.Addf("peer.advertise", "write the ip:port that other nodes reach this one at, or leave it out", "port 0 reaches nobody")
+	}
 	if p.CertFile != "" || p.KeyFile != "" || p.CAFile != "" {
 		c.requiredFile("peer.cert_file", p.CertFile)
 		c.requiredFile("peer.key_file", p.KeyFile)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -55,6 +55,9 @@
 	CertFile   string `yaml:"cert_file"`
 	KeyFile    string `yaml:"key_file"`
 	CAFile     string `yaml:"ca_file"`
+	// Advertise is where the other nodes reach the peer listener, when that is
+	// not the address it listens on, as behind a translation of addresses.
+	Advertise netip.AddrPort `yaml:"advertise"`
 }
 
 // TLS names the certificate of a listener; empty files mean plain HTTP.
