--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -26,6 +26,7 @@
 	"chervilloom/internal/clock"
 	"chervilloom/internal/filter"
 	"chervilloom/internal/fleet"
+	"chervilloom/internal/identify"
 	"chervilloom/internal/once"
 	"chervilloom/internal/outcome"
 	"chervilloom/internal/request"
@@ -37,7 +38,7 @@
 	HeaderRequest = "Chervilloom-Request" // id of the request, in every answer
 	HeaderTicket  = once.TicketHeader
 	HeaderKey     = "Idempotency-Key"
-	HeaderResume  = "Last-Event-Id"
+	HeaderResume  = identify.HeaderResume
 	headerCallers = "X-Request-Id"
 )
 
@@ -110,9 +111,9 @@
 	s.mux.HandleFunc("GET /readyz", s.readyz)
 	s.mux.HandleFunc("GET /v1/models", s.counted(s.models))
 	s.mux.HandleFunc("POST /tickets", s.counted(s.tickets))
-	s.mux.HandleFunc("POST /v1/chat/completions", s.counted(s.call))
-	s.mux.HandleFunc("POST /v1/completions", s.counted(s.call))
-	s.mux.HandleFunc("GET /v1/streams/{id}", s.counted(s.call))
+	s.mux.HandleFunc("POST "+identify.PathChat, s.counted(s.call))
+	s.mux.HandleFunc("POST "+identify.PathCompletions, s.counted(s.call))
+	s.mux.HandleFunc("GET "+identify.PathStreams+"{id}", s.counted(s.call))
 	s.mux.HandleFunc("/", s.counted(s.unknown))
 }
 
@@ -120,7 +121,7 @@
 // it: http.ServeMux would answer "//" and ".." with a redirect, which turns a
 // POST into a GET at some clients.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if strings.HasPrefix(r.URL.Path, "/services/") {
+	if strings.HasPrefix(r.URL.Path, identify.PathServices) {
 		s.counted(s.call)(w, r)
 		return
 	}
--- a/internal/accept/other.go
+++ b/internal/accept/other.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"chervilloom/internal/identify"
 	"chervilloom/internal/outcome"
 )
 
@@ -79,7 +80,7 @@
 func (s *Server) unknown(w http.ResponseWriter, r *http.Request, id string) {
 	s.refuse(w, r, outcome.New(outcome.BadRequest, outcome.NotRun,
 		fmt.Sprintf("nothing is served at %s %.100q", r.Method, r.URL.Path),
-		"use POST /v1/chat/completions, POST /v1/completions, GET /v1/models or /services/{name}/"), id)
+		"use POST "+identify.PathChat+", POST "+identify.PathCompletions+", GET /v1/models or "+identify.PathServices+"{name}/"), id)
 }
 
 // clipBytes bounds what is taken from a caller into the log.
--- a/internal/identify/decide.go
+++ b/internal/identify/decide.go
@@ -111,7 +111,7 @@
 	req.Header.Del(HeaderDeadline)
 	req.Header.Del(HeaderIdempotent)
 	if req.Class == request.ClassModel {
-		req.Header.Del("Last-Event-Id")
+		req.Header.Del(HeaderResume)
 	}
 }
 
--- a/internal/identify/identify.go
+++ b/internal/identify/identify.go
@@ -29,6 +29,7 @@
 const (
 	HeaderDeadline   = "Chervilloom-Deadline-Ms" // milliseconds that the caller still waits
 	HeaderIdempotent = "Chervilloom-Idempotent"  // "false": the request runs at most once
+	HeaderResume     = "Last-Event-Id"           // where to resume a stream
 )
 
 // The default and longest times to answer.
