Callers' interface: the time for a body holds on every path

Cause: net/http reads what is left of a body before it answers, so a caller without a key could hold a connection for ever at paths that never read one (POST /tickets, and those that nothing is served at). Red before: TestBodyThatNeverEndsIsGivenUp hung at /tickets. Run: go test -race -count 2 ./internal/accept, ok.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -121,6 +121,7 @@
 // it: http.ServeMux would answer "//" and ".." with a redirect, which turns a
 // POST into a GET at some clients.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.boundBody(w, r)
 	if strings.HasPrefix(r.URL.Path, identify.PathServices) {
 		s.counted(s.call)(w, r)
 		return
@@ -128,6 +129,16 @@
 	s.mux.ServeHTTP(w, r)
 }
 
+// boundBody bounds the time that a body may take, also one that no handler
+// reads: net/http reads what is left of it before it answers, and would wait
+// without end for a caller that sends nothing more. It lifts the deadline by
+// itself at the body's end, when it begins to wait for the caller to leave.
+func (s *Server) boundBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.opt.BodyTimeout))
+	}
+}
+
 // counted gives the request its id, refuses it when the node takes no more,
 // and otherwise counts it as in flight.
 func (s *Server) counted(h func(http.ResponseWriter, *http.Request, string)) http.HandlerFunc {
@@ -233,12 +244,6 @@
 // readBody reads the whole body: nothing is sent anywhere before the request
 // is complete, so a caller that fails half-way is "not run".
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *outcome.Error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	// net/http lifts the deadline at the body's end, when it begins to wait for
-	// the caller to leave.
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.opt.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.opt.BodyLimit))
 	if err != nil {
 		return nil, s.badBody(w, err)
--- a/internal/accept/refuse_test.go
+++ b/internal/accept/refuse_test.go
@@ -112,21 +112,24 @@
 	}
 }
 
-// A caller with a key begins a body and sends nothing more. It is refused after
-// a while as "not run": the body's memory and the place among the requests in
-// progress, for which a shutdown waits, would otherwise be held for ever.
+// Somebody begins a body and sends nothing more. The request is refused after a
+// while as "not run", wherever it goes: the body's memory, a connection, and the
+// place among the requests in progress, for which a shutdown waits, would
+// otherwise be held for ever.
 func TestBodyThatNeverEndsIsGivenUp(t *testing.T) {
-	is := is.New(t)
-	s, url := serve(t, echo, func(o *Options) { o.BodyTimeout = 20 * time.Millisecond })
-	endless, end := io.Pipe()
-	defer end.Close()
-	resp := do(t, "POST", url+"/services/counter/receipts", io.MultiReader(strings.NewReader("{"), endless))
-	is.Equal(resp.StatusCode, http.StatusBadRequest)
-	is.True(resp.Close)
-	body := told(t, resp.Body)
-	is.Equal(body.Error.Outcome, outcome.NotRun)
-	is.True(strings.Contains(body.Error.Message, "20ms"))
-	is.NoErr(s.Drain(context.Background())) // waits for nothing
+	for _, path := range []string{"/services/counter/receipts", "/tickets", "/nowhere"} {
+		is := is.New(t)
+		s, url := serve(t, echo, func(o *Options) { o.BodyTimeout = 20 * time.Millisecond })
+		endless, end := io.Pipe()
+		resp := do(t, "POST", url+path, io.MultiReader(strings.NewReader("{"), endless))
+		is.Equal(resp.StatusCode, http.StatusBadRequest)
+		is.True(resp.Close)
+		body := told(t, resp.Body)
+		is.Equal(body.Error.Outcome, outcome.NotRun)
+		is.Equal(strings.Contains(body.Error.Message, "20ms"), strings.HasPrefix(path, "/services/"))
+		is.NoErr(s.Drain(context.Background())) // waits for nothing
+		end.Close()
+	}
 }
 
 // The time for a body ends with the body: an answer may take longer.
