Once: a claim that the platform refuses for good leaves no entry

Cause: ErrRefused promises that nothing was changed, but the claim was taken for unclear: it was read back, and an entry stayed for the whole retention. With a platform that refuses every write the entries fill the memory, and tickets, which need no table, are refused with them. Red before: TestRefusedClaimLeavesNothing (1 entry != 0). Run: go test -race ./internal/once, ok.

--- a/internal/once/commit.go
+++ b/internal/once/commit.go
@@ -49,7 +49,7 @@
 	case err == nil:
 		w.answered()
 		return refused(batch, res.Rows)
-	case errors.Is(err, platform.ErrDown):
+	case errors.Is(err, platform.ErrDown), errors.Is(err, platform.ErrRefused):
 		w.unreachable(err)
 		endAll(batch, writeFailed)
 		return nil
--- a/internal/once/fake_test.go
+++ b/internal/once/fake_test.go
@@ -29,6 +29,7 @@
 	mu      sync.Mutex
 	rows    map[string]platform.Row
 	down    atomic.Bool
+	refuses atomic.Bool  // commits are refused for good, without effect
 	lose    atomic.Int32 // how many of the next commits take effect and lose their answer
 	blind   atomic.Bool  // reads fail
 	commits atomic.Int64
@@ -62,6 +63,9 @@
 	if f.down.Load() {
 		return platform.Result{}, platform.ErrDown
 	}
+	if f.refuses.Load() {
+		return platform.Result{}, platform.ErrRefused
+	}
 	f.commits.Add(1)
 	res := f.apply(txn)
 	if f.landed != nil {
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -1,7 +1,9 @@
 package once
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -56,6 +58,23 @@
 	is.Equal(b.endpoint.runs.Load(), int64(1))
 }
 
+func TestRefusedClaimLeavesNothing(t *testing.T) {
+	// The platform refuses every write, as another release of it might. Each
+	// clerk is told that nothing was claimed, and the refused claims do not fill
+	// the memory: full, the node would refuse tickets, which need no table, too.
+	is := is.New(t)
+	b := newBench(t)
+	k := b.start("a")
+	b.table.refuses.Store(true)
+	for i := range 3 {
+		b.clock.Advance(time.Minute) // the pause after a refusal is over
+		g := b.send("a", withKey(fmt.Sprint(i)))
+		is.Equal(g.end.Error.Kind, outcome.PlatformDown)
+		is.Equal(k.mem.used.Load(), int64(0))
+	}
+	is.Equal(b.endpoint.runs.Load(), int64(0))
+}
+
 func TestPlatformDownRefusesKeys(t *testing.T) {
 	// The table is down. A key cannot be claimed, so nothing is sent. Only a
 	// caller that vouches for a first try is told "not-run": an earlier try may
