--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -26,6 +26,7 @@
 	"chervilloom/internal/clock"
 	"chervilloom/internal/filter"
 	"chervilloom/internal/fleet"
+	"chervilloom/internal/identify"
 	"chervilloom/internal/once"
 	"chervilloom/internal/outcome"
 	"chervilloom/internal/request"
@@ -37,7 +38,7 @@
 	HeaderRequest = "Chervilloom-Request" // id of the request, in every answer
 	HeaderTicket  = once.TicketHeader
 	HeaderKey     = "Idempotency-Key"
-	HeaderResume  = "Last-Event-Id"
+	HeaderResume  = identify.HeaderResume
 	headerCallers = "X-Request-Id"
 )
 
@@ -110,9 +111,9 @@
 	s.mux.HandleFunc("GET /readyz", s.readyz)
 	s.mux.HandleFunc("GET /v1/models", s.counted(s.models))
 	s.mux.HandleFunc("POST /tickets", s.counted(s.tickets))
-	s.mux.HandleFunc("POST /v1/chat/completions", s.counted(s.call))
-	s.mux.HandleFunc("POST /v1/completions", s.counted(s.call))
-	s.mux.HandleFunc("GET /v1/streams/{id}", s.counted(s.call))
+	s.mux.HandleFunc("POST "+identify.PathChat, s.counted(s.call))
+	s.mux.HandleFunc("POST "+identify.PathCompletions, s.counted(s.call))
+	s.mux.HandleFunc("GET "+identify.PathStreams+"{id}", s.counted(s.call))
 	s.mux.HandleFunc("/", s.counted(s.unknown))
 }
 
@@ -120,13 +121,24 @@
 // it: http.ServeMux would answer "//" and ".." with a redirect, which turns a
 // POST into a GET at some clients.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if strings.HasPrefix(r.URL.Path, "/services/") {
+	s.boundBody(w, r)
+	if strings.HasPrefix(r.URL.Path, identify.PathServices) {
 		s.counted(s.call)(w, r)
 		return
 	}
 	s.mux.ServeHTTP(w, r)
 }
 
+// boundBody bounds the time that a body may take, also one that no handler
+// reads: net/http reads what is left of it before it answers, and would wait
+// without end for a caller that sends nothing more. It lifts the deadline by
+// itself at the body's end, when it begins to wait for the caller to leave.
+func (s *Server) boundBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.opt.BodyTimeout))
+	}
+}
+
 // counted gives the request its id, refuses it when the node takes no more,
 // and otherwise counts it as in flight.
 func (s *Server) counted(h func(http.ResponseWriter, *http.Request, string)) http.HandlerFunc {
@@ -232,12 +244,6 @@
 // readBody reads the whole body: nothing is sent anywhere before the request
 // is complete, so a caller that fails half-way is "not run".
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *outcome.Error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	// net/http lifts the deadline at the body's end, when it begins to wait for
-	// the caller to leave.
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.opt.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.opt.BodyLimit))
 	if err != nil {
 		return nil, s.badBody(w, err)
