--- a/internal/kv/decide.go
+++ b/internal/kv/decide.go
@@ -126,18 +126,25 @@
 	d.add(a)
 }
 
-// draining decides once for each drain whether the group exports.
+// draining decides once for each drain whether the group exports. A leader that
+// misses a probe is waited for as long as the drain goes on.
 func (d *decision) draining(g *view.Group) {
 	p := placeOf(&g.Group)
-	if d.m.drained[p] || d.moves >= maxMoves {
+	before := d.m.drained[p]
+	if before == decided || d.moves >= maxMoves {
 		return
 	}
-	d.m.drained[p] = true
+	if !d.answers(g) {
+		d.m.drained[p] = silent
+		if before != silent {
+			d.add(action(Skip, g, reasonAway))
+		}
+		return
+	}
+	d.m.drained[p] = decided
 	switch {
 	case !d.wanted(KeyOf(&g.Group)):
 		d.add(action(Skip, g, reasonUnwanted))
-	case !d.answers(g):
-		d.add(action(Skip, g, reasonAway))
 	default:
 		d.add(d.advise(g))
 	}
--- a/internal/kv/decide_test.go
+++ b/internal/kv/decide_test.go
@@ -111,6 +111,19 @@
 	}
 }
 
+// The leader misses a probe at the very moment at which its drain is first seen.
+// The cache is not given up for that.
+func TestSilentLeaderIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	m, u := NewMemory(), used(clock.NewManual(start), 6, "g")
+	s := snapOf(replica("g", fleet.PhaseDraining, "1", "a"))
+	s.VMs[0].Probe.Failing = start
+	is.Equal(decide(m, s, u, start)[0].Reason, reasonAway)
+	s.VMs[0].Probe.Failing = 0
+	is.Equal(decide(m, s, u, start)[0].Kind, Export)
+	is.Equal(len(decide(m, s, u, start)), 0)
+}
+
 // A short prompt saves less than an export and an import cost by themselves.
 func TestFixedCostIsWeighed(t *testing.T) {
 	is := is.New(t)
--- a/internal/kv/memory.go
+++ b/internal/kv/memory.go
@@ -21,6 +21,15 @@
 
 func placeOf(g *fleet.Group) place { return place{g.ID, g.Generation} }
 
+// drain is how far the decision on a draining group is.
+type drain int
+
+const (
+	undecided drain = iota
+	silent          // its leader does not answer; it may yet
+	decided
+)
+
 // exported is an object that holds KV cache.
 type exported struct {
 	at       clock.Instant
@@ -34,7 +43,7 @@
 type Memory struct {
 	begun    bool
 	serving  map[place]clock.Instant // since when it was seen to serve; 0: from the beginning
-	drained  map[place]bool          // its export is decided
+	drained  map[place]drain
 	imported map[place]clock.Instant // of the export that was offered last
 	objects  map[Key]exported
 }
@@ -42,7 +51,7 @@
 // NewMemory returns an empty memory.
 func NewMemory() *Memory {
 	return &Memory{
-		serving: map[place]clock.Instant{}, drained: map[place]bool{},
+		serving: map[place]clock.Instant{}, drained: map[place]drain{},
 		imported: map[place]clock.Instant{}, objects: map[Key]exported{},
 	}
 }
