KV moves are wired: what a group is sent is counted, the duty's holder moves it

Cause: internal/kv had no caller. Ruled out: counting in dispatch (it would know of kv); the shared engines' client (its calls are shorter than a move may take). Change: the destinations' adapter counts prefixes; the mover runs among the duties. Conclusion: a replacement no longer begins cold where the move pays.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -5,7 +5,9 @@
 
 	"chervilloom/internal/capacity"
 	"chervilloom/internal/config"
+	"chervilloom/internal/engine"
 	"chervilloom/internal/group"
+	"chervilloom/internal/kv"
 	"chervilloom/internal/lease"
 	"chervilloom/internal/membership"
 	"chervilloom/internal/probe"
@@ -35,18 +37,31 @@
 		View: n.view, Sink: n.view, Clock: n.clock, Explain: n.explained, Log: n.log, Registry: n.reg,
 		Targets: n.capacity.Targets,
 	})
+	n.buildMoves()
 	n.buildGossip()
 }
 
+func (n *Node) buildMoves() {
+	n.uses = kv.NewUses(n.clock)
+	n.movers = engine.NewClient(engine.WithTimeout(kv.DefaultCosts().Within))
+	n.moves = kv.New(kv.Options{
+		View: n.view, Held: n.holdsGroups, Engines: n.movers, Objects: n.platform, Uses: n.uses,
+		Clock: n.clock, Explain: n.explained, Log: n.log, Registerer: n.reg,
+	})
+}
+
+// holdsGroups reports whether this node has the duty of the zone's groups now.
+func (n *Node) holdsGroups() bool {
+	_, held := n.leases.Held(n.clock.Now())
+	return held
+}
+
 // buildGossip joins the view to those of the other nodes. It needs the lease:
 // its holder tells of the groups' rows.
 func (n *Node) buildGossip() {
 	n.gossip = view.NewGossip(view.GossipOptions{
 		View: n.view, Clock: n.clock, Send: n.mesh, First: membership.TopK, Log: n.log, Registry: n.reg,
-		Holds: func() bool {
-			_, held := n.leases.Held(n.clock.Now())
-			return held
-		},
+		Holds: n.holdsGroups,
 	})
 	n.mesh.Subscribe(view.TopicZone, n.gossip.HandleZone)
 	n.mesh.Subscribe(view.TopicRemote, n.gossip.HandleRemote)
--- a/internal/node/eject.go
+++ b/internal/node/eject.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chervilloom/internal/clock"
+	"chervilloom/internal/kv"
 	"chervilloom/internal/outcome"
 	"chervilloom/internal/request"
 	"chervilloom/internal/retry"
@@ -27,12 +28,22 @@
 type ejecting struct {
 	*route.Router
 	ejector *retry.Ejector
+	uses    *kv.Uses // counts the prefixes that each group is sent
 }
 
-// Pick asks the router again without the ejected destination it chose. When
+// Pick chooses a destination and counts the prefixes that it is sent.
+func (e ejecting) Pick(req *request.Request, snap *view.Snapshot, now clock.Instant, tried []route.Tried) (route.Choice, *outcome.Error) {
+	c, err := e.choose(req, snap, now, tried)
+	if err == nil && c.Kind == route.ToGroup {
+		e.uses.Note(c.Group.ID, req.Prefix)
+	}
+	return c, err
+}
+
+// choose asks the router again without the ejected destination it chose. When
 // nothing else is left the first choice stands: an ejected destination is
 // better than none.
-func (e ejecting) Pick(req *request.Request, snap *view.Snapshot, now clock.Instant, tried []route.Tried) (route.Choice, *outcome.Error) {
+func (e ejecting) choose(req *request.Request, snap *view.Snapshot, now clock.Instant, tried []route.Tried) (route.Choice, *outcome.Error) {
 	first, err := e.Router.Pick(req, snap, now, tried)
 	if err != nil || e.ejector.Usable(destination(first)) {
 		return first, err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"chervilloom/internal/explain"
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/group"
+	"chervilloom/internal/kv"
 	"chervilloom/internal/lease"
 	"chervilloom/internal/membership"
 	"chervilloom/internal/once"
@@ -80,6 +81,9 @@
 	leases    *lease.Manager
 	groups    *group.Reconciler
 	capacity  *capacity.Tracker
+	uses      *kv.Uses
+	moves     *kv.Mover
+	movers    *engine.Client // for moves, which take longer than other calls
 	config    *revision.Keeper
 	explained *explain.Store
 
--- a/internal/node/path.go
+++ b/internal/node/path.go
@@ -34,7 +34,7 @@
 		View: n.view, Clock: n.clock, Log: n.log, Registerer: n.reg, Recorder: n.explained, Usage: n.usage,
 	})
 	n.dispatcher = dispatch.New(dispatch.Options{
-		View: n.view, Clock: n.clock, Router: ejecting{n.router, n.ejector}, Retry: n.retries, Peers: n.mesh,
+		View: n.view, Clock: n.clock, Router: ejecting{n.router, n.ejector, n.uses}, Retry: n.retries, Peers: n.mesh,
 		Prober: n.prober, Explain: n.explained, Log: n.log, Registerer: n.reg,
 	})
 	keyed := filter.Chain(n.dispatcher,
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -40,6 +40,7 @@
 	leases.start("leases", n.leases.Run)
 	duties.start("groups", n.groups.Run)
 	duties.start("demand", n.capacity.Run)
+	duties.start("KV moves", n.moves.Run)
 	callers := n.serve(background, "callers", n.accept, n.caller)
 	operators := n.serve(background, "operators", n.operatorHandler(), n.operator)
 
@@ -122,6 +123,7 @@
 func (n *Node) close() {
 	n.dispatcher.Close()
 	n.engines.Close()
+	n.movers.Close()
 	n.platform.Close()
 }
 
