--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -2,7 +2,10 @@
 // operators write, validated whole and swapped whole.
 package config
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Document is the configuration document, version 1.
 type Document struct {
@@ -118,3 +121,9 @@
 	}
 	return nil
 }
+
+// ChecksFence reports whether the engine on the VM refuses orders and moves that
+// are meant for a place it no longer has.
+func (d *Document) ChecksFence(vm string) bool {
+	return slices.ContainsFunc(d.FenceChecked, func(s string) bool { return s == "*" || s == vm })
+}
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -272,7 +272,7 @@
 }
 
 func (p *planner) checksFence(vm fleet.VM) bool {
-	return slices.ContainsFunc(p.doc.FenceChecked, func(s string) bool { return s == "*" || s == string(vm) })
+	return p.doc.ChecksFence(string(vm))
 }
 
 func (p *planner) note(subject, decision, reason string) {
--- a/internal/kv/decide.go
+++ b/internal/kv/decide.go
@@ -51,6 +51,7 @@
 // The reasons of an Action that are not capacity.AdviseExport's.
 const (
 	reasonUnwanted = "no group spec asks for this model, version and adapters any more"
+	reasonUnfenced = "the leader's engine does not check what a move is meant for"
 	reasonAway     = "the leader does not answer as this generation"
 	reasonFixed    = "the saving is less than the fixed cost of an export and an import"
 	reasonOld      = "the object is older than its prefixes are likely to be used"
@@ -113,7 +114,7 @@
 	key := KeyOf(&g.Group)
 	obj, ok := d.m.objects[key]
 	switch {
-	case !ok || since == 0 || d.moves >= maxMoves:
+	case !ok || since == 0 || d.moves >= maxMoves || !d.fenced(g):
 		return
 	case d.m.imported[p] >= obj.at || since.Add(young) < obj.at:
 		return
@@ -126,6 +127,14 @@
 	d.add(a)
 }
 
+// fenced reports whether the leader refuses a move that is meant for another
+// place. One that does not could be given to another model between the look at
+// it and the move, and would then answer from the cache of the wrong weights.
+func (d *decision) fenced(g *view.Group) bool {
+	doc := d.in.Snap.Config
+	return doc != nil && doc.ChecksFence(string(g.Members[0].VM))
+}
+
 // draining decides once for each drain whether the group exports. A leader that
 // misses a probe is waited for as long as the drain goes on.
 func (d *decision) draining(g *view.Group) {
@@ -134,6 +143,11 @@
 	if before == decided || d.moves >= maxMoves {
 		return
 	}
+	if !d.fenced(g) {
+		d.m.drained[p] = decided
+		d.add(action(Skip, g, reasonUnfenced))
+		return
+	}
 	if !d.answers(g) {
 		d.m.drained[p] = silent
 		if before != silent {
--- a/internal/node/path.go
+++ b/internal/node/path.go
@@ -41,7 +41,7 @@
 		acc.Timed("once", n.once.Filter()),
 		acc.Timed("admit", n.admit.Filter()))
 	callers := filter.Chain(keyed, acc.Filter, acc.Timed("identify", once.Before(ident.Filter)))
-	n.mesh.SetHandler(relayed{key: keyed, dispatch: filter.Chain(n.dispatcher, acc.Filter, acc.Timed("admit", n.admit.Filter()))})
+	n.mesh.SetHandler(relayed{key: filter.Chain(keyed, acc.Filter), dispatch: filter.Chain(n.dispatcher, acc.Filter, acc.Timed("admit", n.admit.Filter()))})
 	n.accept = accept.New(accept.Options{
 		Handler: callers, View: n.view, Clock: n.clock, Log: n.log, Registerer: n.reg,
 		BodyLimit: int64(n.set.BodyLimit), Ready: n.ready, Tickets: n.once.Tickets(),
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -18,6 +18,9 @@
 	// drainLimit bounds a graceful end. It is longer than the longest deadline
 	// of a request, so that no answer in progress is cut by it.
 	drainLimit = 35 * time.Minute
+	// maxHeader bounds the headers of a request in bytes. Strangers' connections
+	// may hold that much each before a key was looked at.
+	maxHeader = 64 << 10
 	// flushTime bounds the wait for the table to take the outcomes of keyed
 	// calls that were answered last.
 	flushTime = 5 * time.Second
@@ -83,6 +86,7 @@
 func (n *Node) serve(s *stage, name string, h http.Handler, l net.Listener) *http.Server {
 	srv := &http.Server{
 		Handler:           h,
+		MaxHeaderBytes:    maxHeader,
 		ReadHeaderTimeout: time.Duration(n.set.Timing.HeaderTimeout),
 		IdleTimeout:       time.Duration(n.set.Timing.IdleTimeout),
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
