Tests that run fleets of processes take turns

Cause: go test runs packages side by side; two fleets of processes beside the unit tests left each other so little of the processors (load average over 40) that TestPlatformDownTicketRuns failed once in five runs ("cannot be reached now") and TestCancelPropagates once. Ruled out: longer deadlines alone (a group that looks dead is dead to callers); go test -p 1 (the README's command is plain go test). Change: testkit.Exclusively holds a file lock while such a package's tests run. Conclusion: one fleet at a time.

--- a/test/experiment/main_test.go
+++ b/test/experiment/main_test.go
@@ -7,6 +7,8 @@
 	"path/filepath"
 	"sync"
 	"testing"
+
+	"chervilloom/internal/testkit"
 )
 
 // workDir holds the program under test, built once by the first experiment.
@@ -16,7 +18,7 @@
 )
 
 func TestMain(m *testing.M) {
-	os.Exit(run(m))
+	os.Exit(testkit.Exclusively(func() int { return run(m) }))
 }
 
 func run(m *testing.M) int {
