A relayed call that may not be repeated waits for Ready

Cause: over a link that had just died a relayed request was unknown, because its Commit left with it: during a cut or a pause of the other node every call that may not be repeated ended so, though it could have gone to another node. The receiver now says Ready when the request has arrived, and such a call sends its Commit only then: without Ready it has not run. A repeatable request still sends both at once and takes a missing Ready, 1 s, as the sign to try elsewhere.

A relay waits no longer than that for a dial either. A link over its number of relays was told as broken in place of overloaded (the library returns a pointer).

--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -13,7 +13,7 @@
 	Indirect     int           // members asked to repeat a ping
 	Suspicion    time.Duration // a suspect's time to refute, for up to ten members; grows with their logarithm
 
-	GossipPeriod  time.Duration // between two rounds of urgent news
+	GossipPeriod  time.Duration // between two rounds of news
 	GossipFanout  int           // members that a round goes to
 	NewsPerPacket int           // entries on one message
 	Retransmit    float64       // a node tells each piece of news Retransmit*log2(members+1) times
--- a/internal/membership/doc.go
+++ b/internal/membership/doc.go
@@ -4,7 +4,7 @@
 // It follows SWIM: each period every node pings one other in a shuffled round;
 // a ping that stays unanswered is repeated through a few others; a member that
 // answers neither is suspected, and declared dead unless it refutes in time.
-// News travels on the pings themselves and, when urgent, in short gossip rounds;
+// News travels on the pings themselves and in gossip rounds while there is some;
 // a slow exchange of whole states repairs what gossip missed. Members that are
 // dead are still asked at a low rate, so that the two sides of a healed cut find
 // each other again.
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -7,12 +7,12 @@
 	"chervilloom/internal/fleet"
 )
 
-// priority says how news travels.
+// priority says which news goes first when a message has no room for all.
 type priority uint8
 
 const (
-	minor  priority = iota // on pings and acks
-	urgent                 // in rounds of its own as well
+	minor  priority = iota // may wait: a revision, a payload
+	urgent                 // goes first: who lives, who takes work
 )
 
 // item is a member whose newest entry is to be told.
@@ -86,7 +86,7 @@
 	return out
 }
 
-// gossip sends urgent news to a few members.
+// gossip sends news to a few members.
 func (s *State) gossip() {
 	if len(s.news.items) == 0 {
 		return
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -131,7 +131,7 @@
 }
 
 // importance tells news that must be everywhere in a second or two from news
-// that may travel on the pings alone.
+// that may take longer.
 func importance(old, e *Entry) priority {
 	if old.Status != e.Status || old.Incarnation != e.Incarnation || old.Draining != e.Draining || e.Status != Alive {
 		return urgent
--- /dev/null
+++ b/internal/peer/bounds_test.go
@@ -0,0 +1,184 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilloom/internal/answer"
+	"chervilloom/internal/filter"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/outcome"
+	"chervilloom/internal/request"
+)
+
+// A caller that reads slowly holds back its own answer and no other one.
+func TestSlowCallerHoldsUpNobody(t *testing.T) {
+	is := is.New(t)
+	const size = 8 << 20 // more than a stream's window
+	a := startMesh(t, "a", nil)
+	b := startMesh(t, "b", func(o *Options) {
+		o.Handler = filter.Func(func(ctx context.Context, req *request.Request, w answer.Writer) {
+			if req.ID != "slow" {
+				tokens(5).Serve(ctx, req, w)
+				return
+			}
+			w.Start(answer.Head{Status: 200})
+			w.Frame(answer.Frame{Data: bytes.Repeat([]byte("x"), size)})
+			w.Finish(answer.End{Whole: true})
+		})
+	})
+	introduce(a, b)
+	ctx := testContext(t)
+	goOn, begun := make(chan struct{}), make(chan struct{})
+	slow := &recorder{onHead: func() { close(begun); <-goOn }}
+	done := make(chan *outcome.Error)
+	go func() { done <- a.Relay(ctx, "b", testRequest("slow"), slow) }()
+	<-begun
+	for i := range 50 {
+		r := &recorder{}
+		is.True(a.Relay(ctx, "b", testRequest(fmt.Sprint(i)), r) == nil)
+		is.True(r.end.Whole)
+	}
+	close(goOn)
+	is.True(<-done == nil)
+	is.True(slow.end.Whole)
+	is.Equal(len(slow.text()), size)
+}
+
+// A peer that relays more requests than it may is refused at once, as not run.
+func TestRelaysOverTheLimit(t *testing.T) {
+	is := is.New(t)
+	const limit = 4
+	goOn := make(chan struct{})
+	a := startMesh(t, "a", nil)
+	b := startMesh(t, "b", func(o *Options) {
+		o.MaxRelays = limit
+		o.Handler = filter.Func(func(ctx context.Context, req *request.Request, w answer.Writer) {
+			w.Start(answer.Head{Status: 200})
+			select {
+			case <-goOn:
+			case <-ctx.Done():
+			}
+			w.Finish(answer.End{Whole: true})
+		})
+	})
+	introduce(a, b)
+	ctx := testContext(t)
+	var wg sync.WaitGroup
+	begun := make(chan struct{}, limit)
+	for i := range limit {
+		wg.Go(func() {
+			a.Relay(ctx, "b", testRequest(fmt.Sprint(i)), &recorder{onHead: func() { begun <- struct{}{} }})
+		})
+	}
+	for range limit {
+		<-begun
+	}
+	err := a.Relay(ctx, "b", testRequest("one more"), &recorder{})
+	is.True(err != nil)
+	is.Equal(err.Kind, outcome.Overloaded)
+	is.Equal(err.Outcome, outcome.NotRun)
+	is.True(err.RetryAfter > 0)
+	close(goOn)
+	wg.Wait()
+}
+
+// Requests that must not be sent are refused here, with the truth.
+func TestRefusedBeforeSending(t *testing.T) {
+	a := startMesh(t, "a", nil)
+	for name, c := range map[string]struct {
+		to     fleet.VM
+		change func(*request.Request)
+		want   outcome.Kind
+	}{
+		"to itself":             {"a", func(*request.Request) {}, outcome.Internal},
+		"too many hops":         {"b", func(r *request.Request) { r.Hops = maxHops + 1 }, outcome.Internal},
+		"too large":             {"b", func(r *request.Request) { r.Body = make([]byte, MaxBodyBytes+1) }, outcome.TooLarge},
+		"deadline passed":       {"b", func(r *request.Request) { r.Deadline = 1 }, outcome.DeadlineExceeded},
+		"no address is known":   {"b", func(*request.Request) {}, outcome.EndpointFailed},
+		"nobody at the address": {"c", func(*request.Request) {}, outcome.EndpointFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a.opts.Ready = 100 * time.Millisecond
+			a.SetPeers([]Peer{{VM: "c", Addr: "127.0.0.1:9"}})
+			req := testRequest("q")
+			c.change(req)
+			err := a.Relay(testContext(t), c.to, req, &recorder{})
+			is.True(err != nil)
+			is.Equal(err.Kind, c.want)
+			is.Equal(err.Outcome, outcome.NotRun)
+		})
+	}
+}
+
+// Requests come to the handler as they were sent, bodies of any size included.
+func TestRequestArrivesAsSent(t *testing.T) {
+	a := startMesh(t, "a", nil)
+	got := make(chan *request.Request, 1)
+	b := startMesh(t, "b", func(o *Options) {
+		o.Handler = filter.Func(func(_ context.Context, req *request.Request, w answer.Writer) {
+			got <- req
+			w.Finish(answer.End{Error: outcome.New(outcome.NoCapacity, outcome.NotRun, "m", "r").After(3 * time.Second)})
+		})
+	})
+	introduce(a, b)
+	for _, size := range []int{0, 1, bodyChunkBytes, bodyChunkBytes + 1, 5<<20 + 7} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			is := is.New(t)
+			req := testRequest("q")
+			req.Body = bytes.Repeat([]byte("0123456789"), size/10+1)[:size]
+			req.Key, req.Ticket, req.Prefix, req.Priority = "k", "t", []uint64{1, 1 << 63}, 3
+			req.Header = map[string][]string{"X": {"a", "b"}}
+			err := a.Relay(testContext(t), "b", req, &recorder{})
+			is.Equal(err.Kind, outcome.NoCapacity)
+			is.Equal(err.RetryAfter, 3*time.Second)
+			r := <-got
+			is.Equal(r.From, fleet.VM("a"))
+			is.True(bytes.Equal(r.Body, req.Body))
+			is.True(r.Deadline.Sub(r.Arrived) <= req.Deadline.Sub(req.Arrived)+time.Millisecond)
+			r.From, r.Body, r.Arrived, r.Deadline, r.TraceParent = "", req.Body, req.Arrived, req.Deadline, req.TraceParent
+			is.Equal(r, req)
+		})
+	}
+}
+
+// Messages to a peer that can't be reached wait in a ring; when it is full the
+// oldest are dropped, so the newest arrive when the peer is there.
+func TestNewestMessagesSurvive(t *testing.T) {
+	is := is.New(t)
+	a, b := startMesh(t, "a", nil), startMesh(t, "b", nil)
+	a.SetDepth("digest", 1)
+	got := make(chan string, 256)
+	for _, topic := range []string{"digest", "list"} {
+		b.Subscribe(topic, func(_ fleet.Node, p []byte) { got <- topic + string(p) })
+	}
+	for i := range 100 {
+		is.NoErr(a.Send("b", "digest", fmt.Append(nil, i)))
+		is.NoErr(a.Send("b", "list", fmt.Append(nil, i)))
+	}
+	introduce(a, b)
+	ctx := testContext(t)
+	var digests, lists int
+	for digests+lists < 1+defaultDepth {
+		select {
+		case s := <-got:
+			if strings.HasPrefix(s, "digest") {
+				digests++
+				is.Equal(s, "digest99")
+			} else {
+				lists++
+			}
+		case <-ctx.Done():
+			t.Fatal("messages missing")
+		}
+	}
+	is.Equal(digests, 1)
+}
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -43,7 +43,7 @@
 func (m *Mesh) Call(ctx context.Context, to fleet.VM, method string, payload []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	c, err := m.link(to).control.get(ctx)
+	c, err := m.link(to).control.get(ctx, dialTimeout)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -14,11 +14,16 @@
 //
 // # What is true of a relayed request
 //
-// The receiver runs a request only after the Commit frame that follows the
-// whole body. So a request whose Commit was never handed to the connection has
-// not run, however much of its body left. Once Commit was handed over, only the
-// other node's End frame can say "not run"; a link that breaks without it
-// leaves the request unknown, or the answer cut when it had begun.
+// The receiver says Ready when the whole request has arrived, and runs it only
+// after the Commit frame. So a request whose Commit was never handed to the
+// connection has not run, however much of it left. Once Commit was handed over,
+// only the other node's End frame can say "not run"; a link that breaks without
+// it leaves the request unknown, or the answer cut when it had begun.
+//
+// A request that may not be repeated waits for Ready before its Commit: a round
+// trip is the price for being able to say "not run", and to try elsewhere, when
+// the other node turns out to be dead, cut off or paused. One that may be
+// repeated sends both at once; for it Ready only shows early that nobody answers.
 //
 // An answer is whole only when every offset followed the one before and the End
 // frame's counts and hash equal those of what arrived. A stream that ends
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -24,7 +24,8 @@
 	frameHello   frameType = iota + 1 // helloFrame
 	frameRequest                      // requestFrame
 	frameBody                         // raw bytes of the request's body
-	frameCommit                       // empty: the request is whole and may run
+	frameReady                        // empty: the request has arrived whole and waits for its Commit
+	frameCommit                       // empty: the request may run
 	frameStart                        // answer.Head
 	frameData                         // answer.Frame
 	frameEnd                          // endFrame
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"sync"
 	"time"
 
@@ -92,20 +90,23 @@
 
 // dialing is a dial in progress, shared by all who wait for it.
 type dialing struct {
-	done chan struct{}
-	conn *conn
-	err  error
+	began time.Time
+	done  chan struct{}
+	conn  *conn
+	err   error
 }
 
 var (
 	errNoAddress = errors.New("peer: the VM's address is not known; check that it is in the platform's list or among the seeds")
 	errBackOff   = errors.New("peer: the last dial failed and the next one is not due")
 	errClosed    = errors.New("peer: the link is closed")
+	errSlowDial  = errors.New("peer: the other node doesn't answer the dial")
 )
 
 // get returns the live connection or dials one. While the back-off after a
-// failed dial lasts it fails at once.
-func (la *lane) get(ctx context.Context) (*conn, error) {
+// failed dial lasts it fails at once, and so it does when a dial that others
+// began has already run for longer than patience.
+func (la *lane) get(ctx context.Context, patience time.Duration) (*conn, error) {
 	la.mu.Lock()
 	if la.conn != nil && la.conn.alive() {
 		c := la.conn
@@ -117,11 +118,15 @@
 	if err != nil {
 		return nil, err
 	}
+	t := time.NewTimer(patience - time.Since(d.began))
+	defer t.Stop()
 	select {
 	case <-d.done:
 		return d.conn, d.err
 	case <-ctx.Done():
 		return nil, ctx.Err()
+	case <-t.C:
+		return nil, errSlowDial
 	}
 }
 
@@ -135,7 +140,7 @@
 	if la.link.mesh.opts.Clock.Now().Before(la.retryAt) {
 		return nil, fmt.Errorf("%w: %w", errBackOff, la.cause)
 	}
-	d := &dialing{done: make(chan struct{})}
+	d := &dialing{began: time.Now(), done: make(chan struct{})}
 	if !la.link.mesh.spawn(func() { la.dial(d) }) {
 		return nil, errClosed
 	}
@@ -210,7 +215,7 @@
 	la.mu.Lock()
 	la.users++
 	la.mu.Unlock()
-	c, err := la.get(ctx)
+	c, err := la.get(ctx, la.link.mesh.opts.Ready)
 	if err != nil {
 		la.release()
 	}
@@ -240,118 +245,6 @@
 	}
 }
 
-const (
-	backOffBase   = 50 * time.Millisecond
-	backOffMax    = 5 * time.Second
-	backOffGrowth = 3
-)
-
-// backOff returns how long to wait after one more failed dial. draw is uniform
-// in [0, 1). The wait is drawn between the base and three times the last one,
-// so that nodes that lost the same peer don't dial it in step when it is back.
-func backOff(last time.Duration, draw float64) time.Duration {
-	top := min(max(backOffGrowth*last, backOffGrowth*backOffBase), backOffMax)
-	return backOffBase + time.Duration(draw*float64(top-backOffBase))
-}
-
-func draw() float64 { return rand.Float64() }
-
-// dial connects to the link's VM and exchanges Hellos.
-func (m *Mesh) dial(l *link, protocol string) (*conn, error) {
-	addr := l.address()
-	if addr == "" {
-		return nil, errNoAddress
-	}
-	ctx, cancel := context.WithTimeout(m.ctx, dialTimeout)
-	defer cancel()
-	c, err := m.dialAddr(ctx, l.vm, protocol, addr)
-	if err != nil {
-		m.metrics.dialFailures.WithLabelValues(laneLabel(protocol)).Inc()
-		return nil, fmt.Errorf("peer: %s at %s can't be reached: %w", l.vm, addr, err)
-	}
-	return c, nil
-}
-
-// dialAddr connects to the address. An empty VM stands for whoever of the
-// deployment answers there.
-func (m *Mesh) dialAddr(ctx context.Context, vm fleet.VM, protocol, addr string) (*conn, error) {
-	to, err := net.ResolveUDPAddr("udp", addr)
-	if err != nil {
-		return nil, err
-	}
-	q, err := m.quic.Dial(ctx, to, m.opts.Identity.clientTLS(vm, protocol), quicConfig(protocol))
-	if err != nil {
-		return nil, err
-	}
-	// The handshake is over for the dialler before the other side has looked at
-	// the dialler's certificate. Its Hello is the proof that it let us in;
-	// without waiting for it a refused relay would end as unknown.
-	c, err := m.greet(ctx, q)
-	if err != nil {
-		q.CloseWithError(closeRefused, err.Error())
-		return nil, err
-	}
-	m.serve(c, protocol)
-	return c, nil
-}
-
-// admit takes a connection that a peer dialled.
-func (m *Mesh) admit(q *quic.Conn) {
-	state := q.ConnectionState().TLS
-	ctx, cancel := context.WithTimeout(m.ctx, dialTimeout)
-	defer cancel()
-	c, err := m.greet(ctx, q)
-	if err != nil {
-		q.CloseWithError(closeRefused, err.Error())
-		m.opts.Log.Warn("peer refused", "vm", certifiedVM(q), "addr", q.RemoteAddr().String(), "error", err)
-		return
-	}
-	if state.NegotiatedProtocol == controlLane {
-		m.link(c.node.VM).control.adopt(c)
-	}
-	m.serve(c, state.NegotiatedProtocol)
-}
-
-// certifiedVM returns the VM that the other side's certificate names. The
-// certificate was verified in the handshake.
-func certifiedVM(q *quic.Conn) fleet.VM {
-	return fleet.VM(q.ConnectionState().TLS.PeerCertificates[0].Subject.CommonName)
-}
-
-// greet sends this node's Hello and reads the other's.
-func (m *Mesh) greet(ctx context.Context, q *quic.Conn) (*conn, error) {
-	out, err := q.OpenUniStream()
-	if err != nil {
-		return nil, err
-	}
-	hello := helloFrame{Version: protocolVersion, Node: m.opts.Self, Zone: m.opts.Zone}
-	if err := writeFrame(out, frameHello, hello, maxHelloBytes); err != nil {
-		return nil, err
-	}
-	if err := out.Close(); err != nil {
-		return nil, err
-	}
-	// Streams are accepted in the order in which the other side opened them, so
-	// the first is the Hello.
-	in, err := q.AcceptUniStream(ctx)
-	if err != nil {
-		return nil, err
-	}
-	if deadline, ok := ctx.Deadline(); ok {
-		in.SetReadDeadline(deadline)
-	}
-	var other helloFrame
-	r := frameReader{r: in}
-	if err := r.expect(frameHello, &other, maxHelloBytes); err != nil {
-		return nil, err
-	}
-	in.CancelRead(0)
-	if vm := certifiedVM(q); other.Version != protocolVersion || other.Node.VM != vm {
-		return nil, fmt.Errorf("%w: %s speaks version %d for %q", errFrame, vm, other.Version, other.Node.VM)
-	}
-	return &conn{Conn: q, node: other.Node, zone: other.Zone}, nil
-}
-
 // serve starts the goroutines that take what the other side opens. Relays come
 // only from the side that dialled.
 func (m *Mesh) serve(c *conn, protocol string) {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -43,19 +44,17 @@
 	// controlIdle is long: the control connections of a large fleet are used
 	// once in minutes each, and a handshake costs as much as hundreds of pings.
 	// Whether the peer lives is membership's to say.
-	controlIdle = 15 * time.Minute
-	// relayIdle ends the relays over a link that has gone silent. The dialler's
-	// keep-alive is answered by the peer's QUIC stack whatever its handlers do,
-	// so a silent link means a dead, cut off or paused peer, not a slow answer.
-	relayIdle      = 6 * time.Second
-	relayKeepAlive = 2 * time.Second
+	controlIdle      = 15 * time.Minute
+	defaultSilence   = 6 * time.Second
+	keepAlives       = 3 // in the time of Options.Silence
+	defaultReady     = time.Second
+	defaultMaxRelays = 4096
 	// relayUnused is how long a relay connection stays without a relay.
 	relayUnused = time.Minute
 
 	handshakeTimeout = 3 * time.Second
-	dialTimeout      = 4 * time.Second
+	dialTimeout      = 3 * time.Second
 
-	maxStreams     = 4096
 	maxUniStreams  = 256
 	streamWindow   = 256 << 10
 	maxWindow      = 1 << 20
@@ -77,6 +76,28 @@
 	Clock      clock.Clock    // default clock.Boot
 	Log        *slog.Logger
 	Registerer prometheus.Registerer // nil: metrics are kept but not exposed
+	// Silence ends the relays over a link of which nothing is heard. The link's
+	// keep-alives are answered whatever the peer's handlers do, so silence means
+	// a dead, cut off or paused peer and not a slow answer. Default 6 s.
+	Silence time.Duration
+	// Ready is how long a peer may take to answer a dial for a relayed request,
+	// and to say that the request has arrived. Default 1 s.
+	Ready time.Duration
+	// MaxRelays bounds the requests that one peer relays here at a time; further
+	// ones are refused as not run. Default 4096.
+	MaxRelays int
+}
+
+func (o *Options) fill() {
+	if o.Clock == nil {
+		o.Clock = clock.Boot{}
+	}
+	if o.Log == nil {
+		o.Log = slog.Default()
+	}
+	o.Silence = cmp.Or(o.Silence, defaultSilence)
+	o.Ready = cmp.Or(o.Ready, defaultReady)
+	o.MaxRelays = cmp.Or(o.MaxRelays, defaultMaxRelays)
 }
 
 // Peer is another node's address.
@@ -119,12 +140,7 @@
 	if o.Identity.vm != o.Self.VM {
 		return nil, fmt.Errorf("peer: the certificate names %q, this VM is %q; issue a certificate for this VM", o.Identity.vm, o.Self.VM)
 	}
-	if o.Clock == nil {
-		o.Clock = clock.Boot{}
-	}
-	if o.Log == nil {
-		o.Log = slog.Default()
-	}
+	o.fill()
 	addr, err := net.ResolveUDPAddr("udp", o.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("peer: %q is no ip:port; correct the peer address in the settings: %w", o.Listen, err)
@@ -142,7 +158,7 @@
 	}
 	reset := o.Identity.reset
 	m.quic = &quic.Transport{Conn: m.socket, StatelessResetKey: &reset}
-	if m.listener, err = m.quic.Listen(o.Identity.serverTLS(), quicConfig(controlLane)); err != nil {
+	if m.listener, err = m.quic.Listen(o.Identity.serverTLS(), m.quicConfig(controlLane)); err != nil {
 		m.socket.Close()
 		return nil, fmt.Errorf("peer: QUIC can't listen on %s: %w", o.Listen, err)
 	}
@@ -157,7 +173,7 @@
 // smaller one of the two sides, so the dialler's lane decides. A stream's window
 // bounds what one slow caller holds in memory; the connection's window is 256
 // times as large, so that a few slow callers don't stop the other answers.
-func quicConfig(lane string) *quic.Config {
+func (m *Mesh) quicConfig(lane string) *quic.Config {
 	c := &quic.Config{
 		Versions:                       []quic.Version{quic.Version1},
 		HandshakeIdleTimeout:           handshakeTimeout,
@@ -166,11 +182,11 @@
 		MaxStreamReceiveWindow:         maxWindow,
 		InitialConnectionReceiveWindow: connWindow,
 		MaxConnectionReceiveWindow:     maxConnWindow,
-		MaxIncomingStreams:             maxStreams,
+		MaxIncomingStreams:             int64(m.opts.MaxRelays),
 		MaxIncomingUniStreams:          maxUniStreams,
 	}
 	if lane == relayLane {
-		c.MaxIdleTimeout, c.KeepAlivePeriod = relayIdle, relayKeepAlive
+		c.MaxIdleTimeout, c.KeepAlivePeriod = m.opts.Silence, m.opts.Silence/keepAlives
 	}
 	return c
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -223,7 +223,7 @@
 
 // flush sends what waits. It reports false when the peer can't be reached.
 func (o *outbox) flush() bool {
-	c, err := o.link.control.get(o.link.mesh.ctx)
+	c, err := o.link.control.get(o.link.mesh.ctx, dialTimeout)
 	if err != nil {
 		select {
 		case o.wake <- struct{}{}:
--- /dev/null
+++ b/internal/peer/network_test.go
@@ -0,0 +1,156 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilloom/internal/answer"
+	"chervilloom/internal/filter"
+	"chervilloom/internal/outcome"
+	"chervilloom/internal/request"
+	"chervilloom/internal/standin/netfault"
+)
+
+// faultyLink puts a datagram relay between a and b. Only a knows an address, so
+// all links go through it.
+func faultyLink(t *testing.T, h filter.Handler) (a, b *Mesh, net *netfault.Relay) {
+	t.Helper()
+	short := func(o *Options) { o.Silence, o.Handler = time.Second, h }
+	a, b = startMesh(t, "a", short), startMesh(t, "b", short)
+	net, err := netfault.NewRelay(b.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { net.Close() })
+	a.SetPeers([]Peer{{VM: "b", Addr: net.Addr()}})
+	return a, b, net
+}
+
+// The network between two nodes is cut in one direction or both while an answer
+// is on its way. The caller must be told that it is cut, new requests that they
+// did not run, and when the cut heals requests must go through again.
+func TestNetworkCutInAnswer(t *testing.T) {
+	for name, cut := range map[string][2]bool{"both ways": {true, true}, "towards the peer": {true, false}, "from the peer": {false, true}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ended := make(chan struct{}, 8)
+			a, _, net := faultyLink(t, filter.Func(func(ctx context.Context, req *request.Request, w answer.Writer) {
+				if req.ID != "long" {
+					tokens(3).Serve(ctx, req, w)
+					return
+				}
+				w.Start(answer.Head{Status: 200})
+				<-ctx.Done()
+				ended <- struct{}{}
+			}))
+			ctx := testContext(t)
+			r := &recorder{onHead: func() { net.Cut(cut[0], cut[1]) }}
+			is.True(a.Relay(ctx, "b", testRequest("long"), r) == nil)
+			is.Equal(r.end.Error.Kind, outcome.AnswerCut)
+			err := a.Relay(ctx, "b", testRequest("in the cut"), &recorder{})
+			is.True(err != nil)
+			is.Equal(err.Outcome, outcome.NotRun)
+			net.Cut(false, false)
+			is.True(eventually(ctx, func() bool {
+				r := &recorder{}
+				return a.Relay(ctx, "b", testRequest("healed"), r) == nil && r.end.Whole
+			}))
+			select {
+			case <-ended: // the other side's handler was told as well
+			case <-ctx.Done():
+				t.Fatal("the handler behind the cut went on")
+			}
+		})
+	}
+}
+
+// eventually repeats f until it is true or ctx ends.
+func eventually(ctx context.Context, f func() bool) bool {
+	for !f() {
+		if !pause(ctx.Done(), 20*time.Millisecond) {
+			return false
+		}
+	}
+	return true
+}
+
+// The network is cut on a link that is in use, so that nothing tells the sender
+// before the other node fails to say Ready. A request that may not be repeated
+// has then not run, and may go elsewhere; one that may be repeated is unknown,
+// because its Commit went out with it.
+func TestCutBeforeReady(t *testing.T) {
+	for _, c := range []struct {
+		idempotent bool
+		want       outcome.Outcome
+	}{{false, outcome.NotRun}, {true, outcome.Unknown}} {
+		t.Run(string(c.want), func(t *testing.T) {
+			is := is.New(t)
+			a, _, net := faultyLink(t, tokens(1))
+			ctx := testContext(t)
+			is.True(a.Relay(ctx, "b", testRequest("before"), &recorder{}) == nil)
+			net.Cut(true, true)
+			a.opts.Ready = 100 * time.Millisecond
+			req := testRequest("in the cut")
+			req.Idempotent = c.idempotent
+			err := a.Relay(ctx, "b", req, &recorder{})
+			is.True(err != nil)
+			is.Equal(err.Outcome, c.want)
+			is.Equal(err.Kind, outcome.EndpointFailed)
+		})
+	}
+}
+
+// A fifth of the datagrams is lost in both directions. Every answer must still
+// come whole, each to its own caller.
+func TestRelaysUnderLoss(t *testing.T) {
+	is := is.New(t)
+	const callers, length = 100, 30
+	id := func(i int) string { return fmt.Sprint("q", i) }
+	a, b := startMesh(t, "a", nil), startMesh(t, "b", func(o *Options) { o.Handler = tokens(length) })
+	net, err := netfault.NewRelay(b.Addr())
+	is.NoErr(err)
+	t.Cleanup(func() { net.Close() })
+	a.SetPeers([]Peer{{VM: "b", Addr: net.Addr()}})
+	ctx := testContext(t)
+	is.True(a.Relay(ctx, "b", testRequest("opens the link"), &recorder{}) == nil)
+	net.Loss(0.2)
+	var wg sync.WaitGroup
+	results := make([]recorder, callers)
+	for i := range callers {
+		wg.Go(func() { a.Relay(ctx, "b", testRequest(id(i)), &results[i]) })
+	}
+	wg.Wait()
+	for i := range results {
+		is.True(results[i].end != nil && results[i].end.Whole)
+		is.Equal(results[i].text(), wantTokens(id(i), length))
+	}
+}
+
+// The other node's process dies without closing anything and a new one starts on
+// its port. Its reset of the old connection must let the next call through long
+// before the control connection's idle timeout of 15 minutes.
+func TestRestartOnTheSamePort(t *testing.T) {
+	is := is.New(t)
+	a, b := startMesh(t, "a", nil), startMesh(t, "b", nil)
+	introduce(a, b)
+	ctx := testContext(t)
+	var failed *CallError
+	_, err := a.Call(ctx, "b", "none", nil)
+	is.True(errors.As(err, &failed))
+	addr := b.Addr()
+	b.socket.Close() // nothing can be sent any more
+	b.Close()
+	startMesh(t, "b", func(o *Options) { o.Listen, o.Self.Incarnation = addr, 2 })
+	is.True(eventually(ctx, func() bool {
+		short, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		_, err := a.Call(short, "b", "none", nil)
+		return errors.As(err, &failed)
+	}))
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -39,6 +39,7 @@
 	o := Options{
 		Self: fleet.Node{VM: vm, Incarnation: 1}, Zone: "z1", Listen: "127.0.0.1:0",
 		Identity: id, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Ready: patience, // a busy machine must not turn a wait into a refusal
 	}
 	if change != nil {
 		change(&o)
@@ -320,7 +321,11 @@
 	first := &recorder{onHead: func() { close(begun) }}
 	relayed := make(chan *outcome.Error, 1)
 	go func() { relayed <- a.Relay(ctx, "b", testRequest("q1"), first) }()
-	<-begun
+	select {
+	case <-begun:
+	case err := <-relayed:
+		t.Fatal("no answer began: ", err)
+	}
 	short, cancel := context.WithCancel(ctx)
 	cancel()
 	is.True(b.Drain(short) != nil)
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,6 +63,7 @@
 	req       *request.Request
 	trace     string
 	committed bool // Commit was handed to the connection: the request may run
+	in        frameReader
 	taker     taker
 }
 
@@ -81,12 +83,16 @@
 	}
 	unhook := context.AfterFunc(ctx, func() { resetStream(s) })
 	defer unhook()
-	if err := h.send(s); err != nil {
+	h.in = frameReader{r: bufio.NewReaderSize(s, readBuffer)}
+	end, err := h.open(s)
+	if err != nil {
 		resetStream(s)
 		return h.fail(ctx, err)
 	}
-	h.taker = taker{w: w, stream: s}
-	end, err := h.taker.take()
+	if end == nil {
+		h.taker = taker{w: w}
+		end, err = h.taker.take(&h.in)
+	}
 	h.mesh.metrics.relayBytes.WithLabelValues("in").Add(float64(h.taker.sum.bytes))
 	if err != nil {
 		resetStream(s)
@@ -114,8 +120,53 @@
 	return nil
 }
 
-// send writes the request and then Commit, in two steps: an error of the first
-// proves that the other node never got a Commit.
+// open sends the request, its Commit, and waits until the other node is ready.
+// It returns an End when the other node refuses.
+func (h *hop) open(s *quic.Stream) (*endFrame, error) {
+	if err := h.send(s); err != nil {
+		return nil, err
+	}
+	if h.req.Idempotent {
+		if err := h.commit(s); err != nil {
+			return nil, err
+		}
+		return h.await(s)
+	}
+	if end, err := h.await(s); end != nil || err != nil {
+		return end, err
+	}
+	return nil, h.commit(s)
+}
+
+// await reads Ready, or the End of a refusal.
+func (h *hop) await(s *quic.Stream) (*endFrame, error) {
+	s.SetReadDeadline(time.Now().Add(h.mesh.opts.Ready))
+	defer s.SetReadDeadline(time.Time{})
+	kind, content, err := h.in.next(maxAnswerBytes)
+	switch {
+	case err != nil:
+		return nil, err
+	case kind == frameReady:
+		return nil, nil
+	case kind != frameEnd:
+		return nil, fmt.Errorf("%w: frame type %d in place of Ready", errFrame, kind)
+	}
+	var e endFrame
+	if err := decode(content, &e); err != nil {
+		return nil, err
+	}
+	e.Whole = false // nothing came before it
+	return &e, nil
+}
+
+// commit lets the request run. It counts as handed over before the write: an
+// error of the write doesn't prove that nothing left.
+func (h *hop) commit(s *quic.Stream) error {
+	h.committed = true
+	return writeFrame(s, frameCommit, nil, 0)
+}
+
+// send writes the request.
 func (h *hop) send(s *quic.Stream) error {
 	b := buffers.Get().(*bytes.Buffer)
 	defer release(b)
@@ -142,9 +193,8 @@
 	if _, err := s.Write(b.Bytes()); err != nil {
 		return err
 	}
-	h.committed = true
 	h.mesh.metrics.relayBytes.WithLabelValues("out").Add(float64(len(h.req.Body)))
-	return writeFrame(s, frameCommit, nil, 0)
+	return nil
 }
 
 // outcome is what is true when no End arrived.
@@ -171,7 +221,7 @@
 }
 
 func (h *hop) noStream(err error) *outcome.Error {
-	var full quic.StreamLimitReachedError
+	var full *quic.StreamLimitReachedError
 	if errors.As(err, &full) {
 		return outcome.New(outcome.Overloaded, outcome.NotRun, "the link to another node carries as many requests as it may", remedyTryAgain).
 			WithCause(err).After(streamsFull)
@@ -196,6 +246,9 @@
 		return typed
 	case ctx.Err() != nil:
 		return h.ended(ctx)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return outcome.New(outcome.EndpointFailed, h.outcome(), "another node of the system doesn't answer", h.remedy()).
+			WithCause(err).After(comeBack)
 	}
 	return outcome.New(outcome.EndpointFailed, h.outcome(), "the link to another node broke", h.remedy()).
 		WithCause(err).After(comeBack)
@@ -248,99 +301,3 @@
 	}
 	return "cut"
 }
-
-// errTaker marks an error of the writer that the answer goes to.
-var errTaker = errors.New("peer: the caller takes no more of the answer")
-
-// taker reads an answer from a stream, checks it and writes it on.
-type taker struct {
-	w             answer.Writer
-	stream        interface{ Read([]byte) (int, error) }
-	started       bool
-	finishedWhole bool
-	sum           summary
-}
-
-// take returns the End frame after it was checked against what came before it.
-// Any other way in which the stream ends is an error.
-func (t *taker) take() (*endFrame, error) {
-	r := frameReader{r: bufio.NewReaderSize(t.stream, readBuffer)}
-	for {
-		kind, content, err := r.next(maxAnswerBytes)
-		if err != nil {
-			return nil, err
-		}
-		switch kind {
-		case frameStart:
-			err = t.start(content)
-		case frameData:
-			err = t.data(content)
-		case frameEnd:
-			return t.end(content)
-		default:
-			err = fmt.Errorf("%w: frame type %d in an answer", errFrame, kind)
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
-func (t *taker) start(content []byte) error {
-	if t.started {
-		return fmt.Errorf("%w: an answer began twice", errFrame)
-	}
-	var head answer.Head
-	if err := decode(content, &head); err != nil {
-		return err
-	}
-	t.started = true
-	t.sum = newSummary(head.Stream)
-	if err := t.w.Start(head); err != nil {
-		return fmt.Errorf("%w: %w", errTaker, err)
-	}
-	return nil
-}
-
-func (t *taker) data(content []byte) error {
-	if !t.started {
-		return fmt.Errorf("%w: data before the answer's start", errFrame)
-	}
-	var f answer.Frame
-	if err := decode(content, &f); err != nil {
-		return err
-	}
-	if err := t.sum.add(&f); err != nil {
-		return err
-	}
-	if err := t.w.Frame(f); err != nil {
-		return fmt.Errorf("%w: %w", errTaker, err)
-	}
-	return nil
-}
-
-func (t *taker) end(content []byte) (*endFrame, error) {
-	var e endFrame
-	if err := decode(content, &e); err != nil {
-		return nil, err
-	}
-	if !e.Whole {
-		return &e, nil
-	}
-	if !t.started {
-		return nil, fmt.Errorf("%w: an answer ended whole that never began", errFrame)
-	}
-	if err := t.sum.matches(&e); err != nil {
-		return nil, err
-	}
-	return &e, nil
-}
-
-func (t *taker) whole() answer.End {
-	t.finishedWhole = true
-	return answer.End{Whole: true, Frames: t.sum.frames, Bytes: t.sum.bytes, Hash: t.sum.hash.Sum64()}
-}
-
-func (t *taker) cut(err *outcome.Error) answer.End {
-	return answer.End{Frames: t.sum.frames, Bytes: t.sum.bytes, Hash: t.sum.hash.Sum64(), Error: err}
-}
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -26,7 +26,7 @@
 	}
 	defer m.hops.leave()
 	s.SetReadDeadline(time.Now().Add(requestTimeout))
-	req, err := m.readRequest(c, in)
+	req, err := m.readRequest(c, s, in)
 	if err != nil {
 		// No Commit was read, so "not run" is true whatever went wrong.
 		m.opts.Log.Warn("relayed request unreadable", "from", c.node.String(), "error", err)
@@ -55,31 +55,48 @@
 	s.CancelRead(resetRefused)
 }
 
-// readRequest reads request, body and Commit.
-func (m *Mesh) readRequest(c *conn, in *frameReader) (*request.Request, error) {
+// readRequest reads request and body, says Ready and reads Commit.
+func (m *Mesh) readRequest(c *conn, s *quic.Stream, in *frameReader) (*request.Request, error) {
 	var f requestFrame
 	if err := in.expect(frameRequest, &f, maxRequestBytes); err != nil {
 		return nil, err
 	}
+	body, err := readBody(&f, in)
+	if err != nil {
+		return nil, err
+	}
+	if err := writeFrame(s, frameReady, nil, 0); err != nil {
+		return nil, err
+	}
+	kind, _, err := in.next(0)
+	if err != nil {
+		return nil, err
+	}
+	if kind != frameCommit {
+		return nil, fmt.Errorf("%w: frame type %d in place of Commit", errFrame, kind)
+	}
+	return f.toRequest(c.node.VM, m.opts.Clock.Now(), body), nil
+}
+
+func readBody(f *requestFrame, in *frameReader) ([]byte, error) {
 	if f.BodyBytes < 0 || f.BodyBytes > MaxBodyBytes {
 		return nil, fmt.Errorf("%w: a body of %d bytes, limit %d", errFrame, f.BodyBytes, MaxBodyBytes)
 	}
 	var body []byte
-	for {
+	for len(body) < f.BodyBytes {
 		kind, content, err := in.next(bodyChunkBytes)
-		switch {
-		case err != nil:
+		if err != nil {
 			return nil, err
-		case kind == frameCommit:
-			if len(body) != f.BodyBytes || xxhash.Sum64(body) != f.BodyHash {
-				return nil, fmt.Errorf("%w: the body is not the one that was sent", errFrame)
-			}
-			return f.toRequest(c.node.VM, m.opts.Clock.Now(), body), nil
-		case kind != frameBody || len(body)+len(content) > f.BodyBytes:
-			return nil, fmt.Errorf("%w: frame type %d in a body", errFrame, kind)
+		}
+		if kind != frameBody || len(content) == 0 || len(body)+len(content) > f.BodyBytes {
+			return nil, fmt.Errorf("%w: frame type %d of %d bytes in a body", errFrame, kind, len(content))
 		}
 		body = append(body, content...)
 	}
+	if xxhash.Sum64(body) != f.BodyHash {
+		return nil, fmt.Errorf("%w: the body is not the one that was sent", errFrame)
+	}
+	return body, nil
 }
 
 func (m *Mesh) answerRelay(c *conn, s *quic.Stream, in *frameReader, req *request.Request, h interface {
