--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -109,15 +109,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { a.models.run(ctx) })
 	wg.Go(func() { a.lookups.run(ctx) })
-	t := time.NewTicker(planEvery)
-	defer t.Stop()
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-			a.replan()
-		}
-	}
+	clock.Every(ctx, planEvery, a.replan)
 	wg.Wait()
 }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -92,7 +92,7 @@
 func (d *Directory) Run(ctx context.Context) error {
 	for {
 		d.look(ctx)
-		if !sleep(ctx, d.interval()) {
+		if !clock.Sleep(ctx, d.interval()) {
 			break
 		}
 	}
@@ -239,14 +239,3 @@
 		d.opt.Log.Warn("the node's row stays in the table; it does no harm", "error", err)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -16,12 +16,11 @@
 	"chervilloom/internal/peer"
 	"chervilloom/internal/platform"
 	standin "chervilloom/internal/standin/platform"
+	"chervilloom/internal/testkit"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-const generous = 30 * time.Second
-
 // rig is one directory at a stand-in platform.
 type rig struct {
 	dir   *discovery.Directory
@@ -56,15 +55,6 @@
 	return r
 }
 
-func eventually(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(generous); !ok(); time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("never: " + what)
-		}
-	}
-}
-
 func version(t *testing.T, p *standin.Platform, vm string) uint64 {
 	t.Helper()
 	row, err := p.Get(context.Background(), platform.TableNodes, vm)
@@ -89,7 +79,7 @@
 		{VM: "e", Kind: fleet.KindEngine, Addr: "127.0.0.1:4"},
 	})
 	want := []peer.Peer{{VM: "b", Zone: "z", Addr: "127.0.0.1:2"}, {VM: "c", Zone: "y", Addr: "127.0.0.1:3"}}
-	eventually(t, "a knows b's own address", func() bool {
+	testkit.Eventually(t, "a knows b's own address", func() bool {
 		got := *a.found.Load()
 		return len(got) == 2 && got[0] == want[0]
 	})
@@ -103,9 +93,9 @@
 	p := standin.New(standin.Options{})
 	p.Save()
 	start(t, p, "a", discovery.Row{Zone: "z", Peer: "127.0.0.1:1"})
-	eventually(t, "the row is written", func() bool { return version(t, p, "a") > 0 })
+	testkit.Eventually(t, "the row is written", func() bool { return version(t, p, "a") > 0 })
 	is.NoErr(p.Restore())
-	eventually(t, "the row is written again", func() bool { return version(t, p, "a") > 0 })
+	testkit.Eventually(t, "the row is written again", func() bool { return version(t, p, "a") > 0 })
 }
 
 // A node ends: its row goes at once. But when a later life of the VM has
@@ -114,11 +104,11 @@
 	is := is.New(t)
 	p := standin.New(standin.Options{})
 	a := start(t, p, "a", discovery.Row{Zone: "z", Peer: "127.0.0.1:1", Incarnation: 1})
-	eventually(t, "the row is written", func() bool { return version(t, p, "a") == 1 })
+	testkit.Eventually(t, "the row is written", func() bool { return version(t, p, "a") == 1 })
 	a.stop()
 	is.Equal(version(t, p, "a"), uint64(0))
 	first := start(t, p, "b", discovery.Row{Zone: "z", Peer: "127.0.0.1:2", Incarnation: 1})
-	eventually(t, "the first life's row", func() bool { return version(t, p, "b") > 0 })
+	testkit.Eventually(t, "the first life's row", func() bool { return version(t, p, "b") > 0 })
 	written := version(t, p, "b")
 	_, err := p.Commit(context.Background(), platform.Txn{
 		Checks: []platform.Check{{Table: platform.TableNodes, Key: "b", Version: written}},
@@ -143,14 +133,14 @@
 	}
 	a := start(t, p, "a", discovery.Row{Zone: "z", Peer: "127.0.0.1:1"})
 	a.alive.Store(true)
-	eventually(t, "a sees the old row", func() bool { return len(*a.found.Load()) == 1 })
+	testkit.Eventually(t, "a sees the old row", func() bool { return len(*a.found.Load()) == 1 })
 	a.clock.Advance(24 * time.Hour)
 	a.alive.Store(false)
 	looks := p.Stats().Lists
-	eventually(t, "a looks again", func() bool { return p.Stats().Lists > looks+1 })
+	testkit.Eventually(t, "a looks again", func() bool { return p.Stats().Lists > looks+1 })
 	if version(t, p, "old") == 0 {
 		t.Fatal("the row was deleted as soon as the node looked dead")
 	}
 	a.clock.Advance(31 * time.Minute)
-	eventually(t, "the row is deleted", func() bool { return version(t, p, "old") == 0 })
+	testkit.Eventually(t, "the row is deleted", func() bool { return version(t, p, "old") == 0 })
 }
--- a/internal/node/eject.go
+++ b/internal/node/eject.go
@@ -92,20 +92,13 @@
 
 // followCandidates tells the ejector who there is, and the budget its ratio.
 func (n *Node) followCandidates(ctx context.Context) error {
-	tick := time.NewTicker(candidatesEvery)
-	defer tick.Stop()
-	for {
-		snap := n.view.Snapshot()
-		n.ejector.SetCandidates(candidates(snap))
+	clock.Every(ctx, candidatesEvery, func() {
+		n.ejector.SetCandidates(candidates(n.view.Snapshot()))
 		if ratio := n.policy().RetryBudget; ratio > 0 {
 			n.retries.SetRatio(ratio)
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
-	}
+	})
+	return nil
 }
 
 func candidates(snap *view.Snapshot) []retry.ID {
