--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/binary"
 	"errors"
@@ -109,6 +110,22 @@
 	}
 }
 
+// readers are the buffers in front of streams; a relay needs one at either end.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBuffer) }}
+
+const readBuffer = 8 << 10
+
+func borrowReader(r io.Reader) *bufio.Reader {
+	b := readers.Get().(*bufio.Reader)
+	b.Reset(r)
+	return b
+}
+
+func returnReader(b *bufio.Reader) {
+	b.Reset(nil)
+	readers.Put(b)
+}
+
 // frameReader reads frames. The content of a frame is valid until the next read.
 type frameReader struct {
 	r    io.Reader
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -22,7 +21,6 @@
 const MaxBodyBytes = 64 << 20
 
 const (
-	readBuffer = 8 << 10
 	// comeBack is the advice after a link failed: the membership and the routes
 	// have changed by then.
 	comeBack = time.Second
@@ -83,7 +81,9 @@
 	}
 	unhook := context.AfterFunc(ctx, func() { resetStream(s) })
 	defer unhook()
-	h.in = frameReader{r: bufio.NewReaderSize(s, readBuffer)}
+	buffered := borrowReader(s)
+	defer returnReader(buffered)
+	h.in = frameReader{r: buffered}
 	end, err := h.open(s)
 	if err != nil {
 		resetStream(s)
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -19,31 +18,40 @@
 
 // serveRelay answers one request that another node passed on.
 func (m *Mesh) serveRelay(c *conn, s *quic.Stream) {
-	in := &frameReader{r: bufio.NewReaderSize(s, readBuffer)}
 	if !m.hops.enter(true) {
 		m.refuse(s, outcome.New(outcome.ShuttingDown, outcome.NotRun, "this node takes no new work", remedyTryAgain).After(comeBack))
 		return
 	}
 	defer m.hops.leave()
+	buffered := borrowReader(s)
+	in := &frameReader{r: buffered}
+	if m.serveOpen(c, s, in) {
+		returnReader(buffered)
+	}
+}
+
+// serveOpen is serveRelay for a node that isn't draining. It reports whether in
+// is read no more.
+func (m *Mesh) serveOpen(c *conn, s *quic.Stream, in *frameReader) bool {
 	s.SetReadDeadline(time.Now().Add(requestTimeout))
 	req, err := m.readRequest(c, s, in)
 	if err != nil {
 		// No Commit was read, so "not run" is true whatever went wrong.
 		m.opts.Log.Warn("relayed request unreadable", "from", c.node.String(), "error", err)
 		m.refuse(s, outcome.New(outcome.BadRequest, outcome.NotRun, "the relayed request didn't arrive whole", remedyTryAgain))
-		return
+		return true
 	}
 	s.SetReadDeadline(time.Time{})
 	h := m.handler.Load()
 	switch {
 	case h == nil:
 		m.refuse(s, outcome.New(outcome.ShuttingDown, outcome.NotRun, "this node doesn't take requests yet", remedyTryAgain).After(comeBack))
-		return
+		return true
 	case req.Hops > maxHops:
 		m.refuse(s, outcome.New(outcome.Internal, outcome.NotRun, "the request has gone through too many nodes", remedyTryAgain))
-		return
+		return true
 	}
-	m.answerRelay(c, s, in, req, *h)
+	return m.answerRelay(c, s, in, req, *h)
 }
 
 func (m *Mesh) refuse(s *quic.Stream, e *outcome.Error) {
@@ -99,9 +107,10 @@
 	return body, nil
 }
 
+// answerRelay reports whether in is read no more.
 func (m *Mesh) answerRelay(c *conn, s *quic.Stream, in *frameReader, req *request.Request, h interface {
 	Serve(context.Context, *request.Request, answer.Writer)
-}) {
+}) bool {
 	ctx, cancel := context.WithCancel(m.ctx)
 	defer cancel()
 	taken := make(chan struct{})
@@ -111,7 +120,7 @@
 	})
 	if !watching {
 		m.refuse(s, outcome.New(outcome.ShuttingDown, outcome.NotRun, "this node takes no new work", remedyTryAgain).After(comeBack))
-		return
+		return true
 	}
 	ctx, span := startServeSpan(ctx, c.node.VM, req)
 	req.TraceParent = traceParent(ctx, req.TraceParent)
@@ -122,11 +131,15 @@
 	endSpan(span, w.result(), w.failure)
 	// The hop is over when the other node has closed its side: it has the whole
 	// answer then, and closing the connection can't cut it any more.
+	linger := time.NewTimer(drainedLinger)
+	defer linger.Stop()
+	defer s.CancelRead(resetRefused)
 	select {
 	case <-taken:
-	case <-time.After(drainedLinger):
+		return true
+	case <-linger.C:
+		return false
 	}
-	s.CancelRead(resetRefused)
 }
 
 // watch waits for the end of the other node's side: its Close after the answer,
