Cut, one-way and lossy links between nodes are tested with processes

Cause: the nodes' QUIC links were never cut, so that promises about availability zones cut from each other rested on package tests alone.

--- /dev/null
+++ b/test/cut/fleet_test.go
@@ -0,0 +1,272 @@
+package cut
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/operator"
+	"chervilloom/internal/standin/netfault"
+)
+
+// Names and keys of the test fleets.
+const (
+	zoneA, zoneB = "baneshwor", "lalitpur"
+
+	callerKey     = "demo-counters"
+	operatorToken = "demo-operator"
+	operatorHash  = "9437e87fae95c03d3778f2575bb18ce30e647e51d86a8c37963364e1fc4f374e"
+	replicaSize   = 2
+
+	counter = "counter" // a service of each availability zone
+	ledger  = "ledger"  // a service of zoneA alone: zoneB's node relays its calls
+)
+
+const documentHead = `version: 1
+organisations:
+  - name: counters
+    # SHA-256 of the caller key "demo-counters"
+    key_hashes: ["0eb7fef755d6bb1a5f44c2d121d8fee01463b82e569cdffa118d1681f2d3dd02"]
+    weight: %d
+models:
+  - {name: clerk, current: "1", versions: ["1"]}
+services:
+  - {name: counter, not_repeatable: ["POST /receipts"], timeout: 5s}
+  - {name: ledger, not_repeatable: ["POST /receipts"], timeout: 5s}
+objective: {downtime_weight: 10, stranding_weight: 1}
+fence_checked: ["*"]
+groups:
+`
+
+const groupLine = `  - {name: clerk-%[1]s, model: clerk, model_version: "1", vms: %[2]d, min: 1, max: 1, one_domain: true, zones: [%[1]s]}
+`
+
+const nodeSettings = `vm: %s
+availability_zone: %s
+ip: 127.0.0.1
+listen: {caller: "127.0.0.1:0", operator: "127.0.0.1:0", peer: "%s"}
+platform: {url: "http://%s"}
+peer: {secret: "test secret, for loopback only: 0123456789", advertise: "%s"}
+operators: [{name: tester, token_hash: "%s"}]
+log: {format: json}
+timing: {drain_notice: 1s, revision_poll: 1s}
+`
+
+// plan describes a fleet of one node in each of two availability zones.
+type plan struct {
+	groupsIn     []string // availability zones that have a group
+	tokensPerSec int      // of one stream
+}
+
+// endpoint is an engine or service process.
+type endpoint struct {
+	*process
+	vm, zone, service, addr string
+}
+
+// node is an entry node's process, which the others reach through its relay.
+type node struct {
+	*process
+	vm, zone         string
+	caller, operator string
+	relay            *netfault.Relay
+}
+
+// testFleet is a fleet of processes.
+type testFleet struct {
+	t        *testing.T
+	plan     plan
+	store    string // address of the platform
+	engines  []*endpoint
+	services []*endpoint
+	a, b     *node // of zoneA and zoneB
+}
+
+// startFleet starts the processes and returns when the document is in force,
+// all groups serve and the nodes see each other.
+func startFleet(t *testing.T, p plan) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, plan: p}
+	store := startProcess(t, "platform", "standin", "platform", "--listen", "127.0.0.1:0",
+		"--settings", writeFile(t, "platform.yaml", "no_limits: true\n"))
+	f.store = addrOf(store.line(t, "listening "))
+	for _, zone := range p.groupsIn {
+		for i := range replicaSize {
+			f.addEngine(fmt.Sprintf("engine-%s-%d", zone, i+1), zone)
+		}
+	}
+	f.addService("counter-a", zoneA, counter)
+	f.addService("counter-b", zoneB, counter)
+	f.addService("ledger-a", zoneA, ledger)
+	f.a, f.b = f.startNode("entry-a", zoneA), f.startNode("entry-b", zoneB)
+	f.accept(f.a, 0, f.document(10))
+	f.awaitTogether()
+	return f
+}
+
+func addrOf(line string) string { return strings.TrimPrefix(line, "listening ") }
+
+func (f *testFleet) addEngine(vm, zone string) {
+	f.t.Helper()
+	text := fmt.Sprintf("vm: %s\nzone: %s\ndomain: fabric-%s\naccelerators: 8\nslots: 64\ntokens_per_second: %d\n"+
+		"check_fence: true\nload_time: 50ms\nload_lag: 100ms\n", vm, zone, zone, f.plan.tokensPerSec)
+	f.engines = append(f.engines, f.startEndpoint("engine", vm, zone, text))
+}
+
+func (f *testFleet) addService(vm, zone, name string) {
+	f.t.Helper()
+	s := f.startEndpoint("service", vm, zone, fmt.Sprintf("vm: %s\nzone: %s\nname: %s\n", vm, zone, name))
+	s.service = name
+	f.services = append(f.services, s)
+}
+
+// startEndpoint starts a stand-in that registers itself.
+func (f *testFleet) startEndpoint(kind, vm, zone, text string) *endpoint {
+	f.t.Helper()
+	text += fmt.Sprintf("platform: http://%s\n", f.store)
+	p := startProcess(f.t, vm, "standin", kind, "--listen", "127.0.0.1:0", "--settings", writeFile(f.t, vm+".yaml", text))
+	return &endpoint{process: p, vm: vm, zone: zone, addr: addrOf(p.line(f.t, "listening "))}
+}
+
+// startTries bounds the ports that a node is tried on.
+const startTries = 5
+
+// startNode starts a node behind a relay. Its port is free when it is chosen;
+// another process may take it before the node does, so the start is tried with
+// another one then.
+func (f *testFleet) startNode(vm, zone string) *node {
+	f.t.Helper()
+	for range startTries {
+		if n := f.tryNode(vm, zone); n != nil {
+			return n
+		}
+	}
+	f.t.Fatalf("%s found no free port", vm)
+	return nil
+}
+
+func (f *testFleet) tryNode(vm, zone string) *node {
+	f.t.Helper()
+	port := freePort(f.t)
+	relay, err := netfault.NewRelay(port)
+	must(f.t, err)
+	f.t.Cleanup(func() { _ = relay.Close() }) // its sockets may have met errors of the ended node
+	n := &node{vm: vm, zone: zone, relay: relay}
+	text := fmt.Sprintf(nodeSettings, vm, zone, port, f.store, relay.Addr(), operatorHash)
+	n.process = startProcess(f.t, vm, "serve", "--settings", writeFile(f.t, vm+".yaml", text))
+	line, ended := n.lineOrEnd(f.t, `"msg":"listening"`)
+	if ended {
+		if !strings.Contains(n.tail(), "can't be bound") {
+			f.t.Fatalf("%s ended:\n%s", vm, n.tail())
+		}
+		return nil
+	}
+	var l struct{ Caller, Operator string }
+	must(f.t, json.Unmarshal([]byte(line), &l))
+	n.caller, n.operator = l.Caller, l.Operator
+	return n
+}
+
+// freePort returns an address of the loopback whose UDP port was free just now.
+func freePort(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	must(t, err)
+	defer c.Close()
+	return c.LocalAddr().String()
+}
+
+// document returns the fleet's configuration document; two of them differ in
+// the organisation's weight.
+func (f *testFleet) document(weight int) string {
+	text := fmt.Sprintf(documentHead, weight)
+	for _, zone := range f.plan.groupsIn {
+		text += fmt.Sprintf(groupLine, zone, replicaSize)
+	}
+	return text
+}
+
+// awaitTogether waits until the nodes see each other alive, all groups and
+// services of their zones, and pass calls on to the other zone.
+func (f *testFleet) awaitTogether() {
+	f.t.Helper()
+	for _, n := range f.nodes() {
+		f.await(n, "sees the whole fleet", func(s operator.Status) bool {
+			return s.Ready && sees(s, f.other(n)) && len(wholeGroups(s)) == len(f.plan.groupsIn) && servicesSeen(s) >= 1
+		})
+		f.awaitCall(n, counter)
+		f.awaitCall(n, ledger)
+	}
+}
+
+// awaitCall waits until lookups of the service are answered whole through the
+// node.
+func (f *testFleet) awaitCall(n *node, service string) {
+	f.t.Helper()
+	var last told
+	until(f.t, n.vm+" passes lookups of "+service+" on",
+		func() bool {
+			last = n.call(f.t.Context(), service, "GET", "/first", "", nil)
+			return last.whole()
+		},
+		func() string { return last.String() })
+}
+
+func (f *testFleet) nodes() []*node { return []*node{f.a, f.b} }
+
+func (f *testFleet) other(n *node) *node {
+	if n == f.a {
+		return f.b
+	}
+	return f.a
+}
+
+// cut cuts the nodes from each other in both directions.
+func (f *testFleet) cut() { f.cutDirections(true, true) }
+
+// heal passes all datagrams again.
+func (f *testFleet) heal() { f.cutDirections(false, false) }
+
+// cutDirections drops what goes from zoneA to zoneB and what goes back. Each
+// node dials the other's relay, so a direction has a part in both relays.
+func (f *testFleet) cutDirections(aToB, bToA bool) {
+	f.b.relay.Cut(aToB, bToA)
+	f.a.relay.Cut(bToA, aToB)
+}
+
+// sees reports whether the node whose status it is believes that the other one
+// is alive.
+func sees(s operator.Status, other *node) bool {
+	return slices.ContainsFunc(s.Nodes, func(n operator.NodeStatus) bool {
+		return strings.HasPrefix(n.Node, other.vm+"#") && n.State == "alive"
+	})
+}
+
+// awaitApart waits until neither node believes that the other is alive.
+func (f *testFleet) awaitApart() {
+	f.t.Helper()
+	for _, n := range f.nodes() {
+		f.await(n, "misses the other node", func(s operator.Status) bool { return !sees(s, f.other(n)) })
+	}
+}
+
+func servicesSeen(s operator.Status) int {
+	n := 0
+	for _, e := range s.Endpoints {
+		if e.Kind == string(fleet.KindService) && e.State == "present" {
+			n++
+		}
+	}
+	return n
+}
+
+// wholeGroups returns the groups that take requests.
+func wholeGroups(s operator.Status) []operator.GroupStatus {
+	return slices.DeleteFunc(slices.Clone(s.Groups), func(g operator.GroupStatus) bool {
+		return !g.Whole || g.Phase != string(fleet.PhaseServing)
+	})
+}
--- /dev/null
+++ b/test/cut/links_test.go
@@ -0,0 +1,231 @@
+package cut
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"chervilloom/internal/operator"
+	"chervilloom/internal/outcome"
+	standin "chervilloom/internal/standin/engine"
+)
+
+// A one-way cut: zoneA's node hears zoneB's, but nothing of it gets back. What
+// zoneB's callers send over the standing link reaches the service and runs,
+// and the answers are lost. Such a caller is told that the outcome is unknown,
+// never "not run" and never a whole answer; repeats of the key through both
+// nodes, during the cut and after it, never run it again.
+func TestOneWayCut(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, plan{groupsIn: []string{zoneA}, tokensPerSec: 20})
+	f.relaysReceipt("/receipts/warm") // the link stands
+	stream := f.beginStream(f.b, "one way", 200)
+	f.cutDirections(true, false)
+
+	const sent = 12
+	calls := make([]told, sent)
+	var work sync.WaitGroup
+	for i := range calls {
+		work.Go(func() {
+			calls[i] = f.b.call(t.Context(), ledger, "POST", oneWayPath(i), receipt, oneWayHeader(i))
+		})
+	}
+	work.Wait()
+	ran := 0
+	for i, a := range calls {
+		ran += f.runs(oneWayPath(i))
+		f.isTrue(oneWayPath(i), a)
+		if a.whole() {
+			t.Errorf("%s was told as whole over a link that brings no answer: %v", oneWayPath(i), a)
+		}
+	}
+	if ran == 0 {
+		t.Errorf("nothing reached the service, so the test met no lost answer: %v", calls)
+	}
+	cut := <-stream
+	if err := checkChat(cut.body, cut.told); err != nil || cut.done || cut.outcome == outcome.NotRun {
+		t.Errorf("a stream over the cut link must be told as cut: %v %v", err, cut.told)
+	}
+
+	f.repeatKeys(sent)
+	f.await(f.b, "misses the other node", func(s operator.Status) bool { return !sees(s, f.a) })
+	f.repeatKeys(sent)
+	f.heal()
+	f.awaitTogether()
+	f.repeatKeys(sent)
+	t.Logf("%d of %d receipts ran at first", ran, sent)
+}
+
+func oneWayPath(i int) string { return fmt.Sprintf("/receipts/one-way/%d", i) }
+
+// oneWayHeader names every second receipt by a key; the others have none.
+func oneWayHeader(i int) map[string]string {
+	if i%2 == 0 {
+		return keyed(oneWayPath(i))
+	}
+	return nil
+}
+
+// repeatKeys repeats the keyed receipts through both nodes.
+func (f *testFleet) repeatKeys(sent int) {
+	f.t.Helper()
+	var work sync.WaitGroup
+	for i := 0; i < sent; i += 2 {
+		for _, n := range f.nodes() {
+			work.Go(func() {
+				f.isTrue(oneWayPath(i), n.call(f.t.Context(), ledger, "POST", oneWayPath(i), receipt, keyed(oneWayPath(i))))
+			})
+		}
+	}
+	work.Wait()
+	for i := range sent {
+		if runs := f.runs(oneWayPath(i)); runs > 1 {
+			f.t.Errorf("%s ran %d times", oneWayPath(i), runs)
+		}
+	}
+}
+
+// isTrue checks what a caller was told against the services' counts. The call
+// must be over at the service; a repeat of it may run at the same time.
+func (f *testFleet) isTrue(path string, a told) {
+	f.t.Helper()
+	runs := f.runs(path)
+	switch {
+	case a.outcome == "":
+		f.t.Errorf("%s: no outcome was told: %v", path, a)
+	case a.outcome == outcome.Ran && runs == 0:
+		f.t.Errorf("%s: told ran, never ran: %v", path, a)
+	case a.outcome == outcome.NotRun && a.kind != outcome.StillRunning && runs > 0:
+		f.t.Errorf("%s: told not-run, ran %d times: %v", path, runs, a)
+	case runs > 1:
+		f.t.Errorf("%s: ran %d times: %v", path, runs, a)
+	}
+	if err := checkCall("POST", path, receipt, a); err != nil {
+		f.t.Errorf("%s: %v", path, err)
+	}
+}
+
+// askedStream is one stream with what its caller was told.
+type askedStream struct {
+	told
+	body string
+}
+
+// beginStream asks a node for a stream and returns when some tokens have come.
+// The channel gets what the caller was told in the end.
+func (f *testFleet) beginStream(n *node, prompt string, tokens int) <-chan askedStream {
+	f.t.Helper()
+	const firstTokens = 5
+	s := askedStream{body: chatBody(f.t.Name()+" "+prompt, tokens, true)}
+	begun, ended := make(chan struct{}), make(chan askedStream, 1)
+	go func() {
+		seen := 0
+		s.told = n.chat(f.t.Context(), s.body, nil, func() {
+			if seen++; seen == firstTokens {
+				close(begun)
+			}
+		})
+		ended <- s
+	}()
+	select {
+	case <-begun:
+	case s := <-ended:
+		f.t.Fatalf("the stream ended before its %dth token: %v", firstTokens, s.told)
+	case <-time.After(patience):
+		f.t.Fatal("the stream did not begin")
+	}
+	return ended
+}
+
+// A caller of zoneB reads a stream of zoneA's group when the link between the
+// nodes is cut. Nothing ends the connection, it falls silent. The caller is told
+// that the answer is cut, by an error event and a broken connection, never by an
+// end marker. After healing it resumes by the id of its last event and has every
+// token exactly once, because the engine keeps the stream.
+func TestRelayedStreamCutAndResumed(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, plan{groupsIn: []string{zoneA}, tokensPerSec: 20})
+	stream := f.beginStream(f.b, "resumed", 100)
+	f.cut()
+	s := <-stream
+	if err := checkChat(s.body, s.told); err != nil {
+		t.Fatal(err)
+	}
+	if s.done || s.kind != outcome.AnswerCut || s.outcome == outcome.NotRun || s.lastID == "" {
+		t.Fatalf("a stream whose link is cut must be told as cut, with a place to resume at: %v, last id %q", s.told, s.lastID)
+	}
+	got := len(s.tokens)
+
+	f.heal()
+	f.awaitTogether()
+	rest := f.resume(f.b, s)
+	all := strings.Join(append(s.tokens, rest.tokens...), "")
+	if want := strings.Join(standin.ExpectedTokens([]byte(s.body)), ""); all != want {
+		t.Errorf("%d tokens before the cut and %d after it make\n%q, want\n%q", got, len(rest.tokens), all, want)
+	}
+	t.Logf("%d tokens before the cut, %d after it", got, len(rest.tokens))
+}
+
+// resume asks for the rest of a stream, again while it is told that nothing ran.
+func (f *testFleet) resume(n *node, s askedStream) told {
+	f.t.Helper()
+	var a told
+	until(f.t, "the stream is resumed",
+		func() bool {
+			a = n.chat(f.t.Context(), s.body, map[string]string{"Last-Event-ID": s.lastID}, nil)
+			return a.outcome != outcome.NotRun
+		},
+		func() string { return a.String() })
+	if !a.done || a.err != nil || a.outcome != outcome.Ran {
+		f.t.Fatalf("the rest of the stream is not whole: %v", a)
+	}
+	return a
+}
+
+// All links between the nodes lose 15 % of the datagrams and delay each by
+// 50 ms. Callers of zoneB get streams and receipts of zoneA's endpoints, all
+// whole and their own: loss is for the transport to mend, and a slow link is not
+// a cut one.
+func TestLossyAndSlowLinks(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, plan{groupsIn: []string{zoneA}, tokensPerSec: 100})
+	for i, n := range f.nodes() {
+		n.relay.Seed(uint64(i) + 1)
+		n.relay.Loss(0.15)
+		n.relay.Delay(50 * time.Millisecond)
+	}
+	const callersEach, rounds = 10, 3
+	var work sync.WaitGroup
+	for i := range callersEach {
+		work.Go(func() {
+			for r := range rounds {
+				f.wholeStream(f.b, fmt.Sprintf("caller %d, stream %d", i, r))
+			}
+		})
+		work.Go(func() {
+			for r := range rounds {
+				f.wholeReceipt(f.b, fmt.Sprintf("/receipts/lossy/%d/%d", i, r))
+			}
+		})
+	}
+	work.Wait()
+}
+
+func (f *testFleet) wholeStream(n *node, prompt string) {
+	f.t.Helper()
+	body := chatBody(f.t.Name()+" "+prompt, 32, true)
+	a := n.chat(f.t.Context(), body, nil, nil)
+	if err := checkChat(body, a); err != nil || !a.done {
+		f.t.Errorf("%s: %v %v", prompt, err, a)
+	}
+}
+
+func (f *testFleet) wholeReceipt(n *node, path string) {
+	f.t.Helper()
+	a := n.call(f.t.Context(), ledger, "POST", path, receipt, keyed(path))
+	if err := checkCall("POST", path, receipt, a); err != nil || !a.whole() || f.runs(path) != 1 {
+		f.t.Errorf("%s ran %d times: %v %v", path, f.runs(path), err, a)
+	}
+}
--- /dev/null
+++ b/test/cut/main_test.go
@@ -0,0 +1,31 @@
+package cut
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// binary is the program under test, built once for all tests.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "chervilloom-cut-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binary = filepath.Join(dir, "chervilloom")
+	if out, err := exec.Command("go", "build", "-o", binary, "chervilloom/cmd/chervilloom").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "the program does not build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
