--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -55,12 +55,15 @@
 // Options are what a dispatcher needs. Peers, Prober, Explain and Registerer
 // may be nil; zero bounds stand for the defaults.
 type Options struct {
-	View       view.Source
-	Clock      clock.Clock
-	Router     Router
-	Retry      Retry
-	Peers      Peers
-	Prober     Prober
+	View   view.Source
+	Clock  clock.Clock
+	Router Router
+	Retry  Retry
+	Peers  Peers
+	Prober Prober
+	// Answers asks a node for a sign of life until ctx ends; nil: every node
+	// that membership believes in is taken to answer.
+	Answers    func(ctx context.Context, vm fleet.VM) bool
 	Explain    explain.Recorder
 	Log        *slog.Logger
 	Registerer prometheus.Registerer
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"chervilloom/internal/answer"
 	"chervilloom/internal/fleet"
@@ -24,7 +25,8 @@
 	if g == nil {
 		return answerCut("the group that answered is gone or has changed; the rest of the answer is lost", nil)
 	}
-	if done, err := d.resumeAtKeeper(ctx, s, snap, relay.NodeOf(id.Stream)); done {
+	keeper := relay.NodeOf(id.Stream)
+	if done, err := d.resumeAtKeeper(ctx, s, snap, keeper); done {
 		return err
 	}
 	if g.Zone == snap.Zone {
@@ -33,7 +35,7 @@
 	if s.req.Hops > 0 || d.opt.Peers == nil {
 		return answerCut("the group that answered is in another availability zone", nil)
 	}
-	return d.resumeElsewhere(ctx, s, "", answerCut("no node of the endpoint's availability zone can be reached", nil))
+	return d.resumeElsewhere(ctx, s, keeper, answerCut("no node of the endpoint's availability zone can be reached", nil))
 }
 
 // resumeAtKeeper passes the request to the node that asked for the stream: it
@@ -43,6 +45,9 @@
 	if s.req.Hops > 0 || d.opt.Peers == nil || keeper == snap.Self.VM || !alive(snap, keeper) {
 		return false, nil
 	}
+	if !d.answers(ctx, keeper) {
+		return false, nil
+	}
 	err = d.resumeAt(ctx, s, keeper)
 	if err == nil || ctx.Err() != nil || s.begun {
 		return true, err
@@ -50,6 +55,21 @@
 	return false, nil
 }
 
+// keeperAnswer bounds the wait for a sign of life of the node that may keep a
+// stream. Membership believes in a dead node for some seconds, and a new link to
+// it is given up only after as long: the caller's stream would stand still
+// meanwhile, although this node can go on with it.
+const keeperAnswer = 500 * time.Millisecond
+
+func (d *Dispatcher) answers(ctx context.Context, vm fleet.VM) bool {
+	if d.opt.Answers == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, keeperAnswer)
+	defer cancel()
+	return d.opt.Answers(ctx, vm)
+}
+
 func alive(snap *view.Snapshot, id fleet.VM) bool {
 	for i := range snap.Nodes {
 		if snap.Nodes[i].VM == id {
--- a/internal/dispatch/stream_test.go
+++ b/internal/dispatch/stream_test.go
@@ -201,6 +201,13 @@
 	is.Equal(len(r.d.linger.due), 0)
 	is.Equal(cancelled.Load(), int64(0))
 
+	// The keeper died a moment ago and membership still believes in it: it gives
+	// no sign of life, and the other node asks the engine itself.
+	other.d.opt.Answers = func(context.Context, fleet.VM) bool { return false }
+	is.True(other.serve(context.Background(), again).end.Whole)
+	is.Equal(passed, 1)
+	other.d.opt.Answers = nil
+
 	// The keeper is dead: the other node asks the engine itself.
 	other.change(func(s *view.Snapshot) { s.Nodes[0].State = view.NodeDead })
 	is.True(other.serve(context.Background(), again).end.Whole)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -78,6 +78,7 @@
 	n.mesh.HandleCall(revision.MethodHighest, n.config.HandleHighest)
 	n.mesh.HandleCall(revision.MethodFetch, n.config.HandleFetch)
 	n.mesh.HandleCall(methodExplain, n.handleExplain)
+	n.mesh.HandleCall(methodAlive, n.handleAlive)
 }
 
 // policy returns the policy in force, zero while no revision is known.
--- a/internal/node/path.go
+++ b/internal/node/path.go
@@ -10,6 +10,7 @@
 	"chervilloom/internal/answer"
 	"chervilloom/internal/dispatch"
 	"chervilloom/internal/filter"
+	"chervilloom/internal/fleet"
 	"chervilloom/internal/identify"
 	"chervilloom/internal/membership"
 	"chervilloom/internal/once"
@@ -35,7 +36,7 @@
 	})
 	n.dispatcher = dispatch.New(dispatch.Options{
 		View: n.view, Clock: n.clock, Router: ejecting{n.router, n.ejector, n.uses}, Retry: n.retries, Peers: n.mesh,
-		Prober: n.prober, Explain: n.explained, Log: n.log, Registerer: n.reg,
+		Prober: n.prober, Answers: n.answers, Explain: n.explained, Log: n.log, Registerer: n.reg,
 	})
 	keyed := filter.Chain(n.dispatcher,
 		acc.Timed("once", n.once.Filter()),
@@ -88,3 +89,13 @@
 	}
 	r.dispatch.Serve(ctx, req, w)
 }
+
+const methodAlive = "node.alive"
+
+// answers asks a node for a sign of life.
+func (n *Node) answers(ctx context.Context, vm fleet.VM) bool {
+	_, err := n.mesh.Call(ctx, vm, methodAlive, nil)
+	return err == nil
+}
+
+func (n *Node) handleAlive(context.Context, fleet.Node, []byte) ([]byte, error) { return nil, nil }
