--- a/test/cut/status_test.go
+++ b/test/cut/status_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"chervilloom/internal/fleet"
 	"chervilloom/internal/operator"
 	"chervilloom/internal/outcome"
 	"chervilloom/internal/standin/service"
@@ -130,6 +131,30 @@
 	return n
 }
 
+// service returns the service of the VM.
+func (f *testFleet) service(vm string) *endpoint {
+	f.t.Helper()
+	for _, s := range f.services {
+		if s.vm == vm {
+			return s
+		}
+	}
+	f.t.Fatalf("no service %q", vm)
+	return nil
+}
+
+// awaitRunning waits until the service runs so many calls at once.
+func (f *testFleet) awaitRunning(s *endpoint, calls int) {
+	f.t.Helper()
+	var l fleet.Load
+	until(f.t, fmt.Sprintf("%d calls run at %s", calls, s.vm),
+		func() bool {
+			get(f.t, s.addr, "/load", &l)
+			return l.Running == calls
+		},
+		func() string { return describe(l) })
+}
+
 // ticket asks a node for a ticket.
 func (f *testFleet) ticket(n *node) map[string]string {
 	f.t.Helper()
