A lossy link is told from a silent one

Cause: a relayed request was given up when Ready had not come within a fixed second; at 15 % loss and 100 ms round trip that met one request of 60 in 2 of 10 runs of TestLossyAndSlowLinks (one stream told as unknown, one receipt as not run). Ruled out: a longer fixed wait (requests to a node that died would wait as long before they go elsewhere). Change: the wait goes on while packets of the other node arrive, at most three times as long; a relay waits twice as long for a new connection.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -209,13 +209,17 @@
 	}
 }
 
+// relayDial is how many times Options.Ready a relay waits for a new connection: a
+// handshake takes more round trips than Ready, and each may lose a packet.
+const relayDial = 2
+
 // acquire is get for a relay: the connection isn't closed as unused before
 // release.
 func (la *lane) acquire(ctx context.Context) (*conn, error) {
 	la.mu.Lock()
 	la.users++
 	la.mu.Unlock()
-	c, err := la.get(ctx, la.link.mesh.opts.Ready)
+	c, err := la.get(ctx, relayDial*la.link.mesh.opts.Ready)
 	if err != nil {
 		la.release()
 	}
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -84,7 +84,7 @@
 	buffered := borrowReader(s)
 	defer returnReader(buffered)
 	h.in = frameReader{r: buffered}
-	end, err := h.open(s)
+	end, err := h.open(c, s)
 	if err != nil {
 		resetStream(s)
 		return h.fail(ctx, err)
@@ -122,7 +122,7 @@
 
 // open sends the request, its Commit, and waits until the other node is ready.
 // It returns an End when the other node refuses.
-func (h *hop) open(s *quic.Stream) (*endFrame, error) {
+func (h *hop) open(c *conn, s *quic.Stream) (*endFrame, error) {
 	if err := h.send(s); err != nil {
 		return nil, err
 	}
@@ -130,18 +130,18 @@
 		if err := h.commit(s); err != nil {
 			return nil, err
 		}
-		return h.await(s)
+		return h.await(c, s)
 	}
-	if end, err := h.await(s); end != nil || err != nil {
+	if end, err := h.await(c, s); end != nil || err != nil {
 		return end, err
 	}
 	return nil, h.commit(s)
 }
 
 // await reads Ready, or the End of a refusal.
-func (h *hop) await(s *quic.Stream) (*endFrame, error) {
-	s.SetReadDeadline(time.Now().Add(h.mesh.opts.Ready))
-	defer s.SetReadDeadline(time.Time{})
+func (h *hop) await(c *conn, s *quic.Stream) (*endFrame, error) {
+	p := newReadyWait(h.mesh.opts.Ready, c, s)
+	defer p.end()
 	kind, content, err := h.in.next(maxAnswerBytes)
 	switch {
 	case err != nil:
