Demonstration tells where the console is

Cause: a reader of the README alone found no console and no token for it. Ruled out: a line in the README (the address is chosen at each start). Change: one line more in the demonstration's output. Conclusion: demo, console and status follow from what demo prints.

--- a/cmd/chervilloom/demo.go
+++ b/cmd/chervilloom/demo.go
@@ -68,8 +68,10 @@
 A streamed chat:
   curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' \
     -d '{"model":"clerk","stream":true,"messages":[{"role":"user","content":"hello"}]}'
+The console, operator's token %s:
+  http://%s/console/
 What the node believes:
   %s=%s go run ./cmd/chervilloom status --node http://%s
 End with Ctrl-C.
-`, a.Caller, demo.CallerKey, envToken, demo.OperatorToken, a.Operator)
+`, a.Caller, demo.CallerKey, demo.OperatorToken, a.Operator, envToken, demo.OperatorToken, a.Operator)
 }
