An unchanged load is no old load

Reports with the sequence number that was known were dropped, so the load of a group that nobody asks looked ever older, and the drain waited for word from after its beginning. When the last stream ended later than 3 s into the drain the test was green. Ruled out: the engine's age of a report (bounded by its lag); a lost order. Change: a report that says the same again moves the time at which it was true. Red before: TestUnchangedLoadIsNotOld. After: go test -count=2 -run TestLeavingMemberCutsNoStream ./test: ok; ./internal/view, group, probe: ok. Conclusion: an idle group's drain ends a few seconds after it begins.

--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -328,10 +328,13 @@
 func (s *State) applyLoaded(e Loaded) bool {
 	v := s.vm(e.Load.VM)
 	same := v.load.Boot == e.Load.Boot
-	if same && e.Load.Sequence <= v.load.Sequence {
+	if same && e.Load.Sequence < v.load.Sequence {
 		return false
 	}
 	at := e.At.Add(-time.Duration(e.Load.AgeMillis) * time.Millisecond)
+	if same && e.Load.Sequence == v.load.Sequence {
+		return v.sameLoad(at)
+	}
 	if !same && at.Before(v.loadAt) {
 		return false
 	}
@@ -339,6 +342,17 @@
 	return true
 }
 
+// sameLoad notes that the load was still the same at an instant. Without it the
+// load of an endpoint that nobody asks anything would look ever older, and a
+// drain that waits for word from after its beginning would never end.
+func (v *vmState) sameLoad(at clock.Instant) bool {
+	if !at.After(v.loadAt) {
+		return false
+	}
+	v.loadAt = at
+	return true
+}
+
 func (s *State) applyCached(e Cached) bool {
 	v := s.vm(e.VM)
 	v.cached, v.prefixes = e.Boot, e.Prefixes
--- a/internal/view/state_test.go
+++ b/internal/view/state_test.go
@@ -336,3 +336,17 @@
 	cancel()
 	is.NoErr(<-done)
 }
+
+// A member is drained while nobody asks its group anything: the load stays the
+// same, report after report. The drain waits for word from after its beginning,
+// so each report that says the same again has to count as newer word.
+func TestUnchangedLoadIsNotOld(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	report := fleet.Load{VM: "a", Boot: "b1", Sequence: 7}
+	s.Apply(Loaded{At: at(10), Load: report})
+	s.Apply(Loaded{At: at(900), Load: report})
+	is.Equal(only(s, 900).LoadAt, at(900))
+	s.Apply(Loaded{At: at(500), Load: report}) // overtaken on its way
+	is.Equal(only(s, 900).LoadAt, at(900))
+}
