--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -121,5 +121,5 @@
 	if vm := certifiedVM(q); other.Version != protocolVersion || other.Node.VM != vm {
 		return nil, fmt.Errorf("%w: %s speaks version %d for %q", errFrame, vm, other.Version, other.Node.VM)
 	}
-	return &conn{Conn: q, node: other.Node, zone: other.Zone}, nil
+	return &conn{Conn: q, node: other.Node, zone: other.Zone, protocol: q.ConnectionState().TLS.NegotiatedProtocol}, nil
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -16,8 +16,12 @@
 // conn is a connection whose two sides know each other.
 type conn struct {
 	*quic.Conn
-	node fleet.Node
-	zone fleet.AvailabilityZone
+	node     fleet.Node
+	zone     fleet.AvailabilityZone
+	protocol string
+
+	countMu               sync.Mutex
+	countedOut, countedIn uint64 // bytes that the metrics hold already
 }
 
 func (c *conn) alive() bool { return c.Context().Err() == nil }
@@ -259,7 +263,7 @@
 	m.spawn(func() {
 		<-c.Context().Done()
 		m.drop(c)
-		m.metrics.countBytes(c, protocol)
+		m.metrics.countBytes(c)
 	})
 	m.spawn(func() { m.acceptStreams(c, protocol) })
 	if protocol == controlLane {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -267,6 +267,19 @@
 	delete(m.conns, c)
 }
 
+// countBytes brings the metrics of live connections up to date.
+func (m *Mesh) countBytes() {
+	m.lifeMu.Lock()
+	live := make([]*conn, 0, len(m.conns))
+	for c := range m.conns {
+		live = append(live, c)
+	}
+	m.lifeMu.Unlock()
+	for _, c := range live {
+		m.metrics.countBytes(c)
+	}
+}
+
 // shut lets no goroutine and connection begin any more and returns the
 // connections that are left.
 func (m *Mesh) shut() []*conn {
@@ -340,8 +353,8 @@
 	return out
 }
 
-// janitor closes relay connections that no relay has used for a while: their
-// keep-alives would add up in a large fleet.
+// janitor keeps the byte counts up to date and closes relay connections that no
+// relay has used for a while: their keep-alives would add up in a large fleet.
 func (m *Mesh) janitor() {
 	t := time.NewTicker(janitorPeriod)
 	defer t.Stop()
@@ -350,6 +363,7 @@
 		case <-m.ctx.Done():
 			return
 		case <-t.C:
+			m.countBytes()
 			now := m.opts.Clock.Now()
 			for _, l := range m.snapshotLinks() {
 				l.relay.closeUnused(now)
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -33,7 +33,7 @@
 		relays:       counter("relays_total", "Requests passed on to another node, by result.", "result"),
 		served:       counter("served_total", "Requests answered for another node, by result.", "result"),
 		relayBytes:   counter("relay_payload_bytes_total", "Bytes of request bodies and answers relayed.", "direction"),
-		linkBytes:    counter("link_bytes_total", "Bytes on closed connections, QUIC headers included.", "lane", "direction"),
+		linkBytes:    counter("link_bytes_total", "Bytes on the links, QUIC headers included.", "lane", "direction"),
 		dialFailures: counter("dial_failures_total", "Dials to another node that failed.", "lane"),
 		messages:     counter("messages_total", "Messages by topic and what became of them.", "topic", "result"),
 		rtt: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -85,8 +85,13 @@
 	m.messages.WithLabelValues(m.topic(topic), "received").Inc()
 }
 
-func (m *metrics) countBytes(c *conn, protocol string) {
+// countBytes adds what went over the connection since the last time.
+func (m *metrics) countBytes(c *conn) {
+	c.countMu.Lock()
+	defer c.countMu.Unlock()
 	s := c.ConnectionStats()
-	m.linkBytes.WithLabelValues(laneLabel(protocol), "out").Add(float64(s.BytesSent))
-	m.linkBytes.WithLabelValues(laneLabel(protocol), "in").Add(float64(s.BytesReceived))
+	lane := laneLabel(c.protocol)
+	m.linkBytes.WithLabelValues(lane, "out").Add(float64(s.BytesSent - c.countedOut))
+	m.linkBytes.WithLabelValues(lane, "in").Add(float64(s.BytesReceived - c.countedIn))
+	c.countedOut, c.countedIn = s.BytesSent, s.BytesReceived
 }
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -86,11 +86,15 @@
 	return f.toRequest(c.node.VM, m.opts.Clock.Now(), body), nil
 }
 
+// startingBody is what a body's length may make this node set aside before any
+// of it has arrived.
+const startingBody = 4 << 20
+
 func readBody(f *requestFrame, in *frameReader) ([]byte, error) {
 	if f.BodyBytes < 0 || f.BodyBytes > MaxBodyBytes {
 		return nil, fmt.Errorf("%w: a body of %d bytes, limit %d", errFrame, f.BodyBytes, MaxBodyBytes)
 	}
-	var body []byte
+	body := make([]byte, 0, min(f.BodyBytes, startingBody))
 	for len(body) < f.BodyBytes {
 		kind, content, err := in.next(bodyChunkBytes)
 		if err != nil {
