--- a/test/experiment/main_test.go
+++ b/test/experiment/main_test.go
@@ -8,6 +8,9 @@
 	"sync"
 	"testing"
 
+	// The go command keeps a verdict until what a test imports changes. The program
+	// under test is built by a command; this import has its code count as well.
+	_ "chervilloom/internal/node"
 	"chervilloom/internal/testkit"
 )
 
--- a/test/main_test.go
+++ b/test/main_test.go
@@ -7,6 +7,9 @@
 	"path/filepath"
 	"testing"
 
+	// The go command keeps a verdict until what a test imports changes. The program
+	// under test is built by a command; this import has its code count as well.
+	_ "chervilloom/internal/node"
 	"chervilloom/internal/testkit"
 )
 
