Repair without loads: survivors rejoin at once, the head leaves without a close

Cause: after a loss, survivors counted as members of an unknown group for 4.5 s, a group with two loads was preferred to one with none, and the claims' commit lost against lease renewals restarted the wait. Ruled out: staging too late: the spares were staged and on standby. Change: released groups are remembered; load-free groups first; the head of a group that stands still leaves without closing; one unanswered report is enough when the head stands still; lease rows are read together.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -192,16 +192,22 @@
 	if r.reported != 0 && now.Sub(r.reported) < reportFor {
 		s.Load += r.others
 	}
-	s.Suspect = r.suspect != 0 && now.Sub(r.suspect) < suspectFor
+	s.Suspect = r.suspectAt(now)
 	return s
 }
 
-// Sign returns the last sign of life of an endpoint; 0: none is known.
-func (t *Tracker) Sign(id roster.ID) clock.Instant {
+// Sign returns the last sign of life of an endpoint (0: none is known) and
+// whether it is suspect.
+func (t *Tracker) Sign(id roster.ID) (last clock.Instant, suspect bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.known[id]; r != nil {
-		return r.sign
+	r := t.known[id]
+	if r == nil {
+		return 0, false
 	}
-	return 0
+	return r.sign, r.suspectAt(t.Clock.Now())
+}
+
+func (r *record) suspectAt(now clock.Instant) bool {
+	return r.suspect != 0 && now.Sub(r.suspect) < suspectFor
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -32,7 +32,7 @@
 type Store interface {
 	ConfigurationSource
 	EndpointSource
-	formation.Table
+	leaseStore
 }
 
 // Options are what a node is made of.
@@ -100,18 +100,19 @@
 		Zone: o.Settings.Zone, Bounds: balance.Bounds{Remote: 0.15, Queue: 0.5},
 		View: n.view, NewBudget: n.newBudget, Missed: n.roster.soon,
 	}
+	leases := &leaseCache{Table: o.Store, clock: o.Clock}
 	for _, zone := range o.Settings.Zones {
-		n.addZone(zone)
+		n.addZone(zone, leases)
 	}
 	return n
 }
 
 // addZone adds the duty of one availability zone. Its own nodes try first.
-func (n *Node) addZone(zone string) {
+func (n *Node) addZone(zone string, leases lease.Table) {
 	rank := n.rank(zone)
 	m := &lease.Manager{
 		Duty: zone, Self: fleet.Node{VM: fleet.VM(n.Settings.VM), Incarnation: fleet.Incarnation(time.Now().UnixNano())},
-		Params: lease.DefaultParams(leaseTerm), Table: n.Store, Clock: n.Clock, Log: n.Log,
+		Params: lease.DefaultParams(leaseTerm), Table: leases, Clock: n.Clock, Log: n.Log,
 		Rank: func() int { return rank }, Poll: leasePoll,
 	}
 	n.leases = append(n.leases, m)
@@ -167,7 +168,8 @@
 }
 
 func (n *Node) suspected(id roster.ID) {
-	n.Log.Info("endpoint is suspect", "endpoint", id, "silent_ms", n.Clock.Now().Sub(n.tracker.Sign(id)).Milliseconds())
+	last, _ := n.tracker.Sign(id)
+	n.Log.Info("endpoint is suspect", "endpoint", id, "silent_ms", n.Clock.Now().Sub(last).Milliseconds())
 	for _, c := range n.controllers {
 		c.Suspect(id)
 	}
--- /dev/null
+++ b/internal/entry/leases.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"chervilloom/internal/clock"
+	table "chervilloom/internal/platform"
+)
+
+// leaseStore is the part of the platform's table that leases need.
+type leaseStore interface {
+	Get(ctx context.Context, table, key string) (table.Row, error)
+	List(ctx context.Context, table, prefix string) ([]table.Row, error)
+	Commit(ctx context.Context, txn table.Txn) (table.Result, error)
+}
+
+// leaseCache reads the lease rows of all zones in one call and answers the
+// managers from it. Each of them looking for itself would cost as many calls as
+// there are zones. A row that is read late only delays a takeover: the write
+// that takes a lease is conditional on the row's version.
+type leaseCache struct {
+	Table leaseStore
+	clock clock.Clock
+
+	mu   sync.Mutex
+	read clock.Instant // when the rows were asked for; 0: they must be read
+	rows map[string]table.Row
+}
+
+// leaseCacheFor is how long the rows that were read serve the managers: less
+// than leasePoll, so that each round of looks makes one call.
+const leaseCacheFor = leasePoll - 200*time.Millisecond
+
+// Get returns a lease row.
+func (c *leaseCache) Get(ctx context.Context, tab, key string) (table.Row, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	if c.read == 0 || now.Sub(c.read) > leaseCacheFor {
+		rows, err := c.Table.List(ctx, tab, "")
+		if err != nil {
+			return table.Row{}, err
+		}
+		c.read = now
+		c.rows = make(map[string]table.Row, len(rows))
+		for _, r := range rows {
+			c.rows[r.Key] = r
+		}
+	}
+	if r, ok := c.rows[key]; ok {
+		return r, nil
+	}
+	return table.Row{Table: tab, Key: key}, nil
+}
+
+// Commit writes a lease row; what was read before is out of date then.
+func (c *leaseCache) Commit(ctx context.Context, txn table.Txn) (table.Result, error) {
+	res, err := c.Table.Commit(ctx, txn)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.read = 0
+	return res, err
+}
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -44,8 +44,8 @@
 	// FreeLoads reports whether no request has come yet.
 	FreeLoads func() bool
 	// Signs returns the last sign of life of an endpoint from this node's own
-	// requests; 0: none.
-	Signs func(roster.ID) clock.Instant
+	// requests (0: none), and whether it should have given one since.
+	Signs func(roster.ID) (last clock.Instant, suspect bool)
 
 	mu      sync.Mutex // guards what follows
 	facts   map[roster.ID]*Fact
@@ -72,8 +72,6 @@
 	// is awaited. Lost members mostly show by the streams of their head before
 	// that; this finds those that are idle.
 	probeCalm = time.Second
-	// probeHurry is the pause for an engine whose change is awaited.
-	probeHurry = 100 * time.Millisecond
 	// probeAgain is the pause after a report that failed.
 	probeAgain = 100 * time.Millisecond
 	// probeLimit is how long a report may take: a round trip takes 3 ms across
@@ -309,8 +307,8 @@
 			continue
 		}
 		out := c.planService(s)
-		for _, id := range out.Hurry {
-			c.hurry(id)
+		for id, pause := range out.Hurry {
+			c.hurry(id, pause)
 		}
 		all = append(all, planned{s.Name, out})
 	}
@@ -347,7 +345,7 @@
 		if e != nil && e.Service != s.Name {
 			continue
 		}
-		f.Sign = c.Signs(id)
+		f.Sign, f.Suspect = c.Signs(id)
 		facts[id] = f
 	}
 	return Plan(&Input{
@@ -362,9 +360,9 @@
 	return c.fence*epochsPerFence + c.epochs
 }
 
-func (c *Controller) hurry(id roster.ID) {
+func (c *Controller) hurry(id roster.ID, pause time.Duration) {
 	if p := c.probes[id]; p != nil && !p.running {
-		p.next = min(p.next, c.Clock.Now().Add(probeHurry))
+		p.next = min(p.next, c.Clock.Now().Add(pause))
 	}
 }
 
@@ -381,6 +379,9 @@
 	}
 }
 
+// commit writes the claims if this node still holds the lease and nobody else
+// has written them. A renewal of the lease that comes in between changes its
+// row's version, so the write is tried once more under the renewed lease.
 func (c *Controller) commit(ctx context.Context, grant lease.Grant, l Ledger) bool {
 	value, err := json.Marshal(l)
 	if err != nil {
@@ -389,19 +390,38 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeLimit)
 	defer cancel()
-	res, err := c.Table.Commit(ctx, table.Txn{
+	for range 2 {
+		now, held := c.Lease.Held(c.Clock.Now())
+		if !held || now.Fence != grant.Fence {
+			break
+		}
+		var res table.Result
+		res, err = c.Table.Commit(ctx, c.claimTxn(now, value))
+		if err != nil {
+			break
+		}
+		if res.Committed {
+			c.committed(l, res)
+			return true
+		}
+	}
+	c.Log.Info("claims not committed", "zone", c.Zone, "fence", grant.Fence, "err", err)
+	c.readLedger(ctx)
+	return false
+}
+
+func (c *Controller) claimTxn(grant lease.Grant, value []byte) table.Txn {
+	return table.Txn{
 		Attempt: uuid.NewString(),
 		Checks: []table.Check{
 			{Table: table.TableLeases, Key: c.Zone, Version: grant.Version},
 			{Table: table.TableGroups, Key: c.Zone, Version: c.version},
 		},
 		Writes: []table.Write{{Table: table.TableGroups, Key: c.Zone, Value: value}},
-	})
-	if err != nil || !res.Committed {
-		c.Log.Info("claims not committed", "zone", c.Zone, "fence", grant.Fence, "err", err)
-		c.readLedger(ctx)
-		return false
 	}
+}
+
+func (c *Controller) committed(l Ledger, res table.Result) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ledger = l
@@ -410,7 +430,6 @@
 			c.version = row.Version
 		}
 	}
-	return true
 }
 
 func (c *Controller) addr(id roster.ID) (string, bool) {
@@ -442,11 +461,21 @@
 		"reason", o.Reason, "verdict", v, "err", err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if f := c.facts[o.To]; f != nil && v == OtherLife {
-		f.Gone = true
+	if f := c.facts[o.To]; f != nil {
+		f.took(o, v)
 	}
 	if p := c.probes[o.To]; p != nil && !p.running {
 		p.next = 0
 	}
 	c.nudge()
 }
+
+// took notes how an engine took an order.
+func (f *Fact) took(o Order, v Verdict) {
+	switch {
+	case v == OtherLife:
+		f.Gone = true
+	case o.Op == Leave && (v == Begun || v == Done) && f.Report.Member.Group == o.Group:
+		f.Report.Member = roster.Membership{} // leaving takes effect at once
+	}
+}
--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -122,6 +122,7 @@
 	Failures int           // reports that failed in a row
 	Gone     bool          // its process has surely ended
 	Sign     clock.Instant // last sign of life from requests that it serves as a head
+	Suspect  bool          // requests that it serves as a head stand still
 }
 
 // Params are the times and bounds of the planner.
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -33,8 +33,8 @@
 	Ledger  Ledger
 	Changed bool
 	Orders  []Order
-	Hurry   []roster.ID // engines whose state is awaited
-	Notes   []string    // what was decided about groups, and why
+	Hurry   map[roster.ID]time.Duration // engines whose state is awaited: ask again after this
+	Notes   []string                    // what was decided about groups, and why
 }
 
 // Memory is what a planner remembers between two plans of one tenure. A new
@@ -47,6 +47,7 @@
 	strange map[roster.ID]clock.Instant // when an engine left a group that no claim knows
 	opened  map[string]bool             // groups that were open at some time
 	since   map[string]clock.Instant    // when a group was first seen
+	over    map[string]bool             // groups whose head surely takes no more requests
 }
 
 type load struct {
@@ -73,6 +74,7 @@
 		sent: map[orderKey]clock.Instant{}, closing: map[string]*closing{},
 		loading: map[roster.ID]load{}, strange: map[roster.ID]clock.Instant{},
 		opened: map[string]bool{}, since: map[string]clock.Instant{},
+		over: map[string]bool{},
 	}
 }
 
@@ -121,6 +123,7 @@
 	}
 	if p.takeApart(g, c) {
 		p.note("group %s is over: %s", g.Name, c.reason)
+		p.mem.over[g.Name] = true
 		p.out.Changed = true
 		return
 	}
@@ -156,6 +159,18 @@
 	return alive
 }
 
+// healthIn is the health of a group's member. Where the group's head stands
+// still as well, one unanswered report is enough: the two signs together are as
+// good as two reports and save a quarter of a second.
+func (p *planner) healthIn(g *Group, id roster.ID) health {
+	h := p.health(id)
+	head := p.in.Facts[g.Head()]
+	if h == unknown && head != nil && head.Suspect && p.in.Facts[id].Failures > 0 {
+		return dead
+	}
+	return h
+}
+
 func (p *planner) inGroup(id roster.ID, g *Group) bool {
 	f := p.in.Facts[id]
 	return f != nil && f.Report.Member.Group == g.Name && f.Report.Member.Epoch == g.Epoch
@@ -164,7 +179,7 @@
 // shouldClose says why a group must not go on, or nil.
 func (p *planner) shouldClose(g *Group) *closing {
 	for _, m := range g.Members {
-		switch p.health(m) {
+		switch p.healthIn(g, m) {
 		case dead:
 			if p.stillMoves(g, m) {
 				continue
@@ -216,7 +231,7 @@
 		case roster.Ready, roster.Open:
 			ready++
 		case roster.Joining:
-			p.hurry(m)
+			p.awaitJoin(m)
 		}
 	}
 	if ready < len(g.Members) {
@@ -233,6 +248,16 @@
 	p.hurry(g.Head())
 }
 
+// awaitJoin asks for the state of a joining engine: often while it joins from
+// its host, seldom while its weights are on their way.
+func (p *planner) awaitJoin(id roster.ID) {
+	if _, loading := p.mem.loading[id]; loading && !p.in.FreeLoads {
+		p.hurryIn(id, hurryLoad)
+		return
+	}
+	p.hurry(id)
+}
+
 // takeApart brings a group one step closer to its end and reports whether its
 // members are free.
 func (p *planner) takeApart(g *Group, c *closing) bool {
@@ -261,12 +286,14 @@
 		return true
 	}
 	p.hurry(g.Head())
-	switch p.in.Facts[g.Head()].Report.Member.State {
-	case roster.Open, roster.Closing:
+	serving := p.in.Facts[g.Head()].Report.Member.State == roster.Open || p.in.Facts[g.Head()].Report.Member.State == roster.Closing
+	if serving && c.mode == Finish {
 		p.order(Order{To: g.Head(), Op: Close, Group: g.Name, Epoch: g.Epoch, Mode: c.mode, Reason: c.reason})
-	default:
-		p.order(Order{To: g.Head(), Op: Leave, Group: g.Name, Epoch: g.Epoch, Reason: c.reason})
+		return false
 	}
+	// A head whose group has lost a member stands still; nothing is gained by
+	// closing it first, which takes 300 ms more than leaving.
+	p.order(Order{To: g.Head(), Op: Leave, Group: g.Name, Epoch: g.Epoch, Reason: c.reason})
 	return false
 }
 
@@ -314,7 +341,23 @@
 	p.out.Orders = append(p.out.Orders, o)
 }
 
-func (p *planner) hurry(id roster.ID) { p.out.Hurry = append(p.out.Hurry, id) }
+// hurry asks for the engine's state soon.
+func (p *planner) hurry(id roster.ID) { p.hurryIn(id, hurrySoon) }
+
+func (p *planner) hurryIn(id roster.ID, pause time.Duration) {
+	if p.out.Hurry == nil {
+		p.out.Hurry = map[roster.ID]time.Duration{}
+	}
+	if old, ok := p.out.Hurry[id]; !ok || pause < old {
+		p.out.Hurry[id] = pause
+	}
+}
+
+// The pauses between reports of an engine whose change is awaited.
+const (
+	hurrySoon = 100 * time.Millisecond // orders that take up to 300 ms
+	hurryLoad = 400 * time.Millisecond // loads of 12 s and more
+)
 
 func (p *planner) note(format string, args ...any) {
 	p.out.Notes = append(p.out.Notes, fmt.Sprintf(format, args...))
@@ -337,12 +380,8 @@
 func (p *planner) useDomain(domain string) {
 	free := p.free(domain)
 	for {
-		m := p.neediest(len(free))
-		if m == nil {
-			break
-		}
-		members := p.choose(free, m)
-		if !p.form(domain, m, members) {
+		m, members := p.bestGroup(free)
+		if m == nil || !p.form(domain, m, members) {
 			break
 		}
 		free = slices.DeleteFunc(free, func(f *Fact) bool { return slices.Contains(members, f.ID) })
@@ -366,12 +405,13 @@
 }
 
 // unattached reports whether an engine that no claim names belongs to no group.
-// One that still says it is in a group was claimed by a ledger that is lost, or
+// One that still says it is in a group that this owner has taken apart may join
+// another one: the join replaces its membership. Any other was claimed by a ledger that is lost, or
 // joined by an order that came late; it leaves, and its old head gets the time
 // to break.
 func (p *planner) unattached(f *Fact) bool {
 	m := f.Report.Member
-	if m.Group != "" && !isStandby(m) {
+	if m.Group != "" && !isStandby(m) && !p.mem.over[m.Group] {
 		p.mem.strange[f.ID] = p.in.Now
 		o := Order{To: f.ID, Op: Leave, Group: m.Group, Epoch: m.Epoch, Reason: "in a group that no claim knows"}
 		if m.Rank == 0 && (m.State == roster.Open || m.State == roster.Closing) {
@@ -385,22 +425,48 @@
 	return !ok || p.in.Now.Sub(at) > p.in.Params.Stall+p.in.Params.StallMargin
 }
 
-// neediest returns the model with the fewest groups for its share of the work
-// among those that n engines are enough for, or nil.
-func (p *planner) neediest(n int) *catalog.Model {
+// bestGroup returns the model that a group of free engines is best formed for,
+// and its members; nil when they are too few for any. A group that needs no
+// load from the weight store goes first: it serves in half a second instead of
+// twelve and more. Among equals the model with the fewest groups for its share
+// of the work is taken.
+func (p *planner) bestGroup(free []*Fact) (*catalog.Model, []roster.ID) {
 	var best *catalog.Model
+	var bestMembers []roster.ID
+	var bestCold bool
 	var bestNeed float64
 	for i := range p.in.Engine.Models {
 		m := &p.in.Engine.Models[i]
-		if m.Size > n || m.Size <= 0 {
+		if m.Size > len(free) || m.Size <= 0 {
 			continue
 		}
-		need := float64(p.count(m.Name)) / max(m.Share, 0.01)
-		if best == nil || need < bestNeed || need == bestNeed && m.Share > best.Share {
-			best, bestNeed = m, need
+		members := p.choose(free, m)
+		cold := p.loadsFor(members, m) > 0
+		need := float64(p.count(m.Name)) / max(m.Share, minShare)
+		better := best == nil || !cold && bestCold
+		if best != nil && cold == bestCold {
+			better = need < bestNeed || need == bestNeed && m.Share > best.Share
+		}
+		if better {
+			best, bestMembers, bestCold, bestNeed = m, members, cold, need
 		}
 	}
-	return best
+	return best, bestMembers
+}
+
+// minShare stands for the share of a model that is declared without one.
+const minShare = 0.01
+
+// loadsFor returns how many of the members need a load from the weight store.
+func (p *planner) loadsFor(members []roster.ID, m *catalog.Model) int {
+	n := 0
+	for _, id := range members {
+		f := p.in.Facts[id]
+		if f.Report.Model != m.Name && !slices.Contains(f.Report.Staged, m.Name) {
+			n++
+		}
+	}
+	return n
 }
 
 // count returns the groups of a model that serve or will.
@@ -574,9 +640,13 @@
 
 // forget drops what is remembered of groups and engines that are over.
 func (p *planner) forget() {
+	// A plan whose claims could not be committed is made again from the old
+	// ones; what was found out about their groups must still be known then.
 	live := map[string]bool{}
-	for i := range p.out.Ledger.Groups {
-		live[p.out.Ledger.Groups[i].Name] = true
+	for _, groups := range [][]Group{p.in.Ledger.Groups, p.out.Ledger.Groups} {
+		for i := range groups {
+			live[groups[i].Name] = true
+		}
 	}
 	for name := range p.mem.since {
 		if !live[name] {
