Hosts hold a second model; groups form when no load is lacking

Cause: after two losses in a domain the next group waited 12 to 20 s for a load while its other members stood idle. Ruled out: forming such groups at once and letting them wait: it binds engines that a later loss could combine. Change: every ready engine's host gets another model; loads start where the next group lacks them; duties are taken over after 1.5 s instead of 2.5 s.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -63,8 +63,8 @@
 const (
 	// leaseTerm is the longest time that a zone without its owner waits for the
 	// next one, less the margin of a look.
-	leaseTerm = 2500 * time.Millisecond
-	leasePoll = 800 * time.Millisecond
+	leaseTerm = 1500 * time.Millisecond
+	leasePoll = 700 * time.Millisecond
 	// streamSilence is how long a head with streams may send nothing on any of
 	// them. A pass of a loaded group takes 50 ms to 330 ms by the engines'
 	// published times.
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"chervilloom/internal/catalog"
@@ -93,6 +94,7 @@
 	for _, domain := range p.domains() {
 		p.useDomain(domain)
 	}
+	p.stageAlternates()
 	p.forget()
 	return p.out
 }
@@ -385,12 +387,14 @@
 }
 
 // useDomain forms groups of the free engines of a domain and prepares those
-// that are left over as spares.
+// that are left over. Outside the start no group is formed that would wait for
+// a load: its other members would be bound for twelve seconds and more, while
+// the next loss may leave engines that complete them at once.
 func (p *planner) useDomain(domain string) {
 	free := p.free(domain)
 	for {
 		m, members := p.bestGroup(free)
-		if m == nil || !p.form(domain, m, members) {
+		if m == nil || !p.in.FreeLoads && !p.soon(members, m) || !p.form(domain, m, members) {
 			break
 		}
 		free = slices.DeleteFunc(free, func(f *Fact) bool { return slices.Contains(members, f.ID) })
@@ -433,14 +437,14 @@
 }
 
 // bestGroup returns the model that a group of free engines is best formed for,
-// and its members; nil when they are too few for any. A group that needs no
-// load from the weight store goes first: it serves in half a second instead of
-// twelve and more. Among equals the model with the fewest groups for its share
-// of the work is taken.
+// and its members; nil when they are too few for any. A group that can serve
+// soon goes before one that waits for the weight store for twelve seconds and
+// more. Among equals the model with the fewest groups for its share of the work
+// is taken.
 func (p *planner) bestGroup(free []*Fact) (*catalog.Model, []roster.ID) {
 	var best *catalog.Model
 	var bestMembers []roster.ID
-	var bestCold bool
+	var bestSoon bool
 	var bestNeed float64
 	for i := range p.in.Engine.Models {
 		m := &p.in.Engine.Models[i]
@@ -448,34 +452,32 @@
 			continue
 		}
 		members := p.choose(free, m)
-		cold := p.loadsFor(members, m) > 0
+		soon := p.soon(members, m)
 		need := float64(p.count(m.Name)) / max(m.Share, minShare)
-		better := best == nil || !cold && bestCold
-		if best != nil && cold == bestCold {
+		better := best == nil || soon && !bestSoon
+		if best != nil && soon == bestSoon {
 			better = need < bestNeed || need == bestNeed && m.Share > best.Share
 		}
 		if better {
-			best, bestMembers, bestCold, bestNeed = m, members, cold, need
+			best, bestMembers, bestSoon, bestNeed = m, members, soon, need
 		}
 	}
 	return best, bestMembers
 }
 
-// minShare stands for the share of a model that is declared without one.
-const minShare = 0.01
-
-// loadsFor returns how many of the members need a load from the weight store.
-func (p *planner) loadsFor(members []roster.ID, m *catalog.Model) int {
-	n := 0
-	for _, id := range members {
-		f := p.in.Facts[id]
-		if f.Report.Model != m.Name && !slices.Contains(f.Report.Staged, m.Name) {
-			n++
-		}
-	}
-	return n
+// soon reports whether the members, readiest first, can all join without a load.
+func (p *planner) soon(members []roster.ID, m *catalog.Model) bool {
+	return p.readyIn(p.in.Facts[members[len(members)-1]], m) <= soonLimit
 }
 
+const (
+	// soonLimit divides joins from the host, 1 to 2 s by the engines' published
+	// times, from loads.
+	soonLimit = 3 * time.Second
+	// minShare stands for the share of a model that is declared without one.
+	minShare = 0.01
+)
+
 // count returns the groups of a model that serve or will.
 func (p *planner) count(model string) int {
 	n := 0
@@ -512,9 +514,13 @@
 	case slices.Contains(f.Report.Staged, m.Name):
 		return m.Warm
 	}
-	if l, ok := p.mem.loading[f.ID]; ok && l.model == m.Name {
+	l, loading := p.mem.loading[f.ID]
+	if loading && l.model == m.Name {
 		return max(m.Warm, m.Load+m.Warm-p.in.Now.Sub(l.since))
 	}
+	if other := p.in.Engine.Model(l.model); loading && other != nil {
+		return max(0, other.Load-p.in.Now.Sub(l.since)) + m.Load + m.Warm
+	}
 	return m.Load + m.Warm
 }
 
@@ -541,12 +547,24 @@
 	}
 	p.mem.since[g.Name] = p.in.Now
 	p.out.Changed = true
-	p.note("group %s forms for %s with %v, %d loads", g.Name, m.Name, members, cold)
+	p.note("group %s forms for %s with %s, %d loads", g.Name, m.Name, p.describe(members, m), cold)
 	p.keep(&g)
 	p.advance(&g)
 	return true
 }
 
+// describe lists engines with the time that each needs to join the model.
+func (p *planner) describe(ids []roster.ID, m *catalog.Model) string {
+	var b strings.Builder
+	for i, id := range ids {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		fmt.Fprintf(&b, "%s(%v)", id, p.readyIn(p.in.Facts[id], m).Round(100*time.Millisecond))
+	}
+	return b.String()
+}
+
 func (p *planner) needsLoad(f *Fact, model string) bool {
 	if f.Report.Model == model || slices.Contains(f.Report.Staged, model) {
 		return false
@@ -580,13 +598,22 @@
 		(m.State == roster.Ready || m.State == roster.Joining)
 }
 
-// prepare makes spares ready for the models that the domain's groups may need
-// them for: weights staged on the host, then in a group of their own, from
-// which they join another one in hotJoin.
-func (p *planner) prepare(spares []*Fact) {
-	wanted := p.spareModels(len(spares))
-	rest := slices.Clone(spares)
-	for _, m := range wanted {
+// prepare makes free engines ready: first those that the next groups lack, then
+// the spares. An engine is ready when the weights are staged on its host and it
+// is in a group of its own, from which it joins another one in hotJoin.
+func (p *planner) prepare(free []*Fact) {
+	rest := slices.Clone(free)
+	for {
+		m, members := p.nextGroup(rest)
+		if m == nil {
+			break
+		}
+		for _, id := range members {
+			p.prepareSpare(p.in.Facts[id], m)
+		}
+		rest = slices.DeleteFunc(rest, func(f *Fact) bool { return slices.Contains(members, f.ID) })
+	}
+	for _, m := range p.spareModels(len(rest)) {
 		i := p.readiest(rest, m)
 		f := rest[i]
 		rest = slices.Delete(rest, i, i+1)
@@ -594,6 +621,33 @@
 	}
 }
 
+// nextGroup returns the model whose next group lacks the fewest loads, and the
+// engines for it.
+func (p *planner) nextGroup(free []*Fact) (*catalog.Model, []roster.ID) {
+	var best *catalog.Model
+	var bestMembers []roster.ID
+	var bestCost float64
+	for i := range p.in.Engine.Models {
+		m := &p.in.Engine.Models[i]
+		if m.Size > len(free) || m.Size <= 0 {
+			continue
+		}
+		members := p.choose(free, m)
+		lacks := 0
+		for _, id := range members {
+			if p.readyIn(p.in.Facts[id], m) > soonLimit {
+				lacks++
+			}
+		}
+		// A model without groups for its share goes before one that lacks less.
+		cost := float64(lacks) + float64(p.count(m.Name))/max(m.Share, minShare)
+		if best == nil || cost < bestCost {
+			best, bestMembers, bestCost = m, members, cost
+		}
+	}
+	return best, bestMembers
+}
+
 // spareModels returns a model for each of n spares: turn by turn, the largest
 // share first.
 func (p *planner) spareModels(n int) []*catalog.Model {
@@ -621,16 +675,82 @@
 
 func (p *planner) prepareSpare(f *Fact, m *catalog.Model) {
 	switch {
-	case f.Report.Model == m.Name && f.Report.Member.Group != "":
+	case f.Report.Model == m.Name:
 		return
 	case slices.Contains(f.Report.Staged, m.Name):
 		p.standBy(f, m)
-	case p.needsLoad(f, m.Name) && p.mayLoad(1):
+	case !p.staging(f.ID) && p.needsLoad(f, m.Name) && p.mayLoad(1):
 		p.startLoad(f.ID, m.Name)
 		p.order(Order{To: f.ID, Op: Stage, Model: m.Name, Reason: "spare"})
 	}
 }
 
+// stageAlternates loads a second model onto the hosts of engines that are ready
+// for a first one: an engine joins a group of its newest model in hotJoin
+// whatever its host holds, so the host's place is free for another model. After
+// a loss, what is left of a domain can then form a group of either model
+// without a load.
+func (p *planner) stageAlternates() {
+	for _, id := range p.sortedIDs() {
+		f := p.in.Facts[id]
+		hot := f.Report.Model
+		if hot == "" || f.Draining || !f.Listed || p.health(id) != alive || !settledIn(f) {
+			continue
+		}
+		m := p.alternate(hot)
+		if m == nil || !p.needsLoad(f, m.Name) || p.staging(id) || !p.mayStageAlternate() {
+			continue
+		}
+		p.startLoad(id, m.Name)
+		p.order(Order{To: id, Op: Stage, Model: m.Name, Reason: "alternate"})
+	}
+}
+
+// settledIn reports whether the engine is ready in its group: a join from the
+// host waits for a load that is under way there.
+func settledIn(f *Fact) bool {
+	return f.Report.Member.State == roster.Ready || f.Report.Member.State == roster.Open
+}
+
+// alternate returns the model with the largest share beside the one given.
+func (p *planner) alternate(hot string) *catalog.Model {
+	var best *catalog.Model
+	for i := range p.in.Engine.Models {
+		m := &p.in.Engine.Models[i]
+		if m.Name != hot && (best == nil || m.Share > best.Share) {
+			best = m
+		}
+	}
+	return best
+}
+
+func (p *planner) staging(id roster.ID) bool {
+	_, ok := p.mem.loading[id]
+	return ok
+}
+
+// mayStageAlternate reports whether a load that nothing waits for may begin: it
+// must not slow down the loads that a group waits for.
+func (p *planner) mayStageAlternate() bool {
+	if p.in.FreeLoads {
+		return true
+	}
+	return len(p.mem.loading) < alternatesAtOnce && len(p.mem.loads) < p.in.Params.LoadsPer/2
+}
+
+// alternatesAtOnce is how many loads of the zone may run before alternates wait:
+// a handful of all zones run at full speed, and new engines need them first.
+const alternatesAtOnce = 1
+
+func (p *planner) sortedIDs() []roster.ID {
+	ids := make([]roster.ID, 0, len(p.in.Facts))
+	for id := range p.in.Facts {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // standBy lets a spare join a group of its own.
 func (p *planner) standBy(f *Fact, m *catalog.Model) {
 	k := orderKey{f.ID, Join, standbyPrefix}
