Nodes tell each other of heads; a join is confirmed by a second order

Cause: a group that was open was used up to 1 s later, when the list was read again; a join's end showed in the report only after its lag. Change: news between nodes over UDP (a lost one costs what it cost before); a repeated join order answers at once whether the first is done; engines that are ready for a model go on with it unless the other has hardly a group.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	"chervilloom/internal/formation"
 	"chervilloom/internal/forward"
 	"chervilloom/internal/lease"
+	"chervilloom/internal/news"
 	"chervilloom/internal/retry"
 	"chervilloom/internal/roster"
 	"chervilloom/internal/upstream"
@@ -55,6 +56,8 @@
 	forwarder   *forward.Forwarder
 	controllers []*formation.Controller
 	leases      []*lease.Manager
+	leaseRows   *leaseCache
+	mesh        *news.Mesh
 	leaving     atomic.Bool // SIGTERM came
 	asked       atomic.Bool // a client's request came
 }
@@ -106,19 +109,23 @@
 		Zone: o.Settings.Zone, Bounds: balance.Bounds{Remote: remoteCost, Queue: queueLimit},
 		View: n.view, NewBudget: n.newBudget, Missed: n.roster.soon,
 	}
-	leases := &leaseCache{Table: o.Store, clock: o.Clock}
+	n.leaseRows = &leaseCache{Table: o.Store, clock: o.Clock}
+	n.mesh = &news.Mesh{
+		Log: o.Log, Receive: n.heard,
+		Peers: func() []string { return n.leaseRows.peers(o.Settings.VM) },
+	}
 	for _, zone := range o.Settings.Zones {
-		n.addZone(zone, leases)
+		n.addZone(zone)
 	}
 	return n
 }
 
 // addZone adds the duty of one availability zone. Its own nodes try first.
-func (n *Node) addZone(zone string, leases lease.Table) {
+func (n *Node) addZone(zone string) {
 	rank := n.rank(zone)
 	m := &lease.Manager{
 		Duty: zone, Self: fleet.Node{VM: fleet.VM(n.Settings.VM), Incarnation: fleet.Incarnation(time.Now().UnixNano())},
-		Params: lease.DefaultParams(leaseTerm), Table: leases, Clock: n.Clock, Log: n.Log,
+		Params: lease.DefaultParams(leaseTerm), Table: n.leaseRows, Clock: n.Clock, Log: n.Log,
 		Rank: func() int { return rank }, Poll: leasePoll,
 	}
 	n.leases = append(n.leases, m)
@@ -127,6 +134,7 @@
 		Params: n.formationParams, Catalog: n.config.current.Load, Roster: n.roster.current.Load,
 		FreeLoads: func() bool { return n.Settings.Bootstrap && !n.asked.Load() },
 		Signs:     n.tracker.Sign,
+		Announce:  n.announce,
 	})
 }
 
@@ -176,10 +184,31 @@
 func (n *Node) suspected(id roster.ID) {
 	last, _ := n.tracker.Sign(id)
 	n.Log.Info("endpoint is suspect", "endpoint", id, "silent_ms", n.Clock.Now().Sub(last).Milliseconds())
+	n.suspect(id)
+	n.mesh.Tell(news.Message{Suspect: id})
+	n.roster.soon()
+}
+
+func (n *Node) suspect(id roster.ID) {
 	for _, c := range n.controllers {
 		c.Suspect(id)
 	}
-	n.roster.soon()
+}
+
+// announce tells all nodes, this one included, about a head.
+func (n *Node) announce(h roster.Hint) {
+	n.roster.hint(h)
+	n.mesh.Tell(news.Message{Hint: &h})
+}
+
+// heard takes up a message of another node.
+func (n *Node) heard(m news.Message) {
+	if m.Hint != nil {
+		n.roster.hint(*m.Hint)
+	}
+	if m.Suspect != "" {
+		n.suspect(m.Suspect)
+	}
 }
 
 // Run serves until ctx ends, then leaves within the grace time.
@@ -192,6 +221,9 @@
 	if err != nil {
 		return merry.Prepend(err, "readiness address; check the settings' listen address")
 	}
+	if err := n.mesh.Listen(n.Settings.Peer); err != nil {
+		return merry.Prepend(err, "address for other nodes; check the settings' port range")
+	}
 	n.Log.Info("node starts", "vm", n.Settings.VM, "zone", n.Settings.Zone, "front", n.Settings.Front, "bootstrap", n.Settings.Bootstrap)
 
 	// What serves requests goes on after ctx has ended, until they are done.
@@ -202,6 +234,8 @@
 	g.Go(func() error { return n.roster.run(work) })
 	g.Go(func() error { clock.Every(work, balance.WatchStep, n.tracker.Watch); return nil })
 	g.Go(func() error { clock.Every(work, sweepPause, n.pool.Sweep); return nil })
+	g.Go(func() error { return n.mesh.Run(work) })
+	g.Go(func() error { return n.leaseRows.runAnnounce(ctx, n.Settings.VM, n.Settings.Peer, n.Log) })
 	n.startDuties(ctx, g)
 
 	server := &http.Server{
--- a/internal/entry/leases.go
+++ b/internal/entry/leases.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"chervilloom/internal/clock"
 	table "chervilloom/internal/platform"
 )
@@ -63,3 +67,64 @@
 	c.read = 0
 	return res, err
 }
+
+// nodePrefix begins the keys of the rows that name the nodes. They stand among
+// the leases, so that one call reads both.
+const nodePrefix = "node/"
+
+// announce writes where the node can be reached.
+func (c *leaseCache) announce(ctx context.Context, vm, addr string) error {
+	_, err := c.Commit(ctx, table.Txn{
+		Attempt: uuid.NewString(),
+		Writes:  []table.Write{{Table: table.TableLeases, Key: nodePrefix + vm, Value: []byte(addr)}},
+	})
+	return err
+}
+
+// withdraw deletes the node's row.
+func (c *leaseCache) withdraw(ctx context.Context, vm string) error {
+	_, err := c.Commit(ctx, table.Txn{
+		Attempt: uuid.NewString(),
+		Writes:  []table.Write{{Table: table.TableLeases, Key: nodePrefix + vm, Delete: true}},
+	})
+	return err
+}
+
+// peers returns the addresses of the nodes other than vm, as they were read last.
+func (c *leaseCache) peers(vm string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for key, r := range c.rows {
+		if name, ok := strings.CutPrefix(key, nodePrefix); ok && name != vm {
+			out = append(out, string(r.Value))
+		}
+	}
+	return out
+}
+
+// runAnnounce writes the node's row once and deletes it when ctx ends.
+func (c *leaseCache) runAnnounce(ctx context.Context, vm, addr string, log *slog.Logger) error {
+	const (
+		again = 500 * time.Millisecond
+		limit = time.Second
+	)
+	for {
+		wctx, cancel := context.WithTimeout(ctx, limit)
+		err := c.announce(wctx, vm, addr)
+		cancel()
+		if err == nil {
+			break
+		}
+		if !clock.Sleep(ctx, again) {
+			return nil
+		}
+	}
+	<-ctx.Done()
+	wctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	defer cancel()
+	if err := c.withdraw(wctx, vm); err != nil {
+		log.Info("node's row stays; others send it news in vain", "err", err)
+	}
+	return nil
+}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -8,6 +8,7 @@
 	Zone        string
 	Zones       []string
 	Front       string // address for clients
+	Peer        string // address for the other nodes
 	Ready       string // address that the balancer asks for readiness
 	Bootstrap   bool   // the whole system starts for the first time
 	Heartbeat   time.Duration
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -129,6 +129,7 @@
 	source  EndpointSource
 	clock   clock.Clock
 	log     *slog.Logger
+	mu      sync.Mutex // held while the next roster is made
 	current atomic.Pointer[roster.Roster]
 	wake    chan struct{}
 	once    sync.Once
@@ -181,9 +182,18 @@
 	if len(unreadable) > 0 {
 		w.once.Do(func() { w.log.Warn("endpoints with unreadable entries are left out", "endpoints", unreadable) })
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.current.Store(roster.Merge(w.current.Load(), list, asked, recovered))
 }
 
+// hint takes up what a node tells of an endpoint.
+func (w *rosterWatcher) hint(h roster.Hint) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.current.Store(w.current.Load().With(h, w.clock.Now()))
+}
+
 func (w *rosterWatcher) pause(ctx context.Context, down bool) {
 	if !clock.Sleep(ctx, rosterAgain) || down {
 		return
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -46,6 +46,8 @@
 	// Signs returns the last sign of life of an endpoint from this node's own
 	// requests (0: none), and whether it should have given one since.
 	Signs func(roster.ID) (last clock.Instant, suspect bool)
+	// Announce tells all nodes that a head takes requests, or no longer does.
+	Announce func(roster.Hint)
 
 	mu      sync.Mutex // guards what follows
 	facts   map[roster.ID]*Fact
@@ -261,6 +263,9 @@
 	if err != nil {
 		c.probeFailed(f, p, asked, now, err)
 	} else {
+		if asked.Before(f.Sure) {
+			rep.Member, rep.Model = f.Report.Member, f.Report.Model
+		}
 		f.Report, f.Answered, f.Failing, f.Failures = rep, asked, 0, 0
 		if rep.Domain != "" {
 			f.Domain = rep.Domain
@@ -454,15 +459,17 @@
 		c.Log.Info("order withheld", "zone", c.Zone, "endpoint", o.To, "op", o.Op.String(), "reason", "the lease is over")
 		return
 	}
+	runCtx := ctx
 	ctx, cancel := context.WithTimeout(ctx, orderLimit)
 	defer cancel()
 	v, err := c.Engines.Order(ctx, addr, o)
+	go c.announceTaken(runCtx, o, v)
 	c.Log.Info("order", "zone", c.Zone, "endpoint", o.To, "op", o.Op.String(), "group", o.Group, "model", o.Model,
 		"reason", o.Reason, "verdict", v, "err", err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if f := c.facts[o.To]; f != nil {
-		f.took(o, v)
+		f.took(o, v, c.Clock.Now())
 	}
 	if p := c.probes[o.To]; p != nil && !p.running {
 		p.next = 0
@@ -470,12 +477,73 @@
 	c.nudge()
 }
 
-// took notes how an engine took an order.
-func (f *Fact) took(o Order, v Verdict) {
+// reportLag is how long after an order was answered a report may still show the
+// state of before: the engines' published lag is 200 ms.
+const reportLag = 400 * time.Millisecond
+
+// took notes what an engine's answer to an order says of its state.
+func (f *Fact) took(o Order, v Verdict, now clock.Instant) {
 	switch {
 	case v == OtherLife:
 		f.Gone = true
 	case o.Op == Leave && (v == Begun || v == Done) && f.Report.Member.Group == o.Group:
 		f.Report.Member = roster.Membership{} // leaving takes effect at once
+		f.Sure = now.Add(reportLag)
+	case o.Op == Join && v == Done:
+		f.Report.Member = roster.Membership{
+			Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, f.ID), State: roster.Ready,
+		}
+		f.Report.Model = o.Model
+		f.Sure = now.Add(reportLag)
+	}
+}
+
+// announceTaken tells the nodes about a head whose order changes what it takes.
+// An open order takes effect after the form time.
+func (c *Controller) announceTaken(ctx context.Context, o Order, v Verdict) {
+	if v != Begun && v != Done {
+		return
+	}
+	state := roster.Closing
+	switch o.Op {
+	case Open:
+		if !clock.Sleep(ctx, c.formTime()) {
+			return
+		}
+		state = roster.Open
+	case Leave, Close:
+	default:
+		return
+	}
+	c.mu.Lock()
+	g := c.group(o.Group)
+	c.mu.Unlock()
+	if g == nil || g.Head() != o.To {
+		return
+	}
+	c.Announce(roster.Hint{
+		ID: o.To, Model: g.Model,
+		Member: roster.Membership{Group: g.Name, Epoch: g.Epoch, State: state},
+	})
+}
+
+func (c *Controller) formTime() time.Duration {
+	var longest time.Duration
+	if cat := c.Catalog(); cat != nil {
+		for i := range cat.Services {
+			if e := cat.Services[i].Engine; e != nil {
+				longest = max(longest, e.FormTime)
+			}
+		}
+	}
+	return longest
+}
+
+func (c *Controller) group(name string) *Group {
+	for i := range c.ledger.Groups {
+		if c.ledger.Groups[i].Name == name {
+			return &c.ledger.Groups[i]
+		}
 	}
+	return nil
 }
--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -121,6 +121,7 @@
 	Failing  clock.Instant // since when reports fail; 0: the newest one came
 	Failures int           // reports that failed in a row
 	Gone     bool          // its process has surely ended
+	Sure     clock.Instant // until then its answers to orders go before its reports, which lag
 	Sign     clock.Instant // last sign of life from requests that it serves as a head
 	Suspect  bool          // requests that it serves as a head stand still
 }
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -42,8 +42,9 @@
 // owner starts with an empty one and waits where it can't know.
 type Memory struct {
 	sent    map[orderKey]clock.Instant
-	closing map[string]*closing // by group
-	loads   []clock.Instant     // starts of loads within the window
+	joined  map[orderKey]clock.Instant // when a join that was ordered should be done
+	closing map[string]*closing        // by group
+	loads   []clock.Instant            // starts of loads within the window
 	loading map[roster.ID]load
 	opened  map[string]bool          // groups that were open at some time
 	since   map[string]clock.Instant // when a group was first seen
@@ -70,7 +71,7 @@
 // NewMemory returns an empty memory.
 func NewMemory() *Memory {
 	return &Memory{
-		sent: map[orderKey]clock.Instant{}, closing: map[string]*closing{},
+		sent: map[orderKey]clock.Instant{}, joined: map[orderKey]clock.Instant{}, closing: map[string]*closing{},
 		loading: map[roster.ID]load{}, opened: map[string]bool{},
 		since: map[string]clock.Instant{}, over: map[string]bool{},
 	}
@@ -221,15 +222,14 @@
 		}
 		f := p.in.Facts[m]
 		if !p.inGroup(m, g) {
-			p.order(Order{To: m, Op: Join, Group: g.Name, Epoch: g.Epoch, Model: g.Model, Members: g.Members, Reason: "claimed"})
-			p.hurry(m)
+			p.join(m, g)
 			continue
 		}
 		switch f.Report.Member.State {
 		case roster.Ready, roster.Open:
 			ready++
 		case roster.Joining:
-			p.awaitJoin(m)
+			p.join(m, g)
 		}
 	}
 	if ready < len(g.Members) {
@@ -246,16 +246,37 @@
 	p.hurry(g.Head())
 }
 
-// awaitJoin asks for the state of a joining engine: often while it joins from
-// its host, seldom while its weights are on their way.
-func (p *planner) awaitJoin(id roster.ID) {
-	if _, loading := p.mem.loading[id]; loading && !p.in.FreeLoads {
-		p.hurryIn(id, hurryLoad)
+// join orders a member to join, and once more when it should be done: the answer
+// to the second order tells that the member is ready, which its report tells
+// only after the report lag.
+func (p *planner) join(id roster.ID, g *Group) {
+	key := orderKey{id, Join, g.Name}
+	o := Order{To: id, Op: Join, Group: g.Name, Epoch: g.Epoch, Model: g.Model, Members: g.Members, Reason: "claimed"}
+	if due, ok := p.mem.joined[key]; ok && !p.in.Now.Before(due) {
+		p.mem.joined[key] = p.in.Now.Add(joinAgain)
+		o.Reason = "is it ready"
+		p.out.Orders = append(p.out.Orders, o)
 		return
 	}
-	p.hurry(id)
+	if p.order(o) {
+		m := p.in.Engine.Model(g.Model)
+		if m == nil {
+			return
+		}
+		if in := p.readyIn(p.in.Facts[id], m); in <= soonLimit {
+			p.mem.joined[key] = p.in.Now.Add(in + joinMargin)
+		}
+	}
+	p.hurryIn(id, hurryLoad)
 }
 
+const (
+	// joinMargin is for the order's way to the engine.
+	joinMargin = 30 * time.Millisecond
+	// joinAgain is the pause between two questions whether a join is done.
+	joinAgain = 150 * time.Millisecond
+)
+
 // takeApart brings a group one step closer to its end and reports whether its
 // members are free.
 func (p *planner) takeApart(g *Group, c *closing) bool {
@@ -342,14 +363,16 @@
 	})
 }
 
-// order adds an order unless the same one was given a short while ago.
-func (p *planner) order(o Order) {
+// order adds an order unless the same one was given a short while ago. It reports
+// whether it did.
+func (p *planner) order(o Order) bool {
 	k := orderKey{o.To, o.Op, o.Group}
 	if at, ok := p.mem.sent[k]; ok && p.in.Now.Sub(at) < p.in.Params.Resend {
-		return
+		return false
 	}
 	p.mem.sent[k] = p.in.Now
 	p.out.Orders = append(p.out.Orders, o)
+	return true
 }
 
 // hurry asks for the engine's state soon.
@@ -437,34 +460,48 @@
 }
 
 // bestGroup returns the model that a group of free engines is best formed for,
-// and its members; nil when they are too few for any. A group that can serve
-// soon goes before one that waits for the weight store for twelve seconds and
-// more. Among equals the model with the fewest groups for its share of the work
-// is taken.
+// and its members; nil when they are too few for any. What counts is how few
+// groups the model has for its share of the work, and how soon the group serves.
 func (p *planner) bestGroup(free []*Fact) (*catalog.Model, []roster.ID) {
 	var best *catalog.Model
 	var bestMembers []roster.ID
-	var bestSoon bool
-	var bestNeed float64
+	var bestCost float64
 	for i := range p.in.Engine.Models {
 		m := &p.in.Engine.Models[i]
 		if m.Size > len(free) || m.Size <= 0 {
 			continue
 		}
 		members := p.choose(free, m)
-		soon := p.soon(members, m)
-		need := float64(p.count(m.Name)) / max(m.Share, minShare)
-		better := best == nil || soon && !bestSoon
-		if best != nil && soon == bestSoon {
-			better = need < bestNeed || need == bestNeed && m.Share > best.Share
-		}
-		if better {
-			best, bestMembers, bestSoon, bestNeed = m, members, soon, need
+		cost := p.supply(m) + p.lastReady(members, m).Seconds()*delayWeight
+		if best == nil || cost < bestCost || cost == bestCost && m.Share > best.Share {
+			best, bestMembers, bestCost = m, members, cost
 		}
 	}
 	return best, bestMembers
 }
 
+// delayWeight is how many groups for a share of one a second of delay outweighs:
+// engines that are ready for one model at once go on with it, unless the other
+// model has hardly a group left.
+const delayWeight = 3.0
+
+// supply returns the groups of a model for its share of the work.
+func (p *planner) supply(m *catalog.Model) float64 {
+	return float64(p.count(m.Name)) / max(m.Share, minShare)
+}
+
+// lastReady returns when the last of the members, readiest first, can have joined.
+func (p *planner) lastReady(members []roster.ID, m *catalog.Model) time.Duration {
+	d := p.readyIn(p.in.Facts[members[len(members)-1]], m)
+	if p.in.FreeLoads {
+		d /= freeLoadFactor
+	}
+	return d
+}
+
+// freeLoadFactor is how much faster loads are before the first request.
+const freeLoadFactor = 10
+
 // soon reports whether the members, readiest first, can all join without a load.
 func (p *planner) soon(members []roster.ID, m *catalog.Model) bool {
 	return p.readyIn(p.in.Facts[members[len(members)-1]], m) <= soonLimit
@@ -640,7 +677,7 @@
 			}
 		}
 		// A model without groups for its share goes before one that lacks less.
-		cost := float64(lacks) + float64(p.count(m.Name))/max(m.Share, minShare)
+		cost := float64(lacks) + p.supply(m)
 		if best == nil || cost < bestCost {
 			best, bestMembers, bestCost = m, members, cost
 		}
@@ -785,6 +822,7 @@
 	for k, at := range p.mem.sent {
 		if p.in.Now.Sub(at) > time.Minute {
 			delete(p.mem.sent, k)
+			delete(p.mem.joined, k)
 		}
 	}
 	for id, l := range p.mem.loading {
--- /dev/null
+++ b/internal/news/news.go
@@ -0,0 +1,86 @@
+// Package news carries short messages between the nodes. A message is a hint
+// that saves time: what it tells stands in the platform's list a second later.
+// So each goes out once, as one datagram, and a lost one is not sent again.
+package news
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net"
+
+	"chervilloom/internal/roster"
+)
+
+// Message is what a node tells the others. Exactly one of its parts is set.
+type Message struct {
+	Hint    *roster.Hint `json:"hint,omitempty"`    // a head began or ceased to take requests
+	Suspect roster.ID    `json:"suspect,omitempty"` // a head's requests stand still
+}
+
+// maxMessage is the size of the largest message, in bytes: a hint has three
+// names. It fits one packet.
+const maxMessage = 1200
+
+// Mesh sends messages to the other nodes and receives theirs.
+type Mesh struct {
+	Log *slog.Logger
+	// Peers returns the addresses of the other nodes, ip:port.
+	Peers func() []string
+	// Receive is told of each message.
+	Receive func(Message)
+	conn    net.PacketConn
+}
+
+// Listen opens the node's address, ip:port.
+func (m *Mesh) Listen(addr string) error {
+	conn, err := net.ListenPacket("udp4", addr)
+	if err != nil {
+		return err
+	}
+	m.conn = conn
+	return nil
+}
+
+// Run receives until ctx ends.
+func (m *Mesh) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { m.conn.Close() })
+	defer stop()
+	buf := make([]byte, maxMessage)
+	for {
+		n, from, err := m.conn.ReadFrom(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			m.Log.Debug("news not received", "err", err)
+			continue
+		}
+		var msg Message
+		if err := json.Unmarshal(buf[:n], &msg); err != nil {
+			m.Log.Warn("news not readable", "from", from.String(), "err", err)
+			continue
+		}
+		m.Receive(msg)
+	}
+}
+
+// Tell sends a message to all other nodes.
+func (m *Mesh) Tell(msg Message) {
+	raw, err := json.Marshal(msg)
+	if err != nil || len(raw) > maxMessage {
+		m.Log.Error("news not sent", "bytes", len(raw), "err", err)
+		return
+	}
+	for _, peer := range m.Peers() {
+		addr, err := net.ResolveUDPAddr("udp4", peer)
+		if err != nil {
+			m.Log.Warn("news not sent", "to", peer, "err", err)
+			continue
+		}
+		if _, err := m.conn.WriteTo(raw, addr); err != nil {
+			m.Log.Debug("news not sent", "to", peer, "err", err)
+		}
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -45,6 +45,7 @@
 	Model    string   // model of the newest group; engines only
 	Member   Membership
 	Missing  clock.Instant // when it was first missing from the list; 0: listed
+	Hinted   clock.Instant // when a node told of Model and Member; 0: the list did
 }
 
 // Usable reports whether the endpoint may get new work.
@@ -99,8 +100,11 @@
 		e := &listed[i]
 		// Draining is final for one life. An older entry that is written
 		// again after an outage must not bring new work to a leaving endpoint.
-		if prev := old.Get(e.ID); prev != nil && prev.Draining {
-			e.Draining = true
+		if prev := old.Get(e.ID); prev != nil {
+			e.Draining = e.Draining || prev.Draining
+			if prev.Hinted.After(asked) {
+				e.Model, e.Member, e.Hinted = prev.Model, prev.Member, prev.Hinted
+			}
 		}
 		next.add(e)
 	}
@@ -123,3 +127,34 @@
 	r.byID[e.ID] = e
 	r.byService[e.Service] = append(r.byService[e.Service], e)
 }
+
+// Hint is what a node that gives orders to an endpoint tells of it before the
+// platform's list does.
+type Hint struct {
+	ID     ID         `json:"id"`
+	Model  string     `json:"model"`
+	Member Membership `json:"member"`
+}
+
+// With returns the roster after a hint that came at now. It stays until a list
+// that was asked for later tells otherwise; a hint about an endpoint that isn't
+// listed, or about an older group than the listed one, changes nothing.
+func (r *Roster) With(h Hint, now clock.Instant) *Roster {
+	e := r.Get(h.ID)
+	if e == nil || h.Member.Epoch < e.Member.Epoch {
+		return r
+	}
+	next := &Roster{Asked: r.Asked, byID: make(map[ID]*Endpoint, len(r.byID)), byService: map[string][]*Endpoint{}}
+	for _, list := range r.byService {
+		for _, old := range list {
+			if old.ID != h.ID {
+				next.add(old)
+				continue
+			}
+			changed := *old
+			changed.Model, changed.Member, changed.Hinted = h.Model, h.Member, now
+			next.add(&changed)
+		}
+	}
+	return next
+}
