Epochs are never given out twice; failing, hanging and slow endpoints are left out

Ruled out: a slower renewal as the only cause: the look at a held lease came every 0.7 s, too late for a second try within its 1.5 s. Change: epochs go on within a process; a holder looks every sixth of its term; refused joins close their group; ejection, a limit on idempotent tries, and endpoints whose streams come too slowly are passed over.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -30,6 +30,7 @@
 	reported clock.Instant // when that report came
 	sign     clock.Instant // last sign of life, or start of the first request in flight
 	suspect  clock.Instant // since when; 0: not suspect
+	gap      time.Duration // smoothed pause between the events of a stream
 	stalls   map[*Ticket]struct{}
 }
 
@@ -40,6 +41,9 @@
 	suspectFor = 1500 * time.Millisecond
 	// reportFor is how long a reported load is believed.
 	reportFor = 2 * time.Second
+	// gapFor is how long a pace that was seen is believed; then a request is
+	// let through to see it again.
+	gapFor = 2 * time.Second
 	// forgetAfter is how long an endpoint without requests is remembered.
 	forgetAfter = 30 * time.Second
 )
@@ -50,6 +54,7 @@
 	id      roster.ID
 	stalled func()
 	ended   bool
+	last    clock.Instant // last event; 0: none yet
 }
 
 // Start notes a request to the endpoint. stalled is called when the endpoint
@@ -91,6 +96,24 @@
 	r.suspect = 0
 }
 
+// Event notes an event of a stream, and the pause before it.
+func (k *Ticket) Event() {
+	t := k.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.record(k.id)
+	now := t.Clock.Now()
+	r.sign, r.suspect = now, 0
+	if k.last != 0 {
+		r.gap += (now.Sub(k.last) - r.gap) / gapSmoothing
+	}
+	k.last = now
+}
+
+// gapSmoothing is how many events a change of the pace needs to show: half a
+// second of a group's streams.
+const gapSmoothing = 16
+
 // Load notes the load that an answer reported: requests that run and wait
 // there, this one included.
 func (k *Ticket) Load(running, waiting int) {
@@ -177,6 +200,7 @@
 type State struct {
 	Load    float64
 	Suspect bool
+	Gap     time.Duration // pause between the events of a stream; 0: unknown
 }
 
 // Of returns the state of the endpoint.
@@ -193,6 +217,9 @@
 		s.Load += r.others
 	}
 	s.Suspect = r.suspectAt(now)
+	if now.Sub(r.sign) < gapFor {
+		s.Gap = r.gap
+	}
 	return s
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,6 +94,13 @@
 	maxHeader     = 64 << 10
 )
 
+// ejection suits few requests an endpoint: a node sends each one to three a
+// second.
+var ejection = retry.OutlierOptions{
+	Consecutive: 3, MinRequests: 8, Margin: 0.3, MaxShare: 0.4,
+	First: 1500 * time.Millisecond, Longest: 6 * time.Second, Trial: 2 * time.Second,
+}
+
 // New returns a node that Run starts.
 func New(o Options) *Node {
 	n := &Node{Options: o, pool: &upstream.Pool{Clock: o.Clock}}
@@ -107,7 +114,8 @@
 	n.forwarder = &forward.Forwarder{
 		Codec: o.Codec, Clock: o.Clock, Log: o.Log, Pool: n.pool, Tracker: n.tracker,
 		Zone: o.Settings.Zone, Bounds: balance.Bounds{Remote: remoteCost, Queue: queueLimit},
-		View: n.view, NewBudget: n.newBudget, Missed: n.roster.soon,
+		Ejector: retry.NewEjector(ejection, o.Clock, o.Log, nil),
+		View:    n.view, NewBudget: n.newBudget, Missed: n.roster.soon,
 	}
 	n.leaseRows = &leaseCache{Table: o.Store, clock: o.Clock}
 	n.mesh = &news.Mesh{
@@ -189,6 +197,19 @@
 	n.roster.soon()
 }
 
+// sweep closes old connections and tells the ejector whom there is to choose
+// from.
+func (n *Node) sweep() {
+	n.pool.Sweep()
+	var ids []retry.ID
+	n.roster.current.Load().All(func(e *roster.Endpoint) {
+		if e.Domain == "" || e.Leads() {
+			ids = append(ids, retry.ID(e.ID))
+		}
+	})
+	n.forwarder.Ejector.SetCandidates(ids)
+}
+
 func (n *Node) suspect(id roster.ID) {
 	for _, c := range n.controllers {
 		c.Suspect(id)
@@ -233,7 +254,7 @@
 	g.Go(func() error { return n.config.run(work) })
 	g.Go(func() error { return n.roster.run(work) })
 	g.Go(func() error { clock.Every(work, balance.WatchStep, n.tracker.Watch); return nil })
-	g.Go(func() error { clock.Every(work, sweepPause, n.pool.Sweep); return nil })
+	g.Go(func() error { clock.Every(work, sweepPause, n.sweep); return nil })
 	g.Go(func() error { return n.mesh.Run(work) })
 	g.Go(func() error { return n.leaseRows.runAnnounce(ctx, n.Settings.VM, n.Settings.Peer, n.Log) })
 	n.startDuties(ctx, g)
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -135,7 +135,7 @@
 		c.endTenure()
 		return
 	}
-	if grant.Fence != c.fence && !c.beginTenure(ctx, grant) {
+	if (!c.loaded || grant.Fence != c.fence) && !c.beginTenure(ctx, grant) {
 		return
 	}
 	c.mu.Lock()
@@ -151,21 +151,24 @@
 func (c *Controller) endTenure() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.fence != 0 {
+	if c.loaded {
 		c.Log.Info("duty over", "zone", c.Zone, "fence", c.fence)
 	}
-	c.fence, c.loaded = 0, false
-	c.facts, c.probes, c.memory = nil, nil, nil
+	c.loaded = false
 }
 
-// beginTenure reads the claims that the owner before left behind.
+// beginTenure reads the claims that the owner before left behind. A lease that
+// was renewed late comes back under its old fence: what is known of the engines
+// is old then, but the epochs go on, since none may be given out twice.
 func (c *Controller) beginTenure(ctx context.Context, grant lease.Grant) bool {
 	if !c.readLedger(ctx) {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.fence, c.epochs = grant.Fence, 0
+	if c.fence != grant.Fence {
+		c.fence, c.epochs = grant.Fence, 0
+	}
 	c.facts = map[roster.ID]*Fact{}
 	c.probes = map[roster.ID]*probe{}
 	c.memory = map[string]*Memory{}
@@ -489,6 +492,8 @@
 	case o.Op == Leave && (v == Begun || v == Done) && f.Report.Member.Group == o.Group:
 		f.Report.Member = roster.Membership{} // leaving takes effect at once
 		f.Sure = now.Add(reportLag)
+	case o.Op == Join && v == Rejected:
+		f.Refused = o.Group
 	case o.Op == Join && v == Done:
 		f.Report.Member = roster.Membership{
 			Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, f.ID), State: roster.Ready,
--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -123,6 +123,7 @@
 	Gone     bool          // its process has surely ended
 	Sure     clock.Instant // until then its answers to orders go before its reports, which lag
 	Sign     clock.Instant // last sign of life from requests that it serves as a head
+	Refused  string        // group that it refused to join: it has seen a later epoch
 	Suspect  bool          // requests that it serves as a head stand still
 }
 
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -188,6 +188,9 @@
 			continue
 		}
 		f := p.in.Facts[m]
+		if f.Refused == g.Name {
+			return &closing{reason: fmt.Sprintf("member %s refuses to join", m), mode: Truncate}
+		}
 		if f.Draining {
 			return &closing{reason: fmt.Sprintf("member %s leaves", m), mode: Finish}
 		}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -14,6 +14,7 @@
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
 	"chervilloom/internal/outcome"
+	"chervilloom/internal/retry"
 	"chervilloom/internal/roster"
 	"chervilloom/internal/upstream"
 )
@@ -63,6 +64,7 @@
 	}
 	for {
 		res := x.attempt(ctx, ep)
+		x.report(ep, res)
 		next := x.pick()
 		x.progress.Endpoint = next != nil
 		x.progress.Budget = true
@@ -80,6 +82,17 @@
 	}
 }
 
+// report tells the ejector how an attempt ended. Endpoints that fail more than
+// their peers are left out for a while although their health check is good.
+func (x *exchange) report(ep *roster.Endpoint, res Result) {
+	switch res {
+	case Answered:
+		x.f.Ejector.Report(retry.ID(ep.ID), false)
+	case MayHaveRun, Failed, OutOfTime:
+		x.f.Ejector.Report(retry.ID(ep.ID), true)
+	}
+}
+
 // pick chooses the next endpoint, nil when there is none.
 func (x *exchange) pick() *roster.Endpoint {
 	ep, reason := x.choose()
@@ -94,7 +107,8 @@
 		st := x.f.Tracker.Of(e.ID)
 		cands[i] = balance.Candidate{
 			Load: st.Load, Slots: e.Slots, Local: e.Zone == x.f.Zone,
-			Suspect: st.Suspect, Tried: x.wasTried(e.ID),
+			Suspect: st.Suspect || x.f.Ejector.Ejected(retry.ID(e.ID)), Tried: x.wasTried(e.ID),
+			Slow: x.route.GapAim > 0 && st.Gap > x.route.GapAim,
 		}
 	}
 	i, reason := balance.Pick(cands, x.f.Bounds, int(x.f.offset.Add(1)))
@@ -153,6 +167,7 @@
 	defer ticket.End()
 	stop := context.AfterFunc(ctx, conn.Abort)
 	defer stop()
+	defer x.limitTry(conn)()
 	resp, err := conn.Send(x.outbound(ep))
 	if err != nil {
 		conn.Close()
@@ -165,6 +180,28 @@
 	return res
 }
 
+// limitTry gives an answer that may be asked for again a time within which it
+// must have come: an endpoint that hangs would otherwise hold the request until
+// its client's time is over. It returns what ends the limit.
+func (x *exchange) limitTry(conn *upstream.Conn) func() {
+	if x.route.Repeat != catalog.Idempotent {
+		return func() {}
+	}
+	t := time.AfterFunc(max(minTry, tryObjectives*x.route.Objective), func() {
+		if x.mayMove() {
+			conn.Abort()
+		}
+	})
+	return func() { t.Stop() }
+}
+
+const (
+	// tryObjectives is how many objectives a try may take; one in a hundred
+	// calls takes five times the mean.
+	tryObjectives = 2
+	minTry        = 200 * time.Millisecond
+)
+
 // mayMove reports whether an attempt whose endpoint went silent should be given
 // up for another one, and takes the repeat from the budget. Without another
 // endpoint the attempt goes on: the silence may end, and giving up would only
@@ -302,7 +339,7 @@
 			conn.Spoil()
 			return x.failed(ctx, ep, err)
 		}
-		ticket.Progress()
+		ticket.Event()
 		if x.seen(id) {
 			continue
 		}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -39,6 +39,8 @@
 	Zone    string
 	Bounds  balance.Bounds
 	View    func() View
+	// Ejector leaves out endpoints that fail more than their peers.
+	Ejector *retry.Ejector
 	// NewBudget makes the retry budget of one service.
 	NewBudget func() *retry.Budget
 	// Missed is told when a request met an endpoint that is no longer there, so
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -39,7 +39,8 @@
 	// among the live nodes of the availability zone.
 	Rank func() int
 	Log  *slog.Logger
-	// Poll is the pause between two looks at the lease; 0: a sixth of the term.
+	// Poll is the pause between two looks at a lease that another node holds;
+	// 0: a sixth of the term.
 	Poll time.Duration
 	// Term returns the term that the configuration in force asks for; nil: the
 	// one in Params stays. A row written before the change keeps its own term.
@@ -112,6 +113,11 @@
 	case Acquire, Renew:
 		m.write(ctx, d)
 	}
+	if m.heldRaw().Fence != 0 {
+		// A holder reads nothing, and a renewal that waits for a slow poll is
+		// late when its first write fails.
+		return m.Params.Term / 6
+	}
 	return poll
 }
 
