Ejected endpoints get their trial; the start forms groups by the models' shares

Cause: an ejected endpoint never got the request that proves it well, so plain calls ran out of endpoints; at the start the shorter load of one model outweighed its share and zones began with 3+3+3. Ruled out: overload of the plain service: its slots were free. Change: a repeatable request is the trial; ejected endpoints serve when there is no other; loads don't count at the start.

--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -10,7 +10,7 @@
 	Slots   int     // requests that run at once
 	Local   bool    // in this node's availability zone
 	Suspect bool    // gave no sign of life when it should have
-	Slow    bool    // its streams' events come too late to be on time
+	Avoid   bool    // it fails more than others, or is too slow to be on time
 	Tried   bool    // this request has been sent there before
 }
 
@@ -36,8 +36,8 @@
 )
 
 // Pick returns the index of the candidate with the least load for its slots,
-// or -1. Endpoints that were tried before or are suspect are not taken, slow
-// ones only when there is no other. offset rotates the order in which equals are looked at, so
+// or -1. Endpoints that were tried before or are suspect are not taken, those
+// to avoid only when there is no other. offset rotates the order in which equals are looked at, so
 // that nodes with the same view don't all choose the first.
 func Pick(cands []Candidate, b Bounds, offset int) (int, Reason) {
 	best, reason := pickAmong(cands, b, offset, false)
@@ -47,13 +47,13 @@
 	return best, reason
 }
 
-func pickAmong(cands []Candidate, b Bounds, offset int, slow bool) (int, Reason) {
+func pickAmong(cands []Candidate, b Bounds, offset int, avoided bool) (int, Reason) {
 	best, reason := -1, None
 	bestScore := math.Inf(1)
 	for k := range cands {
 		i := (k + offset) % len(cands)
 		c := &cands[i]
-		if c.Tried || c.Suspect || c.Slow && !slow {
+		if c.Tried || c.Suspect || c.Avoid && !avoided {
 			continue
 		}
 		if c.Load >= float64(c.Slots)*(1+b.Queue) {
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -495,16 +495,12 @@
 
 // lastReady returns when the last of the members, readiest first, can have joined.
 func (p *planner) lastReady(members []roster.ID, m *catalog.Model) time.Duration {
-	d := p.readyIn(p.in.Facts[members[len(members)-1]], m)
 	if p.in.FreeLoads {
-		d /= freeLoadFactor
+		return 0 // the loads of all groups run at the same time
 	}
-	return d
+	return p.readyIn(p.in.Facts[members[len(members)-1]], m)
 }
 
-// freeLoadFactor is how much faster loads are before the first request.
-const freeLoadFactor = 10
-
 // soon reports whether the members, readiest first, can all join without a load.
 func (p *planner) soon(members []roster.ID, m *catalog.Model) bool {
 	return p.readyIn(p.in.Facts[members[len(members)-1]], m) <= soonLimit
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -90,19 +90,31 @@
 	case Answered:
 		x.f.Ejector.Report(retry.ID(ep.ID), false)
 	case MayHaveRun, Failed, OutOfTime:
-		x.f.Ejector.Report(retry.ID(ep.ID), true)
+		// A head that stands still is suspect, and its group is taken apart.
+		if !x.moving.Load() {
+			x.f.Ejector.Report(retry.ID(ep.ID), true)
+		}
 	}
 }
 
-// pick chooses the next endpoint, nil when there is none.
+// pick chooses the next endpoint, nil when there is none. An endpoint whose
+// ejection is over gets one request as a trial, if that may be sent again.
 func (x *exchange) pick() *roster.Endpoint {
-	ep, reason := x.choose()
+	eps := x.candidates()
+	if x.route.Repeatable() {
+		for _, e := range eps {
+			if x.f.Ejector.Ejected(retry.ID(e.ID)) && !x.wasTried(e.ID) && x.f.Ejector.Usable(retry.ID(e.ID)) {
+				return e
+			}
+		}
+	}
+	ep, reason := x.choose(eps)
 	x.noChoice = reason
 	return ep
 }
 
-func (x *exchange) choose() (*roster.Endpoint, balance.Reason) {
-	eps := x.candidates()
+// choose picks among the endpoints; ejected ones only when there is no other.
+func (x *exchange) choose(eps []*roster.Endpoint) (*roster.Endpoint, balance.Reason) {
 	profile := x.f.Plain
 	if x.engine() != nil {
 		profile = x.f.Engine
@@ -112,8 +124,8 @@
 		st := x.f.Tracker.Of(e.ID, profile.Turnover)
 		cands[i] = balance.Candidate{
 			Load: st.Load, Slots: e.Slots, Local: e.Zone == x.f.Zone,
-			Suspect: st.Suspect || x.f.Ejector.Ejected(retry.ID(e.ID)), Tried: x.wasTried(e.ID),
-			Slow: x.route.GapAim > 0 && st.Gap > x.route.GapAim,
+			Suspect: st.Suspect, Tried: x.wasTried(e.ID),
+			Avoid: x.f.Ejector.Ejected(retry.ID(e.ID)) || x.route.GapAim > 0 && st.Gap > x.route.GapAim,
 		}
 	}
 	i, reason := balance.Pick(cands, profile.Bounds, int(x.f.offset.Add(1)))
@@ -215,7 +227,7 @@
 	if !x.route.Repeatable() || x.progress.Runs+1 >= x.route.MaxAttempts {
 		return false
 	}
-	if ep, _ := x.choose(); ep == nil {
+	if ep, _ := x.choose(x.candidates()); ep == nil {
 		return false
 	}
 	ok, _ := x.f.budget(x.service).Allow(budgetClass)
