One reader a zone: nodes get the platform's state from the duty's holder

Ruled out: fewer reads by each node: a node would know of a leaving endpoint too late. Change: feed: nodes ask the holder of their zone's duty every 0.9 s and get what has changed, with its age; keys count from before the question, less that age. A node whose answers fail or are old reads the store again.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,11 +14,13 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
 	"chervilloom/internal/balance"
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
+	"chervilloom/internal/feed"
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/formation"
 	"chervilloom/internal/forward"
@@ -57,6 +59,7 @@
 	controllers []*formation.Controller
 	leases      []*lease.Manager
 	leaseRows   *leaseCache
+	follower    *follower
 	mesh        *news.Mesh
 	leaving     atomic.Bool // SIGTERM came
 	asked       atomic.Bool // a client's request came
@@ -124,9 +127,11 @@
 		Plain:   forward.Profile{Bounds: balance.Bounds{Remote: remoteCost, Queue: plainQueue}, Turnover: plainTurnover},
 		Engine:  forward.Profile{Bounds: balance.Bounds{Remote: remoteCost, Queue: engineQueue}, Turnover: engineTurnover},
 		Ejector: retry.NewEjector(ejection, o.Clock, o.Log, nil),
-		View:    n.view, NewBudget: n.newBudget, Missed: n.roster.soon,
+		View:    n.view, NewBudget: n.newBudget, Missed: n.lookSoon,
 	}
-	n.leaseRows = &leaseCache{Table: o.Store, clock: o.Clock}
+	n.follower = &follower{node: n, ask: feed.NewClient(), clock: o.Clock, log: o.Log, wake: make(chan struct{}, 1)}
+	n.config.idle, n.roster.idle = n.follower.following, n.follower.following
+	n.leaseRows = &leaseCache{Table: o.Store, clock: o.Clock, idle: n.follower.following}
 	n.mesh = &news.Mesh{
 		Log: o.Log, Receive: n.heard,
 		Peers: func() []string { return n.leaseRows.peers(o.Settings.VM) },
@@ -155,15 +160,40 @@
 	})
 }
 
-// rank spreads the duties: a node tries for its own zone at once and for the
-// others a step later.
+// rank spreads the duties: half of a zone's nodes try at once, the others a step
+// later, and those of other zones after them.
 func (n *Node) rank(zone string) int {
-	if zone == n.Settings.Zone {
-		return 0
+	if zone != n.Settings.Zone {
+		return 2
 	}
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(n.Settings.VM + zone)) // never fails
-	return 1 + int(h.Sum32()%2)
+	_, _ = h.Write([]byte(n.Settings.VM)) // never fails
+	return int(h.Sum32() % 2)
+}
+
+// ownerAddr returns the address of the node that holds the zone's duty; empty:
+// it is this node, or unknown.
+func (n *Node) ownerAddr() string {
+	owner := n.leaseRows.owner(n.Settings.Zone)
+	if owner == "" || owner == n.Settings.VM {
+		return ""
+	}
+	return n.leaseRows.addr(owner)
+}
+
+// feedServer answers the zone's other nodes.
+func (n *Node) feedServer() *http.Server {
+	return &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Handler: &feed.Server{
+		Source: feed.Source{
+			Catalog:   n.config.current.Load,
+			Confirmed: func() clock.Instant { return clock.Instant(n.config.confirmed.Load()) },
+			Roster:    n.roster.current.Load,
+			Rows:      n.leaseRows.all,
+		},
+		Journal: &feed.Journal{Life: uuid.NewString()},
+		Clock:   n.Clock, Log: n.Log,
+		Serving: func() bool { return !n.leaving.Load() && !n.follower.following() },
+	}}
 }
 
 func (n *Node) formationParams(e *catalog.Engine) formation.Params {
@@ -203,6 +233,15 @@
 	n.Log.Info("endpoint is suspect", "endpoint", id, "silent_ms", n.Clock.Now().Sub(last).Milliseconds())
 	n.suspect(id)
 	n.mesh.Tell(news.Message{Suspect: id})
+	n.lookSoon()
+}
+
+// lookSoon asks for newer endpoints before the next question is due.
+func (n *Node) lookSoon() {
+	if n.follower.following() {
+		n.follower.soon()
+		return
+	}
 	n.roster.soon()
 }
 
@@ -254,6 +293,10 @@
 	if err := n.mesh.Listen(n.Settings.Peer); err != nil {
 		return merry.Prepend(err, "address for other nodes; check the settings' port range")
 	}
+	peers, err := net.Listen("tcp", n.Settings.Peer)
+	if err != nil {
+		return merry.Prepend(err, "address for other nodes; check the settings' port range")
+	}
 	n.Log.Info("node starts", "vm", n.Settings.VM, "zone", n.Settings.Zone, "front", n.Settings.Front, "bootstrap", n.Settings.Bootstrap)
 
 	// What serves requests goes on after ctx has ended, until they are done.
@@ -262,6 +305,7 @@
 	g, _ := errgroup.WithContext(work)
 	g.Go(func() error { return n.config.run(work) })
 	g.Go(func() error { return n.roster.run(work) })
+	g.Go(func() error { return n.follower.run(work) })
 	g.Go(func() error { clock.Every(work, balance.WatchStep, n.tracker.Watch); return nil })
 	g.Go(func() error { clock.Every(work, sweepPause, n.sweep); return nil })
 	g.Go(func() error { return n.mesh.Run(work) })
@@ -273,7 +317,9 @@
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
 	}
 	readiness := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
-	failed := make(chan error, 2)
+	feeds := n.feedServer()
+	failed := make(chan error, 3)
+	go func() { failed <- feeds.Serve(peers) }()
 	go func() { failed <- server.Serve(front) }()
 	go func() { failed <- readiness.Serve(ready) }()
 	select {
@@ -284,7 +330,7 @@
 	}
 	err = n.leave(server)
 	stop()
-	return errors.Join(err, readiness.Close(), g.Wait())
+	return errors.Join(err, readiness.Close(), feeds.Close(), g.Wait())
 }
 
 // startDuties runs leases and groups until ctx ends. The leases are given up
--- /dev/null
+++ b/internal/entry/follow.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"chervilloom/internal/clock"
+	"chervilloom/internal/feed"
+	"chervilloom/internal/roster"
+)
+
+// follower keeps this node's knowledge by asking the node that holds the zone's
+// duty. While that works, nothing is read from the store.
+type follower struct {
+	node  *Node
+	ask   *feed.Client
+	clock clock.Clock
+	log   *slog.Logger
+
+	last atomic.Int64 // when the last good answer was asked for
+	wake chan struct{}
+	have feed.Have // touched by run alone, like what follows
+	from string    // address of the node that was asked last
+	list []roster.Endpoint
+}
+
+const (
+	followPause = 900 * time.Millisecond // between two questions
+	followLimit = 400 * time.Millisecond // for an answer
+	// followFor is how long after a question that was answered well the store is
+	// left alone.
+	followFor = 1500 * time.Millisecond
+	// followAge is the greatest age of what another node tells: the owner reads
+	// the list every second and has its configuration confirmed every 0.8 s.
+	followAge = 2200 * time.Millisecond
+)
+
+// following reports whether this node is kept up to date by another one.
+func (f *follower) following() bool {
+	at := clock.Instant(f.last.Load())
+	return at != 0 && f.clock.Now().Sub(at) < followFor
+}
+
+// soon asks before the next question is due.
+func (f *follower) soon() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (f *follower) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if addr := f.node.ownerAddr(); addr != "" {
+			f.once(ctx, addr)
+		}
+		select {
+		case <-ctx.Done():
+		case <-f.wake:
+		case <-time.After(followPause):
+		}
+	}
+	return nil
+}
+
+func (f *follower) once(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, followLimit)
+	defer cancel()
+	have := f.have
+	if addr != f.from {
+		have.Life = ""
+	}
+	have.Config = f.node.config.version()
+	asked := f.clock.Now()
+	s, err := f.ask.Ask(ctx, addr, have)
+	if err != nil || s.ConfigAge > followAge || s.RosterAge > followAge {
+		if f.following() {
+			f.log.Info("node is not followed; the store is read", "node", addr, "err", err)
+		}
+		f.last.Store(0)
+		return
+	}
+	if !f.following() {
+		f.log.Info("node is followed; the store is not read", "node", addr, "config_age_ms", s.ConfigAge.Milliseconds(), "endpoints_age_ms", s.RosterAge.Milliseconds())
+	}
+	f.take(s, addr, asked)
+}
+
+func (f *follower) take(s *feed.State, addr string, asked clock.Instant) {
+	f.from = addr
+	f.have = feed.Have{Life: s.Life, Seq: s.Seq}
+	f.list = s.Apply(f.list)
+	f.node.roster.takeFrom(f.list, asked.Add(-s.RosterAge))
+	f.node.config.confirm(s.Document, asked.Add(-s.ConfigAge))
+	f.node.leaseRows.take(s.Rows)
+	f.last.Store(int64(asked))
+}
--- a/internal/entry/leases.go
+++ b/internal/entry/leases.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"log/slog"
 	"strings"
 	"sync"
@@ -10,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"chervilloom/internal/clock"
+	"chervilloom/internal/lease"
 	table "chervilloom/internal/platform"
 )
 
@@ -27,6 +29,7 @@
 type leaseCache struct {
 	Table leaseStore
 	clock clock.Clock
+	idle  func() bool // another node keeps the rows up to date
 
 	mu   sync.Mutex
 	read clock.Instant // when the rows were asked for; 0: they must be read
@@ -42,16 +45,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
-	if c.read == 0 || now.Sub(c.read) > leaseCacheFor {
+	if !c.idle() && (c.read == 0 || now.Sub(c.read) > leaseCacheFor) {
 		rows, err := c.Table.List(ctx, tab, "")
 		if err != nil {
 			return table.Row{}, err
 		}
 		c.read = now
-		c.rows = make(map[string]table.Row, len(rows))
-		for _, r := range rows {
-			c.rows[r.Key] = r
-		}
+		c.set(rows)
 	}
 	if r, ok := c.rows[key]; ok {
 		return r, nil
@@ -59,13 +59,67 @@
 	return table.Row{Table: tab, Key: key}, nil
 }
 
-// Commit writes a lease row; what was read before is out of date then.
+func (c *leaseCache) set(rows []table.Row) {
+	c.rows = make(map[string]table.Row, len(rows))
+	for _, r := range rows {
+		c.rows[r.Key] = r
+	}
+}
+
+// take takes up rows that another node has read.
+func (c *leaseCache) take(rows []table.Row) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.set(rows)
+	c.read = 0
+}
+
+// all returns the rows as they are known.
+func (c *leaseCache) all() []table.Row {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]table.Row, 0, len(c.rows))
+	for _, r := range c.rows {
+		out = append(out, r)
+	}
+	return out
+}
+
+// Commit writes lease rows, and shows the others what it wrote.
 func (c *leaseCache) Commit(ctx context.Context, txn table.Txn) (table.Result, error) {
 	res, err := c.Table.Commit(ctx, txn)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.read = 0
-	return res, err
+	if err != nil || !res.Committed {
+		c.read = 0 // the rows are not what they seemed
+		return res, err
+	}
+	if c.rows == nil {
+		c.rows = map[string]table.Row{}
+	}
+	for _, r := range res.Rows {
+		c.rows[r.Key] = r
+	}
+	return res, nil
+}
+
+// owner returns the VM that holds a duty as far as known; empty: none.
+func (c *leaseCache) owner(duty string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var row lease.Row
+	r, ok := c.rows[duty]
+	if !ok || json.Unmarshal(r.Value, &row) != nil || row.Released {
+		return ""
+	}
+	return string(row.Owner.VM)
+}
+
+// addr returns where a node can be reached; empty: unknown.
+func (c *leaseCache) addr(vm string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return string(c.rows[nodePrefix+vm].Value)
 }
 
 // nodePrefix begins the keys of the rows that name the nodes. They stand among
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,11 +26,12 @@
 }
 
 // The pace of the reads. A key may be served for revokeMargin less than the
-// platform's bound after the start of the last read that confirmed it; with
-// these times one lost answer in a row leaves a node fresh: 1.2 + 1.8 + 1.2 s
-// are under the 5 s of both users less the margin.
+// platform's bound after the start of the last read that confirmed it. With
+// these times a node that asks another one stays fresh over two lost answers in
+// a row: what it is told is up to 1.6 s old, and it asks every 0.9 s; 5 s are
+// both users' bound.
 const (
-	configWait   = 1200 * time.Millisecond // how long a read waits for a change
+	configWait   = 800 * time.Millisecond // how long a read waits for a change
 	configLimit  = 600 * time.Millisecond  // for the answer beyond that
 	configPause  = 250 * time.Millisecond  // after a read that failed
 	revokeMargin = 400 * time.Millisecond
@@ -37,6 +39,8 @@
 	rosterPause = time.Second            // between two reads of the list
 	rosterAgain = 300 * time.Millisecond // after one that failed, and at least between two
 	rosterLimit = 700 * time.Millisecond // for the answer
+
+	idlePause = 100 * time.Millisecond // while another node keeps this one up to date
 )
 
 // configWatcher keeps the newest configuration.
@@ -44,16 +48,24 @@
 	source  ConfigurationSource
 	clock   clock.Clock
 	log     *slog.Logger
+	mu      sync.Mutex // held while a document is put into force
 	current atomic.Pointer[catalog.Catalog]
 	// confirmed is the start of the last read that shows the configuration in
 	// force at that time.
 	confirmed atomic.Int64
+	// idle reports whether another node keeps the configuration up to date.
+	idle func() bool
 }
 
 func (w *configWatcher) run(ctx context.Context) error {
 	var cursor uint64
 	known, down := false, false
 	for ctx.Err() == nil {
+		if w.idle() {
+			known = false // changes since then came from elsewhere
+			clock.Sleep(ctx, idlePause)
+			continue
+		}
 		asked := w.clock.Now()
 		change, err := w.read(ctx, cursor, known)
 		if ctx.Err() != nil {
@@ -79,7 +91,7 @@
 		w.apply(change.Document)
 		cursor, known = change.Cursor, w.current.Load() != nil
 		if known {
-			w.confirmed.Store(int64(asked))
+			w.confirm(nil, asked)
 			continue
 		}
 		clock.Sleep(ctx, configPause) // no configuration was ever written
@@ -100,6 +112,8 @@
 
 // apply puts a document into force unless an equal or newer one is.
 func (w *configWatcher) apply(doc *catalog.Document) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if doc == nil || doc.Version <= w.version() {
 		return
 	}
@@ -112,6 +126,18 @@
 	w.current.Store(next)
 }
 
+// confirm notes that a read that began at asked showed the configuration in
+// force, with the document if it is a newer one.
+func (w *configWatcher) confirm(doc *catalog.Document, asked clock.Instant) {
+	w.apply(doc)
+	for {
+		old := w.confirmed.Load()
+		if int64(asked) <= old || w.confirmed.CompareAndSwap(old, int64(asked)) {
+			return
+		}
+	}
+}
+
 func (w *configWatcher) version() uint64 {
 	if c := w.current.Load(); c != nil {
 		return c.Version
@@ -133,6 +159,7 @@
 	current atomic.Pointer[roster.Roster]
 	wake    chan struct{}
 	once    sync.Once
+	idle    func() bool // another node keeps the list up to date
 }
 
 func newRosterWatcher(source EndpointSource, c clock.Clock, log *slog.Logger) *rosterWatcher {
@@ -153,6 +180,11 @@
 	var recovered clock.Instant
 	down := false
 	for ctx.Err() == nil {
+		if w.idle() {
+			down = false
+			clock.Sleep(ctx, idlePause)
+			continue
+		}
 		asked := w.clock.Now()
 		rctx, cancel := context.WithTimeout(ctx, rosterLimit)
 		list, unreadable, err := w.source.Endpoints(rctx)
@@ -187,6 +219,18 @@
 	w.current.Store(roster.Merge(w.current.Load(), list, asked, recovered))
 }
 
+// takeFrom takes up a list that another node read at asked, unless this node
+// knows a newer one.
+func (w *rosterWatcher) takeFrom(list []roster.Endpoint, asked clock.Instant) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	old := w.current.Load()
+	if asked.Before(old.Asked) {
+		return
+	}
+	w.current.Store(roster.Merge(old, slices.Clone(list), asked, 0))
+}
+
 // hint takes up what a node tells of an endpoint.
 func (w *rosterWatcher) hint(h roster.Hint) {
 	w.mu.Lock()
