Groups being taken apart stay so for the next owner; late joins are refused; budget by the nodes there are

Ruled out: reports that lag: the engine had accepted leaving. Change: claims say that a group ends; an engine that leaves a head out of reach joins a group of its own under a new epoch in the same breath; the slack is divided by the announced nodes; aborts end before a connection is given back; members of groups that serve are asked every 4 s.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,8 +94,9 @@
 	noticeTime = 2300 * time.Millisecond
 	// endMargin is kept of the grace time for the end of the process.
 	endMargin = 600 * time.Millisecond
-	// nodesAssumed is how many nodes share the retry budget.
-	nodesAssumed = 8
+	// leastNodes share the retry budget at least: a node that has read no
+	// addresses yet must not take all of it.
+	leastNodes = 8
 	// budgetShare is the part of the platform's retry bounds that is used: the
 	// nodes' windows and the platform's don't begin at the same time.
 	budgetShare   = 0.8
@@ -205,10 +206,10 @@
 // newBudget returns this node's part of the retry budget of a service.
 func (n *Node) newBudget() *retry.Budget {
 	s := n.Settings
-	slack := s.RetrySlack * budgetShare / nodesAssumed
+	slack := s.RetrySlack * budgetShare / float64(max(leastNodes, n.leaseRows.nodes()))
 	return retry.NewBudget(retry.BudgetOptions{
 		Ratio: s.RetryRatio * budgetShare,
-		Floor: max(0.1, slack/2/s.RetryWindow.Seconds()),
+		Floor: max(0.01, slack/2/s.RetryWindow.Seconds()),
 		Burst: max(1, slack/2),
 		Clock: n.Clock,
 	})
--- a/internal/entry/leases.go
+++ b/internal/entry/leases.go
@@ -157,6 +157,19 @@
 	return out
 }
 
+// nodes returns how many nodes have announced themselves.
+func (c *leaseCache) nodes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for key := range c.rows {
+		if strings.HasPrefix(key, nodePrefix) {
+			n++
+		}
+	}
+	return n
+}
+
 // runAnnounce writes the node's row once and deletes it when ctx ends.
 func (c *leaseCache) runAnnounce(ctx context.Context, vm, addr string, log *slog.Logger) error {
 	const (
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -32,12 +32,13 @@
 // both users' bound.
 const (
 	configWait   = 800 * time.Millisecond // how long a read waits for a change
-	configLimit  = 600 * time.Millisecond  // for the answer beyond that
-	configPause  = 250 * time.Millisecond  // after a read that failed
+	configLimit  = 600 * time.Millisecond // for the answer beyond that
+	configPause  = 500 * time.Millisecond // after a read that failed
 	revokeMargin = 400 * time.Millisecond
 
 	rosterPause = time.Second            // between two reads of the list
-	rosterAgain = 300 * time.Millisecond // after one that failed, and at least between two
+	rosterAgain = 300 * time.Millisecond // at least between two
+	rosterDown  = 400 * time.Millisecond // and beyond that after one that failed
 	rosterLimit = 700 * time.Millisecond // for the answer
 
 	idlePause = 100 * time.Millisecond // while another node keeps this one up to date
@@ -239,7 +240,11 @@
 }
 
 func (w *rosterWatcher) pause(ctx context.Context, down bool) {
-	if !clock.Sleep(ctx, rosterAgain) || down {
+	if !clock.Sleep(ctx, rosterAgain) {
+		return
+	}
+	if down {
+		clock.Sleep(ctx, rosterDown)
 		return
 	}
 	select {
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -73,7 +73,11 @@
 	// probeCalm is the pause between two reports of an engine from which nothing
 	// is awaited. Lost members mostly show by the streams of their head before
 	// that; this finds those that are idle.
-	probeCalm = time.Second
+	probeCalm = 1500 * time.Millisecond
+	// probeServing is the pause for a member of a group that has served within
+	// signFresh: it would stand still without that member.
+	probeServing = 4 * time.Second
+	signFresh    = time.Second
 	// probeAgain is the pause after a report that failed.
 	probeAgain = 100 * time.Millisecond
 	// probeLimit is how long a report may take: a round trip takes 3 ms across
@@ -273,11 +277,24 @@
 		if rep.Domain != "" {
 			f.Domain = rep.Domain
 		}
-		p.next = now.Add(probeCalm)
+		p.next = now.Add(c.calmPause(f, now))
 	}
 	c.nudge()
 }
 
+// calmPause returns how long an engine that has just answered needs no look.
+func (c *Controller) calmPause(f *Fact, now clock.Instant) time.Duration {
+	g := c.group(f.Report.Member.Group)
+	if g == nil {
+		return probeCalm
+	}
+	sign, suspect := c.Signs(g.Head())
+	if !suspect && sign != 0 && now.Sub(sign) < signFresh {
+		return probeServing
+	}
+	return probeCalm
+}
+
 func (c *Controller) probeFailed(f *Fact, p *probe, asked, now clock.Instant, err error) {
 	if errors.Is(err, ErrOtherLife) {
 		f.Gone = true
@@ -467,6 +484,9 @@
 	defer cancel()
 	v, err := c.Engines.Order(ctx, addr, o)
 	go c.announceTaken(runCtx, o, v)
+	if o.Then != nil && (v == Begun || v == Done) {
+		defer c.give(runCtx, grant, *o.Then)
+	}
 	c.Log.Info("order", "zone", c.Zone, "endpoint", o.To, "op", o.Op.String(), "group", o.Group, "model", o.Model,
 		"reason", o.Reason, "verdict", v, "err", err)
 	c.mu.Lock()
@@ -492,6 +512,9 @@
 	case o.Op == Leave && (v == Begun || v == Done) && f.Report.Member.Group == o.Group:
 		f.Report.Member = roster.Membership{} // leaving takes effect at once
 		f.Sure = now.Add(reportLag)
+	case o.Op == Join && v == Begun && len(o.Members) == 1:
+		f.Report.Member = roster.Membership{Group: o.Group, Epoch: o.Epoch, State: roster.Joining}
+		f.Sure = now.Add(reportLag)
 	case o.Op == Join && v == Rejected:
 		f.Refused = o.Group
 	case o.Op == Join && v == Done:
--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -27,6 +27,9 @@
 	Model   string      `json:"model"`
 	Domain  string      `json:"domain"`
 	Members []roster.ID `json:"members"`
+	// Ending: the group is being taken apart and never serves again. Its members
+	// are then those that are not surely out of it.
+	Ending bool `json:"ending,omitempty"`
 }
 
 // Head returns the member that takes the group's requests.
@@ -73,6 +76,8 @@
 	Members []roster.ID // Join
 	Mode    CloseMode   // Close
 	Reason  string
+	// Then is given as soon as this one is accepted.
+	Then *Order
 }
 
 // Verdict is how an engine took an order.
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -177,6 +177,11 @@
 
 // shouldClose says why a group must not go on, or nil.
 func (p *planner) shouldClose(g *Group) *closing {
+	// The owner before has begun: its head may be back and say that it is ready,
+	// but members of it are in other groups by now.
+	if g.Ending {
+		return &closing{reason: "it was being taken apart", mode: Truncate}
+	}
 	for _, m := range g.Members {
 		switch p.healthIn(g, m) {
 		case dead:
@@ -235,7 +240,7 @@
 			p.join(m, g)
 		}
 	}
-	if ready < len(g.Members) {
+	if m := p.in.Engine.Model(g.Model); ready < len(g.Members) || m == nil || ready < m.Size {
 		return
 	}
 	if p.in.Facts[g.Head()].Report.Member.State == roster.Open {
@@ -338,17 +343,40 @@
 		}
 		kept = append(kept, m)
 		if p.health(m) == alive {
-			p.order(Order{To: m, Op: Leave, Group: g.Name, Epoch: g.Epoch, Reason: c.reason})
+			p.order(Order{To: m, Op: Leave, Group: g.Name, Epoch: g.Epoch, Reason: c.reason, Then: p.raiseEpoch(m)})
 			p.hurry(m)
 		}
 	}
 	if len(kept) < len(g.Members) {
-		g.Members = kept
+		g.Members, g.Ending = kept, true
 		p.out.Changed = true
 	}
 	return false
 }
 
+// raiseEpoch returns the order that follows when an engine leaves a group whose
+// head may still be open: a join of a group of its own under a new epoch. A join
+// of the old group that was given before and got lost may be carried out seconds
+// later; without the higher epoch it would bring the engine back unnoticed. An
+// engine with nothing to join by would begin a load, so it gets no such order.
+func (p *planner) raiseEpoch(id roster.ID) *Order {
+	f := p.in.Facts[id]
+	model := f.Report.Model
+	if model == "" {
+		return nil
+	}
+	o := p.standbyOrder(id, model, "a late join of the group it left must be refused")
+	return &o
+}
+
+func (p *planner) standbyOrder(id roster.ID, model, reason string) Order {
+	epoch := p.in.NextEpoch()
+	return Order{
+		To: id, Op: Join, Group: fmt.Sprintf("%s%d", standbyPrefix, epoch), Epoch: epoch,
+		Model: model, Members: []roster.ID{id}, Reason: reason,
+	}
+}
+
 // hasLeft reports whether a member is surely out of the group.
 func (p *planner) hasLeft(id roster.ID, g *Group) bool {
 	f := p.in.Facts[id]
@@ -453,9 +481,9 @@
 	if m.Group == "" || isStandby(m) || p.mem.over[m.Group] {
 		return true
 	}
-	o := Order{To: f.ID, Op: Leave, Group: m.Group, Epoch: m.Epoch, Reason: "in a group that no claim knows"}
+	o := Order{To: f.ID, Op: Leave, Group: m.Group, Epoch: m.Epoch, Reason: "in a group that no claim knows", Then: p.raiseEpoch(f.ID)}
 	if m.Rank == 0 && (m.State == roster.Open || m.State == roster.Closing) {
-		o.Op, o.Mode = Close, Finish
+		o.Op, o.Mode, o.Then = Close, Finish, nil
 	}
 	p.order(o)
 	p.hurry(f.ID)
@@ -794,11 +822,7 @@
 		return
 	}
 	p.mem.sent[k] = p.in.Now
-	epoch := p.in.NextEpoch()
-	p.out.Orders = append(p.out.Orders, Order{
-		To: f.ID, Op: Join, Group: fmt.Sprintf("%s%d", standbyPrefix, epoch), Epoch: epoch,
-		Model: m.Name, Members: []roster.ID{f.ID}, Reason: "spare",
-	})
+	p.out.Orders = append(p.out.Orders, p.standbyOrder(f.ID, m.Name, "spare"))
 }
 
 // forget drops what is remembered of groups and engines that are over.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -181,18 +181,24 @@
 			conn.Abort()
 		}
 	})
-	defer ticket.End()
 	stop := context.AfterFunc(ctx, conn.Abort)
-	defer stop()
-	defer x.limitTry(conn)()
+	stopLimit := x.limitTry(conn)
 	resp, err := conn.Send(x.outbound(ep))
+	var res Result
 	if err != nil {
-		conn.Close()
 		x.progress.Runs++
-		return x.failed(ctx, ep, err)
+		res = x.failed(ctx, ep, err)
+	} else {
+		ticket.Progress()
+		res = x.judge(ctx, ep, conn, resp, ticket)
+	}
+	// Whatever may abort the connection must be over before another request
+	// gets it: an abort that came late would end that one's exchange.
+	ticket.End()
+	stopLimit()
+	if !stop() || x.moving.Load() {
+		conn.Spoil()
 	}
-	ticket.Progress()
-	res := x.judge(ctx, ep, conn, resp, ticket)
 	x.f.Pool.Put(conn, resp)
 	return res
 }
@@ -209,7 +215,11 @@
 			conn.Abort()
 		}
 	})
-	return func() { t.Stop() }
+	return func() {
+		if !t.Stop() {
+			conn.Spoil()
+		}
+	}
 }
 
 const (
