Metrics of the entry node; a repeat after a refusal also asks whether the request ran before

Cause: on-call had logs only; a property found that a refusal after a run that may not be repeated led to another attempt, a state that no path reaches today.

--- a/cmd/chervilloom/entry.go
+++ b/cmd/chervilloom/entry.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"github.com/integrii/flaggy"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"chervilloom/internal/clock"
 	"chervilloom/internal/entry"
@@ -19,19 +20,21 @@
 func newEntry() command {
 	file := platform.SettingsPath()
 	verbose := false
+	metricsPort := 0
 	sub := flaggy.NewSubcommand("entry")
 	sub.Description = "run a node on the users' platform. Example: chervilloom entry --settings local.conf"
 	sub.String(&file, "s", "settings", "the platform's settings file; default: the one that the environment names")
 	sub.Bool(&verbose, "v", "verbose", "log each attempt of each request")
+	sub.Int(&metricsPort, "m", "metrics", "port on the clients' address that serves metrics under /metrics; 0: none")
 	return command{sub, func(ctx context.Context) error {
 		if file == "" {
 			return &exitError{exitUsage, errors.New("no settings given: add --settings FILE")}
 		}
-		return runEntry(ctx, file, verbose)
+		return runEntry(ctx, file, verbose, metricsPort)
 	}}
 }
 
-func runEntry(ctx context.Context, file string, verbose bool) error {
+func runEntry(ctx context.Context, file string, verbose bool, metricsPort int) error {
 	set, err := platform.ReadSettings(file)
 	if err != nil {
 		return err
@@ -51,6 +54,7 @@
 	n := entry.New(entry.Options{
 		Settings: set, Store: platform.NewStore(set.Store), Engines: platform.NewEngines(),
 		Codec: platform.Codec{}, Clock: clock.Boot{}, Log: log,
+		Registry: prometheus.NewRegistry(), MetricsPort: metricsPort,
 	})
 	err = n.Run(ctx)
 	log.Info("node stops", "err", err)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"chervilloom/internal/balance"
@@ -46,6 +47,10 @@
 	Codec    forward.Codec
 	Clock    clock.Clock
 	Log      *slog.Logger
+	// Registry takes the node's metrics.
+	Registry *prometheus.Registry
+	// MetricsPort serves them on the clients' address; 0: they are not served.
+	MetricsPort int
 }
 
 // Node is a running node.
@@ -123,11 +128,11 @@
 		Suspected: n.suspected,
 	}
 	n.forwarder = &forward.Forwarder{
-		Codec: o.Codec, Clock: o.Clock, Log: o.Log, Pool: n.pool, Tracker: n.tracker,
+		Codec: o.Codec, Clock: o.Clock, Log: o.Log, Metrics: forward.NewMetrics(o.Registry), Pool: n.pool, Tracker: n.tracker,
 		Zone:    o.Settings.Zone,
 		Plain:   forward.Profile{Bounds: balance.Bounds{Remote: remoteCost, Queue: plainQueue}, Turnover: plainTurnover},
 		Engine:  forward.Profile{Bounds: balance.Bounds{Remote: remoteCost, Queue: engineQueue}, Turnover: engineTurnover},
-		Ejector: retry.NewEjector(ejection, o.Clock, o.Log, nil),
+		Ejector: retry.NewEjector(ejection, o.Clock, o.Log, o.Registry),
 		View:    n.view, NewBudget: n.newBudget, Missed: n.lookSoon,
 	}
 	n.follower = &follower{node: n, ask: feed.NewClient(), clock: o.Clock, log: o.Log, wake: make(chan struct{}, 1)}
@@ -140,6 +145,7 @@
 	for _, zone := range o.Settings.Zones {
 		n.addZone(zone)
 	}
+	n.registerGauges(o.Registry)
 	return n
 }
 
@@ -319,6 +325,7 @@
 	}
 	readiness := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
 	feeds := n.feedServer()
+	metrics := n.serveMetrics(n.Registry)
 	failed := make(chan error, 3)
 	go func() { failed <- feeds.Serve(peers) }()
 	go func() { failed <- server.Serve(front) }()
@@ -331,7 +338,7 @@
 	}
 	err = n.leave(server)
 	stop()
-	return errors.Join(err, readiness.Close(), feeds.Close(), g.Wait())
+	return errors.Join(err, readiness.Close(), feeds.Close(), metrics.Close(), g.Wait())
 }
 
 // startDuties runs leases and groups until ctx ends. The leases are given up
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"chervilloom/internal/roster"
+)
+
+// registerGauges shows what the node knows and how old it is.
+func (n *Node) registerGauges(reg prometheus.Registerer) {
+	gauge := func(name, help string, value func() float64) {
+		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("chervilloom_config_version", "Version of the configuration in force.", func() float64 {
+		return float64(n.config.version())
+	})
+	gauge("chervilloom_config_age_seconds", "Time since the read that confirmed the configuration began.", func() float64 {
+		return n.config.age(n.Clock.Now()).Seconds()
+	})
+	gauge("chervilloom_roster_age_seconds", "Time since the read of the endpoints began.", func() float64 {
+		return n.Clock.Now().Sub(n.roster.current.Load().Asked).Seconds()
+	})
+	gauge("chervilloom_roster_heads", "Heads of groups that take requests, as this node knows them.", n.countHeads)
+	gauge("chervilloom_duty_held_zones", "Availability zones whose groups this node runs.", n.countDuties)
+	gauge("chervilloom_feed_following", "1 while another node keeps this one up to date.", func() float64 {
+		if n.follower.following() {
+			return 1
+		}
+		return 0
+	})
+}
+
+func (n *Node) countHeads() float64 {
+	heads := 0
+	n.roster.current.Load().All(func(e *roster.Endpoint) {
+		if e.Leads() {
+			heads++
+		}
+	})
+	return float64(heads)
+}
+
+func (n *Node) countDuties() float64 {
+	held := 0
+	now := n.Clock.Now()
+	for _, m := range n.leases {
+		if _, ok := m.Held(now); ok {
+			held++
+		}
+	}
+	return float64(held)
+}
+
+// serveMetrics serves the registry beside the clients' address; a port that is
+// taken costs the metrics, not the node.
+func (n *Node) serveMetrics(reg *prometheus.Registry) *http.Server {
+	s := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: promhttp.HandlerFor(reg, promhttp.HandlerOpts{})}
+	host, _, err := net.SplitHostPort(n.Settings.Front)
+	if err != nil || n.MetricsPort == 0 {
+		return s
+	}
+	ln, err := net.Listen("tcp", net.JoinHostPort(host, strconv.Itoa(n.MetricsPort)))
+	if err != nil {
+		n.Log.Warn("metrics are not served", "port", n.MetricsPort, "err", err)
+		return s
+	}
+	go func() {
+		if err := s.Serve(ln); err != http.ErrServerClosed {
+			n.Log.Warn("metrics are no longer served", "err", err)
+		}
+	}()
+	return s
+}
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -488,7 +488,7 @@
 		defer c.give(runCtx, grant, *o.Then)
 	}
 	c.Log.Info("order", "zone", c.Zone, "endpoint", o.To, "op", o.Op.String(), "group", o.Group, "model", o.Model,
-		"reason", o.Reason, "verdict", v, "err", err)
+		"reason", o.Reason, "verdict", v.String(), "err", err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if f := c.facts[o.To]; f != nil {
--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -92,6 +92,11 @@
 	OtherLife                // another process has the address: the engine is gone
 )
 
+var verdictText = [...]string{"lost", "begun", "done", "rejected", "other_life"}
+
+// String returns the verdict's name in logs.
+func (v Verdict) String() string { return verdictText[v] }
+
 // ErrOtherLife means that another process answers at an engine's address: the
 // engine that had it has ended for good.
 var ErrOtherLife = errors.New("formation: another process has the engine's address; the engine is gone")
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -66,6 +66,7 @@
 	for {
 		res := x.attempt(ctx, ep)
 		x.report(ep, res)
+		x.f.Metrics.attempt(x.route, res)
 		next := x.pick()
 		x.progress.Endpoint = next != nil
 		x.progress.Budget = true
@@ -74,7 +75,7 @@
 			x.progress.Budget, _ = x.f.budget(x.service).Allow(budgetClass)
 			step = Next(x.route, res, x.progress)
 		}
-		x.f.Log.Debug("attempt", "request", x.req.ID, "endpoint", ep.ID, "result", res, "step", step, "cause", x.lastCause, "events", x.events)
+		x.f.Log.Debug("attempt", "request", x.req.ID, "endpoint", ep.ID, "result", res.String(), "step", step.String(), "cause", x.lastCause, "events", x.events)
 		if step != Again {
 			x.finish(step, res)
 			return
@@ -359,7 +360,7 @@
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	x.w.WriteHeader(resp.StatusCode)
-	x.progress.Begun = true
+	x.noteBegun()
 	if _, err := x.w.Write(body); err != nil {
 		conn.Spoil()
 		return x.failed(ctx, ep, err)
@@ -419,7 +420,12 @@
 	x.f.Codec.Relay(x.w.Header(), resp.Header)
 	x.w.Header().Del("Content-Length") // the whole stream may come from several endpoints
 	x.w.WriteHeader(resp.StatusCode)
+	x.noteBegun()
+}
+
+func (x *exchange) noteBegun() {
 	x.progress.Begun = true
+	x.f.Metrics.began(x.route, x.f.Clock.Now().Sub(x.start))
 }
 
 // seen reports whether the client has the event already. An endpoint that goes
@@ -435,6 +441,7 @@
 
 // finish ends the request as the step says.
 func (x *exchange) finish(step Step, res Result) {
+	x.f.Metrics.ended(x.route, step, res)
 	switch step {
 	case Finish:
 		x.log("request done", res)
@@ -479,6 +486,6 @@
 
 func (x *exchange) log(message string, res Result) {
 	x.f.Log.Info(message, "request", x.req.ID, "route", x.route.Name, "organisation", x.organisation,
-		"config", x.catalog.Version, "tried", x.tried, "events", x.events, "result", res,
+		"config", x.catalog.Version, "tried", x.tried, "events", x.events, "result", res.String(),
 		"cause", x.lastCause, "ms", x.f.Clock.Now().Sub(x.start).Milliseconds())
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -40,6 +40,7 @@
 	Codec   Codec
 	Clock   clock.Clock
 	Log     *slog.Logger
+	Metrics *Metrics
 	Pool    *upstream.Pool
 	Tracker *balance.Tracker
 	Zone    string
@@ -177,6 +178,7 @@
 }
 
 func (f *Forwarder) refuse(w http.ResponseWriter, req *Request, stage string, e *outcome.Error) {
+	f.Metrics.refused.WithLabelValues(string(e.Kind)).Inc()
 	f.Log.Info("request refused", "request", req.ID, "stage", stage, "kind", e.Kind, "outcome", e.Outcome,
 		"reason", e.Message, "cause", e.Cause, "retry_after", e.RetryAfter)
 	f.Codec.Refuse(w, req.ID, e)
--- a/internal/forward/next.go
+++ b/internal/forward/next.go
@@ -54,7 +54,7 @@
 	more := p.Endpoint && p.Budget && p.Sent < route.MaxAttempts+extraSends
 	switch res {
 	case NotRun:
-		if more {
+		if more && (p.Runs == 0 || route.Repeatable()) {
 			return Again
 		}
 	case MayHaveRun, Failed:
