A node without its zone's reader follows another zone's; unanswered plain calls are told to all nodes

Ruled out: leases from the other zone's reader: the takeover came a second later. Change: feeders of all zones, own first; leases are read directly while the own holder is silent; news of failed plain endpoints feeds every ejector.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -133,11 +134,11 @@
 		Plain:   forward.Profile{Bounds: balance.Bounds{Remote: remoteCost, Queue: plainQueue}, Turnover: plainTurnover},
 		Engine:  forward.Profile{Bounds: balance.Bounds{Remote: remoteCost, Queue: engineQueue}, Turnover: engineTurnover},
 		Ejector: retry.NewEjector(ejection, o.Clock, o.Log, o.Registry),
-		View:    n.view, NewBudget: n.newBudget, Missed: n.lookSoon,
+		View:    n.view, NewBudget: n.newBudget, Missed: n.lookSoon, Unanswered: n.tellFailed,
 	}
 	n.follower = &follower{node: n, ask: feed.NewClient(), clock: o.Clock, log: o.Log, wake: make(chan struct{}, 1)}
 	n.config.idle, n.roster.idle = n.follower.following, n.follower.following
-	n.leaseRows = &leaseCache{Table: o.Store, clock: o.Clock, idle: n.follower.following}
+	n.leaseRows = &leaseCache{Table: o.Store, clock: o.Clock, idle: n.follower.followingOwn}
 	n.mesh = &news.Mesh{
 		Log: o.Log, Receive: n.heard,
 		Peers: func() []string { return n.leaseRows.peers(o.Settings.VM) },
@@ -178,14 +179,27 @@
 	return int(h.Sum32() % 2)
 }
 
-// ownerAddr returns the address of the node that holds the zone's duty; empty:
-// it is this node, or unknown.
-func (n *Node) ownerAddr() string {
-	owner := n.leaseRows.owner(n.Settings.Zone)
-	if owner == "" || owner == n.Settings.VM {
-		return ""
+// feeders returns the addresses of the nodes that read the store, the holder of
+// the own zone's duty first; none when this node is one of them. All of them
+// read the same, so another zone's holder serves while the own zone has none.
+func (n *Node) feeders() []string {
+	zones := []string{n.Settings.Zone}
+	for _, zone := range n.Settings.Zones {
+		if zone != n.Settings.Zone {
+			zones = append(zones, zone)
+		}
+	}
+	var addrs []string
+	for _, zone := range zones {
+		owner := n.leaseRows.owner(zone)
+		if owner == n.Settings.VM {
+			return nil
+		}
+		if addr := n.leaseRows.addr(owner); addr != "" && !slices.Contains(addrs, addr) {
+			addrs = append(addrs, addr)
+		}
 	}
-	return n.leaseRows.addr(owner)
+	return addrs
 }
 
 // feedServer answers the zone's other nodes.
@@ -285,8 +299,15 @@
 	if m.Suspect != "" {
 		n.suspect(m.Suspect)
 	}
+	if m.Failed != "" {
+		n.forwarder.Ejector.Report(retry.ID(m.Failed), true)
+	}
 }
 
+// tellFailed tells the others of a plain endpoint that gave no usable answer. In
+// a large fleet each node sends it too few requests to see that by itself.
+func (n *Node) tellFailed(id roster.ID) { n.mesh.Tell(news.Message{Failed: id}) }
+
 // Run serves until ctx ends, then leaves within the grace time.
 func (n *Node) Run(ctx context.Context) error {
 	front, err := net.Listen("tcp", n.Settings.Front)
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -20,6 +20,7 @@
 	log   *slog.Logger
 
 	last atomic.Int64 // when the last good answer was asked for
+	own  atomic.Bool  // it came from the holder of the own zone's duty
 	wake chan struct{}
 	have feed.Have // touched by run alone, like what follows
 	from string    // address of the node that was asked last
@@ -43,6 +44,11 @@
 	return at != 0 && f.clock.Now().Sub(at) < followFor
 }
 
+// followingOwn reports whether the holder of the own zone's duty answers. While
+// it doesn't, its lease is read from the store: what another node tells of it is
+// a second older, and the zone would wait that much longer for its next holder.
+func (f *follower) followingOwn() bool { return f.own.Load() && f.following() }
+
 // soon asks before the next question is due.
 func (f *follower) soon() {
 	select {
@@ -53,9 +59,7 @@
 
 func (f *follower) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if addr := f.node.ownerAddr(); addr != "" {
-			f.once(ctx, addr)
-		}
+		f.askAny(ctx)
 		select {
 		case <-ctx.Done():
 		case <-f.wake:
@@ -65,7 +69,23 @@
 	return nil
 }
 
-func (f *follower) once(ctx context.Context, addr string) {
+// askAny asks the nodes that read the store, until one answers well.
+func (f *follower) askAny(ctx context.Context) {
+	addrs := f.node.feeders()
+	own := f.node.leaseRows.addr(f.node.leaseRows.owner(f.node.Settings.Zone))
+	for _, addr := range addrs {
+		if f.once(ctx, addr) {
+			f.own.Store(addr == own)
+			return
+		}
+	}
+	if f.following() {
+		f.log.Info("no node is followed; the store is read", "asked", addrs)
+	}
+	f.last.Store(0)
+}
+
+func (f *follower) once(ctx context.Context, addr string) bool {
 	ctx, cancel := context.WithTimeout(ctx, followLimit)
 	defer cancel()
 	have := f.have
@@ -76,16 +96,13 @@
 	asked := f.clock.Now()
 	s, err := f.ask.Ask(ctx, addr, have)
 	if err != nil || s.ConfigAge > followAge || s.RosterAge > followAge {
-		if f.following() {
-			f.log.Info("node is not followed; the store is read", "node", addr, "err", err)
-		}
-		f.last.Store(0)
-		return
+		return false
 	}
-	if !f.following() {
+	if !f.following() || addr != f.from {
 		f.log.Info("node is followed; the store is not read", "node", addr, "config_age_ms", s.ConfigAge.Milliseconds(), "endpoints_age_ms", s.RosterAge.Milliseconds())
 	}
 	f.take(s, addr, asked)
+	return true
 }
 
 func (f *follower) take(s *feed.State, addr string, asked clock.Instant) {
--- a/internal/entry/leases.go
+++ b/internal/entry/leases.go
@@ -71,7 +71,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.set(rows)
-	c.read = 0
 }
 
 // all returns the rows as they are known.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -92,8 +92,12 @@
 		x.f.Ejector.Report(retry.ID(ep.ID), false)
 	case MayHaveRun, Failed, OutOfTime:
 		// A head that stands still is suspect, and its group is taken apart.
-		if !x.moving.Load() {
-			x.f.Ejector.Report(retry.ID(ep.ID), true)
+		if x.moving.Load() {
+			return
+		}
+		x.f.Ejector.Report(retry.ID(ep.ID), true)
+		if res == MayHaveRun && x.engine() == nil {
+			x.f.Unanswered(ep.ID)
 		}
 	}
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -54,6 +54,8 @@
 	// Missed is told when a request met an endpoint that is no longer there, so
 	// that the list is read again soon.
 	Missed func()
+	// Unanswered is told of a plain endpoint that gave no usable answer.
+	Unanswered func(roster.ID)
 
 	usual   usualTimes
 	offset  atomic.Uint32
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -17,6 +17,7 @@
 type Message struct {
 	Hint    *roster.Hint `json:"hint,omitempty"`    // a head began or ceased to take requests
 	Suspect roster.ID    `json:"suspect,omitempty"` // a head's requests stand still
+	Failed  roster.ID    `json:"failed,omitempty"`  // an endpoint gave no usable answer
 }
 
 // maxMessage is the size of the largest message, in bytes: a hint has three
