A head's failures in one group don't count in its next

Cause: found in the logs of an incident: streams that broke off with a group ejected its head for 1.5 to 6 s, while the head led a new group after 0.8 s. Change: the ejector knows a head by its group.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -273,7 +273,7 @@
 	var ids []retry.ID
 	n.roster.current.Load().All(func(e *roster.Endpoint) {
 		if e.Domain == "" || e.Leads() {
-			ids = append(ids, retry.ID(e.ID))
+			ids = append(ids, forward.EjectionID(e))
 		}
 	})
 	n.forwarder.Ejector.SetCandidates(ids)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -84,18 +84,28 @@
 	}
 }
 
+// EjectionID names an endpoint to the ejector. A head has another name in each
+// of its groups: streams that broke off when a group lost a member say nothing
+// about the group that the head leads a second later.
+func EjectionID(e *roster.Endpoint) retry.ID {
+	if e.Member.Group == "" {
+		return retry.ID(e.ID)
+	}
+	return retry.ID(string(e.ID) + "@" + e.Member.Group)
+}
+
 // report tells the ejector how an attempt ended. Endpoints that fail more than
 // their peers are left out for a while although their health check is good.
 func (x *exchange) report(ep *roster.Endpoint, res Result) {
 	switch res {
 	case Answered:
-		x.f.Ejector.Report(retry.ID(ep.ID), false)
+		x.f.Ejector.Report(EjectionID(ep), false)
 	case MayHaveRun, Failed, OutOfTime:
 		// A head that stands still is suspect, and its group is taken apart.
 		if x.moving.Load() {
 			return
 		}
-		x.f.Ejector.Report(retry.ID(ep.ID), true)
+		x.f.Ejector.Report(EjectionID(ep), true)
 		if res == MayHaveRun && x.engine() == nil {
 			x.f.Unanswered(ep.ID)
 		}
@@ -108,7 +118,7 @@
 	eps := x.candidates()
 	if x.route.Repeatable() {
 		for _, e := range eps {
-			if x.f.Ejector.Ejected(retry.ID(e.ID)) && !x.wasTried(e.ID) && x.f.Ejector.Usable(retry.ID(e.ID)) {
+			if x.f.Ejector.Ejected(EjectionID(e)) && !x.wasTried(e.ID) && x.f.Ejector.Usable(EjectionID(e)) {
 				return e
 			}
 		}
@@ -130,7 +140,7 @@
 		cands[i] = balance.Candidate{
 			Load: st.Load, Slots: e.Slots, Local: e.Zone == x.f.Zone,
 			Suspect: st.Suspect, Tried: x.wasTried(e.ID),
-			Avoid: x.f.Ejector.Ejected(retry.ID(e.ID)) || x.route.GapAim > 0 && st.Gap > x.route.GapAim,
+			Avoid: x.f.Ejector.Ejected(EjectionID(e)) || x.route.GapAim > 0 && st.Gap > x.route.GapAim,
 		}
 	}
 	i, reason := balance.Pick(cands, profile.Bounds, int(x.f.offset.Add(1)))
