A group of the model in excess gives its members to the scarce one

Cause: after losses three engines of the larger model stood idle for 8 s and more beside two groups of the smaller one: 2 groups to 6 where the shares ask for 4 to 3. Change: rebalance closes such a group, letting its requests end, when the free engines complete a group of the scarcer model without a load.

--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -476,9 +476,62 @@
 		}
 		free = slices.DeleteFunc(free, func(f *Fact) bool { return slices.Contains(members, f.ID) })
 	}
+	p.rebalance(domain, free)
 	p.prepare(free)
 }
 
+// rebalance closes a group whose model has more groups for its share of the work
+// than another model, when its members complete a group of that other model
+// together with the free engines. Without it, what is left of a group after a
+// loss waits for a load of twelve seconds and more, beside a group that is not
+// needed as much.
+func (p *planner) rebalance(domain string, free []*Fact) {
+	if len(free) == 0 || p.in.FreeLoads {
+		return
+	}
+	for i := range p.out.Ledger.Groups {
+		g := &p.out.Ledger.Groups[i]
+		if g.Service != p.in.Service || g.Domain != domain || p.mem.closing[g.Name] != nil || !p.mem.opened[g.Name] {
+			continue
+		}
+		m := p.worthMore(g, free)
+		if m == nil {
+			continue
+		}
+		p.mem.closing[g.Name] = &closing{reason: "its members complete a group of " + m.Name, mode: Finish, since: p.in.Now}
+		p.note("group %s closes: its members complete a group of %s", g.Name, m.Name)
+		return
+	}
+}
+
+// worthMore returns the model that the members of a group and the free engines
+// can form a group of soon, if that model stays the one with fewer groups for
+// its share after the change; nil when there is none.
+func (p *planner) worthMore(g *Group, free []*Fact) *catalog.Model {
+	own := p.in.Engine.Model(g.Model)
+	if own == nil {
+		return nil
+	}
+	all := slices.Clone(free)
+	for _, id := range g.Members {
+		if f := p.in.Facts[id]; f != nil && p.health(id) == alive && !f.Draining {
+			all = append(all, f)
+		}
+	}
+	for i := range p.in.Engine.Models {
+		m := &p.in.Engine.Models[i]
+		if m == own || m.Size <= 0 || m.Size > len(all) || !p.soon(p.choose(all, m), m) {
+			continue
+		}
+		after := float64(p.count(m.Name)+1) / max(m.Share, minShare)
+		left := float64(p.count(own.Name)-1) / max(own.Share, minShare)
+		if left >= after {
+			return m
+		}
+	}
+	return nil
+}
+
 // free returns the engines of a domain that a group may be formed of.
 func (p *planner) free(domain string) []*Fact {
 	var out []*Fact
