--- a/cmd/chervilloom/remote.go
+++ b/cmd/chervilloom/remote.go
@@ -12,6 +12,7 @@
 	"github.com/integrii/flaggy"
 
 	"chervilloom/internal/fleet"
+	"chervilloom/internal/logwalk"
 	"chervilloom/internal/operator"
 )
 
@@ -84,12 +85,16 @@
 
 func newExplain() command {
 	var r remote
-	var id string
+	var id, logs string
 	sub := flaggy.NewSubcommand("explain")
 	sub.Description = "show what was decided about a request, a group, a duty or a VM, and why. Example: chervilloom explain 3f2a..."
 	r.addFlags(sub)
 	sub.AddPositionalValue(&id, "ID", 1, true, "request id (header Chervilloom-Request), group id, duty or VM")
+	sub.String(&logs, "l", "logs", "folder with the collected logs of all entry nodes: explain a request from them instead of asking a node")
 	return command{sub, func(ctx context.Context) error {
+		if logs != "" {
+			return explainFromLogs(logs, id)
+		}
 		c, err := r.client()
 		if err != nil {
 			return err
@@ -105,6 +110,18 @@
 	}}
 }
 
+func explainFromLogs(dir, id string) error {
+	lines, err := logwalk.ReadDir(dir)
+	if err != nil {
+		return merry.Prepend(err, "the logs cannot be read; give the folder with --logs DIR")
+	}
+	ex := logwalk.Walk(lines, id)
+	if len(ex.Own) == 0 {
+		return merry.Errorf("no line of %d names request %q: check the id, and that the logs of all nodes are there", len(lines), id)
+	}
+	return ex.Print(os.Stdout)
+}
+
 func newDrain() command {
 	var r remote
 	var vm string
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -237,7 +237,10 @@
 
 func (n *Node) view() forward.View {
 	n.asked.Store(true)
-	return forward.View{Catalog: n.config.current.Load(), Fresh: n.fresh(), Roster: n.roster.current.Load()}
+	return forward.View{
+		Catalog: n.config.current.Load(), Fresh: n.fresh(), Roster: n.roster.current.Load(),
+		ConfigAge: n.config.age(n.Clock.Now()),
+	}
 }
 
 // fresh reports whether keys may be served. A key that was taken away while
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -27,6 +27,8 @@
 	// vouch for keys and routes.
 	Fresh  bool
 	Roster *roster.Roster
+	// ConfigAge is the time since the read that confirmed the configuration began.
+	ConfigAge time.Duration
 }
 
 // Profile tunes the choice among the endpoints of a kind of service.
@@ -181,8 +183,15 @@
 
 func (f *Forwarder) refuse(w http.ResponseWriter, req *Request, stage string, e *outcome.Error) {
 	f.Metrics.refused.WithLabelValues(string(e.Kind)).Inc()
+	v := f.View()
+	version := uint64(0)
+	if v.Catalog != nil {
+		version = v.Catalog.Version
+	}
 	f.Log.Info("request refused", "request", req.ID, "stage", stage, "kind", e.Kind, "outcome", e.Outcome,
-		"reason", e.Message, "cause", e.Cause, "retry_after", e.RetryAfter)
+		"reason", e.Message, "cause", e.Cause, "retry_after_ms", e.RetryAfter.Milliseconds(),
+		"config", version, "config_age_ms", v.ConfigAge.Milliseconds(),
+		"roster_age_ms", f.Clock.Now().Sub(v.Roster.Asked).Milliseconds())
 	f.Codec.Refuse(w, req.ID, e)
 }
 
