A node that lost its lease with the store asks other zones' holders

Cause: found by walking a refused request's log: a node whose store turned it away held the zone's lease before, believed its own last row, and refused 590 keyed requests for 8 s beside nodes that knew the configuration. Change: only a lease that is held now makes a node its own reader.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -189,11 +189,16 @@
 			zones = append(zones, zone)
 		}
 	}
+	if n.holds(n.Settings.Zone) {
+		return nil
+	}
 	var addrs []string
 	for _, zone := range zones {
 		owner := n.leaseRows.owner(zone)
 		if owner == n.Settings.VM {
-			return nil
+			// A node that has lost the store and its lease with it can't read who
+			// holds the zone now; another zone's holder tells.
+			continue
 		}
 		if addr := n.leaseRows.addr(owner); addr != "" && !slices.Contains(addrs, addr) {
 			addrs = append(addrs, addr)
@@ -202,6 +207,17 @@
 	return addrs
 }
 
+// holds reports whether this node holds the zone's duty now.
+func (n *Node) holds(zone string) bool {
+	for _, m := range n.leases {
+		if m.Duty == zone {
+			_, held := m.Held(n.Clock.Now())
+			return held
+		}
+	}
+	return false
+}
+
 // feedServer answers the zone's other nodes.
 func (n *Node) feedServer() *http.Server {
 	return &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Handler: &feed.Server{
