Losses are noticed by the pace of the streams

Cause: a silent head was looked at after 350 ms and a member was lost after a report of 250 ms went unanswered; streams that were moved then were late. Ruled out: giving streams up after 110 ms: a pass with many prompts takes that. Change: a head silent for 2.5 passes is doubted: its zone's owner asks the members, 80 ms each, and one that doesn't answer while another does is lost.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -18,6 +18,9 @@
 	Silence func(roster.ID) time.Duration
 	// Suspected is told of each endpoint that becomes suspect; nil: nobody.
 	Suspected func(roster.ID)
+	// Doubted is told of each endpoint that has been silent for longer than its
+	// streams' pace explains, before it is suspect; nil: nobody.
+	Doubted func(roster.ID)
 
 	mu    sync.Mutex
 	known map[roster.ID]*record
@@ -30,6 +33,7 @@
 	reported clock.Instant // when that report came
 	sign     clock.Instant // last sign of life, or start of the first request in flight
 	suspect  clock.Instant // since when; 0: not suspect
+	doubted  bool          // it was doubted since its last sign of life
 	gap      time.Duration // smoothed pause between the events of a stream
 	stalls   map[*Ticket]struct{}
 }
@@ -91,7 +95,7 @@
 	defer t.mu.Unlock()
 	r := t.record(k.id)
 	r.sign = t.Clock.Now()
-	r.suspect = 0
+	r.suspect, r.doubted = 0, false
 }
 
 // Event notes an event of a stream, and the pause before it.
@@ -101,7 +105,7 @@
 	defer t.mu.Unlock()
 	r := t.record(k.id)
 	now := t.Clock.Now()
-	r.sign, r.suspect = now, 0
+	r.sign, r.suspect, r.doubted = now, 0, false
 	if k.last != 0 {
 		r.gap += (now.Sub(k.last) - r.gap) / gapSmoothing
 	}
@@ -174,6 +178,7 @@
 		stalled []*Ticket
 	}
 	var found []verdict
+	var doubted []roster.ID
 	t.mu.Lock()
 	now := t.Clock.Now()
 	for id, r := range t.known {
@@ -182,22 +187,42 @@
 			delete(t.known, id)
 		case len(r.stalls) > 0 && r.suspect == 0 && now.Sub(r.sign) > t.Silence(id):
 			found = append(found, verdict{id, t.mark(id, now)})
+		case len(r.stalls) > 0 && !r.doubted && r.gap > 0 && now.Sub(r.sign) > doubtAfter(r.gap):
+			r.doubted = true
+			doubted = append(doubted, id)
 		}
 	}
 	t.mu.Unlock()
+	for _, id := range doubted {
+		if t.Doubted != nil {
+			t.Doubted(id)
+		}
+	}
 	for _, v := range found {
 		t.announce(v.id, v.stalled)
 	}
 }
 
+// doubtAfter returns the silence after which an endpoint with this pace is
+// doubted. All streams of an engine get their events at the end of the same
+// pass, and a pass with many prompts to read takes twice the usual.
+func doubtAfter(gap time.Duration) time.Duration {
+	const (
+		passes = 2.5
+		least  = 110 * time.Millisecond
+	)
+	return max(least, time.Duration(passes*float64(gap)))
+}
+
 // WatchStep is the pause between two looks. It adds half of itself on average
 // to the time until a silence is seen.
-const WatchStep = 50 * time.Millisecond
+const WatchStep = 25 * time.Millisecond
 
 // State is what a choice needs to know of an endpoint.
 type State struct {
 	Load    float64
 	Suspect bool
+	Doubted bool
 	Gap     time.Duration // pause between the events of a stream; 0: unknown
 }
 
@@ -218,6 +243,7 @@
 		s.Load += r.others * (1 - float64(age)/float64(turnover))
 	}
 	s.Suspect = r.suspectAt(now)
+	s.Doubted = r.doubted && r.inFlight > 0
 	if now.Sub(r.sign) < gapFor {
 		s.Gap = r.gap
 	}
@@ -225,7 +251,7 @@
 }
 
 // Sign returns the last sign of life of an endpoint (0: none is known) and
-// whether it is suspect.
+// whether it is doubted or suspect.
 func (t *Tracker) Sign(id roster.ID) (last clock.Instant, suspect bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -233,7 +259,7 @@
 	if r == nil {
 		return 0, false
 	}
-	return r.sign, r.suspectAt(t.Clock.Now())
+	return r.sign, r.doubted && r.inFlight > 0 || r.suspectAt(t.Clock.Now())
 }
 
 func (r *record) suspectAt(now clock.Instant) bool {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -127,6 +127,7 @@
 		Clock:     o.Clock,
 		Silence:   func(roster.ID) time.Duration { return streamSilence },
 		Suspected: n.suspected,
+		Doubted:   n.doubted,
 	}
 	n.forwarder = &forward.Forwarder{
 		Codec: o.Codec, Clock: o.Clock, Log: o.Log, Metrics: forward.NewMetrics(o.Registry), Pool: n.pool, Tracker: n.tracker,
@@ -271,11 +272,24 @@
 func (n *Node) suspected(id roster.ID) {
 	last, _ := n.tracker.Sign(id)
 	n.Log.Info("endpoint is suspect", "endpoint", id, "silent_ms", n.Clock.Now().Sub(last).Milliseconds())
-	n.suspect(id)
-	n.mesh.Tell(news.Message{Suspect: id})
+	n.doubted(id)
 	n.lookSoon()
 }
 
+// doubted has the node that runs the endpoint's group look at it.
+func (n *Node) doubted(id roster.ID) {
+	n.suspect(id)
+	e := n.roster.current.Load().Get(id)
+	if e == nil {
+		return
+	}
+	if owner := n.leaseRows.owner(e.Zone); owner != n.Settings.VM {
+		if addr := n.leaseRows.addr(owner); addr != "" {
+			n.mesh.Send(news.Message{Suspect: id}, addr)
+		}
+	}
+}
+
 // lookSoon asks for newer endpoints before the next question is due.
 func (n *Node) lookSoon() {
 	if n.follower.following() {
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -64,6 +64,7 @@
 // probe is the schedule of one engine's reports.
 type probe struct {
 	next    clock.Instant
+	brief   clock.Instant // until then a report must come within probeBrief
 	running bool
 }
 
@@ -83,6 +84,10 @@
 	// probeLimit is how long a report may take: a round trip takes 3 ms across
 	// zones, a resent packet 200 ms.
 	probeLimit = 250 * time.Millisecond
+	// probeBrief is the limit while the group's streams stand still: engines that
+	// live answer in a few milliseconds, and one that doesn't is the cause.
+	probeBrief = 80 * time.Millisecond
+	briefFor   = 400 * time.Millisecond
 	orderLimit = 500 * time.Millisecond
 	writeLimit = time.Second
 	// epochsPerFence is how many epochs one tenure may give out; the fence of
@@ -118,9 +123,11 @@
 			ids = c.ledger.Groups[i].Members
 		}
 	}
+	now := c.Clock.Now()
 	for _, m := range ids {
 		if p := c.probes[m]; p != nil {
 			p.next = 0
+			p.brief = now.Add(briefFor)
 		}
 	}
 	c.nudge()
@@ -251,12 +258,16 @@
 			continue
 		}
 		p.running = true
-		go c.probe(ctx, id, c.facts[id].Addr, now)
+		limit := probeLimit
+		if now.Before(p.brief) {
+			limit = probeBrief
+		}
+		go c.probe(ctx, id, c.facts[id].Addr, now, limit)
 	}
 }
 
-func (c *Controller) probe(ctx context.Context, id roster.ID, addr string, asked clock.Instant) {
-	ctx, cancel := context.WithTimeout(ctx, probeLimit)
+func (c *Controller) probe(ctx context.Context, id roster.ID, addr string, asked clock.Instant, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	rep, err := c.Engines.Report(ctx, addr, id)
 	c.mu.Lock()
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -175,13 +175,20 @@
 }
 
 // healthIn is the health of a group's member. Where the group's head stands
-// still as well, one unanswered report is enough: the two signs together are as
-// good as two reports and save a quarter of a second.
+// still as well, one unanswered report is enough, if another member has answered
+// since: so it is not this node that is slow or cut off. The two signs together
+// are as good as two reports and save half a second.
 func (p *planner) healthIn(g *Group, id roster.ID) health {
 	h := p.health(id)
 	head := p.in.Facts[g.Head()]
-	if h == unknown && head != nil && head.Suspect && p.in.Facts[id].Failures > 0 {
-		return dead
+	if h != unknown || head == nil || !head.Suspect || p.in.Facts[id].Failures == 0 {
+		return h
+	}
+	failing := p.in.Facts[id].Failing
+	for _, m := range g.Members {
+		if f := p.in.Facts[m]; m != id && f != nil && f.Failures == 0 && !f.Answered.Before(failing) {
+			return dead
+		}
 	}
 	return h
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -140,7 +140,7 @@
 		cands[i] = balance.Candidate{
 			Load: st.Load, Slots: e.Slots, Local: e.Zone == x.f.Zone,
 			Suspect: st.Suspect, Tried: x.wasTried(e.ID),
-			Avoid: x.f.Ejector.Ejected(EjectionID(e)) || x.route.GapAim > 0 && st.Gap > x.route.GapAim,
+			Avoid: st.Doubted || x.f.Ejector.Ejected(EjectionID(e)) || x.route.GapAim > 0 && st.Gap > x.route.GapAim,
 		}
 	}
 	i, reason := balance.Pick(cands, profile.Bounds, int(x.f.offset.Add(1)))
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -68,13 +68,16 @@
 }
 
 // Tell sends a message to all other nodes.
-func (m *Mesh) Tell(msg Message) {
+func (m *Mesh) Tell(msg Message) { m.Send(msg, m.Peers()...) }
+
+// Send sends a message to some nodes.
+func (m *Mesh) Send(msg Message, peers ...string) {
 	raw, err := json.Marshal(msg)
 	if err != nil || len(raw) > maxMessage {
 		m.Log.Error("news not sent", "bytes", len(raw), "err", err)
 		return
 	}
-	for _, peer := range m.Peers() {
+	for _, peer := range peers {
 		addr, err := net.ResolveUDPAddr("udp4", peer)
 		if err != nil {
 			m.Log.Warn("news not sent", "to", peer, "err", err)
