Streams move with the word that their group is lost; a leaving member is replaced at once by a spare

Cause: streams at a head that died waited for the silence limit; a group whose member left in order served nothing new until its last stream had ended. Change: the planner tells the nodes of heads whose group has lost a member; groups with a ready replacement close without waiting.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -150,6 +150,17 @@
 	t.announce(id, stalled)
 }
 
+// Strand marks an endpoint suspect by another node's word, and moves what this
+// node has there.
+func (t *Tracker) Strand(id roster.ID) {
+	t.mu.Lock()
+	stalled := t.mark(id, t.Clock.Now())
+	t.mu.Unlock()
+	for _, k := range stalled {
+		k.stalled()
+	}
+}
+
 // mark returns the requests in flight that were waiting on the endpoint.
 func (t *Tracker) mark(id roster.ID, now clock.Instant) []*Ticket {
 	r := t.record(id)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -320,14 +320,22 @@
 
 // announce tells all nodes, this one included, about a head.
 func (n *Node) announce(h roster.Hint) {
-	n.roster.hint(h)
+	n.takeHint(h)
 	n.mesh.Tell(news.Message{Hint: &h})
 }
 
+func (n *Node) takeHint(h roster.Hint) {
+	e := n.roster.current.Load().Get(h.ID)
+	if e != nil && h.Member.State == roster.Broken && h.Member.Group == e.Member.Group {
+		n.tracker.Strand(h.ID)
+	}
+	n.roster.hint(h)
+}
+
 // heard takes up a message of another node.
 func (n *Node) heard(m news.Message) {
 	if m.Hint != nil {
-		n.roster.hint(*m.Hint)
+		n.takeHint(*m.Hint)
 	}
 	if m.Suspect != "" {
 		n.suspect(m.Suspect)
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -407,6 +407,9 @@
 	for _, n := range p.out.Notes {
 		c.Log.Info("groups", "zone", c.Zone, "service", p.service, "fence", grant.Fence, "decision", n)
 	}
+	for _, h := range p.out.Lost {
+		c.Announce(h)
+	}
 	if p.out.Changed && !c.commit(ctx, grant, p.out.Ledger) {
 		return // the next plan is made of what is committed
 	}
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -36,6 +36,7 @@
 	Orders  []Order
 	Hurry   map[roster.ID]time.Duration // engines whose state is awaited: ask again after this
 	Notes   []string                    // what was decided about groups, and why
+	Lost    []roster.Hint               // heads of groups that have just lost a member
 }
 
 // Memory is what a planner remembers between two plans of one tenure. A new
@@ -117,6 +118,7 @@
 			c.since = p.in.Now
 			p.mem.closing[g.Name] = c
 			p.note("group %s closes: %s", g.Name, c.reason)
+			p.tellLost(g, c)
 		}
 	}
 	if c == nil {
@@ -132,6 +134,18 @@
 	p.out.Changed = true
 }
 
+// tellLost has the nodes move what they have at the head of a group that stands
+// still: a head that can't be reached never breaks those streams off itself.
+func (p *planner) tellLost(g *Group, c *closing) {
+	if c.mode != Truncate {
+		return
+	}
+	p.out.Lost = append(p.out.Lost, roster.Hint{
+		ID: g.Head(), Model: g.Model,
+		Member: roster.Membership{Group: g.Name, Epoch: g.Epoch, State: roster.Broken},
+	})
+}
+
 func (p *planner) keep(g *Group) {
 	p.out.Ledger.Groups = append(p.out.Ledger.Groups, *g)
 	for _, m := range g.Members {
@@ -161,6 +175,34 @@
 	return alive
 }
 
+// leavingMode says how a group closes from which a member leaves in order. Where
+// the next group is ready in a moment, its streams go on there; where it isn't,
+// they run to their end.
+func (p *planner) leavingMode(g *Group) CloseMode {
+	m := p.in.Engine.Model(g.Model)
+	if m == nil {
+		return Finish
+	}
+	ready := 0
+	for id, f := range p.in.Facts {
+		if f.Domain != g.Domain || f.Draining || !f.Listed || p.health(id) != alive {
+			continue
+		}
+		spare := !slices.Contains(g.Members, id) && !p.isClaimed(id)
+		if (spare || slices.Contains(g.Members, id)) && p.readyIn(f, m) <= hotJoin {
+			ready++
+		}
+	}
+	if ready >= m.Size {
+		return Truncate
+	}
+	return Finish
+}
+
+func (p *planner) isClaimed(id roster.ID) bool {
+	return slices.ContainsFunc(p.in.Ledger.Groups, func(g Group) bool { return slices.Contains(g.Members, id) })
+}
+
 // wasOpened reports whether the group has taken requests. A member that is not
 // in it then has left or lives anew; it must not join again.
 func (p *planner) wasOpened(g *Group) bool {
@@ -220,7 +262,7 @@
 			return &closing{reason: fmt.Sprintf("member %s refuses to join", m), mode: Truncate}
 		}
 		if f.Draining {
-			return &closing{reason: fmt.Sprintf("member %s leaves", m), mode: Finish}
+			return &closing{reason: fmt.Sprintf("member %s leaves", m), mode: p.leavingMode(g)}
 		}
 		if p.wasOpened(g) && !p.inGroup(m, g) {
 			return &closing{reason: fmt.Sprintf("member %s is no longer in it", m), mode: Truncate}
