Groups follow what the models' requests meet

Cause: with the declared shares alone a zone kept 4 groups to 2 while 35 in 100 of the smaller model's requests found no place and 3 in 100 of the larger's. Change: each node keeps the share of a model's requests that find no place; a duty's holder raises the model's share by it when it forms, stages and turns groups over.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -46,6 +46,9 @@
 	// Signs returns the last sign of life of an endpoint from this node's own
 	// requests (0: none), and whether it should have given one since.
 	Signs func(roster.ID) (last clock.Instant, suspect bool)
+	// Pressure returns the share of a model's requests that found no place of late,
+	// as this node's own requests tell.
+	Pressure func(model string) float64
 	// Announce tells all nodes that a head takes requests, or no longer does.
 	Announce func(roster.Hint)
 
@@ -384,9 +387,13 @@
 		f.Sign, f.Suspect = c.Signs(id)
 		facts[id] = f
 	}
+	pressure := map[string]float64{}
+	for i := range s.Engine.Models {
+		pressure[s.Engine.Models[i].Name] = c.Pressure(s.Engine.Models[i].Name)
+	}
 	return Plan(&Input{
 		Now: c.Clock.Now(), Zone: c.Zone, Service: s.Name, Engine: s.Engine,
-		Facts: facts, Ledger: c.ledger, NextEpoch: c.nextEpoch,
+		Facts: facts, Ledger: c.ledger, NextEpoch: c.nextEpoch, Pressure: pressure,
 		FreeLoads: c.FreeLoads(), Params: c.Params(s.Engine),
 	}, mem)
 }
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -22,6 +22,9 @@
 	Ledger  Ledger
 	// NextEpoch returns an epoch higher than all that were ever given out.
 	NextEpoch func() uint64
+	// Pressure is the share of each model's requests, 0 to 1, that found no place
+	// of late; nil: unknown.
+	Pressure map[string]float64
 	// FreeLoads: no request has come yet, so loads don't slow anything down and
 	// need not be spread over time.
 	FreeLoads bool
@@ -572,8 +575,8 @@
 		if m == own || m.Size <= 0 || m.Size > len(all) || !p.soon(p.choose(all, m), m) {
 			continue
 		}
-		after := float64(p.count(m.Name)+1) / max(m.Share, minShare)
-		left := float64(p.count(own.Name)-1) / max(own.Share, minShare)
+		after := float64(p.count(m.Name)+1) / p.share(m)
+		left := float64(p.count(own.Name)-1) / p.share(own)
 		if left >= after {
 			return m
 		}
@@ -643,9 +646,20 @@
 
 // supply returns the groups of a model for its share of the work.
 func (p *planner) supply(m *catalog.Model) float64 {
-	return float64(p.count(m.Name)) / max(m.Share, minShare)
+	return float64(p.count(m.Name)) / p.share(m)
 }
 
+// share returns the model's share of the work: the declared one, raised by what
+// its requests meet. The declared share is of the start, and says nothing of how
+// many requests a group of the model takes.
+func (p *planner) share(m *catalog.Model) float64 {
+	return max(m.Share, minShare) * (1 + pressureWeight*p.in.Pressure[m.Name])
+}
+
+// pressureWeight makes a model whose every second request is refused weigh twice
+// its share.
+const pressureWeight = 2
+
 // lastReady returns when the last of the members, readiest first, can have joined.
 func (p *planner) lastReady(members []roster.ID, m *catalog.Model) time.Duration {
 	if p.in.FreeLoads {
@@ -838,7 +852,7 @@
 			}
 		}
 		// A model without groups for its share goes before one that lacks less.
-		cost := float64(lacks) + p.supply(m) + float64(p.coming[m.Name])/max(m.Share, minShare)
+		cost := float64(lacks) + p.supply(m) + float64(p.coming[m.Name])/p.share(m)
 		if best == nil || cost < bestCost {
 			best, bestMembers, bestCost = m, members, cost
 		}
@@ -853,7 +867,7 @@
 	for i := range p.in.Engine.Models {
 		models = append(models, &p.in.Engine.Models[i])
 	}
-	slices.SortStableFunc(models, func(a, b *catalog.Model) int { return cmp.Compare(b.Share, a.Share) })
+	slices.SortStableFunc(models, func(a, b *catalog.Model) int { return cmp.Compare(p.share(b), p.share(a)) })
 	out := make([]*catalog.Model, 0, n)
 	for i := range n {
 		out = append(out, models[i%len(models)])
--- a/internal/formation/plan_test.go
+++ b/internal/formation/plan_test.go
@@ -192,6 +192,29 @@
 	is.Equal(out.Orders[0].Mode, Finish)
 }
 
+// Every second request of the smaller model finds no place while the larger one
+// has room: a zone with a group too many of the larger model turns it over.
+func TestPressureTurnsGroupsOver(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.free = true
+	for _, domain := range []string{"d0", "d1", "d2"} {
+		w.add(domain, 9)
+	}
+	w.run(10 * time.Second)
+	w.free = false
+	is.Equal(len(w.serving("big")), 3)
+	is.Equal(len(w.serving("small")), 3)
+	w.pressure = map[string]float64{"small": 0.9}
+	w.run(10 * time.Second)
+	is.Equal(len(w.serving("big")), 2) // the other model keeps what its share asks for
+	is.True(len(w.serving("small")) >= 4)
+	is.Equal(w.broken, "")
+	settled := w.ledger
+	w.run(10 * time.Second)
+	is.Equal(w.ledger, settled) // and nothing goes back and forth
+}
+
 // Every engine of a zone is new and holds nothing. Loads begin no faster than
 // the zone's share of the weight store's rate.
 func TestLoadsKeepToTheRate(t *testing.T) {
--- a/internal/formation/world_test.go
+++ b/internal/formation/world_test.go
@@ -45,21 +45,22 @@
 // world is a zone of engines and the node that plans for it. Orders may be lost,
 // or carried out seconds after they were given and after newer ones.
 type world struct {
-	now     clock.Instant
-	engine  *catalog.Engine
-	engines map[roster.ID]*simEngine
-	ledger  Ledger
-	mem     *Memory
-	facts   map[roster.ID]*Fact
-	fence   uint64
-	epochs  uint64
-	free    bool // loads are free
-	late    []lateOrder
-	ready   map[string]map[roster.ID]bool // by group and epoch: who has been ready
-	sizes   map[string]int                // members that the group was formed of
-	broken  string                        // the first invariant that broke
-	loads   []clock.Instant
-	next    int
+	now      clock.Instant
+	engine   *catalog.Engine
+	engines  map[roster.ID]*simEngine
+	ledger   Ledger
+	mem      *Memory
+	facts    map[roster.ID]*Fact
+	fence    uint64
+	epochs   uint64
+	free     bool // loads are free
+	pressure map[string]float64
+	late     []lateOrder
+	ready    map[string]map[roster.ID]bool // by group and epoch: who has been ready
+	sizes    map[string]int                // members that the group was formed of
+	broken   string                        // the first invariant that broke
+	loads    []clock.Instant
+	next     int
 	// fate says what becomes of an order: given and answered, given without an
 	// answer, or carried out later.
 	fate func() fate
@@ -305,7 +306,7 @@
 	out := Plan(&Input{
 		Now: w.now, Zone: "z", Service: "s", Engine: w.engine, Facts: w.facts, Ledger: w.ledger,
 		NextEpoch: func() uint64 { w.epochs++; return w.fence*1_000_000 + w.epochs },
-		FreeLoads: w.free, Params: DefaultParams(5*time.Second, 7),
+		FreeLoads: w.free, Pressure: w.pressure, Params: DefaultParams(5*time.Second, 7),
 	}, w.mem)
 	w.ledger = out.Ledger
 	for _, g := range out.Ledger.Groups {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -59,10 +59,11 @@
 	// Unanswered is told of a plain endpoint that gave no usable answer.
 	Unanswered func(roster.ID)
 
-	usual   usualTimes
-	offset  atomic.Uint32
-	mu      sync.Mutex
-	budgets map[string]*retry.Budget
+	usual    usualTimes
+	pressure pressure
+	offset   atomic.Uint32
+	mu       sync.Mutex
+	budgets  map[string]*retry.Budget
 }
 
 const (
