A domain that is turned over forms the group it was turned for; turns under way count

Cause: the test of pressure failed: engines taken from a group were ready soonest for the model they had just left, so the group was closed and formed again; then all domains turned at once. Change: the turn is remembered for six seconds and counts for the others.

--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -52,9 +52,16 @@
 	loading map[roster.ID]load
 	opened  map[string]bool          // groups that were open at some time
 	since   map[string]clock.Instant // when a group was first seen
+	turning map[string]turn          // domains whose engines are turned over to a model
 	over    map[string]bool          // groups whose head surely takes no more requests
 }
 
+// turn says that the engines of a domain are to form a group of a model next.
+type turn struct {
+	model string
+	until clock.Instant
+}
+
 type load struct {
 	model string
 	since clock.Instant
@@ -78,7 +85,8 @@
 	return &Memory{
 		sent: map[orderKey]clock.Instant{}, joined: map[orderKey]clock.Instant{}, closing: map[string]*closing{},
 		loading: map[roster.ID]load{}, opened: map[string]bool{},
-		since: map[string]clock.Instant{}, over: map[string]bool{},
+		turning: map[string]turn{},
+		since:   map[string]clock.Instant{}, over: map[string]bool{},
 	}
 }
 
@@ -522,7 +530,7 @@
 func (p *planner) useDomain(domain string) {
 	free := p.free(domain)
 	for {
-		m, members := p.bestGroup(free)
+		m, members := p.bestGroup(domain, free)
 		if m == nil || !p.in.FreeLoads && !p.soon(members, m) || !p.form(domain, m, members) {
 			break
 		}
@@ -551,11 +559,39 @@
 			continue
 		}
 		p.mem.closing[g.Name] = &closing{reason: "its members complete a group of " + m.Name, mode: Finish, since: p.in.Now}
+		p.mem.turning[domain] = turn{m.Name, p.in.Now.Add(turnFor)}
 		p.note("group %s closes: its members complete a group of %s", g.Name, m.Name)
 		return
 	}
 }
 
+// lasting returns the groups of a model that don't close.
+func (p *planner) lasting(model string) int {
+	n := 0
+	for i := range p.out.Ledger.Groups {
+		g := &p.out.Ledger.Groups[i]
+		if g.Service == p.in.Service && g.Model == model && p.mem.closing[g.Name] == nil {
+			n++
+		}
+	}
+	return n
+}
+
+// turns returns the domains that are being turned over to a model.
+func (p *planner) turns(model string) int {
+	n := 0
+	for _, t := range p.mem.turning {
+		if t.model == model {
+			n++
+		}
+	}
+	return n
+}
+
+// turnFor is how long a group may take to let its requests end before the turn
+// is forgotten: longer than most streams run.
+const turnFor = 6 * time.Second
+
 // worthMore returns the model that the members of a group and the free engines
 // can form a group of soon, if that model stays the one with fewer groups for
 // its share after the change; nil when there is none.
@@ -575,8 +611,8 @@
 		if m == own || m.Size <= 0 || m.Size > len(all) || !p.soon(p.choose(all, m), m) {
 			continue
 		}
-		after := float64(p.count(m.Name)+1) / p.share(m)
-		left := float64(p.count(own.Name)-1) / p.share(own)
+		after := float64(p.lasting(m.Name)+p.turns(m.Name)+1) / p.share(m)
+		left := float64(p.lasting(own.Name)-1) / p.share(own)
 		if left >= after {
 			return m
 		}
@@ -621,7 +657,10 @@
 // bestGroup returns the model that a group of free engines is best formed for,
 // and its members; nil when they are too few for any. What counts is how few
 // groups the model has for its share of the work, and how soon the group serves.
-func (p *planner) bestGroup(free []*Fact) (*catalog.Model, []roster.ID) {
+func (p *planner) bestGroup(domain string, free []*Fact) (*catalog.Model, []roster.ID) {
+	if m, members := p.turnedTo(domain, free); m != nil {
+		return m, members
+	}
 	var best *catalog.Model
 	var bestMembers []roster.ID
 	var bestCost float64
@@ -639,6 +678,27 @@
 	return best, bestMembers
 }
 
+// turnedTo returns the model that a group of this domain was closed for, once
+// there are engines for it. Without this the engines would be ready soonest for
+// the model that they have just been taken from.
+func (p *planner) turnedTo(domain string, free []*Fact) (*catalog.Model, []roster.ID) {
+	t, ok := p.mem.turning[domain]
+	if !ok || !p.in.Now.Before(t.until) {
+		delete(p.mem.turning, domain)
+		return nil, nil
+	}
+	m := p.in.Engine.Model(t.model)
+	if m == nil || m.Size > len(free) {
+		return nil, nil
+	}
+	members := p.choose(free, m)
+	if !p.soon(members, m) {
+		return nil, nil
+	}
+	delete(p.mem.turning, domain)
+	return m, members
+}
+
 // delayWeight is how many groups for a share of one a second of delay outweighs:
 // engines that are ready for one model at once go on with it, unless the other
 // model has hardly a group left.
