--- /dev/null
+++ b/internal/formation/prepare.go
@@ -0,0 +1,212 @@
+package formation
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"chervilloom/internal/catalog"
+	"chervilloom/internal/clock"
+	"chervilloom/internal/roster"
+)
+
+type load struct {
+	model string
+	since clock.Instant
+}
+
+func (p *planner) standbyOrder(id roster.ID, model, reason string) Order {
+	epoch := p.in.NextEpoch()
+	return Order{
+		To: id, Op: Join, Group: fmt.Sprintf("%s%d", standbyPrefix, epoch), Epoch: epoch,
+		Model: model, Members: []roster.ID{id}, Reason: reason,
+	}
+}
+
+func (p *planner) needsLoad(f *Fact, model string) bool {
+	if f.Report.Model == model || slices.Contains(f.Report.Staged, model) {
+		return false
+	}
+	l, ok := p.mem.loading[f.ID]
+	return !ok || l.model != model
+}
+
+// mayLoad reports whether n more loads may begin now.
+func (p *planner) mayLoad(n int) bool {
+	return n == 0 || p.in.FreeLoads || len(p.mem.loads)+n <= p.in.Params.LoadsPer
+}
+
+func (p *planner) startLoad(id roster.ID, model string) {
+	p.mem.loading[id] = load{model, p.in.Now}
+	p.mem.loads = append(p.mem.loads, p.in.Now)
+}
+
+func (p *planner) forgetLoads() {
+	p.mem.loads = slices.DeleteFunc(p.mem.loads, func(at clock.Instant) bool {
+		return p.in.Now.Sub(at) > p.in.Params.LoadWindow
+	})
+}
+
+// standbyPrefix begins the names of the one-member groups that keep a spare
+// engine ready. They are never opened.
+const standbyPrefix = "standby-"
+
+func isStandby(m roster.Membership) bool {
+	return len(m.Group) > len(standbyPrefix) && m.Group[:len(standbyPrefix)] == standbyPrefix &&
+		(m.State == roster.Ready || m.State == roster.Joining)
+}
+
+// prepare makes free engines ready: first those that the next groups lack, then
+// the spares. An engine is ready when the weights are staged on its host and it
+// is in a group of its own, from which it joins another one in hotJoin.
+func (p *planner) prepare(free []*Fact) {
+	rest := slices.Clone(free)
+	for {
+		m, members := p.nextGroup(rest)
+		if m == nil {
+			break
+		}
+		p.coming[m.Name]++
+		for _, id := range members {
+			p.prepareSpare(p.in.Facts[id], m)
+		}
+		rest = slices.DeleteFunc(rest, func(f *Fact) bool { return slices.Contains(members, f.ID) })
+	}
+	for _, m := range p.spareModels(len(rest)) {
+		i := p.readiest(rest, m)
+		f := rest[i]
+		rest = slices.Delete(rest, i, i+1)
+		p.prepareSpare(f, m)
+	}
+}
+
+// nextGroup returns the model whose next group lacks the fewest loads, and the
+// engines for it.
+func (p *planner) nextGroup(free []*Fact) (*catalog.Model, []roster.ID) {
+	var best *catalog.Model
+	var bestMembers []roster.ID
+	var bestCost float64
+	for i := range p.in.Engine.Models {
+		m := &p.in.Engine.Models[i]
+		if m.Size > len(free) || m.Size <= 0 {
+			continue
+		}
+		members := p.choose(free, m)
+		lacks := 0
+		for _, id := range members {
+			if p.readyIn(p.in.Facts[id], m) > soonLimit {
+				lacks++
+			}
+		}
+		// A model without groups for its share goes before one that lacks less.
+		cost := float64(lacks) + p.supply(m) + float64(p.coming[m.Name])/p.share(m)
+		if best == nil || cost < bestCost {
+			best, bestMembers, bestCost = m, members, cost
+		}
+	}
+	return best, bestMembers
+}
+
+// spareModels returns a model for each of n spares: turn by turn, the largest
+// share first.
+func (p *planner) spareModels(n int) []*catalog.Model {
+	models := make([]*catalog.Model, 0, len(p.in.Engine.Models))
+	for i := range p.in.Engine.Models {
+		models = append(models, &p.in.Engine.Models[i])
+	}
+	slices.SortStableFunc(models, func(a, b *catalog.Model) int { return cmp.Compare(p.share(b), p.share(a)) })
+	out := make([]*catalog.Model, 0, n)
+	for i := range n {
+		out = append(out, models[i%len(models)])
+	}
+	return out
+}
+
+func (p *planner) readiest(fs []*Fact, m *catalog.Model) int {
+	best := 0
+	for i, f := range fs {
+		if p.readyIn(f, m) < p.readyIn(fs[best], m) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (p *planner) prepareSpare(f *Fact, m *catalog.Model) {
+	switch {
+	case f.Report.Model == m.Name:
+		return
+	case slices.Contains(f.Report.Staged, m.Name):
+		p.standBy(f, m)
+	case !p.staging(f.ID) && p.needsLoad(f, m.Name) && p.mayLoad(1):
+		p.startLoad(f.ID, m.Name)
+		p.order(Order{To: f.ID, Op: Stage, Model: m.Name, Reason: "spare"})
+	}
+}
+
+// stageAlternates loads a second model onto the hosts of engines that are ready
+// for a first one: an engine joins a group of its newest model in hotJoin
+// whatever its host holds, so the host's place is free for another model. After
+// a loss, what is left of a domain can then form a group of either model
+// without a load.
+func (p *planner) stageAlternates() {
+	for _, id := range p.sortedIDs() {
+		f := p.in.Facts[id]
+		hot := f.Report.Model
+		if hot == "" || f.Draining || !f.Listed || p.health(id) != alive || !settledIn(f) {
+			continue
+		}
+		m := p.alternate(hot)
+		if m == nil || !p.needsLoad(f, m.Name) || p.staging(id) || !p.mayStageAlternate() {
+			continue
+		}
+		p.startLoad(id, m.Name)
+		p.order(Order{To: id, Op: Stage, Model: m.Name, Reason: "alternate"})
+	}
+}
+
+// settledIn reports whether the engine is ready in its group: a join from the
+// host waits for a load that is under way there.
+func settledIn(f *Fact) bool {
+	return f.Report.Member.State == roster.Ready || f.Report.Member.State == roster.Open
+}
+
+// alternate returns the model with the largest share beside the one given.
+func (p *planner) alternate(hot string) *catalog.Model {
+	var best *catalog.Model
+	for i := range p.in.Engine.Models {
+		m := &p.in.Engine.Models[i]
+		if m.Name != hot && (best == nil || m.Share > best.Share) {
+			best = m
+		}
+	}
+	return best
+}
+
+func (p *planner) staging(id roster.ID) bool {
+	_, ok := p.mem.loading[id]
+	return ok
+}
+
+// mayStageAlternate reports whether a load that nothing waits for may begin: it
+// must not slow down the loads that a group waits for.
+func (p *planner) mayStageAlternate() bool {
+	if p.in.FreeLoads {
+		return true
+	}
+	return len(p.mem.loading) < alternatesAtOnce && len(p.mem.loads) < p.in.Params.LoadsPer/2
+}
+
+// alternatesAtOnce is how many loads of the zone may run before alternates wait:
+// a handful of all zones run at full speed, and new engines need them first.
+const alternatesAtOnce = 1
+
+// standBy lets a spare join a group of its own.
+func (p *planner) standBy(f *Fact, m *catalog.Model) {
+	k := orderKey{f.ID, Join, standbyPrefix}
+	if at, ok := p.mem.sent[k]; ok && p.in.Now.Sub(at) < m.Warm+p.in.Params.Resend {
+		return
+	}
+	p.mem.sent[k] = p.in.Now
+	p.out.Orders = append(p.out.Orders, p.standbyOrder(f.ID, m.Name, "spare"))
+}
--- /dev/null
+++ b/internal/formation/takeapart.go
@@ -0,0 +1,276 @@
+package formation
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"chervilloom/internal/roster"
+)
+
+// tellLost has the nodes move what they have at the head of a group that stands
+// still: a head that can't be reached never breaks those streams off itself.
+func (p *planner) tellLost(g *Group, c *closing) {
+	if c.mode != Truncate {
+		return
+	}
+	p.out.Lost = append(p.out.Lost, roster.Hint{
+		ID: g.Head(), Model: g.Model,
+		Member: roster.Membership{Group: g.Name, Epoch: g.Epoch, State: roster.Broken},
+	})
+}
+
+// health of an engine.
+type health int
+
+const (
+	unknown health = iota // no report yet, or one failed
+	alive
+	dead // gone, or silent for long enough
+)
+
+func (p *planner) health(id roster.ID) health {
+	f := p.in.Facts[id]
+	switch {
+	case f == nil || f.Gone:
+		return dead
+	case f.Failures >= p.in.Params.DeadFailures && p.in.Now.Sub(f.Failing) >= p.in.Params.DeadAfter:
+		return dead
+	case f.Answered == 0 || f.Failures > 0:
+		return unknown
+	}
+	return alive
+}
+
+// leavingMode says how a group closes from which a member leaves in order. Where
+// the next group is ready in a moment, its streams go on there; where it isn't,
+// they run to their end.
+func (p *planner) leavingMode(g *Group) CloseMode {
+	m := p.in.Engine.Model(g.Model)
+	if m == nil {
+		return Finish
+	}
+	ready := 0
+	for id, f := range p.in.Facts {
+		if f.Domain != g.Domain || f.Draining || !f.Listed || p.health(id) != alive {
+			continue
+		}
+		spare := !slices.Contains(g.Members, id) && !p.isClaimed(id)
+		if (spare || slices.Contains(g.Members, id)) && p.readyIn(f, m) <= hotJoin {
+			ready++
+		}
+	}
+	if ready >= m.Size {
+		return Truncate
+	}
+	return Finish
+}
+
+func (p *planner) isClaimed(id roster.ID) bool {
+	return slices.ContainsFunc(p.in.Ledger.Groups, func(g Group) bool { return slices.Contains(g.Members, id) })
+}
+
+// wasOpened reports whether the group has taken requests. A member that is not
+// in it then has left or lives anew; it must not join again.
+func (p *planner) wasOpened(g *Group) bool {
+	if p.mem.opened[g.Name] {
+		return true
+	}
+	if !p.inGroup(g.Head(), g) {
+		return false
+	}
+	state := p.in.Facts[g.Head()].Report.Member.State
+	return state == roster.Open || state == roster.Closing
+}
+
+// healthIn is the health of a group's member. Where the group's head stands
+// still as well, one unanswered report is enough, if another member has answered
+// since: so it is not this node that is slow or cut off. The two signs together
+// are as good as two reports and save half a second.
+func (p *planner) healthIn(g *Group, id roster.ID) health {
+	h := p.health(id)
+	head := p.in.Facts[g.Head()]
+	if h != unknown || head == nil || !head.Suspect || p.in.Facts[id].Failures == 0 {
+		return h
+	}
+	failing := p.in.Facts[id].Failing
+	for _, m := range g.Members {
+		if f := p.in.Facts[m]; m != id && f != nil && f.Failures == 0 && !f.Answered.Before(failing) {
+			return dead
+		}
+	}
+	return h
+}
+
+// shouldClose says why a group must not go on, or nil.
+func (p *planner) shouldClose(g *Group) *closing {
+	// The owner before has begun: its head may be back and say that it is ready,
+	// but members of it are in other groups by now.
+	if g.Ending {
+		return &closing{reason: "it was being taken apart", mode: Truncate}
+	}
+	for _, m := range g.Members {
+		switch p.healthIn(g, m) {
+		case dead:
+			if p.stillMoves(g, m) {
+				continue
+			}
+			return &closing{reason: fmt.Sprintf("member %s is lost", m), mode: Truncate}
+		case unknown:
+			continue
+		}
+		f := p.in.Facts[m]
+		if f.Refused == g.Name {
+			return &closing{reason: fmt.Sprintf("member %s refuses to join", m), mode: Truncate}
+		}
+		if f.Draining {
+			return &closing{reason: fmt.Sprintf("member %s leaves", m), mode: p.leavingMode(g)}
+		}
+		if p.wasOpened(g) && !p.inGroup(m, g) {
+			return &closing{reason: fmt.Sprintf("member %s is no longer in it", m), mode: Truncate}
+		}
+		if p.inGroup(m, g) && f.Report.Member.State == roster.Broken {
+			return &closing{reason: fmt.Sprintf("member %s says that it is broken", m), mode: Truncate}
+		}
+	}
+	return nil
+}
+
+// stillMoves reports whether the group's head has served since the member fell
+// silent. A group without a member stands still, so the member is only out of
+// this node's reach.
+func (p *planner) stillMoves(g *Group, member roster.ID) bool {
+	f, head := p.in.Facts[member], p.in.Facts[g.Head()]
+	if f == nil || f.Gone || head == nil || head.Sign == 0 || f.Failing == 0 {
+		return false
+	}
+	const settle = 300 * time.Millisecond // events of before the loss may still be on their way
+	return head.Sign.Sub(f.Failing) > settle
+}
+
+// takeApart brings a group one step closer to its end and reports whether its
+// members are free.
+func (p *planner) takeApart(g *Group, c *closing) bool {
+	head := p.in.Facts[g.Head()]
+	if head != nil && head.Gone {
+		p.mem.over[g.Name] = true // its process has ended: it is surely not open
+		return true
+	}
+	switch p.health(g.Head()) {
+	case alive:
+		if !p.closeHead(g, c) {
+			return false
+		}
+		p.mem.over[g.Name] = true
+		return true
+	case unknown:
+		p.hurry(g.Head())
+		return false
+	}
+	return p.abandon(g, c)
+}
+
+// closeHead takes a reachable head out of the group: closed first, so that no
+// request runs there, then out of the group, so that an open order that
+// arrives late finds nothing to open.
+func (p *planner) closeHead(g *Group, c *closing) bool {
+	if !p.inGroup(g.Head(), g) {
+		// A join that is still on its way can't bring the group back: its other
+		// members join no more, and the head needs a later epoch to serve.
+		return true
+	}
+	p.hurry(g.Head())
+	serving := p.in.Facts[g.Head()].Report.Member.State == roster.Open || p.in.Facts[g.Head()].Report.Member.State == roster.Closing
+	if serving && c.mode == Finish {
+		p.order(Order{To: g.Head(), Op: Close, Group: g.Name, Epoch: g.Epoch, Mode: c.mode, Reason: c.reason})
+		return false
+	}
+	// A head whose group has lost a member stands still; nothing is gained by
+	// closing it first, which takes 300 ms more than leaving.
+	p.order(Order{To: g.Head(), Op: Leave, Group: g.Name, Epoch: g.Epoch, Reason: c.reason})
+	return false
+}
+
+// abandon frees the members of a group whose head can't be reached. The head
+// may be cut off and still open, but it stands still without its members: each
+// member that has left is free at once. One that can't be reached stays claimed,
+// since it may still be in the group; so does the head.
+func (p *planner) abandon(g *Group, c *closing) bool {
+	if p.unlisted(g) {
+		return true // a member that comes back still says that it is in the group
+	}
+	if !g.Ending {
+		// Written before the first member leaves: an owner that knew the group as
+		// a serving one would have that member join it again, and orders of this
+		// owner that come late would then take it out of an open group.
+		g.Ending = true
+		p.out.Changed = true
+	}
+	kept := []roster.ID{g.Head()}
+	for _, m := range g.Members[1:] {
+		if p.hasLeft(m, g) {
+			continue
+		}
+		kept = append(kept, m)
+		if p.health(m) == alive {
+			p.order(Order{To: m, Op: Leave, Group: g.Name, Epoch: g.Epoch, Reason: c.reason, Then: p.raiseEpoch(m)})
+			p.hurry(m)
+		}
+	}
+	if len(kept) < len(g.Members) {
+		g.Members = kept
+		p.out.Changed = true
+	}
+	return false
+}
+
+// raiseEpoch returns the order that follows when an engine leaves a group whose
+// head may still be open: a join of a group of its own under a new epoch. A join
+// of the old group that was given before and got lost may be carried out seconds
+// later; without the higher epoch it would bring the engine back unnoticed. An
+// engine with nothing to join by would begin a load, so it gets no such order.
+func (p *planner) raiseEpoch(id roster.ID) *Order {
+	f := p.in.Facts[id]
+	model := f.Report.Model
+	if model == "" {
+		return nil
+	}
+	o := p.standbyOrder(id, model, "a late join of the group it left must be refused")
+	return &o
+}
+
+// hasLeft reports whether a member is surely out of the group.
+func (p *planner) hasLeft(id roster.ID, g *Group) bool {
+	f := p.in.Facts[id]
+	if f == nil {
+		return false
+	}
+	return f.Gone || p.health(id) == alive && !p.inGroup(id, g)
+}
+
+// unlisted reports whether the platform lists no member of the group any more.
+func (p *planner) unlisted(g *Group) bool {
+	return !slices.ContainsFunc(g.Members, func(m roster.ID) bool {
+		f := p.in.Facts[m]
+		return f != nil && f.Listed && !f.Gone
+	})
+}
+
+// unattached reports whether an engine that no claim names belongs to no group.
+// One that says it is in a group that this owner has taken apart may join
+// another one: the join replaces its membership. Any other group was claimed by
+// a ledger that is lost, or joined by an order that came late; the engine leaves
+// it first.
+func (p *planner) unattached(f *Fact) bool {
+	m := f.Report.Member
+	if m.Group == "" || isStandby(m) || p.mem.over[m.Group] {
+		return true
+	}
+	o := Order{To: f.ID, Op: Leave, Group: m.Group, Epoch: m.Epoch, Reason: "in a group that no claim knows", Then: p.raiseEpoch(f.ID)}
+	if m.Rank == 0 && (m.State == roster.Open || m.State == roster.Closing) {
+		o.Op, o.Mode, o.Then = Close, Finish, nil
+	}
+	p.order(o)
+	p.hurry(f.ID)
+	return false
+}
--- /dev/null
+++ b/internal/forward/choose.go
@@ -0,0 +1,106 @@
+package forward
+
+import (
+	"chervilloom/internal/balance"
+	"chervilloom/internal/catalog"
+	"chervilloom/internal/retry"
+	"chervilloom/internal/roster"
+)
+
+// EjectionID names an endpoint to the ejector. A head has another name in each
+// of its groups: streams that broke off when a group lost a member say nothing
+// about the group that the head leads a second later.
+func EjectionID(e *roster.Endpoint) retry.ID {
+	if e.Member.Group == "" {
+		return retry.ID(e.ID)
+	}
+	return retry.ID(string(e.ID) + "@" + e.Member.Group)
+}
+
+// report tells the ejector how an attempt ended. Endpoints that fail more than
+// their peers are left out for a while although their health check is good.
+func (x *exchange) report(ep *roster.Endpoint, res Result) {
+	switch res {
+	case Answered:
+		x.f.Ejector.Report(EjectionID(ep), false)
+	case MayHaveRun, Failed, OutOfTime:
+		// A head that stands still is suspect, and its group is taken apart.
+		if x.moving.Load() {
+			return
+		}
+		x.f.Ejector.Report(EjectionID(ep), true)
+		if res == MayHaveRun && x.engine() == nil {
+			x.f.Unanswered(ep.ID)
+		}
+	}
+}
+
+// pick chooses the next endpoint, nil when there is none. An endpoint whose
+// ejection is over gets one request as a trial, if that may be sent again.
+func (x *exchange) pick() *roster.Endpoint {
+	eps := x.candidates()
+	if x.route.Repeatable() {
+		for _, e := range eps {
+			if x.f.Ejector.Ejected(EjectionID(e)) && !x.wasTried(e.ID) && x.f.Ejector.Usable(EjectionID(e)) {
+				return e
+			}
+		}
+	}
+	ep, reason := x.choose(eps)
+	x.noChoice = reason
+	return ep
+}
+
+// choose picks among the endpoints; ejected ones only when there is no other.
+func (x *exchange) choose(eps []*roster.Endpoint) (*roster.Endpoint, balance.Reason) {
+	profile := x.f.Plain
+	if x.engine() != nil {
+		profile = x.f.Engine
+	}
+	cands := make([]balance.Candidate, len(eps))
+	for i, e := range eps {
+		st := x.f.Tracker.Of(e.ID, profile.Turnover)
+		cands[i] = balance.Candidate{
+			Load: st.Load, Slots: e.Slots, Local: e.Zone == x.f.Zone,
+			Suspect: st.Suspect, Tried: x.wasTried(e.ID),
+			Avoid: st.Doubted || x.f.Ejector.Ejected(EjectionID(e)) || x.route.GapAim > 0 && st.Gap > x.route.GapAim,
+		}
+	}
+	i, reason := balance.Pick(cands, profile.Bounds, int(x.f.offset.Add(1)))
+	if i < 0 {
+		return nil, reason
+	}
+	return eps[i], reason
+}
+
+// candidates returns the endpoints that could serve the request.
+func (x *exchange) candidates() []*roster.Endpoint {
+	all := x.f.View().Roster.Service(x.service)
+	engine := x.engine()
+	out := make([]*roster.Endpoint, 0, len(all))
+	for _, e := range all {
+		switch {
+		case !e.Usable():
+		case engine != nil && !(e.Leads() && e.Model == x.req.Model):
+		default:
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (x *exchange) engine() *catalog.Engine {
+	if s := x.catalog.Service(x.service); s != nil {
+		return s.Engine
+	}
+	return nil
+}
+
+func (x *exchange) wasTried(id roster.ID) bool {
+	for _, t := range x.tried {
+		if t == id {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -14,7 +12,6 @@
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
 	"chervilloom/internal/outcome"
-	"chervilloom/internal/retry"
 	"chervilloom/internal/roster"
 	"chervilloom/internal/upstream"
 )
@@ -46,13 +43,6 @@
 	moving    atomic.Bool // a stalled attempt is given up; the budget has been asked
 }
 
-// failure is an endpoint's own complete answer that is no success.
-type failure struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 func (x *exchange) left(now clock.Instant) time.Duration { return x.deadline.Sub(now) }
 
 // run makes attempts until the client has its answer or can't get one.
@@ -87,104 +77,6 @@
 	}
 }
 
-// EjectionID names an endpoint to the ejector. A head has another name in each
-// of its groups: streams that broke off when a group lost a member say nothing
-// about the group that the head leads a second later.
-func EjectionID(e *roster.Endpoint) retry.ID {
-	if e.Member.Group == "" {
-		return retry.ID(e.ID)
-	}
-	return retry.ID(string(e.ID) + "@" + e.Member.Group)
-}
-
-// report tells the ejector how an attempt ended. Endpoints that fail more than
-// their peers are left out for a while although their health check is good.
-func (x *exchange) report(ep *roster.Endpoint, res Result) {
-	switch res {
-	case Answered:
-		x.f.Ejector.Report(EjectionID(ep), false)
-	case MayHaveRun, Failed, OutOfTime:
-		// A head that stands still is suspect, and its group is taken apart.
-		if x.moving.Load() {
-			return
-		}
-		x.f.Ejector.Report(EjectionID(ep), true)
-		if res == MayHaveRun && x.engine() == nil {
-			x.f.Unanswered(ep.ID)
-		}
-	}
-}
-
-// pick chooses the next endpoint, nil when there is none. An endpoint whose
-// ejection is over gets one request as a trial, if that may be sent again.
-func (x *exchange) pick() *roster.Endpoint {
-	eps := x.candidates()
-	if x.route.Repeatable() {
-		for _, e := range eps {
-			if x.f.Ejector.Ejected(EjectionID(e)) && !x.wasTried(e.ID) && x.f.Ejector.Usable(EjectionID(e)) {
-				return e
-			}
-		}
-	}
-	ep, reason := x.choose(eps)
-	x.noChoice = reason
-	return ep
-}
-
-// choose picks among the endpoints; ejected ones only when there is no other.
-func (x *exchange) choose(eps []*roster.Endpoint) (*roster.Endpoint, balance.Reason) {
-	profile := x.f.Plain
-	if x.engine() != nil {
-		profile = x.f.Engine
-	}
-	cands := make([]balance.Candidate, len(eps))
-	for i, e := range eps {
-		st := x.f.Tracker.Of(e.ID, profile.Turnover)
-		cands[i] = balance.Candidate{
-			Load: st.Load, Slots: e.Slots, Local: e.Zone == x.f.Zone,
-			Suspect: st.Suspect, Tried: x.wasTried(e.ID),
-			Avoid: st.Doubted || x.f.Ejector.Ejected(EjectionID(e)) || x.route.GapAim > 0 && st.Gap > x.route.GapAim,
-		}
-	}
-	i, reason := balance.Pick(cands, profile.Bounds, int(x.f.offset.Add(1)))
-	if i < 0 {
-		return nil, reason
-	}
-	return eps[i], reason
-}
-
-// candidates returns the endpoints that could serve the request.
-func (x *exchange) candidates() []*roster.Endpoint {
-	all := x.f.View().Roster.Service(x.service)
-	engine := x.engine()
-	out := make([]*roster.Endpoint, 0, len(all))
-	for _, e := range all {
-		switch {
-		case !e.Usable():
-		case engine != nil && !(e.Leads() && e.Model == x.req.Model):
-		default:
-			out = append(out, e)
-		}
-	}
-	return out
-}
-
-func (x *exchange) engine() *catalog.Engine {
-	if s := x.catalog.Service(x.service); s != nil {
-		return s.Engine
-	}
-	return nil
-}
-
-func (x *exchange) wasTried(id roster.ID) bool {
-	for _, t := range x.tried {
-		if t == id {
-			return true
-		}
-	}
-	return false
-}
-
 // attempt sends the request to an endpoint and relays what comes back.
 func (x *exchange) attempt(ctx context.Context, ep *roster.Endpoint) Result {
 	x.tried = append(x.tried, ep.ID)
@@ -318,144 +210,6 @@
 	return MayHaveRun
 }
 
-// judge handles an answer whose head has come. It leaves the connection spoiled
-// unless the answer was read to its end.
-func (x *exchange) judge(ctx context.Context, ep *roster.Endpoint, conn *upstream.Conn, resp *http.Response, ticket *balance.Ticket) Result {
-	rep := x.f.Codec.Judge(x.req, resp)
-	if rep.HasLoad {
-		ticket.Load(rep.Running, rep.Waiting)
-	}
-	success := resp.StatusCode >= 200 && resp.StatusCode < 300
-	switch {
-	case rep.NotRun || rep.Other:
-		return x.notRun(ep, conn, resp, rep)
-	case !rep.Ours || success && (!rep.Signed || rep.Encoded):
-		// A late or forged answer of another request: it must not reach the
-		// client, and whatever follows on the connection is not to be trusted.
-		conn.Spoil()
-		x.progress.Runs++
-		x.lastCause = fmt.Sprintf("answer %d is not the request's own", resp.StatusCode)
-		return MayHaveRun
-	}
-	x.progress.Runs++
-	if success && x.route.Repeat == catalog.Stream {
-		return x.relayEvents(ctx, ep, conn, resp, ticket)
-	}
-	return x.relayWhole(ctx, ep, conn, resp, success)
-}
-
-func (x *exchange) notRun(ep *roster.Endpoint, conn *upstream.Conn, resp *http.Response, rep Reply) Result {
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		conn.Spoil()
-	}
-	x.lastCause = fmt.Sprintf("endpoint refused: status %d, at %q", resp.StatusCode, rep.Culprit)
-	if rep.Other || rep.Culprit != "" {
-		x.f.Tracker.Suspect(ep.ID)
-		x.f.Missed()
-	}
-	return NotRun
-}
-
-// wholeLimit is the size up to which an answer is held until it is complete, so
-// that a truncated one never reaches the client and can be asked for again.
-const wholeLimit = 1 << 20
-
-// relayWhole passes on an answer that is no stream of events.
-func (x *exchange) relayWhole(ctx context.Context, ep *roster.Endpoint, conn *upstream.Conn, resp *http.Response, success bool) Result {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeLimit+1))
-	if err != nil {
-		conn.Spoil()
-		return x.failed(ctx, ep, err)
-	}
-	if !success && len(body) <= wholeLimit {
-		x.failure = &failure{resp.StatusCode, resp.Header, body}
-		x.lastCause = "endpoint answered " + strconv.Itoa(resp.StatusCode)
-		return Failed
-	}
-	x.f.Codec.Relay(x.w.Header(), resp.Header)
-	if len(body) <= wholeLimit {
-		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	}
-	x.w.WriteHeader(resp.StatusCode)
-	x.noteBegun()
-	if _, err := x.w.Write(body); err != nil {
-		conn.Spoil()
-		return x.failed(ctx, ep, err)
-	}
-	if len(body) > wholeLimit {
-		if _, err := io.Copy(x.w, resp.Body); err != nil {
-			conn.Spoil()
-			return x.failed(ctx, ep, err)
-		}
-	}
-	return Answered
-}
-
-// relayEvents passes a stream on event by event.
-func (x *exchange) relayEvents(ctx context.Context, ep *roster.Endpoint, conn *upstream.Conn, resp *http.Response, ticket *balance.Ticket) Result {
-	out := http.NewResponseController(x.w)
-	events := newEventReader(resp.Body)
-	for {
-		event, id, rest, err := events.next()
-		if errors.Is(err, io.EOF) && len(rest) == 0 {
-			return Answered
-		}
-		if err != nil {
-			conn.Spoil()
-			return x.failed(ctx, ep, err)
-		}
-		ticket.Event()
-		if x.seen(id) {
-			continue
-		}
-		x.begin(resp)
-		if _, err := x.w.Write(event); err != nil {
-			conn.Spoil()
-			x.lastCause = err.Error()
-			return ClientGone
-		}
-		x.events++
-		if id != "" {
-			x.resume = id
-		}
-		if !events.ready() {
-			if err := out.Flush(); err != nil {
-				conn.Spoil()
-				x.lastCause = err.Error()
-				return ClientGone
-			}
-		}
-	}
-}
-
-// begin sends the head of the answer at the first event. An answer that goes
-// on at another endpoint keeps the head of its first one.
-func (x *exchange) begin(resp *http.Response) {
-	if x.progress.Begun {
-		return
-	}
-	x.f.Codec.Relay(x.w.Header(), resp.Header)
-	x.w.Header().Del("Content-Length") // the whole stream may come from several endpoints
-	x.w.WriteHeader(resp.StatusCode)
-	x.noteBegun()
-}
-
-func (x *exchange) noteBegun() {
-	x.progress.Begun = true
-	x.f.Metrics.began(x.route, x.f.Clock.Now().Sub(x.start))
-}
-
-// seen reports whether the client has the event already. An endpoint that goes
-// on too early would send pieces twice.
-func (x *exchange) seen(id string) bool {
-	have, err := strconv.ParseUint(x.resume, 10, 64)
-	if err != nil {
-		return false
-	}
-	n, err := strconv.ParseUint(id, 10, 64)
-	return err == nil && n <= have
-}
-
 // finish ends the request as the step says.
 func (x *exchange) finish(step Step, res Result) {
 	x.f.Metrics.ended(x.route, step, res)
--- a/internal/forward/next_test.go
+++ b/internal/forward/next_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"log/slog"
 	"strings"
 	"testing"
 
@@ -10,6 +11,8 @@
 	"pgregory.net/rapid"
 
 	"chervilloom/internal/catalog"
+	"chervilloom/internal/retry"
+	"chervilloom/internal/roster"
 )
 
 var (
@@ -98,3 +101,20 @@
 	_, _, _, err := r.next()
 	is.True(errors.Is(err, errEventTooLong))
 }
+
+// A group loses a member and all its streams break off; its head leads the next
+// group a second later. What the ejector holds against the head in its old group
+// must not keep requests from the new one.
+func TestFailuresBelongToOneGroup(t *testing.T) {
+	is := is.New(t)
+	old := &roster.Endpoint{ID: "e1", Member: roster.Membership{Group: "g1"}}
+	now := &roster.Endpoint{ID: "e1", Member: roster.Membership{Group: "g2"}}
+	ejector := retry.NewEjector(retry.OutlierOptions{Consecutive: 3, MaxShare: 1}, nil, slog.New(slog.DiscardHandler), nil)
+	ejector.SetCandidates([]retry.ID{EjectionID(old), EjectionID(now)})
+	for range 3 {
+		ejector.Report(EjectionID(old), true)
+	}
+	is.True(ejector.Ejected(EjectionID(old)))
+	is.True(!ejector.Ejected(EjectionID(now)))
+	is.Equal(EjectionID(&roster.Endpoint{ID: "plain"}), retry.ID("plain"))
+}
