--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -91,8 +91,11 @@
 	engineQueue = -0.1
 	// plainQueue: as many calls may wait as run; they take some 30 ms each.
 	plainQueue = 1.0
-	// engineTurnover is about the time of a stream of 200 tokens.
-	engineTurnover = 4000 * time.Millisecond
+	// engineTurnover is how long a load that an engine reported fades: somewhat
+	// longer than its longest streams run. Over 24 days 4 s gave a mean worth of
+	// 0.446 against 0.435 at 1.5 s.
+	engineTurnover = 4 * time.Second
+	// plainTurnover is the time of five calls of 30 ms.
 	plainTurnover  = 150 * time.Millisecond
 	sweepPause     = time.Second
 	// noticeTime is how long a leaving node takes new connections on: the
@@ -271,6 +274,7 @@
 	return !n.Settings.Strict || n.config.age(n.Clock.Now()) < n.Settings.RevokeAfter-revokeMargin
 }
 
+// suspected follows the tracker's verdict on an endpoint that stands still.
 func (n *Node) suspected(id roster.ID) {
 	last, _ := n.tracker.Sign(id)
 	n.Log.Info("endpoint is suspect", "endpoint", id, "silent_ms", n.Clock.Now().Sub(last).Milliseconds())
@@ -314,6 +318,7 @@
 	n.forwarder.Ejector.SetCandidates(ids)
 }
 
+// suspect has this node look at the endpoint if it runs the endpoint's group.
 func (n *Node) suspect(id roster.ID) {
 	for _, c := range n.controllers {
 		c.Suspect(id)
@@ -326,6 +331,8 @@
 	n.mesh.Tell(news.Message{Hint: &h})
 }
 
+// takeHint takes up a hint; what this node has at a head whose group has lost a
+// member moves at once.
 func (n *Node) takeHint(h roster.Hint) {
 	e := n.roster.current.Load().Get(h.ID)
 	if e != nil && h.Member.State == roster.Broken && h.Member.Group == e.Member.Group {
