--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -96,8 +96,8 @@
 	// 0.446 against 0.435 at 1.5 s.
 	engineTurnover = 4 * time.Second
 	// plainTurnover is the time of five calls of 30 ms.
-	plainTurnover  = 150 * time.Millisecond
-	sweepPause     = time.Second
+	plainTurnover = 150 * time.Millisecond
+	sweepPause    = time.Second
 	// noticeTime is how long a leaving node takes new connections on: the
 	// balancer asks once a second and takes it out after two misses.
 	noticeTime = 2300 * time.Millisecond
--- a/internal/formation/takeapart.go
+++ b/internal/formation/takeapart.go
@@ -20,7 +20,7 @@
 	})
 }
 
-// health of an engine.
+// health says whether an engine can be counted on.
 type health int
 
 const (
@@ -29,6 +29,7 @@
 	dead // gone, or silent for long enough
 )
 
+// health is what the reports of an engine tell.
 func (p *planner) health(id roster.ID) health {
 	f := p.in.Facts[id]
 	switch {
@@ -55,8 +56,8 @@
 		if f.Domain != g.Domain || f.Draining || !f.Listed || p.health(id) != alive {
 			continue
 		}
-		spare := !slices.Contains(g.Members, id) && !p.isClaimed(id)
-		if (spare || slices.Contains(g.Members, id)) && p.readyIn(f, m) <= hotJoin {
+		usable := slices.Contains(g.Members, id) || !p.isClaimed(id)
+		if usable && p.readyIn(f, m) <= hotJoin {
 			ready++
 		}
 	}
