A stream without an event passes on its endpoint's head

Ruled out: another request's answer; the engine had run this one to its end. Change: the head goes out at the end of a stream that had no event.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -101,6 +101,9 @@
 	for {
 		event, id, rest, err := events.next()
 		if errors.Is(err, io.EOF) && len(rest) == 0 {
+			// A stream without an event is an answer too: one that goes on after
+			// its last event. Without its head the client would get a bare 200.
+			x.begin(resp)
 			return Answered
 		}
 		if err != nil {
--- a/test/entry_test.go
+++ b/test/entry_test.go
@@ -252,6 +252,24 @@
 	})
 }
 
+// A stream broke off after its last event and before its end. The client, which
+// has every event, asks to go on after the last one; the engine has nothing more
+// to say. The answer is the engine's own, empty and signed, and not a bare 200.
+func TestEntryPassesOnAnEmptyRest(t *testing.T) {
+	is := is.New(t)
+	f := startEntryFleet(t, "a")
+	header := textHeader(70)
+	header["Last-Event-Id"] = "10"
+	resp, err := f.send(f.nodes[0], "POST", "/text/x", "rest", header)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
+	is.Equal(len(body), 0)
+	is.True(strings.HasPrefix(resp.Header.Get("X-Server-Stamp"), "stamp-of-"))
+}
+
 // A receipt's endpoint runs it and its answer is lost. It must not run again,
 // and the caller is not told that it has not run.
 func TestEntryNeverRepeatsAReceipt(t *testing.T) {
