--- a/internal/peer/identity_test.go
+++ b/internal/peer/identity_test.go
@@ -89,7 +89,9 @@
 		for from, to := range map[*Mesh]*Mesh{a: b, b: a} {
 			_, err := from.Call(testContext(t), to.opts.Self.VM, "none", nil)
 			var failed *CallError
-			is.True(errors.As(err, &failed))
+			if !errors.As(err, &failed) {
+				t.Fatalf("%s refuses %s: %v", to.opts.Self, from.opts.Self, err)
+			}
 		}
 	}
 }
