Joins hold only while their engine has begun nothing else; an owner's first reports are not the present

The planner's test world had reports without lag; with the engines' published 200 ms its property was red at once with the same words, by three ways: (1) a new owner took reports of before the last owner's orders for the present, (2) a join that is carried out late brought an engine back that had left, (3) the order meant to prevent that (a join of a group of its own) was itself carried out late. Change: a join carries the engine's count of begun orders, so a late one is void; the orders that raised an epoch after each leave are gone (they also threw the second model off the engine's host). Negative conclusions need a report asked for after the tenure's begin and the lag. Ruled out: confirming the raised epoch before members are used elsewhere (way 3 stays), raising it for heads too (the host loses its second model; red in TestThreeLossesUseTheSecondModel).

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -52,10 +52,11 @@
 	facts   map[roster.ID]*Fact
 	probes  map[roster.ID]*probe
 	ledger  Ledger
-	version uint64 // of the ledger's row
-	loaded  bool   // the ledger was read in this tenure
-	fence   uint64 // of the tenure
-	epochs  uint64 // given out in this tenure
+	version uint64        // of the ledger's row
+	loaded  bool          // the ledger was read in this tenure
+	fence   uint64        // of the tenure
+	since   clock.Instant // when the tenure began
+	epochs  uint64        // given out in this tenure
 	memory  map[string]*Memory
 	wake    chan struct{}
 }
@@ -152,6 +153,7 @@
 	if c.fence != grant.Fence {
 		c.fence, c.epochs = grant.Fence, 0
 	}
+	c.since = c.Clock.Now()
 	c.facts = map[roster.ID]*Fact{}
 	c.probes = map[roster.ID]*probe{}
 	c.memory = map[string]*Memory{}
@@ -228,7 +230,7 @@
 		pressure[s.Engine.Models[i].Name] = c.Pressure(s.Engine.Models[i].Name)
 	}
 	return Plan(&Input{
-		Now: c.Clock.Now(), Zone: c.Zone, Service: s.Name, Engine: s.Engine,
+		Now: c.Clock.Now(), Since: c.since, Zone: c.Zone, Service: s.Name, Engine: s.Engine,
 		Facts: facts, Ledger: c.ledger, NextEpoch: c.nextEpoch, Pressure: pressure,
 		FreeLoads: c.FreeLoads(), Params: c.Params(s.Engine),
 	}, mem)
--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -75,9 +75,11 @@
 	Model   string      // Join and Stage
 	Members []roster.ID // Join
 	Mode    CloseMode   // Close
-	Reason  string
-	// Then is given as soon as this one is accepted.
-	Then *Order
+	// Count, when set, is how many orders the engine must have begun so far; with
+	// another count it answers Conflict and does nothing. A join that is carried
+	// out late is void once the engine has begun anything newer.
+	Count  *uint64
+	Reason string
 }
 
 // Verdict is how an engine took an order.
@@ -88,11 +90,12 @@
 	Lost      Verdict = iota // no answer: it may be carried out, now or later
 	Begun                    // accepted
 	Done                     // the state holds already
-	Rejected                 // it doesn't fit the engine's state
+	Rejected                 // a join under an epoch that the engine has left behind
+	Conflict                 // it doesn't fit the engine's state or count of orders
 	OtherLife                // another process has the address: the engine is gone
 )
 
-var verdictText = [...]string{"lost", "begun", "done", "rejected", "other_life"}
+var verdictText = [...]string{"lost", "begun", "done", "rejected", "conflict", "other_life"}
 
 // String returns the verdict's name in logs.
 func (v Verdict) String() string { return verdictText[v] }
@@ -104,6 +107,7 @@
 // Report is what an engine tells of itself.
 type Report struct {
 	Member roster.Membership
+	Count  uint64 // orders that it has begun
 	Model  string // of its newest group
 	Staged []string
 	Domain string
@@ -132,6 +136,8 @@
 	Failures int           // reports that failed in a row
 	Gone     bool          // its process has surely ended
 	Sure     clock.Instant // until then its answers to orders go before its reports, which lag
+	Counted  clock.Instant // reports asked for before this show a Count that is too low
+	Begun    string        // group of the newest join that it has begun
 	Sign     clock.Instant // last sign of life from requests that it serves as a head
 	Refused  string        // group that it refused to join: it has seen a later epoch
 	Suspect  bool          // requests that it serves as a head stand still
--- a/internal/formation/giving.go
+++ b/internal/formation/giving.go
@@ -110,9 +110,6 @@
 	defer cancel()
 	v, err := c.Engines.Order(ctx, addr, o)
 	go c.announceTaken(runCtx, o, v)
-	if o.Then != nil && (v == Begun || v == Done) {
-		defer c.give(runCtx, grant, *o.Then)
-	}
 	c.Log.Info("order", "zone", c.Zone, "endpoint", o.To, "op", o.Op.String(), "group", o.Group, "model", o.Model,
 		"reason", o.Reason, "verdict", v.String(), "err", err)
 	c.mu.Lock()
@@ -132,10 +129,11 @@
 
 // took notes what an engine's answer to an order says of its state.
 func (f *Fact) took(o Order, v Verdict, now clock.Instant) {
+	f.count(o, v, now)
 	switch {
 	case v == OtherLife:
 		f.Gone = true
-	case o.Op == Leave && (v == Begun || v == Done) && f.Report.Member.Group == o.Group:
+	case o.Op == Leave && v == Done && f.Report.Member.Group == o.Group:
 		f.Report.Member = roster.Membership{} // leaving takes effect at once
 		f.Sure = now.Add(reportLag)
 	case o.Op == Join && v == Begun && len(o.Members) == 1:
@@ -153,6 +151,43 @@
 	}
 }
 
+// count follows how many orders the engine has begun. An order that holds already
+// begins nothing, but for a leave, whose effect is at once.
+func (f *Fact) count(o Order, v Verdict, now clock.Instant) {
+	begins := v == Begun
+	switch o.Op {
+	case Join:
+		begins = begins && f.Begun != o.Group
+		if v == Begun {
+			f.Begun = o.Group
+		}
+	case Leave:
+		begins = v == Done && f.Report.Member.Group == o.Group
+	}
+	switch {
+	case v == Conflict:
+		f.Counted = 0 // the count is another one than thought: the reports tell
+	case begins:
+		f.Report.Count++
+		f.Counted = now.Add(reportLag)
+	}
+}
+
+// takeReport takes up a report that was asked for at asked. What the engine's
+// answers to orders told goes before reports that may be older.
+func (f *Fact) takeReport(rep Report, asked clock.Instant) {
+	if asked.Before(f.Sure) {
+		rep.Member, rep.Model = f.Report.Member, f.Report.Model
+	}
+	if asked.Before(f.Counted) {
+		rep.Count = f.Report.Count
+	}
+	f.Report, f.Answered, f.Failing, f.Failures = rep, asked, 0, 0
+	if rep.Domain != "" {
+		f.Domain = rep.Domain
+	}
+}
+
 // announceTaken tells the nodes about a head whose order changes what it takes.
 // An open order takes effect after the form time.
 func (c *Controller) announceTaken(ctx context.Context, o Order, v Verdict) {
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -13,6 +13,7 @@
 // Input is what a plan for one service in one availability zone is made of.
 type Input struct {
 	Now     clock.Instant
+	Since   clock.Instant // when this tenure began
 	Zone    string
 	Service string
 	Engine  *catalog.Engine
@@ -144,6 +145,15 @@
 	return f != nil && f.Report.Member.Group == g.Name && f.Report.Member.Epoch == g.Epoch
 }
 
+// surelyOut reports whether an engine that answers is not in the group. Reports
+// lag: the first ones after a change of owner may show the state of before the
+// last owner's orders. An owner that took "not yet in" for "no longer in" freed
+// members of a group whose head was opening, and they joined another one.
+func (p *planner) surelyOut(id roster.ID, g *Group) bool {
+	f := p.in.Facts[id]
+	return f != nil && !p.inGroup(id, g) && !f.Answered.Before(p.in.Since.Add(reportLag))
+}
+
 // advance brings a group one step on towards serving.
 func (p *planner) advance(g *Group) {
 	ready := 0
@@ -186,7 +196,7 @@
 	if due, ok := p.mem.joined[key]; ok && !p.in.Now.Before(due) {
 		p.mem.joined[key] = p.in.Now.Add(joinAgain)
 		o.Reason = "is it ready"
-		p.out.Orders = append(p.out.Orders, o)
+		p.give(o)
 		return
 	}
 	if p.order(o) {
@@ -216,10 +226,23 @@
 		return false
 	}
 	p.mem.sent[k] = p.in.Now
-	p.out.Orders = append(p.out.Orders, o)
+	p.give(o)
 	return true
 }
 
+// give adds an order. A join holds only while its engine has begun nothing else:
+// orders may be carried out seconds late, and a join of a group that was given up
+// would take the engine out of the group that it serves in by then, or bring it
+// back under a head that is open. Whatever takes an engine out of a group counts,
+// so such a join is void.
+func (p *planner) give(o Order) {
+	if f := p.in.Facts[o.To]; f != nil && o.Op == Join {
+		count := f.Report.Count
+		o.Count = &count
+	}
+	p.out.Orders = append(p.out.Orders, o)
+}
+
 // hurry asks for the engine's state soon.
 func (p *planner) hurry(id roster.ID) { p.hurryIn(id, hurrySoon) }
 
--- a/internal/formation/plan_test.go
+++ b/internal/formation/plan_test.go
@@ -146,18 +146,71 @@
 }
 
 // A join got no answer and is carried out eight seconds later, after its engine
-// has left a group whose head can't be reached. The engine must refuse it:
+// has left a group whose head can't be reached. The engine must not take it:
 // otherwise it is back in a group that may be open when the next join comes.
-func TestLateJoinAfterLeavingIsRefused(t *testing.T) {
+func TestLateJoinAfterLeavingIsVoid(t *testing.T) {
 	is := is.New(t)
-	w := started()
+	w := newWorld()
+	w.free = true
+	w.add("d0", 4)
+	joins := map[roster.ID]Order{}
+	for len(w.serving("big")) == 0 {
+		for _, o := range w.plan().Orders {
+			if o.Op == Join {
+				joins[o.To] = o
+			}
+		}
+		w.advance(100 * time.Millisecond)
+	}
 	head := w.serving("big")[0]
 	member := w.engines[head.members[1]]
-	late := Order{To: member.id, Op: Join, Group: head.group, Epoch: head.epoch, Model: head.model, Members: head.members}
 	head.cut = true
 	w.run(time.Second)
 	is.True(member.group != head.group)
-	is.Equal(w.execute(late), Rejected)
+	is.Equal(w.execute(joins[member.id]), Conflict)
+}
+
+// An owner starts with a count of an engine's orders that is too low, as after a
+// report that was older than an order of the owner before. Joins fail by that
+// until the next reports tell the count; the engine must not be shut out for good
+// by answers that keep the wrong one alive.
+func TestWrongCountIsPutRight(t *testing.T) {
+	is := is.New(t)
+	w := started()
+	head := w.serving("big")[0]
+	w.engines[head.members[1]].dead = true
+	for _, e := range w.sorted() {
+		w.facts[e.id].Report.Count += 5
+		w.facts[e.id].Counted = w.now.Add(reportLag)
+	}
+	w.run(4 * time.Second)
+	is.Equal(len(w.serving("big")), 2)
+	is.Equal(w.broken, "")
+}
+
+// The owner opens a group and ends; at the same moment a member begins to leave.
+// The next owner's first reports still show the head outside of the group, as it
+// was before the join. Taken for the present, they would free the members while
+// the head opens, and the members would join another group under an open head.
+func TestNewOwnerDoesNotTrustReportsOfBeforeItsTenure(t *testing.T) {
+	is := is.New(t)
+	w := started()
+	w.engines[w.serving("big")[0].members[1]].dead = true
+	opened := roster.ID("")
+	for opened == "" {
+		for _, o := range w.plan().Orders {
+			if o.Op == Open {
+				opened = o.To
+			}
+		}
+		w.advance(20 * time.Millisecond)
+	}
+	w.takeOver()
+	head := w.engines[opened]
+	w.engines[head.members[2]].draining = true
+	head.told = []toldState{{from: w.now, rep: Report{Model: head.model, Domain: head.domain}}}
+	w.run(3 * time.Second)
+	is.Equal(w.broken, "")
 }
 
 // An engine leaves the fleet in order and a spare stands by: the group is formed
--- a/internal/formation/prepare.go
+++ b/internal/formation/prepare.go
@@ -208,5 +208,5 @@
 		return
 	}
 	p.mem.sent[k] = p.in.Now
-	p.out.Orders = append(p.out.Orders, p.standbyOrder(f.ID, m.Name, "spare"))
+	p.give(p.standbyOrder(f.ID, m.Name, "spare"))
 }
--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -110,13 +110,7 @@
 	if err != nil {
 		c.probeFailed(f, p, asked, now, err)
 	} else {
-		if asked.Before(f.Sure) {
-			rep.Member, rep.Model = f.Report.Member, f.Report.Model
-		}
-		f.Report, f.Answered, f.Failing, f.Failures = rep, asked, 0, 0
-		if rep.Domain != "" {
-			f.Domain = rep.Domain
-		}
+		f.takeReport(rep, asked)
 		p.next = now.Add(c.calmPause(f, now))
 	}
 	c.nudge()
--- a/internal/formation/takeapart.go
+++ b/internal/formation/takeapart.go
@@ -127,7 +127,7 @@
 		if f.Draining {
 			return &closing{reason: fmt.Sprintf("member %s leaves", m), mode: p.leavingMode(g)}
 		}
-		if p.wasOpened(g) && !p.inGroup(m, g) {
+		if p.wasOpened(g) && p.surelyOut(m, g) {
 			return &closing{reason: fmt.Sprintf("member %s is no longer in it", m), mode: Truncate}
 		}
 		if p.inGroup(m, g) && f.Report.Member.State == roster.Broken {
@@ -171,18 +171,17 @@
 	return p.abandon(g, c)
 }
 
-// closeHead takes a reachable head out of the group: closed first, so that no
-// request runs there, then out of the group, so that an open order that
-// arrives late finds nothing to open.
+// closeHead takes a reachable head out of the group: closed first where its
+// requests are to end, then out of the group, so that an open order that arrives
+// late finds nothing to open. A join that is still on its way is void by then
+// (see give).
 func (p *planner) closeHead(g *Group, c *closing) bool {
-	if !p.inGroup(g.Head(), g) {
-		// A join that is still on its way can't bring the group back: its other
-		// members join no more, and the head needs a later epoch to serve.
+	if p.hasLeft(g.Head(), g) {
 		return true
 	}
 	p.hurry(g.Head())
-	serving := p.in.Facts[g.Head()].Report.Member.State == roster.Open || p.in.Facts[g.Head()].Report.Member.State == roster.Closing
-	if serving && c.mode == Finish {
+	state := p.in.Facts[g.Head()].Report.Member.State
+	if p.inGroup(g.Head(), g) && c.mode == Finish && (state == roster.Open || state == roster.Closing) {
 		p.order(Order{To: g.Head(), Op: Close, Group: g.Name, Epoch: g.Epoch, Mode: c.mode, Reason: c.reason})
 		return false
 	}
@@ -213,10 +212,11 @@
 			continue
 		}
 		kept = append(kept, m)
-		if p.health(m) == alive {
-			p.order(Order{To: m, Op: Leave, Group: g.Name, Epoch: g.Epoch, Reason: c.reason, Then: p.raiseEpoch(m)})
-			p.hurry(m)
+		if p.health(m) != alive {
+			continue
 		}
+		p.hurry(m)
+		p.order(Order{To: m, Op: Leave, Group: g.Name, Epoch: g.Epoch, Reason: c.reason})
 	}
 	if len(kept) < len(g.Members) {
 		g.Members = kept
@@ -225,28 +225,14 @@
 	return false
 }
 
-// raiseEpoch returns the order that follows when an engine leaves a group whose
-// head may still be open: a join of a group of its own under a new epoch. A join
-// of the old group that was given before and got lost may be carried out seconds
-// later; without the higher epoch it would bring the engine back unnoticed. An
-// engine with nothing to join by would begin a load, so it gets no such order.
-func (p *planner) raiseEpoch(id roster.ID) *Order {
-	f := p.in.Facts[id]
-	model := f.Report.Model
-	if model == "" {
-		return nil
-	}
-	o := p.standbyOrder(id, model, "a late join of the group it left must be refused")
-	return &o
-}
-
-// hasLeft reports whether a member is surely out of the group.
+// hasLeft reports whether a member is surely out of the group for good: what
+// brought it out also made joins void that are still on their way.
 func (p *planner) hasLeft(id roster.ID, g *Group) bool {
 	f := p.in.Facts[id]
 	if f == nil {
 		return false
 	}
-	return f.Gone || p.health(id) == alive && !p.inGroup(id, g)
+	return f.Gone || p.health(id) == alive && p.surelyOut(id, g)
 }
 
 // unlisted reports whether the platform lists no member of the group any more.
@@ -267,9 +253,9 @@
 	if m.Group == "" || isStandby(m) || p.mem.over[m.Group] {
 		return true
 	}
-	o := Order{To: f.ID, Op: Leave, Group: m.Group, Epoch: m.Epoch, Reason: "in a group that no claim knows", Then: p.raiseEpoch(f.ID)}
+	o := Order{To: f.ID, Op: Leave, Group: m.Group, Epoch: m.Epoch, Reason: "in a group that no claim knows"}
 	if m.Rank == 0 && (m.State == roster.Open || m.State == roster.Closing) {
-		o.Op, o.Mode, o.Then = Close, Finish, nil
+		o.Op, o.Mode = Close, Finish
 	}
 	p.order(o)
 	p.hurry(f.ID)
--- a/internal/formation/world_test.go
+++ b/internal/formation/world_test.go
@@ -30,6 +30,7 @@
 	cut      bool // the planning node can't reach it
 	draining bool
 	seen     uint64 // highest epoch of a join
+	count    uint64 // orders that it has begun
 	group    string
 	epoch    uint64
 	members  []roster.ID
@@ -40,8 +41,19 @@
 	staged   string
 	staging  string
 	stagedAt clock.Instant
+	told     []toldState // what its reports say, oldest first
 }
 
+// toldState is an engine's state from an instant on, as its reports tell it.
+type toldState struct {
+	from clock.Instant
+	rep  Report
+}
+
+// worldLag is how long ago the state was that a report tells: the engines'
+// published lag.
+const worldLag = 200 * time.Millisecond
+
 // world is a zone of engines and the node that plans for it. Orders may be lost,
 // or carried out seconds after they were given and after newer ones.
 type world struct {
@@ -53,7 +65,8 @@
 	facts    map[roster.ID]*Fact
 	fence    uint64
 	epochs   uint64
-	free     bool // loads are free
+	since    clock.Instant // when this owner began
+	free     bool          // loads are free
 	pressure map[string]float64
 	late     []lateOrder
 	ready    map[string]map[roster.ID]bool // by group and epoch: who has been ready
@@ -104,6 +117,7 @@
 	w.epochs = 0
 	w.mem = NewMemory()
 	w.facts = map[roster.ID]*Fact{}
+	w.since = w.now
 }
 
 func (w *world) key(group string, epoch uint64) string { return fmt.Sprintf("%s/%d", group, epoch) }
@@ -114,6 +128,7 @@
 	for _, e := range w.sorted() {
 		w.settle(e)
 	}
+	w.remember()
 	due := w.late
 	w.late = nil
 	for _, l := range due {
@@ -123,6 +138,32 @@
 		}
 		w.execute(l.o)
 	}
+	w.remember()
+}
+
+// remember notes what the engines' reports will tell after the lag.
+func (w *world) remember() {
+	for _, e := range w.engines {
+		e.told = append(e.told, toldState{w.now, e.report()})
+		for len(e.told) > 1 && !e.told[1].from.After(w.now.Add(-worldLag)) {
+			e.told = e.told[1:]
+		}
+	}
+}
+
+// report returns the engine's state as it is now.
+func (e *simEngine) report() Report {
+	rep := Report{
+		Member: roster.Membership{Group: e.group, Epoch: e.epoch, Rank: slices.Index(e.members, e.id), State: e.state},
+		Count:  e.count, Model: e.model, Staged: []string{}, Domain: e.domain,
+	}
+	if e.staged != "" {
+		rep.Staged = append(rep.Staged, e.staged)
+	}
+	if e.group == "" {
+		rep.Member.Rank = 0
+	}
+	return rep
 }
 
 func (w *world) sorted() []*simEngine {
@@ -187,6 +228,9 @@
 	if e == nil || e.dead {
 		return Lost
 	}
+	if o.Count != nil && *o.Count != e.count {
+		return Conflict
+	}
 	mine := e.group == o.Group && e.epoch == o.Epoch
 	switch o.Op {
 	case Join:
@@ -194,25 +238,27 @@
 	case Open:
 		switch {
 		case !mine || e.state != roster.Ready && e.state != roster.Open:
-			return Rejected
+			return Conflict
 		case e.state == roster.Open:
 			return Done
 		}
 		e.opening, e.until = true, w.now.Add(w.engine.FormTime)
 	case Close:
 		if !mine {
-			return Rejected
+			return Conflict
 		}
 		e.state, e.opening, e.until = roster.Ready, false, 0
 	case Leave:
 		if mine {
 			e.group, e.epoch, e.members, e.state, e.opening, e.until = "", 0, nil, "", false, 0
+			e.count++
 		}
 		return Done
 	case Stage:
 		e.staging, e.stagedAt = o.Model, w.now.Add(w.loadTime(o.Model))
 		w.loads = append(w.loads, w.now)
 	}
+	e.count++
 	return Begun
 }
 
@@ -248,6 +294,7 @@
 	if e.group == o.Group && e.epoch == o.Epoch {
 		return Begun // it joins already
 	}
+	e.count++
 	e.group, e.epoch, e.members = o.Group, o.Epoch, o.Members
 	e.model, e.staged = o.Model, o.Model
 	e.state, e.opening, e.until = roster.Joining, false, w.now.Add(d)
@@ -284,18 +331,8 @@
 		f.Failures++
 		return
 	}
-	f.Answered, f.Failing, f.Failures = w.now, 0, 0
-	staged := []string{}
-	if e.staged != "" {
-		staged = append(staged, e.staged)
-	}
-	f.Report = Report{
-		Member: roster.Membership{Group: e.group, Epoch: e.epoch, Rank: slices.Index(e.members, e.id), State: e.state},
-		Model:  e.model, Staged: staged, Domain: e.domain,
-	}
-	if e.group == "" {
-		f.Report.Member.Rank = 0
-	}
+	w.remember()
+	f.takeReport(e.told[0].rep, w.now)
 }
 
 // plan makes one plan and gives its orders.
@@ -304,7 +341,7 @@
 		w.report(e)
 	}
 	out := Plan(&Input{
-		Now: w.now, Zone: "z", Service: "s", Engine: w.engine, Facts: w.facts, Ledger: w.ledger,
+		Now: w.now, Since: w.since, Zone: "z", Service: "s", Engine: w.engine, Facts: w.facts, Ledger: w.ledger,
 		NextEpoch: func() uint64 { w.epochs++; return w.fence*1_000_000 + w.epochs },
 		FreeLoads: w.free, Pressure: w.pressure, Params: DefaultParams(5*time.Second, 7),
 	}, w.mem)
@@ -335,10 +372,6 @@
 	v := w.execute(o)
 	if f := w.facts[o.To]; f != nil {
 		f.took(o, v, w.now)
-		f.Sure = 0 // reports of this world don't lag
-	}
-	if o.Then != nil && (v == Begun || v == Done) {
-		w.give(*o.Then)
 	}
 }
 
