--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -81,7 +81,7 @@
 	var bestCost float64
 	for i := range p.in.Engine.Models {
 		m := &p.in.Engine.Models[i]
-		if m.Size > len(free) || m.Size <= 0 || !p.mayForm(domain, m, len(free)) {
+		if m.Size > len(free) || m.Size <= 0 {
 			continue
 		}
 		members := p.choose(free, m)
