--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -67,6 +67,7 @@
 	reason string
 	mode   CloseMode
 	since  clock.Instant
+	until  clock.Instant // requests may run to their end until then; 0: without end
 }
 
 // NewMemory returns an empty memory.
