The log's page is held against what the processes write

Every line of the entry nodes in the process tests must be a message of docs/LOGS.md with the fields named there. Red first: 25 messages or fields were missing, among them all of the process's own and the outcome lines that said "the same"; the machine's name stood twice in the first line.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -415,7 +415,7 @@
 	if err != nil {
 		return merry.Prepend(err, "address for other nodes; check the settings' port range")
 	}
-	n.Log.Info("node starts", "vm", n.Settings.VM, "zone", n.Settings.Zone, "front", n.Settings.Front, "bootstrap", n.Settings.Bootstrap)
+	n.Log.Info("node starts", "zone", n.Settings.Zone, "front", n.Settings.Front, "bootstrap", n.Settings.Bootstrap)
 
 	// What serves requests goes on after ctx has ended, until they are done.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/test/entry_test.go
+++ b/test/entry_test.go
@@ -137,6 +137,7 @@
 	text := fmt.Sprintf(entrySettings, vm, zone, ip, n.front, n.ready, port, port, f.store.Addr)
 	must(f.t, os.WriteFile(file, []byte(text), 0o600))
 	n.process = startProcess(f.t, vm, "entry", "--settings", file, "--verbose")
+	f.t.Cleanup(func() { checkLogs(f.t, n.process) })
 	f.nodes = append(f.nodes, n)
 }
 
