--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -29,9 +29,6 @@
 // the next loss may leave engines that complete them at once.
 func (p *planner) useDomain(domain string) {
 	free := p.free(domain)
-	if p.turnPending(domain, free) || p.rebalance(domain, free, scarce) {
-		return
-	}
 	for {
 		m, members := p.bestGroup(domain, free)
 		if m == nil || !p.in.FreeLoads && !p.soon(members, m) || !p.form(domain, m, members) {
@@ -39,7 +36,7 @@
 		}
 		free = slices.DeleteFunc(free, func(f *Fact) bool { return slices.Contains(members, f.ID) })
 	}
-	p.rebalance(domain, free, fewer)
+	p.rebalance(domain, free)
 	p.prepare(free)
 }
 
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -67,7 +67,6 @@
 	reason string
 	mode   CloseMode
 	since  clock.Instant
-	until  clock.Instant // requests may run to their end until then; 0: without end
 }
 
 // NewMemory returns an empty memory.
--- a/internal/formation/rebalance.go
+++ b/internal/formation/rebalance.go
@@ -20,52 +20,24 @@
 // together with the free engines. Without it, what is left of a group after a
 // loss waits for a load of twelve seconds and more, beside a group that is not
 // needed as much.
-func (p *planner) rebalance(domain string, free []*Fact, factor float64) bool {
+func (p *planner) rebalance(domain string, free []*Fact) {
 	if len(free) == 0 || p.in.FreeLoads {
-		return false
+		return
 	}
 	for i := range p.out.Ledger.Groups {
 		g := &p.out.Ledger.Groups[i]
 		if g.Service != p.in.Service || g.Domain != domain || p.mem.closing[g.Name] != nil || !p.mem.opened[g.Name] {
 			continue
 		}
-		m := p.worthMore(g, free, factor)
+		m := p.worthMore(g, free)
 		if m == nil {
 			continue
 		}
-		p.mem.closing[g.Name] = &closing{
-			reason: "its members complete a group of " + m.Name, mode: Finish, since: p.in.Now, until: p.in.Now.Add(finishFor),
-		}
+		p.mem.closing[g.Name] = &closing{reason: "its members complete a group of " + m.Name, mode: Finish, since: p.in.Now}
 		p.mem.turning[domain] = turn{m.Name, p.in.Now.Add(turnFor)}
 		p.note("group %s closes: its members complete a group of %s", g.Name, m.Name)
-		return true
-	}
-	return false
-}
-
-// How many times the groups for its share of the work a model must have to give
-// one up.
-const (
-	fewer = 1 // to a model that engines without a group would else wait for
-	// scarce is asked where those engines could form a group of the first model
-	// at once. A model of sixteen members that has lost one, in a domain without
-	// a spare, else ends up as groups of four, and its requests wait elsewhere.
-	scarce = 2
-)
-
-// finishFor is how long the requests of a group that is turned over may run to
-// their end there; those that don't go on elsewhere. Most streams take 1 to 2 s.
-const finishFor = time.Second
-
-// turnPending reports whether the domain waits for the members of a group that was
-// closed for another model: the engines that are free must not be used before.
-func (p *planner) turnPending(domain string, free []*Fact) bool {
-	t, ok := p.mem.turning[domain]
-	if !ok || !p.in.Now.Before(t.until) {
-		return false
+		return
 	}
-	m := p.in.Engine.Model(t.model)
-	return m != nil && m.Size > len(free)
 }
 
 // turns returns the domains that are being turned over to a model.
@@ -79,14 +51,14 @@
 	return n
 }
 
-// turnFor is how long engines wait for a turn: finishFor and the time to leave,
-// with room for an order that gets lost.
-const turnFor = 3 * time.Second
+// turnFor is how long a group may take to let its requests end before the turn
+// is forgotten: longer than most streams run.
+const turnFor = 6 * time.Second
 
 // worthMore returns the model that the members of a group and the free engines
 // can form a group of soon, if that model stays the one with fewer groups for
 // its share after the change; nil when there is none.
-func (p *planner) worthMore(g *Group, free []*Fact, factor float64) *catalog.Model {
+func (p *planner) worthMore(g *Group, free []*Fact) *catalog.Model {
 	own := p.in.Engine.Model(g.Model)
 	if own == nil {
 		return nil
@@ -104,7 +76,7 @@
 		}
 		after := float64(p.countUnless(closes, m.Name)+p.turns(m.Name)+1) / p.share(m)
 		left := float64(p.countUnless(closes, own.Name)-1) / p.share(own)
-		if left >= factor*after {
+		if left >= after {
 			return m
 		}
 	}
--- a/internal/formation/takeapart.go
+++ b/internal/formation/takeapart.go
@@ -208,10 +208,6 @@
 		return true
 	}
 	p.hurry(g.Head())
-	if c.mode == Finish && c.until != 0 && !p.in.Now.Before(c.until) {
-		c.mode = Truncate
-		p.tellLost(g, c)
-	}
 	state := p.in.Facts[g.Head()].Report.Member.State
 	if p.inGroup(g.Head(), g) && c.mode == Finish && (state == roster.Open || state == roster.Closing) {
 		p.order(Order{To: g.Head(), Op: Close, Group: g.Name, Epoch: g.Epoch, Mode: c.mode, Reason: c.reason})
