--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -35,7 +35,7 @@
 	// the list every second and has its configuration confirmed every 0.8 s.
 	followAge = 2200 * time.Millisecond
 	// keptCopies is how many nodes' copies are kept: the holders of a region's
-	// zones. A copy of 1,000 endpoints takes 300 KB.
+	// zones.
 	keptCopies = 4
 )
 
--- a/internal/entry/hints.go
+++ b/internal/entry/hints.go
@@ -8,8 +8,8 @@
 	"chervilloom/internal/roster"
 )
 
-// placedPeers bounds the nodes that are told of a request. At 11 requests a second
-// a node then sends and gets 260 datagrams a second, 0.4% of a core.
+// placedPeers bounds the nodes that are told of a request: at 11 requests a second
+// a node sends and gets 260 datagrams a second, however large its zone is.
 const placedPeers = 24
 
 // suspected follows the tracker's verdict on an endpoint that stands still.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -49,8 +49,8 @@
 }
 
 // Journal numbers the changes of endpoints and rows, so that an answer holds only
-// what the asker lacks. A list of 1,000 endpoints takes 200 KB; what changes in a
-// second takes one or two.
+// what the asker lacks: the whole list, asked for by every node each second, took
+// 192 KB a second and node at 100 nodes with 1,000 endpoints.
 type Journal struct {
 	Life string // drawn anew by each process
 
