Free engines and groups that are needed less go where the worth is largest

Cause: a group of four that lost a member left three engines, and the planner made them a pair at once, by groups over declared shares, also beside twelve pairs; it looked at groups in excess only afterwards. Change: one pure choice for a domain over the zone's groups: free engines together with the members of none, one or two groups, valued over 10 s by what serves; demand as the holder's own requests ask for, the declared shares while they are few (replaces the share of refused requests).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -110,6 +110,17 @@
 	return nil
 }
 
+// Work returns the time that a request takes of a group whose slots are all in
+// use: its prompt is read alone, each step writes a token of every slot.
+func (e *Engine) Work(m *Model, prompt, answer int) time.Duration {
+	read := 0.0
+	if e.ReadPerSecond > 0 {
+		read = float64(prompt) / e.ReadPerSecond
+	}
+	token := e.Step.Seconds()/float64(max(1, e.Slots)) + e.PerSequence.Seconds() + e.ContextPerK.Seconds()*float64(prompt)/1000
+	return time.Duration(m.Pace * (read + float64(answer)*token) * float64(time.Second))
+}
+
 // Organisation is a customer with its keys.
 type Organisation struct {
 	Name     string
--- /dev/null
+++ b/internal/demand/demand_test.go
@@ -0,0 +1,40 @@
+package demand
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilloom/internal/clock"
+)
+
+// A burst of one model's requests comes after an even load: within two seconds its
+// part of the work follows, and what was asked for before fades.
+func TestDemandFollowsABurst(t *testing.T) {
+	is := is.New(t)
+	var m Meter
+	now := clock.Instant(time.Hour)
+	is.Equal(m.Of("s", now).Requests, 0.0)
+	play := func(d time.Duration, a, b int) {
+		for range int(d / (100 * time.Millisecond)) {
+			now = now.Add(100 * time.Millisecond)
+			for range a {
+				m.Note("s", "a", 0.1, now)
+			}
+			for range b {
+				m.Note("s", "b", 0.1, now)
+			}
+		}
+	}
+	part := func() float64 {
+		w := m.Of("s", now).Work
+		return w["a"] / (w["a"] + w["b"])
+	}
+	play(20*time.Second, 1, 1)
+	is.True(part() > 0.49 && part() < 0.51)
+	play(2*time.Second, 4, 1)
+	is.True(part() > 0.6)
+	is.True(m.Of("s", now.Add(time.Minute)).Requests < 0.01)
+	is.Equal(m.Of("other", now).Requests, 0.0)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -177,7 +177,7 @@
 		FreeLoads: func() bool { return n.Settings.Bootstrap && !n.asked.Load() },
 		Signs:     n.tracker.Sign,
 		Announce:  n.announce,
-		Pressure:  n.forwarder.Pressure,
+		Demand:    n.forwarder.Demand,
 	})
 }
 
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -9,6 +9,7 @@
 
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
+	"chervilloom/internal/demand"
 	"chervilloom/internal/lease"
 	table "chervilloom/internal/platform"
 	"chervilloom/internal/roster"
@@ -42,9 +43,9 @@
 	// Signs returns the last sign of life of an endpoint from this node's own
 	// requests (0: none), and whether it should have given one since.
 	Signs func(roster.ID) (last clock.Instant, suspect bool)
-	// Pressure returns the share of a model's requests that found no place of late,
-	// as this node's own requests tell.
-	Pressure func(model string) float64
+	// Demand returns what this node's own requests for a service have asked for of
+	// late.
+	Demand func(service string) demand.Demand
 	// Announce tells all nodes that a head takes requests, or no longer does.
 	Announce func(roster.Hint)
 
@@ -232,13 +233,9 @@
 		}
 		facts[id] = f
 	}
-	pressure := map[string]float64{}
-	for i := range s.Engine.Models {
-		pressure[s.Engine.Models[i].Name] = c.Pressure(s.Engine.Models[i].Name)
-	}
 	return Plan(&Input{
 		Now: c.Clock.Now(), Since: c.since, Zone: c.Zone, Service: s.Name, Engine: s.Engine,
-		Facts: facts, Ledger: c.ledger, NextEpoch: c.nextEpoch, Pressure: pressure,
+		Facts: facts, Ledger: c.ledger, NextEpoch: c.nextEpoch, Demand: c.Demand(s.Name),
 		FreeLoads: c.FreeLoads(), Params: c.Params(s.Engine),
 	}, mem)
 }
--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -23,23 +23,6 @@
 	return out
 }
 
-// useDomain forms groups of the free engines of a domain and prepares those
-// that are left over. Outside the start no group is formed that would wait for
-// a load: its other members would be bound for twelve seconds and more, while
-// the next loss may leave engines that complete them at once.
-func (p *planner) useDomain(domain string) {
-	free := p.free(domain)
-	for {
-		m, members := p.bestGroup(domain, free)
-		if m == nil || !p.in.FreeLoads && !p.soon(members, m) || !p.form(domain, m, members) {
-			break
-		}
-		free = slices.DeleteFunc(free, func(f *Fact) bool { return slices.Contains(members, f.ID) })
-	}
-	p.rebalance(domain, free)
-	p.prepare(free)
-}
-
 // free returns the engines of a domain that a group may be formed of.
 func (p *planner) free(domain string) []*Fact {
 	var out []*Fact
@@ -69,62 +52,16 @@
 
 func (f *Fact) slow() bool { return f.Report.Pace > slowPace }
 
-// bestGroup returns the model that a group of free engines is best formed for,
-// and its members; nil when they are too few for any. What counts is how few
-// groups the model has for its share of the work, and how soon the group serves.
-func (p *planner) bestGroup(domain string, free []*Fact) (*catalog.Model, []roster.ID) {
-	if m, members := p.turnedTo(domain, free); m != nil {
-		return m, members
-	}
-	var best *catalog.Model
-	var bestMembers []roster.ID
-	var bestCost float64
-	for i := range p.in.Engine.Models {
-		m := &p.in.Engine.Models[i]
-		if m.Size > len(free) || m.Size <= 0 {
-			continue
-		}
-		members := p.choose(free, m)
-		cost := p.supply(m) + p.lastReady(members, m).Seconds()*delayWeight
-		if best == nil || cost < bestCost || cost == bestCost && m.Share > best.Share {
-			best, bestMembers, bestCost = m, members, cost
-		}
-	}
-	return best, bestMembers
+// supply returns the engines in groups of a model for its share of the work.
+func (p *planner) supply(m *catalog.Model, domain string) float64 {
+	return p.supplyOf(m, float64(p.count(m.Name, domain)))
 }
 
-// delayWeight is how many groups for a share of one a second of delay outweighs:
-// engines that are ready for one model at once go on with it, unless the other
-// model has hardly a group left.
-const delayWeight = 1.5
-
-// supply returns the groups of a model for its share of the work.
-func (p *planner) supply(m *catalog.Model) float64 {
-	return float64(p.count(m.Name)) / p.share(m)
-}
-
-// share returns the model's share of the work: the declared one, raised by what
-// its requests meet. The declared share is of the start, and says nothing of how
-// many requests a group of the model takes.
-func (p *planner) share(m *catalog.Model) float64 {
-	return max(m.Share, minShare) * (1 + pressureWeight*p.in.Pressure[m.Name])
-}
-
-// pressureWeight makes a model whose every second request is refused weigh twice
-// its share.
-const pressureWeight = 2
-
-// lastReady returns when the last of the members, readiest first, can have joined.
-func (p *planner) lastReady(members []roster.ID, m *catalog.Model) time.Duration {
-	if p.in.FreeLoads {
-		return 0 // the loads of all groups run at the same time
-	}
-	return p.readyIn(p.in.Facts[members[len(members)-1]], m)
-}
-
-// soon reports whether the members, readiest first, can all join without a load.
-func (p *planner) soon(members []roster.ID, m *catalog.Model) bool {
-	return p.readyIn(p.in.Facts[members[len(members)-1]], m) <= soonLimit
+// supplyOf returns the same for a number of groups. What a share is declared of
+// is the engines' time: a group of four takes twice the engines of a group of two,
+// and does the work of one group.
+func (p *planner) supplyOf(m *catalog.Model, groups float64) float64 {
+	return groups * float64(m.Size) / p.work(m)
 }
 
 const (
@@ -135,26 +72,19 @@
 	minShare = 0.01
 )
 
-// count returns the groups of a model that serve or will. One that has just
-// begun to close counts too: what is left of it forms the next one in a moment,
-// and another domain's engines must not be turned to its model for that.
-func (p *planner) count(model string) int {
-	return p.countUnless(func(c *closing) bool { return p.in.Now.Sub(c.since) >= closesSoon }, model)
-}
-
-// closes leaves out every group that closes.
-func closes(*closing) bool { return true }
-
-// countUnless returns the groups of a model, without those that close and for
-// which leftOut holds.
-func (p *planner) countUnless(leftOut func(*closing) bool, model string) int {
+// count returns the groups of a model that serve or will, as the engines of a
+// domain are decided on. A group of another domain that has just begun to close
+// counts: what is left of it forms the next one in a moment, and this domain's
+// engines must not be turned to its model for that.
+func (p *planner) count(model, domain string) int {
 	n := 0
 	for i := range p.out.Ledger.Groups {
 		g := &p.out.Ledger.Groups[i]
 		if g.Service != p.in.Service || g.Model != model {
 			continue
 		}
-		if c := p.mem.closing[g.Name]; c == nil || !leftOut(c) {
+		c := p.mem.closing[g.Name]
+		if c == nil || g.Domain != domain && p.in.Now.Sub(c.since) < closesSoon {
 			n++
 		}
 	}
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -7,6 +7,7 @@
 
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
+	"chervilloom/internal/demand"
 	"chervilloom/internal/roster"
 )
 
@@ -21,9 +22,8 @@
 	Ledger  Ledger
 	// NextEpoch returns an epoch higher than all that were ever given out.
 	NextEpoch func() uint64
-	// Pressure is the share of each model's requests, 0 to 1, that found no place
-	// of late; nil: unknown.
-	Pressure map[string]float64
+	// Demand is what requests have asked for of late.
+	Demand demand.Demand
 	// FreeLoads: no request has come yet, so loads don't slow anything down and
 	// need not be spread over time.
 	FreeLoads bool
@@ -51,7 +51,7 @@
 	loading map[roster.ID]load
 	opened  map[string]bool          // groups that were open at some time
 	since   map[string]clock.Instant // when a group was first seen
-	turning map[string]turn          // domains whose engines are turned over to a model
+	turning map[string]turn          // by domain
 	over    map[string]bool          // groups whose head surely takes no more requests
 	formed  map[string]bool          // groups that were formed in this tenure
 }
--- a/internal/formation/plan_test.go
+++ b/internal/formation/plan_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"chervilloom/internal/demand"
 	"chervilloom/internal/roster"
 )
 
@@ -294,7 +295,7 @@
 	w.free = false
 	is.Equal(len(w.serving("big")), 3)
 	is.Equal(len(w.serving("small")), 3)
-	w.pressure = map[string]float64{"small": 0.9}
+	w.demand = demand.Demand{Requests: 400, Work: map[string]float64{"big": 1, "small": 4}}
 	w.run(10 * time.Second)
 	is.Equal(len(w.serving("big")), 2) // the other model keeps what its share asks for
 	is.True(len(w.serving("small")) >= 4)
--- a/internal/formation/prepare.go
+++ b/internal/formation/prepare.go
@@ -99,10 +99,10 @@
 // prepare makes free engines ready: first those that the next groups lack, then
 // the spares. An engine is ready when the weights are staged on its host and it
 // is in a group of its own, from which it joins another one in hotJoin.
-func (p *planner) prepare(free []*Fact) {
+func (p *planner) prepare(domain string, free []*Fact) {
 	rest := slices.Clone(free)
 	for {
-		m, members := p.nextGroup(rest)
+		m, members := p.nextGroup(domain, rest)
 		if m == nil {
 			break
 		}
@@ -120,9 +120,13 @@
 	}
 }
 
+// lackWeight is how many engines for a share of one a load that is lacking
+// outweighs.
+const lackWeight = 2.5
+
 // nextGroup returns the model whose next group lacks the fewest loads, and the
 // engines for it.
-func (p *planner) nextGroup(free []*Fact) (*catalog.Model, []roster.ID) {
+func (p *planner) nextGroup(domain string, free []*Fact) (*catalog.Model, []roster.ID) {
 	var best *catalog.Model
 	var bestMembers []roster.ID
 	var bestCost float64
@@ -139,7 +143,7 @@
 			}
 		}
 		// A model without groups for its share goes before one that lacks less.
-		cost := float64(lacks) + p.supply(m) + float64(p.coming[m.Name])/p.share(m)
+		cost := float64(lacks)*lackWeight + p.supply(m, domain) + p.supplyOf(m, float64(p.coming[m.Name]))
 		if best == nil || cost < bestCost {
 			best, bestMembers, bestCost = m, members, cost
 		}
@@ -154,7 +158,7 @@
 	for i := range p.in.Engine.Models {
 		models = append(models, &p.in.Engine.Models[i])
 	}
-	slices.SortStableFunc(models, func(a, b *catalog.Model) int { return cmp.Compare(p.share(b), p.share(a)) })
+	slices.SortStableFunc(models, func(a, b *catalog.Model) int { return cmp.Compare(p.work(b), p.work(a)) })
 	out := make([]*catalog.Model, 0, n)
 	for i := range n {
 		out = append(out, models[i%len(models)])
--- a/internal/formation/world_test.go
+++ b/internal/formation/world_test.go
@@ -7,6 +7,7 @@
 
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
+	"chervilloom/internal/demand"
 	"chervilloom/internal/roster"
 )
 
@@ -58,23 +59,23 @@
 // world is a zone of engines and the node that plans for it. Orders may be lost,
 // or carried out seconds after they were given and after newer ones.
 type world struct {
-	now      clock.Instant
-	engine   *catalog.Engine
-	engines  map[roster.ID]*simEngine
-	ledger   Ledger
-	mem      *Memory
-	facts    map[roster.ID]*Fact
-	fence    uint64
-	epochs   uint64
-	since    clock.Instant // when this owner began
-	free     bool          // loads are free
-	pressure map[string]float64
-	late     []lateOrder
-	ready    map[string]map[roster.ID]bool // by group and epoch: who has been ready
-	sizes    map[string]int                // members that the group was formed of
-	broken   string                        // the first invariant that broke
-	loads    []clock.Instant
-	next     int
+	now     clock.Instant
+	engine  *catalog.Engine
+	engines map[roster.ID]*simEngine
+	ledger  Ledger
+	mem     *Memory
+	facts   map[roster.ID]*Fact
+	fence   uint64
+	epochs  uint64
+	since   clock.Instant // when this owner began
+	free    bool          // loads are free
+	demand  demand.Demand
+	late    []lateOrder
+	ready   map[string]map[roster.ID]bool // by group and epoch: who has been ready
+	sizes   map[string]int                // members that the group was formed of
+	broken  string                        // the first invariant that broke
+	loads   []clock.Instant
+	next    int
 	// fate says what becomes of an order: given and answered, given without an
 	// answer, or carried out later.
 	fate func() fate
@@ -345,7 +346,7 @@
 	out := Plan(&Input{
 		Now: w.now, Since: w.since, Zone: "z", Service: "s", Engine: w.engine, Facts: w.facts, Ledger: w.ledger,
 		NextEpoch: func() uint64 { w.epochs++; return w.fence*1_000_000 + w.epochs },
-		FreeLoads: w.free, Pressure: w.pressure, Params: DefaultParams(5*time.Second, 7, 2),
+		FreeLoads: w.free, Demand: w.demand, Params: DefaultParams(5*time.Second, 7, 2),
 	}, w.mem)
 	w.ledger = out.Ledger
 	for _, g := range out.Ledger.Groups {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -49,9 +49,7 @@
 func (x *exchange) run(ctx context.Context) {
 	x.f.budget(x.service).First(budgetClass)
 	ep := x.pick()
-	if e := x.engine(); e != nil && e.Model(x.req.Model) != nil {
-		x.f.pressure.note(x.req.Model, ep != nil)
-	}
+	x.noteDemand()
 	if ep == nil {
 		x.refuseUnserved()
 		return
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -13,6 +13,7 @@
 	"chervilloom/internal/balance"
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
+	"chervilloom/internal/demand"
 	"chervilloom/internal/outcome"
 	"chervilloom/internal/request"
 	"chervilloom/internal/retry"
@@ -64,11 +65,11 @@
 	// Nodes returns how many nodes share the endpoints.
 	Nodes func() int
 
-	usual    usualTimes
-	pressure pressure
-	offset   atomic.Uint32
-	mu       sync.Mutex
-	budgets  map[string]*retry.Budget
+	usual   usualTimes
+	demand  demand.Meter
+	offset  atomic.Uint32
+	mu      sync.Mutex
+	budgets map[string]*retry.Budget
 }
 
 const (
