A zone out of reach is left whole; reports in doubt get the time that they take here

Ruled out: that members of cut groups could be used meanwhile: none can be ordered. Change: a group none of whose members answers is told as lost but nothing is done to it until one answers and the others have been asked 300 ms later; it goes on if all are back. The brief limit is the mean of this tenure's reports and four spreads, 50 to 250 ms. Domains without free engines are weighed once a second.

--- a/internal/formation/allot.go
+++ b/internal/formation/allot.go
@@ -43,6 +43,10 @@
 	// closeMargin is what closing a group must gain beyond its costs, so that
 	// estimates that waver turn no group over and back.
 	closeMargin = 0.02
+	// idleMargin is what it must gain to turn groups over where no engine is free.
+	idleMargin = 0.1
+	// weighAgain is the pause between two looks at a domain without free engines.
+	weighAgain = time.Second
 	// settleFor is how long the engines of a domain are left as they are after one
 	// of its groups began to close: its members leave within a few milliseconds of
 	// each other, and the first two must not be bound before the others are free.
@@ -114,7 +118,7 @@
 func (p *planner) beginTurn(domain string, o option) {
 	t := turn{until: p.in.Now.Add(turnFor)}
 	for _, g := range o.closed {
-		c := &closing{reason: "its engines are needed more by another model", mode: Truncate, since: p.in.Now}
+		c := &closing{reason: "its engines are needed more by another model", mode: Truncate, since: p.in.Now, begun: true}
 		if p.count(g.Model, domain) <= 1 {
 			c.mode = Finish // its streams have nowhere to go on
 		}
@@ -129,9 +133,17 @@
 // bestOption returns the best use of the free engines of a domain.
 func (p *planner) bestOption(domain string, free []*Fact) option {
 	best := p.bestOf(domain, nil, free)
-	if len(free) == 0 || p.in.FreeLoads {
+	if p.in.FreeLoads {
 		return best
 	}
+	if len(free) == 0 {
+		// Demand has shifted, or another domain has lost what it can't replace.
+		if p.in.Now.Sub(p.mem.weighed[domain]) < weighAgain {
+			return best
+		}
+		p.mem.weighed[domain] = p.in.Now
+		best.value += idleMargin
+	}
 	groups := p.closable(domain)
 	for i, g := range groups {
 		best = better(best, p.bestOf(domain, []*Group{g}, free))
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -59,6 +59,7 @@
 	since   clock.Instant // when the tenure began
 	epochs  uint64        // given out in this tenure
 	memory  map[string]*Memory
+	pace    roundTrip // of this tenure's reports
 	wake    chan struct{}
 }
 
@@ -78,10 +79,7 @@
 	// probeLimit is how long a report may take: a round trip takes 3 ms across
 	// zones, a resent packet 200 ms.
 	probeLimit = 250 * time.Millisecond
-	// probeBrief is the limit while the group's streams stand still: engines that
-	// live answer in a few milliseconds, and one that doesn't is the cause.
-	probeBrief = 50 * time.Millisecond
-	briefFor   = 400 * time.Millisecond
+	briefFor   = 400 * time.Millisecond // how long a doubt shortens reports' limit
 	// sureFor is the least pause between two reports of an engine that answers.
 	// Each node that has streams at a head doubts it at another moment: without
 	// the pause one long pass would cost several reports of each of 16 members.
@@ -162,6 +160,7 @@
 	c.facts = map[roster.ID]*Fact{}
 	c.probes = map[roster.ID]*probe{}
 	c.memory = map[string]*Memory{}
+	c.pace = roundTrip{}
 	c.Log.Info("duty begun", "zone", c.Zone, "fence", grant.Fence, "taken_over", grant.TakenOver, "groups", len(c.ledger.Groups))
 	return true
 }
--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -134,6 +134,8 @@
 	Answered clock.Instant // when the newest report was asked for; 0: never
 	Failing  clock.Instant // since when reports fail; 0: the newest one came
 	Failures int           // reports that failed in a row
+	Missed   clock.Instant // when the newest report that failed was asked for
+	Regained clock.Instant // when the first report after one that failed was asked for; 0: none failed
 	Gone     bool          // its process has surely ended
 	Sure     clock.Instant // until then its answers to orders go before its reports, which lag
 	Counted  clock.Instant // reports asked for before this show a Count that is too low
--- a/internal/formation/giving.go
+++ b/internal/formation/giving.go
@@ -19,7 +19,7 @@
 	for _, n := range p.out.Notes {
 		c.Log.Info("groups", "zone", c.Zone, "service", p.service, "fence", grant.Fence, "decision", n)
 	}
-	for _, h := range p.out.Lost {
+	for _, h := range slices.Concat(p.out.Lost, p.out.Back) {
 		c.Announce(h)
 	}
 	if p.out.Changed && !c.commit(ctx, grant, p.out.Ledger) {
@@ -184,6 +184,9 @@
 	if asked.Before(f.Counted) {
 		rep.Count = f.Report.Count
 	}
+	if f.Failures > 0 {
+		f.Regained = asked
+	}
 	f.Report, f.Answered, f.Failing, f.Failures = rep, asked, 0, 0
 	if rep.Domain != "" {
 		f.Domain = rep.Domain
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -39,6 +39,7 @@
 	Hurry   map[roster.ID]time.Duration // engines whose state is awaited: ask again after this
 	Notes   []string                    // what was decided about groups, and why
 	Lost    []roster.Hint               // heads of groups that have just lost a member
+	Back    []roster.Hint               // heads of groups that were taken for lost and serve on
 }
 
 // Memory is what a planner remembers between two plans of one tenure. A new
@@ -52,6 +53,7 @@
 	opened  map[string]bool          // groups that were open at some time
 	since   map[string]clock.Instant // when a group was first seen
 	turning map[string]turn          // by domain
+	weighed map[string]clock.Instant // when a domain without free engines was looked at
 	over    map[string]bool          // groups whose head surely takes no more requests
 	formed  map[string]bool          // groups that were formed in this tenure
 }
@@ -67,6 +69,7 @@
 	reason string
 	mode   CloseMode
 	since  clock.Instant
+	begun  bool // orders were given or a claim was written to end the group
 }
 
 // NewMemory returns an empty memory.
@@ -74,8 +77,8 @@
 	return &Memory{
 		sent: map[orderKey]clock.Instant{}, joined: map[orderKey]clock.Instant{}, closing: map[string]*closing{},
 		loading: map[roster.ID]load{}, opened: map[string]bool{},
-		turning: map[string]turn{},
-		since:   map[string]clock.Instant{}, over: map[string]bool{}, formed: map[string]bool{},
+		turning: map[string]turn{}, weighed: map[string]clock.Instant{},
+		since: map[string]clock.Instant{}, over: map[string]bool{}, formed: map[string]bool{},
 	}
 }
 
@@ -123,6 +126,12 @@
 			p.tellLost(g, c)
 		}
 	}
+	if c != nil && p.goesOn(g, c) {
+		delete(p.mem.closing, g.Name)
+		p.note("group %s goes on: its members answer again", g.Name)
+		p.out.Back = append(p.out.Back, p.hintOf(g, roster.Open))
+		c = nil
+	}
 	if c == nil {
 		p.keep(g)
 		p.advance(g)
@@ -136,6 +145,13 @@
 	p.out.Changed = true
 }
 
+func (p *planner) hintOf(g *Group, state roster.GroupState) roster.Hint {
+	return roster.Hint{
+		ID: g.Head(), Model: g.Model,
+		Member: roster.Membership{Group: g.Name, Epoch: g.Epoch, State: state},
+	}
+}
+
 func (p *planner) keep(g *Group) {
 	p.out.Ledger.Groups = append(p.out.Ledger.Groups, *g)
 	for _, m := range g.Members {
--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -13,7 +13,7 @@
 // probe is the schedule of one engine's reports.
 type probe struct {
 	next    clock.Instant
-	brief   clock.Instant // until then a report must come within probeBrief
+	brief   clock.Instant // until then a report must come within the brief limit
 	suspect clock.Instant // until then a node's word counts that its requests there stand still
 	running bool
 }
@@ -93,7 +93,7 @@
 		p.running = true
 		limit := probeLimit
 		if now.Before(p.brief) {
-			limit = probeBrief
+			limit = c.pace.brief()
 		}
 		go c.probe(ctx, id, c.facts[id].Addr, now, limit)
 	}
@@ -114,6 +114,7 @@
 	if err != nil {
 		c.probeFailed(f, p, asked, now, err)
 	} else {
+		c.pace.took(now.Sub(asked))
 		f.takeReport(rep, asked)
 		p.next = now.Add(c.calmPause(f, now))
 	}
@@ -148,6 +149,7 @@
 		f.Failing = asked
 	}
 	f.Failures++
+	f.Missed = asked
 	pause := probeAgain
 	if f.Failures > 4 {
 		pause = probeCalm
--- a/internal/formation/takeapart.go
+++ b/internal/formation/takeapart.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
 	"chervilloom/internal/catalog"
+	"chervilloom/internal/clock"
 	"chervilloom/internal/roster"
 )
 
@@ -15,10 +17,7 @@
 	if c.mode != Truncate {
 		return
 	}
-	p.out.Lost = append(p.out.Lost, roster.Hint{
-		ID: g.Head(), Model: g.Model,
-		Member: roster.Membership{Group: g.Name, Epoch: g.Epoch, State: roster.Broken},
-	})
+	p.out.Lost = append(p.out.Lost, p.hintOf(g, roster.Broken))
 }
 
 // health says whether an engine can be counted on.
@@ -185,6 +184,10 @@
 		p.mem.over[g.Name] = true // its process has ended: it is surely not open
 		return true
 	}
+	if p.outOfReach(g, c) {
+		return false
+	}
+	c.begun = true
 	switch p.health(g.Head()) {
 	case alive:
 		if !p.closeHead(g, c) {
@@ -199,6 +202,55 @@
 	return p.abandon(g, c)
 }
 
+// reachMargin is how much later than the first member the others of a group may be
+// reached again: a packet that was lost at the end of a cut is resent after 200 ms.
+const reachMargin = 300 * time.Millisecond
+
+// outOfReach reports whether nothing tells yet that a group has really lost a
+// member: none of its members answers, or those that answer again were asked before
+// the others have been asked anew. A zone that is cut off from this node looks like
+// that, and a domain that goes dark for a while. No engine could be freed meanwhile,
+// and the group serves on as soon as it is back; taken apart, a zone's groups formed
+// anew for two seconds after each cut.
+func (p *planner) outOfReach(g *Group, c *closing) bool {
+	if c.begun || g.Ending || p.unlisted(g) {
+		return false
+	}
+	const never = clock.Instant(math.MaxInt64)
+	back := never // when the first member that answers was asked, after it had not
+	for _, m := range g.Members {
+		if p.health(m) == alive {
+			back = min(back, p.in.Facts[m].Regained)
+		}
+	}
+	if back == 0 {
+		return false
+	}
+	for _, m := range g.Members {
+		f := p.in.Facts[m]
+		if f == nil || f.Gone || p.health(m) == alive || back != never && f.Missed.Sub(back) >= reachMargin {
+			continue
+		}
+		p.hurryIn(m, 0)
+		return true
+	}
+	return false
+}
+
+// goesOn reports whether a group that was taken for lost is whole and serves: all
+// members answer and are in it, and nothing was done to end it.
+func (p *planner) goesOn(g *Group, c *closing) bool {
+	if c.begun || g.Ending || c.mode != Truncate {
+		return false
+	}
+	for _, m := range g.Members {
+		if p.health(m) != alive || !p.inGroup(m, g) {
+			return false
+		}
+	}
+	return p.in.Facts[g.Head()].Report.Member.State == roster.Open && p.shouldClose(g) == nil
+}
+
 // closeHead takes a reachable head out of the group: closed first where its
 // requests are to end, then out of the group, so that an open order that arrives
 // late finds nothing to open. A join that is still on its way is void by then
--- a/internal/formation/world_test.go
+++ b/internal/formation/world_test.go
@@ -332,6 +332,7 @@
 			f.Failing = w.now
 		}
 		f.Failures++
+		f.Missed = w.now
 		return
 	}
 	w.remember()
