Groups of one model are closed as many as a group of another takes

Ruled out: all subsets, they grow too fast. Change: for each model its first k groups, those whose members are ready for another model soonest.

--- a/internal/formation/allot.go
+++ b/internal/formation/allot.go
@@ -144,16 +144,25 @@
 		p.mem.weighed[domain] = p.in.Now
 		best.value += idleMargin
 	}
-	groups := p.closable(domain)
-	for i, g := range groups {
-		best = better(best, p.bestOf(domain, []*Group{g}, free))
-		for _, other := range groups[i+1:] {
-			best = better(best, p.bestOf(domain, []*Group{g, other}, free))
+	for i := range p.in.Engine.Models {
+		m := &p.in.Engine.Models[i]
+		groups := p.closable(domain, m)
+		for k := 1; k <= min(len(groups), p.mostClosed(m)); k++ {
+			best = better(best, p.bestOf(domain, groups[:k], free))
 		}
 	}
 	return best
 }
 
+// mostClosed is how many groups of a model give the engines for a group of any.
+func (p *planner) mostClosed(m *catalog.Model) int {
+	largest := 0
+	for i := range p.in.Engine.Models {
+		largest = max(largest, p.in.Engine.Models[i].Size)
+	}
+	return (largest + max(1, m.Size) - 1) / max(1, m.Size)
+}
+
 func better(a, b option) option {
 	if b.value > a.value {
 		return b
@@ -161,18 +170,40 @@
 	return a
 }
 
-// closable returns the groups of the domain that serve.
-func (p *planner) closable(domain string) []*Group {
+// closable returns the groups of a model that serve in the domain, those first whose
+// members are ready for another model soonest.
+func (p *planner) closable(domain string, m *catalog.Model) []*Group {
 	var out []*Group
 	for i := range p.out.Ledger.Groups {
 		g := &p.out.Ledger.Groups[i]
-		if g.Service == p.in.Service && g.Domain == domain && p.mem.closing[g.Name] == nil && p.mem.opened[g.Name] {
+		if g.Service == p.in.Service && g.Domain == domain && g.Model == m.Name && p.mem.closing[g.Name] == nil && p.mem.opened[g.Name] {
 			out = append(out, g)
 		}
 	}
+	slices.SortStableFunc(out, func(a, b *Group) int { return cmp.Compare(p.readyElsewhere(a), p.readyElsewhere(b)) })
 	return out
 }
 
+// readyElsewhere returns when the last member of a group could have joined a group
+// of the model for which that is soonest.
+func (p *planner) readyElsewhere(g *Group) time.Duration {
+	soonest := time.Duration(math.MaxInt64)
+	for i := range p.in.Engine.Models {
+		m := &p.in.Engine.Models[i]
+		if m.Name == g.Model {
+			continue
+		}
+		last := time.Duration(0)
+		for _, id := range g.Members {
+			if f := p.in.Facts[id]; f != nil {
+				last = max(last, p.readyIn(f, m))
+			}
+		}
+		soonest = min(soonest, last)
+	}
+	return soonest
+}
+
 // bestOf returns the best groups that can be formed of the free engines and the
 // members of closed groups.
 func (p *planner) bestOf(domain string, closed []*Group, free []*Fact) option {
