--- a/internal/formation/plan_test.go
+++ b/internal/formation/plan_test.go
@@ -282,9 +282,9 @@
 	is.Equal(out.Orders[0].Mode, Finish)
 }
 
-// Every second request of the smaller model finds no place while the larger one
-// has room: a zone with a group too many of the larger model turns it over.
-func TestPressureTurnsGroupsOver(t *testing.T) {
+// Requests ask four times as much of the smaller model's groups as of the larger
+// one's: a zone with a group too many of the larger model turns it over.
+func TestDemandTurnsGroupsOver(t *testing.T) {
 	is := is.New(t)
 	w := newWorld()
 	w.free = true
