--- a/internal/formation/allot.go
+++ b/internal/formation/allot.go
@@ -30,15 +30,16 @@
 	// horizon is the time over which an option is valued: an engine of a zone is
 	// lost about this often in a bad hour, and then everything is weighed anew.
 	horizon = 10 * time.Second
-	// usualLoad is the part of a zone's engines that the usual load needs at full
-	// batches; fleets are bought with about twice that.
+	// usualLoad is the part of a zone's engines that the usual load is taken to need
+	// at full batches. It is assumed; it sets only how early a model counts as served
+	// enough, the same for all.
 	usualLoad = 0.5
-	// saturation shapes the worth of a model's groups: with as many as its requests
-	// need at full batches three quarters of them are in time, with twice as many
-	// 19 of 20.
+	// saturation shapes the worth of a model's groups. It is assumed that with as
+	// many as its requests need at full batches three quarters of them are in time,
+	// with twice as many 19 of 20.
 	saturation = 1.5
-	// moveTime is the service that the streams of a closed group lose on their way
-	// to another one.
+	// moveTime is the service that the streams of a closed group are taken to lose on
+	// their way to another one; assumed.
 	moveTime = time.Second
 	// closeMargin is what closing a group must gain beyond its costs, so that
 	// estimates that waver turn no group over and back.
--- a/internal/formation/roundtrip.go
+++ b/internal/formation/roundtrip.go
@@ -19,8 +19,7 @@
 	// briefSpreads is how far from the mean a report is too late to come: the same
 	// bound that TCP takes for its retransmissions.
 	briefSpreads = 4
-	// briefLeast: engines that live answer in a few milliseconds, two of them across
-	// zones; a node that reads its sockets every 15 ms sees it within that.
+	// briefLeast: engines that live answer in a few milliseconds.
 	briefLeast = 50 * time.Millisecond
 )
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -119,7 +119,7 @@
 
 // awaitStart waits a moment for a node that has just started. All nodes start at
 // once after a loss of power, and clients meet them a few milliseconds later, often
-// on their last try: a refusal lost 12 to 35 requests of such a day.
+// on their last try: refused then, their request is lost.
 func (f *Forwarder) awaitStart(ctx context.Context) {
 	select {
 	case <-f.Started:
--- a/internal/forward/start_test.go
+++ b/internal/forward/start_test.go
@@ -22,7 +22,7 @@
 		is.Equal(time.Since(begun), startWait)
 
 		go func() {
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(20 * time.Millisecond) // in the bubble's time: the first reads
 			close(started)
 		}()
 		begun = time.Now()
