An endpoint that starts again is another one; entries of other writers name nobody

Cause: roster.ID was the endpoint's name alone. An endpoint that starts again under it holds nothing of before, but its group, claim, loads and records went on. An entry without service or with an unknown state was taken for usable.

Ruled out: comparing starts in each place that keeps something by id; a name with the start in one type ends all of it at once. A reborn head taken like one that is gone frees members at once: the mutation of that is red ("e01 joins ... while e00 of its group is open"), so its members leave one by one.

Change: roster.ID is name and start, made and taken apart by the adapter; a later life in list or report ends the former; earlier ones conclude nothing, for 5 s where the list shows them. Entries and reports are checked for presence, type and value, logged once with the reason, counted. World and stand-in learn restarts; the property plays them.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -49,7 +49,7 @@
 	return catalog.Change{Cursor: 1}, s.call()
 }
 
-func (s *fakeStore) Endpoints(context.Context) ([]roster.Endpoint, []string, error) {
+func (s *fakeStore) Endpoints(context.Context) ([]roster.Endpoint, []roster.Rejected, error) {
 	return nil, nil, s.call()
 }
 
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -26,6 +26,10 @@
 		return n.Clock.Now().Sub(n.roster.current.Load().Asked).Seconds()
 	})
 	gauge("chervilloom_roster_heads", "Heads of groups that take requests, as this node knows them.", n.countHeads)
+	n.roster.rejects = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "chervilloom_roster_rejected_total", Help: "Entries of the list that named no endpoint to use, each read anew.",
+	})
+	reg.MustRegister(n.roster.rejects)
 	gauge("chervilloom_duty_held_zones", "Availability zones whose groups this node runs.", n.countDuties)
 	gauge("chervilloom_feed_following", "1 while another node keeps this one up to date.", func() float64 {
 		if n.follower.following() {
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
 	"chervilloom/internal/roster"
@@ -22,7 +24,7 @@
 
 // EndpointSource reads the list of endpoints.
 type EndpointSource interface {
-	Endpoints(ctx context.Context) (list []roster.Endpoint, unreadable []string, err error)
+	Endpoints(ctx context.Context) (list []roster.Endpoint, rejected []roster.Rejected, err error)
 }
 
 // The pace of the reads. A key may be served for revokeMargin less than the
@@ -159,10 +161,32 @@
 	mu      sync.Mutex // held while the next roster is made
 	current atomic.Pointer[roster.Roster]
 	wake    chan struct{}
-	once    sync.Once
 	idle    func() bool // another node keeps the list up to date
 	// leaves is told of each endpoint that the list shows to leave; nil: nobody.
 	leaves func(roster.ID)
+	// rejects counts entries that name no endpoint to use; nil: nobody counts.
+	rejects prometheus.Counter
+	told    map[string]bool // keys of rejected entries that were logged
+}
+
+// mostTold bounds the lines about rejected entries; the metric counts all.
+const mostTold = 50
+
+// noteRejected logs each rejected entry once.
+func (w *rosterWatcher) noteRejected(rejected []roster.Rejected) {
+	for _, r := range rejected {
+		if w.rejects != nil {
+			w.rejects.Inc()
+		}
+		if w.told[r.Key] || len(w.told) >= mostTold {
+			continue
+		}
+		if w.told == nil {
+			w.told = map[string]bool{}
+		}
+		w.told[r.Key] = true
+		w.log.Warn("entry names no endpoint to use", "key", r.Key, "reason", r.Reason)
+	}
 }
 
 func newRosterWatcher(source EndpointSource, c clock.Clock, log *slog.Logger) *rosterWatcher {
@@ -190,7 +214,7 @@
 		}
 		asked := w.clock.Now()
 		rctx, cancel := context.WithTimeout(ctx, rosterLimit)
-		list, unreadable, err := w.source.Endpoints(rctx)
+		list, rejected, err := w.source.Endpoints(rctx)
 		cancel()
 		switch {
 		case ctx.Err() != nil:
@@ -206,17 +230,15 @@
 				w.log.Info("endpoints are read again", "endpoints", len(list))
 			}
 			down = false
-			w.take(list, unreadable, asked, recovered)
+			w.take(list, rejected, asked, recovered)
 		}
 		w.pause(ctx, down)
 	}
 	return nil
 }
 
-func (w *rosterWatcher) take(list []roster.Endpoint, unreadable []string, asked, recovered clock.Instant) {
-	if len(unreadable) > 0 {
-		w.once.Do(func() { w.log.Warn("endpoints with unreadable entries are left out", "endpoints", unreadable) })
-	}
+func (w *rosterWatcher) take(list []roster.Endpoint, rejected []roster.Rejected, asked, recovered clock.Instant) {
+	w.noteRejected(rejected)
 	w.mu.Lock()
 	old := w.current.Load()
 	next := roster.Merge(old, list, asked, recovered)
--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -104,6 +104,14 @@
 // engine that had it has ended for good.
 var ErrOtherLife = errors.New("formation: another process has the engine's address; the engine is gone")
 
+// ErrReborn means that an engine has started again under its name and address: the
+// life that was asked has ended, and what it held and knew is gone.
+var ErrReborn = errors.New("formation: the engine has started again; its former life is over")
+
+// ErrEarlierLife means that an answer is of a process that ended before the one that
+// was asked: it says nothing of that one.
+var ErrEarlierLife = errors.New("formation: the answer is of an earlier life of the engine; it concludes nothing")
+
 // Report is what an engine tells of itself.
 type Report struct {
 	Member roster.Membership
@@ -137,6 +145,7 @@
 	Missed   clock.Instant // when the newest report that failed was asked for
 	Regained clock.Instant // when the first report after one that failed was asked for; 0: none failed
 	Gone     bool          // its process has surely ended
+	Reborn   bool          // and another life of the engine has its name and address
 	Sure     clock.Instant // until then its answers to orders go before its reports, which lag
 	Counted  clock.Instant // reports asked for before this show a Count that is too low
 	Begun    string        // group of the newest join that it has begun
--- a/internal/formation/plan_test.go
+++ b/internal/formation/plan_test.go
@@ -414,6 +414,7 @@
 			"drain":     func(*rapid.T) { some().draining = true },
 			"slow":      func(*rapid.T) { some().pace = 4 },
 			"arrive":    func(*rapid.T) { w.add("d1", 1) },
+			"restart":   func(*rapid.T) { w.restart(some()) },
 			"take over": func(*rapid.T) { w.takeOver() },
 			"": func(t *rapid.T) {
 				if w.broken != "" {
--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -60,8 +60,15 @@
 			}
 		}
 	}
+	latest := map[string]roster.ID{}
+	for id := range listed {
+		latest[id.Name()] = id
+	}
 	for id, f := range c.facts {
 		f.Listed = listed[id]
+		if id.Before(latest[id.Name()]) {
+			f.endLife()
+		}
 		if !f.Listed && !c.claims(id) && f.Failures > 0 {
 			delete(c.facts, id)
 			delete(c.probes, id)
@@ -142,7 +149,14 @@
 }
 
 func (c *Controller) probeFailed(f *Fact, p *probe, asked, now clock.Instant, err error) {
-	if errors.Is(err, ErrOtherLife) {
+	switch {
+	case errors.Is(err, ErrEarlierLife):
+		c.Log.Info("report concludes nothing", "zone", c.Zone, "endpoint", f.ID, "err", err)
+		p.next = now.Add(probeAgain)
+		return
+	case errors.Is(err, ErrReborn):
+		f.endLife()
+	case errors.Is(err, ErrOtherLife):
 		f.Gone = true
 	}
 	if f.Failures == 0 {
@@ -160,6 +174,9 @@
 	}
 }
 
+// endLife notes that the engine has started again.
+func (f *Fact) endLife() { f.Gone, f.Reborn = true, true }
+
 // known reports whether every listed engine of the service was asked at least
 // once. A plan made before would form groups around engines it knows nothing of.
 func (c *Controller) known(service string) bool {
--- a/internal/formation/takeapart.go
+++ b/internal/formation/takeapart.go
@@ -180,6 +180,13 @@
 // members are free.
 func (p *planner) takeApart(g *Group, c *closing) bool {
 	head := p.in.Facts[g.Head()]
+	if head != nil && head.Reborn {
+		// Orders to join and to open the group that are still on their way would reach
+		// the head's new life, which could lead the group again: its members are free
+		// only once they have left.
+		c.begun = true
+		return p.abandon(g, c)
+	}
 	if head != nil && head.Gone {
 		p.mem.over[g.Name] = true // its process has ended: it is surely not open
 		return true
--- a/internal/formation/world_test.go
+++ b/internal/formation/world_test.go
@@ -25,7 +25,8 @@
 
 // simEngine is an engine as its orders change it.
 type simEngine struct {
-	id       roster.ID
+	id       roster.ID // its name; born tells its lives apart
+	born     uint64
 	domain   string
 	dead     bool // its process has ended
 	cut      bool // the planning node can't reach it
@@ -46,6 +47,22 @@
 	told     []toldState // what its reports say, oldest first
 }
 
+// life names the engine's present life.
+func (e *simEngine) life() roster.ID { return roster.Life(string(e.id), e.born) }
+
+// at returns the engine that an order to a life reaches: whoever has its name now.
+func (w *world) at(id roster.ID) *simEngine { return w.engines[roster.ID(id.Name())] }
+
+// restart begins another life of the engine under its name.
+func (w *world) restart(e *simEngine) {
+	*e = simEngine{id: e.id, born: e.born + 1, domain: e.domain, cut: e.cut}
+}
+
+// rank is the engine's place in its group.
+func (e *simEngine) rank() int {
+	return slices.IndexFunc(e.members, func(m roster.ID) bool { return m.Name() == string(e.id) })
+}
+
 // toldState is an engine's state from an instant on, as its reports tell it.
 type toldState struct {
 	from clock.Instant
@@ -156,7 +173,7 @@
 // report returns the engine's state as it is now.
 func (e *simEngine) report() Report {
 	rep := Report{
-		Member: roster.Membership{Group: e.group, Epoch: e.epoch, Rank: slices.Index(e.members, e.id), State: e.state},
+		Member: roster.Membership{Group: e.group, Epoch: e.epoch, Rank: e.rank(), State: e.state},
 		Busy:   e.staging != "" || e.state == roster.Joining,
 		Pace:   e.pace, Count: e.count, Model: e.model, Staged: []string{}, Domain: e.domain,
 	}
@@ -200,7 +217,7 @@
 		if w.ready[k] == nil {
 			w.ready[k] = map[roster.ID]bool{}
 		}
-		w.ready[k][e.id] = true
+		w.ready[k][e.life()] = true
 	}
 }
 
@@ -227,7 +244,7 @@
 
 // execute carries an order out as an engine does, and returns how it is taken.
 func (w *world) execute(o Order) Verdict {
-	e := w.engines[o.To]
+	e := w.at(o.To)
 	if e == nil || e.dead {
 		return Lost
 	}
@@ -310,7 +327,7 @@
 	if e.group == "" || e.group == o.Group && e.epoch == o.Epoch || len(e.members) == 0 {
 		return
 	}
-	head := w.engines[e.members[0]]
+	head := w.at(e.members[0])
 	if head == nil || head.dead || head.group != e.group || head.epoch != e.epoch {
 		return
 	}
@@ -321,10 +338,10 @@
 
 // report asks an engine for its state, as the controller does.
 func (w *world) report(e *simEngine) {
-	f := w.facts[e.id]
+	f := w.facts[e.life()]
 	if f == nil {
-		f = &Fact{ID: e.id, Domain: e.domain}
-		w.facts[e.id] = f
+		f = &Fact{ID: e.life(), Domain: e.domain}
+		w.facts[e.life()] = f
 	}
 	f.Listed, f.Draining = !e.dead, e.draining
 	if e.dead || e.cut {
@@ -344,6 +361,12 @@
 	for _, e := range w.sorted() {
 		w.report(e)
 	}
+	for id, f := range w.facts {
+		if e := w.at(id); !e.cut && id.Before(e.life()) {
+			f.Listed = false
+			f.endLife()
+		}
+	}
 	out := Plan(&Input{
 		Now: w.now, Since: w.since, Zone: "z", Service: "s", Engine: w.engine, Facts: w.facts, Ledger: w.ledger,
 		NextEpoch: func() uint64 { w.epochs++; return w.fence*1_000_000 + w.epochs },
@@ -360,7 +383,7 @@
 }
 
 func (w *world) give(o Order) {
-	if e := w.engines[o.To]; e == nil || e.dead || e.cut {
+	if e := w.at(o.To); e == nil || e.dead || e.cut {
 		return
 	}
 	switch w.fate() {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -9,9 +9,6 @@
 	"chervilloom/internal/clock"
 )
 
-// ID names one life of an endpoint's process; a restart has another one.
-type ID string
-
 // GroupState is the state of an endpoint's membership in a group.
 type GroupState string
 
@@ -60,6 +57,13 @@
 	Asked     clock.Instant // when the list was asked for; it is at least as new as this
 	byID      map[ID]*Endpoint
 	byService map[string][]*Endpoint
+	lives     map[string]life // by name: the latest life that a list showed
+}
+
+// life is a life of an endpoint and when it was last listed.
+type life struct {
+	id     ID
+	listed clock.Instant
 }
 
 // Empty returns a roster of no endpoints.
@@ -81,6 +85,27 @@
 // Known reports whether a list was ever read.
 func (r *Roster) Known() bool { return r.Asked != 0 }
 
+// lifeMemory is how long an entry of an earlier life is left out after the later
+// one was listed: an entry that was written before the restart may come back after
+// an outage of the platform, and live endpoints write theirs anew every 1.2 s. An
+// earlier life that is still listed then is the live one, and the later entry was
+// not its endpoint's own.
+const lifeMemory = 5 * time.Second
+
+// noteLife takes up that a list asked for at asked shows the life. It reports
+// whether the entry counts: one of an earlier life than is known doesn't.
+func (r *Roster) noteLife(old *Roster, id ID, asked clock.Instant) bool {
+	name := id.Name()
+	if known, ok := old.lives[name]; ok && id.Before(known.id) && asked.Sub(known.listed) < lifeMemory {
+		if _, ok := r.lives[name]; !ok {
+			r.lives[name] = known
+		}
+		return false
+	}
+	r.lives[name] = life{id, asked}
+	return true
+}
+
 // LapseGrace is how long an endpoint that vanished around an outage of the
 // platform is still taken for listed. Entries lapse while the platform is away
 // and live endpoints write them anew within 2 s of its return; without the
@@ -96,9 +121,13 @@
 		Asked:     asked,
 		byID:      make(map[ID]*Endpoint, len(listed)),
 		byService: map[string][]*Endpoint{},
+		lives:     make(map[string]life, len(listed)),
 	}
 	for i := range listed {
 		e := &listed[i]
+		if !next.noteLife(old, e.ID, asked) {
+			continue
+		}
 		// Draining is final for one life. An older entry that is written
 		// again after an outage must not bring new work to a leaving endpoint.
 		if prev := old.Get(e.ID); prev != nil {
@@ -111,7 +140,7 @@
 	}
 	if recovered != 0 && asked.Sub(recovered) < LapseGrace {
 		old.All(func(e *Endpoint) {
-			if next.byID[e.ID] != nil {
+			if _, listed := next.lives[e.ID.Name()]; listed {
 				return
 			}
 			kept := *e
@@ -145,7 +174,7 @@
 	if e == nil || h.Member.Epoch < e.Member.Epoch {
 		return r
 	}
-	next := &Roster{Asked: r.Asked, byID: make(map[ID]*Endpoint, len(r.byID)), byService: map[string][]*Endpoint{}}
+	next := &Roster{Asked: r.Asked, byID: make(map[ID]*Endpoint, len(r.byID)), byService: map[string][]*Endpoint{}, lives: r.lives}
 	for _, list := range r.byService {
 		for _, old := range list {
 			if old.ID != h.ID {
