News over relays, duties on larger nodes, starts that leave the store to others

Cause: a hint went to 294 nodes one by one, four of five copies across zones; a duty fell to whichever node was first; at a start each of 295 nodes read configuration, list and leases (13 calls) until it knew whom to follow.

Ruled out: a star through the holder alone (one lost packet loses a zone).

Change: own zone directly, two relays in each other zone; rank by the size that nodes announce; a node that starts seeks for 1.2 s at most before it reads.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"hash/fnv"
 	"log/slog"
 	"math"
 	"net"
@@ -69,11 +68,14 @@
 	leaseRows   *leaseCache
 	follower    *follower
 	mesh        *news.Mesh
+	send        func(m news.Message, to ...string) // through mesh
 	loads       *loads
-	demand      demand.Zone   // what the zone's other nodes are asked for
-	started     chan struct{} // closed once the configuration and the endpoints are known
-	leaving     atomic.Bool   // SIGTERM came
-	asked       atomic.Bool   // a client's request came
+	demand      demand.Zone // what the zone's other nodes are asked for
+	began       clock.Instant
+	started     chan struct{}          // closed once the configuration and the endpoints are known
+	holds       func(zone string) bool // whether this node holds the zone's duty now
+	leaving     atomic.Bool            // SIGTERM came
+	asked       atomic.Bool            // a client's request came
 }
 
 // The times and bounds of a node.
@@ -141,7 +143,7 @@
 
 // New returns a node that Run starts.
 func New(o Options) *Node {
-	n := &Node{Options: o, started: make(chan struct{}), pool: &upstream.Pool{Clock: o.Clock}}
+	n := &Node{Options: o, began: o.Clock.Now(), started: make(chan struct{}), pool: &upstream.Pool{Clock: o.Clock}}
 	n.config = &configWatcher{source: o.Store, clock: o.Clock, log: o.Log}
 	n.roster = newRosterWatcher(o.Store, o.Clock, o.Log)
 	n.tracker = &balance.Tracker{
@@ -161,12 +163,11 @@
 	}
 	n.follower = &follower{node: n, ask: feed.NewClient(), clock: o.Clock, log: o.Log, wake: make(chan struct{}, 1)}
 	n.roster.leaves = n.tellLeaving
-	n.config.idle, n.roster.idle = n.follower.following, n.follower.following
+	n.config.idle, n.roster.idle = n.leavesStore, n.leavesStore
 	n.leaseRows = &leaseCache{Table: o.Store, clock: o.Clock, idle: n.follower.followingOwn}
-	n.mesh = &news.Mesh{
-		Log: o.Log, Receive: n.heard,
-		Peers: func() []string { return n.leaseRows.peers(o.Settings.VM) },
-	}
+	n.mesh = &news.Mesh{Log: o.Log, Receive: n.heard}
+	n.send = n.mesh.Send
+	n.holds = n.heldByLease
 	n.loads = newLoads(n)
 	for _, zone := range o.Settings.Zones {
 		n.addZone(zone)
@@ -177,11 +178,10 @@
 
 // addZone adds the duty of one availability zone. Its own nodes try first.
 func (n *Node) addZone(zone string) {
-	rank := n.rank(zone)
 	m := &lease.Manager{
 		Duty: zone, Self: fleet.Node{VM: fleet.VM(n.Settings.VM), Incarnation: fleet.Incarnation(time.Now().UnixNano())},
 		Params: lease.DefaultParams(leaseTerm), Table: n.leaseRows, Clock: n.Clock, Log: n.Log,
-		Rank: func() int { return rank }, Poll: leasePoll,
+		Rank: func() int { return n.rank(zone) }, Poll: leasePoll,
 	}
 	n.leases = append(n.leases, m)
 	n.controllers = append(n.controllers, &formation.Controller{
@@ -194,17 +194,6 @@
 	})
 }
 
-// rank spreads the duties: half of a zone's nodes try at once, the others a step
-// later, and those of other zones after them.
-func (n *Node) rank(zone string) int {
-	if zone != n.Settings.Zone {
-		return 2
-	}
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(n.Settings.VM)) // never fails
-	return int(h.Sum32() % 2)
-}
-
 // feeders returns the addresses of the nodes that read the store, the holder of
 // the own zone's duty first; none when this node is one of them. All of them
 // read the same, so another zone's holder serves while the own zone has none.
@@ -233,8 +222,8 @@
 	return addrs
 }
 
-// holds reports whether this node holds the zone's duty now.
-func (n *Node) holds(zone string) bool {
+// heldByLease reports whether this node holds the zone's duty now.
+func (n *Node) heldByLease(zone string) bool {
 	for _, m := range n.leases {
 		if m.Duty == zone {
 			_, held := m.Held(n.Clock.Now())
@@ -368,7 +357,7 @@
 	g.Go(func() error { clock.Every(work, sweepPause, n.sweep); return nil })
 	g.Go(func() error { return n.mesh.Run(work) })
 	g.Go(func() error {
-		return n.leaseRows.runAnnounce(ctx, n.Settings.VM, nodeAddr{n.Settings.Peer, n.Settings.Zone}, n.Log)
+		return n.leaseRows.runAnnounce(ctx, n.Settings.VM, nodeAddr{n.Settings.Peer, n.Settings.Zone, n.Settings.Cores}, n.Log)
 	})
 	n.startDuties(ctx, g)
 
--- /dev/null
+++ b/internal/entry/fleet_test.go
@@ -0,0 +1,202 @@
+package entry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilloom/internal/board"
+	"chervilloom/internal/clock"
+	"chervilloom/internal/news"
+	table "chervilloom/internal/platform"
+	"chervilloom/internal/roster"
+)
+
+// paper is a fleet whose nodes send each other messages without a network.
+type paper struct {
+	clock *clock.Manual
+	nodes map[string]*Node // by address
+	sent  map[string]int   // messages by sender
+	lost  float64          // share of messages
+	rng   *rand.Rand
+	rows  []table.Row
+}
+
+// newPaper makes zones of that many nodes each; the first of a zone holds its duty.
+func newPaper(t *testing.T, zones, perZone int, lost float64) *paper {
+	t.Helper()
+	p := &paper{
+		clock: clock.NewManual(clock.Instant(time.Hour)), nodes: map[string]*Node{}, sent: map[string]int{},
+		lost: lost, rng: rand.New(rand.NewPCG(1, 2)),
+	}
+	var names []string
+	for z := range zones {
+		names = append(names, fmt.Sprintf("z%d", z))
+	}
+	for _, zone := range names {
+		p.rows = append(p.rows, ownerRow(zone, zone+"-0"))
+		for i := range perZone {
+			vm := fmt.Sprintf("%s-%d", zone, i)
+			at := nodeAddr{addr: vm, zone: zone, cores: 0.2}
+			if i == 0 {
+				at.cores = 0.8
+			}
+			p.rows = append(p.rows, table.Row{Table: table.TableLeases, Key: nodePrefix + vm, Version: 1, Value: at.value()})
+			n := testNode(&fakeStore{}, p.clock)
+			n.Settings.VM, n.Settings.Zone, n.Settings.Zones, n.Settings.Cores = vm, zone, names, at.cores
+			n.send = func(m news.Message, to ...string) { p.deliver(vm, m, to) }
+			p.nodes[vm] = n
+		}
+	}
+	for _, n := range p.nodes {
+		n.leaseRows.take(p.rows)
+	}
+	return p
+}
+
+func (p *paper) deliver(from string, m news.Message, to []string) {
+	p.sent[from] += len(to)
+	for _, addr := range to {
+		if p.rng.Float64() >= p.lost {
+			p.nodes[addr].heard(m)
+		}
+	}
+}
+
+// A hint reaches every node of 295 in five zones over two hops at most, each node
+// sends fewer messages than a zone has nodes and a few more, and with one packet in
+// fifty lost hardly a node misses it. Sent to each of them it took 294 from one node.
+func TestNewsReachAllThroughRelays(t *testing.T) {
+	for _, c := range []struct {
+		zones, perZone int
+		lost, reached  float64
+	}{{5, 59, 0, 1}, {5, 59, 0.02, 0.95}, {3, 27, 0, 1}, {3, 2, 0, 1}, {4, 250, 0, 1}} {
+		t.Run(fmt.Sprintf("%d zones of %d, %v lost", c.zones, c.perZone, c.lost), func(t *testing.T) {
+			is := is.New(t)
+			p := newPaper(t, c.zones, c.perZone, c.lost)
+			e := roster.Endpoint{ID: "e", Service: "s", Zone: "z0", Domain: "d"}
+			for _, n := range p.nodes {
+				n.roster.current.Store(roster.Merge(roster.Empty(), []roster.Endpoint{e}, p.clock.Now(), 0))
+			}
+			hint := roster.Hint{ID: "e", Model: "m", Member: roster.Membership{Group: "g", Epoch: 1, State: roster.Open}}
+			p.nodes["z0-0"].announce(hint)
+			reached := 0.0
+			for _, n := range p.nodes {
+				if n.roster.current.Load().Get("e").Leads() {
+					reached++
+				}
+			}
+			is.True(reached >= c.reached*float64(len(p.nodes)))
+			for _, sent := range p.sent {
+				is.True(sent <= 2*c.perZone+2*c.zones+directPeers*c.zones)
+			}
+		})
+	}
+}
+
+// Each of 27 nodes has one request at the same head and knows of no other. The count
+// of all stands on the board within two looks of the holder; when the requests end, or
+// their node does, it goes.
+func TestBoardTellsWhatAllNodesHave(t *testing.T) {
+	is := is.New(t)
+	p := newPaper(t, 2, 27, 0)
+	holder := p.nodes["z0-0"]
+	held := &heldDuty{}
+	holder.holds = held.holds
+	e := roster.Endpoint{ID: "head", Service: "s", Zone: "z0", Domain: "d", Slots: 22}
+	var ends []func()
+	for _, n := range p.nodes {
+		n.roster.current.Store(roster.Merge(roster.Empty(), []roster.Endpoint{e}, p.clock.Now(), 0))
+		k := n.tracker.Start("head", nil)
+		ends = append(ends, k.End)
+	}
+	look := func() {
+		for range int(2 * boardPause / (15 * time.Millisecond)) {
+			p.clock.Advance(15 * time.Millisecond)
+			for _, n := range p.nodes {
+				n.loads.tick()
+			}
+		}
+	}
+	held.zone = "z0"
+	look()
+	for _, n := range p.nodes {
+		want := 54.0
+		if n.Settings.Zone != "z0" {
+			want = 1 // another zone's nodes tell theirs and see the answers' loads
+		}
+		is.Equal(n.tracker.Of("head", time.Minute).Load > want-1, true)
+	}
+	for _, end := range ends {
+		end()
+	}
+	look()
+	for _, n := range p.nodes {
+		is.True(n.tracker.Of("head", time.Minute).Load < 0.5)
+	}
+}
+
+type heldDuty struct{ zone string }
+
+func (h *heldDuty) holds(zone string) bool { return h.zone == zone }
+
+// A board of many heads comes in parts that fit a packet each.
+func TestBoardFitsItsMessages(t *testing.T) {
+	is := is.New(t)
+	var counts []board.Count
+	for i := range 200 {
+		counts = append(counts, board.Count{ID: roster.Life(fmt.Sprintf("i-%010d", i), 1790000000000), Requests: 22, Unread: 90000})
+	}
+	n := 0
+	for _, part := range parts(counts) {
+		n += len(part)
+		is.True(len(part) > 10)
+	}
+	is.Equal(n, 200)
+}
+
+// The largest nodes of a zone try for its duty first, its small ones after them, those
+// of another zone never if they are small. Where all are alike half of them try first.
+func TestLargerNodesHoldDuties(t *testing.T) {
+	is := is.New(t)
+	p := newPaper(t, 2, 27, 0)
+	large, small := p.nodes["z0-0"], p.nodes["z0-5"]
+	is.True(large.rank("z0") < small.rank("z0"))
+	is.Equal(small.rank("z0"), rankLater)
+	is.Equal(large.rank("z1"), rankLater)
+	is.Equal(small.rank("z1"), rankNever)
+	alike := newPaper(t, 2, 3, 0)
+	for vm, n := range alike.nodes {
+		n.Settings.Cores = 0.8
+		is.True(n.rank(n.Settings.Zone) < rankLater)
+		is.True(vm != "")
+	}
+	alone := testNode(&fakeStore{}, p.clock) // nothing is known yet, nor its size
+	is.True(alone.rank("a") < rankLater)
+	alone.Settings.Cores = 0.2
+	is.Equal(alone.rank("a"), rankLater)
+	alone.Settings.Cores = 0.8
+	is.Equal(alone.rank("a"), rankFirst)
+}
+
+// All nodes start at once: only those that may hold a duty read the store. A node that
+// starts again among many asks the holder; among few, or after a second without an
+// answer, it reads for itself, and so does the holder of before.
+func TestStartingNodesLeaveTheStoreToOthers(t *testing.T) {
+	is := is.New(t)
+	p := newPaper(t, 2, 27, 0)
+	small, large := p.nodes["z0-5"], p.nodes["z0-0"]
+	is.True(small.seeking())
+	is.True(!large.seeking())
+	p.clock.Advance(seekFor)
+	is.True(!small.seeking())
+	few := newPaper(t, 2, 3, 0).nodes["z0-1"]
+	is.True(!few.seeking())
+	few.Settings.Bootstrap = true
+	is.True(few.seeking())
+	unread := testNode(&fakeStore{}, p.clock)
+	is.True(unread.seeking())
+}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -67,6 +67,9 @@
 func (f *follower) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		f.next = followPause
+		if f.node.seeking() {
+			f.next = seekPause
+		}
 		f.askAny(ctx)
 		select {
 		case <-ctx.Done():
--- a/internal/entry/hints.go
+++ b/internal/entry/hints.go
@@ -29,7 +29,7 @@
 	}
 	if owner := n.leaseRows.owner(e.Zone); owner != n.Settings.VM {
 		if addr := n.leaseRows.addr(owner); addr != "" {
-			n.mesh.Send(m, addr)
+			n.send(m, addr)
 		}
 	}
 }
@@ -51,7 +51,7 @@
 // announce tells all nodes, this one included, about a head.
 func (n *Node) announce(h roster.Hint) {
 	n.takeHint(h)
-	n.mesh.Tell(news.Message{Hint: &h})
+	n.spread(news.Message{Hint: &h})
 }
 
 // takeHint takes up a hint; what this node has at a head whose group has lost a
@@ -66,6 +66,9 @@
 
 // heard takes up a message of another node.
 func (n *Node) heard(m news.Message) {
+	if m.Relay {
+		n.passOn(m)
+	}
 	if m.Hint != nil {
 		n.takeHint(*m.Hint)
 	}
@@ -94,7 +97,7 @@
 
 // tellLeaving has the nodes that follow this one ask at once: new work must stop
 // within the platform's bound, and the next question would come 0.9 s later.
-func (n *Node) tellLeaving(id roster.ID) { n.mesh.Tell(news.Message{Leaving: id}) }
+func (n *Node) tellLeaving(id roster.ID) { n.spread(news.Message{Leaving: id}) }
 
 // tellPlaced tells the few other nodes of the zone of a request that was sent to an
 // engine. They mostly use the same engines, and would else see it only in the answer's
@@ -104,9 +107,9 @@
 		return
 	}
 	peers := n.leaseRows.zonePeers(n.Settings.VM, n.Settings.Zone)
-	n.mesh.Send(news.Message{Placed: &news.Placed{ID: id, Requests: 1, Tokens: float64(prompt)}}, peers...)
+	n.send(news.Message{Placed: &news.Placed{ID: id, Requests: 1, Tokens: float64(prompt)}}, peers...)
 }
 
 // tellFailed tells the others of a plain endpoint that gave no usable answer. In
 // a large fleet each node sends it too few requests to see that by itself.
-func (n *Node) tellFailed(id roster.ID) { n.mesh.Tell(news.Message{Failed: id}) }
+func (n *Node) tellFailed(id roster.ID) { n.spread(news.Message{Failed: id}) }
--- a/internal/entry/leases.go
+++ b/internal/entry/leases.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -43,17 +44,20 @@
 	owners map[string]string   // VM that holds a duty
 	addrs  map[string]string   // of a VM
 	zones  map[string][]string // VMs of an availability zone
+	// largest is the size of a zone's largest VM, in cores.
+	largest map[string]float64
 }
 
 func (c *leaseCache) directory() *directory {
 	if c.dir != nil {
 		return c.dir
 	}
-	d := &directory{owners: map[string]string{}, addrs: map[string]string{}, zones: map[string][]string{}}
+	d := &directory{owners: map[string]string{}, addrs: map[string]string{}, zones: map[string][]string{}, largest: map[string]float64{}}
 	for key, r := range c.rows {
 		if vm, ok := strings.CutPrefix(key, nodePrefix); ok {
 			at := nodeAddrOf(r.Value)
 			d.addrs[vm] = at.addr
+			d.largest[at.zone] = max(d.largest[at.zone], at.cores)
 			d.zones[at.zone] = append(d.zones[at.zone], vm)
 			continue
 		}
@@ -152,14 +156,25 @@
 // the leases, so that one call reads both.
 const nodePrefix = "node/"
 
-// nodeAddr is where a node can be reached, and its availability zone.
-type nodeAddr struct{ addr, zone string }
+// nodeAddr is where a node can be reached, its availability zone, and its part of a
+// core (0: untold).
+type nodeAddr struct {
+	addr, zone string
+	cores      float64
+}
 
-func (a nodeAddr) value() []byte { return []byte(a.addr + " " + a.zone) }
+func (a nodeAddr) value() []byte {
+	return []byte(a.addr + " " + a.zone + " " + strconv.FormatFloat(a.cores, 'f', -1, 64))
+}
 
 func nodeAddrOf(value []byte) nodeAddr {
-	addr, zone, _ := strings.Cut(string(value), " ")
-	return nodeAddr{addr, zone}
+	addr, rest, _ := strings.Cut(string(value), " ")
+	zone, size, _ := strings.Cut(rest, " ")
+	cores, err := strconv.ParseFloat(size, 64)
+	if err != nil {
+		cores = 0 // a node that doesn't tell
+	}
+	return nodeAddr{addr, zone, cores}
 }
 
 // announce writes where the node can be reached.
@@ -180,17 +195,18 @@
 	return err
 }
 
-// peers returns the addresses of the nodes other than vm, as they were read last.
-func (c *leaseCache) peers(vm string) []string {
+// largest returns the size of the zone's largest node, in cores.
+func (c *leaseCache) largest(zone string) float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var out []string
-	for name, addr := range c.directory().addrs {
-		if name != vm {
-			out = append(out, addr)
-		}
-	}
-	return out
+	return c.directory().largest[zone]
+}
+
+// known reports whether the rows were ever read or told.
+func (c *leaseCache) known() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rows != nil
 }
 
 // zonePeers returns the addresses of the zone's nodes other than vm.
--- a/internal/entry/loads.go
+++ b/internal/entry/loads.go
@@ -116,7 +116,7 @@
 		return
 	}
 	if addr := n.leaseRows.addr(owner); addr != "" {
-		n.mesh.Send(news.Message{InFlight: &news.InFlight{Node: n.Settings.VM, Zone: zone, Counts: counts}}, addr)
+		n.send(news.Message{InFlight: &news.InFlight{Node: n.Settings.VM, Zone: zone, Counts: counts}}, addr)
 	}
 }
 
@@ -165,7 +165,7 @@
 	}
 	peers := n.leaseRows.zonePeers(n.Settings.VM, zone)
 	for _, part := range parts(counts) {
-		n.mesh.Send(news.Message{Board: part}, peers...)
+		n.send(news.Message{Board: part}, peers...)
 	}
 }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -7,12 +7,13 @@
 	VM          string
 	Zone        string
 	Zones       []string
-	Front       string // address for clients
-	Peer        string // address for the other nodes
-	Ready       string // address that the balancer asks for readiness
-	Bootstrap   bool   // the whole system starts for the first time
-	Store       string // address of the store
-	Strict      bool   // a revoked key must not be served after RevokeAfter, in touch or not
+	Cores       float64 // this VM's part of a core, or how many; 0: untold
+	Front       string  // address for clients
+	Peer        string  // address for the other nodes
+	Ready       string  // address that the balancer asks for readiness
+	Bootstrap   bool    // the whole system starts for the first time
+	Store       string  // address of the store
+	Strict      bool    // a revoked key must not be served after RevokeAfter, in touch or not
 	RevokeAfter time.Duration
 	// ConfigWithin is the time in which a change of the configuration must be in
 	// force on nodes that reach the store.
--- /dev/null
+++ b/internal/entry/spread.go
@@ -0,0 +1,34 @@
+package entry
+
+import (
+	"math/rand/v2"
+
+	"chervilloom/internal/news"
+)
+
+// spread tells a message to all other nodes: to those of the own zone, and in each other
+// zone to the holder of its duty and one more, who pass it on there. Told to 294 nodes
+// one by one from a machine with a fifth of a core, the last heard of it tens of ms
+// late, and four of five copies crossed zones. Two relays: one lost packet costs nothing.
+func (n *Node) spread(m news.Message) {
+	for _, zone := range n.Settings.Zones {
+		peers := n.leaseRows.zonePeers(n.Settings.VM, zone)
+		if zone == n.Settings.Zone || len(peers) <= directPeers {
+			n.send(m, peers...)
+			continue
+		}
+		relayed := m
+		relayed.Relay = true
+		relays := []string{peers[rand.IntN(len(peers))]}
+		if owner := n.leaseRows.addr(n.leaseRows.owner(zone)); owner != "" && owner != relays[0] {
+			relays = append(relays, owner)
+		}
+		n.send(relayed, relays...)
+	}
+}
+
+// passOn tells a message to the other nodes of the own zone.
+func (n *Node) passOn(m news.Message) {
+	m.Relay = false
+	n.send(m, n.leaseRows.zonePeers(n.Settings.VM, n.Settings.Zone)...)
+}
--- /dev/null
+++ b/internal/entry/start.go
@@ -0,0 +1,31 @@
+package entry
+
+import "time"
+
+const (
+	// seekFor is how long a node that starts looks for one to follow before it reads
+	// the store itself: a lease that is free is taken within a second.
+	seekFor = 1200 * time.Millisecond
+	// seekPause is the pause between two looks meanwhile.
+	seekPause = 50 * time.Millisecond
+)
+
+// seeking reports whether a node that has just started leaves the store to others. At
+// the start of 295 nodes each of them read configuration, endpoints (three pages) and
+// leases until it knew whom to follow: some 13 calls a node. A few nodes read at once
+// instead: there each call is needed sooner and there are few.
+func (n *Node) seeking() bool {
+	if n.Clock.Now().Sub(n.began) >= seekFor || n.config.current.Load() != nil {
+		return false
+	}
+	if !n.leaseRows.known() {
+		return true // one read of the leases tells how many nodes there are
+	}
+	if n.rank(n.Settings.Zone) == rankFirst || n.leaseRows.owner(n.Settings.Zone) == n.Settings.VM {
+		return false
+	}
+	return n.Settings.Bootstrap || n.shares(n.Settings.Zone)
+}
+
+// leavesStore reports whether configuration and endpoints come from another node.
+func (n *Node) leavesStore() bool { return n.follower.following() || n.seeking() }
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -17,6 +17,8 @@
 
 // Message is what a node tells the others. Exactly one of its parts is set.
 type Message struct {
+	// Relay asks who gets the message to pass it on to the nodes of its zone.
+	Relay   bool         `json:"relay,omitempty"`
 	Hint    *roster.Hint `json:"hint,omitempty"`    // a head began or ceased to take requests
 	Suspect roster.ID    `json:"suspect,omitempty"` // a head's requests stand still
 	Doubt   roster.ID    `json:"doubt,omitempty"`   // they may, by their pace so far
@@ -51,8 +53,6 @@
 // Mesh sends messages to the other nodes and receives theirs.
 type Mesh struct {
 	Log *slog.Logger
-	// Peers returns the addresses of the other nodes, ip:port.
-	Peers func() []string
 	// Receive is told of each message.
 	Receive func(Message)
 	conn    *net.UDPConn
@@ -95,10 +95,7 @@
 	}
 }
 
-// Tell sends a message to all other nodes.
-func (m *Mesh) Tell(msg Message) { m.Send(msg, m.Peers()...) }
-
-// Send sends a message to some nodes.
+// Send sends a message to some nodes, ip:port each.
 func (m *Mesh) Send(msg Message, peers ...string) {
 	raw, err := json.Marshal(msg)
 	if err != nil || len(raw) > MaxMessage {
--- a/internal/news/news_test.go
+++ b/internal/news/news_test.go
@@ -10,9 +10,9 @@
 	"chervilloom/internal/roster"
 )
 
-func listen(t *testing.T, peers func() []string, receive func(Message)) *Mesh {
+func listen(t *testing.T, receive func(Message)) *Mesh {
 	t.Helper()
-	m := &Mesh{Log: slog.New(slog.DiscardHandler), Peers: peers, Receive: receive}
+	m := &Mesh{Log: slog.New(slog.DiscardHandler), Receive: receive}
 	if err := m.Listen("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
@@ -26,12 +26,13 @@
 func TestMessageReachesPeers(t *testing.T) {
 	is := is.New(t)
 	got := make(chan Message, 4)
-	b := listen(t, nil, func(m Message) { got <- m })
-	a := listen(t, func() []string { return []string{b.conn.LocalAddr().String(), "no address"} }, nil)
-	a.Tell(Message{Suspect: "e1"})
+	b := listen(t, func(m Message) { got <- m })
+	a := listen(t, nil)
+	peers := []string{b.conn.LocalAddr().String(), "no address"}
+	a.Send(Message{Suspect: "e1"}, peers...)
 	is.Equal((<-got).Suspect, roster.ID("e1"))
 	hint := roster.Hint{ID: "e2", Model: "m", Member: roster.Membership{Group: "g", Epoch: 5, State: roster.Open}}
-	a.Tell(Message{Hint: &hint})
+	a.Send(Message{Hint: &hint}, peers...)
 	is.Equal(*(<-got).Hint, hint)
 }
 
@@ -39,10 +40,10 @@
 func TestGarbageIsPassedOver(t *testing.T) {
 	is := is.New(t)
 	got := make(chan Message, 4)
-	b := listen(t, nil, func(m Message) { got <- m })
-	a := listen(t, func() []string { return []string{b.conn.LocalAddr().String()} }, nil)
+	b := listen(t, func(m Message) { got <- m })
+	a := listen(t, nil)
 	_, err := a.conn.WriteTo([]byte("{not json"), b.conn.LocalAddr())
 	is.NoErr(err)
-	a.Tell(Message{Suspect: "after"})
+	a.Send(Message{Suspect: "after"}, b.conn.LocalAddr().String())
 	is.Equal((<-got).Suspect, roster.ID("after"))
 }
