--- a/cmd/chervilloom/remote.go
+++ b/cmd/chervilloom/remote.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/integrii/flaggy"
@@ -86,12 +87,20 @@
 func newExplain() command {
 	var r remote
 	var id, logs string
+	var losses bool
 	sub := flaggy.NewSubcommand("explain")
 	sub.Description = "show what was decided about a request, a group, a duty or a VM, and why. Example: chervilloom explain 3f2a..."
 	r.addFlags(sub)
-	sub.AddPositionalValue(&id, "ID", 1, true, "request id (header Chervilloom-Request), group id, duty or VM")
+	sub.Bool(&losses, "", "losses", "with --logs: a table of lost and late requests by window of 2 s, reason, route and zone")
+	sub.AddPositionalValue(&id, "ID", 1, false, "request id (header Chervilloom-Request), group id, duty or VM")
 	sub.String(&logs, "l", "logs", "folder with the collected logs of all entry nodes: explain a request from them instead of asking a node")
 	return command{sub, func(ctx context.Context) error {
+		if losses {
+			return explainLosses(logs)
+		}
+		if id == "" {
+			return merry.New("no id is named: give one, or --logs DIR --losses for a table of what was lost")
+		}
 		if logs != "" {
 			return explainFromLogs(logs, id)
 		}
@@ -122,6 +131,20 @@
 	return ex.Print(os.Stdout)
 }
 
+// lossWindow is the length of the windows of the table of losses.
+const lossWindow = 2 * time.Second
+
+func explainLosses(dir string) error {
+	if dir == "" {
+		return merry.New("--losses reads collected logs: give their folder with --logs DIR")
+	}
+	lines, err := logwalk.ReadDir(dir)
+	if err != nil {
+		return merry.Prepend(err, "the logs cannot be read; give the folder with --logs DIR")
+	}
+	return logwalk.PrintLosses(os.Stdout, logwalk.Losses(lines, lossWindow))
+}
+
 func newDrain() command {
 	var r remote
 	var vm string
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -53,6 +53,12 @@
 	return ep
 }
 
+// choices is what a choice had to choose from, for the log.
+type choices struct {
+	endpoints int // that could serve the request
+	freeSlots int // of theirs, as this node knew
+}
+
 // choose picks among the endpoints; ejected ones only when there is no other.
 func (x *exchange) choose(eps []*roster.Endpoint) (*roster.Endpoint, balance.Reason) {
 	profile := x.f.Plain
@@ -61,12 +67,14 @@
 		profile.Bounds.Sample = x.f.Sample()
 	}
 	cands := make([]balance.Candidate, len(eps))
+	x.choices = choices{endpoints: len(eps)}
 	for i, e := range eps {
 		st := x.f.Tracker.Of(e.ID, profile.Turnover)
 		if e.Zone != x.f.Zone && x.engine() != nil {
 			// This node sees what it has there itself; the zone's mean tells the others'.
 			st.Load = max(st.Load, x.f.ZoneLoad(e.Zone, e.Model)*float64(e.Slots))
 		}
+		x.choices.freeSlots += max(0, e.Slots-int(st.Load))
 		cands[i] = balance.Candidate{
 			Load: st.Load, Slots: e.Slots, Unread: st.Unread, Local: e.Zone == x.f.Zone,
 			Suspect: st.Suspect, Tried: x.wasTried(e.ID),
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -40,7 +40,11 @@
 	failure   *failure
 	lastCause string // of the newest attempt that failed
 	noChoice  balance.Reason
-	moving    atomic.Bool // a stalled attempt is given up; the budget has been asked
+	choices   choices
+	first     time.Duration // from the start to the answer's first event; 0: none came
+	lastEvent clock.Instant
+	gap       time.Duration // longest pause between two events
+	moving    atomic.Bool   // a stalled attempt is given up; the budget has been asked
 }
 
 func (x *exchange) left(now clock.Instant) time.Duration { return x.deadline.Sub(now) }
@@ -289,11 +293,16 @@
 	if x.noChoice == balance.AllFull {
 		e = outcome.New(outcome.Overloaded, outcome.NotRun, "every endpoint is full", "try again").After(retryAfterFull)
 	}
-	x.f.refuse(x.w, x.req, "pick", e.WithCause(errors.New(string(x.noChoice)+"; "+x.lastCause)))
+	x.f.refuse(x.w, x.req, "pick", e.WithCause(errors.New(string(x.noChoice)+"; "+x.lastCause)),
+		"route", x.route.Name, "model", x.req.Model, "endpoints", x.choices.endpoints, "free_slots", x.choices.freeSlots,
+		"tried", x.tried)
 }
 
 func (x *exchange) log(message string, res Result) {
 	x.f.Log.Info(message, "request", x.req.ID, "route", x.route.Name, "organisation", x.organisation,
 		"config", x.catalog.Version, "tried", x.tried, "events", x.events, "result", res.String(),
-		"cause", x.lastCause, "ms", x.f.Clock.Now().Sub(x.start).Milliseconds())
+		"cause", x.lastCause, "ms", x.f.Clock.Now().Sub(x.start).Milliseconds(),
+		"model", x.req.Model, "endpoints", x.choices.endpoints, "free_slots", x.choices.freeSlots,
+		"first_ms", x.first.Milliseconds(), "objective_ms", x.route.Objective.Milliseconds(),
+		"gap_ms", x.gap.Milliseconds(), "gap_aim_ms", x.route.GapAim.Milliseconds())
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -223,14 +223,15 @@
 	return outcome.New(kind, outcome.NotRun, "the body could not be read", "send a whole body within the limit").WithCause(err)
 }
 
-func (f *Forwarder) refuse(w http.ResponseWriter, req *Request, stage string, e *outcome.Error) {
+// refuse answers a request that has not run. fields are further ones of its log line.
+func (f *Forwarder) refuse(w http.ResponseWriter, req *Request, stage string, e *outcome.Error, fields ...any) {
 	f.Metrics.refused.WithLabelValues(string(e.Kind)).Inc()
 	v := f.View()
 	version := uint64(0)
 	if v.Catalog != nil {
 		version = v.Catalog.Version
 	}
-	f.Log.Info("request refused", "request", req.ID, "stage", stage, "kind", e.Kind, "outcome", e.Outcome,
+	f.Log.With(fields...).Info("request refused", "request", req.ID, "stage", stage, "kind", e.Kind, "outcome", e.Outcome,
 		"reason", e.Message, "cause", e.Cause, "retry_after_ms", e.RetryAfter.Milliseconds(),
 		"config", version, "config_age_ms", v.ConfigAge.Milliseconds(),
 		"roster_age_ms", f.Clock.Now().Sub(v.Roster.Asked).Milliseconds())
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -121,6 +121,7 @@
 			return ClientGone
 		}
 		x.events++
+		x.noteEvent()
 		if id != "" {
 			x.resume = id
 		}
@@ -148,7 +149,17 @@
 
 func (x *exchange) noteBegun() {
 	x.progress.Begun = true
-	x.f.Metrics.began(x.route, x.f.Clock.Now().Sub(x.start))
+	x.first = x.f.Clock.Now().Sub(x.start)
+	x.f.Metrics.began(x.route, x.first)
+}
+
+// noteEvent takes up the pause before an event that has gone to the client.
+func (x *exchange) noteEvent() {
+	now := x.f.Clock.Now()
+	if x.lastEvent != 0 {
+		x.gap = max(x.gap, now.Sub(x.lastEvent))
+	}
+	x.lastEvent = now
 }
 
 // seen reports whether the client has the event already. An endpoint that goes
--- a/internal/logwalk/logwalk.go
+++ b/internal/logwalk/logwalk.go
@@ -29,6 +29,20 @@
 	ID       string   `json:"id"`       // of an ejection
 	Decision string   `json:"decision"` // about a group
 
+	// Of a request's last line.
+	Zone        string `json:"zone"` // of the node, in its first line
+	Route       string `json:"route"`
+	Kind        string `json:"kind"` // of a refusal
+	Result      string `json:"result"`
+	Cause       string `json:"cause"`
+	Model       string `json:"model"`
+	Endpoints   int    `json:"endpoints"`
+	FreeSlots   int    `json:"free_slots"`
+	FirstMS     int64  `json:"first_ms"`
+	ObjectiveMS int64  `json:"objective_ms"`
+	GapMS       int64  `json:"gap_ms"`
+	GapAimMS    int64  `json:"gap_aim_ms"`
+
 	raw []byte // the whole object
 }
 
