--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -81,27 +81,31 @@
 
 // Mean is how loaded a zone's heads of a model are together.
 type Mean struct {
-	Zone  string  `json:"z"`
-	Model string  `json:"m"`
-	Load  float64 `json:"l"` // requests in flight as a share of the slots
+	Zone   string  `json:"z"`
+	Model  string  `json:"m"`
+	Load   float64 `json:"l"` // requests in flight as a share of the slots
+	Unread float64 `json:"u"` // prompt tokens that a head has yet to read
 }
 
 // Means returns the mean loads of a zone's models, from what is in flight at the heads
 // that serve there.
 func Means(zone string, sums []Count, heads []*roster.Endpoint) []Mean {
-	inFlight := make(map[roster.ID]int, len(sums))
+	at := make(map[roster.ID]Count, len(sums))
 	for _, c := range sums {
-		inFlight[c.ID] = c.Requests
+		at[c.ID] = c
 	}
-	requests, places := map[string]int{}, map[string]int{}
+	type total struct{ requests, unread, slots, heads int }
+	totals := map[string]total{}
 	for _, e := range heads {
-		requests[e.Model] += inFlight[e.ID]
-		places[e.Model] += e.Slots
+		t, c := totals[e.Model], at[e.ID]
+		totals[e.Model] = total{t.requests + c.Requests, t.unread + c.Unread, t.slots + e.Slots, t.heads + 1}
 	}
-	out := make([]Mean, 0, len(places))
-	for model, n := range places {
-		if n > 0 {
-			out = append(out, Mean{zone, model, float64(requests[model]) / float64(n)})
+	out := make([]Mean, 0, len(totals))
+	for model, t := range totals {
+		if t.slots > 0 {
+			out = append(out, Mean{
+				zone, model, float64(t.requests) / float64(t.slots), float64(t.unread) / float64(t.heads),
+			})
 		}
 	}
 	slices.SortFunc(out, func(a, b Mean) int { return strings.Compare(a.Model, b.Model) })
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -41,7 +41,7 @@
 	heads := []*roster.Endpoint{
 		{ID: "a", Model: "big", Slots: 20}, {ID: "b", Model: "big", Slots: 20}, {ID: "c", Model: "small", Slots: 10},
 	}
-	sums := []Count{{"a", 10, 0}, {"c", 9, 0}, {"closed", 7, 0}}
-	is.Equal(Means("z", sums, heads), []Mean{{"z", "big", 0.25}, {"z", "small", 0.9}})
+	sums := []Count{{"a", 10, 500}, {"c", 9, 0}, {"closed", 7, 0}}
+	is.Equal(Means("z", sums, heads), []Mean{{"z", "big", 0.25, 250}, {"z", "small", 0.9, 0}})
 	is.Equal(len(Means("z", sums, nil)), 0)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"chervilloom/internal/balance"
+	"chervilloom/internal/board"
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
 	"chervilloom/internal/demand"
@@ -159,7 +160,7 @@
 		Engine:  forward.Profile{Bounds: balance.Bounds{Remote: remoteCost, Queue: engineQueue, Read: readCost}, Turnover: engineTurnover},
 		Ejector: retry.NewEjector(ejection, o.Clock, o.Log, o.Registry),
 		View:    n.view, NewBudget: n.newBudget, Missed: n.lookSoon, Unanswered: n.tellFailed,
-		Started: n.started, Placed: n.tellPlaced, Sample: n.sample, ZoneLoad: func(zone, model string) float64 { return n.loads.meanOf(zone, model) },
+		Started: n.started, Placed: n.tellPlaced, Sample: n.sample, ZoneLoad: func(zone, model string) board.Mean { return n.loads.meanOf(zone, model) },
 		Nodes: func() int { return n.leaseRows.nodes() },
 	}
 	n.follower = &follower{node: n, ask: feed.NewClient(), clock: o.Clock, log: o.Log, wake: make(chan struct{}, 1)}
--- a/internal/entry/loads.go
+++ b/internal/entry/loads.go
@@ -51,8 +51,8 @@
 
 // meanLoad is a zone's mean load of a model, and when it was told.
 type meanLoad struct {
-	load float64
-	at   clock.Instant
+	board.Mean
+	at clock.Instant
 }
 
 // shown is a zone's board as it was told last, and when all of it was told.
@@ -238,7 +238,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, m := range means {
-		l.means[meanKey{m.Zone, m.Model}] = meanLoad{m.Load, now}
+		l.means[meanKey{m.Zone, m.Model}] = meanLoad{m, now}
 	}
 }
 
@@ -251,21 +251,20 @@
 			delete(l.means, k)
 			continue
 		}
-		out = append(out, board.Mean{Zone: k.zone, Model: k.model, Load: m.load})
+		out = append(out, m.Mean)
 	}
 	return out
 }
 
-// meanOf returns the mean load of a zone's heads of a model, as a share of their slots;
-// 0: not known.
-func (l *loads) meanOf(zone, model string) float64 {
+// meanOf returns how loaded a zone's heads of a model are; the zero value: not known.
+func (l *loads) meanOf(zone, model string) board.Mean {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	m, ok := l.means[meanKey{zone, model}]
 	if !ok || l.node.Clock.Now().Sub(m.at) > meanFor {
-		return 0
+		return board.Mean{}
 	}
-	return m.load
+	return m.Mean
 }
 
 // withEnds adds heads at which nothing is in flight any more.
--- a/internal/formation/allot.go
+++ b/internal/formation/allot.go
@@ -318,15 +318,25 @@
 	return 1 - math.Exp(-saturation*max(0, n)/p.need(m))
 }
 
-// need returns how many groups of a model the usual load keeps at full batches.
+// need returns how many groups of a model the usual load keeps at full batches. It is
+// asked for with each option of each domain: counted anew each time, the engines of a
+// zone of 219 took most of a plan (BenchmarkPlanLargeZone: 2.5 ms before, 0.33 ms since).
 func (p *planner) need(m *catalog.Model) float64 {
+	if n, ok := p.needs[m.Name]; ok {
+		return n
+	}
 	engines := 0
 	for id := range p.in.Facts {
 		if p.fit(id) {
 			engines++
 		}
 	}
-	return max(0.1, p.work(m)*float64(engines)*usualLoad/float64(m.Size))
+	n := max(0.1, p.work(m)*float64(engines)*usualLoad/float64(m.Size))
+	if p.needs == nil {
+		p.needs = map[string]float64{}
+	}
+	p.needs[m.Name] = n
+	return n
 }
 
 // work returns the model's part of the engines' work, 0 to 1: what requests have
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -65,6 +65,9 @@
 // The pace of the controller.
 const (
 	step = 50 * time.Millisecond // between two looks
+	// stepLeast is the least pause between two looks: the reports of a zone of 219
+	// engines come a hundred a second, and each asks for one.
+	stepLeast = 10 * time.Millisecond
 	// probeCalm is the pause between two reports of an engine from which nothing
 	// is awaited. Lost members mostly show by the streams of their head before
 	// that; this finds those that are idle.
@@ -104,7 +107,9 @@
 		case <-t.C:
 		case <-c.wake:
 		}
+		began := c.Clock.Now()
 		c.tick(ctx)
+		clock.Sleep(ctx, stepLeast-c.Clock.Now().Sub(began))
 	}
 }
 
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -88,8 +88,9 @@
 	mem     *Memory
 	out     Output
 	claimed map[roster.ID]bool
-	coming  map[string]int // groups that engines are being prepared for, by model
-	empty   bool           // an engine that holds no weights waits for its load
+	coming  map[string]int     // groups that engines are being prepared for, by model
+	needs   map[string]float64 // of groups, by model; see need
+	empty   bool               // an engine that holds no weights waits for its load
 }
 
 // Plan decides what to do now.
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -72,7 +72,8 @@
 		st := x.f.Tracker.Of(e.ID, profile.Turnover)
 		if e.Zone != x.f.Zone && x.engine() != nil {
 			// This node sees what it has there itself; the zone's mean tells the others'.
-			st.Load = max(st.Load, x.f.ZoneLoad(e.Zone, e.Model)*float64(e.Slots))
+			mean := x.f.ZoneLoad(e.Zone, e.Model)
+			st.Load, st.Unread = max(st.Load, mean.Load*float64(e.Slots)), max(st.Unread, mean.Unread)
 		}
 		x.choices.freeSlots += max(0, e.Slots-int(st.Load))
 		cands[i] = balance.Candidate{
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"chervilloom/internal/balance"
+	"chervilloom/internal/board"
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
 	"chervilloom/internal/demand"
@@ -68,9 +69,9 @@
 	Started <-chan struct{}
 	// Sample returns how many engines' heads are looked at for a request; 0: all.
 	Sample func() int
-	// ZoneLoad returns how loaded another zone's heads of a model are together, as a
-	// share of their slots; 0: not known.
-	ZoneLoad func(zone, model string) float64
+	// ZoneLoad returns how loaded another zone's heads of a model are; the zero value:
+	// not known.
+	ZoneLoad func(zone, model string) board.Mean
 	// Nodes returns how many nodes share the endpoints.
 	Nodes func() int
 
