--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -183,7 +183,7 @@
 	m := &lease.Manager{
 		Duty: zone, Self: fleet.Node{VM: fleet.VM(n.Settings.VM), Incarnation: fleet.Incarnation(time.Now().UnixNano())},
 		Params: lease.DefaultParams(leaseTerm), Table: n.leaseRows, Clock: n.Clock, Log: n.Log,
-		Rank: func() int { return n.rank(zone) }, Poll: leasePoll,
+		Rank: func() int { return n.rank(zone) }, Ranks: rankNever, Poll: leasePoll,
 	}
 	n.leases = append(n.leases, m)
 	n.controllers = append(n.controllers, &formation.Controller{
--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -16,6 +16,7 @@
 	brief   clock.Instant // until then a report must come within the brief limit
 	suspect clock.Instant // until then nodes' word counts that their requests there stand still
 	doubts  doubts        // of the engine as a head
+	late    int           // misses in a row that were this node's own
 	running bool
 }
 
@@ -168,9 +169,13 @@
 	}
 	now := c.Clock.Now()
 	p.running = false
-	if err != nil {
+	switch {
+	case err != nil && ctx.Err() != nil && p.inconclusive(now.Sub(asked)-limit):
+		p.next = now.Add(probeAgain)
+	case err != nil:
 		c.probeFailed(f, p, asked, now, err)
-	} else {
+	default:
+		p.late = 0
 		c.pace.took(now.Sub(asked))
 		f.takeReport(rep, asked)
 		p.next = now.Add(c.calmPause(f, now))
@@ -178,6 +183,28 @@
 	c.nudge()
 }
 
+const (
+	// ownLateness is how late a report's limit may end before the miss is this node's
+	// own: timers fire within a few ms on a node with time to spare.
+	ownLateness = 30 * time.Millisecond
+	// mostLate is how many misses in a row are put down to that: a node that is late
+	// for good must still see losses.
+	mostLate = 3
+)
+
+// inconclusive reports whether a report that missed its limit says nothing of the
+// engine: the limit ended late by so much that the answer may have come while this node
+// had no time to read it. A holder short of processor time took dozens of engines for
+// lost within the same millisecond.
+func (p *probe) inconclusive(late time.Duration) bool {
+	if late <= ownLateness || p.late >= mostLate {
+		p.late = 0
+		return false
+	}
+	p.late++
+	return true
+}
+
 // calmPause returns how long an engine that has just answered needs no look.
 func (c *Controller) calmPause(f *Fact, now clock.Instant) time.Duration {
 	g := c.group(f.Report.Member.Group)
--- a/internal/formation/suspect_test.go
+++ b/internal/formation/suspect_test.go
@@ -95,3 +95,17 @@
 	is.Equal(c.probes["a"].next, now)
 	is.Equal(c.probes["b"].next, now)
 }
+
+// The holder has no processor time for half a second: the limits of all its reports end
+// late, together. Three times that says nothing of the engines; a node that is late for
+// good must see losses all the same. A limit that ended in time counts at once.
+func TestOwnLatenessIsNoMiss(t *testing.T) {
+	is := is.New(t)
+	var p probe
+	is.True(!p.inconclusive(2 * time.Millisecond))
+	for range mostLate {
+		is.True(p.inconclusive(500 * time.Millisecond))
+	}
+	is.True(!p.inconclusive(500 * time.Millisecond))
+	is.True(p.inconclusive(500 * time.Millisecond))
+}
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -38,7 +39,9 @@
 	// Rank returns this node's position in rendezvous order for the duty
 	// among the live nodes of the availability zone.
 	Rank func() int
-	Log  *slog.Logger
+	// Ranks is how many ranks follow the lease; 0: watchRanks.
+	Ranks int
+	Log   *slog.Logger
 	// Poll is the pause between two looks at a lease that another node holds;
 	// 0: a sixth of the term.
 	Poll time.Duration
@@ -98,7 +101,7 @@
 	}
 	held := m.heldRaw()
 	if held.Fence == 0 {
-		if rank >= watchRanks {
+		if rank >= cmp.Or(m.Ranks, watchRanks) {
 			return poll
 		}
 		if !m.read(ctx) {
