--- a/internal/entry/duty.go
+++ b/internal/entry/duty.go
@@ -12,8 +12,8 @@
 	// is told of leases is up to 0.9 s old: with a step less, another zone's node was
 	// often there first, and one held three duties of 219 engines each. Late with their
 	// reports, it took engines for lost by the dozen.
-	rankOther = 4
-	rankNever = 6 // as many ranks follow a lease
+	rankOther   = 4
+	rankNever   = 6 // as many ranks follow a lease
 	largerBy    = 1.5
 	largeAlone  = 0.5 // of a core: carries a duty beside its requests
 	mediumAlone = 0.3
--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -19,12 +19,18 @@
 		}
 		relayed := m
 		relayed.Relay = true
-		relays := []string{peers[rand.IntN(len(peers))]}
-		if owner := n.leaseRows.addr(n.leaseRows.owner(zone)); owner != "" && owner != relays[0] {
-			relays = append(relays, owner)
-		}
-		n.send(relayed, relays...)
+		n.send(relayed, n.relays(zone, peers)...)
+	}
+}
+
+// relays returns two nodes of another zone, the holder of its duty if it is known.
+func (n *Node) relays(zone string, peers []string) []string {
+	i := rand.IntN(len(peers))
+	first, second := peers[i], peers[(i+1)%len(peers)]
+	if owner := n.leaseRows.addr(n.leaseRows.owner(zone)); owner != "" && owner != first {
+		second = owner
 	}
+	return []string{first, second}
 }
 
 // passOn tells a message to the other nodes of the own zone.
