Small machines hold duties last

Change: other zones' large nodes come before a zone's own small ones, spread over three ranks by name; those that hold a duty come after the others.

--- a/internal/entry/duty.go
+++ b/internal/entry/duty.go
@@ -7,13 +7,19 @@
 const (
 	rankFirst  = 0
 	rankSecond = 1
-	rankLater  = 2
-	// rankOther is of nodes of other zones where a zone has many of its own. What a node
-	// is told of leases is up to 0.9 s old: with a step less, another zone's node was
-	// often there first, and one held three duties of 219 engines each. Late with their
-	// reports, it took engines for lost by the dozen.
-	rankOther   = 4
-	rankNever   = 6 // as many ranks follow a lease
+	// rankOther is the first of the ranks of other zones' nodes; where zones have many
+	// nodes each gets one of spreadRanks by its name and the zone's, so that several
+	// duties that become free at once don't fall to one.
+	rankOther   = 2
+	spreadRanks = 3
+	// rankHolder is of nodes that hold a duty already. One that held three of 219 engines
+	// each was late with their reports and took engines for lost by the dozen.
+	rankHolder = rankOther + spreadRanks
+	// rankSmall is of a zone's small nodes where it has larger ones: a fifth of a core
+	// doesn't carry 219 engines and 59 followers. It could not read the list within
+	// 700 ms, nor renew its lease.
+	rankSmall   = rankHolder + 1
+	rankNever   = rankSmall + 1 // as many ranks follow a lease
 	largerBy    = 1.5
 	largeAlone  = 0.5 // of a core: carries a duty beside its requests
 	mediumAlone = 0.3
@@ -33,11 +39,16 @@
 		return rankAlone(n.Settings.Cores)
 	}
 	if n.small() {
-		return rankLater
+		return rankSmall
 	}
+	return n.drawn(zone, rankSecond+1)
+}
+
+// drawn returns a number below n by the names of the node and the zone.
+func (n *Node) drawn(zone string, below int) int {
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(n.Settings.VM)) // never fails
-	return int(h.Sum32() % (rankSecond + 1))
+	_, _ = h.Write([]byte(n.Settings.VM + " " + zone)) // never fails
+	return int(h.Sum32() % uint32(below))
 }
 
 // rankElsewhere is the rank for another zone's duty.
@@ -46,15 +57,14 @@
 		return rankNever
 	}
 	if !n.shares(zone) {
-		return rankLater
+		return rankOther
 	}
-	rank := rankOther
 	for _, other := range n.Settings.Zones {
 		if other != zone && n.holds(other) {
-			rank++
+			return rankHolder
 		}
 	}
-	return rank
+	return rankOther + n.drawn(zone, spreadRanks)
 }
 
 // small reports whether the own zone has nodes that are clearly larger than this one.
@@ -70,5 +80,5 @@
 	case cores >= mediumAlone:
 		return rankSecond
 	}
-	return rankLater
+	return rankSmall
 }
