A report counts for a member only at the member's rank

An engine started again at its address under another id; for a while both ids were listed, reports to either were answered by the new process, and both became members of one group, which opened with one member twice.

Ruled out: late orders (the logs show each join's group, rank and count: the report of the old id had the rank of the new one); two owners.

Change: a member is ready only if its report has the rank that it has in the list; so has a group that goes on.

TestOneProcessIsNotTwoMembers red before, green after.

--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -165,6 +165,15 @@
 	return f != nil && f.Report.Member.Group == g.Name && f.Report.Member.Epoch == g.Epoch
 }
 
+// holdsRank reports whether an engine is the group's member of that rank. An engine that
+// starts again may get another id at its old address while the entry of the old id still
+// stands; reports to either are answered by the same process. Taken for a second ready
+// member, it let a group open that had one member twice and lacked another. An engine
+// finds its rank by its own id in the list that it joined with, so no other has it.
+func (p *planner) holdsRank(id roster.ID, g *Group, rank int) bool {
+	return p.inGroup(id, g) && p.in.Facts[id].Report.Member.Rank == rank
+}
+
 // surelyOut reports whether an engine that answers is not in the group. Reports
 // lag: those of shortly after a join, or after a change of owner, may show the
 // state of before. An owner that took "not yet in" for "no longer in" freed
@@ -181,12 +190,12 @@
 // advance brings a group one step on towards serving.
 func (p *planner) advance(g *Group) {
 	ready := 0
-	for _, m := range g.Members {
+	for rank, m := range g.Members {
 		if p.health(m) != alive {
 			continue
 		}
 		f := p.in.Facts[m]
-		if !p.inGroup(m, g) {
+		if !p.holdsRank(m, g, rank) {
 			if p.mem.formed[g.Name] { // else see shouldClose
 				p.join(m, g)
 			}
--- a/internal/formation/reborn_test.go
+++ b/internal/formation/reborn_test.go
@@ -53,6 +53,39 @@
 	is.Equal(len(w.serving("big")), 2)
 }
 
+// An engine starts again at its address under another id, and both entries stand for a
+// while. Both are taken for free and become members of one group; reports to the old id
+// are answered by the new process, which has joined and is ready, at its own rank. The
+// group lacks a member and must not open.
+func TestOneProcessIsNotTwoMembers(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.free = true
+	w.add("d0", 4)
+	for len(w.ledger.Groups) == 0 {
+		w.plan()
+		w.advance(100 * time.Millisecond)
+	}
+	g := w.ledger.Groups[0]
+	ghost, process := g.Members[3], g.Members[1]
+	for range 100 {
+		for _, e := range w.sorted() {
+			w.report(e)
+		}
+		f := *w.facts[process]
+		f.ID = ghost
+		w.facts[ghost] = &f
+		for _, o := range Plan(w.input(), w.mem).Orders {
+			is.True(o.Op != Open)
+			if o.To != ghost { // its orders are refused by a process with another id
+				w.execute(o)
+			}
+		}
+		w.advance(100 * time.Millisecond)
+	}
+	is.Equal(w.engines[process].state, roster.Ready)
+}
+
 // reborn answers every report as one of another life than was asked.
 type reborn struct{ err error }
 
--- a/internal/formation/takeapart.go
+++ b/internal/formation/takeapart.go
@@ -272,8 +272,8 @@
 	if c.begun || g.Ending || c.mode != Truncate {
 		return false
 	}
-	for _, m := range g.Members {
-		if p.health(m) != alive || !p.inGroup(m, g) {
+	for rank, m := range g.Members {
+		if p.health(m) != alive || !p.holdsRank(m, g, rank) {
 			return false
 		}
 	}
