Counts that don't fit a message go in parts

Cause: read as a newcomer: a node with requests at more than some thirty heads would have its count dropped as too long, with a line in the log each time; the board would lack it. Fleets of few nodes a zone and many heads have that.

Change: further parts add to the first, which replaces.

TestLongCountsComeInParts; by the code of before the message is not sent (Send logs and drops it).

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -43,13 +43,16 @@
 	counts []Count
 }
 
-// Note takes up a node's whole count.
-func (b *Board) Note(node string, counts []Count, now clock.Instant) {
+// Note takes up a node's count; further parts of one that didn't fit a message add to it.
+func (b *Board) Note(node string, counts []Count, further bool, now clock.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.nodes == nil {
 		b.nodes = map[string]told{}
 	}
+	if further {
+		counts = append(slices.Clone(b.nodes[node].counts), counts...)
+	}
 	b.nodes[node] = told{now, counts}
 }
 
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -18,17 +18,20 @@
 	var b Board
 	_, known := b.Sums(now)
 	is.True(!known)
-	b.Note("n1", []Count{{"h1", 3, 1000}, {"h2", 1, 0}}, now)
-	b.Note("n2", []Count{{"h1", 2, 500}}, now)
+	b.Note("n1", []Count{{"h1", 3, 1000}, {"h2", 1, 0}}, false, now)
+	b.Note("n2", []Count{{"h1", 2, 500}}, false, now)
 	sums, known := b.Sums(now)
 	is.True(known)
 	is.Equal(sums, []Count{{"h1", 5, 1500}, {"h2", 1, 0}})
-	b.Note("n1", []Count{{"h1", 4, 0}}, now.Add(time.Second)) // the end at h2 came with it
+	b.Note("n1", []Count{{"h1", 4, 0}}, false, now.Add(time.Second)) // the end at h2 came with it
 	sums, _ = b.Sums(now.Add(time.Second))
 	is.Equal(sums, []Count{{"h1", 6, 0}}) // prompts told a second ago are read
 	sums, _ = b.Sums(now.Add(3 * time.Second))
-	is.Equal(sums, []Count{{"h1", 4, 0}}) // n2 is silent
-	b.Note("n1", nil, now.Add(3*time.Second))
+	is.Equal(sums, []Count{{"h1", 4, 0}})                             // n2 is silent
+	b.Note("n1", []Count{{"h3", 2, 0}}, true, now.Add(3*time.Second)) // a further part
+	sums, _ = b.Sums(now.Add(3 * time.Second))
+	is.Equal(sums, []Count{{"h1", 4, 0}, {"h3", 2, 0}})
+	b.Note("n1", nil, false, now.Add(3*time.Second))
 	sums, known = b.Sums(now.Add(3 * time.Second))
 	is.Equal(len(sums), 0)
 	is.True(known)
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -150,6 +150,30 @@
 
 func (h *heldDuty) holds(zone string) bool { return h.zone == zone }
 
+// A node has requests at 90 heads, more than fit a message: all of them stand on the
+// board, and none twice after the next telling.
+func TestLongCountsComeInParts(t *testing.T) {
+	is := is.New(t)
+	p := newPaper(t, 1, 27, 0)
+	holder, teller := p.nodes["z0-0"], p.nodes["z0-1"]
+	holder.holds = (&heldDuty{"z0"}).holds
+	var list []roster.Endpoint
+	for i := range 90 {
+		id := roster.Life(fmt.Sprintf("i-%010d", i), 1790000000000)
+		list = append(list, roster.Endpoint{ID: id, Service: "s", Zone: "z0", Domain: "d", Slots: 22})
+		teller.tracker.Start(id, nil)
+	}
+	teller.roster.current.Store(roster.Merge(roster.Empty(), list, p.clock.Now(), 0))
+	for range 3 {
+		teller.tracker.Start(list[0].ID, nil)
+		teller.loads.tell()
+	}
+	sums, _ := holder.loads.boards["z0"].Sums(p.clock.Now())
+	is.Equal(len(sums), 90)
+	is.Equal(sums[0].Requests, 4)
+	is.Equal(sums[89].Requests, 1)
+}
+
 // A board of many heads comes in parts that fit a packet each.
 func TestBoardFitsItsMessages(t *testing.T) {
 	is := is.New(t)
--- a/internal/entry/hints.go
+++ b/internal/entry/hints.go
@@ -82,7 +82,7 @@
 		n.lookSoon()
 	}
 	if m.InFlight != nil {
-		n.loads.note(m.InFlight.Zone, m.InFlight.Node, m.InFlight.Counts, n.Clock.Now())
+		n.loads.note(m.InFlight, n.Clock.Now())
 	}
 	for _, c := range m.Board {
 		n.tracker.TakeBoard(c)
--- a/internal/entry/loads.go
+++ b/internal/entry/loads.go
@@ -126,28 +126,31 @@
 func (l *loads) send(zone string, counts []board.Count, now clock.Instant) {
 	n := l.node
 	owner := n.leaseRows.owner(zone)
-	if owner == n.Settings.VM {
-		l.note(zone, n.Settings.VM, counts, now)
-		return
-	}
-	if addr := n.leaseRows.addr(owner); addr != "" {
-		n.send(news.Message{InFlight: &news.InFlight{Node: n.Settings.VM, Zone: zone, Counts: counts}}, addr)
+	addr := n.leaseRows.addr(owner)
+	for i, part := range parts(counts) {
+		m := news.InFlight{Node: n.Settings.VM, Zone: zone, Further: i > 0, Counts: part}
+		switch {
+		case owner == n.Settings.VM:
+			l.note(&m, now)
+		case addr != "":
+			n.send(news.Message{InFlight: &m}, addr)
+		}
 	}
 }
 
 // note takes up a node's count of a zone whose duty this node holds.
-func (l *loads) note(zone, node string, counts []board.Count, now clock.Instant) {
-	if !l.node.holds(zone) {
+func (l *loads) note(m *news.InFlight, now clock.Instant) {
+	if !l.node.holds(m.Zone) {
 		return
 	}
 	l.mu.Lock()
-	b := l.boards[zone]
+	b := l.boards[m.Zone]
 	if b == nil {
 		b = &board.Board{}
-		l.boards[zone] = b
+		l.boards[m.Zone] = b
 	}
 	l.mu.Unlock()
-	b.Note(node, counts, now)
+	b.Note(m.Node, m.Counts, m.Further, now)
 }
 
 // show tells the sums to the nodes of the zones whose duty this node holds.
@@ -173,7 +176,9 @@
 			next.whole, out = now, withEnds(last.counts, sums)
 		}
 		l.shown[zone] = next
-		l.publish(zone, out)
+		if len(out) > 0 {
+			l.publish(zone, out)
+		}
 	}
 }
 
@@ -299,7 +304,7 @@
 	return out
 }
 
-// parts splits counts so that each part fits a message.
+// parts splits counts so that each part fits a message; no counts are one empty part.
 func parts(counts []board.Count) [][]board.Count {
 	const room = news.MaxMessage - 100 // for the rest of the message
 	var out [][]board.Count
@@ -315,7 +320,7 @@
 		}
 		part, size = append(part, c), size+len(raw)+1
 	}
-	if len(part) > 0 {
+	if len(part) > 0 || len(out) == 0 {
 		out = append(out, part)
 	}
 	return out
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -34,11 +34,12 @@
 	Means []board.Mean `json:"means,omitempty"`
 }
 
-// InFlight is a node's whole count at the heads of a zone.
+// InFlight is a node's count at the heads of a zone, in as many messages as it takes.
 type InFlight struct {
-	Node   string        `json:"node"`
-	Zone   string        `json:"zone"`
-	Counts []board.Count `json:"c"`
+	Node    string        `json:"node"`
+	Zone    string        `json:"zone"`
+	Further bool          `json:"further,omitempty"` // adds to the message before
+	Counts  []board.Count `json:"c"`
 }
 
 // Placed tells of requests that a node has sent to an engine. A node that tells
