--- a/internal/entry/duty.go
+++ b/internal/entry/duty.go
@@ -18,19 +18,24 @@
 	// rankSmall is of a zone's small nodes where it has larger ones: a fifth of a core
 	// doesn't carry 219 engines and 59 followers. It could not read the list within
 	// 700 ms, nor renew its lease.
-	rankSmall   = rankHolder + 1
-	rankNever   = rankSmall + 1 // as many ranks follow a lease
-	largerBy    = 1.5
-	largeAlone  = 0.5 // of a core: carries a duty beside its requests
+	rankSmall = rankHolder + 1
+	rankNever = rankSmall + 1 // as many ranks follow a lease
+)
+
+// Sizes of nodes, in cores.
+const (
+	// largerBy is from how many times its size another node counts as larger: machines
+	// of one kind differ by less.
+	largerBy = 1.5
+	// A node that knows no others yet tries first from largeAlone on and second from
+	// mediumAlone on; smaller ones leave it the time to be known.
+	largeAlone  = 0.5
 	mediumAlone = 0.3
 )
 
 // rank spreads the duties. Of a zone's nodes the largest try first, half of them a step
-// later; then its smaller ones, and the largest of the other zones. The holder of a zone
-// with 219 engines takes 20 to 47 s of processor time over 48 s; a machine with a fifth
-// of a core can't carry that, and is late with all that it knows.
-//
-// A node that holds another duty comes after those that hold none.
+// later; then the largest of the other zones, those that hold a duty last; then the
+// zone's small ones.
 func (n *Node) rank(zone string) int {
 	if zone != n.Settings.Zone {
 		return n.rankElsewhere(zone)
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -15,7 +15,7 @@
 	"chervilloom/internal/roster"
 )
 
-// Message is what a node tells the others. Exactly one of its parts is set.
+// Message is what a node tells the others. Exactly one of its parts is set, beside Relay.
 type Message struct {
 	// Relay asks who gets the message to pass it on to the nodes of its zone.
 	Relay   bool         `json:"relay,omitempty"`
