Logs tell which attempts broke off, and of which request

Cause: the incident's logs name requests by an id that each client attempt has anew; an attempt that was sent again left no line. Whether one request ended all those engines, or many did, could not be read from them. Change: a fingerprint over caller, method, host, target and body (HMAC-SHA256, 96 bits), and a line for each attempt without a usable answer. No decision is changed.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -12,6 +12,7 @@
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
 	"chervilloom/internal/outcome"
+	"chervilloom/internal/quarantine"
 	"chervilloom/internal/roster"
 	"chervilloom/internal/upstream"
 )
@@ -32,6 +33,7 @@
 	w      http.ResponseWriter
 	client context.Context // ends when the client leaves
 	body   []byte
+	print  quarantine.Fingerprint
 
 	tried     []roster.ID
 	progress  Progress
@@ -93,6 +95,7 @@
 		return res
 	}
 	x.progress.Sent++
+	sent := x.f.Clock.Now()
 	ticket := x.f.Tracker.Start(ep.ID, func() {
 		if x.mayMove() {
 			conn.Abort()
@@ -113,6 +116,9 @@
 		ticket.Progress()
 		res = x.judge(ctx, ep, conn, resp, ticket)
 	}
+	if res == MayHaveRun {
+		x.logBroken(ep, sent)
+	}
 	// Whatever may abort the connection must be over before another request
 	// gets it: an abort that came late would end that one's exchange.
 	ticket.End()
@@ -306,3 +312,10 @@
 		"first_ms", x.first.Milliseconds(), "objective_ms", x.route.Objective.Milliseconds(),
 		"gap_ms", x.gap.Milliseconds(), "gap_aim_ms", x.route.GapAim.Milliseconds())
 }
+
+// logBroken tells of an attempt without a usable answer. Each client attempt has an id of
+// its own; the fingerprint shows which of them are the same request.
+func (x *exchange) logBroken(ep *roster.Endpoint, sent clock.Instant) {
+	x.f.Log.Info("attempt broke off", "request", x.req.ID, "fingerprint", x.print, "endpoint", ep.ID,
+		"group", ep.Member.Group, "sent_ms_ago", x.f.Clock.Now().Sub(sent).Milliseconds(), "events", x.events, "cause", x.lastCause)
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -15,6 +15,7 @@
 	"chervilloom/internal/clock"
 	"chervilloom/internal/demand"
 	"chervilloom/internal/outcome"
+	"chervilloom/internal/quarantine"
 	"chervilloom/internal/retry"
 	"chervilloom/internal/roster"
 	"chervilloom/internal/upstream"
@@ -118,6 +119,7 @@
 		return
 	}
 	x.in, x.w, x.client = r, w, r.Context()
+	x.print = quarantine.Of(x.organisation, r.Method, req.Host, req.Target, x.body)
 	x.run(ctx)
 }
 
