Quarantine: which request ends the endpoints, decided purely

Cause of the incident: nothing remembers a request beyond one client attempt. The decision that was missing, without its wiring yet. Change: Tally gathers evidence by endpoint and fingerprint, Judge finds the requests that all ends have in common and the others lack.

--- /dev/null
+++ b/internal/quarantine/judge.go
@@ -0,0 +1,213 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"chervilloom/internal/clock"
+)
+
+// The evidence that it takes to find a request harmful. Whoever shared an endpoint with
+// it saw that endpoint end as well; what sets the harmful one apart is that it was at
+// all ends, and that others were not. The figures are those with which the world of the
+// tests refuses fewest innocent requests while each harmful one keeps to its bound.
+const (
+	// harmEnds is how many ends a request must have seen. The platform's bound begins
+	// with the third: from 3 s after it on three more runs are allowed.
+	harmEnds = 3
+	// harmAttempts is how many client attempts must have seen one. A stream that is sent
+	// again after an end, and meets the next one at the same endpoint as the harmful
+	// request, is one attempt all the while.
+	harmAttempts = 2
+	// harmSurely is from how many client attempts on it doesn't matter how many endpoints
+	// ended without the request meanwhile. Where many end for other reasons a client that
+	// comes back once may have met four of them.
+	harmSurely = 3
+	// harmClearly is how many times as many ends it must have seen as missed before that.
+	harmClearly = 8
+	// harmMargin is how many of its ends each other request must have missed. Streams
+	// that move together from one end to the next share all but few of them; a harmful
+	// request that comes again without them gets ahead of them by its repeats.
+	harmMargin = 2
+	// harmMany is from how many ends on one that the others missed is enough: what a
+	// client sends many times at once may be at most endpoints for seconds.
+	harmMany = 8
+	// harmSettles is the time after its third end from which a further one is as good as
+	// many: most client attempts are over by then, and the bound's time has hardly begun.
+	harmSettles = 2 * time.Second
+	// harmSound is how many runs may have ended well for each end: a request that ends
+	// its endpoint every other time is found, one that many clients repeat all day and
+	// that sees an end now and then isn't.
+	harmSound = 3
+	// herdSpan is the time within which ends count as one loss if most of them were
+	// without the request: a rack, a zone or a release takes many endpoints at once, and
+	// a request that clients repeat at once may have been at several of them.
+	herdSpan = 100 * time.Millisecond
+	// herdEnds is from how many ends at one moment on time alone proves nothing.
+	herdEnds = 4
+)
+
+// Verdict says that a request ends the endpoints that run it, and on what evidence.
+type Verdict struct {
+	Print    Fingerprint `json:"f"`
+	Ends     int         `json:"ends"`     // that it has seen and no other request explains
+	Attempts int         `json:"attempts"` // of clients that saw one
+}
+
+// Judge returns the requests that are found harmful at now, without those that known
+// holds. An end under one of these, or under one that is found first, says nothing of the
+// others that were there.
+func (t *Tally) Judge(known func(Fingerprint) bool, now clock.Instant) []Verdict {
+	found := map[Fingerprint]bool{}
+	var open []Fingerprint
+	for print, s := range t.byPrint {
+		switch {
+		case known(print):
+			found[print] = true
+		case len(s.ends) >= harmEnds:
+			open = append(open, print)
+		}
+	}
+	// Whoever saw the most ends first: its ends then explain those of the others.
+	slices.SortFunc(open, func(a, b Fingerprint) int {
+		return cmp.Or(cmp.Compare(len(t.byPrint[b].ends), len(t.byPrint[a].ends)), cmp.Compare(a, b))
+	})
+	var out []Verdict
+	for _, print := range open {
+		if v, harmful := t.judge(print, found, now); harmful {
+			out = append(out, v)
+			found[print] = true
+		}
+	}
+	return out
+}
+
+// Harmless reports whether a request that has seen ends ran well too often to be what
+// caused them.
+func (t *Tally) Harmless(print Fingerprint) bool {
+	s := t.byPrint[print]
+	return s != nil && s.harmless()
+}
+
+func (s *suspect) harmless() bool { return s.soundRuns() > harmSound*len(s.ends) }
+
+// judge weighs the ends of one request that none of those found explains.
+func (t *Tally) judge(print Fingerprint, found map[Fingerprint]bool, now clock.Instant) (Verdict, bool) {
+	s := t.byPrint[print]
+	own := t.ownEnds(print, found)
+	v := Verdict{Print: print, Ends: len(own), Attempts: len(s.attempts)}
+	if v.Ends < harmEnds || v.Attempts < harmAttempts || s.harmless() {
+		return v, false
+	}
+	third, last := own[harmEnds-1], own[len(own)-1]
+	if v.Attempts >= harmSurely && now.Sub(third.at) > harmSettles && !t.herd(own) {
+		return v, true // those that moved along with it are over
+	}
+	settled := last.at.Sub(third.at) > harmSettles
+	if !settled && v.Attempts < harmSurely && harmClearly*t.missed(print, own) > v.Ends {
+		return v, false
+	}
+	margin := harmMargin
+	if settled || v.Ends >= harmMany {
+		margin = 1
+	}
+	return v, t.ahead(print, own, margin)
+}
+
+// ownEnds returns the ends that the request has seen, without those that another one
+// explains and those that tell nothing beside another.
+func (t *Tally) ownEnds(print Fingerprint, found map[Fingerprint]bool) []*end {
+	s := t.byPrint[print]
+	var own []*end
+	for _, e := range s.ends {
+		if !t.explained(e, found, len(s.ends)) && !t.sameLoss(print, e, own) {
+			own = append(own, e)
+		}
+	}
+	return own
+}
+
+// explained reports whether a request that was found harmful was at the end, and at no
+// fewer ends than the one that is judged: what has seen more is harmful by itself.
+func (t *Tally) explained(e *end, found map[Fingerprint]bool, ends int) bool {
+	for other := range e.runs {
+		if found[other] && len(t.byPrint[other].ends) >= ends {
+			return true
+		}
+	}
+	return false
+}
+
+// ahead reports whether every other request that may be harmful missed at least margin
+// of the ends.
+func (t *Tally) ahead(print Fingerprint, own []*end, margin int) bool {
+	shared := map[Fingerprint]int{}
+	for _, e := range own {
+		for other := range e.runs {
+			shared[other]++
+		}
+	}
+	for other, n := range shared {
+		if other != print && len(own)-n < margin && !t.byPrint[other].harmless() {
+			return false
+		}
+	}
+	return true
+}
+
+// missed counts the ends without the request between its first and its last one.
+func (t *Tally) missed(print Fingerprint, own []*end) int {
+	n := 0
+	for _, e := range t.order {
+		if e.runs[print] == nil && e.at.After(own[0].at) && e.at.Before(own[len(own)-1].at) {
+			n++
+		}
+	}
+	return n
+}
+
+// sameLoss reports whether the end tells nothing beside those of own at the same moment:
+// many endpoints ended together, or the request was at several of them because its
+// clients had sent it more than once. One client attempt that met one end after the other
+// within a few milliseconds tells of each.
+func (t *Tally) sameLoss(print Fingerprint, e *end, own []*end) bool {
+	beside, chained := false, false
+	for _, o := range own {
+		if near(e, o) {
+			beside = true
+			chained = chained || sameAttempt(o.runs[print], e.runs[print])
+		}
+	}
+	if !beside {
+		return false
+	}
+	with, without := 0, 0
+	for _, o := range t.order {
+		switch {
+		case !near(e, o):
+		case o.runs[print] != nil:
+			with++
+		default:
+			without++
+		}
+	}
+	return !chained || without >= with
+}
+
+func sameAttempt(a, b []uint32) bool {
+	return slices.ContainsFunc(a, func(attempt uint32) bool { return slices.Contains(b, attempt) })
+}
+
+// herd reports whether one of the ends was among many at the same moment.
+func (t *Tally) herd(own []*end) bool {
+	return slices.ContainsFunc(own, func(e *end) bool {
+		n := 0
+		for _, o := range t.order {
+			if near(e, o) {
+				n++
+			}
+		}
+		return n >= herdEnds
+	})
+}
