A request that ends its endpoints is kept from further ones

Cause: the loop of attempts judged what one client attempt did at one endpoint and forgot it. The same request came again, at another node and under another id, and each time ended up to three endpoints with all their streams. Change: attempts that broke off at an endpoint that refuses connections since are evidence; nodes tell it to those that tally (all of a small zone, the holder of a large one's duty), and what is found goes to all nodes, twice, and into a row beside the leases, which the reads and questions that are made anyway carry to nodes that missed it or start later. The check stands once, immediately before the send, for first tries, repeats, resumed streams and those that waited. A connection that carried nothing goes back to the pool.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,6 +30,7 @@
 	"chervilloom/internal/forward"
 	"chervilloom/internal/lease"
 	"chervilloom/internal/news"
+	"chervilloom/internal/quarantine"
 	"chervilloom/internal/retry"
 	"chervilloom/internal/roster"
 	"chervilloom/internal/upstream"
@@ -71,6 +72,7 @@
 	mesh        *news.Mesh
 	send        func(m news.Message, to ...string) // through mesh
 	loads       *loads
+	quarantine  *quarantine.Guard
 	demand      demand.Zone // what the zone's other nodes are asked for
 	began       clock.Instant
 	started     chan struct{}          // closed once the configuration and the endpoints are known
@@ -153,6 +155,7 @@
 		Suspected: n.suspected,
 		Doubted:   n.doubted,
 	}
+	n.quarantine = n.newGuard()
 	n.forwarder = &forward.Forwarder{
 		Codec: o.Codec, Clock: o.Clock, Log: o.Log, Metrics: forward.NewMetrics(o.Registry), Pool: n.pool, Tracker: n.tracker,
 		Zone:    o.Settings.Zone,
@@ -161,12 +164,13 @@
 		Ejector: retry.NewEjector(ejection, o.Clock, o.Log, o.Registry),
 		View:    n.view, NewBudget: n.newBudget, Missed: n.lookSoon, Unanswered: n.tellFailed,
 		Started: n.started, Placed: n.tellPlaced, Sample: n.sample, ZoneLoad: func(zone, model string) board.Mean { return n.loads.meanOf(zone, model) },
-		Nodes: func() int { return n.leaseRows.nodes() },
+		Quarantine: n.quarantine,
+		Nodes:      func() int { return n.leaseRows.nodes() },
 	}
 	n.follower = &follower{node: n, ask: feed.NewClient(), clock: o.Clock, log: o.Log, wake: make(chan struct{}, 1)}
 	n.roster.leaves = n.tellLeaving
 	n.config.idle, n.roster.idle = n.leavesStore, n.leavesStore
-	n.leaseRows = &leaseCache{Table: o.Store, clock: o.Clock, idle: n.leavesLeases}
+	n.leaseRows = &leaseCache{Table: o.Store, clock: o.Clock, log: o.Log, idle: n.leavesLeases, quarantined: n.quarantine.TakeKept}
 	n.mesh = &news.Mesh{Log: o.Log, Receive: n.heard}
 	n.send = n.mesh.Send
 	n.holds = n.heldByLease
@@ -318,8 +322,8 @@
 	n.roster.soon()
 }
 
-// sweep closes old connections and tells the ejector whom there is to choose
-// from.
+// sweep closes old connections, tells the ejector whom there is to choose from, and
+// keeps the rows of quarantined requests.
 func (n *Node) sweep() {
 	n.pool.Sweep()
 	var ids []retry.ID
@@ -329,6 +333,7 @@
 		}
 	})
 	n.forwarder.Ejector.SetCandidates(ids)
+	n.keepAllQuarantined()
 }
 
 // Run serves until ctx ends, then leaves within the grace time.
@@ -402,6 +407,7 @@
 		}
 		n.tracker.Watch()
 		n.loads.tick()
+		n.quarantine.Tick()
 	}
 }
 
--- a/internal/entry/hints.go
+++ b/internal/entry/hints.go
@@ -93,6 +93,9 @@
 	if m.Placed != nil {
 		n.tracker.Told(m.Placed.ID, m.Placed.Requests, m.Placed.Tokens, engineTurnover)
 	}
+	if m.Quarantine != nil {
+		n.quarantine.Hear(*m.Quarantine)
+	}
 	if m.Failed != "" {
 		n.forwarder.Ejector.Report(retry.ID(m.Failed), true)
 	}
--- a/internal/entry/leases.go
+++ b/internal/entry/leases.go
@@ -14,6 +14,7 @@
 	"chervilloom/internal/clock"
 	"chervilloom/internal/lease"
 	table "chervilloom/internal/platform"
+	"chervilloom/internal/quarantine"
 )
 
 // leaseStore is the part of the platform's table that leases need.
@@ -30,7 +31,10 @@
 type leaseCache struct {
 	Table leaseStore
 	clock clock.Clock
+	log   *slog.Logger
 	idle  func() bool // another node keeps the rows up to date
+	// quarantined is told of the requests that the rows name, with each reading.
+	quarantined func([]quarantine.Verdict)
 
 	reading sync.Mutex // held while the rows are read
 
@@ -63,6 +67,9 @@
 			d.zones[at.zone] = append(d.zones[at.zone], vm)
 			continue
 		}
+		if strings.HasPrefix(key, quarantinePrefix) {
+			continue
+		}
 		var row lease.Row
 		if json.Unmarshal(r.Value, &row) == nil && !row.Released { // the lease's manager logs one that can't be read
 			d.owners[key] = string(row.Owner.VM)
@@ -108,9 +115,10 @@
 		return err
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.read = now
 	c.set(rows)
+	c.mu.Unlock()
+	c.quarantined(c.keptVerdicts(rows)) // which may ask for addresses
 	return nil
 }
 
@@ -125,8 +133,9 @@
 // take takes up rows that another node has read.
 func (c *leaseCache) take(rows []table.Row) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.set(rows)
+	c.mu.Unlock()
+	c.quarantined(c.keptVerdicts(rows))
 }
 
 // all returns the rows as they are known.
@@ -154,6 +163,10 @@
 	}
 	c.dir = nil
 	for _, r := range res.Rows {
+		if len(r.Value) == 0 {
+			delete(c.rows, r.Key) // it was deleted
+			continue
+		}
 		c.rows[r.Key] = r
 	}
 	return res, nil
--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -15,6 +15,7 @@
 	"chervilloom/internal/balance"
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
+	"chervilloom/internal/quarantine"
 	"chervilloom/internal/roster"
 	"chervilloom/internal/upstream"
 )
@@ -45,6 +46,7 @@
 					return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 				}},
 			}
+			f.Quarantine = (&quarantine.Guard{Clock: c}).Init(nil)
 			in := httptest.NewRequest(http.MethodGet, "/a/b", nil)
 			in = in.WithContext(WithClient(context.Background(), server))
 			x := &exchange{
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -47,6 +47,7 @@
 	lastEvent clock.Instant
 	gap       time.Duration // longest pause between two events
 	moving    atomic.Bool   // a stalled attempt is given up; the budget has been asked
+	barred    bool          // the request ends endpoints; it isn't sent
 }
 
 func (x *exchange) left(now clock.Instant) time.Duration { return x.deadline.Sub(now) }
@@ -90,8 +91,7 @@
 		return x.failed(ctx, ep, err)
 	}
 	if res, over := x.overBeforeSend(ctx); over {
-		conn.Spoil()
-		x.f.Pool.Put(conn, nil, 0)
+		x.f.Pool.Return(conn, x.keptIdle())
 		return res
 	}
 	x.progress.Sent++
@@ -116,9 +116,7 @@
 		ticket.Progress()
 		res = x.judge(ctx, ep, conn, resp, ticket)
 	}
-	if res == MayHaveRun {
-		x.logBroken(ep, sent)
-	}
+	x.noteRun(ep, res, sent)
 	// Whatever may abort the connection must be over before another request
 	// gets it: an abort that came late would end that one's exchange.
 	ticket.End()
@@ -130,7 +128,8 @@
 	return res
 }
 
-// overBeforeSend looks once more at the client and its time. A node that is short of
+// overBeforeSend looks once more whether the request may be sent: at the client, its time
+// and the quarantine. A node that is short of
 // processor time, or whose dial hangs, comes here seconds after the client left; the
 // server's own look at the connection is as late, and the endpoint would run for nobody.
 func (x *exchange) overBeforeSend(ctx context.Context) (Result, bool) {
@@ -141,10 +140,22 @@
 	case ctx.Err() != nil || x.left(x.f.Clock.Now()) <= 0:
 		x.lastCause = "the time was over before the request was sent"
 		return OutOfTime, true
+	case x.quarantined(ctx):
+		x.lastCause = "the request ends the endpoints that run it"
+		return Barred, true
 	}
 	return 0, false
 }
 
+// quarantined reports whether the request must not be sent because endpoints end under
+// it. One that runs on ends an endpoint with all its streams at each attempt: on a played
+// day 43 ended under one. This is the only way to an endpoint, whichever attempt it is,
+// so nothing reaches one that this node knows of.
+func (x *exchange) quarantined(ctx context.Context) bool {
+	_, x.barred = x.f.Quarantine.Refused(ctx, x.print)
+	return x.barred
+}
+
 // limitTry gives an answer that may be asked for again a time within which it
 // must have come: an endpoint that hangs would otherwise hold the request until
 // its client's time is over. It returns what ends the limit.
@@ -296,12 +307,18 @@
 // refuseUnserved tells the client that the request has not run.
 func (x *exchange) refuseUnserved() {
 	e := outcome.New(outcome.NoCapacity, outcome.NotRun, "nothing serves this now", "try again").After(retryAfterNone)
-	if x.noChoice == balance.AllFull {
+	stage := "pick"
+	if x.barred {
+		stage = "quarantine"
+		// No time to come back: the same request would only be refused again.
+		e = outcome.New(outcome.Quarantined, outcome.NotRun, "endpoints end when they run this request",
+			"send another request; this one is tried again in some minutes")
+	} else if x.noChoice == balance.AllFull {
 		e = outcome.New(outcome.Overloaded, outcome.NotRun, "every endpoint is full", "try again").After(retryAfterFull)
 	}
-	x.f.refuse(x.w, x.req, "pick", e.WithCause(errors.New(string(x.noChoice)+"; "+x.lastCause)),
+	x.f.refuse(x.w, x.req, stage, e.WithCause(errors.New(string(x.noChoice)+"; "+x.lastCause)),
 		"route", x.route.Name, "model", x.req.Model, "endpoints", x.choices.endpoints, "free_slots", x.choices.freeSlots,
-		"tried", x.tried)
+		"tried", x.tried, "fingerprint", x.print)
 }
 
 func (x *exchange) log(message string, res Result) {
@@ -313,6 +330,20 @@
 		"gap_ms", x.gap.Milliseconds(), "gap_aim_ms", x.route.GapAim.Milliseconds())
 }
 
+// noteRun has the quarantine know how a run ended. An endpoint that leaves in order may
+// break off what is left; that is no end under a request.
+func (x *exchange) noteRun(ep *roster.Endpoint, res Result, sent clock.Instant) {
+	switch res {
+	case Answered:
+		x.f.Quarantine.Sound(x.print)
+	case MayHaveRun:
+		x.logBroken(ep, sent)
+		if now := x.f.View().Roster.Get(ep.ID); now != nil && now.Usable() {
+			x.f.Quarantine.Broke(string(ep.ID), ep.Addr, x.print, quarantine.AttemptID(x.req.ID))
+		}
+	}
+}
+
 // logBroken tells of an attempt without a usable answer. Each client attempt has an id of
 // its own; the fingerprint shows which of them are the same request.
 func (x *exchange) logBroken(ep *roster.Endpoint, sent clock.Instant) {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -41,6 +41,16 @@
 	Turnover time.Duration // about how long a request runs there
 }
 
+// Quarantine knows which requests end the endpoints that run them.
+type Quarantine interface {
+	// Refused reports whether the request must not be sent, and on what evidence.
+	Refused(ctx context.Context, print quarantine.Fingerprint) (quarantine.Verdict, bool)
+	// Broke is told of an attempt at an endpoint that broke off, Sound of one that ended
+	// well.
+	Broke(endpoint, addr string, print quarantine.Fingerprint, attempt uint32)
+	Sound(print quarantine.Fingerprint)
+}
+
 // Forwarder is the HTTP handler for clients.
 type Forwarder struct {
 	Codec   Codec
@@ -55,6 +65,8 @@
 	View    func() View
 	// Ejector leaves out endpoints that fail more than their peers.
 	Ejector *retry.Ejector
+	// Quarantine keeps requests that end endpoints from further ones.
+	Quarantine Quarantine
 	// NewBudget makes the retry budget of one service.
 	NewBudget func() *retry.Windowed
 	// Missed is told when a request met an endpoint that is no longer there, so
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -12,6 +12,7 @@
 	"net/netip"
 
 	"chervilloom/internal/board"
+	"chervilloom/internal/quarantine"
 	"chervilloom/internal/roster"
 )
 
@@ -30,6 +31,8 @@
 	InFlight *InFlight `json:"inflight,omitempty"`
 	// Board is a part of what all nodes have in flight at a zone's heads.
 	Board []board.Count `json:"board,omitempty"`
+	// Quarantine is of requests that end endpoints.
+	Quarantine *quarantine.Message `json:"quarantine,omitempty"`
 	// Means are the mean loads of zones, from their holders.
 	Means []board.Mean `json:"means,omitempty"`
 }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -47,6 +47,7 @@
 	PlatformDown     Kind = "platform_down"     // the table is needed and cannot be reached
 	ShuttingDown     Kind = "shutting_down"     // this node takes no new work
 	CallerGone       Kind = "caller_gone"       // the caller left
+	Quarantined      Kind = "quarantined"       // endpoints end when they run the request
 	Internal         Kind = "internal"          // a fault of the node
 )
 
@@ -110,7 +111,7 @@
 	AnswerCut: http.StatusBadGateway, StillRunning: http.StatusConflict,
 	KeyReused: http.StatusUnprocessableEntity, HolderLost: http.StatusConflict,
 	PlatformDown: http.StatusServiceUnavailable, ShuttingDown: http.StatusServiceUnavailable,
-	CallerGone: 499, Internal: http.StatusInternalServerError,
+	CallerGone: 499, Quarantined: http.StatusUnprocessableEntity, Internal: http.StatusInternalServerError,
 }
 
 // Status returns the HTTP status of the kind.
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -53,6 +53,8 @@
 	Print    Fingerprint `json:"f"`
 	Ends     int         `json:"ends"`     // that it has seen and no other request explains
 	Attempts int         `json:"attempts"` // of clients that saw one
+	// Tries is how many runs were allowed since to see whether it still does.
+	Tries int `json:"tries,omitempty"`
 }
 
 // Judge returns the requests that are found harmful at now, without those that known
--- /dev/null
+++ b/internal/quarantine/metrics.go
@@ -0,0 +1,24 @@
+package quarantine
+
+import "github.com/prometheus/client_golang/prometheus"
+
+type metrics struct {
+	found, refused, ends prometheus.Counter
+}
+
+func newMetrics(reg prometheus.Registerer, barred func() float64) *metrics {
+	counter := func(name, help string) prometheus.Counter {
+		return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
+	}
+	m := &metrics{
+		found:   counter("chervilloom_quarantine_found_total", "Requests that this node has heard to end endpoints."),
+		refused: counter("chervilloom_quarantine_refused_total", "Sends that were refused because the request ends endpoints."),
+		ends:    counter("chervilloom_quarantine_ends_total", "Endpoints that ended with requests of this node."),
+	}
+	if reg != nil {
+		reg.MustRegister(m.found, m.refused, m.ends, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "chervilloom_quarantine_requests", Help: "Requests that are refused now.",
+		}, barred))
+	}
+	return m
+}
--- a/internal/quarantine/tally.go
+++ b/internal/quarantine/tally.go
@@ -105,6 +105,16 @@
 	}
 }
 
+// Clear takes a request out of all ends: it is counted anew.
+func (t *Tally) Clear(print Fingerprint) {
+	if s := t.byPrint[print]; s != nil {
+		for _, e := range s.ends {
+			delete(e.runs, print)
+		}
+		delete(t.byPrint, print)
+	}
+}
+
 // NoteSound takes up how many runs of a request ended well at a node, of late.
 func (t *Tally) NoteSound(node string, print Fingerprint, runs int) {
 	if s := t.byPrint[print]; s != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -123,6 +123,16 @@
 	}
 }
 
+// Return gives back a connection over which nothing was sent.
+func (p *Pool) Return(c *Conn, keep int) {
+	if !c.used {
+		c.idleSince = p.Clock.Now()
+	}
+	if c.spoiled || !p.push(c, keep) {
+		c.Close()
+	}
+}
+
 func (p *Pool) push(c *Conn, keep int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
