Quarantine: one try after its time, let go where it runs well, kept over all nodes' end

Change: runs that ended well are told when a request is found and weighed against its ends; connections that are refused at once cost no repeat, three a request at most; an endpoint that was seen to end is suspect at once; silence is no evidence.

--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -11,6 +11,7 @@
 	"chervilloom/internal/news"
 	table "chervilloom/internal/platform"
 	"chervilloom/internal/quarantine"
+	"chervilloom/internal/roster"
 )
 
 // quarantinePrefix begins the keys of the rows that name quarantined requests. They stand
@@ -31,6 +32,10 @@
 		Keep:     func(v quarantine.Verdict) { go n.keepQuarantined(v) },
 		Drop:     func(print quarantine.Fingerprint) { go n.dropQuarantined(print) },
 		Try:      n.tryQuarantined,
+		Ended: func(endpoint string) { // requests that come now needn't find it gone themselves
+			n.tracker.Suspect(roster.ID(endpoint))
+			n.lookSoon()
+		},
 	}).Init(n.Registry)
 }
 
--- /dev/null
+++ b/internal/forward/beside_test.go
@@ -0,0 +1,160 @@
+package forward_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilloom/internal/balance"
+	"chervilloom/internal/board"
+	"chervilloom/internal/catalog"
+	"chervilloom/internal/clock"
+	"chervilloom/internal/forward"
+	"chervilloom/internal/quarantine"
+	"chervilloom/internal/retry"
+	"chervilloom/internal/roster"
+	"chervilloom/internal/upstream"
+	"chervilloom/platform"
+)
+
+// rig is a forwarder before plain endpoints of the test's own.
+type rig struct {
+	*forward.Forwarder
+	server *httptest.Server
+	guard  *quarantine.Guard
+}
+
+// newRig starts a forwarder that may send slack repeats in a window.
+func newRig(t *testing.T, slack float64, addrs ...string) *rig {
+	t.Helper()
+	doc := catalog.Document{
+		Version:  1,
+		Services: []catalog.Service{{Name: "plain"}},
+		Routes: []catalog.Route{{
+			Name: "lookup", Host: "h.example", Prefix: "/lookup/", Repeat: catalog.Idempotent, Public: true,
+			Timeout: 10 * time.Second, Objective: 5 * time.Second, MaxAttempts: 2,
+			Backends: []catalog.Backend{{Service: "plain", Weight: 1}},
+		}},
+	}
+	cat, err := catalog.New(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []roster.Endpoint
+	for i, addr := range addrs {
+		list = append(list, roster.Endpoint{ID: roster.ID(rune('a' + i)), Service: "plain", Addr: addr, Zone: "z", Slots: 8})
+	}
+	c := clock.Boot{}
+	known := roster.Merge(roster.Empty(), list, c.Now(), 0)
+	log := slog.New(slog.DiscardHandler)
+	r := &rig{guard: (&quarantine.Guard{
+		Clock: c, Log: log, Tell: func(quarantine.Message) {}, Announce: func(quarantine.Message) {},
+	}).Init(nil)}
+	r.Forwarder = &forward.Forwarder{
+		Codec: platform.Codec{}, Clock: c, Log: log, Metrics: forward.NewMetrics(nil), Pool: &upstream.Pool{Clock: c}, Zone: "z",
+		Tracker: &balance.Tracker{
+			Clock: c, Silence: func(roster.ID) time.Duration { return time.Minute }, Suspected: func(roster.ID) {}, Doubted: func(roster.ID) {},
+		},
+		Plain: forward.Profile{Bounds: balance.Bounds{Queue: 1}, Turnover: time.Second},
+		View: func() forward.View {
+			return forward.View{Catalog: cat, Fresh: true, Current: true, Roster: known}
+		},
+		Ejector:    retry.NewEjector(retry.OutlierOptions{Consecutive: 100, MinRequests: 100, Margin: 1}, c, log, nil),
+		Quarantine: r.guard,
+		NewBudget: func() *retry.Windowed {
+			return &retry.Windowed{Clock: c, Window: 10 * time.Second, Slack: func() float64 { return slack }}
+		},
+		Missed: func() {}, Unanswered: func(roster.ID) {}, Placed: func(roster.ID, int) {},
+		Sample: func() int { return 0 }, ZoneLoad: func(string, string) board.Mean { return board.Mean{} }, Nodes: func() int { return 1 },
+	}
+	r.server = httptest.NewServer(r.Forwarder)
+	t.Cleanup(r.server.Close)
+	return r
+}
+
+// get asks for a path and returns the status of the answer and its body.
+func (r *rig) get(t *testing.T, id, path string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, r.server.URL+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("X-Request-Id", id)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(body)
+}
+
+// endpoint starts one that answers as endpoints do.
+func endpoint(t *testing.T) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Server-Stamp", "s")
+		io.WriteString(w, "ok")
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// gone returns an address at which nothing listens.
+func gone(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// A request ends one endpoint after the other, and the list shows them for seconds more.
+// Requests of others that are placed there have their connection refused at once. Nothing
+// arrived anywhere, so that going to another endpoint is no repeat; yet each took one from
+// the budget, and when that was spent, 108 requests of a played day were refused with free
+// endpoints at hand ("least loaded; ... connection refused").
+func TestRefusedConnectionsCostNoRepeat(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 0, gone(t), gone(t), endpoint(t))
+	for i := range 20 {
+		code, body := r.get(t, string(rune('a'+i)), "/lookup/x")
+		is.Equal(code, http.StatusOK)
+		is.Equal(body, "ok")
+	}
+}
+
+// Every endpoint but one that would serve refuses connections. A request looks at a few of
+// them and is told then: where all are gone, it must not go through hundreds.
+func TestRefusedConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var addrs []string
+	for range 40 {
+		addrs = append(addrs, gone(t))
+	}
+	r := newRig(t, 0, addrs...)
+	var dials atomic.Int32
+	r.Pool.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		dials.Add(1)
+		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	}
+	code, _ := r.get(t, "a", "/lookup/x")
+	is.Equal(code, http.StatusServiceUnavailable)
+	is.True(dials.Load() <= 4)
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"chervilloom/internal/balance"
@@ -48,6 +49,10 @@
 	gap       time.Duration // longest pause between two events
 	moving    atomic.Bool   // a stalled attempt is given up; the budget has been asked
 	barred    bool          // the request ends endpoints; it isn't sent
+	// refusedDial says that the newest attempt's endpoint refused the connection, closed
+	// how many have.
+	refusedDial bool
+	closed      int
 }
 
 func (x *exchange) left(now clock.Instant) time.Duration { return x.deadline.Sub(now) }
@@ -70,7 +75,7 @@
 		x.progress.Budget = true
 		step := Next(x.route, res, x.progress)
 		if step == Again && !x.moving.Swap(false) {
-			x.progress.Budget = x.f.budget(x.service).Allow()
+			x.progress.Budget = x.free(res) || x.f.budget(x.service).Allow()
 			step = Next(x.route, res, x.progress)
 		}
 		x.f.Log.Debug("attempt", "request", x.req.ID, "endpoint", ep.ID, "result", res.String(), "step", step.String(), "cause", x.lastCause, "events", x.events)
@@ -82,10 +87,21 @@
 	}
 }
 
+// mostClosed is how many endpoints that refuse the connection cost a request nothing.
+const mostClosed = 3
+
+// free reports whether the next attempt takes nothing from the retry budget: nothing has
+// arrived at an endpoint that refuses connections. Beside a request that ended one
+// endpoint after the other 108 others of a played day were refused because the budget
+// was spent on such. A connection that hangs has cost its time and counts.
+func (x *exchange) free(res Result) bool {
+	return res == NotRun && x.refusedDial && x.closed <= mostClosed
+}
+
 // attempt sends the request to an endpoint and relays what comes back.
 func (x *exchange) attempt(ctx context.Context, ep *roster.Endpoint) Result {
 	x.tried = append(x.tried, ep.ID)
-	x.lastCause = ""
+	x.lastCause, x.refusedDial = "", false
 	conn, err := x.connect(ctx, ep)
 	if err != nil {
 		return x.failed(ctx, ep, err)
@@ -261,6 +277,9 @@
 	case ctx.Err() != nil:
 		return OutOfTime
 	case errors.Is(err, upstream.ErrUnsent):
+		if x.refusedDial = errors.Is(err, syscall.ECONNREFUSED); x.refusedDial {
+			x.closed++
+		}
 		x.f.Tracker.Suspect(ep.ID)
 		x.f.Missed()
 		return NotRun
@@ -331,13 +350,17 @@
 }
 
 // noteRun has the quarantine know how a run ended. An endpoint that leaves in order may
-// break off what is left; that is no end under a request.
+// break off what is left, and one that went silent was given up here; that is no end under
+// a request.
 func (x *exchange) noteRun(ep *roster.Endpoint, res Result, sent clock.Instant) {
 	switch res {
 	case Answered:
 		x.f.Quarantine.Sound(x.print)
 	case MayHaveRun:
 		x.logBroken(ep, sent)
+		if x.moving.Load() {
+			return
+		}
 		if now := x.f.View().Roster.Get(ep.ID); now != nil && now.Usable() {
 			x.f.Quarantine.Broke(string(ep.ID), ep.Addr, x.print, quarantine.AttemptID(x.req.ID))
 		}
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -35,6 +35,8 @@
 	Try func(context.Context, Verdict) bool
 	// Refuses reports whether nothing listens at an address; nil: by connecting.
 	Refuses func(addr string) bool
+	// Ended is told of an endpoint that ended with requests; nil: nobody.
+	Ended func(endpoint string)
 
 	metrics *metrics
 
@@ -54,6 +56,7 @@
 	since clock.Instant // when this node heard
 	asked clock.Instant // when this node last asked for its try; 0: never
 	tries bool          // this node makes the try
+	sound soundCounts   // told since
 	kept  bool          // it is among those that are kept for all nodes
 	gone  clock.Instant // when it was first missing among them; 0: it isn't
 }
@@ -177,13 +180,17 @@
 }
 
 func (g *Guard) confirm(b *broken, endpoint, addr string) {
-	ended := g.Refuses(addr)
+	if !g.Refuses(addr) {
+		return
+	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	b.ended = ended
-	if ended {
-		g.metrics.ends.Inc()
-		g.Log.Info("endpoint ended with requests", "endpoint", endpoint, "requests", len(b.runs))
+	b.ended = true
+	requests := len(b.runs)
+	g.mu.Unlock()
+	g.metrics.ends.Inc()
+	g.Log.Info("endpoint ended with requests", "endpoint", endpoint, "requests", requests)
+	if g.Ended != nil {
+		g.Ended(endpoint)
 	}
 }
 
@@ -232,11 +239,10 @@
 	}
 	for _, v := range found {
 		g.bar(v, "tally")
-		m := Message{Node: g.Node, Found: []Verdict{v}}
-		g.Announce(m)
 		if g.Keep != nil {
 			g.Keep(v)
 		}
+		g.Announce(Message{Node: g.Node, Found: []Verdict{v}})
 	}
 }
 
@@ -272,7 +278,12 @@
 	harmless := false
 	if s := m.Sound; s != nil {
 		g.tally.NoteSound(m.Node, s.Print, s.Runs)
-		harmless = g.bars[s.Print] != nil && g.tally.Harmless(s.Print)
+		if b := g.bars[s.Print]; b != nil {
+			// The tally may have been cleared: a row that was written while another
+			// node lifted the request brings it back.
+			b.sound.note(m.Node, s.Runs)
+			harmless = b.sound.harmless(b.Ends)
+		}
 	}
 	g.mu.Unlock()
 	if harmless {
@@ -348,7 +359,7 @@
 	if len(g.bars) >= mostBars {
 		g.dropOldest()
 	}
-	g.bars[v.Print] = &bar{Verdict: v, since: now}
+	g.bars[v.Print] = &bar{Verdict: v, since: now, sound: soundCounts{}}
 	runs := g.history.runs(v.Print)
 	g.mu.Unlock()
 	g.metrics.found.Inc()
--- /dev/null
+++ b/internal/quarantine/guard_test.go
@@ -0,0 +1,282 @@
+package quarantine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilloom/internal/clock"
+)
+
+// guards are the guards of a few nodes that hear each other at once, with the requests
+// that are kept for all of them.
+type guards struct {
+	clock *clock.Manual
+	all   []*Guard
+	kept  map[Fingerprint]Verdict
+}
+
+func newGuards(n int) *guards {
+	gs := &guards{clock: clock.NewManual(clock.Instant(time.Hour)), kept: map[Fingerprint]Verdict{}}
+	for i := range n {
+		g := &Guard{Node: fmt.Sprint(i), Clock: gs.clock, Log: slog.New(slog.DiscardHandler)}
+		others := func(m Message) {
+			for _, o := range gs.all {
+				if o != g {
+					o.Hear(m)
+				}
+			}
+		}
+		g.Tell, g.Announce = others, others
+		g.Keep = func(v Verdict) { gs.kept[v.Print] = v }
+		g.Drop = func(print Fingerprint) { delete(gs.kept, print) }
+		g.Try = func(_ context.Context, v Verdict) bool {
+			if gs.kept[v.Print].Tries+1 != v.Tries {
+				return false // another node has it
+			}
+			gs.kept[v.Print] = v
+			return true
+		}
+		g.Refuses = func(addr string) bool { return addr == "gone" }
+		gs.all = append(gs.all, g.Init(nil))
+	}
+	return gs
+}
+
+// pass lets time go on; the nodes read what is kept each second.
+func (gs *guards) pass(d time.Duration) {
+	for step := min(d, time.Second); d > 0; d -= step {
+		gs.clock.Advance(step)
+		var kept []Verdict
+		for _, v := range gs.kept {
+			kept = append(kept, v)
+		}
+		for _, g := range gs.all {
+			g.TakeKept(kept)
+			g.Tick()
+		}
+	}
+}
+
+// end lets an endpoint end under a request of a client attempt at a node.
+func (gs *guards) end(node int, endpoint string, print Fingerprint, attempt uint32) {
+	gs.all[node].Broke(endpoint, "gone", print, attempt)
+	synctest.Wait()
+	gs.pass(200 * time.Millisecond)
+}
+
+// convict lets enough endpoints end under a request.
+func (gs *guards) convict(print Fingerprint) {
+	for i := range 4 {
+		gs.end(i%len(gs.all), fmt.Sprintf("%s%d", print, i), print, uint32(i))
+	}
+}
+
+func (gs *guards) refusing(print Fingerprint) int {
+	n := 0
+	for _, g := range gs.all {
+		if _, refused := g.Refused(context.Background(), print); refused {
+			n++
+		}
+	}
+	return n
+}
+
+func bubble(t *testing.T, test func(is *is.I)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { test(is.New(t)) })
+}
+
+// The quarantine of a request is over. Clients send it at each of three nodes at once: one
+// of them makes one run, the others refuse it. The run ends its endpoint: the request is
+// refused for its time again, everywhere.
+func TestOneRunIsTriedAfterTheQuarantine(t *testing.T) {
+	bubble(t, func(is *is.I) {
+		gs := newGuards(3)
+		gs.convict("bad")
+		is.Equal(gs.refusing("bad"), 3)
+		gs.pass(barFor - time.Minute)
+		is.Equal(gs.refusing("bad"), 3)
+		gs.pass(2 * time.Minute)
+		is.Equal(gs.refusing("bad"), 2) // the third may try
+		gs.pass(time.Second)
+		is.Equal(gs.refusing("bad"), 3)
+		gs.end(0, "another", "bad", 9)
+		gs.pass(barFor - 2*time.Minute)
+		is.Equal(gs.refusing("bad"), 3)
+		gs.pass(4 * time.Minute)
+		is.Equal(gs.refusing("bad"), 2)
+	})
+}
+
+// The run that is tried ends well, for the engines were mended meanwhile: the request is
+// served again at every node, and counted anew.
+func TestRunThatEndsWellLiftsTheQuarantine(t *testing.T) {
+	bubble(t, func(is *is.I) {
+		gs := newGuards(3)
+		gs.convict("bad")
+		gs.pass(barFor + time.Minute)
+		_, refused := gs.all[1].Refused(context.Background(), "bad")
+		is.True(!refused)
+		gs.all[1].Sound("bad")
+		is.Equal(gs.refusing("bad"), 0)
+		is.Equal(len(gs.kept), 0)
+		gs.end(0, "later", "bad", 20)
+		is.Equal(gs.refusing("bad"), 0)
+	})
+}
+
+// A body that clients send all day runs well at all nodes. Three endpoints end while it
+// runs there, before the nodes that saw it have seen much of it. Once it is found harmful
+// the others tell how often it ran well, and it is served again.
+func TestBodyThatRunsWellElsewhereIsLetGo(t *testing.T) {
+	bubble(t, func(is *is.I) {
+		gs := newGuards(6)
+		for range 10 {
+			gs.all[4].Sound("hot")
+			gs.all[5].Sound("hot")
+		}
+		for i := range 4 {
+			gs.end(i, fmt.Sprintf("e%d", i), "hot", uint32(i))
+		}
+		gs.pass(time.Second)
+		is.Equal(gs.refusing("hot"), 0)
+		is.Equal(len(gs.kept), 0)
+	})
+}
+
+// An attempt breaks off at an endpoint that still takes connections: it resets some, sends
+// garbage, or is cut off and silent. However often that is, the request isn't to blame.
+func TestEndpointsThatStandProveNothing(t *testing.T) {
+	bubble(t, func(is *is.I) {
+		gs := newGuards(2)
+		for i := range 20 {
+			gs.all[i%2].Broke(fmt.Sprintf("e%d", i), "stands", "good", uint32(i))
+			synctest.Wait()
+			gs.pass(200 * time.Millisecond)
+		}
+		is.Equal(gs.refusing("good"), 0)
+		is.Equal(len(gs.all[0].tally.order), 0)
+	})
+}
+
+// A node misses the word that a request was found, and the one that it was lifted. What is
+// kept tells it of both; a reading that is older than what it knows changes nothing.
+func TestKeptRequestsReachNodesThatMissedTheWord(t *testing.T) {
+	bubble(t, func(is *is.I) {
+		gs := newGuards(2)
+		late := (&Guard{Node: "late", Clock: gs.clock, Log: slog.New(slog.DiscardHandler), Tell: func(Message) {}}).Init(nil)
+		gs.convict("bad")
+		kept := []Verdict{gs.kept["bad"]}
+		late.TakeKept(kept)
+		_, refused := late.Refused(context.Background(), "bad")
+		is.True(refused)
+		late.TakeKept(nil)
+		gs.clock.Advance(rowGone / 2)
+		late.TakeKept(kept)
+		late.TakeKept(nil)
+		gs.clock.Advance(rowGone / 2)
+		late.TakeKept(nil)
+		is.Equal(len(late.Barred()), 1)
+		gs.clock.Advance(rowGone)
+		late.TakeKept(nil)
+		is.Equal(len(late.Barred()), 0)
+	})
+}
+
+// Nobody asks for a request for an hour: it is forgotten, and the row that keeps it is
+// due to go.
+func TestQuarantinedRequestsAreForgotten(t *testing.T) {
+	bubble(t, func(is *is.I) {
+		gs := newGuards(1)
+		gs.convict("bad")
+		is.True(!gs.all[0].Barred()[0].Over())
+		gs.clock.Advance(forgetAfter + time.Second)
+		is.True(gs.all[0].Barred()[0].Over())
+		unkept := (&Guard{Node: "x", Clock: gs.clock, Log: slog.New(slog.DiscardHandler)}).Init(nil)
+		unkept.bar(Verdict{Print: "bad"}, "x")
+		gs.clock.Advance(forgetAfter + time.Second)
+		unkept.Tick()
+		is.Equal(len(unkept.Barred()), 0)
+	})
+}
+
+// A thousand requests are found, ten thousand endpoints end, every request is another one:
+// what a node holds stays within its bounds, and the newest is what it holds.
+func TestWhatIsHeldIsBounded(t *testing.T) {
+	bubble(t, func(is *is.I) {
+		gs := newGuards(1)
+		g := gs.all[0]
+		for i := range 1000 {
+			gs.clock.Advance(time.Millisecond)
+			g.bar(Verdict{Print: Fingerprint(fmt.Sprint(i))}, "x")
+		}
+		is.Equal(len(g.bars), mostBars)
+		is.True(g.bars["999"] != nil)
+		for i := range 10000 {
+			runs := make([]Run, 100)
+			for k := range runs {
+				runs[k] = Run{Print: Fingerprint(fmt.Sprintf("%d-%d", i, k)), Attempt: uint32(k)}
+			}
+			g.Hear(Message{Node: "n", Ends: []End{{fmt.Sprintf("e%d", i), runs}}})
+			g.Sound(Fingerprint(fmt.Sprint(i)))
+		}
+		is.Equal(len(g.tally.order), mostEnds)
+		is.Equal(len(g.tally.ends), mostEnds)
+		is.True(len(g.tally.byPrint) <= mostEnds*mostRuns)
+		is.True(len(g.history.now)+len(g.history.before) <= 2*mostHistory)
+		for i := range 2 * mostBroken {
+			g.Broke(fmt.Sprint(i), "gone", "p", 1)
+		}
+		is.Equal(len(g.broken), mostBroken)
+		synctest.Wait()
+		gs.pass(2 * brokenFor)
+		is.Equal(len(g.broken), 0)
+	})
+}
+
+// Evidence of an endpoint with many requests, and of many endpoints with one, goes in
+// messages that each fit a packet; nothing of it is lost.
+func TestEvidenceFitsItsMessages(t *testing.T) {
+	is := is.New(t)
+	const packet = 1400 // bytes
+	var ends []End
+	print := Of("org", "POST", "h", "/x", nil)
+	for i := range 60 {
+		runs := make([]Run, 1+i%40)
+		for k := range runs {
+			runs[k] = Run{print, 4294967295, 999}
+		}
+		ends = append(ends, End{"i-0123456789~1790000000000", runs})
+	}
+	sent, packed := 0, 0
+	for _, e := range ends {
+		sent += len(e.Runs)
+	}
+	for _, m := range pack("front-a-long-zone-name-12", ends) {
+		raw, err := json.Marshal(map[string]any{"quarantine": m})
+		is.NoErr(err)
+		is.True(len(raw) <= packet)
+		for _, e := range m.Ends {
+			packed += len(e.Runs)
+		}
+	}
+	is.Equal(packed, sent)
+}
+
+// A process that ended has its connections refused; one that stands takes them.
+func TestEndIsSeenByARefusedConnection(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.True(!refuses(ln.Addr().String()))
+	ln.Close()
+	is.True(refuses(ln.Addr().String()))
+}
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -85,14 +85,22 @@
 	return out
 }
 
-// Harmless reports whether a request that has seen ends ran well too often to be what
-// caused them.
-func (t *Tally) Harmless(print Fingerprint) bool {
-	s := t.byPrint[print]
-	return s != nil && s.harmless()
-}
+func (s *suspect) harmless() bool { return s.sound.harmless(len(s.ends)) }
+
+// soundCounts are the runs of a request that ended well, of late, by the node that tells.
+type soundCounts map[string]int
+
+func (c soundCounts) note(node string, runs int) { c[node] = max(c[node], runs) }
 
-func (s *suspect) harmless() bool { return s.soundRuns() > harmSound*len(s.ends) }
+// harmless reports whether the request ran well too often to be what ended that many
+// endpoints.
+func (c soundCounts) harmless(ends int) bool {
+	n := 0
+	for _, runs := range c {
+		n += runs
+	}
+	return n > harmSound*ends
+}
 
 // judge weighs the ends of one request that none of those found explains.
 func (t *Tally) judge(print Fingerprint, found map[Fingerprint]bool, now clock.Instant) (Verdict, bool) {
--- a/internal/quarantine/tally.go
+++ b/internal/quarantine/tally.go
@@ -49,7 +49,7 @@
 type suspect struct {
 	ends     []*end
 	attempts map[uint32]bool
-	sound    map[string]int // by the node that told
+	sound    soundCounts
 }
 
 // Note takes up what a node tells of an end.
@@ -76,7 +76,7 @@
 	}
 	s := t.byPrint[r.Print]
 	if s == nil {
-		s = &suspect{attempts: map[uint32]bool{}, sound: map[string]int{}}
+		s = &suspect{attempts: map[uint32]bool{}, sound: soundCounts{}}
 		t.byPrint[r.Print] = s
 	}
 	if !there {
@@ -86,7 +86,7 @@
 		at.runs[r.Print] = append(attempts, r.Attempt)
 		s.attempts[r.Attempt] = true
 	}
-	s.sound[node] = max(s.sound[node], r.Sound)
+	s.sound.note(node, r.Sound)
 }
 
 // forget drops ends that are old or too many.
@@ -118,7 +118,7 @@
 // NoteSound takes up how many runs of a request ended well at a node, of late.
 func (t *Tally) NoteSound(node string, print Fingerprint, runs int) {
 	if s := t.byPrint[print]; s != nil {
-		s.sound[node] = max(s.sound[node], runs)
+		s.sound.note(node, runs)
 	}
 }
 
@@ -132,11 +132,3 @@
 
 // near reports whether two ends were at the same moment.
 func near(a, b *end) bool { return max(a.at.Sub(b.at), b.at.Sub(a.at)) < herdSpan }
-
-func (s *suspect) soundRuns() int {
-	n := 0
-	for _, k := range s.sound {
-		n += k
-	}
-	return n
-}
--- a/internal/quarantine/world_test.go
+++ b/internal/quarantine/world_test.go
@@ -262,10 +262,13 @@
 
 // tellSound has the nodes say how often a request ran well that was found harmful.
 func (w *world) tellSound(print Fingerprint) {
+	sound := soundCounts{}
 	for node := range w.nodes {
-		w.tally.NoteSound(fmt.Sprint(node), print, w.history[fmt.Sprintf("%d/%s", node, print)])
+		name := fmt.Sprint(node)
+		sound.note(name, w.history[name+"/"+string(print)])
+		w.tally.NoteSound(name, print, sound[name])
 	}
-	if w.tally.Harmless(print) {
+	if sound.harmless(w.tally.Saw(print)) {
 		delete(w.barred, print)
 	}
 }
