serve keeps requests that end endpoints from further ones as well

Cause: the same as on the way of entry: dispatch judged one client attempt. Ruled out: a second guard of serve's own; both ways stand on the same package, the rows of the table as well. Change: dispatch asks before each send to a group's leader and to a plain endpoint (first try, repeat, a lookup's second try; resuming a stream at its engine runs nothing) and notes how runs ended; nodes tell the three talliers that come first in rendezvous order, and all others what is found, over their links; rows in a table of their own are read at the start and each 30 s. The caller gets 422, not run, without a time to come back.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 	"chervilloom/internal/explain"
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/outcome"
+	"chervilloom/internal/quarantine"
 	"chervilloom/internal/request"
 	"chervilloom/internal/ring"
 	"chervilloom/internal/route"
@@ -65,6 +66,7 @@
 	// that membership believes in is taken to answer.
 	Answers    func(ctx context.Context, vm fleet.VM) bool
 	Explain    explain.Recorder
+	Quarantine *quarantine.Guard // of requests that end endpoints; nil: this dispatcher's own
 	Log        *slog.Logger
 	Registerer prometheus.Registerer
 
@@ -108,6 +110,9 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
+	if o.Quarantine == nil {
+		o.Quarantine = quarantine.Alone(o.Clock, o.Log)
+	}
 }
 
 // Dispatcher is the last filter.Handler of the path.
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -43,6 +43,17 @@
 		return badCall(err)
 	}
 	setEngineHeaders(r.Header, s.req, ref)
+	run := d.runAtMember(s.req, leader(g))
+	if refused := run.allowed(ctx); refused != nil {
+		return refused
+	}
+	told := d.sendToLeader(ctx, guarded, s, g, t, r, ref, run)
+	run.ended(guarded, told)
+	return told
+}
+
+// sendToLeader sends the request and passes the answer on.
+func (d *Dispatcher) sendToLeader(ctx, guarded context.Context, s *session, g *view.Group, t *try, r *http.Request, ref relay.StreamRef, run *endpointRun) *outcome.Error {
 	resp, sn, err := d.client.do(r, s.req.Idempotent)
 	if err != nil {
 		oerr := d.failed(ctx, sn, because(guarded, err))
@@ -66,7 +77,7 @@
 		return d.relayAnswer(ctx, s, resp, h, t, g, ref)
 	}
 	h.Stream = true
-	f := &following{d: d, s: s, g: g, t: t, head: h, st: relay.NewStream(ref, 0)}
+	f := &following{d: d, s: s, g: g, t: t, head: h, st: relay.NewStream(ref, 0), at: run}
 	return f.run(ctx, guarded, resp)
 }
 
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -88,7 +88,7 @@
 	}
 	guarded, unwatch := d.guard.watch(ctx, s, g)
 	defer unwatch()
-	f := &following{d: d, s: s, g: g, t: &try{}, st: relay.NewStream(id.StreamRef, s.next)}
+	f := &following{d: d, s: s, g: g, t: &try{}, st: relay.NewStream(id.StreamRef, s.next), at: d.runAtMember(s.req, leader(g))}
 	d.linger.resume(f.abandoned())
 	resp, cut := f.reopen(ctx, guarded, nil)
 	if cut != nil {
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -38,6 +38,17 @@
 	if err != nil {
 		return nil, badCall(err)
 	}
+	run := d.runAtService(req, vm)
+	if refused := run.allowed(ctx); refused != nil {
+		return nil, refused
+	}
+	rep, told := d.exchange(ctx, req, vm, t, r)
+	run.ended(ctx, told)
+	return rep, told
+}
+
+// exchange sends the call and receives its answer.
+func (d *Dispatcher) exchange(ctx context.Context, req *request.Request, vm *view.VM, t *try, r *http.Request) (*reply, *outcome.Error) {
 	resp, sn, err := d.client.do(r, req.Idempotent)
 	if err != nil {
 		t.blamed = ctx.Err() == nil
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -36,6 +36,7 @@
 	t    *try
 	head answer.Head
 	st   *relay.Stream
+	at   *endpointRun
 
 	silent clock.Instant // when the stream broke first since its last event
 	wait   time.Duration // before the next resume
@@ -58,6 +59,7 @@
 			f.leave(told)
 			return told
 		}
+		f.at.broke(guarded) // the look at the endpoint must not wait until resuming is given up
 		var cut *outcome.Error
 		if resp, cut = f.reopen(ctx, guarded, err); cut != nil {
 			return cut
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,6 +30,7 @@
 	"chervilloom/internal/forward"
 	"chervilloom/internal/lease"
 	"chervilloom/internal/news"
+	table "chervilloom/internal/platform"
 	"chervilloom/internal/quarantine"
 	"chervilloom/internal/retry"
 	"chervilloom/internal/roster"
@@ -73,6 +74,7 @@
 	send        func(m news.Message, to ...string) // through mesh
 	loads       *loads
 	quarantine  *quarantine.Guard
+	quarantined *quarantine.Rows
 	demand      demand.Zone // what the zone's other nodes are asked for
 	began       clock.Instant
 	started     chan struct{}          // closed once the configuration and the endpoints are known
@@ -170,7 +172,11 @@
 	n.follower = &follower{node: n, ask: feed.NewClient(), clock: o.Clock, log: o.Log, wake: make(chan struct{}, 1)}
 	n.roster.leaves = n.tellLeaving
 	n.config.idle, n.roster.idle = n.leavesStore, n.leavesStore
-	n.leaseRows = &leaseCache{Table: o.Store, clock: o.Clock, log: o.Log, idle: n.leavesLeases, quarantined: n.quarantine.TakeKept}
+	n.leaseRows = &leaseCache{
+		Table: o.Store, clock: o.Clock, idle: n.leavesLeases,
+		taken: func(rows []table.Row) { n.quarantine.TakeKept(n.quarantined.Read(rows)) },
+	}
+	n.quarantined = &quarantine.Rows{Commit: n.leaseRows.Commit, Table: table.TableLeases, Prefix: quarantinePrefix, Log: o.Log}
 	n.mesh = &news.Mesh{Log: o.Log, Receive: n.heard}
 	n.send = n.mesh.Send
 	n.holds = n.heldByLease
--- a/internal/entry/leases.go
+++ b/internal/entry/leases.go
@@ -14,7 +14,6 @@
 	"chervilloom/internal/clock"
 	"chervilloom/internal/lease"
 	table "chervilloom/internal/platform"
-	"chervilloom/internal/quarantine"
 )
 
 // leaseStore is the part of the platform's table that leases need.
@@ -31,10 +30,9 @@
 type leaseCache struct {
 	Table leaseStore
 	clock clock.Clock
-	log   *slog.Logger
 	idle  func() bool // another node keeps the rows up to date
-	// quarantined is told of the requests that the rows name, with each reading.
-	quarantined func([]quarantine.Verdict)
+	// taken is told of the rows with each reading.
+	taken func([]table.Row)
 
 	reading sync.Mutex // held while the rows are read
 
@@ -118,7 +116,7 @@
 	c.read = now
 	c.set(rows)
 	c.mu.Unlock()
-	c.quarantined(c.keptVerdicts(rows)) // which may ask for addresses
+	c.taken(rows) // which may ask for addresses
 	return nil
 }
 
@@ -135,7 +133,7 @@
 	c.mu.Lock()
 	c.set(rows)
 	c.mu.Unlock()
-	c.quarantined(c.keptVerdicts(rows))
+	c.taken(rows)
 }
 
 // all returns the rows as they are known.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"chervilloom/internal/peer"
 	"chervilloom/internal/platform"
 	"chervilloom/internal/probe"
+	"chervilloom/internal/quarantine"
 	"chervilloom/internal/retry"
 	"chervilloom/internal/revision"
 	"chervilloom/internal/route"
@@ -93,7 +94,10 @@
 	retries    *retry.Budget
 	ejector    *retry.Ejector
 	dispatcher *dispatch.Dispatcher
-	accept     *accept.Server
+	quarantine *quarantine.Guard
+	// quarantined holds the rows of the requests that the quarantine refuses.
+	quarantined *quarantine.Rows
+	accept      *accept.Server
 
 	caller, operator net.Listener
 }
--- a/internal/node/path.go
+++ b/internal/node/path.go
@@ -34,9 +34,11 @@
 	n.admit = admit.New(admit.Options{
 		View: n.view, Clock: n.clock, Log: n.log, Registerer: n.reg, Recorder: n.explained, Usage: n.usage,
 	})
+	n.buildQuarantine()
 	n.dispatcher = dispatch.New(dispatch.Options{
 		View: n.view, Clock: n.clock, Router: ejecting{n.router, n.ejector, n.uses}, Retry: n.retries, Peers: n.mesh,
 		Prober: n.prober, Answers: n.answers, Explain: n.explained, Log: n.log, Registerer: n.reg,
+		Quarantine: n.quarantine,
 	})
 	keyed := filter.Chain(n.dispatcher,
 		acc.Timed("once", n.once.Filter()),
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -80,6 +80,7 @@
 	s.start("candidates", n.followCandidates)
 	s.start("admission", forever(n.admit.Run))
 	s.start("cancels", n.dispatcher.Run)
+	s.start("quarantine", n.runQuarantine)
 }
 
 // serve answers HTTP at the listener until the returned server is closed.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -95,4 +95,6 @@
 	TableRevisions = "revisions" // key: "head" and the zero-padded revision number
 	TableKeys      = "keys"      // idempotency keys
 	TableNodes     = "nodes"     // addresses of entry nodes; key: VM
+	// TableQuarantine names requests that end endpoints; key: fingerprint.
+	TableQuarantine = "quarantine"
 )
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -39,6 +39,7 @@
 	Ended func(endpoint string)
 
 	metrics *metrics
+	alone   bool
 
 	mu      sync.Mutex
 	tally   Tally
@@ -98,6 +99,15 @@
 	return g
 }
 
+// Alone returns a guard that tells nobody and knows what it sees itself. It judges at each
+// question, for nobody calls Tick.
+func Alone(c clock.Clock, log *slog.Logger) *Guard {
+	nobody := func(Message) {}
+	g := (&Guard{Clock: c, Log: log, Tell: nobody, Announce: nobody}).Init(nil)
+	g.alone = true
+	return g
+}
+
 func (g *Guard) count() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -119,6 +129,9 @@
 // before each send: a request may have waited, or be on its way to a second endpoint,
 // while others find it harmful.
 func (g *Guard) Refused(ctx context.Context, print Fingerprint) (Verdict, bool) {
+	if g.alone {
+		g.Tick()
+	}
 	g.mu.Lock()
 	b := g.bars[print]
 	if b == nil {
--- /dev/null
+++ b/internal/quarantine/rows.go
@@ -0,0 +1,79 @@
+package quarantine
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"chervilloom/internal/platform"
+)
+
+// Rows keeps the requests that are refused in a table of the platform, a row each, so that
+// they outlast the nodes' processes and reach nodes that missed the word.
+type Rows struct {
+	Commit func(context.Context, platform.Txn) (platform.Result, error)
+	Table  string
+	Prefix string // of the rows' keys, where other rows stand in the table
+	Log    *slog.Logger
+}
+
+// rowLimit is how long a write may take. A request whose try is asked for waits for it.
+const rowLimit = 300 * time.Millisecond
+
+// Key returns the key of a request's row.
+func (r *Rows) Key(print Fingerprint) string { return r.Prefix + string(print) }
+
+// Write writes a request's row if the row has that version; 0: if there is none. It
+// reports whether it did.
+func (r *Rows) Write(ctx context.Context, v Verdict, version uint64) bool {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		r.Log.Error("quarantined request is not kept", "fingerprint", v.Print, "err", err)
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, rowLimit)
+	defer cancel()
+	res, err := r.Commit(ctx, platform.Txn{
+		Attempt: uuid.NewString(),
+		Checks:  []platform.Check{{Table: r.Table, Key: r.Key(v.Print), Version: version}},
+		Writes:  []platform.Write{{Table: r.Table, Key: r.Key(v.Print), Value: raw}},
+	})
+	if err != nil {
+		r.Log.Info("quarantined request is not kept; the nodes that know it refuse it", "fingerprint", v.Print, "err", err)
+	}
+	return err == nil && res.Committed
+}
+
+// Drop deletes a request's row.
+func (r *Rows) Drop(ctx context.Context, print Fingerprint) {
+	ctx, cancel := context.WithTimeout(ctx, rowLimit)
+	defer cancel()
+	_, err := r.Commit(ctx, platform.Txn{
+		Attempt: uuid.NewString(),
+		Writes:  []platform.Write{{Table: r.Table, Key: r.Key(print), Delete: true}},
+	})
+	if err != nil {
+		r.Log.Info("row of a request that was lifted stays; nodes that start refuse it for its time", "fingerprint", print, "err", err)
+	}
+}
+
+// Read returns the requests that rows name. Rows of other keys are passed over.
+func (r *Rows) Read(rows []platform.Row) []Verdict {
+	var out []Verdict
+	for _, row := range rows {
+		if !strings.HasPrefix(row.Key, r.Prefix) {
+			continue
+		}
+		var v Verdict
+		if err := json.Unmarshal(row.Value, &v); err != nil || r.Key(v.Print) != row.Key {
+			r.Log.Warn("row names no quarantined request; delete it by hand", "key", row.Key, "err", err)
+			continue
+		}
+		out = append(out, v)
+	}
+	return out
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -29,8 +30,13 @@
 	Zone  fleet.AvailabilityZone `yaml:"zone"`
 	Name  string                 `yaml:"name"`  // of the service; default "counter"
 	Delay config.Duration        `yaml:"delay"` // time that a call takes; default none
+	// ExitOn ends the process when it begins to run a call with this path; empty: none.
+	ExitOn string `yaml:"exit_on"`
 }
 
+// ExitCrashed is the exit code of a process that a call has ended.
+const ExitCrashed = 70
+
 // Faults are the switches of a stand-in service.
 type Faults struct {
 	fault.Stages
@@ -203,6 +209,9 @@
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 		return
 	}
+	if s.opts.ExitOn != "" && r.URL.Path == s.opts.ExitOn {
+		os.Exit(ExitCrashed)
+	}
 	answer := s.run(r, body)
 	switch at {
 	case fault.AfterRun:
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -58,8 +58,9 @@
 	tokensPerSec int      // of one stream; 0: 200
 	slots        int      // of one engine; 0: 64
 	ignoreFences bool
-	proxied      bool // endpoints are reached through proxies
-	services     int  // in zoneA
+	proxied      bool   // endpoints are reached through proxies
+	services     int    // in zoneA
+	exitOn       string // path of the call that ends a service; empty: none
 }
 
 // endpoint is an engine or service process.
@@ -135,7 +136,7 @@
 func (f *testFleet) addService(i int) *endpoint {
 	f.t.Helper()
 	vm := fmt.Sprintf("counter-%d", i)
-	text := fmt.Sprintf("vm: %s\nzone: %s\nname: counter\n", vm, zoneA)
+	text := fmt.Sprintf("vm: %s\nzone: %s\nname: counter\nexit_on: %q\n", vm, zoneA, f.plan.exitOn)
 	s := f.startEndpoint("service", text, fleet.Record{
 		VM: fleet.VM(vm), Kind: fleet.KindService, Service: "counter", Zone: zoneA, State: fleet.StateLive,
 	})
