Soak: requests that end the engines that run them

Change: a fault of the soak of its own (before the first event, after some, each run or every other), the check that none of the requests beside is taken for harmful (all streams have one and the same body), and at the end that a harmful one reaches no more endpoints than it may. Ruled out: the first red of this check was the check's own (two client attempts of one id).

--- a/test/entry_soak_test.go
+++ b/test/entry_soak_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"io"
@@ -16,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"chervilloom/internal/testkit"
+	"chervilloom/platform/platformtest"
 )
 
 var (
@@ -38,9 +40,12 @@
 // Faults of every kind come in series and overlap: engines die and arrive, leave
 // in order; nodes are killed, paused, told to stop and start anew; the store is
 // down, loses answers, forgets its history; endpoints lose answers; keys change.
-// All the while: streams have each piece once and in order, receipts run once at
-// most, what was refused has not run, no group opens without its members and no
-// engine joins a second group that serves. Afterwards requests are served again.
+// Requests that end the endpoints that run them come, before their first event or after
+// some, each time or every other time. All the while: streams have each piece once and in
+// order, receipts run once at most, what was refused has not run, no group opens without
+// its members, no engine joins a second group that serves, and none of the requests beside
+// is quarantined, all of whose streams have one and the same body. Afterwards requests are
+// served again, and one that ends endpoints reaches no more than it may.
 func TestEntrySoak(t *testing.T) {
 	for i := range *soakSeeds {
 		seed := *soakSeed + uint64(i)
@@ -76,6 +81,7 @@
 			return err == nil && code == http.StatusOK
 		})
 	}
+	s.checkHarm(rand.New(rand.NewPCG(seed, 99)))
 	s.wrong = append(s.wrong, s.fleet.Broken()...)
 	if len(s.wrong) > 0 {
 		t.Logf("faults:\n%s", strings.Join(s.faults, "\n"))
@@ -88,7 +94,7 @@
 func (s *soak) fault() {
 	engines := s.fleet.Open("m")
 	n := s.nodes[s.rnd.IntN(len(s.nodes))]
-	kind := s.rnd.IntN(11)
+	kind := s.rnd.IntN(12)
 	s.faults = append(s.faults, fmt.Sprintf("%s kind %d at %s", time.Now().Format(time.TimeOnly), kind, n.name))
 	switch kind {
 	case 0: // a member of a serving group dies, a new engine comes
@@ -131,6 +137,61 @@
 	case 10:
 		s.signal(n, syscall.SIGHUP)
 		s.configure()
+	case 11:
+		body := s.addHarm(s.rnd)
+		for i := range 4 {
+			s.sendHarm(s.nodes[s.rnd.IntN(len(s.nodes))], fmt.Sprintf("%s-%d", body, i), body)
+		}
+	}
+}
+
+// addHarm lets another request end the engines that run it.
+func (s *soak) addHarm(rnd *rand.Rand) (body string) {
+	body = fmt.Sprintf("crash%d", rnd.Uint64())
+	s.fleet.AddHarm(platformtest.Harm{
+		Body: body, Events: rnd.IntN(3), Every: 1 + rnd.IntN(2), Back: time.Duration(100+rnd.IntN(700)) * time.Millisecond,
+	})
+	return body
+}
+
+// sendHarm is a client attempt with a request that ends engines.
+func (s *soak) sendHarm(n *entryNode, id, body string) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+n.front+"/text/x", strings.NewReader(body))
+	must(s.t, err)
+	req.Host = "h.example"
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("Authorization", "Token k1")
+	for k, v := range textHeader(70) {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return // the node may be gone
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body) // a stream that breaks off is one of the answers
+	if resp.StatusCode == http.StatusServiceUnavailable && len(s.fleet.Runs(id)) > 0 {
+		s.fail("%s was refused by %s and ran at %v", id, n.name, s.fleet.Runs(id))
+	}
+}
+
+// checkHarm sends a harmful request to nodes that are in touch again: it reaches no more
+// endpoints than it may.
+func (s *soak) checkHarm(rnd *rand.Rand) {
+	body := s.addHarm(rnd)
+	for i := range harmTries {
+		for k := range 2 { // engines end and come back meanwhile
+			n := s.nodes[rnd.IntN(len(s.nodes))]
+			if !s.ended(n) {
+				s.sendHarm(n, fmt.Sprintf("%s-%d-%d", body, i, k), body)
+			}
+		}
+		time.Sleep(harmBack) // the pace of clients that come again
+	}
+	if ended := s.fleet.Ended(body); len(ended) > harmEnds+harmMore {
+		s.fail("%d endpoints ended under one request: %v", len(ended), ended)
 	}
 }
 
@@ -210,6 +271,9 @@
 
 func (s *soak) checkStream(n *entryNode, id string, events int) {
 	code, body, err := s.ask(n, "POST", "/text/x", id, textHeader(events*7))
+	if strings.Contains(body, "quarantined") {
+		s.fail("stream %s is taken for harmful: %s", id, body)
+	}
 	got := pieces(body)
 	switch {
 	case err == nil && code == http.StatusOK && !slices.Equal(got, wantPieces(events)):
@@ -222,6 +286,9 @@
 
 func (s *soak) checkCall(n *entryNode, method, path, id string, most int) {
 	code, body, err := s.ask(n, method, path, id, nil)
+	if strings.Contains(body, "quarantined") {
+		s.fail("call %s is taken for harmful: %s", id, body)
+	}
 	if runs := s.fleet.Runs(id); len(runs) > most {
 		s.fail("%s ran at %v", id, runs)
 	}
