--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 	nodes map[string]*Node // by address
 	sent  map[string]int   // messages by sender
 	lost  float64          // share of messages
+	mu    sync.Mutex       // guards sent and rng: looks at endpoints tell from their own goroutines
 	rng   *rand.Rand
 	rows  []table.Row
 }
@@ -60,12 +62,18 @@
 }
 
 func (p *paper) deliver(from string, m news.Message, to []string) {
+	p.mu.Lock()
 	p.sent[from] += len(to)
+	var reached []string
 	for _, addr := range to {
 		if p.rng.Float64() >= p.lost {
-			p.nodes[addr].heard(m)
+			reached = append(reached, addr)
 		}
 	}
+	p.mu.Unlock()
+	for _, addr := range reached { // who may answer at once
+		p.nodes[addr].heard(m)
+	}
 }
 
 // A hint reaches every node of 295 in five zones over two hops at most, each node
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -23,13 +24,14 @@
 // outbreak is a harmful request on its way through a fleet.
 type outbreak struct {
 	*paper
+	clients  *rand.Rand
 	ends     int
 	attempts int
 	only     string // zone in which clients send it; empty: any
 }
 
 func newOutbreak(t *testing.T, zones, perZone int, lost float64) *outbreak {
-	o := &outbreak{paper: newPaper(t, zones, perZone, lost)}
+	o := &outbreak{paper: newPaper(t, zones, perZone, lost), clients: rand.New(rand.NewPCG(3, 4))}
 	for _, n := range o.nodes {
 		n.quarantine.Refuses = func(string) bool { return true }
 	}
@@ -43,7 +45,7 @@
 	names := slices.Sorted(maps.Keys(o.nodes))
 	pick := func(only string) *Node {
 		for {
-			n := o.nodes[names[o.rng.IntN(len(names))]]
+			n := o.nodes[names[o.clients.IntN(len(names))]]
 			if only == "" || n.Settings.Zone == only {
 				return n
 			}
