--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -14,30 +14,30 @@
 type endpointRun struct {
 	d        *Dispatcher
 	req      *request.Request
-	print    quarantine.Fingerprint
+	fp       quarantine.Fingerprint
 	endpoint string // one life of it
 	addr     string
 }
 
 func (d *Dispatcher) runAtMember(req *request.Request, m *fleet.Member) *endpointRun {
-	return &endpointRun{d, req, printOf(req), string(m.VM) + "@" + string(m.Boot), m.Addr}
+	return &endpointRun{d, req, fingerprintOf(req), string(m.VM) + "@" + string(m.Boot), m.Addr}
 }
 
 // runAtService counts a restart of the same VM as the same endpoint: plain services tell
 // no boot. Its ends then count once in the time that the quarantine remembers.
 func (d *Dispatcher) runAtService(req *request.Request, vm *view.VM) *endpointRun {
-	return &endpointRun{d, req, printOf(req), string(vm.Record.VM), vm.Record.Addr}
+	return &endpointRun{d, req, fingerprintOf(req), string(vm.Record.VM), vm.Record.Addr}
 }
 
-// printOf is the same at each node that a request is passed on to.
-func printOf(req *request.Request) quarantine.Fingerprint {
+// fingerprintOf is the same at each node that a request is passed on to.
+func fingerprintOf(req *request.Request) quarantine.Fingerprint {
 	return quarantine.Of(string(req.Organisation), req.Method, req.Service, req.Path, req.Body)
 }
 
 // allowed refuses a request that ends the endpoints that run it. It is asked immediately
 // before each send: without it 20 endpoints ended under twelve tries of one lookup.
 func (r *endpointRun) allowed(ctx context.Context) *outcome.Error {
-	if _, refused := r.d.opt.Quarantine.Refused(ctx, r.print); !refused {
+	if _, refused := r.d.opt.Quarantine.Refused(ctx, r.fp); !refused {
 		return nil
 	}
 	return outcome.New(outcome.Quarantined, outcome.NotRun, "endpoints end when they run this request",
@@ -47,7 +47,7 @@
 // broke notes that the endpoint gave no whole answer, unless the try was ended here.
 func (r *endpointRun) broke(ctx context.Context) {
 	if ctx.Err() == nil {
-		r.d.opt.Quarantine.Broke(r.endpoint, r.addr, r.print, quarantine.AttemptID(r.req.ID))
+		r.d.opt.Quarantine.Broke(r.endpoint, r.addr, r.fp, quarantine.AttemptID(r.req.ID))
 	}
 }
 
@@ -55,7 +55,7 @@
 func (r *endpointRun) ended(ctx context.Context, err *outcome.Error) {
 	switch {
 	case err == nil:
-		r.d.opt.Quarantine.Sound(r.print)
+		r.d.opt.Quarantine.Sound(r.fp)
 	case err.Kind == outcome.AnswerCut, err.Kind == outcome.EndpointFailed && err.Outcome != outcome.NotRun:
 		r.broke(ctx)
 	}
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -20,7 +20,7 @@
 		Tell:     func(m quarantine.Message) { n.send(news.Message{Quarantine: &m}, n.talliers()...) },
 		Announce: n.announceQuarantine,
 		Keep:     func(v quarantine.Verdict) { go n.keepQuarantined(v) },
-		Drop:     func(print quarantine.Fingerprint) { go n.quarantined.Drop(context.Background(), print) },
+		Drop:     func(fp quarantine.Fingerprint) { go n.quarantined.Drop(context.Background(), fp) },
 		Try:      n.tryQuarantined,
 		Ended: func(endpoint string) { // requests that come now needn't find it gone themselves
 			n.tracker.Suspect(roster.ID(endpoint))
@@ -60,14 +60,14 @@
 // keepQuarantined writes the request's row, unless it stands: the nodes that tally find
 // the same within a few milliseconds.
 func (n *Node) keepQuarantined(v quarantine.Verdict) {
-	if n.leaseRows.version(n.quarantined.Key(v.Print)) == 0 {
+	if n.leaseRows.version(n.quarantined.Key(v.Fingerprint)) == 0 {
 		n.quarantined.Write(context.Background(), v, 0)
 	}
 }
 
 // tryQuarantined takes the one try of a request for this node.
 func (n *Node) tryQuarantined(ctx context.Context, v quarantine.Verdict) bool {
-	version := n.leaseRows.version(n.quarantined.Key(v.Print))
+	version := n.leaseRows.version(n.quarantined.Key(v.Fingerprint))
 	return version != 0 && n.quarantined.Write(ctx, v, version)
 }
 
@@ -75,13 +75,13 @@
 // away when the requests were found, and deletes those whose time is over. One node does
 // it: the first zone's holder.
 func (n *Node) keepAllQuarantined() {
-	barred := n.quarantine.Barred()
-	if len(barred) == 0 || !n.keepsQuarantine() {
+	banned := n.quarantine.Banned()
+	if len(banned) == 0 || !n.keepsQuarantine() {
 		return
 	}
-	for _, b := range barred {
+	for _, b := range banned {
 		if b.Over() {
-			n.quarantined.Drop(context.Background(), b.Print)
+			n.quarantined.Drop(context.Background(), b.Fingerprint)
 			continue
 		}
 		n.keepQuarantined(b.Verdict)
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -123,7 +123,7 @@
 // readRows has every node read the rows, or be told them, with the one that is kept.
 func (o *outbreak) readRows(t *testing.T) {
 	t.Helper()
-	raw, err := json.Marshal(quarantine.Verdict{Print: harmful, Ends: 4, Attempts: 2})
+	raw, err := json.Marshal(quarantine.Verdict{Fingerprint: harmful, Ends: 4, Attempts: 2})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -193,7 +193,7 @@
 	is.Equal(o.refusing(), 2)
 	broken := []table.Row{{Table: table.TableLeases, Key: quarantinePrefix + "other", Version: 1, Value: []byte("{}")}}
 	n.leaseRows.take(broken)
-	is.Equal(len(n.quarantine.Barred()), 1)
+	is.Equal(len(n.quarantine.Banned()), 1)
 	is.Equal(n.leaseRows.owner(quarantinePrefix+"other"), "") // nor does it name a duty
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -34,7 +34,7 @@
 	w      http.ResponseWriter
 	client context.Context // ends when the client leaves
 	body   []byte
-	print  quarantine.Fingerprint
+	fp     quarantine.Fingerprint
 
 	tried     []roster.ID
 	progress  Progress
@@ -48,7 +48,7 @@
 	lastEvent clock.Instant
 	gap       time.Duration // longest pause between two events
 	moving    atomic.Bool   // a stalled attempt is given up; the budget has been asked
-	barred    bool          // the request ends endpoints; it isn't sent
+	banned    bool          // the request ends endpoints; it isn't sent
 	// refusedDial says that the newest attempt's endpoint refused the connection, closed
 	// how many have.
 	refusedDial bool
@@ -158,7 +158,7 @@
 		return OutOfTime, true
 	case x.quarantined(ctx):
 		x.lastCause = "the request ends the endpoints that run it"
-		return Barred, true
+		return Banned, true
 	}
 	return 0, false
 }
@@ -168,8 +168,8 @@
 // day 43 ended under one. This is the only way to an endpoint, whichever attempt it is,
 // so nothing reaches one that this node knows of.
 func (x *exchange) quarantined(ctx context.Context) bool {
-	_, x.barred = x.f.Quarantine.Refused(ctx, x.print)
-	return x.barred
+	_, x.banned = x.f.Quarantine.Refused(ctx, x.fp)
+	return x.banned
 }
 
 // limitTry gives an answer that may be asked for again a time within which it
@@ -327,7 +327,7 @@
 func (x *exchange) refuseUnserved() {
 	e := outcome.New(outcome.NoCapacity, outcome.NotRun, "nothing serves this now", "try again").After(retryAfterNone)
 	stage := "pick"
-	if x.barred {
+	if x.banned {
 		stage = "quarantine"
 		// No time to come back: the same request would only be refused again.
 		e = outcome.New(outcome.Quarantined, outcome.NotRun, "endpoints end when they run this request",
@@ -337,7 +337,7 @@
 	}
 	x.f.refuse(x.w, x.req, stage, e.WithCause(errors.New(string(x.noChoice)+"; "+x.lastCause)),
 		"route", x.route.Name, "model", x.req.Model, "endpoints", x.choices.endpoints, "free_slots", x.choices.freeSlots,
-		"tried", x.tried, "fingerprint", x.print)
+		"tried", x.tried, "fingerprint", x.fp)
 }
 
 func (x *exchange) log(message string, res Result) {
@@ -355,14 +355,14 @@
 func (x *exchange) noteRun(ep *roster.Endpoint, res Result, sent clock.Instant) {
 	switch res {
 	case Answered:
-		x.f.Quarantine.Sound(x.print)
+		x.f.Quarantine.Sound(x.fp)
 	case MayHaveRun:
 		x.logBroken(ep, sent)
 		if x.moving.Load() {
 			return
 		}
 		if now := x.f.View().Roster.Get(ep.ID); now != nil && now.Usable() {
-			x.f.Quarantine.Broke(string(ep.ID), ep.Addr, x.print, quarantine.AttemptID(x.req.ID))
+			x.f.Quarantine.Broke(string(ep.ID), ep.Addr, x.fp, quarantine.AttemptID(x.req.ID))
 		}
 	}
 }
@@ -370,6 +370,6 @@
 // logBroken tells of an attempt without a usable answer. Each client attempt has an id of
 // its own; the fingerprint shows which of them are the same request.
 func (x *exchange) logBroken(ep *roster.Endpoint, sent clock.Instant) {
-	x.f.Log.Info("attempt broke off", "request", x.req.ID, "fingerprint", x.print, "endpoint", ep.ID,
+	x.f.Log.Info("attempt broke off", "request", x.req.ID, "fingerprint", x.fp, "endpoint", ep.ID,
 		"group", ep.Member.Group, "sent_ms_ago", x.f.Clock.Now().Sub(sent).Milliseconds(), "events", x.events, "cause", x.lastCause)
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -44,11 +44,11 @@
 // Quarantine knows which requests end the endpoints that run them.
 type Quarantine interface {
 	// Refused reports whether the request must not be sent, and on what evidence.
-	Refused(ctx context.Context, print quarantine.Fingerprint) (quarantine.Verdict, bool)
+	Refused(ctx context.Context, fp quarantine.Fingerprint) (quarantine.Verdict, bool)
 	// Broke is told of an attempt at an endpoint that broke off, Sound of one that ended
 	// well.
-	Broke(endpoint, addr string, print quarantine.Fingerprint, attempt uint32)
-	Sound(print quarantine.Fingerprint)
+	Broke(endpoint, addr string, fp quarantine.Fingerprint, attempt uint32)
+	Sound(fp quarantine.Fingerprint)
 }
 
 // Forwarder is the HTTP handler for clients.
@@ -131,7 +131,7 @@
 		return
 	}
 	x.in, x.w, x.client = r, w, r.Context()
-	x.print = quarantine.Of(x.organisation, r.Method, req.Host, req.Target, x.body)
+	x.fp = quarantine.Of(x.organisation, r.Method, req.Host, req.Target, x.body)
 	x.run(ctx)
 }
 
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -42,7 +42,7 @@
 
 var kindText = map[catalog.Repeat]string{catalog.Once: "once", catalog.Idempotent: "idempotent", catalog.Stream: "stream"}
 
-var resultText = [...]string{"answered", "not_run", "may_have_run", "failed", "client_gone", "out_of_time", "barred"}
+var resultText = [...]string{"answered", "not_run", "may_have_run", "failed", "client_gone", "out_of_time", "banned"}
 
 // String returns the result's name in logs and metrics.
 func (r Result) String() string { return resultText[r] }
--- a/internal/forward/next.go
+++ b/internal/forward/next.go
@@ -13,7 +13,7 @@
 	Failed                   // the endpoint's own failure is at hand, complete
 	ClientGone               // the client left
 	OutOfTime                // the client's or the route's time is over
-	Barred                   // not sent: the request ends the endpoints that run it
+	Banned                   // not sent: the request ends the endpoints that run it
 )
 
 // Step is what to do after an attempt.
@@ -49,7 +49,7 @@
 	switch res {
 	case Answered, ClientGone:
 		return Finish
-	case OutOfTime, Barred:
+	case OutOfTime, Banned:
 		return endWithout(p)
 	}
 	more := p.Endpoint && p.Budget && p.Sent < route.MaxAttempts+extraSends
--- a/internal/logwalk/logwalk.go
+++ b/internal/logwalk/logwalk.go
@@ -158,7 +158,7 @@
 	}
 	slices.SortStableFunc(ex.Own, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	end := ex.Own[len(ex.Own)-1]
-	tried, print := triedBy(ex.Own), fingerprintOf(ex.Own)
+	tried, fp := triedBy(ex.Own), fingerprintOf(ex.Own)
 	noGroup := len(tried) == 0 && end.Stage == stagePick
 	newest := map[string]Line{}
 	for _, l := range lines {
@@ -168,7 +168,7 @@
 		}
 		if why := bears(&l, tried, noGroup, age); why != "" {
 			ex.Facts = append(ex.Facts, Step{l, age, why})
-		} else if print != "" && l.Fingerprint == print && l.Request != request && slices.Contains(ofTheSame, l.Message) {
+		} else if fp != "" && l.Fingerprint == fp && l.Request != request && slices.Contains(ofTheSame, l.Message) {
 			ex.Facts = append(ex.Facts, Step{l, age, "the same request, under any id"})
 		}
 	}
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -31,7 +31,7 @@
 		Node: string(n.self.VM), Clock: n.clock, Log: n.log,
 		Tell: n.tellTalliers, Announce: n.announceQuarantine,
 		Keep: func(v quarantine.Verdict) { go n.quarantined.Write(context.Background(), v, 0) },
-		Drop: func(print quarantine.Fingerprint) { go n.quarantined.Drop(context.Background(), print) },
+		Drop: func(fp quarantine.Fingerprint) { go n.quarantined.Drop(context.Background(), fp) },
 		Try:  n.tryQuarantined,
 	}).Init(n.reg)
 	n.mesh.Subscribe(topicQuarantine, n.hearQuarantine)
@@ -74,9 +74,9 @@
 
 // tryQuarantined takes the one try of a request for this node.
 func (n *Node) tryQuarantined(ctx context.Context, v quarantine.Verdict) bool {
-	row, err := n.platform.Get(ctx, platform.TableQuarantine, n.quarantined.Key(v.Print))
+	row, err := n.platform.Get(ctx, platform.TableQuarantine, n.quarantined.Key(v.Fingerprint))
 	if err != nil || row.Version == 0 {
-		n.log.Info("quarantined request is not tried", "fingerprint", v.Print, "error", err)
+		n.log.Info("quarantined request is not tried", "fingerprint", v.Fingerprint, "error", err)
 		return false
 	}
 	return n.quarantined.Write(ctx, v, row.Version)
@@ -106,9 +106,9 @@
 	if !n.owns(topicQuarantine) {
 		return
 	}
-	for _, b := range n.quarantine.Barred() {
+	for _, b := range n.quarantine.Banned() {
 		if b.Over() {
-			n.quarantined.Drop(ctx, b.Print)
+			n.quarantined.Drop(ctx, b.Fingerprint)
 		}
 	}
 }
--- /dev/null
+++ b/internal/quarantine/bans.go
@@ -0,0 +1,180 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"chervilloom/internal/clock"
+)
+
+// ban is a request that is refused.
+type ban struct {
+	Verdict
+	since clock.Instant // when this node heard
+	asked clock.Instant // when this node last asked for its try; 0: never
+	tries bool          // this node makes the try
+	sound soundCounts   // told since
+	kept  bool          // it is among those that are kept for all nodes
+	gone  clock.Instant // when it was first missing among them; 0: it isn't
+}
+
+const (
+	// mostBans bounds the requests that are refused; the oldest is let go first. A store's
+	// page holds that many rows beside those of 200 nodes.
+	mostBans = 256
+	// rowGone is for how long a request must be missing among those kept to be taken for
+	// lifted: nodes hand on what they have read with ages of up to 2.2 s.
+	rowGone = 5 * time.Second
+)
+
+// try asks for the one run of a request whose time is over.
+func (g *Guard) try(ctx context.Context, b *ban, v Verdict) bool {
+	v.Tries++
+	if !g.Try(ctx, v) {
+		return false
+	}
+	g.mu.Lock()
+	b.Verdict, b.since, b.tries = v, g.Clock.Now(), true
+	g.mu.Unlock()
+	g.Log.Info("quarantined request is tried", "fingerprint", v.Fingerprint, "ends", v.Ends, "tries", v.Tries)
+	return true
+}
+
+// Sound notes a run that ended well.
+func (g *Guard) Sound(fp Fingerprint) {
+	g.mu.Lock()
+	g.history.add(fp, g.Clock.Now())
+	b, runs := g.bans[fp], g.history.runs(fp)
+	tried := b != nil && b.tries
+	g.mu.Unlock()
+	switch {
+	case tried:
+		g.lift(fp, "a run of it ended well")
+	case b != nil:
+		g.tellSound(fp, runs)
+	}
+}
+
+// tellSound tells how often a request ran well here that was found harmful: many clients
+// may send the same one all day, and some nodes have seen none of its ends.
+func (g *Guard) tellSound(fp Fingerprint, runs int) {
+	m := Message{Node: g.Node, Sound: &SoundRuns{fp, runs}}
+	g.Hear(m)
+	g.Tell(m)
+}
+
+// TakeKept takes up the requests that are kept for all nodes. One that was among them and
+// stays away was lifted by another node.
+func (g *Guard) TakeKept(kept []Verdict) {
+	now := g.Clock.Now()
+	there := map[Fingerprint]bool{}
+	for _, v := range kept {
+		there[v.Fingerprint] = true
+		g.ban(v, "kept")
+	}
+	var gone []Fingerprint
+	g.mu.Lock()
+	for fp, b := range g.bans {
+		switch {
+		case there[fp]:
+			b.kept, b.gone = true, 0
+		case b.kept && b.gone == 0:
+			b.gone = now
+		case b.kept && now.Sub(b.gone) > rowGone:
+			gone = append(gone, fp)
+		}
+	}
+	g.mu.Unlock()
+	for _, fp := range gone {
+		g.unban(fp, "it is kept no more")
+	}
+}
+
+// Banned is a request that is refused, and for how long it has been.
+type Banned struct {
+	Verdict
+	Age time.Duration
+}
+
+// Over reports whether the request is to be forgotten.
+func (b Banned) Over() bool { return b.Age > forgetAfter }
+
+// Banned returns the requests that are refused.
+func (g *Guard) Banned() []Banned {
+	now := g.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]Banned, 0, len(g.bans))
+	for _, b := range g.bans {
+		out = append(out, Banned{b.Verdict, now.Sub(b.since)})
+	}
+	return out
+}
+
+// ban refuses a request from now on.
+func (g *Guard) ban(v Verdict, source string) {
+	now := g.Clock.Now()
+	g.mu.Lock()
+	if b := g.bans[v.Fingerprint]; b != nil {
+		if v.Tries > b.Tries {
+			b.Verdict, b.since = v, now // another node tries it
+		}
+		g.mu.Unlock()
+		return
+	}
+	if len(g.bans) >= mostBans {
+		g.dropOldest()
+	}
+	g.bans[v.Fingerprint] = &ban{Verdict: v, since: now, sound: soundCounts{}}
+	runs := g.history.runs(v.Fingerprint)
+	g.mu.Unlock()
+	g.metrics.found.Inc()
+	g.Log.Warn("request is quarantined", "fingerprint", v.Fingerprint, "ends", v.Ends, "attempts", v.Attempts, "source", source, "for_ms", banFor.Milliseconds())
+	if runs > 0 {
+		g.tellSound(v.Fingerprint, runs)
+	}
+}
+
+func (g *Guard) dropOldest() {
+	var oldest Fingerprint
+	for fp, b := range g.bans {
+		if o := g.bans[oldest]; o == nil || b.since.Before(o.since) {
+			oldest = fp
+		}
+	}
+	delete(g.bans, oldest)
+}
+
+// lift ends the quarantine of a request at all nodes.
+func (g *Guard) lift(fp Fingerprint, reason string) {
+	if !g.unban(fp, reason) {
+		return
+	}
+	g.Announce(Message{Node: g.Node, Lifted: []Fingerprint{fp}})
+	if g.Drop != nil {
+		g.Drop(fp)
+	}
+}
+
+// unban reports whether the request was refused until now.
+func (g *Guard) unban(fp Fingerprint, reason string) bool {
+	g.mu.Lock()
+	b := g.bans[fp]
+	delete(g.bans, fp)
+	g.tally.Clear(fp)
+	g.mu.Unlock()
+	if b != nil {
+		g.Log.Info("request is quarantined no more", "fingerprint", fp, "reason", reason)
+	}
+	return b != nil
+}
+
+// expire forgets the requests that are over and that nobody else keeps.
+func (g *Guard) expire(now clock.Instant) {
+	for fp, b := range g.bans {
+		if !b.kept && now.Sub(b.since) > forgetAfter {
+			delete(g.bans, fp)
+			g.Log.Info("request is quarantined no more", "fingerprint", fp, "reason", "its time is over")
+		}
+	}
+}
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -35,13 +35,13 @@
 			}
 		}
 		g.Tell, g.Announce = others, others
-		g.Keep = func(v Verdict) { gs.kept[v.Print] = v }
-		g.Drop = func(print Fingerprint) { delete(gs.kept, print) }
+		g.Keep = func(v Verdict) { gs.kept[v.Fingerprint] = v }
+		g.Drop = func(fp Fingerprint) { delete(gs.kept, fp) }
 		g.Try = func(_ context.Context, v Verdict) bool {
-			if gs.kept[v.Print].Tries+1 != v.Tries {
+			if gs.kept[v.Fingerprint].Tries+1 != v.Tries {
 				return false // another node has it
 			}
-			gs.kept[v.Print] = v
+			gs.kept[v.Fingerprint] = v
 			return true
 		}
 		g.Refuses = func(addr string) bool { return addr == "gone" }
@@ -66,23 +66,23 @@
 }
 
 // end lets an endpoint end under a request of a client attempt at a node.
-func (gs *guards) end(node int, endpoint string, print Fingerprint, attempt uint32) {
-	gs.all[node].Broke(endpoint, "gone", print, attempt)
+func (gs *guards) end(node int, endpoint string, fp Fingerprint, attempt uint32) {
+	gs.all[node].Broke(endpoint, "gone", fp, attempt)
 	synctest.Wait()
 	gs.pass(200 * time.Millisecond)
 }
 
 // convict lets enough endpoints end under a request.
-func (gs *guards) convict(print Fingerprint) {
+func (gs *guards) convict(fp Fingerprint) {
 	for i := range 4 {
-		gs.end(i%len(gs.all), fmt.Sprintf("%s%d", print, i), print, uint32(i))
+		gs.end(i%len(gs.all), fmt.Sprintf("%s%d", fp, i), fp, uint32(i))
 	}
 }
 
-func (gs *guards) refusing(print Fingerprint) int {
+func (gs *guards) refusing(fp Fingerprint) int {
 	n := 0
 	for _, g := range gs.all {
-		if _, refused := g.Refused(context.Background(), print); refused {
+		if _, refused := g.Refused(context.Background(), fp); refused {
 			n++
 		}
 	}
@@ -102,14 +102,14 @@
 		gs := newGuards(3)
 		gs.convict("bad")
 		is.Equal(gs.refusing("bad"), 3)
-		gs.pass(barFor - time.Minute)
+		gs.pass(banFor - time.Minute)
 		is.Equal(gs.refusing("bad"), 3)
 		gs.pass(2 * time.Minute)
 		is.Equal(gs.refusing("bad"), 2) // the third may try
 		gs.pass(time.Second)
 		is.Equal(gs.refusing("bad"), 3)
 		gs.end(0, "another", "bad", 9)
-		gs.pass(barFor - 2*time.Minute)
+		gs.pass(banFor - 2*time.Minute)
 		is.Equal(gs.refusing("bad"), 3)
 		gs.pass(4 * time.Minute)
 		is.Equal(gs.refusing("bad"), 2)
@@ -122,7 +122,7 @@
 	bubble(t, func(is *is.I) {
 		gs := newGuards(3)
 		gs.convict("bad")
-		gs.pass(barFor + time.Minute)
+		gs.pass(banFor + time.Minute)
 		_, refused := gs.all[1].Refused(context.Background(), "bad")
 		is.True(!refused)
 		gs.all[1].Sound("bad")
@@ -184,10 +184,10 @@
 		late.TakeKept(nil)
 		gs.clock.Advance(rowGone / 2)
 		late.TakeKept(nil)
-		is.Equal(len(late.Barred()), 1)
+		is.Equal(len(late.Banned()), 1)
 		gs.clock.Advance(rowGone)
 		late.TakeKept(nil)
-		is.Equal(len(late.Barred()), 0)
+		is.Equal(len(late.Banned()), 0)
 	})
 }
 
@@ -197,14 +197,14 @@
 	bubble(t, func(is *is.I) {
 		gs := newGuards(1)
 		gs.convict("bad")
-		is.True(!gs.all[0].Barred()[0].Over())
+		is.True(!gs.all[0].Banned()[0].Over())
 		gs.clock.Advance(forgetAfter + time.Second)
-		is.True(gs.all[0].Barred()[0].Over())
+		is.True(gs.all[0].Banned()[0].Over())
 		unkept := (&Guard{Node: "x", Clock: gs.clock, Log: slog.New(slog.DiscardHandler)}).Init(nil)
-		unkept.bar(Verdict{Print: "bad"}, "x")
+		unkept.ban(Verdict{Fingerprint: "bad"}, "x")
 		gs.clock.Advance(forgetAfter + time.Second)
 		unkept.Tick()
-		is.Equal(len(unkept.Barred()), 0)
+		is.Equal(len(unkept.Banned()), 0)
 	})
 }
 
@@ -216,14 +216,14 @@
 		g := gs.all[0]
 		for i := range 1000 {
 			gs.clock.Advance(time.Millisecond)
-			g.bar(Verdict{Print: Fingerprint(fmt.Sprint(i))}, "x")
+			g.ban(Verdict{Fingerprint: Fingerprint(fmt.Sprint(i))}, "x")
 		}
-		is.Equal(len(g.bars), mostBars)
-		is.True(g.bars["999"] != nil)
+		is.Equal(len(g.bans), mostBans)
+		is.True(g.bans["999"] != nil)
 		for i := range 10000 {
 			runs := make([]Run, 100)
 			for k := range runs {
-				runs[k] = Run{Print: Fingerprint(fmt.Sprintf("%d-%d", i, k)), Attempt: uint32(k)}
+				runs[k] = Run{Fingerprint: Fingerprint(fmt.Sprintf("%d-%d", i, k)), Attempt: uint32(k)}
 			}
 			g.Hear(Message{Node: "n", Ends: []End{{Endpoint: fmt.Sprintf("e%d", i), Runs: runs}}})
 			g.Sound(Fingerprint(fmt.Sprint(i)))
@@ -248,11 +248,11 @@
 	is := is.New(t)
 	const packet = 1400 // bytes
 	var ends []End
-	print := Of("org", "POST", "h", "/x", nil)
+	fp := Of("org", "POST", "h", "/x", nil)
 	for i := range 60 {
 		runs := make([]Run, 1+i%40)
 		for k := range runs {
-			runs[k] = Run{print, 4294967295, 999}
+			runs[k] = Run{fp, 4294967295, 999}
 		}
 		ends = append(ends, End{Endpoint: "i-0123456789~1790000000000", Runs: runs})
 	}
@@ -285,7 +285,7 @@
 // hand at once. It waits for the look at the endpoint, a round trip, so that what was seen
 // counts before the next one ends: not four endpoints for each client attempt. Where the
 // look gets no answer the repeat goes on without it.
-func TestRepeatWaitsForTheLookAtTheEndpoint(t *testing.T) {
+func TestRepeatWaitsForTheCheckOfTheEndpoint(t *testing.T) {
 	bubble(t, func(is *is.I) {
 		const roundTrip = 3 * time.Millisecond
 		g := Alone(clock.NewManual(clock.Instant(time.Hour)), slog.New(slog.DiscardHandler))
@@ -306,12 +306,12 @@
 		}
 		is.Equal(ended, harmFew)
 
-		g.Refuses = func(string) bool { time.Sleep(confirmLimit); return false }
+		g.Refuses = func(string) bool { time.Sleep(checkLimit); return false }
 		g.Broke("silent", "silent", "good", 1)
 		begun := time.Now()
 		_, refused := g.Refused(context.Background(), "good")
 		is.True(!refused)
-		is.Equal(time.Since(begun), lookWait)
-		time.Sleep(confirmLimit) // until the look is over
+		is.Equal(time.Since(begun), checkWait)
+		time.Sleep(checkLimit) // until the look is over
 	})
 }
--- a/internal/quarantine/history.go
+++ b/internal/quarantine/history.go
@@ -20,21 +20,21 @@
 	historyMemory = endsMemory / 2
 )
 
-func (h *history) add(print Fingerprint, now clock.Instant) {
+func (h *history) add(fp Fingerprint, now clock.Instant) {
 	if h.now == nil || len(h.now) >= mostHistory || now.Sub(h.since) > historyMemory {
 		h.before, h.now, h.since = h.now, map[Fingerprint]int{}, now
 	}
-	h.now[print]++
+	h.now[fp]++
 }
 
-func (h *history) runs(print Fingerprint) int { return h.now[print] + h.before[print] }
+func (h *history) runs(fp Fingerprint) int { return h.now[fp] + h.before[fp] }
 
 // Times of the quarantine.
 const (
-	// barFor is how long a request is refused before one run of it is tried: whoever runs
+	// banFor is how long a request is refused before one run of it is tried: whoever runs
 	// the engines needs minutes to see what it does to them, and each try may end one
 	// with all that it serves.
-	barFor = 10 * time.Minute
+	banFor = 10 * time.Minute
 	// forgetAfter is how long a request is remembered for which no try was asked: it then
 	// has the rights of one that was never seen.
 	forgetAfter = time.Hour
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -54,9 +54,9 @@
 
 // Verdict says that a request ends the endpoints that run it, and on what evidence.
 type Verdict struct {
-	Print    Fingerprint `json:"f"`
-	Ends     int         `json:"ends"`     // that it has seen and no other request explains
-	Attempts int         `json:"attempts"` // of clients that saw one
+	Fingerprint Fingerprint `json:"f"`
+	Ends        int         `json:"ends"`     // that it has seen and no other request explains
+	Attempts    int         `json:"attempts"` // of clients that saw one
 	// Tries is how many runs were allowed since to see whether it still does.
 	Tries int `json:"tries,omitempty"`
 }
@@ -67,12 +67,12 @@
 func (t *Tally) Judge(known func(Fingerprint) bool, now clock.Instant) []Verdict {
 	found := map[Fingerprint]bool{}
 	var open []Fingerprint
-	for print, s := range t.byPrint {
+	for fp, s := range t.byPrint {
 		switch {
-		case known(print):
-			found[print] = true
+		case known(fp):
+			found[fp] = true
 		case len(s.ends) >= harmEnds:
-			open = append(open, print)
+			open = append(open, fp)
 		}
 	}
 	// Whoever saw the most ends first: its ends then explain those of the others.
@@ -80,10 +80,10 @@
 		return cmp.Or(cmp.Compare(len(t.byPrint[b].ends), len(t.byPrint[a].ends)), cmp.Compare(a, b))
 	})
 	var out []Verdict
-	for _, print := range open {
-		if v, harmful := t.judge(print, found, now); harmful {
+	for _, fp := range open {
+		if v, harmful := t.judge(fp, found, now); harmful {
 			out = append(out, v)
-			found[print] = true
+			found[fp] = true
 		}
 	}
 	return out
@@ -107,10 +107,10 @@
 }
 
 // judge weighs the ends of one request that none of those found explains.
-func (t *Tally) judge(print Fingerprint, found map[Fingerprint]bool, now clock.Instant) (Verdict, bool) {
-	s := t.byPrint[print]
-	own := t.ownEnds(print, found)
-	v := Verdict{Print: print, Ends: len(own), Attempts: len(s.attempts)}
+func (t *Tally) judge(fp Fingerprint, found map[Fingerprint]bool, now clock.Instant) (Verdict, bool) {
+	s := t.byPrint[fp]
+	own := t.ownEnds(fp, found)
+	v := Verdict{Fingerprint: fp, Ends: len(own), Attempts: len(s.attempts)}
 	if !enough(v) || s.harmless() {
 		return v, false
 	}
@@ -119,14 +119,14 @@
 		return v, true // those that moved along with it are over
 	}
 	settled := last.at.Sub(third.at) > harmSettles
-	if !settled && v.Attempts < harmSurely && harmClearly*t.missed(print, own) > v.Ends {
+	if !settled && v.Attempts < harmSurely && harmClearly*t.missed(fp, own) > v.Ends {
 		return v, false
 	}
 	margin := harmMargin
 	if settled || v.Ends >= harmMany {
 		margin = 1
 	}
-	return v, t.ahead(print, own, margin)
+	return v, t.ahead(fp, own, margin)
 }
 
 // enough reports whether the evidence is worth weighing.
@@ -139,11 +139,11 @@
 
 // ownEnds returns the ends that the request has seen, without those that another one
 // explains and those that tell nothing beside another.
-func (t *Tally) ownEnds(print Fingerprint, found map[Fingerprint]bool) []*end {
-	s := t.byPrint[print]
+func (t *Tally) ownEnds(fp Fingerprint, found map[Fingerprint]bool) []*end {
+	s := t.byPrint[fp]
 	var own []*end
 	for _, e := range s.ends {
-		if !t.explained(e, found, len(s.ends)) && !t.sameLoss(print, e, own) {
+		if !t.explained(e, found, len(s.ends)) && !t.sameLoss(fp, e, own) {
 			own = append(own, e)
 		}
 	}
@@ -163,7 +163,7 @@
 
 // ahead reports whether every other request that may be harmful missed at least margin
 // of the ends.
-func (t *Tally) ahead(print Fingerprint, own []*end, margin int) bool {
+func (t *Tally) ahead(fp Fingerprint, own []*end, margin int) bool {
 	shared := map[Fingerprint]int{}
 	for _, e := range own {
 		for other := range e.runs {
@@ -171,7 +171,7 @@
 		}
 	}
 	for other, n := range shared {
-		if other != print && len(own)-n < margin && !t.byPrint[other].harmless() {
+		if other != fp && len(own)-n < margin && !t.byPrint[other].harmless() {
 			return false
 		}
 	}
@@ -179,10 +179,10 @@
 }
 
 // missed counts the ends without the request between its first and its last one.
-func (t *Tally) missed(print Fingerprint, own []*end) int {
+func (t *Tally) missed(fp Fingerprint, own []*end) int {
 	n := 0
 	for _, e := range t.order {
-		if e.runs[print] == nil && e.at.After(own[0].at) && e.at.Before(own[len(own)-1].at) {
+		if e.runs[fp] == nil && e.at.After(own[0].at) && e.at.Before(own[len(own)-1].at) {
 			n++
 		}
 	}
@@ -193,12 +193,12 @@
 // many endpoints ended together, or the request was at several of them because its
 // clients had sent it more than once. One client attempt that met one end after the other
 // within a few milliseconds tells of each.
-func (t *Tally) sameLoss(print Fingerprint, e *end, own []*end) bool {
+func (t *Tally) sameLoss(fp Fingerprint, e *end, own []*end) bool {
 	beside, chained := false, false
 	for _, o := range own {
 		if near(e, o) {
 			beside = true
-			chained = chained || sameAttempt(o.runs[print], e.runs[print])
+			chained = chained || sameAttempt(o.runs[fp], e.runs[fp])
 		}
 	}
 	if !beside {
@@ -208,7 +208,7 @@
 	for _, o := range t.order {
 		switch {
 		case !near(e, o):
-		case o.runs[print] != nil:
+		case o.runs[fp] != nil:
 			with++
 		default:
 			without++
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -15,8 +15,8 @@
 
 // SoundRuns is how many runs of a request ended well at a node, of late.
 type SoundRuns struct {
-	Print Fingerprint `json:"f"`
-	Runs  int         `json:"k"`
+	Fingerprint Fingerprint `json:"f"`
+	Runs        int         `json:"k"`
 }
 
 // itemsPerMessage bounds the ends and runs of one message: an item takes up to 50 bytes,
--- a/internal/quarantine/metrics.go
+++ b/internal/quarantine/metrics.go
@@ -6,7 +6,7 @@
 	found, refused, ends prometheus.Counter
 }
 
-func newMetrics(reg prometheus.Registerer, barred func() float64) *metrics {
+func newMetrics(reg prometheus.Registerer, banned func() float64) *metrics {
 	counter := func(name, help string) prometheus.Counter {
 		return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
 	}
@@ -18,7 +18,7 @@
 	if reg != nil {
 		reg.MustRegister(m.found, m.refused, m.ends, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "chervilloom_quarantine_requests", Help: "Requests that are refused now.",
-		}, barred))
+		}, banned))
 	}
 	return m
 }
--- a/internal/quarantine/rows.go
+++ b/internal/quarantine/rows.go
@@ -25,39 +25,39 @@
 const rowLimit = 300 * time.Millisecond
 
 // Key returns the key of a request's row.
-func (r *Rows) Key(print Fingerprint) string { return r.Prefix + string(print) }
+func (r *Rows) Key(fp Fingerprint) string { return r.Prefix + string(fp) }
 
 // Write writes a request's row if the row has that version; 0: if there is none. It
 // reports whether it did.
 func (r *Rows) Write(ctx context.Context, v Verdict, version uint64) bool {
 	raw, err := json.Marshal(v)
 	if err != nil {
-		r.Log.Error("quarantined request is not kept", "fingerprint", v.Print, "err", err)
+		r.Log.Error("quarantined request is not kept", "fingerprint", v.Fingerprint, "err", err)
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, rowLimit)
 	defer cancel()
 	res, err := r.Commit(ctx, platform.Txn{
 		Attempt: uuid.NewString(),
-		Checks:  []platform.Check{{Table: r.Table, Key: r.Key(v.Print), Version: version}},
-		Writes:  []platform.Write{{Table: r.Table, Key: r.Key(v.Print), Value: raw}},
+		Checks:  []platform.Check{{Table: r.Table, Key: r.Key(v.Fingerprint), Version: version}},
+		Writes:  []platform.Write{{Table: r.Table, Key: r.Key(v.Fingerprint), Value: raw}},
 	})
 	if err != nil {
-		r.Log.Info("quarantined request is not kept; the nodes that know it refuse it", "fingerprint", v.Print, "err", err)
+		r.Log.Info("quarantined request is not kept; the nodes that know it refuse it", "fingerprint", v.Fingerprint, "err", err)
 	}
 	return err == nil && res.Committed
 }
 
 // Drop deletes a request's row.
-func (r *Rows) Drop(ctx context.Context, print Fingerprint) {
+func (r *Rows) Drop(ctx context.Context, fp Fingerprint) {
 	ctx, cancel := context.WithTimeout(ctx, rowLimit)
 	defer cancel()
 	_, err := r.Commit(ctx, platform.Txn{
 		Attempt: uuid.NewString(),
-		Writes:  []platform.Write{{Table: r.Table, Key: r.Key(print), Delete: true}},
+		Writes:  []platform.Write{{Table: r.Table, Key: r.Key(fp), Delete: true}},
 	})
 	if err != nil {
-		r.Log.Info("row of a request that was lifted stays; nodes that start refuse it for its time", "fingerprint", print, "err", err)
+		r.Log.Info("row of a request that was lifted stays; nodes that start refuse it for its time", "fingerprint", fp, "err", err)
 	}
 }
 
@@ -69,7 +69,7 @@
 			continue
 		}
 		var v Verdict
-		if err := json.Unmarshal(row.Value, &v); err != nil || r.Key(v.Print) != row.Key {
+		if err := json.Unmarshal(row.Value, &v); err != nil || r.Key(v.Fingerprint) != row.Key {
 			r.Log.Warn("row names no quarantined request; delete it by hand", "key", row.Key, "err", err)
 			continue
 		}
--- a/internal/quarantine/tally.go
+++ b/internal/quarantine/tally.go
@@ -18,9 +18,9 @@
 
 // Run is a request that an endpoint had when it ended.
 type Run struct {
-	Print   Fingerprint `json:"f"`
-	Attempt uint32      `json:"a"`           // tells client attempts of one fingerprint apart
-	Sound   int         `json:"s,omitempty"` // of its runs that ended well at the node that tells, of late
+	Fingerprint Fingerprint `json:"f"`
+	Attempt     uint32      `json:"a"`           // tells client attempts of one fingerprint apart
+	Sound       int         `json:"s,omitempty"` // of its runs that ended well at the node that tells, of late
 }
 
 // End tells of an endpoint that ended, and of the requests that a node had there.
@@ -75,20 +75,20 @@
 }
 
 func (t *Tally) noteRun(node string, at *end, r Run) {
-	attempts, there := at.runs[r.Print]
+	attempts, there := at.runs[r.Fingerprint]
 	if !there && len(at.runs) >= mostRuns {
 		return
 	}
-	s := t.byPrint[r.Print]
+	s := t.byPrint[r.Fingerprint]
 	if s == nil {
 		s = &suspect{attempts: map[uint32]bool{}, sound: soundCounts{}}
-		t.byPrint[r.Print] = s
+		t.byPrint[r.Fingerprint] = s
 	}
 	if !there {
 		s.ends = append(s.ends, at)
 	}
 	if !slices.Contains(attempts, r.Attempt) {
-		at.runs[r.Print] = append(attempts, r.Attempt)
+		at.runs[r.Fingerprint] = append(attempts, r.Attempt)
 		s.attempts[r.Attempt] = true
 	}
 	s.sound.note(node, r.Sound)
@@ -100,36 +100,36 @@
 		old := t.order[0]
 		t.order = t.order[1:]
 		delete(t.ends, old.endpoint)
-		for print := range old.runs {
-			s := t.byPrint[print]
+		for fp := range old.runs {
+			s := t.byPrint[fp]
 			s.ends = slices.DeleteFunc(s.ends, func(e *end) bool { return e == old })
 			if len(s.ends) == 0 {
-				delete(t.byPrint, print)
+				delete(t.byPrint, fp)
 			}
 		}
 	}
 }
 
 // Clear takes a request out of all ends: it is counted anew.
-func (t *Tally) Clear(print Fingerprint) {
-	if s := t.byPrint[print]; s != nil {
+func (t *Tally) Clear(fp Fingerprint) {
+	if s := t.byPrint[fp]; s != nil {
 		for _, e := range s.ends {
-			delete(e.runs, print)
+			delete(e.runs, fp)
 		}
-		delete(t.byPrint, print)
+		delete(t.byPrint, fp)
 	}
 }
 
 // NoteSound takes up how many runs of a request ended well at a node, of late.
-func (t *Tally) NoteSound(node string, print Fingerprint, runs int) {
-	if s := t.byPrint[print]; s != nil {
+func (t *Tally) NoteSound(node string, fp Fingerprint, runs int) {
+	if s := t.byPrint[fp]; s != nil {
 		s.sound.note(node, runs)
 	}
 }
 
 // Saw reports how many ends the request has seen.
-func (t *Tally) Saw(print Fingerprint) int {
-	if s := t.byPrint[print]; s != nil {
+func (t *Tally) Saw(fp Fingerprint) int {
+	if s := t.byPrint[fp]; s != nil {
 		return len(s.ends)
 	}
 	return 0
--- a/internal/quarantine/world_test.go
+++ b/internal/quarantine/world_test.go
@@ -22,7 +22,7 @@
 	now    time.Duration
 	events eventQueue
 	tally  Tally
-	barred map[Fingerprint]time.Duration // from when on nodes refuse it
+	banned map[Fingerprint]time.Duration // from when on nodes refuse it
 
 	heads   []*head
 	serial  int
@@ -64,7 +64,7 @@
 }
 
 type flight struct {
-	print    Fingerprint
+	fp       Fingerprint
 	node     string
 	attempt  uint32
 	left     int // runs of this client attempt
@@ -99,7 +99,7 @@
 
 func newWorld(p worldParams, seed uint64) *world {
 	w := &world{
-		worldParams: p, rng: rand.New(rand.NewPCG(seed, 7)), barred: map[Fingerprint]time.Duration{},
+		worldParams: p, rng: rand.New(rand.NewPCG(seed, 7)), banned: map[Fingerprint]time.Duration{},
 		history: map[string]int{}, third: map[Fingerprint]time.Duration{}, ended: map[Fingerprint]int{},
 		after: map[Fingerprint]int{}, wrong: map[Fingerprint]bool{},
 	}
@@ -148,8 +148,8 @@
 	}
 	for i := range w.harmful {
 		h := &w.harmful[i]
-		print := Fingerprint(fmt.Sprintf("harmful%d", i))
-		w.poisson(h.rate, h.first, h.last, func() { w.arrive(print, h, true) })
+		fp := Fingerprint(fmt.Sprintf("harmful%d", i))
+		w.poisson(h.rate, h.first, h.last, func() { w.arrive(fp, h, true) })
 	}
 	for len(w.events) > 0 {
 		e := heap.Pop(&w.events).(event)
@@ -159,12 +159,12 @@
 }
 
 // arrive is a client attempt at some node.
-func (w *world) arrive(print Fingerprint, harm *harmful, comeback bool) {
+func (w *world) arrive(fp Fingerprint, harm *harmful, comeback bool) {
 	if harm == nil {
 		w.sent++
 	}
 	f := &flight{
-		print: print, node: fmt.Sprint(w.rng.IntN(w.nodes)), attempt: w.rng.Uint32(), left: w.attempts, harm: harm, comeback: comeback,
+		fp: fp, node: fmt.Sprint(w.rng.IntN(w.nodes)), attempt: w.rng.Uint32(), left: w.attempts, harm: harm, comeback: comeback,
 		length: 300*time.Millisecond + time.Duration(w.rng.ExpFloat64()*float64(700*time.Millisecond)),
 	}
 	w.place(f)
@@ -172,9 +172,9 @@
 
 // place sends a flight to the endpoint with the fewest runs of a few.
 func (w *world) place(f *flight) {
-	if at, ok := w.barred[f.print]; ok && w.now >= at {
+	if at, ok := w.banned[f.fp]; ok && w.now >= at {
 		if f.harm == nil {
-			w.wrong[f.print] = true
+			w.wrong[f.fp] = true
 		}
 		return
 	}
@@ -186,19 +186,19 @@
 	}
 	if best == nil || f.left == 0 {
 		if f.comeback {
-			w.in(50*time.Millisecond, func() { w.arrive(f.print, f.harm, false) })
+			w.in(50*time.Millisecond, func() { w.arrive(f.fp, f.harm, false) })
 		}
 		return
 	}
-	if t, ok := w.third[f.print]; ok && w.now > t+worldStable {
-		w.after[f.print]++
+	if t, ok := w.third[f.fp]; ok && w.now > t+worldStable {
+		w.after[f.fp]++
 	}
 	f.left--
 	best.runs = append(best.runs, f)
 	if f.harm != nil && w.rng.IntN(max(1, f.harm.every)) == 0 {
 		w.in(f.harm.runs/2+time.Duration(w.rng.Int64N(int64(f.harm.runs))), func() {
 			if slices.Contains(best.runs, f) {
-				w.end(best, f.print)
+				w.end(best, f.fp)
 			}
 		})
 		return
@@ -206,7 +206,7 @@
 	w.in(f.length, func() {
 		if i := slices.Index(best.runs, f); i >= 0 {
 			best.runs = slices.Delete(best.runs, i, i+1)
-			w.history[f.node+"/"+string(f.print)]++
+			w.history[f.node+"/"+string(f.fp)]++
 		}
 	})
 }
@@ -232,7 +232,7 @@
 			told[f.node] = e
 			nodes = append(nodes, f.node)
 		}
-		e.Runs = append(e.Runs, Run{f.print, f.attempt, w.history[f.node+"/"+string(f.print)]})
+		e.Runs = append(e.Runs, Run{f.fp, f.attempt, w.history[f.node+"/"+string(f.fp)]})
 		w.in(time.Duration(w.rng.IntN(10))*time.Millisecond, func() { w.place(f) })
 	}
 	for _, node := range nodes {
@@ -250,26 +250,26 @@
 
 // judge has what is found harmful refused from now on.
 func (w *world) judge() {
-	known := func(f Fingerprint) bool { _, ok := w.barred[f]; return ok }
+	known := func(f Fingerprint) bool { _, ok := w.banned[f]; return ok }
 	for _, v := range w.tally.Judge(known, clock.Instant(w.now+time.Hour)) {
-		w.barred[v.Print] = w.now
-		if !strings.HasPrefix(string(v.Print), "harmful") {
+		w.banned[v.Fingerprint] = w.now
+		if !strings.HasPrefix(string(v.Fingerprint), "harmful") {
 			w.found++
 		}
-		w.in(worldTell, func() { w.tellSound(v.Print) })
+		w.in(worldTell, func() { w.tellSound(v.Fingerprint) })
 	}
 }
 
 // tellSound has the nodes say how often a request ran well that was found harmful.
-func (w *world) tellSound(print Fingerprint) {
+func (w *world) tellSound(fp Fingerprint) {
 	sound := soundCounts{}
 	for node := range w.nodes {
 		name := fmt.Sprint(node)
-		sound.note(name, w.history[name+"/"+string(print)])
-		w.tally.NoteSound(name, print, sound[name])
+		sound.note(name, w.history[name+"/"+string(fp)])
+		w.tally.NoteSound(name, fp, sound[name])
 	}
-	if sound.harmless(w.tally.Saw(print)) {
-		delete(w.barred, print)
+	if sound.harmless(w.tally.Saw(fp)) {
+		delete(w.banned, fp)
 	}
 }
 
@@ -340,9 +340,9 @@
 // checkBound fails the test for each harmful request that came too often.
 func (w *world) checkBound(t *testing.T, seed uint64) {
 	t.Helper()
-	for print, n := range w.after {
+	for fp, n := range w.after {
 		if n > harmBound {
-			t.Errorf("seed %d: %s reached endpoints %d times after the bound's time", seed, print, n)
+			t.Errorf("seed %d: %s reached endpoints %d times after the bound's time", seed, fp, n)
 		}
 	}
 }
--- a/test/entry_harm_test.go
+++ b/test/entry_harm_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -27,21 +26,13 @@
 	harmBack = 300 * time.Millisecond
 )
 
-// ask sends a request with a body of its own and returns the answer, read to its end or
+// askWith sends a request with a body of its own and returns the answer, read to its end or
 // to where it breaks off.
 func (f *entryFleet) askWith(n *entryNode, method, path, id, body string) (*http.Response, string) {
 	f.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.front+path, strings.NewReader(body))
-	must(f.t, err)
-	req.Host = "h.example"
-	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("Authorization", "Token k1")
-	for k, v := range textHeader(70) {
-		req.Header.Set(k, v)
-	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := http.DefaultClient.Do(f.request(ctx, n, method, path, id, body, textHeader(70)))
 	must(f.t, err)
 	defer resp.Body.Close()
 	text, _ := io.ReadAll(resp.Body) // a stream that breaks off is one of the answers
--- a/test/entry_soak_test.go
+++ b/test/entry_soak_test.go
@@ -158,15 +158,7 @@
 func (s *soak) sendHarm(n *entryNode, id, body string) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+n.front+"/text/x", strings.NewReader(body))
-	must(s.t, err)
-	req.Host = "h.example"
-	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("Authorization", "Token k1")
-	for k, v := range textHeader(70) {
-		req.Header.Set(k, v)
-	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := http.DefaultClient.Do(s.request(ctx, n, "POST", "/text/x", id, body, textHeader(70)))
 	if err != nil {
 		return // the node may be gone
 	}
--- a/test/entry_test.go
+++ b/test/entry_test.go
@@ -151,11 +151,9 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// send makes a request at a node.
-func (f *entryFleet) send(n *entryNode, method, path, id string, header map[string]string) (*http.Response, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
-	f.t.Cleanup(cancel)
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.front+path, strings.NewReader("body"))
+// request builds a client's request to a node.
+func (f *entryFleet) request(ctx context.Context, n *entryNode, method, path, id, body string, header map[string]string) *http.Request {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.front+path, strings.NewReader(body))
 	must(f.t, err)
 	req.Host = "h.example"
 	req.Header.Set("X-Request-Id", id)
@@ -163,7 +161,14 @@
 	for k, v := range header {
 		req.Header.Set(k, v)
 	}
-	return http.DefaultClient.Do(req)
+	return req
+}
+
+// send makes a request at a node.
+func (f *entryFleet) send(n *entryNode, method, path, id string, header map[string]string) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	f.t.Cleanup(cancel)
+	return http.DefaultClient.Do(f.request(ctx, n, method, path, id, "body", header))
 }
 
 // status sends a request and returns the status of the answer and its body.
