A quarantined request's row that was deleted stays deleted

Change: only a row that never stood is written. Figures: TestRowOfAQuarantinedRequestIsWrittenOnce, red without the condition (a second and third write).

--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -71,20 +71,22 @@
 	return version != 0 && n.quarantined.Write(ctx, v, version)
 }
 
-// keepAllQuarantined writes the rows that are missing, for instance because the store was
-// away when the requests were found, and deletes those whose time is over. One node does
-// it: the first zone's holder.
+// keepAllQuarantined writes the rows that never stood, for instance because the store was
+// away when the requests were found, and deletes those whose time is over. A row that stood
+// and is gone was lifted, by another node or by hand. One node does it: the first zone's
+// holder.
 func (n *Node) keepAllQuarantined() {
 	banned := n.quarantine.Banned()
 	if len(banned) == 0 || !n.keepsQuarantine() {
 		return
 	}
 	for _, b := range banned {
-		if b.Over() {
+		switch {
+		case b.Over():
 			n.quarantined.Drop(context.Background(), b.Fingerprint)
-			continue
+		case !b.Kept:
+			n.keepQuarantined(b.Verdict)
 		}
-		n.keepQuarantined(b.Verdict)
 	}
 }
 
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"chervilloom/internal/clock"
 	"chervilloom/internal/news"
 	table "chervilloom/internal/platform"
 	"chervilloom/internal/quarantine"
@@ -221,3 +222,30 @@
 		}
 	})
 }
+
+// The store was away when a request was found: the first zone's holder writes its row once
+// the store is back. An operator deletes the row to lift the quarantine: nobody writes it
+// again, and every node lets the request go.
+func TestRowOfAQuarantinedRequestIsWrittenOnce(t *testing.T) {
+	is := is.New(t)
+	store := &fakeStore{}
+	n := testNode(store, clock.NewManual(clock.Instant(time.Hour)))
+	n.holds = func(string) bool { return true }
+	n.leaseRows.take([]table.Row{ownerRow("a", "me")})
+	n.quarantine.Hear(quarantine.Message{Node: "x", Found: []quarantine.Verdict{{Fingerprint: harmful, Ends: 3, Attempts: 3}}})
+	n.keepAllQuarantined()
+	is.Equal(store.calls, 1)
+	raw, err := json.Marshal(quarantine.Verdict{Fingerprint: harmful})
+	is.NoErr(err)
+	row := table.Row{Table: table.TableLeases, Key: quarantinePrefix + string(harmful), Version: 7, Value: raw}
+	n.leaseRows.take([]table.Row{ownerRow("a", "me"), row})
+	n.keepAllQuarantined()
+	is.Equal(store.calls, 1)
+	for range 3 { // it is deleted, and read so for seconds
+		n.leaseRows.take([]table.Row{ownerRow("a", "me")})
+		n.keepAllQuarantined()
+		n.Clock.(*clock.Manual).Advance(4 * time.Second)
+	}
+	is.Equal(store.calls, 1)
+	is.Equal(len(n.quarantine.Banned()), 0)
+}
--- a/internal/quarantine/bans.go
+++ b/internal/quarantine/bans.go
@@ -90,10 +90,12 @@
 	}
 }
 
-// Banned is a request that is refused, and for how long it has been.
+// Banned is a request that is refused, for how long it has been, and whether it was among
+// those that are kept for all nodes.
 type Banned struct {
 	Verdict
-	Age time.Duration
+	Age  time.Duration
+	Kept bool
 }
 
 // Over reports whether the request is to be forgotten.
@@ -106,7 +108,7 @@
 	defer g.mu.Unlock()
 	out := make([]Banned, 0, len(g.bans))
 	for _, b := range g.bans {
-		out = append(out, Banned{b.Verdict, now.Sub(b.since)})
+		out = append(out, Banned{b.Verdict, now.Sub(b.since), b.kept})
 	}
 	return out
 }
