Lives of a plain service end one by one on the way of serve

Cause: an endpoint was known by its VM alone, so that a service on two VMs could never have the three ends that it takes. Change: the boot of the newest load report is a part of its name. Figures: TestLivesOfAServiceEndOneByOne, red by the name before (both lives alike).

--- a/internal/dispatch/harm_test.go
+++ b/internal/dispatch/harm_test.go
@@ -114,3 +114,16 @@
 	req.Body = chatBody("crash", 3, stream)
 	return req
 }
+
+// A service runs on two VMs, whose processes are started again on them. Each life that ends
+// counts: with two endpoints there would never be three ends otherwise.
+func TestLivesOfAServiceEndOneByOne(t *testing.T) {
+	r := newRig(t, nil)
+	vm := view.VM{Record: fleet.Record{VM: "s1", Addr: "127.0.0.1:1"}, Load: fleet.Load{Boot: "first"}}
+	first := r.d.runAtService(r.lookup("a"), &vm)
+	vm.Load.Boot = "second"
+	second := r.d.runAtService(r.lookup("b"), &vm)
+	if first.endpoint == second.endpoint || first.fp != second.fp {
+		t.Errorf("%v and %v", first, second)
+	}
+}
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -23,10 +23,10 @@
 	return &endpointRun{d, req, fingerprintOf(req), string(m.VM) + "@" + string(m.Boot), m.Addr}
 }
 
-// runAtService counts a restart of the same VM as the same endpoint: plain services tell
-// no boot. Its ends then count once in the time that the quarantine remembers.
+// runAtService tells the lives of a plain endpoint apart by the boot of its newest load
+// report. While a restart isn't reported yet its end counts with the former life's.
 func (d *Dispatcher) runAtService(req *request.Request, vm *view.VM) *endpointRun {
-	return &endpointRun{d, req, fingerprintOf(req), string(vm.Record.VM), vm.Record.Addr}
+	return &endpointRun{d, req, fingerprintOf(req), string(vm.Record.VM) + "@" + string(vm.Load.Boot), vm.Record.Addr}
 }
 
 // fingerprintOf is the same at each node that a request is passed on to.
