--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -40,8 +40,7 @@
 	if _, refused := r.d.opt.Quarantine.Refused(ctx, r.fp); !refused {
 		return nil
 	}
-	return outcome.New(outcome.Quarantined, outcome.NotRun, "endpoints end when they run this request",
-		"send another request; this one is tried again in some minutes")
+	return quarantine.Refusal()
 }
 
 // broke notes that the endpoint gave no whole answer, unless the try was ended here.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -145,9 +145,9 @@
 }
 
 // overBeforeSend looks once more whether the request may be sent: at the client, its time
-// and the quarantine. A node that is short of
-// processor time, or whose dial hangs, comes here seconds after the client left; the
-// server's own look at the connection is as late, and the endpoint would run for nobody.
+// and the quarantine. A node that is short of processor time, or whose dial hangs, comes
+// here seconds after the client left; the server's own look at the connection is as late,
+// and the endpoint would run for nobody.
 func (x *exchange) overBeforeSend(ctx context.Context) (Result, bool) {
 	switch {
 	case x.client.Err() != nil || clientLeft(x.in):
@@ -327,12 +327,10 @@
 func (x *exchange) refuseUnserved() {
 	e := outcome.New(outcome.NoCapacity, outcome.NotRun, "nothing serves this now", "try again").After(retryAfterNone)
 	stage := "pick"
-	if x.banned {
-		stage = "quarantine"
-		// No time to come back: the same request would only be refused again.
-		e = outcome.New(outcome.Quarantined, outcome.NotRun, "endpoints end when they run this request",
-			"send another request; this one is tried again in some minutes")
-	} else if x.noChoice == balance.AllFull {
+	switch {
+	case x.banned:
+		stage, e = "quarantine", quarantine.Refusal()
+	case x.noChoice == balance.AllFull:
 		e = outcome.New(outcome.Overloaded, outcome.NotRun, "every endpoint is full", "try again").After(retryAfterFull)
 	}
 	x.f.refuse(x.w, x.req, stage, e.WithCause(errors.New(string(x.noChoice)+"; "+x.lastCause)),
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"chervilloom/internal/clock"
+	"chervilloom/internal/outcome"
 )
 
 // Guard is a node's part in the quarantine: it notes with which requests endpoints ended
@@ -104,6 +105,13 @@
 	return v, true
 }
 
+// Refusal is what the client of a refused request is told. It names no time to come back:
+// the same request would only be refused again.
+func Refusal() *outcome.Error {
+	return outcome.New(outcome.Quarantined, outcome.NotRun, "endpoints end when they run this request",
+		"send another request; this one is tried again in some minutes")
+}
+
 // Tick tells what has been noted, and judges.
 func (g *Guard) Tick() {
 	now := g.Clock.Now()
