Before a request is refused the other nodes are asked whether it runs well with them

The nodes that told of the ends had been killed and started again; they knew none of its good runs, and the others spoke for it only once it was refused everywhere. Ruled out: nodes telling each good run (a message for each request). Change: what is found is asked about first; the others have 100 ms to tell how often it ran well. A request that comes meanwhile waits for that at the node that asks.

--- a/internal/quarantine/bans.go
+++ b/internal/quarantine/bans.go
@@ -63,6 +63,16 @@
 	g.Tell(m)
 }
 
+// answer tells how often a request ran well here, if it did.
+func (g *Guard) answer(fp Fingerprint) {
+	g.mu.Lock()
+	runs := g.history.runs(fp)
+	g.mu.Unlock()
+	if runs > 0 {
+		g.tellSound(fp, runs)
+	}
+}
+
 // TakeKept takes up the requests that are kept for all nodes. One that was among them and
 // stays away was lifted by another node.
 func (g *Guard) TakeKept(kept []Verdict) {
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -46,16 +46,24 @@
 	broken  map[string]*broken      // by endpoint
 	checks  map[Fingerprint]*broken // where the request broke off last
 	bans    map[Fingerprint]*ban
-	again   []Message // to be told once more
+	asked   map[Fingerprint]clock.Instant // since when the others are asked
+	again   []Message                     // to be told once more
 }
 
 // judgeEach is the longest pause between two judgements while there is evidence: time
 // settles some.
 const judgeEach = 500 * time.Millisecond
 
+// askWait is how long the other nodes have to tell that a request runs well with them
+// before it is refused: two looks of theirs and the way there and back. A node that has just
+// started, like those that told it of ends, may have seen none of the runs of a body that
+// clients send all day; without the question it was refused everywhere for a moment.
+const askWait = 100 * time.Millisecond
+
 // Init registers the metrics; reg may be nil.
 func (g *Guard) Init(reg prometheus.Registerer) *Guard {
 	g.broken, g.bans, g.checks = map[string]*broken{}, map[Fingerprint]*ban{}, map[Fingerprint]*broken{}
+	g.asked = map[Fingerprint]clock.Instant{}
 	g.metrics = newMetrics(reg, g.count)
 	if g.Refuses == nil {
 		g.Refuses = refuses
@@ -85,6 +93,9 @@
 	if g.awaitCheck(ctx, fp) || g.alone {
 		g.Tick()
 	}
+	if g.awaitAnswers(ctx, fp) {
+		g.Tick()
+	}
 	g.mu.Lock()
 	b := g.bans[fp]
 	if b == nil {
@@ -123,15 +134,19 @@
 		tell, g.again = append(tell, m), append(g.again, m) // a lost packet would lose the evidence
 	}
 	var found []Verdict
-	if len(g.tally.order) > 0 && (g.dirty || now.Sub(g.judged) >= judgeEach) {
+	var ask []Fingerprint
+	if len(g.tally.order) > 0 && (g.dirty || len(g.asked) > 0 || now.Sub(g.judged) >= judgeEach) {
 		g.judged, g.dirty = now, false
-		found = g.tally.Judge(func(f Fingerprint) bool { return g.bans[f] != nil }, now)
+		found, ask = g.answered(g.tally.Judge(func(f Fingerprint) bool { return g.bans[f] != nil }, now), now)
 	}
 	g.expire(now)
 	g.mu.Unlock()
 	for _, m := range tell {
 		g.Tell(m)
 	}
+	if len(ask) > 0 {
+		g.Announce(Message{Node: g.Node, Ask: ask})
+	}
 	for _, v := range found {
 		g.ban(v, "tally")
 		if g.Keep != nil {
@@ -141,6 +156,39 @@
 	}
 }
 
+// answered divides what was found into what the other nodes have had the time to speak
+// for, and what they are to be asked about.
+func (g *Guard) answered(found []Verdict, now clock.Instant) (sure []Verdict, ask []Fingerprint) {
+	still := map[Fingerprint]clock.Instant{}
+	for _, v := range found {
+		at, ok := g.asked[v.Fingerprint]
+		switch {
+		case g.alone || ok && now.Sub(at) >= askWait:
+			sure = append(sure, v)
+		case ok:
+			still[v.Fingerprint] = at
+		default:
+			still[v.Fingerprint] = now
+			ask = append(ask, v.Fingerprint)
+		}
+	}
+	g.asked = still
+	return sure, ask
+}
+
+// awaitAnswers waits until the other nodes have had the time to speak for the request, and
+// reports whether they were asked.
+func (g *Guard) awaitAnswers(ctx context.Context, fp Fingerprint) bool {
+	g.mu.Lock()
+	at, asked := g.asked[fp]
+	left := askWait - g.Clock.Now().Sub(at)
+	g.mu.Unlock()
+	if asked {
+		clock.Sleep(ctx, left)
+	}
+	return asked
+}
+
 // note takes up evidence.
 func (g *Guard) note(m Message, now clock.Instant) {
 	for _, e := range m.Ends {
@@ -168,6 +216,9 @@
 	if harmless {
 		g.lift(m.Sound.Fingerprint, "it runs well far more often than endpoints end under it")
 	}
+	for _, fp := range m.Ask {
+		g.answer(fp)
+	}
 	for _, v := range m.Found {
 		g.ban(v, m.Node)
 	}
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -133,10 +133,10 @@
 	})
 }
 
-// A body that clients send all day runs well at all nodes. Three endpoints end while it
-// runs there, before the nodes that saw it have seen much of it. Once it is found harmful
-// the others tell how often it ran well, and it is served again.
-func TestBodyThatRunsWellElsewhereIsLetGo(t *testing.T) {
+// A body that clients send all day runs well at all nodes. Endpoints end while it runs
+// there, and the nodes that tell of them have just started and seen none of its runs. The
+// others are asked and speak for it: it is never refused, at no node.
+func TestBodyThatRunsWellElsewhereIsNotRefused(t *testing.T) {
 	bubble(t, func(is *is.I) {
 		gs := newGuards(6)
 		for range 10 {
@@ -145,7 +145,26 @@
 		}
 		for i := range 4 {
 			gs.end(i, fmt.Sprintf("e%d", i), "hot", uint32(i))
+			is.Equal(gs.refusing("hot"), 0)
+		}
+		for _, g := range gs.all {
+			is.Equal(len(g.bans), 0)
+		}
+		is.Equal(len(gs.kept), 0)
+	})
+}
+
+// The same, but the word of those that could speak for it is lost, and the body is found
+// harmful. They tell when they hear of that, and it is served again.
+func TestBodyThatRunsWellElsewhereIsLetGo(t *testing.T) {
+	bubble(t, func(is *is.I) {
+		gs := newGuards(6)
+		for range 10 {
+			gs.all[4].Sound("hot")
+			gs.all[5].Sound("hot")
 		}
+		gs.all[0].ban(Verdict{Fingerprint: "hot", Ends: 4, Attempts: 4}, "tally")
+		gs.all[0].Announce(Message{Node: "0", Found: []Verdict{{Fingerprint: "hot", Ends: 4, Attempts: 4}}})
 		gs.pass(time.Second)
 		is.Equal(gs.refusing("hot"), 0)
 		is.Equal(len(gs.kept), 0)
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -8,7 +8,9 @@
 	Ends []End `json:"e,omitempty"`
 	// Sound goes to them too: how often a request ran well that was found harmful.
 	Sound *SoundRuns `json:"s,omitempty"`
-	// Found and Lifted go to all nodes.
+	// Ask, Found and Lifted go to all nodes. Ask is about to be found: whoever has seen
+	// such a request run well tells so.
+	Ask    []Fingerprint `json:"a,omitempty"`
 	Found  []Verdict     `json:"v,omitempty"`
 	Lifted []Fingerprint `json:"l,omitempty"`
 }
