Comments: no figure of memory without a run

Cause: two comments of the quarantine gave worked-out sizes as if measured. No code is changed; the bounds are those of TestWhatIsHeldIsBounded.

--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -11,7 +11,8 @@
 // quarantinePrefix begins the keys of the rows that name quarantined requests. They stand
 // among the leases, so that the reads and questions that are made anyway carry them to
 // every node, also to one that starts after all others lost power, and to one that a lost
-// packet left out: within 1.6 s, a holder's read and its followers' next question.
+// packet left out: within 1.6 s by the pauses of a holder's reads and its followers'
+// questions.
 const quarantinePrefix = "quarantine/"
 
 func (n *Node) newGuard() *quarantine.Guard {
--- a/internal/quarantine/history.go
+++ b/internal/quarantine/history.go
@@ -13,8 +13,8 @@
 }
 
 // The bounds of a history. Of 4,200 requests a second 370 nodes see 11 each: two
-// generations of 2,048 hold the last 3 to 6 minutes in some 300 KB. A request of before
-// that counts as one that never ran well.
+// generations of 2,048 hold the last 3 to 6 minutes. A request of before that counts as
+// one that never ran well.
 const (
 	mostHistory   = 2048
 	historyMemory = endsMemory / 2
--- a/internal/quarantine/tally.go
+++ b/internal/quarantine/tally.go
@@ -7,9 +7,9 @@
 	"chervilloom/internal/clock"
 )
 
-// The bounds of a tally. With 1,095 engines and 22 requests each it holds the last 256
-// ends in some 600 KB; those of before are forgotten, oldest first, and with them what
-// they showed: after a loss of more endpoints at once a request is counted anew.
+// The bounds of a tally: the last 256 ends, each with the requests of an engine and more.
+// Those of before are forgotten, oldest first, and with them what they showed: after a
+// loss of more endpoints at once a request is counted anew.
 const (
 	mostEnds   = 256
 	mostRuns   = 64 // of one end; an engine runs up to 34 requests
