--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -231,7 +231,14 @@
 // Change is what a read of the operator's configuration brought.
 type Change struct {
 	Document *Document // nil: no newer one
-	Cursor   uint64    // where the next wait goes on
+	Cursor   Cursor    // where the next wait goes on
+}
+
+// Cursor is a place in the history of the operator's changes. A version means another
+// place in another era of the table: see platform.Row.
+type Cursor struct {
+	Era     uint64
+	Version uint64
 }
 
 // ErrHistoryGone means that the changes since a cursor are no longer known;
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -62,6 +62,8 @@
 type Node struct {
 	Options
 	config      *configWatcher
+	eras        *eras
+	announced   atomic.Bool // the node's row was written
 	roster      *rosterWatcher
 	tracker     *balance.Tracker
 	pool        *upstream.Pool
@@ -149,7 +151,8 @@
 // New returns a node that Run starts.
 func New(o Options) *Node {
 	n := &Node{Options: o, began: o.Clock.Now(), started: make(chan struct{}), pool: &upstream.Pool{Clock: o.Clock}}
-	n.config = &configWatcher{source: o.Store, clock: o.Clock, log: o.Log}
+	n.eras = newEras(n)
+	n.config = &configWatcher{source: o.Store, clock: o.Clock, log: o.Log, askOthers: n.askOthers}
 	n.roster = newRosterWatcher(o.Store, o.Clock, o.Log)
 	n.tracker = &balance.Tracker{
 		Clock:     o.Clock,
@@ -193,6 +196,7 @@
 	m := &lease.Manager{
 		Duty: zone, Self: fleet.Node{VM: fleet.VM(n.Settings.VM), Incarnation: fleet.Incarnation(time.Now().UnixNano())},
 		Params: lease.DefaultParams(leaseTerm), Table: n.leaseRows, Clock: n.Clock, Log: n.Log,
+		Era: n.tableEra, New: n.Settings.Bootstrap,
 		Rank: func() int { return n.rank(zone) }, Ranks: rankNever, Poll: leasePoll,
 	}
 	n.leases = append(n.leases, m)
@@ -256,6 +260,7 @@
 			Confirmed: func() clock.Instant { return clock.Instant(n.config.confirmed.Load()) },
 			Roster:    n.roster.current.Load,
 			Rows:      n.leaseRows.all,
+			Era:       n.tableEra,
 		},
 		Journal: &feed.Journal{Life: uuid.NewString()},
 		Clock:   n.Clock, Log: n.Log, Hear: n.hearDemand,
@@ -265,6 +270,7 @@
 
 // hearDemand takes up what a node of the own zone is asked for.
 func (n *Node) hearDemand(q feed.Question) {
+	n.config.hear(q.Config)
 	if q.Zone == n.Settings.Zone && q.Node != n.Settings.VM {
 		n.demand.Note(q.Node, q.Demand, n.Clock.Now())
 	}
@@ -340,6 +346,12 @@
 	})
 	n.forwarder.Ejector.SetCandidates(ids)
 	n.keepAllQuarantined()
+	n.keepAnnounced()
+}
+
+// address is where other nodes reach this one.
+func (n *Node) address() nodeAddr {
+	return nodeAddr{n.Settings.Peer, n.Settings.Zone, n.Settings.Cores}
 }
 
 // Run serves until ctx ends, then leaves within the grace time.
@@ -373,7 +385,7 @@
 	g.Go(func() error { clock.Every(work, sweepPause, n.sweep); return nil })
 	g.Go(func() error { return n.mesh.Run(work) })
 	g.Go(func() error {
-		return n.leaseRows.runAnnounce(ctx, n.Settings.VM, nodeAddr{n.Settings.Peer, n.Settings.Zone, n.Settings.Cores}, n.Log)
+		return n.leaseRows.runAnnounce(ctx, n.Settings.VM, n.address(), func() { n.announced.Store(true) }, n.Log)
 	})
 	n.startDuties(ctx, g)
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -44,17 +44,20 @@
 }
 
 func (s *fakeStore) Configuration(context.Context) (catalog.Change, error) {
-	return catalog.Change{Document: s.doc, Cursor: 1}, s.call()
+	return catalog.Change{Document: s.doc, Cursor: catalog.Cursor{Version: 1}}, s.call()
 }
 
-func (s *fakeStore) AwaitConfiguration(context.Context, uint64, time.Duration) (catalog.Change, error) {
-	return catalog.Change{Cursor: 1}, s.call()
+func (s *fakeStore) AwaitConfiguration(context.Context, catalog.Cursor, time.Duration) (catalog.Change, error) {
+	return catalog.Change{Cursor: catalog.Cursor{Version: 1}}, s.call()
 }
 
-func (s *fakeStore) Endpoints(context.Context) ([]roster.Endpoint, []roster.Rejected, error) {
-	return nil, nil, s.call()
+func (s *fakeStore) Endpoints(context.Context) (roster.Listing, error) {
+	return roster.Listing{}, s.call()
 }
 
+// Era returns 0: the store tells none.
+func (s *fakeStore) Era() uint64 { return 0 }
+
 func (s *fakeStore) Get(_ context.Context, tab, key string) (table.Row, error) {
 	if err := s.call(); err != nil {
 		return table.Row{}, err
@@ -139,9 +142,9 @@
 func TestWhoIsAskedForTheState(t *testing.T) {
 	is := is.New(t)
 	n := testNode(&fakeStore{}, clock.NewManual(clock.Instant(time.Hour)))
-	n.leaseRows.take([]table.Row{ownerRow("a", "x"), ownerRow("b", "y"), addrRow("x", "10.0.0.1:1"), addrRow("y", "10.0.0.2:1")})
+	n.leaseRows.take([]table.Row{ownerRow("a", "x"), ownerRow("b", "y"), addrRow("x", "10.0.0.1:1"), addrRow("y", "10.0.0.2:1")}, 0)
 	is.Equal(n.feeders(), []string{"10.0.0.1:1", "10.0.0.2:1"})
-	n.leaseRows.take([]table.Row{ownerRow("a", "me"), ownerRow("b", "y"), addrRow("y", "10.0.0.2:1")})
+	n.leaseRows.take([]table.Row{ownerRow("a", "me"), ownerRow("b", "y"), addrRow("y", "10.0.0.2:1")}, 0)
 	is.Equal(n.feeders(), []string{"10.0.0.2:1"})
 	is.Equal(n.leaseRows.nodes(), 1)
 }
@@ -190,7 +193,7 @@
 	for i := range 80 {
 		rows = append(rows, addrRow(string(rune('A'+i)), "10.0.0.1:1"))
 	}
-	n.leaseRows.take(rows)
+	n.leaseRows.take(rows, 0)
 	is.True(allowed() < few)
 	is.True(allowed()*80 <= 100)
 }
@@ -203,10 +206,10 @@
 	n := testNode(&fakeStore{}, c)
 	told := map[roster.ID]int{}
 	n.roster.leaves = func(id roster.ID) { told[id]++ }
-	n.roster.take([]roster.Endpoint{{ID: "stays"}, {ID: "leaves"}, {ID: "goes"}}, nil, c.Now(), 0)
-	after := []roster.Endpoint{{ID: "stays"}, {ID: "leaves", Draining: true}}
-	n.roster.take(after, nil, c.Now().Add(time.Second), 0)
-	n.roster.take(after, nil, c.Now().Add(2*time.Second), 0)
+	n.roster.take(roster.Listing{Endpoints: []roster.Endpoint{{ID: "stays"}, {ID: "leaves"}, {ID: "goes"}}}, c.Now(), 0)
+	after := roster.Listing{Endpoints: []roster.Endpoint{{ID: "stays"}, {ID: "leaves", Draining: true}}}
+	n.roster.take(after, c.Now().Add(time.Second), 0)
+	n.roster.take(after, c.Now().Add(2*time.Second), 0)
 	is.Equal(told, map[roster.ID]int{"leaves": 1, "goes": 1})
 }
 
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -56,7 +56,7 @@
 		}
 	}
 	for _, n := range p.nodes {
-		n.leaseRows.take(p.rows)
+		n.leaseRows.take(p.rows, 0)
 	}
 	return p
 }
@@ -89,7 +89,7 @@
 			p := newPaper(t, c.zones, c.perZone, c.lost)
 			e := roster.Endpoint{ID: "e", Service: "s", Zone: "z0", Domain: "d"}
 			for _, n := range p.nodes {
-				n.roster.current.Store(roster.Merge(roster.Empty(), []roster.Endpoint{e}, p.clock.Now(), 0))
+				n.roster.current.Store(roster.Merge(roster.Empty(), roster.Listing{Endpoints: []roster.Endpoint{e}}, p.clock.Now(), 0))
 			}
 			const hints = 20 // the mean of some: two lost packets cost a zone one hint
 			reached := 0.0
@@ -124,7 +124,7 @@
 	e := roster.Endpoint{ID: "head", Service: "s", Zone: "z0", Domain: "d", Slots: 22}
 	var ends []func()
 	for _, n := range p.nodes {
-		n.roster.current.Store(roster.Merge(roster.Empty(), []roster.Endpoint{e}, p.clock.Now(), 0))
+		n.roster.current.Store(roster.Merge(roster.Empty(), roster.Listing{Endpoints: []roster.Endpoint{e}}, p.clock.Now(), 0))
 		k := n.tracker.Start("head", nil)
 		ends = append(ends, k.End)
 	}
@@ -171,7 +171,7 @@
 		list = append(list, roster.Endpoint{ID: id, Service: "s", Zone: "z0", Domain: "d", Slots: 22})
 		teller.tracker.Start(id, nil)
 	}
-	teller.roster.current.Store(roster.Merge(roster.Empty(), list, p.clock.Now(), 0))
+	teller.roster.current.Store(roster.Merge(roster.Empty(), roster.Listing{Endpoints: list}, p.clock.Now(), 0))
 	for range 3 {
 		teller.tracker.Start(list[0].ID, nil)
 		teller.loads.tell()
@@ -257,7 +257,7 @@
 	n := testNode(&fakeStore{}, clock.NewManual(clock.Instant(time.Hour)))
 	hanging := &hangingStore{asked: make(chan struct{}), release: make(chan struct{})}
 	n.leaseRows.Table = hanging
-	n.leaseRows.take([]table.Row{ownerRow("a", "x"), addrRow("x", "10.0.0.1:1")})
+	n.leaseRows.take([]table.Row{ownerRow("a", "x"), addrRow("x", "10.0.0.1:1")}, 0)
 	done := make(chan error, 1)
 	go func() {
 		_, err := n.leaseRows.Get(context.Background(), table.TableLeases, "a")
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -8,6 +8,7 @@
 
 	"chervilloom/internal/clock"
 	"chervilloom/internal/feed"
+	"chervilloom/internal/roster"
 )
 
 // follower keeps this node's knowledge by asking the node that holds the zone's
@@ -110,21 +111,43 @@
 		return false
 	}
 	known.Apply(s)
+	f.node.config.hear(s.Config)
 	if ages.Config > f.oldest() || ages.Roster > followAge {
 		return false
 	}
+	// One that doesn't know yet that the table came back from an older copy, or that
+	// started with an older configuration, tells of before.
+	if s.Era < f.node.eras.newest() || s.Config < f.node.config.version() {
+		return false
+	}
+	f.node.eras.note(s.Era)
 	f.next = f.pauseAfter(ages.Config)
 	if !f.following() || addr != f.from {
 		f.log.Info("node is followed; the store is not read", "node", addr, "config_age_ms", ages.Config.Milliseconds(), "endpoints_age_ms", ages.Roster.Milliseconds())
 	}
 	f.from = addr
-	f.node.roster.takeFrom(known.Endpoints.List, asked.Add(-ages.Roster))
+	f.node.roster.takeFrom(roster.Listing{Endpoints: known.Endpoints.List, Era: s.Era}, asked.Add(-ages.Roster))
 	f.node.config.confirm(s.Document, asked.Add(-ages.Config))
-	f.node.leaseRows.take(known.Rows.List)
+	f.node.leaseRows.take(known.Rows.List, s.Era)
 	f.last.Store(int64(asked))
 	return true
 }
 
+// hearVersion asks a node which configuration it has in force.
+func (f *follower) hearVersion(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, followLimit)
+	defer cancel()
+	s, _, err := f.ask.Ask(ctx, addr, feed.Question{Node: f.node.Settings.VM, Zone: f.node.Settings.Zone})
+	if err != nil {
+		f.log.Info("node doesn't tell its configuration", "node", addr, "err", err)
+		return
+	}
+	f.node.config.hear(s.Config)
+	if s.Document != nil {
+		f.node.config.apply(s.Document)
+	}
+}
+
 // oldest is the greatest age of a configuration that another node may tell.
 func (f *follower) oldest() time.Duration {
 	if within := f.node.Settings.ConfigWithin; within > 0 {
--- a/internal/entry/leases.go
+++ b/internal/entry/leases.go
@@ -21,6 +21,8 @@
 	Get(ctx context.Context, table, key string) (table.Row, error)
 	List(ctx context.Context, table, prefix string) ([]table.Row, error)
 	Commit(ctx context.Context, txn table.Txn) (table.Result, error)
+	// Era is the newest era of the table that an answer showed.
+	Era() uint64
 }
 
 // leaseCache reads the lease rows of all zones in one call and answers the
@@ -38,6 +40,7 @@
 
 	mu   sync.Mutex    // guards what follows; never held over a call
 	read clock.Instant // when the rows were asked for; 0: they must be read
+	era  uint64        // of the rows
 	rows map[string]table.Row
 	dir  *directory // what the rows say; nil: they have changed since
 }
@@ -91,7 +94,7 @@
 	if r, ok := c.rows[key]; ok {
 		return r, nil
 	}
-	return table.Row{Table: tab, Key: key}, nil
+	return table.Row{Table: tab, Key: key, Era: c.era}, nil
 }
 
 // refresh reads the rows if they are old and no other node tells them. The store may
@@ -103,25 +106,30 @@
 	idle := c.idle()
 	c.mu.Lock()
 	now := c.clock.Now()
-	due := !idle && (c.read == 0 || now.Sub(c.read) > leaseCacheFor)
+	// Rows of before the table came back from an older copy say nothing.
+	due := !idle && (c.read == 0 || now.Sub(c.read) > leaseCacheFor) || c.era < c.Table.Era()
 	c.mu.Unlock()
 	if !due {
 		return nil
 	}
+	era := c.Table.Era() // of an empty answer, or an earlier one
 	rows, err := c.Table.List(ctx, tab, "")
 	if err != nil {
 		return err
 	}
+	if len(rows) > 0 {
+		era = rows[0].Era
+	}
 	c.mu.Lock()
 	c.read = now
-	c.set(rows)
+	c.set(rows, era)
 	c.mu.Unlock()
 	c.taken(rows) // which may ask for addresses
 	return nil
 }
 
-func (c *leaseCache) set(rows []table.Row) {
-	c.dir = nil
+func (c *leaseCache) set(rows []table.Row, era uint64) {
+	c.dir, c.era = nil, era
 	c.rows = make(map[string]table.Row, len(rows))
 	for _, r := range rows {
 		c.rows[r.Key] = r
@@ -129,13 +137,27 @@
 }
 
 // take takes up rows that another node has read.
-func (c *leaseCache) take(rows []table.Row) {
+func (c *leaseCache) take(rows []table.Row, era uint64) {
 	c.mu.Lock()
-	c.set(rows)
+	if era < c.era {
+		c.mu.Unlock()
+		return
+	}
+	c.set(rows, era)
 	c.mu.Unlock()
 	c.taken(rows)
 }
 
+// row returns a row as it is known; its version is 0 if there is none.
+func (c *leaseCache) row(key string) table.Row {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r, ok := c.rows[key]; ok {
+		return r
+	}
+	return table.Row{Table: table.TableLeases, Key: key, Era: c.era}
+}
+
 // all returns the rows as they are known.
 func (c *leaseCache) all() []table.Row {
 	c.mu.Lock()
@@ -269,17 +291,16 @@
 	return len(c.directory().addrs)
 }
 
-// runAnnounce writes the node's row once and deletes it when ctx ends.
-func (c *leaseCache) runAnnounce(ctx context.Context, vm string, at nodeAddr, log *slog.Logger) error {
-	const (
-		again = 500 * time.Millisecond
-		limit = time.Second
-	)
+// runAnnounce writes the node's row once, tells that it did, and deletes the row when ctx
+// ends.
+func (c *leaseCache) runAnnounce(ctx context.Context, vm string, at nodeAddr, written func(), log *slog.Logger) error {
+	const again = 500 * time.Millisecond
 	for {
-		wctx, cancel := context.WithTimeout(ctx, limit)
+		wctx, cancel := context.WithTimeout(ctx, announceLimit)
 		err := c.announce(wctx, vm, at)
 		cancel()
 		if err == nil {
+			written()
 			break
 		}
 		if !clock.Sleep(ctx, again) {
@@ -287,7 +308,7 @@
 		}
 	}
 	<-ctx.Done()
-	wctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	wctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), announceLimit)
 	defer cancel()
 	if err := c.withdraw(wctx, vm); err != nil {
 		log.Info("node's row stays; others send it news in vain", "err", err)
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -61,15 +61,15 @@
 // keepQuarantined writes the request's row, unless it stands: the nodes that tally find
 // the same within a few milliseconds.
 func (n *Node) keepQuarantined(v quarantine.Verdict) {
-	if n.leaseRows.version(n.quarantined.Key(v.Fingerprint)) == 0 {
-		n.quarantined.Write(context.Background(), v, 0)
+	if row := n.leaseRows.row(n.quarantined.Key(v.Fingerprint)); row.Version == 0 {
+		n.quarantined.Write(context.Background(), v, row)
 	}
 }
 
 // tryQuarantined takes the one try of a request for this node.
 func (n *Node) tryQuarantined(ctx context.Context, v quarantine.Verdict) bool {
-	version := n.leaseRows.version(n.quarantined.Key(v.Fingerprint))
-	return version != 0 && n.quarantined.Write(ctx, v, version)
+	row := n.leaseRows.row(n.quarantined.Key(v.Fingerprint))
+	return row.Version != 0 && n.quarantined.Write(ctx, v, row)
 }
 
 // keepAllQuarantined writes the rows that never stood, for instance because the store was
@@ -99,10 +99,3 @@
 	}
 	return false
 }
-
-// version returns the version of a row as it is known; 0: there is none.
-func (c *leaseCache) version(key string) uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.rows[key].Version
-}
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -132,7 +132,7 @@
 		Table: table.TableLeases, Key: quarantinePrefix + string(harmful), Version: 7, Value: raw,
 	})
 	for _, n := range o.nodes {
-		n.leaseRows.take(rows)
+		n.leaseRows.take(rows, 0)
 	}
 }
 
@@ -193,7 +193,7 @@
 	o.readRows(t)
 	is.Equal(o.refusing(), 2)
 	broken := []table.Row{{Table: table.TableLeases, Key: quarantinePrefix + "other", Version: 1, Value: []byte("{}")}}
-	n.leaseRows.take(broken)
+	n.leaseRows.take(broken, 0)
 	is.Equal(len(n.quarantine.Banned()), 1)
 	is.Equal(n.leaseRows.owner(quarantinePrefix+"other"), "") // nor does it name a duty
 }
@@ -231,18 +231,18 @@
 	store := &fakeStore{}
 	n := testNode(store, clock.NewManual(clock.Instant(time.Hour)))
 	n.holds = func(string) bool { return true }
-	n.leaseRows.take([]table.Row{ownerRow("a", "me")})
+	n.leaseRows.take([]table.Row{ownerRow("a", "me")}, 0)
 	n.quarantine.Hear(quarantine.Message{Node: "x", Found: []quarantine.Verdict{{Fingerprint: harmful, Ends: 3, Attempts: 3}}})
 	n.keepAllQuarantined()
 	is.Equal(store.calls, 1)
 	raw, err := json.Marshal(quarantine.Verdict{Fingerprint: harmful})
 	is.NoErr(err)
 	row := table.Row{Table: table.TableLeases, Key: quarantinePrefix + string(harmful), Version: 7, Value: raw}
-	n.leaseRows.take([]table.Row{ownerRow("a", "me"), row})
+	n.leaseRows.take([]table.Row{ownerRow("a", "me"), row}, 0)
 	n.keepAllQuarantined()
 	is.Equal(store.calls, 1)
 	for range 3 { // it is deleted, and read so for seconds
-		n.leaseRows.take([]table.Row{ownerRow("a", "me")})
+		n.leaseRows.take([]table.Row{ownerRow("a", "me")}, 0)
 		n.keepAllQuarantined()
 		n.Clock.(*clock.Manual).Advance(4 * time.Second)
 	}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -19,12 +19,12 @@
 // ConfigurationSource reads the operator's configuration.
 type ConfigurationSource interface {
 	Configuration(ctx context.Context) (catalog.Change, error)
-	AwaitConfiguration(ctx context.Context, cursor uint64, wait time.Duration) (catalog.Change, error)
+	AwaitConfiguration(ctx context.Context, cursor catalog.Cursor, wait time.Duration) (catalog.Change, error)
 }
 
 // EndpointSource reads the list of endpoints.
 type EndpointSource interface {
-	Endpoints(ctx context.Context) (list []roster.Endpoint, rejected []roster.Rejected, err error)
+	Endpoints(ctx context.Context) (roster.Listing, error)
 }
 
 // The pace of the reads. A key may be served for revokeMargin less than the
@@ -58,11 +58,16 @@
 	confirmed atomic.Int64
 	// idle reports whether another node keeps the configuration up to date.
 	idle func() bool
+	// heard is the newest version that another node was heard to have.
+	heard atomic.Uint64
+	// askOthers asks the nodes that read the store what they have in force, before this
+	// node believes its first document; nil: nobody is asked.
+	askOthers func(context.Context)
 }
 
 func (w *configWatcher) run(ctx context.Context) error {
-	var cursor uint64
-	known, down := false, false
+	var cursor catalog.Cursor
+	known, down, behind := false, false, false
 	for ctx.Err() == nil {
 		if w.idle() {
 			known = false // changes since then came from elsewhere
@@ -91,18 +96,49 @@
 			w.log.Info("configuration is read again", "version", w.version())
 		}
 		down = false
-		w.apply(change.Document)
-		cursor, known = change.Cursor, w.current.Load() != nil
+		if w.current.Load() == nil && change.Document != nil && w.askOthers != nil {
+			w.askOthers(ctx)
+		}
+		before := known
+		cursor, known = change.Cursor, w.shows(change.Document, known)
 		if known {
-			w.confirm(nil, asked)
+			w.confirm(change.Document, asked)
+			behind = false
 			continue
 		}
-		clock.Sleep(ctx, configPause) // no configuration was ever written
+		if !behind && change.Document != nil {
+			w.log.Warn("the store shows an older configuration than is in force; it confirms nothing", "shown", change.Document.Version, "version", w.version(), "heard", w.heard.Load(), "watched", before)
+		}
+		behind = change.Document != nil
+		clock.Sleep(ctx, configPause) // none was ever written, or the newest is yet to come back
 	}
 	return nil
 }
 
-func (w *configWatcher) read(ctx context.Context, cursor uint64, known bool) (catalog.Change, error) {
+// shows reports whether a read shows the newest configuration that this node knows of: a
+// newer one, or the one in force. A watch that went on shows that by its silence. A table
+// that came back from an older copy shows an older document until the operator has
+// written it again; were that taken for a confirmation, a key that the newer one takes
+// away would be served for as long.
+func (w *configWatcher) shows(doc *catalog.Document, watched bool) bool {
+	newest := max(w.version(), w.heard.Load())
+	if doc == nil {
+		return watched && w.version() >= newest
+	}
+	return doc.Version >= newest
+}
+
+// hear takes up which version another node has in force.
+func (w *configWatcher) hear(version uint64) {
+	for {
+		old := w.heard.Load()
+		if version <= old || w.heard.CompareAndSwap(old, version) {
+			return
+		}
+	}
+}
+
+func (w *configWatcher) read(ctx context.Context, cursor catalog.Cursor, known bool) (catalog.Change, error) {
 	if !known {
 		ctx, cancel := context.WithTimeout(ctx, configLimit)
 		defer cancel()
@@ -214,7 +250,7 @@
 		}
 		asked := w.clock.Now()
 		rctx, cancel := context.WithTimeout(ctx, rosterLimit)
-		list, rejected, err := w.source.Endpoints(rctx)
+		list, err := w.source.Endpoints(rctx)
 		cancel()
 		switch {
 		case ctx.Err() != nil:
@@ -227,18 +263,18 @@
 		default:
 			if down {
 				recovered = w.clock.Now()
-				w.log.Info("endpoints are read again", "endpoints", len(list))
+				w.log.Info("endpoints are read again", "endpoints", len(list.Endpoints))
 			}
 			down = false
-			w.take(list, rejected, asked, recovered)
+			w.take(list, asked, recovered)
 		}
 		w.pause(ctx, down)
 	}
 	return nil
 }
 
-func (w *rosterWatcher) take(list []roster.Endpoint, rejected []roster.Rejected, asked, recovered clock.Instant) {
-	w.noteRejected(rejected)
+func (w *rosterWatcher) take(list roster.Listing, asked, recovered clock.Instant) {
+	w.noteRejected(list.Rejected)
 	w.mu.Lock()
 	old := w.current.Load()
 	next := roster.Merge(old, list, asked, recovered)
@@ -254,14 +290,15 @@
 
 // takeFrom takes up a list that another node read at asked, unless this node
 // knows a newer one.
-func (w *rosterWatcher) takeFrom(list []roster.Endpoint, asked clock.Instant) {
+func (w *rosterWatcher) takeFrom(list roster.Listing, asked clock.Instant) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	old := w.current.Load()
 	if asked.Before(old.Asked) {
 		return
 	}
-	w.current.Store(roster.Merge(old, slices.Clone(list), asked, 0))
+	list.Endpoints = slices.Clone(list.Endpoints)
+	w.current.Store(roster.Merge(old, list, asked, 0))
 }
 
 // hint takes up what a node tells of an endpoint.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -45,6 +45,8 @@
 type State struct {
 	Document  *catalog.Document        `json:"document,omitempty"` // nil: the asker has the newest
 	Life      string                   `json:"life"`
+	Era       uint64                   `json:"era,omitempty"` // of the platform's table
+	Config    uint64                   `json:"config"`        // version of the answering node's configuration
 	Endpoints changes[roster.Endpoint] `json:"endpoints"`
 	Rows      changes[table.Row]       `json:"rows"` // leases and addresses of nodes
 }
@@ -55,6 +57,7 @@
 	Confirmed func() clock.Instant // start of the read that confirmed the catalog
 	Roster    func() *roster.Roster
 	Rows      func() []table.Row
+	Era       func() uint64 // of the platform's table
 }
 
 // Journal numbers the changes of endpoints and rows, so that an answer holds only
@@ -83,7 +86,7 @@
 	for _, row := range rows {
 		byKey[row.Key] = row
 	}
-	j.rows.take(byKey, func(a, b table.Row) bool { return a.Version == b.Version })
+	j.rows.take(byKey, table.Row.Same)
 }
 
 // same reports whether two entries tell an asker the same.
@@ -110,8 +113,12 @@
 	ages := Ages{Config: now.Sub(src.Confirmed()), Roster: now.Sub(r.Asked)}
 	j.Take(r, src.Rows())
 	s := j.Since(have)
-	if c := src.Catalog(); c != nil && c.Version > have.Config {
-		s.Document = &c.Document
+	s.Era = src.Era()
+	if c := src.Catalog(); c != nil {
+		s.Config = c.Version
+		if c.Version > have.Config {
+			s.Document = &c.Document
+		}
 	}
 	return s, ages
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -25,7 +25,7 @@
 	for id, group := range states {
 		list = append(list, roster.Endpoint{ID: roster.ID(id), Service: "s", Member: roster.Membership{Group: group}})
 	}
-	return roster.Merge(roster.Empty(), list, 1, 0)
+	return roster.Merge(roster.Empty(), roster.Listing{Endpoints: list}, 1, 0)
 }
 
 // rowsOf returns a row for each state whose version changes with it.
@@ -113,8 +113,11 @@
 	h := httptest.NewServer(&Server{
 		Source: Source{
 			Catalog: func() *catalog.Catalog { return cat }, Confirmed: func() clock.Instant { return asked },
-			Roster: func() *roster.Roster { return roster.Merge(roster.Empty(), []roster.Endpoint{{ID: "e"}}, asked, 0) },
-			Rows:   func() []table.Row { return []table.Row{{Key: "zone", Version: 3}} },
+			Roster: func() *roster.Roster {
+				return roster.Merge(roster.Empty(), roster.Listing{Endpoints: []roster.Endpoint{{ID: "e"}}}, asked, 0)
+			},
+			Rows: func() []table.Row { return []table.Row{{Key: "zone", Version: 3}} },
+			Era:  func() uint64 { return 2 },
 		},
 		Journal: &Journal{Life: "a"}, Clock: c, Log: slog.New(slog.DiscardHandler), Serving: func() bool { return serving },
 	})
--- a/internal/feed/wire.go
+++ b/internal/feed/wire.go
@@ -77,6 +77,8 @@
 // answerKey names an answer: what the asker has and what it gets.
 type answerKey struct {
 	have            Have
+	era             uint64
+	config          uint64 // of the answering node
 	document        uint64 // version; 0: none
 	endpoints, rows uint64
 }
@@ -85,7 +87,7 @@
 // after a start all of them ask for everything within a second; encoding a list
 // of 1,000 endpoints for each would take a small VM's processor for seconds.
 func (s *Server) encoded(have Have, state *State) ([]byte, error) {
-	key := answerKey{have: have, endpoints: state.Endpoints.Seq, rows: state.Rows.Seq}
+	key := answerKey{have: have, era: state.Era, config: state.Config, endpoints: state.Endpoints.Seq, rows: state.Rows.Seq}
 	if state.Document != nil {
 		key.document = state.Document.Version
 	}
@@ -117,7 +119,7 @@
 const keptAnswers = 16
 
 func (k answerKey) newest() answerKey {
-	return answerKey{document: k.document, endpoints: k.endpoints, rows: k.rows}
+	return answerKey{era: k.era, config: k.config, document: k.document, endpoints: k.endpoints, rows: k.rows}
 }
 
 // Client asks other nodes.
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -55,8 +55,9 @@
 	facts   map[roster.ID]*Fact
 	probes  map[roster.ID]*probe
 	ledger  Ledger
-	version uint64        // of the ledger's row
+	row     table.Row     // of the ledger, as it was last read or written
 	loaded  bool          // the ledger was read in this tenure
+	partial bool          // it is an older copy: groups that stand may be missing in it
 	fence   uint64        // of the tenure
 	since   clock.Instant // when the tenure began
 	epochs  uint64        // given out in this tenure
@@ -147,11 +148,21 @@
 	if (!c.loaded || grant.Fence != c.fence) && !c.beginTenure(ctx, grant) {
 		return
 	}
+	if grant.Era != c.row.Era && !c.putBack(ctx, grant) {
+		return
+	}
 	c.mu.Lock()
 	c.follow()
 	c.probeDue(ctx)
-	plans := c.plan()
+	recovered, ready := c.completeClaims()
+	var plans []planned
+	if ready {
+		plans = c.plan()
+	}
 	c.mu.Unlock()
+	if recovered != nil && !c.commit(ctx, grant, *recovered) {
+		return
+	}
 	for _, out := range plans {
 		c.carryOut(ctx, grant, out)
 	}
@@ -170,11 +181,12 @@
 // was renewed late comes back under its old fence: what is known of the engines
 // is old then, but the epochs go on, since none may be given out twice.
 func (c *Controller) beginTenure(ctx context.Context, grant lease.Grant) bool {
-	if !c.readLedger(ctx) {
+	if !c.readLedger(ctx) || c.row.Era != grant.Era {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.partial = c.ledger.Era < grant.Era
 	if c.fence != grant.Fence {
 		c.fence, c.epochs = grant.Fence, 0
 	}
@@ -183,7 +195,7 @@
 	c.probes = map[roster.ID]*probe{}
 	c.memory = map[string]*Memory{}
 	c.pace = roundTrip{}
-	c.Log.Info("duty begun", "zone", c.Zone, "fence", grant.Fence, "taken_over", grant.TakenOver, "groups", len(c.ledger.Groups))
+	c.Log.Info("duty begun", "zone", c.Zone, "fence", grant.Fence, "taken_over", grant.TakenOver, "groups", len(c.ledger.Groups), "claims_era", c.ledger.Era, "era", grant.Era)
 	return true
 }
 
@@ -204,7 +216,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ledger, c.version, c.loaded = l, row.Version, true
+	c.ledger, c.row, c.loaded = l, row, true
 	return true
 }
 
--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -38,6 +38,9 @@
 // Ledger holds the claims of one availability zone.
 type Ledger struct {
 	Groups []Group `json:"groups"`
+	// Era is the table's era in which the claims were written. Read in a later one they
+	// are an older copy.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // Op names an order.
--- a/internal/formation/giving.go
+++ b/internal/formation/giving.go
@@ -34,6 +34,7 @@
 // has written them. A renewal of the lease that comes in between changes its
 // row's version, so the write is tried once more under the renewed lease.
 func (c *Controller) commit(ctx context.Context, grant lease.Grant, l Ledger) bool {
+	l.Era = grant.Era
 	value, err := json.Marshal(l)
 	if err != nil {
 		c.Log.Error("claims cannot be written", "zone", c.Zone, "err", err)
@@ -57,16 +58,28 @@
 		}
 	}
 	c.Log.Info("claims not committed", "zone", c.Zone, "fence", grant.Fence, "err", err)
-	c.readLedger(ctx)
+	c.reread(ctx, grant)
 	return false
 }
 
+// reread reads what stands after a commit that failed or whose answer was lost. Claims
+// read in another era are an older copy; what this owner knows goes before them, and is
+// put back.
+func (c *Controller) reread(ctx context.Context, grant lease.Grant) {
+	ledger, row := c.ledger, c.row
+	if c.readLedger(ctx) && c.row.Era != grant.Era {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.ledger, c.row = ledger, row
+	}
+}
+
 func (c *Controller) claimTxn(grant lease.Grant, value []byte) table.Txn {
 	return table.Txn{
 		Attempt: uuid.NewString(),
 		Checks: []table.Check{
-			{Table: table.TableLeases, Key: c.Zone, Version: grant.Version},
-			{Table: table.TableGroups, Key: c.Zone, Version: c.version},
+			grant.Check(),
+			{Table: table.TableGroups, Key: c.Zone, Version: c.row.Version, Era: c.row.Era},
 		},
 		Writes: []table.Write{{Table: table.TableGroups, Key: c.Zone, Value: value}},
 	}
@@ -78,7 +91,7 @@
 	c.ledger = l
 	for _, row := range res.Rows {
 		if row.Table == table.TableGroups {
-			c.version = row.Version
+			c.row = row
 		}
 	}
 }
--- a/internal/formation/reborn_test.go
+++ b/internal/formation/reborn_test.go
@@ -121,7 +121,7 @@
 	is := is.New(t)
 	first, second := roster.Life("e", 5), roster.Life("e", 6)
 	f := &Fact{ID: first}
-	r := roster.Merge(roster.Empty(), []roster.Endpoint{{ID: second, Service: "s", Zone: "z", Addr: "10.0.0.1:1"}}, 1, 0)
+	r := roster.Merge(roster.Empty(), roster.Listing{Endpoints: []roster.Endpoint{{ID: second, Service: "s", Zone: "z", Addr: "10.0.0.1:1"}}}, 1, 0)
 	cat, err := catalog.New(catalog.Document{Services: []catalog.Service{{Name: "s", Engine: testEngine()}}})
 	is.NoErr(err)
 	c := &Controller{
--- a/internal/forward/beside_test.go
+++ b/internal/forward/beside_test.go
@@ -54,7 +54,7 @@
 		list = append(list, roster.Endpoint{ID: roster.ID(rune('a' + i)), Service: "plain", Addr: addr, Zone: "z", Slots: 8})
 	}
 	c := clock.Boot{}
-	known := roster.Merge(roster.Empty(), list, c.Now(), 0)
+	known := roster.Merge(roster.Empty(), roster.Listing{Endpoints: list}, c.Now(), 0)
 	log := slog.New(slog.DiscardHandler)
 	r := &rig{guard: (&quarantine.Guard{
 		Clock: c, Log: log, Tell: func(quarantine.Message) {}, Announce: func(quarantine.Message) {},
--- a/internal/lease/decide.go
+++ b/internal/lease/decide.go
@@ -13,6 +13,7 @@
 
 	"chervilloom/internal/clock"
 	"chervilloom/internal/fleet"
+	"chervilloom/internal/platform"
 )
 
 // Row is the value of a lease row.
@@ -29,6 +30,9 @@
 	Version uint64        // 0: the row does not exist
 	First   clock.Instant // when this node first saw this version
 	Known   bool          // the row was read at least once
+	Era     uint64        // of the table, in which the version holds
+	// EraFirst is when this node first saw the era; 0: the table has always been in it.
+	EraFirst clock.Instant
 }
 
 // Grant is a lease that this node holds.
@@ -36,12 +40,18 @@
 	Duty    string
 	Fence   uint64
 	Version uint64 // of the lease row; the check of every write made under the lease
+	Era     uint64 // of the table, in which the version holds
 	// TakenOver: the holder before was another node that had not released it.
 	TakenOver bool
 	Since     clock.Instant // when the first write of this tenure was sent
 	Until     clock.Instant // the end of the term, counted from before the newest write was sent
 }
 
+// Check returns the condition that the lease is still this one.
+func (g Grant) Check() platform.Check {
+	return platform.Check{Table: platform.TableLeases, Key: g.Duty, Version: g.Version, Era: g.Era}
+}
+
 // Left returns how much of the term is left.
 func (g Grant) Left(now clock.Instant) time.Duration { return g.Until.Sub(now) }
 
@@ -109,8 +119,15 @@
 	return Decision{Action: Renew, Next: next, Reason: "a third of the term has passed"}
 }
 
+// fencesPerEra is how many fences one era may give out. The era stands above them: a
+// table that came back from an older copy has lost the newest fences, and its next ones
+// would be given out twice.
+const fencesPerEra = 1 << 20
+
+func nextFence(seen Seen) uint64 { return max(seen.Row.Fence+1, seen.Era*fencesPerEra) }
+
 func decideOther(p Params, seen Seen, self fleet.Node, rank int, now clock.Instant) Decision {
-	next := Row{Owner: self, Fence: seen.Row.Fence + 1, Term: p.Term}
+	next := Row{Owner: self, Fence: nextFence(seen), Term: p.Term}
 	// The owner's own process may take its row over at once: it knows that it
 	// has stopped acting on the earlier grant.
 	free := seen.Version == 0 || seen.Row.Released || seen.Row.Owner == self
@@ -123,6 +140,12 @@
 		ready = ready.Add(seen.Row.Term + p.Margin)
 		reason = "the term of " + seen.Row.Owner.String() + " and the margin are over"
 	}
+	if seen.EraFirst != 0 {
+		// The row may be one of before, whatever it says: somebody has acquired the lease
+		// since, or renewed it, and acts on that until its term ends, which was counted
+		// from before the table came back.
+		ready = max(ready, seen.EraFirst.Add(max(p.Term, seen.Row.Term)+p.Margin+time.Duration(rank)*p.Step))
+	}
 	if now.Before(ready) {
 		return Decision{Action: Wait, Wake: ready, Reason: "held by " + seen.Row.Owner.String() + " or a higher-ranked node tries first"}
 	}
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -47,13 +47,20 @@
 	// Poll is the pause between two looks at a lease that another node holds;
 	// 0: a sixth of the term.
 	Poll time.Duration
+	// Era returns the newest era of the table that this node knows of; nil: the table
+	// tells none.
+	Era func() uint64
+	// New: the table has just been set up, so that no lease of before can still run.
+	New bool
 	// Term returns the term that the configuration in force asks for; nil: the
 	// one in Params stays. A row written before the change keeps its own term.
 	Term func() time.Duration
 
 	mu   sync.Mutex
 	held Grant
-	seen Seen // touched by Run's goroutine alone
+	// Touched by Run's goroutine alone.
+	seen  Seen
+	began bool // the row was read at least once since this process started
 }
 
 // Held returns the grant when the lease is held now. A holder that was paused
@@ -106,6 +113,10 @@
 		poll = m.Params.Term / 6
 	}
 	held := m.heldRaw()
+	if held.Fence != 0 && m.restored(held) {
+		m.putBack(ctx, held)
+		return m.Params.Term / 6
+	}
 	if held.Fence == 0 {
 		if rank >= cmp.Or(m.Ranks, watchRanks) {
 			return poll
@@ -152,9 +163,10 @@
 	return m.note(row) == nil
 }
 
-// note records what the row holds. First stays when the version is the same.
+// note records what the row holds. First stays when the version is the same. What was
+// read before the table came back from an older copy, and arrives late, says nothing.
 func (m *Manager) note(row platform.Row) error {
-	if m.seen.Known && m.seen.Version == row.Version {
+	if m.seen.Known && (row.Era < m.seen.Era || row.Era == m.seen.Era && row.Version == m.seen.Version) {
 		return nil
 	}
 	var r Row
@@ -164,10 +176,52 @@
 			return fmt.Errorf("%w: %s: %w", errUnreadable, m.Duty, err)
 		}
 	}
-	m.seen = Seen{Row: r, Version: row.Version, First: m.Clock.Now(), Known: true}
+	now := m.Clock.Now()
+	m.seen = Seen{Row: r, Version: row.Version, First: now, Known: true, Era: row.Era, EraFirst: m.eraFirst(row.Era, now)}
+	m.began = true
 	return nil
 }
 
+// eraFirst returns when this node first saw the era in which it has just read the row.
+// A node that has just started can't know how old the era is.
+func (m *Manager) eraFirst(era uint64, now clock.Instant) clock.Instant {
+	switch {
+	case m.began && era == m.seen.Era:
+		return m.seen.EraFirst
+	case era == 0 || !m.began && m.New:
+		return 0
+	}
+	return now
+}
+
+// restored reports whether the table has come back from an older copy since the lease's
+// row was written: the row is an older one then, or gone.
+func (m *Manager) restored(held Grant) bool { return m.Era != nil && m.Era() > held.Era }
+
+// putBack writes the holder's row again after the table came back from an older copy.
+// Others wait a whole term from when they see the new era, so nobody else can hold the
+// lease before this holder's term ends; after that it starts anew like any other.
+func (m *Manager) putBack(ctx context.Context, held Grant) {
+	if !m.Clock.Now().Before(held.Until) {
+		m.setHeld(Grant{})
+		return
+	}
+	if !m.read(ctx) || m.seen.Era <= held.Era {
+		return // tried again while the term lasts
+	}
+	if m.seen.Row.Fence > held.Fence {
+		m.setHeld(Grant{})
+		return
+	}
+	m.write(ctx, Decision{
+		Action: Renew, Next: Row{Owner: m.Self, Fence: held.Fence, Term: m.Params.Term},
+		Reason: "the table came back from an older copy",
+	})
+	if now := m.heldRaw(); now.Fence == held.Fence && now.Era > held.Era {
+		m.Log.Info("lease put back", "duty", m.Duty, "fence", held.Fence, "era_before", held.Era, "era", now.Era)
+	}
+}
+
 func (m *Manager) write(ctx context.Context, d Decision) {
 	value, err := json.Marshal(d.Next)
 	if err != nil {
@@ -176,7 +230,7 @@
 	}
 	txn := platform.Txn{
 		Attempt: uuid.NewString(),
-		Checks:  []platform.Check{{Table: platform.TableLeases, Key: m.Duty, Version: m.seen.Version}},
+		Checks:  []platform.Check{{Table: platform.TableLeases, Key: m.Duty, Version: m.seen.Version, Era: m.seen.Era}},
 		Writes:  []platform.Write{{Table: platform.TableLeases, Key: m.Duty, Value: value}},
 	}
 	// The term starts here: an answer that takes long makes the lease shorter
@@ -188,6 +242,8 @@
 	switch {
 	case errors.Is(err, platform.ErrAmbiguous):
 		m.resolve(ctx, txn.Attempt, d, sent)
+	case errors.Is(err, platform.ErrRestored):
+		m.Log.Info("lease row not written; it is read again", "duty", m.Duty, "err", err)
 	case err != nil:
 		m.Log.Debug("lease row not written", "duty", m.Duty, "err", err)
 	case res.Committed:
@@ -209,7 +265,7 @@
 }
 
 func (m *Manager) landed(d Decision, version uint64, sent clock.Instant) {
-	g := Grant{Duty: m.Duty, Fence: d.Next.Fence, Version: version, Since: sent, Until: sent.Add(d.Next.Term)}
+	g := Grant{Duty: m.Duty, Fence: d.Next.Fence, Version: version, Era: m.seen.Era, Since: sent, Until: sent.Add(d.Next.Term)}
 	if old := m.heldRaw(); old.Fence == g.Fence {
 		g.Since, g.TakenOver = old.Since, old.TakenOver
 	} else {
@@ -217,7 +273,7 @@
 		g.TakenOver = before.Version != 0 && !before.Row.Released && before.Row.Owner != m.Self
 		m.Log.Info("lease acquired", "duty", m.Duty, "fence", g.Fence, "reason", d.Reason)
 	}
-	m.seen = Seen{Row: d.Next, Version: version, First: sent, Known: true}
+	m.seen.Row, m.seen.Version, m.seen.First = d.Next, version, sent
 	m.setHeld(g)
 }
 
@@ -241,6 +297,13 @@
 		m.seen.Known = false // nothing is known of the row until it is read
 		return
 	}
+	if row.Era != m.seen.Era {
+		// The write may have landed on a row that bears the checked version anew. A lease
+		// that it was to acquire may be somebody else's, who has yet to put his row back;
+		// one that it was to renew is put back while its term lasts.
+		_ = m.note(row) // an unreadable row is logged there and read again
+		return
+	}
 	if row.Attempt == attempt {
 		m.landed(d, row.Version, sent)
 		return
@@ -268,7 +331,7 @@
 	defer cancel()
 	_, err = m.Table.Commit(ctx, platform.Txn{
 		Attempt: uuid.NewString(),
-		Checks:  []platform.Check{{Table: platform.TableLeases, Key: m.Duty, Version: held.Version}},
+		Checks:  []platform.Check{held.Check()},
 		Writes:  []platform.Write{{Table: platform.TableLeases, Key: m.Duty, Value: value}},
 	})
 	if err != nil {
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -30,7 +30,7 @@
 	n.quarantine = (&quarantine.Guard{
 		Node: string(n.self.VM), Clock: n.clock, Log: n.log,
 		Tell: n.tellTalliers, Announce: n.announceQuarantine,
-		Keep: func(v quarantine.Verdict) { go n.quarantined.Write(context.Background(), v, 0) },
+		Keep: func(v quarantine.Verdict) { go n.quarantined.Write(context.Background(), v, platform.Row{}) },
 		Drop: func(fp quarantine.Fingerprint) { go n.quarantined.Drop(context.Background(), fp) },
 		Try:  n.tryQuarantined,
 	}).Init(n.reg)
@@ -79,7 +79,7 @@
 		n.log.Info("quarantined request is not tried", "fingerprint", v.Fingerprint, "error", err)
 		return false
 	}
-	return n.quarantined.Write(ctx, v, row.Version)
+	return n.quarantined.Write(ctx, v, row)
 }
 
 // runQuarantine tells and judges until ctx ends, and reads what is kept: at the start, for
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -11,26 +11,35 @@
 )
 
 // Row is a row of the table. Version grows by one with each write of the row
-// and is 0 for a row that does not exist. A version is never used again: a row
-// that is deleted and made anew goes on counting where it was.
+// and is 0 for a row that does not exist. A version is never used again within an
+// era: a row that is deleted and made anew goes on counting where it was.
 type Row struct {
 	Table   string `json:"table"`
 	Key     string `json:"key"`
 	Version uint64 `json:"version"`
 	Value   []byte `json:"value"`
+	// Era is the table's era in which the row was read or written. A table that comes
+	// back from an older copy begins a new era and gives versions out again, so a
+	// version means nothing outside its era. 0: the table doesn't tell eras.
+	Era uint64 `json:"era,omitempty"`
 	// Attempt is the id of the write that made this version. A writer whose
 	// answer was lost reads it back to learn whether its own write landed.
 	Attempt string `json:"attempt"`
 }
 
 // Check is a condition of a transaction: the row must be at this version (0:
-// must not exist).
+// must not exist). A check that was read in another era than the table's present
+// one fails the transaction before it is sent.
 type Check struct {
 	Table   string `json:"table"`
 	Key     string `json:"key"`
 	Version uint64 `json:"version"`
+	Era     uint64 `json:"era,omitempty"`
 }
 
+// Same reports whether both are the same version of one row.
+func (r Row) Same(other Row) bool { return r.Version == other.Version && r.Era == other.Era }
+
 // Write sets or deletes a row within a transaction.
 type Write struct {
 	Table  string `json:"table"`
@@ -60,6 +69,9 @@
 	// ErrAmbiguous means that a write may or may not have landed and that
 	// reading back did not settle it.
 	ErrAmbiguous = errors.New("platform: the answer to a write was lost; read the rows back before deciding")
+	// ErrRestored means that a write was not sent: its checks were read before the
+	// table came back from an older copy.
+	ErrRestored = errors.New("platform: the table came back from an older copy; read the rows again before writing")
 	// ErrNotFound means that the object does not exist.
 	ErrNotFound = errors.New("platform: no such object")
 )
--- a/internal/quarantine/bans.go
+++ b/internal/quarantine/bans.go
@@ -100,6 +100,16 @@
 	}
 }
 
+// Restored has the requests kept anew that were kept before the platform's table came back
+// from an older copy: their rows are gone, and nobody has lifted them.
+func (g *Guard) Restored() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, b := range g.bans {
+		b.kept, b.gone = false, 0
+	}
+}
+
 // Banned is a request that is refused, for how long it has been, and whether it was among
 // those that are kept for all nodes.
 type Banned struct {
--- a/internal/quarantine/rows.go
+++ b/internal/quarantine/rows.go
@@ -27,9 +27,9 @@
 // Key returns the key of a request's row.
 func (r *Rows) Key(fp Fingerprint) string { return r.Prefix + string(fp) }
 
-// Write writes a request's row if the row has that version; 0: if there is none. It
-// reports whether it did.
-func (r *Rows) Write(ctx context.Context, v Verdict, version uint64) bool {
+// Write writes a request's row if it is still as it was read; the zero row: there was none.
+// It reports whether it did.
+func (r *Rows) Write(ctx context.Context, v Verdict, was platform.Row) bool {
 	raw, err := json.Marshal(v)
 	if err != nil {
 		r.Log.Error("quarantined request is not kept", "fingerprint", v.Fingerprint, "err", err)
@@ -39,7 +39,7 @@
 	defer cancel()
 	res, err := r.Commit(ctx, platform.Txn{
 		Attempt: uuid.NewString(),
-		Checks:  []platform.Check{{Table: r.Table, Key: r.Key(v.Fingerprint), Version: version}},
+		Checks:  []platform.Check{{Table: r.Table, Key: r.Key(v.Fingerprint), Version: was.Version, Era: was.Era}},
 		Writes:  []platform.Write{{Table: r.Table, Key: r.Key(v.Fingerprint), Value: raw}},
 	})
 	if err != nil {
--- a/internal/roster/life_test.go
+++ b/internal/roster/life_test.go
@@ -33,10 +33,10 @@
 func TestRestartIsAnotherEndpoint(t *testing.T) {
 	is := is.New(t)
 	old := Endpoint{ID: Life("a", 5), Service: "s", Draining: true}
-	r := Merge(Empty(), []Endpoint{old}, at(0), 0)
+	r := Merge(Empty(), Listing{Endpoints: []Endpoint{old}}, at(0), 0)
 	r = r.With(Hint{ID: old.ID, Model: "m", Member: Membership{Group: "g", State: Open}}, at(time.Second))
 	back := at(time.Second)
-	r = Merge(r, []Endpoint{{ID: Life("a", 6), Service: "s"}}, back, back)
+	r = Merge(r, Listing{Endpoints: []Endpoint{{ID: Life("a", 6), Service: "s"}}}, back, back)
 	is.Equal(lives(r), []ID{Life("a", 6)})
 	is.True(r.Get(Life("a", 6)).Usable())
 	is.True(!r.Get(Life("a", 6)).Leads())
@@ -49,13 +49,13 @@
 func TestEntryOfAnEarlierLifeNamesNobody(t *testing.T) {
 	for _, earlier := range []ID{Life("a", 5), Life("a", 0)} {
 		is := is.New(t)
-		r := Merge(Empty(), []Endpoint{{ID: Life("a", 6), Service: "s"}}, at(0), 0)
+		r := Merge(Empty(), Listing{Endpoints: []Endpoint{{ID: Life("a", 6), Service: "s"}}}, at(0), 0)
 		stale := []Endpoint{{ID: earlier, Service: "s"}}
-		r = Merge(r, stale, at(time.Second), 0)
+		r = Merge(r, Listing{Endpoints: stale}, at(time.Second), 0)
 		is.Equal(len(lives(r)), 0)
-		r = Merge(r, stale, at(2*time.Second), 0)
+		r = Merge(r, Listing{Endpoints: stale}, at(2*time.Second), 0)
 		is.Equal(len(lives(r)), 0)
-		r = Merge(r, stale, at(lifeMemory), 0)
+		r = Merge(r, Listing{Endpoints: stale}, at(lifeMemory), 0)
 		is.Equal(lives(r), []ID{earlier})
 	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -37,9 +37,10 @@
 	Zone     string     `json:"zone"`
 	Slots    int        `json:"slots"`
 	Draining bool       `json:"draining,omitempty"`
-	Domain   string     `json:"domain,omitempty"` // fabric domain; engines only
-	Staged   []string   `json:"staged,omitempty"` // models whose weights lie on the host; engines only
-	Model    string     `json:"model,omitempty"`  // model of the newest group; engines only
+	Sequence uint64     `json:"sequence,omitempty"` // counts the writes of its entry in one life
+	Domain   string     `json:"domain,omitempty"`   // fabric domain; engines only
+	Staged   []string   `json:"staged,omitempty"`   // models whose weights lie on the host; engines only
+	Model    string     `json:"model,omitempty"`    // model of the newest group; engines only
 	Member   Membership `json:"member,omitzero"`
 	// Instants of this VM's clock; they mean nothing to another one.
 	Missing clock.Instant `json:"-"` // when it was first missing from the list; 0: listed
@@ -52,12 +53,22 @@
 // Leads reports whether the endpoint is the head of a group that takes requests.
 func (e *Endpoint) Leads() bool { return e.Member.Rank == 0 && e.Member.State == Open }
 
+// Listing is what one read of the platform's list brought.
+type Listing struct {
+	Endpoints []Endpoint
+	Rejected  []Rejected
+	Era       uint64 // of the platform's table
+}
+
 // Roster is a snapshot of the endpoints.
 type Roster struct {
 	Asked     clock.Instant // when the list was asked for; it is at least as new as this
+	Era       uint64        // of the platform's table
+	restored  clock.Instant // when a list of this era was first asked for; 0: no other was known before
 	byID      map[ID]*Endpoint
 	byService map[string][]*Endpoint
 	lives     map[string]life // by name: the latest life that a list showed
+	left      map[ID]departure
 }
 
 // life is a life of an endpoint and when it was last listed.
@@ -114,24 +125,43 @@
 
 // Merge returns the roster after a list that was asked for at asked.
 // recovered is when this node last regained the platform (0: it never lost it).
-// An endpoint that is missing is dropped, except within LapseGrace after
-// recovered, when it stays as it was until the grace is over.
-func Merge(old *Roster, listed []Endpoint, asked, recovered clock.Instant) *Roster {
+// An endpoint that is missing is dropped, except within LapseGrace after recovered, or
+// after the table came back from an older copy, when it stays as it was until the grace
+// is over. A list of an earlier era than is known changes nothing.
+func Merge(old *Roster, l Listing, asked, recovered clock.Instant) *Roster {
+	if l.Era < old.Era {
+		return old
+	}
+	listed := l.Endpoints
 	next := &Roster{
 		Asked:     asked,
+		Era:       l.Era,
+		restored:  old.restored,
 		byID:      make(map[ID]*Endpoint, len(listed)),
 		byService: map[string][]*Endpoint{},
 		lives:     make(map[string]life, len(listed)),
 	}
+	if l.Era > old.Era && old.Known() {
+		next.restored = asked
+	}
+	recovered = max(recovered, next.restored)
 	for i := range listed {
 		e := &listed[i]
 		if !next.noteLife(old, e.ID, asked) {
 			continue
 		}
+		left := old.left[e.ID]
+		if left.seen != 0 && !left.draining && next.isOlder(e, left.sequence) {
+			continue
+		}
 		// Draining is final for one life. An older entry that is written
 		// again after an outage must not bring new work to a leaving endpoint.
+		e.Draining = e.Draining || left.draining
 		if prev := old.Get(e.ID); prev != nil {
 			e.Draining = e.Draining || prev.Draining
+			if e.Sequence != prev.Sequence && next.isOlder(e, prev.Sequence) {
+				e.Model, e.Member, e.Staged, e.Sequence = prev.Model, prev.Member, prev.Staged, prev.Sequence
+			}
 			if prev.Hinted.After(asked) {
 				e.Model, e.Member, e.Hinted = prev.Model, prev.Member, prev.Hinted
 			}
@@ -150,6 +180,7 @@
 			next.add(&kept)
 		})
 	}
+	next.remember(old)
 	return next
 }
 
@@ -174,7 +205,7 @@
 	if e == nil || h.Member.Epoch < e.Member.Epoch {
 		return r
 	}
-	next := &Roster{Asked: r.Asked, byID: make(map[ID]*Endpoint, len(r.byID)), byService: map[string][]*Endpoint{}, lives: r.lives}
+	next := &Roster{Asked: r.Asked, Era: r.Era, restored: r.restored, left: r.left, byID: make(map[ID]*Endpoint, len(r.byID)), byService: map[string][]*Endpoint{}, lives: r.lives}
 	for _, list := range r.byService {
 		for _, old := range list {
 			if old.ID != h.ID {
