--- a/internal/entry/leases.go
+++ b/internal/entry/leases.go
@@ -112,13 +112,16 @@
 	if !due {
 		return nil
 	}
-	era := c.Table.Era() // of an empty answer, or an earlier one
+	era := c.Table.Era() // of an empty answer, or an earlier one: what is checked in that isn't written
 	rows, err := c.Table.List(ctx, tab, "")
 	if err != nil {
 		return err
 	}
-	if len(rows) > 0 {
+	switch {
+	case len(rows) > 0:
 		era = rows[0].Era
+	case era == 0:
+		era = c.Table.Era() // the first answer of all told it
 	}
 	c.mu.Lock()
 	c.read = now
--- a/test/entry_soak_test.go
+++ b/test/entry_soak_test.go
@@ -39,7 +39,7 @@
 
 // Faults of every kind come in series and overlap: engines die and arrive, leave
 // in order; nodes are killed, paused, told to stop and start anew; the store is
-// down, loses answers, forgets its history; endpoints lose answers; keys change.
+// down, loses answers, forgets its history, comes back from an older copy; endpoints lose answers; keys change.
 // Requests that end the endpoints that run them come, before their first event or after
 // some, each time or every other time. All the while: streams have each piece once and in
 // order, receipts run once at most, what was refused has not run, no group opens without
@@ -55,7 +55,7 @@
 
 func runSoak(t *testing.T, seed uint64) {
 	is := is.New(t)
-	s := &soak{entryFleet: startEntryFleet(t, "a", "a", "b"), rnd: rand.New(rand.NewPCG(seed, 0))}
+	s := &soak{entryFleet: startEntryFleetOn(t, (*platformtest.Store).TellEras, "a", "a", "b"), rnd: rand.New(rand.NewPCG(seed, 0))}
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	for c := range 6 {
@@ -94,7 +94,7 @@
 func (s *soak) fault() {
 	engines := s.fleet.Open("m")
 	n := s.nodes[s.rnd.IntN(len(s.nodes))]
-	kind := s.rnd.IntN(12)
+	kind := s.rnd.IntN(13)
 	s.faults = append(s.faults, fmt.Sprintf("%s kind %d at %s", time.Now().Format(time.TimeOnly), kind, n.name))
 	switch kind {
 	case 0: // a member of a serving group dies, a new engine comes
@@ -137,6 +137,8 @@
 	case 10:
 		s.signal(n, syscall.SIGHUP)
 		s.configure()
+	case 12:
+		s.restore()
 	case 11:
 		body := s.addHarm(s.rnd)
 		for i := range 4 {
@@ -145,6 +147,26 @@
 	}
 }
 
+// restore has the store come back from a copy up to 3 s old, with what nodes, endpoints and
+// the operator wrote since gone; the latter two write it again in any order.
+func (s *soak) restore() {
+	s.store.Copy()
+	time.Sleep(time.Duration(s.rnd.IntN(3000)) * time.Millisecond) // the copy's age
+	s.store.Restore()
+	pause := func() { time.Sleep(time.Duration(s.rnd.IntN(400)) * time.Millisecond) } // until they notice
+	if s.rnd.IntN(2) == 0 {
+		pause()
+		s.rewrite()
+		pause()
+		s.fleet.RegisterAll()
+		return
+	}
+	pause()
+	s.fleet.RegisterAll()
+	pause()
+	s.rewrite()
+}
+
 // addHarm lets another request end the engines that run it.
 func (s *soak) addHarm(rnd *rand.Rand) (body string) {
 	body = fmt.Sprintf("crash%d", rnd.Uint64())
--- a/test/entry_test.go
+++ b/test/entry_test.go
@@ -70,9 +70,16 @@
  "limits":{"max_body_bytes":65536},"tenants":[{"name":"org","api_keys":[%s]}]}`
 
 func startEntryFleet(t *testing.T, zones ...string) *entryFleet {
+	t.Helper()
+	return startEntryFleetOn(t, func(*platformtest.Store) {}, zones...)
+}
+
+// startEntryFleetOn starts a fleet on a store that prepare has prepared.
+func startEntryFleetOn(t *testing.T, prepare func(*platformtest.Store), zones ...string) *entryFleet {
 	t.Helper()
 	f := &entryFleet{t: t, store: platformtest.NewStore(), keys: []string{`"k1"`, `"k2"`}}
 	t.Cleanup(f.store.Close)
+	prepare(f.store)
 	f.fleet = platformtest.NewFleet(f.store)
 	t.Cleanup(f.fleet.Close)
 	for i := range 9 {
@@ -100,6 +107,11 @@
 // configure writes the next version of the operator's document.
 func (f *entryFleet) configure() {
 	f.version += 3
+	f.rewrite()
+}
+
+// rewrite writes the operator's newest document again.
+func (f *entryFleet) rewrite() {
 	f.store.PutRaw("op", "config", fmt.Appendf(nil, entryDocument, f.version, strings.Join(f.keys, ",")))
 }
 
