An engine at which all requests wait for their first event has a second before it is suspect

Load pattern: all nodes have lost power and are back, the clients of a second come at once to nodes that know no loads.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -13,9 +13,12 @@
 // life came.
 type Tracker struct {
 	Clock clock.Clock
-	// Silence is how long an endpoint with requests in flight may give no sign
+	// Silence is how long an endpoint with streams that have begun may give no sign
 	// of life before it is suspect.
 	Silence func(roster.ID) time.Duration
+	// FirstSilence is the same for one at which all requests in flight wait for their
+	// first event; 0: Silence.
+	FirstSilence time.Duration
 	// Suspected is told of each endpoint that becomes suspect; nil: nobody.
 	Suspected func(roster.ID)
 	// Doubted is told of each endpoint that has been silent for longer than its
@@ -30,6 +33,7 @@
 // record is what is known of one endpoint.
 type record struct {
 	inFlight int
+	begun    int           // of these, streams that have had an event
 	told     int           // of these, as this node has told last
 	others   float64       // load by other nodes at the last report
 	reported clock.Instant // when that report came
@@ -115,6 +119,8 @@
 	k.read(r)
 	if k.last != 0 {
 		r.pause(now.Sub(k.last))
+	} else {
+		r.begun++
 	}
 	k.last = now
 }
@@ -157,6 +163,9 @@
 	r := t.record(k.id)
 	k.read(r)
 	r.inFlight--
+	if k.last != 0 {
+		r.begun--
+	}
 	t.changes++
 	delete(r.stalls, k)
 }
@@ -216,7 +225,7 @@
 		switch {
 		case r.inFlight == 0 && now.Sub(max(r.sign, r.reported)) > forgetAfter:
 			delete(t.known, id)
-		case len(r.stalls) > 0 && r.suspect == 0 && now.Sub(r.sign) > t.Silence(id):
+		case len(r.stalls) > 0 && r.suspect == 0 && now.Sub(r.sign) > t.silence(id, r):
 			found = append(found, verdict{id, t.mark(id, now)})
 		case len(r.stalls) > 0 && !r.doubted && r.gap > 0 && now.Sub(r.sign) > r.doubtAfter():
 			r.doubted = true
@@ -234,6 +243,18 @@
 	}
 }
 
+// silence returns how long an endpoint may give no sign of life. An engine that reads the
+// prompts of a wave of clients gives its streams no event meanwhile, and a node that has
+// only new requests there can't tell that from a group that stands still. Given up sooner,
+// the requests are sent to another engine, which reads them again while the first reads on:
+// the wave feeds itself.
+func (t *Tracker) silence(id roster.ID, r *record) time.Duration {
+	if r.begun == 0 {
+		return max(t.Silence(id), t.FirstSilence)
+	}
+	return t.Silence(id)
+}
+
 // doubtAfter returns the silence after which an endpoint is doubted. All streams
 // of an engine get their events at the end of the same pass, whose time varies
 // with the prompts that it reads. A doubt that is wrong costs a report of each
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -95,6 +95,9 @@
 	// them. A pass of a loaded group takes 50 ms to 330 ms by the engines'
 	// published times.
 	streamSilence = 350 * time.Millisecond
+	// firstSilence is the same before a first event. Clients leave after two seconds
+	// without one; a second try needs some 0.3 s of these.
+	firstSilence = time.Second
 	// remoteCost keeps requests in their zone while its groups have at most 15%
 	// of their slots more in use than others.
 	remoteCost = 0.15
@@ -156,9 +159,10 @@
 	n.roster = newRosterWatcher(o.Store, o.Clock, o.Log)
 	n.tracker = &balance.Tracker{
 		Clock:     o.Clock,
-		Silence:   func(roster.ID) time.Duration { return streamSilence },
-		Suspected: n.suspected,
-		Doubted:   n.doubted,
+		Silence:      func(roster.ID) time.Duration { return streamSilence },
+		FirstSilence: firstSilence,
+		Suspected:    n.suspected,
+		Doubted:      n.doubted,
 	}
 	n.quarantine = n.newGuard()
 	n.forwarder = &forward.Forwarder{
