A store that fails is asked by a few nodes at the full pace, by the others less and less

Load pattern: the store is down for eight seconds; nobody can be followed, and each node asked for configuration, endpoints and, once for each zone, leases. The first call after its return comes within half a second: four nodes of each zone and the holders keep their pace; the others ask those who can be followed every 0.4 s. One failed read of the leases tells the managers of all zones.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -158,7 +158,7 @@
 	n.config = &configWatcher{source: o.Store, clock: o.Clock, log: o.Log, askOthers: n.askOthers}
 	n.roster = newRosterWatcher(o.Store, o.Clock, o.Log)
 	n.tracker = &balance.Tracker{
-		Clock:     o.Clock,
+		Clock:        o.Clock,
 		Silence:      func(roster.ID) time.Duration { return streamSilence },
 		FirstSilence: firstSilence,
 		Suspected:    n.suspected,
@@ -179,8 +179,9 @@
 	n.follower = &follower{node: n, ask: feed.NewClient(), clock: o.Clock, log: o.Log, wake: make(chan struct{}, 1)}
 	n.roster.leaves = n.tellLeaving
 	n.config.idle, n.roster.idle = n.leavesStore, n.leavesList
+	n.config.backoff.eager, n.roster.backoff.eager = n.looksFirst, n.looksFirst
 	n.leaseRows = &leaseCache{
-		Table: o.Store, clock: o.Clock, idle: n.leavesLeases,
+		Table: o.Store, clock: o.Clock, idle: n.leavesLeases, backoff: backoff{eager: n.looksFirst},
 		taken: func(rows []table.Row) { n.quarantine.TakeKept(n.quarantined.Read(rows)) },
 	}
 	n.quarantined = &quarantine.Rows{Commit: n.leaseRows.Commit, Table: table.TableLeases, Prefix: quarantinePrefix, Log: o.Log}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -30,6 +30,9 @@
 const (
 	followPause = 900 * time.Millisecond // between two questions
 	followLimit = 400 * time.Millisecond // for an answer
+	// followAgain is the pause after nobody answered well: the few nodes that look for a
+	// failing store see its return first.
+	followAgain = 400 * time.Millisecond
 	// followFor is how long after a question that was answered well the store is
 	// left alone.
 	followFor = 1500 * time.Millisecond
@@ -91,6 +94,9 @@
 			return
 		}
 	}
+	if len(addrs) > 0 {
+		f.next = min(f.next, followAgain)
+	}
 	if f.following() {
 		f.log.Info("no node is followed; the store is read", "asked", addrs)
 	}
--- a/internal/entry/leases.go
+++ b/internal/entry/leases.go
@@ -37,6 +37,9 @@
 	taken func([]table.Row)
 
 	reading sync.Mutex // held while the rows are read
+	backoff backoff
+	failed  error         // of the newest read
+	again   clock.Instant // no read before that after one that failed
 
 	mu   sync.Mutex    // guards what follows; never held over a call
 	read clock.Instant // when the rows were asked for; 0: they must be read
@@ -51,6 +54,7 @@
 	owners map[string]string   // VM that holds a duty
 	addrs  map[string]string   // of a VM
 	zones  map[string][]string // VMs of an availability zone
+	cores  map[string]float64  // of a VM; 0: it doesn't tell
 	// largest is the size of a zone's largest VM, in cores.
 	largest map[string]float64
 }
@@ -59,11 +63,11 @@
 	if c.dir != nil {
 		return c.dir
 	}
-	d := &directory{owners: map[string]string{}, addrs: map[string]string{}, zones: map[string][]string{}, largest: map[string]float64{}}
+	d := &directory{owners: map[string]string{}, addrs: map[string]string{}, zones: map[string][]string{}, cores: map[string]float64{}, largest: map[string]float64{}}
 	for key, r := range c.rows {
 		if vm, ok := strings.CutPrefix(key, nodePrefix); ok {
 			at := nodeAddrOf(r.Value)
-			d.addrs[vm] = at.addr
+			d.addrs[vm], d.cores[vm] = at.addr, at.cores
 			d.largest[at.zone] = max(d.largest[at.zone], at.cores)
 			d.zones[at.zone] = append(d.zones[at.zone], vm)
 			continue
@@ -106,6 +110,10 @@
 	idle := c.idle()
 	c.mu.Lock()
 	now := c.clock.Now()
+	if c.failed != nil && now.Before(c.again) {
+		c.mu.Unlock()
+		return c.failed
+	}
 	// Rows of before the table came back from an older copy say nothing.
 	due := !idle && (c.read == 0 || now.Sub(c.read) > leaseCacheFor) || c.era < c.Table.Era()
 	c.mu.Unlock()
@@ -114,9 +122,13 @@
 	}
 	era := c.Table.Era() // of an empty answer, or an earlier one: what is checked in that isn't written
 	rows, err := c.Table.List(ctx, tab, "")
+	c.failed = err
 	if err != nil {
+		// The managers of all zones ask; one call tells all of them.
+		c.again = c.clock.Now().Add(c.backoff.failed(leaseCacheFor))
 		return err
 	}
+	c.backoff.succeeded()
 	switch {
 	case len(rows) > 0:
 		era = rows[0].Era
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -63,6 +63,7 @@
 	// askOthers asks the nodes that read the store what they have in force, before this
 	// node believes its first document; nil: nobody is asked.
 	askOthers func(context.Context)
+	backoff   backoff
 }
 
 func (w *configWatcher) run(ctx context.Context) error {
@@ -89,9 +90,10 @@
 			if errors.As(err, &invalid) {
 				known = false
 			}
-			clock.Sleep(ctx, configPause)
+			clock.Sleep(ctx, w.backoff.failed(configPause))
 			continue
 		}
+		w.backoff.succeeded()
 		if down {
 			w.log.Info("configuration is read again", "version", w.version())
 		}
@@ -204,6 +206,7 @@
 	// rejects counts entries that name no endpoint to use; nil: nobody counts.
 	rejects prometheus.Counter
 	told    map[string]bool // keys of rejected entries that were logged
+	backoff backoff
 }
 
 // mostTold bounds the lines about rejected entries; the metric counts all.
@@ -267,6 +270,7 @@
 				w.log.Info("endpoints are read again", "endpoints", len(list.Endpoints))
 			}
 			down = false
+			w.backoff.succeeded()
 			w.take(list, asked, recovered)
 		}
 		w.pause(ctx, down)
@@ -335,7 +339,7 @@
 		return
 	}
 	if down {
-		clock.Sleep(ctx, rosterDown)
+		clock.Sleep(ctx, w.backoff.failed(rosterDown))
 		return
 	}
 	w.await(ctx, rosterPause-rosterAgain)
