A duty is taken as soon as the table's clock says that its term is over

Load pattern: all nodes lose power, or a holder ends; groups are repaired by nobody until the next one holds the duty. Change: a holder's row tells the table's steady clock at which its term is surely over, worked out from the answer to its write before; who reads the row counts from the clock of that answer, and wakes at that moment. Rows tell the era of their write; of another row the version stands in the fence.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -101,7 +101,7 @@
 	writeLimit = time.Second
 	// epochsPerFence is how many epochs one tenure may give out; the fence of
 	// the lease stands above them, so that no later tenure gives out a lower one.
-	epochsPerFence = 1 << 20
+	epochsPerFence = 1 << 18
 )
 
 // Run works until ctx ends.
--- a/internal/lease/decide.go
+++ b/internal/lease/decide.go
@@ -22,6 +22,11 @@
 	Fence    uint64        `json:"fence"` // grows by one with each acquisition
 	Term     time.Duration `json:"term"`
 	Released bool          `json:"released,omitempty"` // the owner gave it up itself
+	// Era is the table's era in which the row was written. Read in a later one it is a
+	// copy of before, or a late write of before has replaced the newest row.
+	Era uint64 `json:"era,omitempty"`
+	// Over is the table's clock when the term is surely over, in ms; 0: not known.
+	Over int64 `json:"over,omitempty"`
 }
 
 // Seen is what a node knows of the lease row.
@@ -31,6 +36,7 @@
 	First   clock.Instant // when this node first saw this version
 	Known   bool          // the row was read at least once
 	Era     uint64        // of the table, in which the version holds
+	Clock   int64         // the table's clock at First or before, in ms; 0: not known
 	// EraFirst is when this node first saw the era; 0: the table has always been in it.
 	EraFirst clock.Instant
 }
@@ -119,12 +125,30 @@
 	return Decision{Action: Renew, Next: next, Reason: "a third of the term has passed"}
 }
 
+// left returns how much of the holder's term may be left at First. The table's clock tells
+// it of a holder that ended before this node saw the row: after a loss of all nodes nobody
+// would take a duty for a whole term and more.
+func (s *Seen) left() time.Duration {
+	if s.Row.Over == 0 || s.Clock == 0 {
+		return s.Row.Term
+	}
+	return min(s.Row.Term, max(0, time.Duration(s.Row.Over-s.Clock)*time.Millisecond))
+}
+
 // fencesPerEra is how many fences one era may give out. The era stands above them: a
 // table that came back from an older copy has lost the newest fences, and its next ones
 // would be given out twice.
-const fencesPerEra = 1 << 20
-
-func nextFence(seen Seen) uint64 { return max(seen.Row.Fence+1, seen.Era*fencesPerEra) }
+const fencesPerEra = 1 << 28
+
+// nextFence returns a fence that was never given out, higher than all of the present era. A
+// row that was written in it tells the newest one; of another row the version does, which
+// has grown by one at least with each that was given out.
+func nextFence(seen Seen) uint64 {
+	if seen.Row.Era == seen.Era {
+		return seen.Row.Fence + 1
+	}
+	return max(seen.Row.Fence+1, seen.Era*fencesPerEra+seen.Version%fencesPerEra)
+}
 
 func decideOther(p Params, seen Seen, self fleet.Node, rank int, now clock.Instant) Decision {
 	next := Row{Owner: self, Fence: nextFence(seen), Term: p.Term}
@@ -137,7 +161,7 @@
 		// The holder counts from before it sent the write, this node from when
 		// it first saw the result, which is later. So the holder's term is over
 		// when this wait is, without comparing clocks.
-		ready = ready.Add(seen.Row.Term + p.Margin)
+		ready = ready.Add(seen.left() + p.Margin)
 		reason = "the term of " + seen.Row.Owner.String() + " and the margin are over"
 	}
 	if seen.EraFirst != 0 {
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -61,6 +61,10 @@
 	// Touched by Run's goroutine alone.
 	seen  Seen
 	began bool // the row was read at least once since this process started
+	// clock is the table's clock in the answer to the write that was sent at clockSent;
+	// 0: not known in this era.
+	clock     int64
+	clockSent clock.Instant
 }
 
 // Held returns the grant when the lease is held now. A holder that was paused
@@ -125,7 +129,8 @@
 			return poll
 		}
 	}
-	d := Decide(m.Params, m.seen, held, m.Self, rank, m.Clock.Now())
+	now := m.Clock.Now()
+	d := Decide(m.Params, m.seen, held, m.Self, rank, now)
 	switch d.Action {
 	case Read:
 		m.setHeld(Grant{})
@@ -138,6 +143,9 @@
 		// late when its first write fails.
 		return m.Params.Term / 6
 	}
+	if d.Action == Wait && d.Wake.After(now) {
+		return min(poll, d.Wake.Sub(now)) // it is taken as soon as it may be
+	}
 	return poll
 }
 
@@ -177,18 +185,25 @@
 		}
 	}
 	now := m.Clock.Now()
-	m.seen = Seen{Row: r, Version: row.Version, First: now, Known: true, Era: row.Era, EraFirst: m.eraFirst(row.Era, now)}
+	if row.Era != m.seen.Era {
+		m.clock = 0
+	}
+	m.seen = Seen{
+		Row: r, Version: row.Version, First: now, Known: true, Clock: row.Clock,
+		Era: row.Era, EraFirst: m.eraFirst(r, row.Era, now),
+	}
 	m.began = true
 	return nil
 }
 
-// eraFirst returns when this node first saw the era in which it has just read the row.
-// A node that has just started can't know how old the era is.
-func (m *Manager) eraFirst(era uint64, now clock.Instant) clock.Instant {
+// eraFirst returns when this node first saw the era in which it has just read the row; 0:
+// nobody can hold the lease by a row of before. A node that has just started can't know how
+// old the era is, but that a row was written in it.
+func (m *Manager) eraFirst(r Row, era uint64, now clock.Instant) clock.Instant {
 	switch {
 	case m.began && era == m.seen.Era:
 		return m.seen.EraFirst
-	case era == 0 || !m.began && m.New:
+	case era == 0 || !m.began && (m.New || r.Era == era):
 		return 0
 	}
 	return now
@@ -223,6 +238,10 @@
 }
 
 func (m *Manager) write(ctx context.Context, d Decision) {
+	// The term starts here: an answer that takes long makes the lease shorter
+	// for the holder, never longer than what the others wait out.
+	sent := m.Clock.Now()
+	d.Next.Era, d.Next.Over = m.seen.Era, m.over(sent, d.Next.Term)
 	value, err := json.Marshal(d.Next)
 	if err != nil {
 		m.Log.Error("lease row cannot be written", "duty", m.Duty, "err", err)
@@ -233,12 +252,12 @@
 		Checks:  []platform.Check{{Table: platform.TableLeases, Key: m.Duty, Version: m.seen.Version, Era: m.seen.Era}},
 		Writes:  []platform.Write{{Table: platform.TableLeases, Key: m.Duty, Value: value}},
 	}
-	// The term starts here: an answer that takes long makes the lease shorter
-	// for the holder, never longer than what the others wait out.
-	sent := m.Clock.Now()
 	wctx, cancel := context.WithTimeout(ctx, m.Params.Term/2)
 	defer cancel()
 	res, err := m.Table.Commit(wctx, txn)
+	if err == nil {
+		m.clock, m.clockSent = res.Clock, sent
+	}
 	switch {
 	case errors.Is(err, platform.ErrAmbiguous):
 		m.resolve(ctx, txn.Attempt, d, sent)
@@ -253,6 +272,15 @@
 	}
 }
 
+// over returns the table's clock when a term that begins at sent is over at the latest, in
+// ms; 0: not known. The answer that told the clock was made after its write was sent.
+func (m *Manager) over(sent clock.Instant, term time.Duration) int64 {
+	if m.clock == 0 {
+		return 0
+	}
+	return m.clock + (sent.Sub(m.clockSent) + term).Milliseconds() + 1
+}
+
 // writtenVersion returns the version that the write made. A table that doesn't
 // tell counts its rows' versions one by one.
 func writtenVersion(res platform.Result, next uint64) uint64 {
@@ -273,7 +301,7 @@
 		g.TakenOver = before.Version != 0 && !before.Row.Released && before.Row.Owner != m.Self
 		m.Log.Info("lease acquired", "duty", m.Duty, "fence", g.Fence, "reason", d.Reason)
 	}
-	m.seen.Row, m.seen.Version, m.seen.First = d.Next, version, sent
+	m.seen.Row, m.seen.Version, m.seen.First, m.seen.Clock = d.Next, version, sent, 0
 	m.setHeld(g)
 }
 
--- a/internal/lease/restore_test.go
+++ b/internal/lease/restore_test.go
@@ -24,8 +24,12 @@
 	copies  []saved // of the last seconds
 	late    []lateWrite
 	trouble bool
+	offset  time.Duration // of the table's clock; another one in each era
 }
 
+// told is the table's clock, in ms.
+func (t *restoring) told() int64 { return (time.Duration(t.clock.Now()) + t.offset).Milliseconds() }
+
 type saved struct {
 	at  clock.Instant
 	row platform.Row
@@ -51,6 +55,7 @@
 	t.row, t.ver = t.copies[i].row, t.copies[i].ver
 	t.copies = t.copies[:i+1]
 	t.era++
+	t.offset = time.Duration(t.rng.IntN(20000)) * time.Millisecond
 }
 
 // apply carries a write out if its condition holds, as the store does: it knows no eras of
@@ -87,7 +92,7 @@
 func (s *side) present() platform.Row {
 	s.seen = s.restoring.era
 	row := s.row
-	row.Era = s.seen
+	row.Era, row.Clock = s.seen, s.told()
 	return row
 }
 
@@ -126,7 +131,7 @@
 	if row.Era != checked {
 		return platform.Result{}, fmt.Errorf("%w: %w", platform.ErrAmbiguous, platform.ErrRestored)
 	}
-	return platform.Result{Committed: landed, Rows: []platform.Row{row}}, nil
+	return platform.Result{Committed: landed, Clock: row.Clock, Rows: []platform.Row{row}}, nil
 }
 
 // restoreWorld is a few nodes that try to hold one duty.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -22,6 +22,9 @@
 	// back from an older copy begins a new era and gives versions out again, so a
 	// version means nothing outside its era. 0: the table doesn't tell eras.
 	Era uint64 `json:"era,omitempty"`
+	// Clock is the table's steady clock when it answered, in ms; 0: it tells none. It
+	// means nothing in another era.
+	Clock int64 `json:"clock,omitempty"`
 	// Attempt is the id of the write that made this version. A writer whose
 	// answer was lost reads it back to learn whether its own write landed.
 	Attempt string `json:"attempt"`
@@ -59,7 +62,8 @@
 // Result tells how a transaction ended.
 type Result struct {
 	Committed bool  `json:"committed"`
-	Rows      []Row `json:"rows"` // when committed: the rows written; when not: the present rows of the checks that failed
+	Clock     int64 `json:"clock,omitempty"` // the table's steady clock when it answered, in ms; 0: it tells none
+	Rows      []Row `json:"rows"`            // when committed: the rows written; when not: the present rows of the checks that failed
 }
 
 // The errors of the platform's client.
