--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -62,7 +62,8 @@
 	since   clock.Instant // when the tenure began
 	epochs  uint64        // given out in this tenure
 	memory  map[string]*Memory
-	pace    roundTrip // of this tenure's reports
+	pace    roundTrip     // of this tenure's reports
+	rests   clock.Instant // no plan before that: the table failed
 	wake    chan struct{}
 }
 
@@ -99,6 +100,9 @@
 	sureFor    = 100 * time.Millisecond
 	orderLimit = 500 * time.Millisecond
 	writeLimit = time.Second
+	// commitAgain is the pause after claims that the table did not take: planned anew with
+	// each look, they cost two calls each 15 ms while the table fails.
+	commitAgain = 150 * time.Millisecond
 	// epochsPerFence is how many epochs one tenure may give out; the fence of
 	// the lease stands above them, so that no later tenure gives out a lower one.
 	epochsPerFence = 1 << 18
@@ -159,7 +163,7 @@
 	c.probeDue(ctx)
 	recovered, ready := c.completeClaims()
 	var plans []planned
-	if ready {
+	if ready && !c.Clock.Now().Before(c.rests) {
 		plans = c.plan()
 	}
 	c.mu.Unlock()
--- a/internal/formation/giving.go
+++ b/internal/formation/giving.go
@@ -58,6 +58,11 @@
 		}
 	}
 	c.Log.Info("claims not committed", "zone", c.Zone, "fence", grant.Fence, "err", err)
+	if err != nil {
+		c.mu.Lock()
+		c.rests = c.Clock.Now().Add(commitAgain)
+		c.mu.Unlock()
+	}
 	c.reread(ctx, grant)
 	return false
 }
--- a/internal/formation/restore_test.go
+++ b/internal/formation/restore_test.go
@@ -8,11 +8,14 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
+	"chervilloom/internal/demand"
 	"chervilloom/internal/lease"
 	table "chervilloom/internal/platform"
 	"chervilloom/internal/roster"
@@ -23,10 +26,12 @@
 	row  table.Row
 	down bool
 	// deaf: writes fail while reads are answered.
-	deaf bool
+	deaf  bool
+	asked int
 }
 
 func (t *copyTable) Get(context.Context, string, string) (table.Row, error) {
+	t.asked++
 	if t.down {
 		return table.Row{}, table.ErrDown
 	}
@@ -34,6 +39,7 @@
 }
 
 func (t *copyTable) Commit(_ context.Context, txn table.Txn) (table.Result, error) {
+	t.asked++
 	if t.down || t.deaf {
 		return table.Result{}, table.ErrDown
 	}
@@ -174,3 +180,49 @@
 		}
 	}
 }
+
+// The table fails while groups have to be formed. A plan for each look, whose claims can't be
+// written, cost two calls each 15 ms until the lease was over.
+func TestFailingTableIsNotAskedWithEachLook(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tab, now := &copyTable{}, clock.NewManual(clock.Instant(time.Hour))
+		var list roster.Listing
+		for i := range 9 {
+			id := roster.ID(fmt.Sprint("e", i))
+			list.Endpoints = append(list.Endpoints, roster.Endpoint{ID: id, Service: "s", Zone: "z", Domain: "d"})
+		}
+		r := roster.Merge(roster.Empty(), list, now.Now(), 0)
+		cat, err := catalog.New(catalog.Document{Version: 1, Services: []catalog.Service{{Name: "s", Engine: testEngine()}}})
+		is.NoErr(err)
+		c := (&Controller{
+			Zone: "z", Table: tab, Lease: always{&lease.Grant{Duty: "z", Fence: 1}}, Clock: now, Log: slog.New(slog.DiscardHandler),
+			Catalog: func() *catalog.Catalog { return cat }, Roster: func() *roster.Roster { return r },
+			FreeLoads: func() bool { return true }, ManyNodes: func() bool { return true }, Announce: func(roster.Hint) {},
+			Signs:  func(roster.ID) (clock.Instant, bool) { return 0, false },
+			Demand: func(string) demand.Demand { return demand.Demand{} },
+			Params: func(*catalog.Engine) Params { return DefaultParams(5*time.Second, 7, 2) }, Engines: idle{},
+		}).Init()
+		is.True(c.beginTenure(t.Context(), lease.Grant{Duty: "z", Fence: 1}))
+		tab.deaf = true
+		before := tab.asked
+		const looks, pause = 100, 15 * time.Millisecond
+		for range looks {
+			c.tick(t.Context())
+			synctest.Wait() // the reports that it asked for
+			now.Advance(pause)
+		}
+		calls := tab.asked - before
+		is.True(calls > 0)
+		is.True(calls <= 2*int(looks*pause/commitAgain)+2)
+	})
+}
+
+// idle engines are free and answer at once.
+type idle struct{}
+
+func (idle) Report(context.Context, string, roster.ID) (Report, error) {
+	return Report{Count: 1, Domain: "d", Pace: 1, Staged: []string{}}, nil
+}
+
+func (idle) Order(context.Context, string, Order) (Verdict, error) { return Lost, nil }
