Streams of a lost group are shared out over the heads of all zones

Load pattern: a group is lost with some 40 streams; the nodes of its zone place them at the same moment by the same board.

--- a/internal/balance/spread_test.go
+++ b/internal/balance/spread_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -190,3 +191,37 @@
 		}
 	}
 }
+
+// A group of a zone with four heads is lost with 40 streams, and 25 nodes place them at once
+// by the same board. Nodes that prefer their zone crowd the least loaded head that is left
+// there, which reads 40 prompts while all of them wait; two drawn of all zones' heads share
+// them out.
+func TestStreamsOfALostGroupAreSharedOut(t *testing.T) {
+	const streams, draws = 40, 200
+	most := func(alike bool) float64 {
+		rng := rand.New(rand.NewPCG(3, 4))
+		sum := 0.0
+		for range draws {
+			loads := make([]float64, 11) // three heads of the zone, eight of others
+			for h := range loads {
+				loads[h] = 20 + 10*rng.Float64()
+			}
+			got := make([]int, len(loads))
+			for range streams {
+				cands := make([]Candidate, len(loads))
+				for h := range cands {
+					cands[h] = Candidate{Load: loads[h], Slots: 48, Local: alike || h < 3}
+				}
+				h, _ := Pick(cands, Bounds{Remote: 0.15, Queue: -0.04, Read: 0.25, Sample: 2}, rng.IntN(1<<30))
+				got[h]++
+			}
+			sum += float64(slices.Max(got))
+		}
+		return sum / draws
+	}
+	before, after := most(false), most(true)
+	t.Logf("most at one head: %.1f of %d by zone, %.1f over all zones", before, streams, after)
+	if after > streams/4 || after > before/2 {
+		t.Errorf("%.1f of %d streams at one head, %.1f by zone", after, streams, before)
+	}
+}
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -66,6 +66,10 @@
 		profile = x.f.Engine
 		profile.Bounds.Sample = x.f.Sample()
 	}
+	again := x.engine() != nil && len(x.tried) > 0
+	if again {
+		profile.Bounds.Sample = sampleAgain
+	}
 	cands := make([]balance.Candidate, len(eps))
 	x.choices = choices{endpoints: len(eps)}
 	for i, e := range eps {
@@ -77,7 +81,7 @@
 		}
 		x.choices.freeSlots += max(0, e.Slots-int(st.Load))
 		cands[i] = balance.Candidate{
-			Load: st.Load, Slots: e.Slots, Unread: st.Unread, Local: e.Zone == x.f.Zone,
+			Load: st.Load, Slots: e.Slots, Unread: st.Unread, Local: again || e.Zone == x.f.Zone,
 			Suspect: st.Suspect, Tried: x.wasTried(e.ID),
 			Avoid: st.Doubted || x.f.Ejector.Ejected(EjectionID(e)) || x.route.GapAim > 0 && st.Gap > x.route.GapAim,
 		}
@@ -89,6 +93,12 @@
 	return eps[i], reason
 }
 
+// sampleAgain is how many heads are looked at for a request that goes on elsewhere, those of
+// all zones alike. When a group is lost, the nodes of its zone place its streams at the same
+// moment by the same board: the least loaded of the two or three heads that are left there
+// got them all, and read their prompts for half a second while their clients waited.
+const sampleAgain = 2
+
 // candidates returns the endpoints that could serve the request.
 func (x *exchange) candidates() []*roster.Endpoint {
 	all := x.f.View().Roster.Service(x.service)
