A document that another node was heard to have is read at once; an unknown era is no restore

Read as a newcomer: a watch that ended without a word of a newer document, of which another node had told, waited half a second before it read (test red without the change); the first answer after a start counted as a restore, since era 0 was noted before it; a follower whose holder was yet to learn of a document left it for that moment. One draw by name serves ranks and the order of those that look for a failing store.

--- a/internal/entry/backoff.go
+++ b/internal/entry/backoff.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
 	"time"
@@ -58,23 +59,14 @@
 	d := c.directory()
 	nodes := slices.Clone(d.zones[zone])
 	slices.SortFunc(nodes, func(a, b string) int {
-		if d.cores[a] != d.cores[b] {
-			if d.cores[a] > d.cores[b] {
-				return -1
-			}
-			return 1
-		}
-		return compareDrawn(a, b)
+		return cmp.Or(cmp.Compare(d.cores[b], d.cores[a]), cmp.Compare(drawOf(a), drawOf(b)))
 	})
 	return nodes[:min(most, len(nodes))]
 }
 
-// compareDrawn orders names at random, but everywhere alike.
-func compareDrawn(a, b string) int {
-	draw := func(s string) uint32 {
-		h := fnv.New32a()
-		_, _ = h.Write([]byte(s)) // never fails
-		return h.Sum32()
-	}
-	return int(int64(draw(a)) - int64(draw(b)))
+// drawOf returns a number drawn by a name, the same everywhere.
+func drawOf(name string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name)) // never fails
+	return h.Sum32()
 }
--- a/internal/entry/duty.go
+++ b/internal/entry/duty.go
@@ -1,7 +1,5 @@
 package entry
 
-import "hash/fnv"
-
 // The ranks of a node for a zone's duty. Each rank waits a step (half a second) longer
 // for a lease that has become free.
 const (
@@ -51,9 +49,7 @@
 
 // drawn returns a number below n by the names of the node and the zone.
 func (n *Node) drawn(zone string, below int) int {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(n.Settings.VM + " " + zone)) // never fails
-	return int(h.Sum32() % uint32(below))
+	return int(drawOf(n.Settings.VM+" "+zone) % uint32(below))
 }
 
 // rankElsewhere is the rank for another zone's duty.
--- a/internal/entry/eras.go
+++ b/internal/entry/eras.go
@@ -8,7 +8,6 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"chervilloom/internal/clock"
 	table "chervilloom/internal/platform"
 )
 
@@ -16,28 +15,22 @@
 // there since is gone, and versions are given out again. Each answer of the table tells
 // its era; a node that asks another one is told by that one.
 type eras struct {
-	clock clock.Clock
-	log   *slog.Logger
+	log *slog.Logger
 	// restored is called once for each new era after the first one known.
 	restored func()
 	restores prometheus.Counter
 
 	mu  sync.Mutex
-	era uint64
-	at  clock.Instant // when it was first seen; 0: none is known
+	era uint64 // the newest one; 0: none is known
 }
 
-// note takes up the era of an answer.
+// note takes up the era of an answer; 0: it told none.
 func (e *eras) note(era uint64) {
 	e.mu.Lock()
-	before, known := e.era, e.at != 0
-	if known && era <= before {
-		e.mu.Unlock()
-		return
-	}
-	e.era, e.at = era, e.clock.Now()
+	before := e.era
+	e.era = max(before, era)
 	e.mu.Unlock()
-	if !known {
+	if before == 0 || era <= before {
 		return
 	}
 	e.restores.Inc()
@@ -54,7 +47,7 @@
 
 func newEras(n *Node) *eras {
 	e := &eras{
-		clock: n.Clock, log: n.Log, restored: n.tableRestored,
+		log: n.Log, restored: n.tableRestored,
 		restores: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "chervilloom_store_restores_total",
 			Help: "Times that the platform's table was seen to have come back from an older copy.",
--- a/internal/entry/eras_test.go
+++ b/internal/entry/eras_test.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"context"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -92,9 +95,49 @@
 	n := testNode(&fakeStore{}, clock.NewManual(clock.Instant(time.Hour)))
 	restores := 0
 	n.eras.restored = func() { restores++ }
-	for _, era := range []uint64{4, 4, 5, 4, 5, 7} {
+	for _, era := range []uint64{0, 4, 4, 5, 4, 0, 5, 7} {
 		n.eras.note(era)
 	}
 	is.Equal(restores, 2)
 	is.Equal(n.eras.newest(), uint64(7))
 }
+
+// quietSource has a document that its watch has not told of yet.
+type quietSource struct {
+	doc   *catalog.Document
+	reads int
+}
+
+func (s *quietSource) Configuration(context.Context) (catalog.Change, error) {
+	s.reads++
+	return catalog.Change{Document: s.doc, Cursor: catalog.Cursor{Version: uint64(s.reads)}}, nil
+}
+
+func (s *quietSource) AwaitConfiguration(_ context.Context, at catalog.Cursor, _ time.Duration) (catalog.Change, error) {
+	time.Sleep(configWait)
+	return catalog.Change{Cursor: at}, nil
+}
+
+// Another node asks with a newer document than this one, the watch of which ends without a
+// word of it. It is read at once: half a second later it would be in force too late at the
+// nodes that follow.
+func TestHeardDocumentIsReadAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		defer func() { cancel(); running.Wait() }()
+		source := &quietSource{doc: &catalog.Document{Version: 1}}
+		now := bubbleClock{time.Now()}
+		w := testNode(&fakeStore{}, now).config
+		w.source, w.clock, w.idle, w.askOthers = source, now, func() bool { return false }, nil
+		running.Go(func() { _ = w.run(ctx) })
+		time.Sleep(configWait / 2)
+		is.Equal(w.version(), uint64(1))
+		source.doc = &catalog.Document{Version: 2}
+		w.hear(2)
+		time.Sleep(configWait/2 + time.Millisecond)
+		is.Equal(w.version(), uint64(2))
+		is.Equal(source.reads, 2)
+	})
+}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -121,10 +121,8 @@
 	if ages.Config > f.oldest() || ages.Roster > followAge {
 		return false
 	}
-	// One that doesn't know yet that the table came back from an older copy, or that
-	// started with an older configuration, tells of before.
-	if s.Era < f.node.eras.newest() || s.Config < f.node.config.version() {
-		return false
+	if s.Era < f.node.eras.newest() {
+		return false // it doesn't know yet that the table came back from an older copy
 	}
 	f.node.eras.note(s.Era)
 	f.next = f.pauseAfter(ages.Config)
@@ -135,7 +133,9 @@
 	if !f.node.holdsAny() { // else it plans by the whole list, and reads it itself
 		f.node.roster.takeFrom(roster.Listing{Endpoints: known.Endpoints.List, Era: s.Era, Partial: true}, asked.Add(-ages.Roster))
 	}
-	f.node.config.confirm(s.Document, asked.Add(-ages.Config))
+	if s.Config >= f.node.config.version() { // else it is yet to learn of the one in force here
+		f.node.config.confirm(s.Document, asked.Add(-ages.Config))
+	}
 	f.node.leaseRows.take(known.Rows.List, s.Era)
 	f.last.Store(int64(asked))
 	return true
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -112,6 +112,9 @@
 			w.log.Warn("the store shows an older configuration than is in force; it confirms nothing", "shown", change.Document.Version, "version", w.version(), "heard", w.heard.Load(), "watched", before)
 		}
 		behind = change.Document != nil
+		if before && !behind {
+			continue // another node was told of a newer one before this watch was: read it at once
+		}
 		clock.Sleep(ctx, configPause) // none was ever written, or the newest is yet to come back
 	}
 	return nil
