Claims completed after a restore are tried again until they are committed

Read as a newcomer: an owner that found an older copy of the claims took them for complete before they were written; had the table refused that, the next look would have planned by the copy and closed the groups that it lacks. Test red before (TestNothingIsPlannedByAnOlderCopy).

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -167,7 +167,8 @@
 		plans = c.plan()
 	}
 	c.mu.Unlock()
-	if recovered != nil && !c.commit(ctx, grant, *recovered) {
+	if recovered != nil {
+		c.partial = !c.commit(ctx, grant, *recovered) // tried again
 		return
 	}
 	for _, out := range plans {
--- a/internal/formation/recover.go
+++ b/internal/formation/recover.go
@@ -17,7 +17,7 @@
 // knows is all there is; taken from the copy, groups formed since would be closed as
 // groups that no claim knows, and those ended since would claim members of others.
 func (c *Controller) putBack(ctx context.Context, grant lease.Grant) bool {
-	known, before := c.ledger, c.row // nobody else writes them
+	known, before := c.ledger, c.row
 	if !c.readLedger(ctx) || c.row.Era != grant.Era || !c.commit(ctx, grant, known) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -28,17 +28,16 @@
 	return true
 }
 
-// completeClaims completes claims that are an older copy, whose owner has ended as well, by what
-// the engines report. Until then nothing is planned: groups serve on meanwhile. It returns
-// claims to commit, if any, and whether planning may go on.
-func (c *Controller) completeClaims() (*Ledger, bool) {
+// completeClaims completes claims that are an older copy, whose owner has ended as well, by
+// what the engines report. Until that is committed nothing is planned: groups serve on
+// meanwhile. It returns claims to commit, if any, and whether planning may go on.
+func (c *Controller) completeClaims() (complete *Ledger, ready bool) {
 	if !c.partial || !c.loaded {
 		return nil, true
 	}
 	if c.Clock.Now().Sub(c.since) < recoverLimit && !allReported(c.facts, c.since) {
 		return nil, false
 	}
-	c.partial = false
 	l := c.ledger
 	for _, g := range standing(c.facts, l, c.kindOf) {
 		l.Groups = append(slices.Clip(l.Groups), g)
--- a/internal/formation/restore_test.go
+++ b/internal/formation/restore_test.go
@@ -187,22 +187,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tab, now := &copyTable{}, clock.NewManual(clock.Instant(time.Hour))
-		var list roster.Listing
-		for i := range 9 {
-			id := roster.ID(fmt.Sprint("e", i))
-			list.Endpoints = append(list.Endpoints, roster.Endpoint{ID: id, Service: "s", Zone: "z", Domain: "d"})
-		}
-		r := roster.Merge(roster.Empty(), list, now.Now(), 0)
-		cat, err := catalog.New(catalog.Document{Version: 1, Services: []catalog.Service{{Name: "s", Engine: testEngine()}}})
-		is.NoErr(err)
-		c := (&Controller{
-			Zone: "z", Table: tab, Lease: always{&lease.Grant{Duty: "z", Fence: 1}}, Clock: now, Log: slog.New(slog.DiscardHandler),
-			Catalog: func() *catalog.Catalog { return cat }, Roster: func() *roster.Roster { return r },
-			FreeLoads: func() bool { return true }, ManyNodes: func() bool { return true }, Announce: func(roster.Hint) {},
-			Signs:  func(roster.ID) (clock.Instant, bool) { return 0, false },
-			Demand: func(string) demand.Demand { return demand.Demand{} },
-			Params: func(*catalog.Engine) Params { return DefaultParams(5*time.Second, 7, 2) }, Engines: idle{},
-		}).Init()
+		c := idleController(tab, now)
 		is.True(c.beginTenure(t.Context(), lease.Grant{Duty: "z", Fence: 1}))
 		tab.deaf = true
 		before := tab.asked
@@ -218,6 +203,54 @@
 	})
 }
 
+// idleController plans for a domain of nine engines that are free.
+func idleController(tab Table, now *clock.Manual) *Controller {
+	var list roster.Listing
+	for i := range 9 {
+		id := roster.ID(fmt.Sprint("e", i))
+		list.Endpoints = append(list.Endpoints, roster.Endpoint{ID: id, Service: "s", Zone: "z", Domain: "d"})
+	}
+	r := roster.Merge(roster.Empty(), list, now.Now(), 0)
+	cat, err := catalog.New(catalog.Document{Version: 1, Services: []catalog.Service{{Name: "s", Engine: testEngine()}}})
+	if err != nil {
+		panic(err) // the test's own document
+	}
+	return (&Controller{
+		Zone: "z", Table: tab, Lease: always{&lease.Grant{Duty: "z", Fence: 1}}, Clock: now, Log: slog.New(slog.DiscardHandler),
+		Catalog: func() *catalog.Catalog { return cat }, Roster: func() *roster.Roster { return r },
+		FreeLoads: func() bool { return true }, ManyNodes: func() bool { return true }, Announce: func(roster.Hint) {},
+		Signs:  func(roster.ID) (clock.Instant, bool) { return 0, false },
+		Demand: func(string) demand.Demand { return demand.Demand{} },
+		Params: func(*catalog.Engine) Params { return DefaultParams(5*time.Second, 7, 2) }, Engines: idle{},
+	}).Init()
+}
+
+// The claims are an older copy, and the table refuses the completed ones at first. Planned by
+// the copy meanwhile, groups that it lacks would be closed.
+func TestNothingIsPlannedByAnOlderCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tab, now := &copyTable{}, clock.NewManual(clock.Instant(time.Hour))
+		c := idleController(tab, now)
+		is.True(c.beginTenure(t.Context(), lease.Grant{Duty: "z", Fence: 1}))
+		c.partial, tab.deaf = true, true
+		look := func() {
+			for range 100 {
+				c.tick(t.Context())
+				synctest.Wait()
+				now.Advance(15 * time.Millisecond)
+			}
+		}
+		look()
+		is.True(c.partial)
+		is.Equal(len(c.memory), 0) // no plan was made
+		tab.deaf = false
+		look()
+		is.True(!c.partial)
+		is.True(len(c.ledger.Groups) > 0)
+	})
+}
+
 // idle engines are free and answer at once.
 type idle struct{}
 
