--- a/internal/entry/hints.go
+++ b/internal/entry/hints.go
@@ -86,6 +86,9 @@
 	if len(m.Leaving)+len(m.Gone) > 0 {
 		n.roster.leaving(m.Leaving, m.Gone)
 	}
+	if m.Ask {
+		n.lookSoon()
+	}
 	if m.InFlight != nil {
 		n.loads.note(m.InFlight, n.Clock.Now())
 	}
@@ -110,9 +113,11 @@
 const mostLeaving = 32
 
 // tellLeaving tells all nodes which endpoints leave and which are listed no more: new work
-// must stop within the platform's bound. Nodes that asked for the list upon that word, all
-// at once, learnt it 3.3 s late in a fleet of 300.
+// must stop within the platform's bound. Nodes that only asked for the list upon that word,
+// all at once, learnt it 3.3 s late in a fleet of 300. They still ask, once for each list
+// that shows a loss: until their next usual question they would send by heads of before.
 func (n *Node) tellLeaving(leaving, gone []roster.ID) {
+	n.spread(news.Message{Ask: true})
 	for part := range slices.Chunk(leaving, mostLeaving) {
 		n.spread(news.Message{Leaving: part})
 	}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -203,8 +203,8 @@
 	current atomic.Pointer[roster.Roster]
 	wake    chan struct{}
 	idle    func() bool // another node keeps the list up to date
-	// leaves is told which endpoints that take requests the list shows to leave, and
-	// which it has no more; nil: nobody.
+	// leaves is told that the list shows endpoints to leave or to be gone, and which of
+	// these take requests; nil: nobody.
 	leaves func(leaving, gone []roster.ID)
 	// rejects counts entries that name no endpoint to use; nil: nobody counts.
 	rejects prometheus.Counter
@@ -295,17 +295,22 @@
 
 func (w *rosterWatcher) tellLeaving(old, next *roster.Roster) {
 	var leaving, gone []roster.ID
+	left := false
 	old.All(func(e *roster.Endpoint) {
 		now := next.Get(e.ID)
+		if !e.Usable() || now != nil && now.Usable() {
+			return
+		}
+		left = true
 		switch {
-		case !e.Usable() || !e.TakesRequests():
+		case !e.TakesRequests():
 		case now == nil:
 			gone = append(gone, e.ID)
-		case !now.Usable():
+		default:
 			leaving = append(leaving, e.ID)
 		}
 	})
-	if len(leaving)+len(gone) > 0 {
+	if left {
 		w.leaves(leaving, gone)
 	}
 }
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -26,6 +26,7 @@
 	Failed  roster.ID    `json:"failed,omitempty"`  // an endpoint gave no usable answer
 	Leaving []roster.ID  `json:"leaving,omitempty"` // endpoints leave
 	Gone    []roster.ID  `json:"gone,omitempty"`    // endpoints are listed no more
+	Ask     bool         `json:"ask,omitempty"`     // ask for newer endpoints
 	Placed  *Placed      `json:"placed,omitempty"`  // a request was sent to an engine
 	// InFlight is what a node has in flight at a zone's heads, for the holder of the
 	// zone's duty.
