--- a/internal/balance/wave_test.go
+++ b/internal/balance/wave_test.go
@@ -59,8 +59,7 @@
 	work := make([][]int, w.heads)      // tokens that it has yet to read, prompt by prompt
 	var all []*waveRequest
 	read := 0
-	var send func(r *waveRequest)
-	send = func(r *waveRequest) {
+	send := func(r *waveRequest) {
 		cands := make([]Candidate, w.heads)
 		for h := range cands {
 			st := trackers[r.node].Of(headID(h), 4*time.Second)
--- a/internal/formation/restore_test.go
+++ b/internal/formation/restore_test.go
@@ -176,7 +176,7 @@
 			w.fail("no group serves at the end")
 		}
 		if w.broken != "" {
-			t.Fatal(fmt.Sprintf("seed %d: %s", seed, w.broken))
+			t.Fatalf("seed %d: %s", seed, w.broken)
 		}
 	}
 }
