--- a/internal/entry/backoff_test.go
+++ b/internal/entry/backoff_test.go
@@ -70,7 +70,7 @@
 }
 
 // The store fails for eight seconds. Each of 75 nodes asked it for configuration, endpoints
-// and, for each zone, leases: 4,600 calls that nobody could answer. A few nodes of each zone
+// and, for each zone, leases: thousands of calls that nobody could answer. A few nodes of each zone
 // look for its return, within half a second; what the others ask grows less than with the
 // nodes.
 func TestFailingStoreIsAskedByFew(t *testing.T) {
--- a/internal/entry/hints.go
+++ b/internal/entry/hints.go
@@ -113,9 +113,9 @@
 const mostLeaving = 32
 
 // tellLeaving tells all nodes which endpoints leave and which are listed no more: new work
-// must stop within the platform's bound. Nodes that only asked for the list upon that word,
-// all at once, learnt it 3.3 s late in a fleet of 300. They still ask, once for each list
-// that shows a loss: until their next usual question they would send by heads of before.
+// must stop within the platform's bound, which answers to hundreds of nodes that all ask at
+// once don't keep. They ask as well, once for each list that shows a loss: until their next
+// usual question they would send by heads of before.
 func (n *Node) tellLeaving(leaving, gone []roster.ID) {
 	n.spread(news.Message{Ask: true})
 	for part := range slices.Chunk(leaving, mostLeaving) {
--- a/internal/feed/wire.go
+++ b/internal/feed/wire.go
@@ -81,8 +81,8 @@
 
 // answer returns the answer's bytes. Askers of a zone mostly know the same, and after a
 // start all of them ask for everything within a second: one answer is made at a time, and
-// kept for the others. Made for each of 100 askers at once, the states alone took hundreds
-// of megabytes.
+// kept for the others. Made for each asker at once, the states would fill a small node's
+// memory.
 func (s *Server) answer(have Have, now clock.Instant) ([]byte, Ages, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -101,7 +101,7 @@
 	orderLimit = 500 * time.Millisecond
 	writeLimit = time.Second
 	// commitAgain is the pause after claims that the table did not take: planned anew with
-	// each look, they cost two calls each 15 ms while the table fails.
+	// each look, they would cost two calls a look while the table fails.
 	commitAgain = 150 * time.Millisecond
 	// epochsPerFence is how many epochs one tenure may give out; the fence of
 	// the lease stands above them, so that no later tenure gives out a lower one.
