--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -34,7 +34,7 @@
 func newOutbreak(t *testing.T, zones, perZone int, lost float64) *outbreak {
 	o := &outbreak{paper: newPaper(t, zones, perZone, lost), clients: rand.New(rand.NewPCG(3, 4))}
 	for _, n := range o.nodes {
-		n.quarantine.Refuses = func(string) bool { return true }
+		n.quarantine.Probe = func(string) quarantine.Liveness { return quarantine.Refused }
 	}
 	return o
 }
--- a/internal/quarantine/checks.go
+++ b/internal/quarantine/checks.go
@@ -56,6 +56,7 @@
 	b := g.broken[endpoint]
 	if b == nil {
 		if len(g.broken) >= mostBroken {
+			g.metrics.checks.WithLabelValues("skipped").Inc()
 			return
 		}
 		b = &broken{at: now, checked: make(chan struct{})}
@@ -69,15 +70,18 @@
 // check looks whether anything still listens at an endpoint.
 func (g *Guard) check(b *broken, endpoint, addr string) {
 	defer close(b.checked)
-	if !g.Refuses(addr) {
-		return
-	}
+	found := g.Probe(addr)
+	g.metrics.checks.WithLabelValues(found.String()).Inc()
 	g.mu.Lock()
-	b.ended = true
+	b.ended = found == Refused
 	requests := len(b.runs)
 	g.mu.Unlock()
+	g.Log.Info("endpoint checked", "endpoint", endpoint, "addr", addr, "result", found.String(), "requests", requests,
+		"ms", g.Clock.Now().Sub(b.at).Milliseconds())
+	if found != Refused {
+		return
+	}
 	g.metrics.ends.Inc()
-	g.Log.Info("endpoint ended with requests", "endpoint", endpoint, "requests", requests)
 	if g.Ended != nil {
 		g.Ended(endpoint)
 	}
@@ -102,6 +106,7 @@
 	select {
 	case <-b.checked:
 	case <-limit.C:
+		g.Log.Info("request goes on before its endpoint is checked", "fingerprint", fp, "waited_ms", wait.Milliseconds())
 	case <-ctx.Done():
 	}
 	g.mu.Lock()
@@ -130,13 +135,31 @@
 	return ends
 }
 
-// refuses reports whether connections to addr are refused.
-func refuses(addr string) bool {
+// Liveness is what a connection to an endpoint shows of it.
+type Liveness int
+
+// What a check finds.
+const (
+	Silent    Liveness = iota // no answer in time
+	Connected                 // something listens
+	Refused                   // nothing listens
+)
+
+func (l Liveness) String() string {
+	return [...]string{"silent", "connected", "refused"}[l]
+}
+
+// probe connects to addr.
+func probe(addr string) Liveness {
 	ctx, cancel := context.WithTimeout(context.Background(), checkLimit)
 	defer cancel()
 	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
-	if err == nil {
+	switch {
+	case err == nil:
 		c.Close()
+		return Connected
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refused
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return Silent
 }
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -30,8 +30,8 @@
 	// with the verdict as all nodes shall know it from now on. No other node may make one
 	// then. It is asked before the request is sent; nil: no.
 	Try func(context.Context, Verdict) bool
-	// Refuses reports whether nothing listens at an address; nil: by connecting.
-	Refuses func(addr string) bool
+	// Probe tells whether an endpoint listens at an address; nil: by connecting.
+	Probe func(addr string) Liveness
 	// Ended is told of an endpoint that ended with requests; nil: nobody.
 	Ended func(endpoint string)
 
@@ -65,8 +65,8 @@
 	g.broken, g.bans, g.checks = map[string]*broken{}, map[Fingerprint]*ban{}, map[Fingerprint]*broken{}
 	g.asked = map[Fingerprint]clock.Instant{}
 	g.metrics = newMetrics(reg, g.count)
-	if g.Refuses == nil {
-		g.Refuses = refuses
+	if g.Probe == nil {
+		g.Probe = probe
 	}
 	return g
 }
@@ -192,7 +192,9 @@
 // note takes up evidence.
 func (g *Guard) note(m Message, now clock.Instant) {
 	for _, e := range m.Ends {
-		g.tally.Note(m.Node, e, now)
+		if g.tally.Note(m.Node, e, now) {
+			g.Log.Info("endpoint's end noted", "endpoint", e.Endpoint, "from", m.Node, "requests", len(e.Runs))
+		}
 		g.dirty = true
 	}
 }
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -44,12 +44,20 @@
 			gs.kept[v.Fingerprint] = v
 			return true
 		}
-		g.Refuses = func(addr string) bool { return addr == "gone" }
+		g.Probe = goneIsRefused
 		gs.all = append(gs.all, g.Init(nil))
 	}
 	return gs
 }
 
+// goneIsRefused has the endpoint at "gone" ended and every other one alive.
+func goneIsRefused(addr string) Liveness {
+	if addr == "gone" {
+		return Refused
+	}
+	return Connected
+}
+
 // pass lets time go on; the nodes read what is kept each second.
 func (gs *guards) pass(d time.Duration) {
 	for step := min(d, time.Second); d > 0; d -= step {
@@ -295,9 +303,9 @@
 	is := is.New(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	is.True(!refuses(ln.Addr().String()))
+	is.Equal(probe(ln.Addr().String()), Connected)
 	ln.Close()
-	is.True(refuses(ln.Addr().String()))
+	is.Equal(probe(ln.Addr().String()), Refused)
 }
 
 // Endpoints end within a millisecond of beginning to run a request, and its repeat is at
@@ -308,9 +316,9 @@
 	bubble(t, func(is *is.I) {
 		const roundTrip = 3 * time.Millisecond
 		g := Alone(clock.NewManual(clock.Instant(time.Hour)), slog.New(slog.DiscardHandler))
-		g.Refuses = func(addr string) bool {
+		g.Probe = func(addr string) Liveness {
 			time.Sleep(roundTrip) // in the bubble's time
-			return addr == "gone"
+			return goneIsRefused(addr)
 		}
 		ended := 0
 		for attempt := range uint32(3) {
@@ -325,7 +333,7 @@
 		}
 		is.Equal(ended, harmFew)
 
-		g.Refuses = func(string) bool { time.Sleep(checkLimit); return false }
+		g.Probe = func(string) Liveness { time.Sleep(checkLimit); return Silent }
 		g.Broke("silent", "silent", "good", 1)
 		begun := time.Now()
 		_, refused := g.Refused(context.Background(), "good")
@@ -337,7 +345,7 @@
 			g.Hear(Message{Node: "n", Ends: []End{{Endpoint: fmt.Sprint("x", i), Runs: []Run{{Fingerprint: "suspect", Attempt: 1}}}}})
 		}
 		const slow = 5 * checkWait
-		g.Refuses = func(string) bool { time.Sleep(slow); return true }
+		g.Probe = func(string) Liveness { time.Sleep(slow); return Refused }
 		g.Broke("e", "gone", "suspect", 1)
 		begun = time.Now()
 		g.Refused(context.Background(), "suspect")
--- a/internal/quarantine/tally.go
+++ b/internal/quarantine/tally.go
@@ -54,13 +54,14 @@
 	sound    soundCounts
 }
 
-// Note takes up what a node tells of an end.
-func (t *Tally) Note(node string, e End, now clock.Instant) {
+// Note takes up what a node tells of an end, and reports whether it is the first to tell.
+func (t *Tally) Note(node string, e End, now clock.Instant) (first bool) {
 	if t.ends == nil {
 		t.ends, t.byPrint = map[string]*end{}, map[Fingerprint]*suspect{}
 	}
 	at := t.ends[e.Endpoint]
-	if at == nil {
+	first = at == nil
+	if first {
 		t.forget(now)
 		at = &end{endpoint: e.Endpoint, at: now, runs: map[Fingerprint][]uint32{}}
 		if e.at != 0 {
@@ -72,6 +73,7 @@
 	for _, r := range e.Runs {
 		t.noteRun(node, at, r)
 	}
+	return first
 }
 
 func (t *Tally) noteRun(node string, at *end, r Run) {
--- a/test/cut/process_test.go
+++ b/test/cut/process_test.go
@@ -6,11 +6,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"chervilloom/internal/testkit"
 )
 
 // patience bounds each wait for a condition. No test's verdict depends on how
@@ -47,6 +50,7 @@
 		p.kill()
 		if t.Failed() {
 			t.Logf("last lines of %s:\n%s", name, p.tail())
+			testkit.KeepLog(t, name, p.output())
 		}
 	})
 	return p
@@ -105,6 +109,12 @@
 	return "", p.more
 }
 
+func (p *process) output() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.lines)
+}
+
 func (p *process) tail() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
