--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"slices"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,7 +36,7 @@
 func newOutbreak(t *testing.T, zones, perZone int, lost float64) *outbreak {
 	o := &outbreak{paper: newPaper(t, zones, perZone, lost), clients: rand.New(rand.NewPCG(3, 4))}
 	for _, n := range o.nodes {
-		n.quarantine.Probe = func(string) quarantine.Liveness { return quarantine.Refused }
+		n.quarantine.Dial = func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
 	}
 	return o
 }
--- a/internal/quarantine/checks.go
+++ b/internal/quarantine/checks.go
@@ -5,6 +5,7 @@
 	"errors"
 	"hash/fnv"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -14,25 +15,31 @@
 // broken is an endpoint at which attempts broke off.
 type broken struct {
 	at      clock.Instant
+	over    clock.Instant // when the check was over; 0: it isn't
 	ended   bool          // nothing listens there any more
 	checked chan struct{} // closed when the check is over
 	runs    []Run         // to be told
 }
 
 const (
-	// checkLimit is how long the check of an endpoint may take. A process that ended has
-	// its connections refused within a round trip, 3 ms; silence is no end that was seen.
-	checkLimit = 300 * time.Millisecond
+	// dialLimit is how long one connection of a check may take.
+	dialLimit = 300 * time.Millisecond
+	// standsFor is how long a connection must stand to show that its endpoint does. A
+	// process that ends closes its connections before its listener, which takes
+	// connections until then and resets them.
+	standsFor = time.Second
+	// checkLimit bounds a check. An endpoint that answers nothing until then shows no end.
+	checkLimit = 3 * time.Second
+	// redialPause is the pause before a check's second connection; it doubles with each.
+	redialPause = 10 * time.Millisecond
 	// checkWait is how long a repeat waits for the check of the endpoint that its request
-	// broke off at. An endpoint that ends within a millisecond would have three more
-	// after it before anything is known: 8 ended under two client attempts of up to four
-	// tries each, now 5.
+	// broke off at. An endpoint that ends within a millisecond would otherwise have all
+	// the client attempt's others after it before anything is known.
 	checkWait = 20 * time.Millisecond
-	// suspectEnds is how many ends a request must have seen for its repeats to wait for the
-	// check as long as that takes: a node short of processor time needs more than checkWait
-	// for it, and beside a load of 20 on 8 cores a seventh endpoint ended meanwhile.
+	// suspectWait is checkWait for a request that has seen suspectEnds ends.
+	suspectWait = 300 * time.Millisecond
 	suspectEnds = 2
-	// brokenFor is how long an endpoint is taken for what the check has shown.
+	// brokenFor is how long an endpoint is taken for what its check has shown.
 	brokenFor = 2 * time.Second
 	// mostBroken bounds the endpoints that are checked at a time; more at once are a loss
 	// of many, which tells nothing of a request.
@@ -54,8 +61,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b := g.broken[endpoint]
-	if b == nil {
-		if len(g.broken) >= mostBroken {
+	if b == nil || b.over != 0 && !b.ended {
+		if b == nil && len(g.broken) >= mostBroken {
 			g.metrics.checks.WithLabelValues("skipped").Inc()
 			return
 		}
@@ -69,15 +76,16 @@
 
 // check looks whether anything still listens at an endpoint.
 func (g *Guard) check(b *broken, endpoint, addr string) {
-	defer close(b.checked)
-	found := g.Probe(addr)
+	found := g.liveness(addr)
 	g.metrics.checks.WithLabelValues(found.String()).Inc()
 	g.mu.Lock()
 	b.ended = found == Refused
+	b.over = g.Clock.Now()
 	requests := len(b.runs)
 	g.mu.Unlock()
+	close(b.checked)
 	g.Log.Info("endpoint checked", "endpoint", endpoint, "addr", addr, "result", found.String(), "requests", requests,
-		"ms", g.Clock.Now().Sub(b.at).Milliseconds())
+		"ms", b.over.Sub(b.at).Milliseconds())
 	if found != Refused {
 		return
 	}
@@ -88,13 +96,47 @@
 	g.Tick() // the same request may be on its way to another node already
 }
 
+// liveness connects until a connection is refused or stands.
+func (g *Guard) liveness(addr string) Liveness {
+	ctx, cancel := context.WithTimeout(context.Background(), checkLimit)
+	defer cancel()
+	for pause := redialPause; ; pause *= 2 {
+		conn, err := g.dial(ctx, addr)
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return Refused
+		case err == nil && stands(conn):
+			return Connected
+		}
+		if !clock.Sleep(ctx, pause) {
+			return Silent
+		}
+	}
+}
+
+func (g *Guard) dial(ctx context.Context, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialLimit)
+	defer cancel()
+	return g.Dial(ctx, addr)
+}
+
+// stands reports whether the endpoint keeps the connection open, and closes it.
+func stands(conn net.Conn) bool {
+	defer conn.Close()
+	if err := conn.SetReadDeadline(time.Now().Add(standsFor)); err != nil {
+		return false
+	}
+	_, err := conn.Read(make([]byte, 1))
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // awaitCheck waits for the check of the endpoint where the request broke off here, and
 // reports whether that endpoint had ended.
 func (g *Guard) awaitCheck(ctx context.Context, fp Fingerprint) (ended bool) {
 	g.mu.Lock()
 	b, wait := g.checks[fp], checkWait
 	if g.tally.Saw(fp) >= suspectEnds {
-		wait = checkLimit
+		wait = suspectWait
 	}
 	delete(g.checks, fp)
 	g.mu.Unlock()
@@ -123,24 +165,24 @@
 			ends = append(ends, End{endpoint, b.runs, b.at})
 			b.runs = nil
 		}
-		if now.Sub(b.at) > brokenFor {
+		if b.over != 0 && now.Sub(b.over) > brokenFor {
 			delete(g.broken, endpoint)
 		}
 	}
 	for fp, b := range g.checks {
-		if now.Sub(b.at) > brokenFor {
+		if b.over != 0 && now.Sub(b.over) > brokenFor {
 			delete(g.checks, fp) // nobody repeated it
 		}
 	}
 	return ends
 }
 
-// Liveness is what a connection to an endpoint shows of it.
+// Liveness is what connections to an endpoint show of it.
 type Liveness int
 
 // What a check finds.
 const (
-	Silent    Liveness = iota // no answer in time
+	Silent    Liveness = iota // no answer in time, or connections that don't stand
 	Connected                 // something listens
 	Refused                   // nothing listens
 )
@@ -148,18 +190,3 @@
 func (l Liveness) String() string {
 	return [...]string{"silent", "connected", "refused"}[l]
 }
-
-// probe connects to addr.
-func probe(addr string) Liveness {
-	ctx, cancel := context.WithTimeout(context.Background(), checkLimit)
-	defer cancel()
-	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
-	switch {
-	case err == nil:
-		c.Close()
-		return Connected
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return Refused
-	}
-	return Silent
-}
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"sync"
 	"time"
 
@@ -30,8 +31,8 @@
 	// with the verdict as all nodes shall know it from now on. No other node may make one
 	// then. It is asked before the request is sent; nil: no.
 	Try func(context.Context, Verdict) bool
-	// Probe tells whether an endpoint listens at an address; nil: by connecting.
-	Probe func(addr string) Liveness
+	// Dial connects to an endpoint to see whether it listens; nil: over TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Ended is told of an endpoint that ended with requests; nil: nobody.
 	Ended func(endpoint string)
 
@@ -65,8 +66,10 @@
 	g.broken, g.bans, g.checks = map[string]*broken{}, map[Fingerprint]*ban{}, map[Fingerprint]*broken{}
 	g.asked = map[Fingerprint]clock.Instant{}
 	g.metrics = newMetrics(reg, g.count)
-	if g.Probe == nil {
-		g.Probe = probe
+	if g.Dial == nil {
+		g.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		}
 	}
 	return g
 }
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,18 +45,29 @@
 			gs.kept[v.Fingerprint] = v
 			return true
 		}
-		g.Probe = goneIsRefused
+		g.Dial = dialFake
 		gs.all = append(gs.all, g.Init(nil))
 	}
 	return gs
 }
 
-// goneIsRefused has the endpoint at "gone" ended and every other one alive.
-func goneIsRefused(addr string) Liveness {
+// dialFake has the endpoint at "gone" ended and every other one alive.
+func dialFake(_ context.Context, addr string) (net.Conn, error) {
 	if addr == "gone" {
-		return Refused
+		return nil, syscall.ECONNREFUSED
+	}
+	conn, _ := net.Pipe()
+	return conn, nil
+}
+
+// slowly is dialFake with answers that take a while.
+func slowly(d time.Duration) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		if !clock.Sleep(ctx, d) {
+			return nil, ctx.Err()
+		}
+		return dialFake(ctx, addr)
 	}
-	return Connected
 }
 
 // pass lets time go on; the nodes read what is kept each second.
@@ -99,7 +111,10 @@
 
 func bubble(t *testing.T, test func(is *is.I)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) { test(is.New(t)) })
+	synctest.Test(t, func(t *testing.T) {
+		test(is.New(t))
+		time.Sleep(2 * checkLimit) // until the checks are over
+	})
 }
 
 // The quarantine of a request is over. Clients send it at each of three nodes at once: one
@@ -303,9 +318,56 @@
 	is := is.New(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	is.Equal(probe(ln.Addr().String()), Connected)
+	g := Alone(clock.Boot{}, slog.New(slog.DiscardHandler))
+	is.Equal(g.liveness(ln.Addr().String()), Connected)
 	ln.Close()
-	is.Equal(probe(ln.Addr().String()), Refused)
+	is.Equal(g.liveness(ln.Addr().String()), Refused)
+}
+
+// Guards against an end that is missed because the ending process, short of processor time,
+// closes its connections long before its listener.
+func TestEndIsSeenWhereTheListenerClosesLast(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	g := Alone(clock.Boot{}, slog.New(slog.DiscardHandler))
+	dial := g.Dial
+	g.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, addr)
+		ln.Close() // after the connection was taken
+		return conn, err
+	}
+	is.Equal(g.liveness(ln.Addr().String()), Refused)
+}
+
+// Guards against evidence that is dropped because the node stood still between the end and
+// its check.
+func TestEndIsToldAfterALongCheck(t *testing.T) {
+	bubble(t, func(is *is.I) {
+		gs := newGuards(2)
+		gs.all[0].Dial = slowly(dialLimit / 2)
+		gs.all[0].Broke("e", "gone", "bad", 1)
+		gs.clock.Advance(2 * brokenFor) // the node was paused
+		gs.all[0].Tick()
+		time.Sleep(dialLimit)
+		is.Equal(gs.all[1].tally.Saw("bad"), 1)
+	})
+}
+
+// Guards against an end that is missed because the first connection got no answer.
+func TestEndIsSeenAfterSilence(t *testing.T) {
+	bubble(t, func(is *is.I) {
+		g := Alone(clock.NewManual(clock.Instant(time.Hour)), slog.New(slog.DiscardHandler))
+		dials := 0
+		g.Dial = func(ctx context.Context, _ string) (net.Conn, error) {
+			if dials++; dials < 3 {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return nil, syscall.ECONNREFUSED
+		}
+		is.Equal(g.liveness("busy"), Refused)
+	})
 }
 
 // Endpoints end within a millisecond of beginning to run a request, and its repeat is at
@@ -316,10 +378,7 @@
 	bubble(t, func(is *is.I) {
 		const roundTrip = 3 * time.Millisecond
 		g := Alone(clock.NewManual(clock.Instant(time.Hour)), slog.New(slog.DiscardHandler))
-		g.Probe = func(addr string) Liveness {
-			time.Sleep(roundTrip) // in the bubble's time
-			return goneIsRefused(addr)
-		}
+		g.Dial = slowly(roundTrip)
 		ended := 0
 		for attempt := range uint32(3) {
 			for range 4 {
@@ -333,19 +392,19 @@
 		}
 		is.Equal(ended, harmFew)
 
-		g.Probe = func(string) Liveness { time.Sleep(checkLimit); return Silent }
+		g.Dial = slowly(checkLimit)
 		g.Broke("silent", "silent", "good", 1)
 		begun := time.Now()
 		_, refused := g.Refused(context.Background(), "good")
 		is.True(!refused)
 		is.Equal(time.Since(begun), checkWait)
-		time.Sleep(checkLimit) // until the check is over
+		time.Sleep(2 * checkLimit) // until the check is over
 
 		for i := range suspectEnds {
 			g.Hear(Message{Node: "n", Ends: []End{{Endpoint: fmt.Sprint("x", i), Runs: []Run{{Fingerprint: "suspect", Attempt: 1}}}}})
 		}
 		const slow = 5 * checkWait
-		g.Probe = func(string) Liveness { time.Sleep(slow); return Refused }
+		g.Dial = slowly(slow)
 		g.Broke("e", "gone", "suspect", 1)
 		begun = time.Now()
 		g.Refused(context.Background(), "suspect")
