--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -37,10 +37,11 @@
 // allowed refuses a request that ends the endpoints that run it. It is asked immediately
 // before each send: without it 20 endpoints ended under twelve tries of one lookup.
 func (r *endpointRun) allowed(ctx context.Context) *outcome.Error {
-	if _, refused := r.d.opt.Quarantine.Refused(ctx, r.fp); !refused {
+	v, refused := r.d.opt.Quarantine.Refused(ctx, r.fp)
+	if !refused {
 		return nil
 	}
-	return quarantine.Refusal()
+	return v.Refusal()
 }
 
 // broke notes that the endpoint gave no whole answer, unless the try was ended here.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -184,7 +184,9 @@
 		Table: o.Store, clock: o.Clock, idle: n.leavesLeases, backoff: backoff{eager: n.looksFirst},
 		taken: func(rows []table.Row) { n.quarantine.TakeKept(n.quarantined.Read(rows)) },
 	}
-	n.quarantined = &quarantine.Rows{Commit: n.leaseRows.Commit, Table: table.TableLeases, Prefix: quarantinePrefix, Log: o.Log}
+	n.quarantined = &quarantine.Rows{
+		Get: n.leaseRows.Table.Get, Commit: n.leaseRows.Commit, Table: table.TableLeases, Prefix: quarantinePrefix, Log: o.Log,
+	}
 	n.mesh = &news.Mesh{Log: o.Log, Receive: n.heard}
 	n.send = n.mesh.Send
 	n.holds = n.heldByLease
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -22,7 +22,7 @@
 		Announce: n.announceQuarantine,
 		Keep:     func(v quarantine.Verdict) { go n.keepQuarantined(v) },
 		Drop:     func(fp quarantine.Fingerprint) { go n.quarantined.Drop(context.Background(), fp) },
-		Try:      n.tryQuarantined,
+		Try:      func(ctx context.Context, v quarantine.Verdict) bool { return n.quarantined.Try(ctx, v) },
 		Ended: func(endpoint string) { // requests that come now needn't find it gone themselves
 			n.tracker.Suspect(roster.ID(endpoint))
 			n.lookSoon()
@@ -58,20 +58,14 @@
 	}
 }
 
-// keepQuarantined writes the request's row, unless it stands: the nodes that tally find
-// the same within a few milliseconds.
+// keepQuarantined writes the request's row, unless one stands that says as much: the nodes
+// that tally find the same within a few milliseconds.
 func (n *Node) keepQuarantined(v quarantine.Verdict) {
-	if row := n.leaseRows.row(n.quarantined.Key(v.Fingerprint)); row.Version == 0 {
+	if row := n.leaseRows.row(n.quarantined.Key(v.Fingerprint)); n.quarantined.Less(row, v) {
 		n.quarantined.Write(context.Background(), v, row)
 	}
 }
 
-// tryQuarantined takes the one try of a request for this node.
-func (n *Node) tryQuarantined(ctx context.Context, v quarantine.Verdict) bool {
-	row := n.leaseRows.row(n.quarantined.Key(v.Fingerprint))
-	return row.Version != 0 && n.quarantined.Write(ctx, v, row)
-}
-
 // keepAllQuarantined writes the rows that never stood, for instance because the store was
 // away when the requests were found, and deletes those whose time is over. A row that stood
 // and is gone was lifted, by another node or by hand. One node does it: the first zone's
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -49,6 +49,7 @@
 	gap       time.Duration // longest pause between two events
 	moving    atomic.Bool   // a stalled attempt is given up; the budget has been asked
 	banned    bool          // the request ends endpoints; it isn't sent
+	verdict   quarantine.Verdict
 	// refusedDial says that the newest attempt's endpoint refused the connection, closed
 	// how many have.
 	refusedDial bool
@@ -168,7 +169,7 @@
 // day 43 ended under one. This is the only way to an endpoint, whichever attempt it is,
 // so nothing reaches one that this node knows of.
 func (x *exchange) quarantined(ctx context.Context) bool {
-	_, x.banned = x.f.Quarantine.Refused(ctx, x.fp)
+	x.verdict, x.banned = x.f.Quarantine.Refused(ctx, x.fp)
 	return x.banned
 }
 
@@ -329,7 +330,7 @@
 	stage := "pick"
 	switch {
 	case x.banned:
-		stage, e = "quarantine", quarantine.Refusal()
+		stage, e = "quarantine", x.verdict.Refusal()
 	case x.noChoice == balance.AllFull:
 		e = outcome.New(outcome.Overloaded, outcome.NotRun, "every endpoint is full", "try again").After(retryAfterFull)
 	}
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -26,13 +26,13 @@
 )
 
 func (n *Node) buildQuarantine() {
-	n.quarantined = &quarantine.Rows{Commit: n.platform.Commit, Table: platform.TableQuarantine, Log: n.log}
+	n.quarantined = &quarantine.Rows{Get: n.platform.Get, Commit: n.platform.Commit, Table: platform.TableQuarantine, Log: n.log}
 	n.quarantine = (&quarantine.Guard{
 		Node: string(n.self.VM), Clock: n.clock, Log: n.log,
 		Tell: n.tellTalliers, Announce: n.announceQuarantine,
-		Keep: func(v quarantine.Verdict) { go n.quarantined.Write(context.Background(), v, platform.Row{}) },
+		Keep: func(v quarantine.Verdict) { go n.keepQuarantined(v) },
 		Drop: func(fp quarantine.Fingerprint) { go n.quarantined.Drop(context.Background(), fp) },
-		Try:  n.tryQuarantined,
+		Try:  n.quarantined.Try,
 	}).Init(n.reg)
 	n.mesh.Subscribe(topicQuarantine, n.hearQuarantine)
 }
@@ -72,14 +72,17 @@
 	n.quarantine.Hear(m)
 }
 
-// tryQuarantined takes the one try of a request for this node.
-func (n *Node) tryQuarantined(ctx context.Context, v quarantine.Verdict) bool {
+// keepQuarantined writes the request's row, unless one stands that says as much.
+func (n *Node) keepQuarantined(v quarantine.Verdict) {
+	ctx := context.Background()
 	row, err := n.platform.Get(ctx, platform.TableQuarantine, n.quarantined.Key(v.Fingerprint))
-	if err != nil || row.Version == 0 {
-		n.log.Info("quarantined request is not tried", "fingerprint", v.Fingerprint, "error", err)
-		return false
+	if err != nil {
+		n.log.Info("quarantined request is not kept; the nodes that know it refuse it", "fingerprint", v.Fingerprint, "err", err)
+		return
+	}
+	if n.quarantined.Less(row, v) {
+		n.quarantined.Write(ctx, v, row)
 	}
-	return n.quarantined.Write(ctx, v, row)
 }
 
 // runQuarantine tells and judges until ctx ends, and reads what is kept: at the start, for
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -48,6 +48,7 @@
 	ShuttingDown     Kind = "shutting_down"     // this node takes no new work
 	CallerGone       Kind = "caller_gone"       // the caller left
 	Quarantined      Kind = "quarantined"       // endpoints end when they run the request
+	Suspect          Kind = "suspect"           // endpoints ended under the request, and another run of it is under way
 	Internal         Kind = "internal"          // a fault of the node
 )
 
@@ -111,7 +112,8 @@
 	AnswerCut: http.StatusBadGateway, StillRunning: http.StatusConflict,
 	KeyReused: http.StatusUnprocessableEntity, HolderLost: http.StatusConflict,
 	PlatformDown: http.StatusServiceUnavailable, ShuttingDown: http.StatusServiceUnavailable,
-	CallerGone: 499, Quarantined: http.StatusUnprocessableEntity, Internal: http.StatusInternalServerError,
+	CallerGone: 499, Quarantined: http.StatusUnprocessableEntity,
+	Suspect: http.StatusServiceUnavailable, Internal: http.StatusInternalServerError,
 }
 
 // Status returns the HTTP status of the kind.
--- a/internal/quarantine/bans.go
+++ b/internal/quarantine/bans.go
@@ -7,15 +7,24 @@
 	"chervilloom/internal/clock"
 )
 
-// ban is a request that is refused.
+// ban is a request that is refused, or that runs one at a time.
 type ban struct {
 	Verdict
-	since clock.Instant // when this node heard
-	asked clock.Instant // when this node last asked for its try; 0: never
-	tries bool          // this node makes the try
-	sound soundCounts   // told since
-	kept  bool          // it is among those that are kept for all nodes
-	gone  clock.Instant // when it was first missing among them; 0: it isn't
+	since   clock.Instant // when this node heard
+	asked   clock.Instant // when a node last asked for its try, as far as known; 0: never
+	tries   bool          // this node makes the try
+	sound   soundCounts   // told since
+	kept    bool          // it is among those that are kept for all nodes
+	gone    clock.Instant // when it was first missing among them; 0: it isn't
+	changed chan struct{} // closed when a suspect is found harmful, or is none any more
+}
+
+// due reports whether a run of the request may be asked for.
+func (b *ban) due(now clock.Instant) bool {
+	if b.Suspect {
+		return b.asked == 0 || now.Sub(b.asked) > suspectPause
+	}
+	return now.Sub(b.since) > banFor && (b.asked == 0 || now.Sub(b.asked) > tryPause)
 }
 
 const (
@@ -36,7 +45,7 @@
 	g.mu.Lock()
 	b.Verdict, b.since, b.tries = v, g.Clock.Now(), true
 	g.mu.Unlock()
-	g.Log.Info("quarantined request is tried", "fingerprint", v.Fingerprint, "ends", v.Ends, "tries", v.Tries)
+	g.Log.Info("quarantined request is tried", "suspect", v.Suspect, "fingerprint", v.Fingerprint, "ends", v.Ends, "tries", v.Tries)
 	return true
 }
 
@@ -46,8 +55,11 @@
 	g.history.add(fp, g.Clock.Now())
 	b, runs := g.bans[fp], g.history.runs(fp)
 	tried := b != nil && b.tries
+	suspect := b != nil && b.Suspect
 	g.mu.Unlock()
 	switch {
+	case suspect:
+		g.release(fp, "a run of it ended well")
 	case tried:
 		g.lift(fp, "a run of it ended well")
 	case b != nil:
@@ -79,6 +91,9 @@
 	now := g.Clock.Now()
 	there := map[Fingerprint]bool{}
 	for _, v := range kept {
+		if g.outdated(v, now) {
+			continue
+		}
 		there[v.Fingerprint] = true
 		g.ban(v, "kept")
 	}
@@ -96,8 +111,22 @@
 	}
 	g.mu.Unlock()
 	for _, fp := range gone {
-		g.unban(fp, "it is kept no more")
+		const reason = "it is kept no more"
+		g.free(fp, reason)
+		g.unban(fp, reason)
+	}
+}
+
+// outdated reports whether what is kept of a request is older than what this node knows:
+// it is found harmful since, or is no suspect any more.
+func (g *Guard) outdated(kept Verdict, now clock.Instant) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !kept.Suspect {
+		return false
 	}
+	at, freed := g.freed[kept.Fingerprint]
+	return g.isFound(kept.Fingerprint) || freed && now.Sub(at) < rowGone
 }
 
 // Restored has the requests kept anew that were kept before the platform's table came back
@@ -119,7 +148,15 @@
 }
 
 // Over reports whether the request is to be forgotten.
-func (b Banned) Over() bool { return b.Age > forgetAfter }
+func (b Banned) Over() bool { return b.Age > b.memory() }
+
+// memory is how long the request is remembered for which no try is asked.
+func (v Verdict) memory() time.Duration {
+	if v.Suspect {
+		return suspectFor
+	}
+	return forgetAfter
+}
 
 // Banned returns the requests that are refused.
 func (g *Guard) Banned() []Banned {
@@ -133,30 +170,45 @@
 	return out
 }
 
-// ban refuses a request from now on.
+// ban refuses a request from now on, or has it run one at a time.
 func (g *Guard) ban(v Verdict, source string) {
 	now := g.Clock.Now()
 	g.mu.Lock()
-	if b := g.bans[v.Fingerprint]; b != nil {
-		if v.Tries > b.Tries {
-			b.Verdict, b.since = v, now // another node tries it
+	b := g.bans[v.Fingerprint]
+	if b != nil && b.Suspect == v.Suspect || b != nil && v.Suspect {
+		if b.Suspect == v.Suspect && v.Tries > b.Tries {
+			b.Verdict, b.since, b.asked = v, now, now // another node tries it
 		}
 		g.mu.Unlock()
 		return
 	}
-	if len(g.bans) >= mostBans {
+	if b == nil && len(g.bans) >= mostBans {
 		g.dropOldest()
 	}
-	g.bans[v.Fingerprint] = &ban{Verdict: v, since: now, sound: soundCounts{}}
+	g.remove(v.Fingerprint)
+	g.bans[v.Fingerprint] = &ban{Verdict: v, since: now, sound: soundCounts{}, changed: make(chan struct{})}
 	runs := g.history.runs(v.Fingerprint)
 	g.mu.Unlock()
-	g.metrics.found.Inc()
-	g.Log.Warn("request is quarantined", "fingerprint", v.Fingerprint, "ends", v.Ends, "attempts", v.Attempts, "source", source, "for_ms", banFor.Milliseconds())
+	if v.Suspect {
+		g.metrics.suspects.Inc()
+		g.Log.Info("request runs one at a time", "fingerprint", v.Fingerprint, "ends", v.Ends, "attempts", v.Attempts, "source", source)
+	} else {
+		g.metrics.found.Inc()
+		g.Log.Warn("request is quarantined", "fingerprint", v.Fingerprint, "ends", v.Ends, "attempts", v.Attempts, "source", source, "for_ms", banFor.Milliseconds())
+	}
 	if runs > 0 {
 		g.tellSound(v.Fingerprint, runs)
 	}
 }
 
+// remove forgets a ban and wakes the requests that wait for its end.
+func (g *Guard) remove(fp Fingerprint) {
+	if b := g.bans[fp]; b != nil {
+		close(b.changed)
+		delete(g.bans, fp)
+	}
+}
+
 func (g *Guard) dropOldest() {
 	var oldest Fingerprint
 	for fp, b := range g.bans {
@@ -164,7 +216,7 @@
 			oldest = fp
 		}
 	}
-	delete(g.bans, oldest)
+	g.remove(oldest)
 }
 
 // lift ends the quarantine of a request at all nodes.
@@ -182,7 +234,7 @@
 func (g *Guard) unban(fp Fingerprint, reason string) bool {
 	g.mu.Lock()
 	b := g.bans[fp]
-	delete(g.bans, fp)
+	g.remove(fp)
 	g.tally.Clear(fp)
 	g.mu.Unlock()
 	if b != nil {
@@ -194,9 +246,14 @@
 // expire forgets the requests that are over and that nobody else keeps.
 func (g *Guard) expire(now clock.Instant) {
 	for fp, b := range g.bans {
-		if !b.kept && now.Sub(b.since) > forgetAfter {
-			delete(g.bans, fp)
+		if !b.kept && now.Sub(b.since) > b.memory() {
+			g.remove(fp)
 			g.Log.Info("request is quarantined no more", "fingerprint", fp, "reason", "its time is over")
 		}
 	}
+	for fp, at := range g.freed {
+		if now.Sub(at) > rowGone {
+			delete(g.freed, fp)
+		}
+	}
 }
--- a/internal/quarantine/checks.go
+++ b/internal/quarantine/checks.go
@@ -36,9 +36,8 @@
 	// broke off at. An endpoint that ends within a millisecond would otherwise have all
 	// the client attempt's others after it before anything is known.
 	checkWait = 20 * time.Millisecond
-	// suspectWait is checkWait for a request that has seen suspectEnds ends.
-	suspectWait = 300 * time.Millisecond
-	suspectEnds = 2
+	// longCheckWait is checkWait for a request that has seen suspectEnds ends.
+	longCheckWait = 300 * time.Millisecond
 	// brokenFor is how long an endpoint is taken for what its check has shown.
 	brokenFor = 2 * time.Second
 	// mostBroken bounds the endpoints that are checked at a time; more at once are a loss
@@ -136,7 +135,7 @@
 	g.mu.Lock()
 	b, wait := g.checks[fp], checkWait
 	if g.tally.Saw(fp) >= suspectEnds {
-		wait = suspectWait
+		wait = longCheckWait
 	}
 	delete(g.checks, fp)
 	g.mu.Unlock()
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -4,13 +4,13 @@
 	"context"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"chervilloom/internal/clock"
-	"chervilloom/internal/outcome"
 )
 
 // Guard is a node's part in the quarantine: it notes with which requests endpoints ended
@@ -27,9 +27,10 @@
 	// that they outlast this node's process; nil: they don't.
 	Keep func(Verdict)
 	Drop func(Fingerprint)
-	// Try reports whether this node may make the one run of a request whose time is over,
-	// with the verdict as all nodes shall know it from now on. No other node may make one
-	// then. It is asked before the request is sent; nil: no.
+	// Try reports whether this node may make the one run of a suspect, or of a request
+	// whose time is over, with the verdict as all nodes shall know it from now on. No other
+	// node may make one then. It is asked before the request is sent; nil: no, and no
+	// request is a suspect.
 	Try func(context.Context, Verdict) bool
 	// Dial connects to an endpoint to see whether it listens; nil: over TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
@@ -48,6 +49,7 @@
 	checks  map[Fingerprint]*broken // where the request broke off last
 	bans    map[Fingerprint]*ban
 	asked   map[Fingerprint]clock.Instant // since when the others are asked
+	freed   map[Fingerprint]clock.Instant // when a suspect was released
 	again   []Message                     // to be told once more
 }
 
@@ -64,7 +66,7 @@
 // Init registers the metrics; reg may be nil.
 func (g *Guard) Init(reg prometheus.Registerer) *Guard {
 	g.broken, g.bans, g.checks = map[string]*broken{}, map[Fingerprint]*ban{}, map[Fingerprint]*broken{}
-	g.asked = map[Fingerprint]clock.Instant{}
+	g.asked, g.freed = map[Fingerprint]clock.Instant{}, map[Fingerprint]clock.Instant{}
 	g.metrics = newMetrics(reg, g.count)
 	if g.Dial == nil {
 		g.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
@@ -99,31 +101,34 @@
 	if g.awaitAnswers(ctx, fp) {
 		g.Tick()
 	}
+	until := g.Clock.Now().Add(suspectWait)
+	g.awaitRun(ctx, fp, until)
+	v, refused := g.refused(ctx, fp)
+	if refused && v.Suspect { // another node makes its run
+		g.awaitRun(ctx, fp, until)
+		v, refused = g.refused(ctx, fp)
+	}
+	if refused {
+		g.metrics.refused.Inc()
+	}
+	return v, refused
+}
+
+// refused is Refused as it is known now.
+func (g *Guard) refused(ctx context.Context, fp Fingerprint) (Verdict, bool) {
 	g.mu.Lock()
 	b := g.bans[fp]
 	if b == nil {
 		g.mu.Unlock()
 		return Verdict{}, false
 	}
-	now := g.Clock.Now()
-	v := b.Verdict
-	due := g.Try != nil && now.Sub(b.since) > banFor && (b.asked == 0 || now.Sub(b.asked) > tryPause)
+	now, v := g.Clock.Now(), b.Verdict
+	due := g.Try != nil && b.due(now)
 	if due {
 		b.asked = now
 	}
 	g.mu.Unlock()
-	if due && g.try(ctx, b, v) {
-		return v, false
-	}
-	g.metrics.refused.Inc()
-	return v, true
-}
-
-// Refusal is what the client of a refused request is told. It names no time to come back:
-// the same request would only be refused again.
-func Refusal() *outcome.Error {
-	return outcome.New(outcome.Quarantined, outcome.NotRun, "endpoints end when they run this request",
-		"send another request; this one is tried again in some minutes")
+	return v, !due || !g.try(ctx, b, v)
 }
 
 // Tick tells what has been noted, and judges.
@@ -136,11 +141,12 @@
 		g.note(m, now)
 		tell, g.again = append(tell, m), append(g.again, m) // a lost packet would lose the evidence
 	}
-	var found []Verdict
+	var found, suspects []Verdict
 	var ask []Fingerprint
 	if len(g.tally.order) > 0 && (g.dirty || len(g.asked) > 0 || now.Sub(g.judged) >= judgeEach) {
 		g.judged, g.dirty = now, false
-		found, ask = g.answered(g.tally.Judge(func(f Fingerprint) bool { return g.bans[f] != nil }, now), now)
+		found, ask = g.answered(g.tally.Judge(g.isFound, now), now)
+		suspects = g.newSuspects()
 	}
 	g.expire(now)
 	g.mu.Unlock()
@@ -150,7 +156,7 @@
 	if len(ask) > 0 {
 		g.Announce(Message{Node: g.Node, Ask: ask})
 	}
-	for _, v := range found {
+	for _, v := range append(suspects, found...) {
 		g.ban(v, "tally")
 		if g.Keep != nil {
 			g.Keep(v)
@@ -159,6 +165,19 @@
 	}
 }
 
+func (g *Guard) isFound(fp Fingerprint) bool {
+	b := g.bans[fp]
+	return b != nil && !b.Suspect
+}
+
+// newSuspects returns the suspects that are not known as such.
+func (g *Guard) newSuspects() []Verdict {
+	if g.Try == nil {
+		return nil
+	}
+	return slices.DeleteFunc(g.tally.Suspects(g.isFound), func(v Verdict) bool { return g.bans[v.Fingerprint] != nil })
+}
+
 // answered divides what was found into what the other nodes have had the time to speak
 // for, and what they are to be asked about.
 func (g *Guard) answered(found []Verdict, now clock.Instant) (sure []Verdict, ask []Fingerprint) {
@@ -219,7 +238,9 @@
 	}
 	g.mu.Unlock()
 	if harmless {
-		g.lift(m.Sound.Fingerprint, "it runs well far more often than endpoints end under it")
+		const reason = "it runs well far more often than endpoints end under it"
+		g.release(m.Sound.Fingerprint, reason)
+		g.lift(m.Sound.Fingerprint, reason)
 	}
 	for _, fp := range m.Ask {
 		g.answer(fp)
@@ -230,4 +251,7 @@
 	for _, fp := range m.Lifted {
 		g.unban(fp, m.Node)
 	}
+	for _, fp := range m.Released {
+		g.free(fp, m.Node)
+	}
 }
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -59,6 +59,8 @@
 	Attempts    int         `json:"attempts"` // of clients that saw one
 	// Tries is how many runs were allowed since to see whether it still does.
 	Tries int `json:"tries,omitempty"`
+	// Suspect says that it isn't found harmful: it is run, one run at a time.
+	Suspect bool `json:"suspect,omitempty"`
 }
 
 // Judge returns the requests that are found harmful at now, without those that known
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -8,11 +8,13 @@
 	Ends []End `json:"e,omitempty"`
 	// Sound goes to them too: how often a request ran well that was found harmful.
 	Sound *SoundRuns `json:"s,omitempty"`
-	// Ask, Found and Lifted go to all nodes. Ask is about to be found: whoever has seen
-	// such a request run well tells so.
-	Ask    []Fingerprint `json:"a,omitempty"`
-	Found  []Verdict     `json:"v,omitempty"`
-	Lifted []Fingerprint `json:"l,omitempty"`
+	// Ask, Found, Lifted and Released go to all nodes. Ask is about to be found: whoever
+	// has seen such a request run well tells so. Released are suspects no more; what is
+	// known of their ends stands.
+	Ask      []Fingerprint `json:"a,omitempty"`
+	Found    []Verdict     `json:"v,omitempty"`
+	Lifted   []Fingerprint `json:"l,omitempty"`
+	Released []Fingerprint `json:"f,omitempty"`
 }
 
 // SoundRuns is how many runs of a request ended well at a node, of late.
--- a/internal/quarantine/metrics.go
+++ b/internal/quarantine/metrics.go
@@ -3,8 +3,8 @@
 import "github.com/prometheus/client_golang/prometheus"
 
 type metrics struct {
-	found, refused, ends prometheus.Counter
-	checks               *prometheus.CounterVec
+	found, refused, ends, suspects prometheus.Counter
+	checks                         *prometheus.CounterVec
 }
 
 func newMetrics(reg prometheus.Registerer, banned func() float64) *metrics {
@@ -12,16 +12,17 @@
 		return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
 	}
 	m := &metrics{
-		found:   counter("chervilloom_quarantine_found_total", "Requests that this node has heard to end endpoints."),
-		refused: counter("chervilloom_quarantine_refused_total", "Sends that were refused because the request ends endpoints."),
-		ends:    counter("chervilloom_quarantine_ends_total", "Endpoints that ended with requests of this node."),
+		found:    counter("chervilloom_quarantine_found_total", "Requests that this node has heard to end endpoints."),
+		refused:  counter("chervilloom_quarantine_refused_total", "Sends that were refused because the request ends endpoints."),
+		suspects: counter("chervilloom_quarantine_suspects_total", "Requests that this node has heard to be run one at a time."),
+		ends:     counter("chervilloom_quarantine_ends_total", "Endpoints that ended with requests of this node."),
 		checks: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chervilloom_quarantine_checks_total", Help: "Checks of endpoints at which requests broke off, by what they found.",
 		}, []string{"result"}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.found, m.refused, m.ends, m.checks, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "chervilloom_quarantine_requests", Help: "Requests that are refused now.",
+		reg.MustRegister(m.found, m.refused, m.ends, m.suspects, m.checks, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "chervilloom_quarantine_requests", Help: "Requests that are refused, or run one at a time, now.",
 		}, banned))
 	}
 	return m
--- a/internal/quarantine/rows.go
+++ b/internal/quarantine/rows.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"strings"
 	"time"
@@ -15,6 +16,7 @@
 // Rows keeps the requests that are refused in a table of the platform, a row each, so that
 // they outlast the nodes' processes and reach nodes that missed the word.
 type Rows struct {
+	Get    func(ctx context.Context, table, key string) (platform.Row, error)
 	Commit func(context.Context, platform.Txn) (platform.Result, error)
 	Table  string
 	Prefix string // of the rows' keys, where other rows stand in the table
@@ -48,6 +50,45 @@
 	return err == nil && res.Committed
 }
 
+// Less reports whether a row says less of a request than v; an absent one says nothing.
+func (r *Rows) Less(row platform.Row, v Verdict) bool {
+	was, err := r.verdict(row)
+	return row.Version == 0 || err == nil && was.Suspect && !v.Suspect
+}
+
+// tryRounds is how often a try is asked for: the nodes that tally may be writing the row.
+const tryRounds = 2
+
+// Try takes the one run of a request for this node.
+func (r *Rows) Try(ctx context.Context, v Verdict) bool {
+	ctx, cancel := context.WithTimeout(ctx, rowLimit)
+	defer cancel()
+	for range tryRounds {
+		row, err := r.Get(ctx, r.Table, r.Key(v.Fingerprint))
+		if err != nil {
+			r.Log.Info("quarantined request is not tried", "fingerprint", v.Fingerprint, "err", err)
+			return false
+		}
+		if !r.free(row, v) {
+			return false
+		}
+		if r.Write(ctx, v, row) {
+			return true
+		}
+	}
+	return false
+}
+
+// free reports whether no other node has the run. The row of a request that was found
+// harmful stands until it is lifted, that of a suspect may not be written yet.
+func (r *Rows) free(row platform.Row, v Verdict) bool {
+	if row.Version == 0 {
+		return v.Suspect
+	}
+	was, err := r.verdict(row)
+	return err == nil && was.Suspect == v.Suspect && was.Tries < v.Tries
+}
+
 // Drop deletes a request's row.
 func (r *Rows) Drop(ctx context.Context, fp Fingerprint) {
 	ctx, cancel := context.WithTimeout(ctx, rowLimit)
@@ -68,8 +109,8 @@
 		if !strings.HasPrefix(row.Key, r.Prefix) {
 			continue
 		}
-		var v Verdict
-		if err := json.Unmarshal(row.Value, &v); err != nil || r.Key(v.Fingerprint) != row.Key {
+		v, err := r.verdict(row)
+		if err != nil {
 			r.Log.Warn("row names no quarantined request; delete it by hand", "key", row.Key, "err", err)
 			continue
 		}
@@ -77,3 +118,14 @@
 	}
 	return out
 }
+
+func (r *Rows) verdict(row platform.Row) (Verdict, error) {
+	var v Verdict
+	if err := json.Unmarshal(row.Value, &v); err != nil {
+		return Verdict{}, fmt.Errorf("quarantine: row %s: %w", row.Key, err)
+	}
+	if r.Key(v.Fingerprint) != row.Key {
+		return Verdict{}, fmt.Errorf("quarantine: row %s names %q", row.Key, v.Fingerprint)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/internal/quarantine/suspects_test.go
@@ -0,0 +1,115 @@
+package quarantine
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilloom/internal/clock"
+	"chervilloom/internal/platform"
+)
+
+// suspect has two endpoints end under two client attempts of a request.
+func (gs *guards) suspect(fp Fingerprint) {
+	for i := range suspectEnds {
+		gs.end(i%len(gs.all), string(fp)+string(rune('a'+i)), fp, uint32(i))
+	}
+}
+
+// Guards against client attempts that come at the same moment and each end an endpoint
+// before the first of them tells anything.
+func TestRunsOfASuspectAreMadeOneAtATime(t *testing.T) {
+	bubble(t, func(is *is.I) {
+		gs := newGuards(3)
+		gs.suspect("bad")
+		is.Equal(gs.refusing("bad"), 2) // one node makes its run
+		gs.pass(suspectPause + time.Second)
+		is.Equal(gs.refusing("bad"), 2) // nothing was heard of that one
+		gs.end(0, "third", "bad", 7)
+		gs.pass(time.Second)
+		is.Equal(gs.refusing("bad"), 3) // it is found harmful
+	})
+}
+
+// Guards against an innocent request that stays a suspect after a run of it ended well.
+func TestSuspectThatRunsWellIsReleased(t *testing.T) {
+	bubble(t, func(is *is.I) {
+		gs := newGuards(3)
+		gs.suspect("good")
+		_, refused := gs.all[1].Refused(context.Background(), "good")
+		is.True(!refused)
+		var waited time.Duration
+		go func() {
+			begun := time.Now()
+			_, refused := gs.all[2].Refused(context.Background(), "good")
+			is.True(!refused) // as soon as the run of the other node has ended
+			waited = time.Since(begun)
+		}()
+		time.Sleep(suspectWait / 2)
+		gs.all[1].Sound("good")
+		synctest.Wait()
+		is.Equal(waited, suspectWait/2)
+		is.Equal(gs.refusing("good"), 0)
+		is.Equal(len(gs.kept), 0)
+		is.Equal(gs.all[0].tally.Saw("good"), suspectEnds) // what is known of its ends stands
+	})
+}
+
+// Guards against a released suspect that an older reading of the rows brings back.
+func TestOldRowDoesNotBringASuspectBack(t *testing.T) {
+	bubble(t, func(is *is.I) {
+		gs := newGuards(1)
+		gs.suspect("good")
+		kept := []Verdict{gs.kept["good"]}
+		gs.all[0].Sound("good")
+		gs.all[0].TakeKept(kept)
+		is.Equal(len(gs.all[0].Banned()), 0)
+	})
+}
+
+// Guards against two nodes that both take the one run of a suspect.
+func TestRowGivesARunToOneNode(t *testing.T) {
+	is := is.New(t)
+	var stored platform.Row
+	r := &Rows{
+		Get: func(context.Context, string, string) (platform.Row, error) { return stored, nil },
+		Commit: func(_ context.Context, txn platform.Txn) (platform.Result, error) {
+			if txn.Checks[0].Version != stored.Version {
+				return platform.Result{}, nil
+			}
+			stored = platform.Row{Key: txn.Writes[0].Key, Value: txn.Writes[0].Value, Version: stored.Version + 1}
+			return platform.Result{Committed: true}, nil
+		},
+		Log: slog.New(slog.DiscardHandler),
+	}
+	v := Verdict{Fingerprint: "bad", Ends: 2, Suspect: true, Tries: 1}
+	is.True(r.Try(t.Context(), v))
+	is.True(!r.Try(t.Context(), v)) // another node's
+	v.Tries++
+	is.True(r.Try(t.Context(), v))
+	found := Verdict{Fingerprint: "bad", Ends: 3}
+	is.True(r.Less(stored, found))
+	is.True(r.Write(t.Context(), found, stored))
+	is.True(!r.Less(stored, v))
+	v.Tries++
+	is.True(!r.Try(t.Context(), v)) // it is no suspect any more
+}
+
+// Guards against a suspicion that a node alone, without a table, could never end.
+func TestNodeAloneHasNoSuspects(t *testing.T) {
+	bubble(t, func(is *is.I) {
+		g := Alone(clock.NewManual(clock.Instant(time.Hour)), slog.New(slog.DiscardHandler))
+		g.Dial = dialFake
+		for i := range uint32(suspectEnds) {
+			g.Broke(string(rune('a'+i)), "gone", "bad", i)
+			synctest.Wait()
+			g.Clock.(*clock.Manual).Advance(time.Second)
+		}
+		_, refused := g.Refused(context.Background(), "bad")
+		is.True(!refused)
+	})
+}
--- a/internal/quarantine/tally.go
+++ b/internal/quarantine/tally.go
@@ -52,6 +52,7 @@
 	ends     []*end
 	attempts map[uint32]bool
 	sound    soundCounts
+	released clock.Instant // when a run of it ended well while it was a suspect
 }
 
 // Note takes up what a node tells of an end, and reports whether it is the first to tell.
--- a/internal/quarantine/world_test.go
+++ b/internal/quarantine/world_test.go
@@ -23,6 +23,9 @@
 	events eventQueue
 	tally  Tally
 	banned map[Fingerprint]time.Duration // from when on nodes refuse it
+	// suspects are the requests that run one at a time, with the newest run's time; 0: none
+	// was made since.
+	suspects map[Fingerprint]time.Duration
 
 	heads   []*head
 	serial  int
@@ -34,6 +37,7 @@
 	sent  int                           // client attempts of innocent requests
 	wrong map[Fingerprint]bool          // innocent ones that were refused
 	found int                           // innocent ones that were found harmful
+	held  int                           // sends of innocent ones that met another run of a suspect
 }
 
 type worldParams struct {
@@ -94,6 +98,7 @@
 const (
 	worldBack   = 3500 * time.Millisecond // until an endpoint that ended serves again
 	worldTell   = 60 * time.Millisecond   // until the tally judges and nodes know
+	worldReturn = 50 * time.Millisecond   // until a client that failed comes back
 	worldStable = 3 * time.Second         // after the third end, sends count
 )
 
@@ -101,7 +106,7 @@
 	w := &world{
 		worldParams: p, rng: rand.New(rand.NewPCG(seed, 7)), banned: map[Fingerprint]time.Duration{},
 		history: map[string]int{}, third: map[Fingerprint]time.Duration{}, ended: map[Fingerprint]int{},
-		after: map[Fingerprint]int{}, wrong: map[Fingerprint]bool{},
+		after: map[Fingerprint]int{}, wrong: map[Fingerprint]bool{}, suspects: map[Fingerprint]time.Duration{},
 	}
 	for i := range p.heads {
 		w.heads = append(w.heads, &head{name: fmt.Sprintf("h%d", i), up: true})
@@ -178,6 +183,13 @@
 		}
 		return
 	}
+	if !w.mayRun(f) {
+		if f.harm == nil {
+			w.held++
+		}
+		w.comeBack(f, suspectPause)
+		return
+	}
 	var best *head
 	for range 4 {
 		if h := w.heads[w.rng.IntN(len(w.heads))]; h.up && (best == nil || len(h.runs) < len(best.runs)) {
@@ -185,15 +197,16 @@
 		}
 	}
 	if best == nil || f.left == 0 {
-		if f.comeback {
-			w.in(50*time.Millisecond, func() { w.arrive(f.fp, f.harm, false) })
-		}
+		w.comeBack(f, worldReturn)
 		return
 	}
 	if t, ok := w.third[f.fp]; ok && w.now > t+worldStable {
 		w.after[f.fp]++
 	}
 	f.left--
+	if _, suspect := w.suspects[f.fp]; suspect {
+		w.suspects[f.fp] = w.now
+	}
 	best.runs = append(best.runs, f)
 	if f.harm != nil && w.rng.IntN(max(1, f.harm.every)) == 0 {
 		w.in(f.harm.runs/2+time.Duration(w.rng.Int64N(int64(f.harm.runs))), func() {
@@ -207,10 +220,32 @@
 		if i := slices.Index(best.runs, f); i >= 0 {
 			best.runs = slices.Delete(best.runs, i, i+1)
 			w.history[f.node+"/"+string(f.fp)]++
+			w.release(f.fp)
 		}
 	})
 }
 
+// mayRun reports whether the request is no suspect, or no other run of it is under way.
+func (w *world) mayRun(f *flight) bool {
+	last, suspect := w.suspects[f.fp]
+	return !suspect || last == 0 || w.now > last+suspectPause
+}
+
+// release ends the suspicion against a request of which a run ended well.
+func (w *world) release(fp Fingerprint) {
+	if _, suspect := w.suspects[fp]; suspect {
+		delete(w.suspects, fp)
+		w.tally.Release(fp, clock.Instant(w.now+time.Hour))
+	}
+}
+
+// comeBack has the client send the request again, if it does that.
+func (w *world) comeBack(f *flight, after time.Duration) {
+	if f.comeback {
+		w.in(after, func() { w.arrive(f.fp, f.harm, false) })
+	}
+}
+
 // end is the end of an endpoint: nodes tell of it, and what ran there goes on elsewhere.
 func (w *world) end(h *head, by Fingerprint) {
 	if !h.up {
@@ -258,6 +293,11 @@
 		}
 		w.in(worldTell, func() { w.tellSound(v.Fingerprint) })
 	}
+	for _, v := range w.tally.Suspects(known) {
+		if _, suspect := w.suspects[v.Fingerprint]; !suspect {
+			w.suspects[v.Fingerprint] = 0
+		}
+	}
 }
 
 // tellSound has the nodes say how often a request ran well that was found harmful.
@@ -355,11 +395,11 @@
 func TestHarmfulRequestsAreFoundAndNoOthers(t *testing.T) {
 	for name := range worldCases() {
 		t.Run(name, func(t *testing.T) {
-			sent, refused, found, ended, most := 0, 0, 0, 0, 0
+			sent, refused, found, held, ended, most := 0, 0, 0, 0, 0, 0
 			for seed := range uint64(*worldSeeds) {
 				w := play(name, seed)
 				w.checkBound(t, seed)
-				sent, refused, found = sent+w.sent, refused+len(w.wrong), found+w.found
+				sent, refused, found, held = sent+w.sent, refused+len(w.wrong), found+w.found, held+w.held
 				for _, n := range w.ended {
 					ended = max(ended, n)
 				}
@@ -367,8 +407,8 @@
 					most = max(most, n)
 				}
 			}
-			t.Logf("of %d innocent requests %d refused, %d found harmful; at most %d endpoints ended under one request, %d sends after the bound's time",
-				sent, refused, found, ended, most)
+			t.Logf("of %d innocent requests %d refused, %d found harmful, %d sends held; at most %d endpoints ended under one request, %d sends after the bound's time",
+				sent, refused, found, held, ended, most)
 			if float64(refused) > innocentBound*float64(sent) {
 				t.Errorf("%d of %d innocent requests refused", refused, sent)
 			}
