--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -113,13 +113,16 @@
 	s := t.byPrint[fp]
 	own := t.ownEnds(fp, found)
 	v := Verdict{Fingerprint: fp, Ends: len(own), Attempts: len(s.attempts)}
-	if !enough(v) || s.harmless() {
+	if v.Ends < harmEnds || v.Attempts < harmAttempts || s.harmless() {
 		return v, false
 	}
 	third, last := own[harmEnds-1], own[len(own)-1]
-	if v.Attempts >= harmSurely && now.Sub(third.at) > harmSettles && !t.herd(own) {
+	if now.Sub(third.at) > harmSettles && !t.herd(own) {
 		return v, true // those that moved along with it are over
 	}
+	if v.Attempts < harmSurely && v.Ends < harmFew {
+		return v, false
+	}
 	settled := last.at.Sub(third.at) > harmSettles
 	if !settled && v.Attempts < harmSurely && harmClearly*t.missed(fp, own) > v.Ends {
 		return v, false
@@ -131,14 +134,6 @@
 	return v, t.ahead(fp, own, margin)
 }
 
-// enough reports whether the evidence is worth weighing.
-func enough(v Verdict) bool {
-	if v.Attempts < harmSurely {
-		return v.Attempts >= harmAttempts && v.Ends >= harmFew
-	}
-	return v.Ends >= harmEnds
-}
-
 // ownEnds returns the ends that the request has seen, without those that another one
 // explains and those that tell nothing beside another.
 func (t *Tally) ownEnds(fp Fingerprint, found map[Fingerprint]bool) []*end {
