--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -22,7 +22,7 @@
 		Announce: n.announceQuarantine,
 		Keep:     func(v quarantine.Verdict) { go n.keepQuarantined(v) },
 		Drop:     func(fp quarantine.Fingerprint) { go n.quarantined.Drop(context.Background(), fp) },
-		Try:      func(ctx context.Context, v quarantine.Verdict) bool { return n.quarantined.Try(ctx, v) },
+		Try:      func(ctx context.Context, v quarantine.Verdict) (bool, error) { return n.quarantined.Try(ctx, v) },
 		Ended: func(endpoint string) { // requests that come now needn't find it gone themselves
 			n.tracker.Suspect(roster.ID(endpoint))
 			n.lookSoon()
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -48,6 +48,7 @@
 	lastEvent clock.Instant
 	gap       time.Duration // longest pause between two events
 	moving    atomic.Bool   // a stalled attempt is given up; the budget has been asked
+	recalled  atomic.Bool   // the quarantine has ended the attempt
 	banned    bool          // the request ends endpoints; it isn't sent
 	verdict   quarantine.Verdict
 	// refusedDial says that the newest attempt's endpoint refused the connection, closed
@@ -124,6 +125,7 @@
 	}
 	stop := context.AfterFunc(ctx, conn.Abort)
 	stopLimit := x.limitTry(conn)
+	endRun := x.f.Quarantine.Begin(x.fp, x.recallBy(conn))
 	resp, err := conn.Send(x.outbound(ep))
 	var res Result
 	if err != nil {
@@ -138,7 +140,8 @@
 	// gets it: an abort that came late would end that one's exchange.
 	ticket.End()
 	stopLimit()
-	if !stop() || x.moving.Load() {
+	endRun()
+	if !stop() || x.moving.Load() || x.recalled.Load() {
 		conn.Spoil()
 	}
 	x.f.Pool.Put(conn, resp, x.keptIdle())
@@ -173,6 +176,19 @@
 	return x.banned
 }
 
+// recallBy returns what ends the attempt if the request becomes a suspect; nil for a request
+// that may not run again.
+func (x *exchange) recallBy(conn *upstream.Conn) func() {
+	x.recalled.Store(false)
+	if !x.route.Repeatable() {
+		return nil
+	}
+	return func() {
+		x.recalled.Store(true)
+		conn.Abort()
+	}
+}
+
 // limitTry gives an answer that may be asked for again a time within which it
 // must have come: an endpoint that hangs would otherwise hold the request until
 // its client's time is over. It returns what ends the limit.
@@ -357,7 +373,7 @@
 		x.f.Quarantine.Sound(x.fp)
 	case MayHaveRun:
 		x.logBroken(ep, sent)
-		if x.moving.Load() {
+		if x.moving.Load() || x.recalled.Load() {
 			return
 		}
 		if now := x.f.View().Roster.Get(ep.ID); now != nil && now.Usable() {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -45,6 +45,9 @@
 type Quarantine interface {
 	// Refused reports whether the request must not be sent, and on what evidence.
 	Refused(ctx context.Context, fp quarantine.Fingerprint) (quarantine.Verdict, bool)
+	// Begin is told of a run that begins; end, of its end. recall is called if the run is to
+	// be made again later; nil: it must go on.
+	Begin(fp quarantine.Fingerprint, recall func()) (end func())
 	// Broke is told of an attempt at an endpoint that broke off, Sound of one that ended
 	// well.
 	Broke(endpoint, addr string, fp quarantine.Fingerprint, attempt uint32)
--- a/internal/quarantine/bans.go
+++ b/internal/quarantine/bans.go
@@ -39,7 +39,11 @@
 // try asks for the one run of a request whose time is over.
 func (g *Guard) try(ctx context.Context, b *ban, v Verdict) bool {
 	v.Tries++
-	if !g.Try(ctx, v) {
+	granted, err := g.Try(ctx, v)
+	if err != nil {
+		g.Log.Info("request is not tried", "suspect", v.Suspect, "fingerprint", v.Fingerprint, "err", err)
+	}
+	if !granted {
 		return false
 	}
 	g.mu.Lock()
@@ -192,6 +196,7 @@
 	if v.Suspect {
 		g.metrics.suspects.Inc()
 		g.Log.Info("request runs one at a time", "fingerprint", v.Fingerprint, "ends", v.Ends, "attempts", v.Attempts, "source", source)
+		g.keepOneRun(v)
 	} else {
 		g.metrics.found.Inc()
 		g.Log.Warn("request is quarantined", "fingerprint", v.Fingerprint, "ends", v.Ends, "attempts", v.Attempts, "source", source, "for_ms", banFor.Milliseconds())
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -29,9 +29,9 @@
 	Drop func(Fingerprint)
 	// Try reports whether this node may make the one run of a suspect, or of a request
 	// whose time is over, with the verdict as all nodes shall know it from now on. No other
-	// node may make one then. It is asked before the request is sent; nil: no, and no
-	// request is a suspect.
-	Try func(context.Context, Verdict) bool
+	// node may make one then. It is asked before the request is sent. An error says that
+	// this can't be told now. nil: no, and no request is a suspect.
+	Try func(context.Context, Verdict) (bool, error)
 	// Dial connects to an endpoint to see whether it listens; nil: over TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Ended is told of an endpoint that ended with requests; nil: nobody.
@@ -50,6 +50,7 @@
 	bans    map[Fingerprint]*ban
 	asked   map[Fingerprint]clock.Instant // since when the others are asked
 	freed   map[Fingerprint]clock.Instant // when a suspect was released
+	runs    map[Fingerprint][]*run        // that are under way here, in the order in which they began
 	again   []Message                     // to be told once more
 }
 
@@ -67,6 +68,7 @@
 func (g *Guard) Init(reg prometheus.Registerer) *Guard {
 	g.broken, g.bans, g.checks = map[string]*broken{}, map[Fingerprint]*ban{}, map[Fingerprint]*broken{}
 	g.asked, g.freed = map[Fingerprint]clock.Instant{}, map[Fingerprint]clock.Instant{}
+	g.runs = map[Fingerprint][]*run{}
 	g.metrics = newMetrics(reg, g.count)
 	if g.Dial == nil {
 		g.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -21,6 +22,7 @@
 type guards struct {
 	clock *clock.Manual
 	all   []*Guard
+	mu    sync.Mutex // guards kept
 	kept  map[Fingerprint]Verdict
 }
 
@@ -36,14 +38,24 @@
 			}
 		}
 		g.Tell, g.Announce = others, others
-		g.Keep = func(v Verdict) { gs.kept[v.Fingerprint] = v }
-		g.Drop = func(fp Fingerprint) { delete(gs.kept, fp) }
-		g.Try = func(_ context.Context, v Verdict) bool {
+		g.Keep = func(v Verdict) {
+			gs.mu.Lock()
+			defer gs.mu.Unlock()
+			gs.kept[v.Fingerprint] = v
+		}
+		g.Drop = func(fp Fingerprint) {
+			gs.mu.Lock()
+			defer gs.mu.Unlock()
+			delete(gs.kept, fp)
+		}
+		g.Try = func(_ context.Context, v Verdict) (bool, error) {
+			gs.mu.Lock()
+			defer gs.mu.Unlock()
 			if gs.kept[v.Fingerprint].Tries+1 != v.Tries {
-				return false // another node has it
+				return false, nil // another node has it
 			}
 			gs.kept[v.Fingerprint] = v
-			return true
+			return true, nil
 		}
 		g.Dial = dialFake
 		gs.all = append(gs.all, g.Init(nil))
@@ -350,6 +362,7 @@
 		gs.clock.Advance(2 * brokenFor) // the node was paused
 		gs.all[0].Tick()
 		time.Sleep(dialLimit)
+		synctest.Wait()
 		is.Equal(gs.all[1].tally.Saw("bad"), 1)
 	})
 }
--- a/internal/quarantine/rows.go
+++ b/internal/quarantine/rows.go
@@ -59,24 +59,23 @@
 // tryRounds is how often a try is asked for: the nodes that tally may be writing the row.
 const tryRounds = 2
 
-// Try takes the one run of a request for this node.
-func (r *Rows) Try(ctx context.Context, v Verdict) bool {
+// Try takes the one run of a request for this node, and reports whether it has it.
+func (r *Rows) Try(ctx context.Context, v Verdict) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, rowLimit)
 	defer cancel()
 	for range tryRounds {
 		row, err := r.Get(ctx, r.Table, r.Key(v.Fingerprint))
 		if err != nil {
-			r.Log.Info("quarantined request is not tried", "fingerprint", v.Fingerprint, "err", err)
-			return false
+			return false, fmt.Errorf("quarantine: row %s not read: %w", r.Key(v.Fingerprint), err)
 		}
 		if !r.free(row, v) {
-			return false
+			return false, nil
 		}
 		if r.Write(ctx, v, row) {
-			return true
+			return true, nil
 		}
 	}
-	return false
+	return false, nil
 }
 
 // free reports whether no other node has the run. The row of a request that was found
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -23,7 +23,9 @@
 const (
 	// suspectPause is the time after which a run of which nothing was heard allows another
 	// one: its node may have ended.
-	suspectPause = time.Second
+	suspectPause = 2 * time.Second
+	// suspectReturn is after what time a client that met another run may come back.
+	suspectReturn = 500 * time.Millisecond
 	// suspectWait is how long a request waits for the run of a suspect that is under way.
 	suspectWait = 300 * time.Millisecond
 	// suspectFor is how long a suspect is remembered that sees no further end.
--- a/internal/quarantine/suspects_test.go
+++ b/internal/quarantine/suspects_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -71,6 +73,11 @@
 	})
 }
 
+func tried(r *Rows, v Verdict) bool {
+	ok, err := r.Try(context.Background(), v)
+	return ok && err == nil
+}
+
 // Guards against two nodes that both take the one run of a suspect.
 func TestRowGivesARunToOneNode(t *testing.T) {
 	is := is.New(t)
@@ -87,16 +94,16 @@
 		Log: slog.New(slog.DiscardHandler),
 	}
 	v := Verdict{Fingerprint: "bad", Ends: 2, Suspect: true, Tries: 1}
-	is.True(r.Try(t.Context(), v))
-	is.True(!r.Try(t.Context(), v)) // another node's
+	is.True(tried(r, v))
+	is.True(!tried(r, v)) // another node's
 	v.Tries++
-	is.True(r.Try(t.Context(), v))
+	is.True(tried(r, v))
 	found := Verdict{Fingerprint: "bad", Ends: 3}
 	is.True(r.Less(stored, found))
 	is.True(r.Write(t.Context(), found, stored))
 	is.True(!r.Less(stored, v))
 	v.Tries++
-	is.True(!r.Try(t.Context(), v)) // it is no suspect any more
+	is.True(!tried(r, v)) // it is no suspect any more
 }
 
 // Guards against a suspicion that a node alone, without a table, could never end.
@@ -113,3 +120,41 @@
 		is.True(!refused)
 	})
 }
+
+// Guards against copies of one request that are under way at many nodes when it becomes a
+// suspect and each end their endpoint.
+func TestRunsOfASuspectAreRecalledButForOne(t *testing.T) {
+	bubble(t, func(is *is.I) {
+		gs := newGuards(3)
+		var recalled atomic.Int32
+		for i := range 6 {
+			gs.all[i%3].Begin("bad", func() { recalled.Add(1) })
+		}
+		var once atomic.Bool
+		gs.all[0].Begin("bad", nil) // may not run again
+		end := gs.all[1].Begin("bad", func() { once.Store(true) })
+		end()
+		gs.suspect("bad")
+		synctest.Wait()
+		is.Equal(recalled.Load(), int32(5))
+		is.True(!once.Load()) // it was over
+	})
+}
+
+// Guards against runs that are recalled although no other one goes on, since the table is
+// away.
+func TestEachNodeKeepsARunWithoutTheTable(t *testing.T) {
+	bubble(t, func(is *is.I) {
+		gs := newGuards(3)
+		var recalled atomic.Int32
+		for i, g := range gs.all {
+			g.Try = func(context.Context, Verdict) (bool, error) { return false, errors.New("away") }
+			for range i + 1 {
+				g.Begin("bad", func() { recalled.Add(1) })
+			}
+		}
+		gs.suspect("bad")
+		synctest.Wait()
+		is.Equal(recalled.Load(), int32(3))
+	})
+}
--- a/internal/quarantine/world_test.go
+++ b/internal/quarantine/world_test.go
@@ -187,7 +187,7 @@
 		if f.harm == nil {
 			w.held++
 		}
-		w.comeBack(f, suspectPause)
+		w.comeBack(f, suspectReturn)
 		return
 	}
 	var best *head
@@ -296,10 +296,28 @@
 	for _, v := range w.tally.Suspects(known) {
 		if _, suspect := w.suspects[v.Fingerprint]; !suspect {
 			w.suspects[v.Fingerprint] = 0
+			w.keepOneRun(v.Fingerprint)
 		}
 	}
 }
 
+// keepOneRun recalls the runs of a suspect but for one.
+func (w *world) keepOneRun(fp Fingerprint) {
+	for _, h := range w.heads {
+		h.runs = slices.DeleteFunc(h.runs, func(f *flight) bool {
+			if f.fp != fp {
+				return false
+			}
+			if w.suspects[fp] == 0 {
+				w.suspects[fp] = w.now
+				return false
+			}
+			w.in(0, func() { w.place(f) })
+			return true
+		})
+	}
+}
+
 // tellSound has the nodes say how often a request ran well that was found harmful.
 func (w *world) tellSound(fp Fingerprint) {
 	sound := soundCounts{}
