--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -214,6 +214,11 @@
 		a.opts.Usage.Count(req.Organisation, req.Class)
 	}
 	c, d := a.ask(ctx, l, req, &arrival)
+	if d.Verdict == Refuse {
+		a.opts.Log.Info("request not admitted", "request", req.ID, "lane", l.name, "organisation", req.Organisation,
+			"reason", d.Reason, "limit", d.Limit, "in_progress", d.InProgress, "share", d.Share, "waiting", d.Waiting,
+			"wait_ms", d.Wait.Milliseconds(), "retry_after_ms", d.RetryAfter.Milliseconds())
+	}
 	if d.Verdict != Admit {
 		w.Finish(answer.End{Error: refusal(&d)})
 		return
--- a/internal/admit/event.go
+++ b/internal/admit/event.go
@@ -121,4 +121,6 @@
 	Service    time.Duration // estimated time from admission to the whole answer
 	Waiting    int           // requests in the queue when it was decided
 	Limit      int           // concurrency limit when it was decided
+	InProgress int           // requests in progress when it was decided
+	Share      int           // slots that are this node's when all nodes are equally busy
 }
--- a/internal/admit/lookups.go
+++ b/internal/admit/lookups.go
@@ -81,7 +81,10 @@
 	if s == nil || !s.planned || s.total == 0 {
 		return Decision{Handle: h, Verdict: Refuse, Kind: outcome.NoCapacity, Reason: ReasonNoCapacity, RetryAfter: noCapacityRetry}
 	}
-	d := Decision{Handle: h, Verdict: Admit, Reason: ReasonRoom, Limit: int(s.limiter.limit)}
+	d := Decision{
+		Handle: h, Verdict: Admit, Reason: ReasonRoom,
+		Limit: int(s.limiter.limit), InProgress: s.inflight, Share: int(s.limiter.share),
+	}
 	switch {
 	case a.Deadline != 0 && !now.Before(a.Deadline):
 		return d.refuse(outcome.DeadlineExceeded, ReasonExpired, 0)
--- a/internal/admit/pool.go
+++ b/internal/admit/pool.go
@@ -91,7 +91,10 @@
 }
 
 func (p *pool) decision(h Handle, v Verdict, k outcome.Kind, r Reason) Decision {
-	return Decision{Handle: h, Verdict: v, Kind: k, Reason: r, Limit: int(p.limiter.limit)}
+	return Decision{
+		Handle: h, Verdict: v, Kind: k, Reason: r,
+		Limit: int(p.limiter.limit), InProgress: p.inflight, Share: int(p.limiter.share),
+	}
 }
 
 // clampSeconds turns seconds into a duration of at most an hour.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -181,7 +181,7 @@
 			return nil
 		}
 		dec := next(s.facts(ctx, last, d.opt.Tries, d.left(s.req)), d.budget(s.req.Class))
-		d.noteDecision(s.req, dec, last)
+		d.noteDecision(s.req, dec, last, s.tried)
 		switch dec.verdict {
 		case giveUp:
 			return last.After(comeBack(last, dec.wait))
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -58,7 +58,10 @@
 	}
 }
 
-func (d *Dispatcher) noteDecision(req *request.Request, dec decision, last *outcome.Error) {
+// noteDecision tells what follows a failed try.
+func (d *Dispatcher) noteDecision(req *request.Request, dec decision, last *outcome.Error, tried []route.Tried) {
+	d.opt.Log.Info("try failed", "request", req.ID, "tried", tried, "kind", last.Kind, "outcome", last.Outcome,
+		"cause", last.Error(), "decision", dec.verdict, "reason", dec.reason)
 	d.metrics.decisions.WithLabelValues(string(req.Class), string(dec.verdict)).Inc()
 	d.note(req, string(dec.verdict), dec.reason+": "+last.Error())
 }
--- a/internal/testkit/logs.go
+++ b/internal/testkit/logs.go
@@ -1,7 +1,6 @@
 package testkit
 
 import (
-	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -19,8 +18,8 @@
 	if root == "" {
 		return
 	}
-	dir := filepath.Join(root, strings.ReplaceAll(t.Name(), "/", "_"))
-	path := filepath.Join(dir, fmt.Sprintf("%s-%d.log", process, os.Getpid()))
+	dir := filepath.Join(root, filepath.Base(filepath.Dir(t.TempDir()))) // one for each play of the test
+	path := filepath.Join(dir, process+".log")
 	err := os.MkdirAll(dir, 0o700)
 	if err == nil {
 		err = os.WriteFile(path, []byte(strings.Join(lines, "\n")+"\n"), 0o600)
