--- a/internal/admit/lane.go
+++ b/internal/admit/lane.go
@@ -77,15 +77,26 @@
 		case <-ctx.Done():
 			return
 		case m := <-l.ring.C():
+			l.takeEnds()
 			l.step(&m)
 		case m := <-l.ends:
 			l.step(&m)
 		case <-tick.C:
+			l.takeEnds()
 			l.step(&message{event: Event{Kind: Tick}})
 		}
 	}
 }
 
+// takeEnds takes the ends that are at hand. After a node stood still both rings are full:
+// arrivals that were judged first would be refused for slots that are free.
+func (l *lane) takeEnds() {
+	for range len(l.ends) {
+		m := <-l.ends
+		l.step(&m)
+	}
+}
+
 func (l *lane) step(m *message) {
 	if m.done != nil {
 		defer close(m.done)
--- a/internal/admit/lookups.go
+++ b/internal/admit/lookups.go
@@ -22,20 +22,22 @@
 	lookupRetry = time.Second
 )
 
-// Lookups decides about plain service calls. They have no queue: a call that
-// has no slot is refused, and so never waits behind anything.
+// Lookups decides about plain service calls. A call that has no slot waits a moment
+// for one, and is refused where that can't be expected.
 type Lookups struct {
 	plan     *Plan
 	orgs     map[fleet.Organisation]*lookupOrg
 	services map[string]*service
 	weight   float64 // of all organisations of the plan
 	entries  []lookupEntry
+	waiting  int
 }
 
 type lookupOrg struct {
 	weight   float64
 	bucket   bucket
 	inflight map[*service]int
+	waiting  map[*service]int
 	planned  bool
 }
 
@@ -43,10 +45,24 @@
 type service struct {
 	limiter  limiter
 	inflight int
+	queue    []waitingLookup // in the order in which they came
 	total    float64
 	planned  bool
 }
 
+// waitingLookup is a call that waits for a slot.
+type waitingLookup struct {
+	handle   Handle
+	org      *lookupOrg // nil: admitted by another node
+	came     clock.Instant
+	deadline clock.Instant // of the caller; 0: none
+}
+
+// late reports whether the caller can't be served in time.
+func (w *waitingLookup) late(now clock.Instant) bool {
+	return w.deadline != 0 && !now.Before(w.deadline)
+}
+
 type lookupEntry struct {
 	org     *lookupOrg // nil: admitted by another node
 	service *service   // nil: the handle is free
@@ -63,15 +79,26 @@
 	case Arrive:
 		return append(out, l.arrive(now, ev.Handle, &ev.Arrival))
 	case Finish:
-		l.finish(now, ev.Handle, &ev.Completion)
+		if s := l.finish(now, ev.Handle, &ev.Completion); s != nil {
+			out = l.serveQueue(now, s, out)
+		}
+	case Withdraw:
+		return l.withdraw(now, ev.Handle, out)
 	case Replan:
 		l.replan(now, ev.Plan)
+		fallthrough
+	case Tick:
+		if l.waiting > 0 {
+			for _, s := range l.services {
+				out = l.serveQueue(now, s, out)
+			}
+		}
 	}
 	return out
 }
 
-// Waiting returns 0: lookups do not wait.
-func (l *Lookups) Waiting() int { return 0 }
+// Waiting returns how many calls wait for a slot.
+func (l *Lookups) Waiting() int { return l.waiting }
 
 func (l *Lookups) arrive(now clock.Instant, h Handle, a *Arrival) Decision {
 	if l.plan == nil {
@@ -81,16 +108,15 @@
 	if s == nil || !s.planned || s.total == 0 {
 		return Decision{Handle: h, Verdict: Refuse, Kind: outcome.NoCapacity, Reason: ReasonNoCapacity, RetryAfter: noCapacityRetry}
 	}
-	d := Decision{
-		Handle: h, Verdict: Admit, Reason: ReasonRoom,
-		Limit: int(s.limiter.limit), InProgress: s.inflight, Share: int(s.limiter.share),
-	}
-	switch {
-	case a.Deadline != 0 && !now.Before(a.Deadline):
+	d := s.decision(h, Admit, ReasonRoom)
+	if a.Deadline != 0 && !now.Before(a.Deadline) {
 		return d.refuse(outcome.DeadlineExceeded, ReasonExpired, 0)
-	case float64(s.inflight)+1 > s.limiter.limit:
-		return d.refuse(outcome.Overloaded, ReasonSaturated, lookupRetry)
-	case a.Admitted:
+	}
+	full := len(s.queue) > 0 || !s.room()
+	if a.Admitted {
+		if full {
+			return l.wait(now, s, waitingLookup{handle: h, deadline: a.Deadline})
+		}
 		d.Reason = ReasonAdmitted
 		l.take(h, nil, s)
 		return d
@@ -99,6 +125,9 @@
 	if !o.bucket.has(now) {
 		return d.refuse(outcome.OverLimit, ReasonRate, o.bucket.book(now))
 	}
+	if full {
+		return l.wait(now, s, waitingLookup{handle: h, org: o, deadline: a.Deadline})
+	}
 	if float64(o.inflight[s]) >= l.most(o, s) {
 		return d.refuse(outcome.Overloaded, ReasonConcurrency, lookupRetry)
 	}
@@ -107,6 +136,16 @@
 	return d
 }
 
+func (s *service) decision(h Handle, v Verdict, r Reason) Decision {
+	return Decision{
+		Handle: h, Verdict: v, Reason: r,
+		Limit: int(s.limiter.limit), InProgress: s.inflight, Share: int(s.limiter.share), Waiting: len(s.queue),
+	}
+}
+
+// room reports whether a slot is free.
+func (s *service) room() bool { return float64(s.inflight)+1 <= s.limiter.limit }
+
 // most returns how many calls of o may be in progress at s.
 func (l *Lookups) most(o *lookupOrg, s *service) float64 {
 	free := s.limiter.limit - float64(s.inflight)
@@ -130,13 +169,14 @@
 	}
 }
 
-func (l *Lookups) finish(now clock.Instant, h Handle, c *Completion) {
+// finish returns the service that has a slot more.
+func (l *Lookups) finish(now clock.Instant, h Handle, c *Completion) *service {
 	e := &l.entries[h]
 	if e.service == nil {
-		return
+		return nil
 	}
 	s := e.service
-	busy := float64(s.inflight)*2 >= s.limiter.limit
+	busy := len(s.queue) > 0 || float64(s.inflight)*2 >= s.limiter.limit
 	s.inflight--
 	if c.Answered {
 		s.limiter.sample(now, c.Total.Seconds(), busy)
@@ -148,12 +188,13 @@
 		e.org.inflight[e.service]--
 	}
 	*e = lookupEntry{}
+	return s
 }
 
 func (l *Lookups) org(name fleet.Organisation) *lookupOrg {
 	o := l.orgs[name]
 	if o == nil {
-		o = &lookupOrg{weight: 1, inflight: make(map[*service]int)}
+		o = &lookupOrg{weight: 1, inflight: make(map[*service]int), waiting: make(map[*service]int)}
 		l.orgs[name] = o
 	}
 	return o
@@ -191,12 +232,13 @@
 // dropServices forgets the services that are gone and answer nothing any more.
 func (l *Lookups) dropServices() {
 	for name, s := range l.services {
-		if s.planned || s.inflight > 0 {
+		if s.planned || s.inflight > 0 || len(s.queue) > 0 {
 			continue
 		}
 		delete(l.services, name)
 		for _, o := range l.orgs {
 			delete(o.inflight, s)
+			delete(o.waiting, s)
 		}
 	}
 }
@@ -217,8 +259,8 @@
 }
 
 func (o *lookupOrg) busy() bool {
-	for _, n := range o.inflight {
-		if n > 0 {
+	for s, n := range o.inflight {
+		if n > 0 || o.waiting[s] > 0 {
 			return true
 		}
 	}
--- a/test/shutdown_test.go
+++ b/test/shutdown_test.go
@@ -149,3 +149,30 @@
 	f.awaitAll("the platform is back", func(s operator.Status) bool { return s.Platform.Reachable })
 	f.mustAnswer()
 }
+
+// Guards against callers that are refused while a node leaves and the others stand still in
+// turn, as they do on machines short of processor time.
+func TestGracefulShutdownBesidePausedNodes(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, plan{zones: []string{zoneA, zoneA, zoneB}, engines: 4, services: 1})
+	leaving, other, far := f.nodes[0], f.nodes[1], f.nodes[2]
+	lb, stop := keepBalanced(t, leaving, other, far)
+	until(t, "callers are at work", func() bool { return lb.calls.Load() > 200 }, func() string { return "" })
+	leaving.signal(t, syscall.SIGTERM)
+	for i := range 8 {
+		n := f.nodes[i%len(f.nodes)]
+		n.signal(t, syscall.SIGSTOP)
+		time.Sleep(pauseLength)
+		n.signal(t, syscall.SIGCONT)
+		time.Sleep(pauseLength) // until the calls that it held are answered
+	}
+	if code := leaving.exit(t); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	for _, a := range stop() {
+		t.Errorf("a caller was told %v", a)
+	}
+}
+
+// pauseLength is shorter than the time in which a node is taken for dead.
+const pauseLength = 200 * time.Millisecond
