--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -122,6 +122,7 @@
 	cancels *ring.Queue[abandoned]
 	guard   *guard
 	linger  *linger
+	served  served
 	metrics *metrics
 	tracer  trace.Tracer
 }
@@ -199,12 +200,10 @@
 
 // once makes one try.
 func (d *Dispatcher) once(ctx context.Context, s *session) *outcome.Error {
-	now := d.opt.Clock.Now()
-	snap := d.opt.View.Snapshot()
 	if err := ctx.Err(); err != nil {
 		return d.stopped(ctx, outcome.NotRun)
 	}
-	choice, err := d.opt.Router.Pick(s.req, snap, now, s.tried)
+	choice, err := d.pick(ctx, s)
 	if err != nil {
 		s.exhausted = true
 		return s.nothingLeft(err)
@@ -216,11 +215,19 @@
 	tryCtx, span := d.startTry(ctx, choice)
 	err = d.send(tryCtx, s, choice, t)
 	endTry(span, err)
-	d.opt.Router.End(choice, t.result(d.opt.Clock.Now(), err))
+	d.ended(s, choice, t.result(d.opt.Clock.Now(), err))
 	s.add(err)
 	return err
 }
 
+// ended tells how a try ended.
+func (d *Dispatcher) ended(s *session, c route.Choice, r route.Result) {
+	d.opt.Router.End(c, r)
+	if r.OK {
+		d.served.note(s.req, d.opt.Clock.Now())
+	}
+}
+
 // begin counts a try that is about to be made.
 func (d *Dispatcher) begin(ctx context.Context, s *session, c route.Choice) *try {
 	s.tries++
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -127,7 +127,7 @@
 	endTry(span, err)
 	now := r.d.opt.Clock.Now()
 	t.blamed = t.blamed || errors.Is(context.Cause(ctx), errStuck)
-	r.d.opt.Router.End(c, t.result(now, err))
+	r.d.ended(r.s, c, t.result(now, err))
 	return asked{reply: rep, err: err, took: now.Sub(t.started)}
 }
 
