--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -35,7 +35,7 @@
 }
 
 // allowed refuses a request that ends the endpoints that run it. It is asked immediately
-// before each send: without it 20 endpoints ended under twelve tries of one lookup.
+// before each send, whichever try it is.
 func (r *endpointRun) allowed(ctx context.Context) *outcome.Error {
 	v, refused := r.d.opt.Quarantine.Refused(ctx, r.fp)
 	if !refused {
--- a/internal/entry/loads.go
+++ b/internal/entry/loads.go
@@ -197,8 +197,8 @@
 
 // showMeans tells the other zones' holders how loaded the zones are whose duty this node
 // holds, and the zone's nodes what it knows of all. A node knows another zone's heads by
-// its own few requests alone: to it they seemed free, and it sent there while its own
-// zone had more room (bytes between zones rose from 0.06 to 0.10 GB in a played day).
+// its own few requests alone: to it they would seem free, and it would send there while
+// its own zone has more room.
 func (l *loads) showMeans() {
 	n := l.node
 	now := n.Clock.Now()
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -93,9 +93,8 @@
 const mostClosed = 3
 
 // free reports whether the next attempt takes nothing from the retry budget: nothing has
-// arrived at an endpoint that refuses connections. Beside a request that ended one
-// endpoint after the other 108 others of a played day were refused because the budget
-// was spent on such. A connection that hangs has cost its time and counts.
+// arrived at an endpoint that refuses connections, and many requests meet one that ended
+// before it leaves the list. A connection that hangs has cost its time and counts.
 func (x *exchange) free(res Result) bool {
 	return res == NotRun && x.refusedDial && x.closed <= mostClosed
 }
@@ -168,9 +167,7 @@
 }
 
 // quarantined reports whether the request must not be sent because endpoints end under
-// it. One that runs on ends an endpoint with all its streams at each attempt: on a played
-// day 43 ended under one. This is the only way to an endpoint, whichever attempt it is,
-// so nothing reaches one that this node knows of.
+// it. This is the only way to an endpoint, whichever attempt it is.
 func (x *exchange) quarantined(ctx context.Context) bool {
 	x.verdict, x.banned = x.f.Quarantine.Refused(ctx, x.fp)
 	return x.banned
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -87,10 +87,17 @@
 	return g
 }
 
+// count returns how many requests are refused.
 func (g *Guard) count() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return float64(len(g.bans))
+	n := 0
+	for fp := range g.bans {
+		if g.isFound(fp) {
+			n++
+		}
+	}
+	return float64(n)
 }
 
 // Refused reports whether the request must not be sent, and why. It is asked immediately
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -10,8 +10,7 @@
 
 // The evidence that it takes to find a request harmful. Whoever shared an endpoint with
 // it saw that endpoint end as well; what sets the harmful one apart is that it was at
-// all ends, and that others were not. The figures are those with which the world of the
-// tests refuses fewest innocent requests while each harmful one keeps to its bound.
+// all ends, and that others were not.
 const (
 	// harmEnds is how many ends a request must have seen. The platform's bound begins
 	// with the third: from 3 s after it on three more runs are allowed.
@@ -20,11 +19,9 @@
 	// again after an end, and meets the next one at the same endpoint as the harmful
 	// request, is one attempt all the while.
 	harmAttempts = 2
-	// harmSurely is how many client attempts tell a harmful request from one whose client
-	// merely came back once, as those of the users' systems do. With two of them it takes
-	// harmFew ends: a route that lets a request run three times gets that far, one that
-	// lets it run twice never does. Where 1.5 of 12 endpoints end a second for other reasons
-	// 109 of a million innocent requests were found harmful by two attempts, none by three.
+	// harmSurely is how many client attempts tell a harmful request at once from one whose
+	// client merely came back. With two of them it takes harmFew ends, which a route that
+	// lets a request run twice never allows.
 	harmSurely = 3
 	harmFew    = 5
 	// harmClearly is how many times as many ends it must have seen as missed with two
@@ -37,8 +34,8 @@
 	// harmMany is from how many ends on one that the others missed is enough: what a
 	// client sends many times at once may be at most endpoints for seconds.
 	harmMany = 8
-	// harmSettles is the time after its third end from which a further one is as good as
-	// many: most client attempts are over by then, and the bound's time has hardly begun.
+	// harmSettles is the time after its third end after which nothing else is weighed: what
+	// moved along with it is over by then.
 	harmSettles = 2 * time.Second
 	// harmSound is how many runs may have ended well for each end: a request that ends
 	// its endpoint every other time is found, one that many clients repeat all day and
--- a/internal/quarantine/metrics.go
+++ b/internal/quarantine/metrics.go
@@ -22,7 +22,7 @@
 	}
 	if reg != nil {
 		reg.MustRegister(m.found, m.refused, m.ends, m.suspects, m.checks, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "chervilloom_quarantine_requests", Help: "Requests that are refused, or run one at a time, now.",
+			Name: "chervilloom_quarantine_requests", Help: "Requests that are refused now.",
 		}, banned))
 	}
 	return m
