--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -27,7 +27,7 @@
 		x.f.Ejector.Report(EjectionID(ep), false)
 	case MayHaveRun, Failed, OutOfTime:
 		// A head that stands still is suspect, and its group is taken apart.
-		if x.moving.Load() {
+		if x.endedHere() {
 			return
 		}
 		x.f.Ejector.Report(EjectionID(ep), true)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -103,6 +103,7 @@
 func (x *exchange) attempt(ctx context.Context, ep *roster.Endpoint) Result {
 	x.tried = append(x.tried, ep.ID)
 	x.lastCause, x.refusedDial = "", false
+	x.recalled.Store(false)
 	conn, err := x.connect(ctx, ep)
 	if err != nil {
 		return x.failed(ctx, ep, err)
@@ -140,7 +141,7 @@
 	ticket.End()
 	stopLimit()
 	endRun()
-	if !stop() || x.moving.Load() || x.recalled.Load() {
+	if !stop() || x.endedHere() {
 		conn.Spoil()
 	}
 	x.f.Pool.Put(conn, resp, x.keptIdle())
@@ -176,7 +177,6 @@
 // recallBy returns what ends the attempt if the request becomes a suspect; nil for a request
 // that may not run again.
 func (x *exchange) recallBy(conn *upstream.Conn) func() {
-	x.recalled.Store(false)
 	if !x.route.Repeatable() {
 		return nil
 	}
@@ -186,6 +186,9 @@
 	}
 }
 
+// endedHere reports whether this node ended the attempt: that says nothing of the endpoint.
+func (x *exchange) endedHere() bool { return x.moving.Load() || x.recalled.Load() }
+
 // limitTry gives an answer that may be asked for again a time within which it
 // must have come: an endpoint that hangs would otherwise hold the request until
 // its client's time is over. It returns what ends the limit.
@@ -370,7 +373,7 @@
 		x.f.Quarantine.Sound(x.fp)
 	case MayHaveRun:
 		x.logBroken(ep, sent)
-		if x.moving.Load() || x.recalled.Load() {
+		if x.endedHere() {
 			return
 		}
 		if now := x.f.View().Roster.Get(ep.ID); now != nil && now.Usable() {
--- a/internal/quarantine/bans.go
+++ b/internal/quarantine/bans.go
@@ -31,26 +31,29 @@
 	// mostBans bounds the requests that are refused; the oldest is let go first. A store's
 	// page holds that many rows beside those of 200 nodes.
 	mostBans = 256
+	// mostSuspects bounds the suspects among them, so that they push out no request that was
+	// found harmful. More at once come from a loss of many endpoints.
+	mostSuspects = 64
 	// rowGone is for how long a request must be missing among those kept to be taken for
 	// lifted: nodes hand on what they have read with ages of up to 2.2 s.
 	rowGone = 5 * time.Second
 )
 
-// try asks for the one run of a request whose time is over.
-func (g *Guard) try(ctx context.Context, b *ban, v Verdict) bool {
+// try asks for the one run of a suspect, or of a request whose time is over.
+func (g *Guard) try(ctx context.Context, b *ban, v Verdict) (granted bool, err error) {
 	v.Tries++
-	granted, err := g.Try(ctx, v)
+	granted, err = g.Try(ctx, v)
 	if err != nil {
 		g.Log.Info("request is not tried", "suspect", v.Suspect, "fingerprint", v.Fingerprint, "err", err)
 	}
 	if !granted {
-		return false
+		return false, err
 	}
 	g.mu.Lock()
 	b.Verdict, b.since, b.tries = v, g.Clock.Now(), true
 	g.mu.Unlock()
 	g.Log.Info("quarantined request is tried", "suspect", v.Suspect, "fingerprint", v.Fingerprint, "ends", v.Ends, "tries", v.Tries)
-	return true
+	return true, nil
 }
 
 // Sound notes a run that ended well.
@@ -116,8 +119,9 @@
 	g.mu.Unlock()
 	for _, fp := range gone {
 		const reason = "it is kept no more"
-		g.free(fp, reason)
-		g.unban(fp, reason)
+		if !g.free(fp, reason) {
+			g.unban(fp, reason)
+		}
 	}
 }
 
@@ -186,6 +190,10 @@
 		g.mu.Unlock()
 		return
 	}
+	if v.Suspect && g.suspects() >= mostSuspects {
+		g.mu.Unlock()
+		return
+	}
 	if b == nil && len(g.bans) >= mostBans {
 		g.dropOldest()
 	}
@@ -214,6 +222,17 @@
 	}
 }
 
+// suspects returns how many requests run one at a time.
+func (g *Guard) suspects() int {
+	n := 0
+	for _, b := range g.bans {
+		if b.Suspect {
+			n++
+		}
+	}
+	return n
+}
+
 func (g *Guard) dropOldest() {
 	var oldest Fingerprint
 	for fp, b := range g.bans {
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -91,13 +91,7 @@
 func (g *Guard) count() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	n := 0
-	for fp := range g.bans {
-		if g.isFound(fp) {
-			n++
-		}
-	}
-	return float64(n)
+	return float64(len(g.bans) - g.suspects())
 }
 
 // Refused reports whether the request must not be sent, and why. It is asked immediately
@@ -137,7 +131,11 @@
 		b.asked = now
 	}
 	g.mu.Unlock()
-	return v, !due || !g.try(ctx, b, v)
+	if !due {
+		return v, true
+	}
+	granted, _ := g.try(ctx, b, v) // an error is logged, and no leave
+	return v, !granted
 }
 
 // Tick tells what has been noted, and judges.
@@ -248,8 +246,9 @@
 	g.mu.Unlock()
 	if harmless {
 		const reason = "it runs well far more often than endpoints end under it"
-		g.release(m.Sound.Fingerprint, reason)
-		g.lift(m.Sound.Fingerprint, reason)
+		if !g.release(m.Sound.Fingerprint, reason) {
+			g.lift(m.Sound.Fingerprint, reason)
+		}
 	}
 	for _, fp := range m.Ask {
 		g.answer(fp)
--- a/internal/quarantine/runs.go
+++ b/internal/quarantine/runs.go
@@ -63,8 +63,7 @@
 	b.asked = g.Clock.Now()
 	g.mu.Unlock()
 	go func() {
-		v.Tries++
-		granted, err := g.Try(context.Background(), v)
+		granted, err := g.try(context.Background(), b, v)
 		if granted || err != nil {
 			runs = runs[1:]
 		}
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -37,7 +37,9 @@
 func (t *Tally) Suspects(known func(Fingerprint) bool) []Verdict {
 	found := map[Fingerprint]bool{}
 	for fp := range t.byPrint {
-		found[fp] = known(fp)
+		if known(fp) {
+			found[fp] = true
+		}
 	}
 	var out []Verdict
 	for fp, s := range t.byPrint {
@@ -84,15 +86,17 @@
 	}
 }
 
-// release ends the suspicion against a request at all nodes.
-func (g *Guard) release(fp Fingerprint, reason string) {
+// release ends the suspicion against a request at all nodes, and reports whether there was
+// one.
+func (g *Guard) release(fp Fingerprint, reason string) bool {
 	if !g.free(fp, reason) {
-		return
+		return false
 	}
 	g.Announce(Message{Node: g.Node, Released: []Fingerprint{fp}})
 	if g.Drop != nil {
 		g.Drop(fp)
 	}
+	return true
 }
 
 // free reports whether the request was a suspect until now.
--- a/internal/quarantine/suspects_test.go
+++ b/internal/quarantine/suspects_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -158,3 +159,19 @@
 		is.Equal(recalled.Load(), int32(3))
 	})
 }
+
+// Guards against a loss of many endpoints whose requests become suspects by the hundred and
+// push out those that were found harmful.
+func TestSuspectsLeaveHarmfulRequestsInPlace(t *testing.T) {
+	bubble(t, func(is *is.I) {
+		gs := newGuards(1)
+		g := gs.all[0]
+		g.ban(Verdict{Fingerprint: "bad", Ends: 3}, "x")
+		for i := range 2 * mostBans {
+			g.ban(Verdict{Fingerprint: Fingerprint(strconv.Itoa(i)), Ends: 2, Suspect: true}, "x")
+		}
+		is.True(g.isFound("bad"))
+		is.Equal(g.suspects(), mostSuspects)
+		is.Equal(g.count(), 1.0)
+	})
+}
