--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -366,19 +366,24 @@
 
 // noteRun has the quarantine know how a run ended. An endpoint that leaves in order may
 // break off what is left, and one that went silent was given up here; that is no end under
-// a request.
+// a request. One whose run was recalled may still end by it.
 func (x *exchange) noteRun(ep *roster.Endpoint, res Result, sent clock.Instant) {
 	switch res {
 	case Answered:
 		x.f.Quarantine.Sound(x.fp)
 	case MayHaveRun:
 		x.logBroken(ep, sent)
-		if x.endedHere() {
+		if x.moving.Load() {
 			return
 		}
-		if now := x.f.View().Roster.Get(ep.ID); now != nil && now.Usable() {
-			x.f.Quarantine.Broke(string(ep.ID), ep.Addr, x.fp, quarantine.AttemptID(x.req.ID))
+		if now := x.f.View().Roster.Get(ep.ID); now == nil || !now.Usable() {
+			return
+		}
+		note := x.f.Quarantine.Broke
+		if x.recalled.Load() {
+			note = x.f.Quarantine.Recalled
 		}
+		note(string(ep.ID), ep.Addr, x.fp, quarantine.AttemptID(x.req.ID))
 	}
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -48,9 +48,10 @@
 	// Begin is told of a run that begins; end, of its end. recall is called if the run is to
 	// be made again later; nil: it must go on.
 	Begin(fp quarantine.Fingerprint, recall func()) (end func())
-	// Broke is told of an attempt at an endpoint that broke off, Sound of one that ended
-	// well.
+	// Broke is told of an attempt at an endpoint that broke off, Recalled of one that was
+	// recalled, Sound of one that ended well.
 	Broke(endpoint, addr string, fp quarantine.Fingerprint, attempt uint32)
+	Recalled(endpoint, addr string, fp quarantine.Fingerprint, attempt uint32)
 	Sound(fp quarantine.Fingerprint)
 }
 
--- a/internal/forward/recall_test.go
+++ b/internal/forward/recall_test.go
@@ -18,8 +18,8 @@
 // recaller ends the first run once its endpoint has it.
 type recaller struct {
 	forward.Quarantine
-	runs atomic.Int32
-	came chan struct{}
+	runs, recalled atomic.Int32
+	came           chan struct{}
 }
 
 func (q *recaller) Begin(_ quarantine.Fingerprint, recall func()) func() {
@@ -32,8 +32,11 @@
 	return func() {}
 }
 
+func (q *recaller) Recalled(string, string, quarantine.Fingerprint, uint32) { q.recalled.Add(1) }
+
 // Guards against an endpoint that is blamed for a run which the node itself ended, and
-// against a request that is lost with it.
+// against a request that is lost with it. The endpoint may still end by that run, which is
+// looked at.
 func TestRecalledRunIsMadeAgainAndBlamesNobody(t *testing.T) {
 	is := is.New(t)
 	q := &recaller{came: make(chan struct{})}
@@ -60,4 +63,5 @@
 	is.Equal(body, "ok")
 	is.Equal(q.runs.Load(), int32(2))
 	is.Equal(blamed.Load(), int32(0))
+	is.Equal(q.recalled.Load(), int32(1))
 }
--- a/internal/quarantine/checks.go
+++ b/internal/quarantine/checks.go
@@ -54,23 +54,38 @@
 
 // Broke notes that an attempt at an endpoint broke off, whatever the reason. It counts
 // only if nothing listens at the endpoint any more: one that resets a connection, answers
-// with garbage or is cut off has not ended.
+// with garbage or is cut off has not ended. The request's repeat waits for the check.
 func (g *Guard) Broke(endpoint, addr string, fp Fingerprint, attempt uint32) {
-	now := g.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if b := g.noteBroken(endpoint, addr, fp, attempt); b != nil {
+		g.checks[fp] = b
+	}
+}
+
+// Recalled notes that an attempt at an endpoint was recalled. The endpoint may have begun to
+// end by it; its repeat need not wait for that.
+func (g *Guard) Recalled(endpoint, addr string, fp Fingerprint, attempt uint32) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.noteBroken(endpoint, addr, fp, attempt)
+}
+
+// noteBroken has the endpoint checked, unless too many are.
+func (g *Guard) noteBroken(endpoint, addr string, fp Fingerprint, attempt uint32) *broken {
+	now := g.Clock.Now()
 	b := g.broken[endpoint]
 	if b == nil || b.over != 0 && !b.ended {
 		if b == nil && len(g.broken) >= mostBroken {
 			g.metrics.checks.WithLabelValues("skipped").Inc()
-			return
+			return nil
 		}
 		b = &broken{at: now, checked: make(chan struct{})}
 		g.broken[endpoint] = b
 		go g.check(b, endpoint, addr)
 	}
-	g.checks[fp] = b
 	b.runs = append(b.runs, Run{Fingerprint: fp, Attempt: attempt, Sound: g.history.runs(fp)})
+	return b
 }
 
 // check looks whether anything still listens at an endpoint.
--- a/internal/quarantine/suspects_test.go
+++ b/internal/quarantine/suspects_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -175,3 +177,27 @@
 		is.Equal(g.count(), 1.0)
 	})
 }
+
+// Guards against evidence that is lost because the run was recalled a moment before its
+// endpoint ended.
+func TestEndAfterARecallCounts(t *testing.T) {
+	bubble(t, func(is *is.I) {
+		gs := newGuards(2)
+		ended := false
+		gs.all[0].Dial = func(ctx context.Context, _ string) (net.Conn, error) {
+			if ended {
+				return nil, syscall.ECONNREFUSED
+			}
+			near, far := net.Pipe()
+			time.AfterFunc(standsFor/2, func() { ended = true; far.Close() })
+			return near, nil
+		}
+		gs.all[0].Recalled("e", "ends", "bad", 1)
+		begun := time.Now()
+		gs.all[0].Refused(context.Background(), "bad")
+		is.Equal(time.Since(begun), time.Duration(0)) // it waits for no check
+		time.Sleep(standsFor)
+		synctest.Wait()
+		is.Equal(gs.all[1].tally.Saw("bad"), 1)
+	})
+}
--- a/internal/quarantine/world_test.go
+++ b/internal/quarantine/world_test.go
@@ -301,7 +301,8 @@
 	}
 }
 
-// keepOneRun recalls the runs of a suspect but for one.
+// keepOneRun recalls the runs of a suspect but for one. What a harmful one does to its
+// endpoint goes on.
 func (w *world) keepOneRun(fp Fingerprint) {
 	for _, h := range w.heads {
 		h.runs = slices.DeleteFunc(h.runs, func(f *flight) bool {
@@ -312,8 +313,9 @@
 				w.suspects[fp] = w.now
 				return false
 			}
-			w.in(0, func() { w.place(f) })
-			return true
+			again := *f
+			w.in(0, func() { w.place(&again) })
+			return f.harm == nil
 		})
 	}
 }
