--- a/internal/dispatch/await.go
+++ b/internal/dispatch/await.go
@@ -15,10 +15,8 @@
 	// servedLately is how long ago a target must have served for a request to wait when
 	// nothing serves it now.
 	servedLately = 2 * time.Second
-	// destinationWait is how long a request waits for a destination: two rounds of probes.
-	destinationWait = 500 * time.Millisecond
-	// destinationPoll is the pause between two looks for one.
-	destinationPoll = 10 * time.Millisecond
+	// pickPoll is the pause between two looks for a destination.
+	pickPoll = 10 * time.Millisecond
 )
 
 // served remembers when each target and plain service served a request of this node last.
@@ -59,8 +57,8 @@
 		return choice, err
 	}
 	began := d.opt.Clock.Now()
-	for range destinationWait / destinationPoll {
-		if !clock.Sleep(ctx, destinationPoll) {
+	for range d.opt.PickWait / pickPoll {
+		if !clock.Sleep(ctx, pickPoll) {
 			return choice, err
 		}
 		if choice, err = d.pickNow(s); err == nil {
--- a/internal/dispatch/await_test.go
+++ b/internal/dispatch/await_test.go
@@ -7,48 +7,51 @@
 
 	"github.com/matryer/is"
 
+	"chervilloom/internal/clock"
 	"chervilloom/internal/outcome"
+	"chervilloom/internal/request"
+	"chervilloom/internal/route"
 	"chervilloom/internal/testkit"
 	"chervilloom/internal/view"
 )
 
-// watched counts how often the snapshot is looked at.
-type watched struct {
-	*rig
-	count atomic.Int64
+// countingRouter counts how often a destination is looked for.
+type countingRouter struct {
+	*listRouter
+	picks atomic.Int64
 }
 
-func (w *watched) Snapshot() *view.Snapshot {
-	w.count.Add(1)
-	return w.rig.Snapshot()
+func (c *countingRouter) Pick(req *request.Request, snap *view.Snapshot, now clock.Instant, tried []route.Tried) (route.Choice, *outcome.Error) {
+	c.picks.Add(1)
+	return c.listRouter.Pick(req, snap, now, tried)
 }
 
-func newWatchedRig(t *testing.T) (*rig, *watched) {
-	looked := &watched{}
+func newCountingRig(t *testing.T) (*rig, *countingRouter) {
+	c := &countingRouter{}
 	r := newRig(t, func(o *Options) {
-		looked.rig = o.View.(*rig)
-		o.View = looked
+		c.listRouter = o.Router.(*listRouter)
+		o.Router, o.PickWait = c, patience
 	})
-	return r, looked
+	return r, c
 }
 
 // Guards against callers that are refused in between a probe that is answered late and the
 // next one.
 func TestRequestWaitsForADestinationThatWasThere(t *testing.T) {
 	is := is.New(t)
-	r, looked := newWatchedRig(t)
+	r, router := newCountingRig(t)
 	r.addService()
 	is.True(r.serve(context.Background(), r.lookup("a")).end.Whole)
 	vms := r.Snapshot().VMs
 	r.change(func(s *view.Snapshot) { s.VMs = nil })
 	c := newCollector()
 	done := make(chan struct{})
+	from := router.picks.Load()
 	go func() {
 		defer close(done)
 		r.d.Serve(context.Background(), r.receipt("b"), c)
 	}()
-	from := looked.count.Load()
-	testkit.Eventually(t, "it looks again", func() bool { return looked.count.Load() > from+5 })
+	testkit.Eventually(t, "it looks again", func() bool { return router.picks.Load() > from+1 })
 	r.change(func(s *view.Snapshot) { s.VMs = vms })
 	<-done
 	is.True(c.end.Whole)
@@ -57,9 +60,8 @@
 // Guards against requests that are held where nothing has served them for long.
 func TestRequestIsRefusedAtOnceWhereNothingServedLately(t *testing.T) {
 	is := is.New(t)
-	r, looked := newWatchedRig(t)
-	before := looked.count.Load()
+	r, router := newCountingRig(t)
 	c := r.serve(context.Background(), r.lookup("a"))
 	is.Equal(c.end.Error.Kind, outcome.NoCapacity)
-	is.True(looked.count.Load() < before+5) // not once for each poll
+	is.Equal(router.picks.Load(), int64(1))
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -76,6 +76,7 @@
 	Tries        int           // of one request, the first one included
 	HedgeAfter   time.Duration // after which a lookup is sent to a second endpoint as well
 	ResumeGrace  time.Duration // for which a stream runs on whose caller has left; negative: not at all
+	PickWait     time.Duration // for a destination that was there a moment ago
 }
 
 // The defaults of Options.
@@ -86,6 +87,7 @@
 	DefaultTries        = 4
 	DefaultHedgeAfter   = 200 * time.Millisecond
 	DefaultResumeGrace  = 3 * time.Second
+	DefaultPickWait     = 500 * time.Millisecond // two rounds of probes
 )
 
 func (o *Options) fill() {
@@ -107,6 +109,9 @@
 	if o.ResumeGrace == 0 {
 		o.ResumeGrace = DefaultResumeGrace
 	}
+	if o.PickWait == 0 {
+		o.PickWait = DefaultPickWait
+	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
