--- a/internal/route/align.go
+++ b/internal/route/align.go
@@ -10,6 +10,9 @@
 
 const (
 	slowestRatio = 6.0 // cap of a straggler's demotion
+	// leastDemotion is the slowness, in seconds of a request, that is not held against an
+	// endpoint: scheduling alone delays an answer by as much.
+	leastDemotion = 0.002
 	// recovery is the time without a sample after which nothing is held against
 	// an endpoint any more: its next request tells whether it is still slow.
 	recovery     = 45 * time.Second
@@ -158,7 +161,7 @@
 	l.prefill = cl.prefill * slow
 	l.slots = e.slots * l.s.ramp(now)
 	l.drain = cl.drain(e, slow)
-	l.demotion = cl.service * (slow - 1)
+	l.demotion = max(0, cl.service*(slow-1)-leastDemotion)
 	if e.group != nil {
 		l.demotion += l.s.lag(cl, now)
 	}
