--- a/internal/dispatch/await.go
+++ b/internal/dispatch/await.go
@@ -17,6 +17,8 @@
 	servedLately = 2 * time.Second
 	// pickPoll is the pause between two looks for a destination.
 	pickPoll = 10 * time.Millisecond
+	// roundPause is the pause before destinations are tried again that were all tried.
+	roundPause = 50 * time.Millisecond
 )
 
 // served remembers when each target and plain service served a request of this node last.
@@ -50,13 +52,20 @@
 
 // pick chooses a destination. Where there was one a moment ago and none is left, the request
 // waits a little: a probe that is answered late takes a destination away until the next one,
-// and all that comes in between would be refused.
+// and all that comes in between would be refused. Where all were tried and nothing ran, they
+// may be tried again: a group whose members missed a heartbeat refuses for a moment only.
 func (d *Dispatcher) pick(ctx context.Context, s *session) (route.Choice, *outcome.Error) {
 	choice, err := d.pickNow(s)
-	if err == nil || s.tries > 0 || !d.served.lately(s.req, d.opt.Clock.Now()) {
+	if err == nil || !d.mayWait(s) {
 		return choice, err
 	}
 	began := d.opt.Clock.Now()
+	if s.tries > 0 {
+		if !clock.Sleep(ctx, roundPause) {
+			return choice, err
+		}
+		s.tried = nil
+	}
 	for range d.opt.PickWait / pickPoll {
 		if !clock.Sleep(ctx, pickPoll) {
 			return choice, err
@@ -66,10 +75,19 @@
 		}
 	}
 	d.opt.Log.Info("request waited for a destination", "request", s.req.ID, "found", err == nil,
-		"ms", d.opt.Clock.Now().Sub(began).Milliseconds())
+		"tries", s.tries, "ms", d.opt.Clock.Now().Sub(began).Milliseconds())
 	return choice, err
 }
 
+// mayWait reports whether a request for which there is no destination may wait for one. One
+// that another node passed on is tried again by that node.
+func (d *Dispatcher) mayWait(s *session) bool {
+	if s.tries > 0 && (s.ran != outcome.NotRun || s.req.Hops > 0) {
+		return false
+	}
+	return d.served.lately(s.req, d.opt.Clock.Now())
+}
+
 func (d *Dispatcher) pickNow(s *session) (route.Choice, *outcome.Error) {
 	return d.opt.Router.Pick(s.req, d.opt.View.Snapshot(), d.opt.Clock.Now(), s.tried)
 }
--- a/internal/dispatch/await_test.go
+++ b/internal/dispatch/await_test.go
@@ -11,14 +11,21 @@
 	"chervilloom/internal/outcome"
 	"chervilloom/internal/request"
 	"chervilloom/internal/route"
+	"chervilloom/internal/standin/fault"
+	"chervilloom/internal/standin/service"
 	"chervilloom/internal/testkit"
 	"chervilloom/internal/view"
 )
 
-// countingRouter counts how often a destination is looked for.
+// countingRouter counts how often a destination is looked for, and the tries.
 type countingRouter struct {
 	*listRouter
-	picks atomic.Int64
+	picks, begun atomic.Int64
+}
+
+func (c *countingRouter) Begin(ch route.Choice) {
+	c.begun.Add(1)
+	c.listRouter.Begin(ch)
 }
 
 func (c *countingRouter) Pick(req *request.Request, snap *view.Snapshot, now clock.Instant, tried []route.Tried) (route.Choice, *outcome.Error) {
@@ -65,3 +72,33 @@
 	is.Equal(c.end.Error.Kind, outcome.NoCapacity)
 	is.Equal(router.picks.Load(), int64(1))
 }
+
+// Guards against callers that are refused because the only destination refused them for a
+// moment, and against receipts that run twice by it.
+func TestOnlyDestinationIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	r, _ := newCountingRig(t)
+	s := r.addService()
+	is.True(r.serve(context.Background(), r.lookup("a")).end.Whole)
+	s.SetFaults(service.Faults{Stages: fault.Stages{RefuseNotRun: 2}})
+	is.True(r.serve(context.Background(), r.receipt("b")).end.Whole)
+	is.Equal(s.Executions("POST", "/receipts", "b"), 1)
+}
+
+// Guards against requests that go round an endpoint that goes on refusing, and against nodes
+// that each go round for a request which they pass on.
+func TestTriesAtTheOnlyDestinationAreBounded(t *testing.T) {
+	for hops, want := range []int64{DefaultTries, 1} {
+		is := is.New(t)
+		r, router := newCountingRig(t)
+		s := r.addService()
+		is.True(r.serve(context.Background(), r.lookup("a")).end.Whole)
+		s.SetFaults(service.Faults{Stages: fault.Stages{RefuseNotRun: fault.Always}})
+		req := r.receipt("b")
+		req.Hops = hops
+		begun := router.begun.Load()
+		c := r.serve(context.Background(), req)
+		is.Equal(c.end.Error.Outcome, outcome.NotRun)
+		is.Equal(router.begun.Load()-begun, want)
+	}
+}
