--- a/internal/dispatch/await_test.go
+++ b/internal/dispatch/await_test.go
@@ -42,8 +42,7 @@
 	return r, c
 }
 
-// Guards against callers that are refused in between a probe that is answered late and the
-// next one.
+// Guards against callers that are refused while a late probe hides the only destination.
 func TestRequestWaitsForADestinationThatWasThere(t *testing.T) {
 	is := is.New(t)
 	r, router := newCountingRig(t)
@@ -73,8 +72,7 @@
 	is.Equal(router.picks.Load(), int64(1))
 }
 
-// Guards against callers that are refused because the only destination refused them for a
-// moment, and against receipts that run twice by it.
+// Guards against callers that are refused because the only destination refused for a moment.
 func TestOnlyDestinationIsTriedAgain(t *testing.T) {
 	is := is.New(t)
 	r, _ := newCountingRig(t)
@@ -85,8 +83,7 @@
 	is.Equal(s.Executions("POST", "/receipts", "b"), 1)
 }
 
-// Guards against requests that go round an endpoint that goes on refusing, and against nodes
-// that each go round for a request which they pass on.
+// Guards against requests without end to an endpoint that goes on refusing.
 func TestTriesAtTheOnlyDestinationAreBounded(t *testing.T) {
 	for hops, want := range []int64{DefaultTries, 1} {
 		is := is.New(t)
--- a/internal/route/late_test.go
+++ b/internal/route/late_test.go
@@ -35,7 +35,7 @@
 	return got
 }
 
-// A new service endpoint whose first answers a busy VM delays gets no requests for 45 s.
+// Guards against a new endpoint that gets no requests because its first answers were late.
 func TestEndpointWithLateFirstAnswersGetsItsShare(t *testing.T) {
 	is := is.New(t)
 	now := clock.NewManual(start)
@@ -56,8 +56,7 @@
 	is.True(got["new"] >= 400)
 }
 
-// An endpoint that is slower than its peers by more than scheduling delays goes on
-// getting an equal share.
+// Guards against an endpoint that is clearly slow and still gets an equal share.
 func TestSlowEndpointIsDemoted(t *testing.T) {
 	is := is.New(t)
 	now := clock.NewManual(start)
