Logs and a metric for answers that name a rate limit

No decision uses it.

Conclusion: with it the arrivals at an endpoint can be set against what its nodes knew.

--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -50,6 +50,12 @@
 	Waiting int    // requests that wait there
 	Culprit string // the endpoint that made a group refuse; empty: not told
 	Other   bool   // another endpoint has the address now
+	// RateLimit is the requests a second that the endpoint takes from all nodes together;
+	// nil: it names no limit.
+	RateLimit *float64
+	// Unreadable is a header about the endpoint itself whose value can't be kept to; empty:
+	// none.
+	Unreadable string
 }
 
 // Codec translates between the project and what clients and endpoints speak.
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -15,6 +15,7 @@
 	attempts *prometheus.CounterVec
 	first    *prometheus.HistogramVec
 	refused  *prometheus.CounterVec
+	limited  prometheus.Counter
 }
 
 // NewMetrics registers the metrics; reg may be nil.
@@ -33,9 +34,12 @@
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chervilloom_request_refused_total", Help: "Requests answered by this node itself, by reason.",
 		}, []string{"reason"}),
+		limited: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chervilloom_answers_limited_total", Help: "Answers in which an endpoint named a rate limit.",
+		}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.requests, m.attempts, m.first, m.refused)
+		reg.MustRegister(m.requests, m.attempts, m.first, m.refused, m.limited)
 	}
 	return m
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -28,6 +28,7 @@
 	if rep.HasLoad {
 		ticket.Load(rep.Running, rep.Waiting)
 	}
+	x.noteLimit(ep, rep)
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	switch {
 	case rep.NotRun || rep.Other:
@@ -47,6 +48,20 @@
 	return x.relayWhole(ctx, ep, conn, resp, success)
 }
 
+// noteLimit tells of each answer in which an endpoint names a rate limit.
+func (x *exchange) noteLimit(ep *roster.Endpoint, rep Reply) {
+	if rep.Other {
+		return
+	}
+	if rep.Unreadable != "" {
+		x.f.Log.Debug("answer's header not readable", "request", x.req.ID, "endpoint", ep.ID, "header", rep.Unreadable)
+	}
+	if rep.RateLimit != nil {
+		x.f.Metrics.limited.Inc()
+		x.f.Log.Debug("answer names a rate limit", "request", x.req.ID, "endpoint", ep.ID, "limit", *rep.RateLimit)
+	}
+}
+
 func (x *exchange) notRun(ep *roster.Endpoint, conn *upstream.Conn, resp *http.Response, rep Reply) Result {
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		conn.Spoil()
