--- /dev/null
+++ b/internal/dispatch/pressure_test.go
@@ -0,0 +1,60 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"chervilloom/internal/request"
+	standin "chervilloom/internal/standin/engine"
+	"chervilloom/internal/standin/pressure"
+)
+
+const (
+	// pressureTime is a grace of a second, one of the checks' windows of 4 s, and some more.
+	pressureTime  = 6 * time.Second
+	pressurePause = 15 * time.Millisecond
+)
+
+// sendFor sends requests one after another for a while and returns how many failed.
+func (r *rig) sendFor(name string, make func(id string) *request.Request) (failed []string) {
+	pause := time.NewTicker(pressurePause)
+	defer pause.Stop()
+	for k, end := 0, time.Now().Add(pressureTime); time.Now().Before(end); k++ {
+		req := make(fmt.Sprintf("%s.%d", name, k))
+		if c := r.serve(context.Background(), req); !c.end.Whole {
+			failed = append(failed, fmt.Sprintf("%s: %v", req.ID, c.end.Error))
+		}
+		<-pause.C
+	}
+	return failed
+}
+
+// Guards against endpoints in need that get their usual share from a node that knows the limit.
+func TestRateLimitOfAnEndpointIsKept(t *testing.T) {
+	r := newRig(t, nil)
+	engine, other := r.addEngine(standin.Options{}), r.addEngine(standin.Options{})
+	plain, second := r.addService(), r.addService()
+	engine.Pressure.Say(pressure.Words{Limit: 1.9})
+	plain.Pressure.Say(pressure.Words{Limit: 1.9})
+	var clients sync.WaitGroup
+	for name, make := range map[string]func(id string) *request.Request{
+		"lookup": r.lookup, "call": r.receipt,
+		"stream": func(id string) *request.Request { return sameChat(r, id, true) },
+	} {
+		clients.Go(func() {
+			if failed := r.sendFor(name, make); len(failed) > 0 {
+				t.Errorf("%d of %s not served, first %s", len(failed), name, failed[0])
+			}
+		})
+	}
+	clients.Wait()
+	for name, broken := range map[string][]string{"engine": engine.Pressure.Broken(), "plain": plain.Pressure.Broken()} {
+		if len(broken) > 0 {
+			t.Errorf("%s: %d times, first %s", name, len(broken), broken[0])
+		}
+	}
+	t.Logf("in need %d and %d, beside %d and %d", engine.Pressure.Arrivals(), plain.Pressure.Arrivals(), other.Pressure.Arrivals(), second.Pressure.Arrivals())
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -35,6 +35,10 @@
 	// HeaderNotRun is "true" on a refusal that promises that nothing ran
 	// (412 wrong generation, 503 draining or full).
 	HeaderNotRun = "Engine-Not-Run"
+	// HeaderRateLimit is in the answers of an endpoint in need, also of a plain
+	// service: the requests a second, a decimal number, that it takes from all
+	// nodes together for as long as it says so.
+	HeaderRateLimit = "Engine-Rate-Limit"
 )
 
 // GenerationTag returns the value of HeaderGeneration for a group's generation.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -18,6 +18,7 @@
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/platform"
 	"chervilloom/internal/standin/fault"
+	"chervilloom/internal/standin/pressure"
 )
 
 // Defaults of the options.
@@ -132,6 +133,9 @@
 	runs   *fault.Executions
 	work   sync.WaitGroup
 
+	// Pressure is what the engine says of how much it takes, and who kept to it.
+	Pressure pressure.Endpoint
+
 	mu       sync.Mutex
 	life     context.Context // ends at a restart
 	endLife  context.CancelCauseFunc
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -4,11 +4,18 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"chervilloom/internal/engine"
 	"chervilloom/internal/standin/fault"
+	"chervilloom/internal/standin/pressure"
 )
 
+var pressureNames = pressure.Names{Limit: engine.HeaderRateLimit}
+
+// pressureBounds are short, so that tests don't wait.
+var pressureBounds = pressure.Bounds{Stable: time.Second}
+
 // ServeHTTP serves the protocol of package engine, and for tests:
 //
 //	POST /faults      Faults; "restart": true begins a new life. GET shows them
@@ -20,7 +27,9 @@
 	mux.HandleFunc("GET /state", e.serveState)
 	mux.HandleFunc("GET /load", e.serveLoad)
 	mux.HandleFunc("POST /orders", e.serveOrder)
-	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
+	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) {
+		e.Pressure.Serve(w, r, pressureNames, pressureBounds, e.serveChat)
+	})
 	mux.HandleFunc("GET /v1/streams/{id}", e.serveResume)
 	mux.HandleFunc("DELETE /v1/streams/{id}", e.serveCancel)
 	mux.HandleFunc("GET /cache/events", e.serveCacheEvents)
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -19,6 +19,7 @@
 	"chervilloom/internal/engine"
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/standin/fault"
+	"chervilloom/internal/standin/pressure"
 )
 
 // DefaultName is the name of the service when the options give none.
@@ -82,8 +83,16 @@
 	running  int
 	sequence uint64
 	faults   Faults
+
+	// Pressure is what the service says of how much it takes, and who kept to it.
+	Pressure pressure.Endpoint
 }
 
+var pressureNames = pressure.Names{Limit: engine.HeaderRateLimit}
+
+// pressureBounds are short, so that tests don't wait.
+var pressureBounds = pressure.Bounds{Stable: time.Second}
+
 // New returns a service with a fresh boot id.
 func New(o Options) *Service {
 	if o.Name == "" {
@@ -165,7 +174,9 @@
 	mux.HandleFunc("GET "+fault.PathFaults, func(w http.ResponseWriter, _ *http.Request) { fault.Reply(w, http.StatusOK, s.Faults()) })
 	mux.HandleFunc("POST "+fault.PathFaults, s.serveSetFaults)
 	mux.Handle("GET "+fault.PathExecutions, s.runs)
-	mux.HandleFunc("/", s.serveCall)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		s.Pressure.Serve(w, r, pressureNames, pressureBounds, s.serveCall)
+	})
 	return mux
 }
 
