An endpoint's rate limit is shared by a few nodes and kept before each send

Callers saw nothing: no request was lost for it. An endpoint in need named 1.9 requests a second and got its usual 8 to 11, from each node that it had told.

Cause: what an endpoint says of itself ended with the request that it answered. The codec had no field for it, and no choice of either way to serve knew it. Its class: a promise to all nodes together that lived, at best, in one attempt of one node.

Ruled out: requests under way (arrivals went on for 30 s); nodes that each keep it and exceed it together (one node alone sent 24 in 4 s). The latter would be the next fault of a repair that counts per node: 295 nodes with one request each are 295.

Change: package backpressure. One guard on both ways, asked at the choice and again immediately before each send. Two nodes and 0.6 more for each request a second share 0.6 of the limit, the first ones in rendezvous order for the endpoint, its zone's first; a token each. Two views of the nodes without a sender in common make 6L + 4 in 4 s, allowed are 6L + 5. A sender that sends announces it every 2 s; one that doesn't is idle, cut off or lost after 5 s, and the next ones take its place, twice as many each time. The end is seen in an answer to a request that was sent after the newest answer with the limit, and told twice; nodes return within a second, each at its own time. When all endpoints of a request are held back it is refused at once, not run, with the time of the next token, spread over as much again. An attempt that is held back takes nothing from the retry budget.

--- /dev/null
+++ b/internal/backpressure/guard.go
@@ -0,0 +1,148 @@
+// Package backpressure keeps to what endpoints say of how much they take. An endpoint in
+// need names the requests a second that it takes from all nodes together; a few nodes share
+// that and the others send it nothing.
+package backpressure
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"chervilloom/internal/clock"
+)
+
+// Words are what an answer says of its endpoint.
+type Words struct {
+	// Limit is the requests a second that the endpoint takes from all nodes together; nil:
+	// it names none.
+	Limit *float64
+}
+
+// Options are what a Guard needs.
+type Options struct {
+	Node  string // this one
+	Clock clock.Clock
+	Log   *slog.Logger
+	// Order returns the nodes that may send to a limited endpoint, those that should first;
+	// all nodes with the same view return the same. nil: this node is alone.
+	Order func(ID) []string
+	// Announce tells a notice to all other nodes; nil: there are none.
+	Announce   func(Notice)
+	Registerer prometheus.Registerer // nil: no metrics
+}
+
+// Guard is asked before each send, whichever attempt it is, and told of each answer. It is
+// safe for concurrent use.
+type Guard struct {
+	Options
+	metrics *metrics
+
+	mu     sync.Mutex
+	limits *limits
+}
+
+// New returns a guard that knows of no endpoint.
+func New(o Options) *Guard {
+	if o.Order == nil {
+		o.Order = func(ID) []string { return nil }
+	}
+	if o.Announce == nil {
+		o.Announce = func(Notice) {}
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	g := &Guard{Options: o, limits: newLimits(o.Node)}
+	g.metrics = newMetrics(o.Registerer, g)
+	return g
+}
+
+// Allows reports whether the endpoint may be chosen for a request now.
+func (g *Guard) Allows(id ID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.limits.allows(id, g.Clock.Now())
+}
+
+// Take asks for one request to be sent now. Whoever sends one calls it immediately before:
+// what other requests took since the endpoint was chosen counts.
+func (g *Guard) Take(id ID) bool {
+	g.mu.Lock()
+	ok, tell := g.limits.take(id, g.Clock.Now())
+	g.mu.Unlock()
+	g.announce(tell)
+	if !ok {
+		g.metrics.held.WithLabelValues(reasonLimit).Inc()
+	}
+	return ok
+}
+
+// Answered takes up what the endpoint said in the answer to a request that was sent at sent.
+func (g *Guard) Answered(id ID, w Words, sent clock.Instant) {
+	g.mu.Lock()
+	now := g.Clock.Now()
+	tell := g.limits.answered(id, w.Limit, sent, now, g.Order)
+	g.mu.Unlock()
+	if tell == nil {
+		return
+	}
+	g.logLimit(*tell)
+	g.announce(tell)
+}
+
+// Hear takes up another node's notice.
+func (g *Guard) Hear(n Notice) {
+	if n.Node == g.Node {
+		return
+	}
+	g.mu.Lock()
+	news := g.limits.hear(n, g.Clock.Now(), g.Order)
+	g.mu.Unlock()
+	if news {
+		g.logLimit(n)
+	}
+}
+
+// ComeBack returns after how long the endpoint can take a request that it isn't allowed now.
+func (g *Guard) ComeBack(id ID) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.limits.comeBack(id)
+}
+
+// Held returns the endpoints to which this node may send nothing now.
+func (g *Guard) Held() []ID {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	var held []ID
+	for id := range g.limits.by {
+		if !g.limits.allows(id, now) {
+			held = append(held, id)
+		}
+	}
+	return held
+}
+
+// Sweep forgets endpoints that are no longer listed, and takes up which nodes there are.
+func (g *Guard) Sweep(listed func(ID) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limits.keep(listed, g.Clock.Now(), g.Order)
+}
+
+func (g *Guard) announce(n *Notice) {
+	if n != nil {
+		g.Announce(*n)
+	}
+}
+
+func (g *Guard) logLimit(n Notice) {
+	if n.Ended {
+		g.Log.Info("rate limit of an endpoint has ended", "endpoint", n.ID, "from", n.Node)
+		return
+	}
+	g.Log.Info("endpoint names a rate limit", "endpoint", n.ID, "limit", n.Rate, "from", n.Node)
+}
--- a/internal/dispatch/await.go
+++ b/internal/dispatch/await.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -56,7 +57,7 @@
 // may be tried again: a group whose members missed a heartbeat refuses for a moment only.
 func (d *Dispatcher) pick(ctx context.Context, s *session) (route.Choice, *outcome.Error) {
 	choice, err := d.pickNow(s)
-	if err == nil || !d.mayWait(s) {
+	if err == nil || err.Kind == outcome.Overloaded || !d.mayWait(s) {
 		return choice, err
 	}
 	began := d.opt.Clock.Now()
@@ -88,6 +89,14 @@
 	return d.served.lately(s.req, d.opt.Clock.Now())
 }
 
+// pickNow chooses a destination among those that take requests now. Where they are the only
+// ones left, the caller is told at once when they do again.
 func (d *Dispatcher) pickNow(s *session) (route.Choice, *outcome.Error) {
-	return d.opt.Router.Pick(s.req, d.opt.View.Snapshot(), d.opt.Clock.Now(), s.tried)
+	snap, now := d.opt.View.Snapshot(), d.opt.Clock.Now()
+	held := d.heldBack(s.req, snap)
+	choice, err := d.opt.Router.Pick(s.req, snap, now, slices.Concat(s.tried, held.tried()))
+	if err != nil && len(held) > 0 {
+		return choice, takesNothing(held.comeBack())
+	}
+	return choice, err
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 
 	"chervilloom/internal/account"
 	"chervilloom/internal/answer"
+	"chervilloom/internal/backpressure"
 	"chervilloom/internal/clock"
 	"chervilloom/internal/explain"
 	"chervilloom/internal/fleet"
@@ -67,8 +68,11 @@
 	Answers    func(ctx context.Context, vm fleet.VM) bool
 	Explain    explain.Recorder
 	Quarantine *quarantine.Guard // of requests that end endpoints; nil: this dispatcher's own
-	Log        *slog.Logger
-	Registerer prometheus.Registerer
+	// Backpressure keeps to what endpoints say of how much they take; nil: this
+	// dispatcher's own.
+	Backpressure *backpressure.Guard
+	Log          *slog.Logger
+	Registerer   prometheus.Registerer
 
 	DialTimeout  time.Duration // to connect to an endpoint
 	AnswerBuffer int           // bytes of an answer held back until it is whole
@@ -118,6 +122,9 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.Alone(o.Clock, o.Log)
 	}
+	if o.Backpressure == nil {
+		o.Backpressure = backpressure.New(backpressure.Options{Clock: o.Clock, Log: o.Log})
+	}
 }
 
 // Dispatcher is the last filter.Handler of the path.
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -54,6 +54,7 @@
 
 // sendToLeader sends the request and passes the answer on.
 func (d *Dispatcher) sendToLeader(ctx, guarded context.Context, s *session, g *view.Group, t *try, r *http.Request, ref relay.StreamRef, run *endpointRun) *outcome.Error {
+	sent := d.opt.Clock.Now()
 	resp, sn, err := d.client.do(r, s.req.Idempotent)
 	if err != nil {
 		oerr := d.failed(ctx, sn, because(guarded, err))
@@ -65,6 +66,7 @@
 	}
 	defer resp.Body.Close()
 	t.first(d.opt.Clock.Now())
+	run.answered(resp, sent)
 	if oerr := checkEngine(resp, g); oerr != nil {
 		t.blamed = oerr.Outcome != outcome.NotRun
 		return oerr
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -109,7 +109,7 @@
 		return route.Choice{}, nil
 	}
 	d := r.d
-	c, err := d.opt.Router.Pick(r.s.req, d.opt.View.Snapshot(), d.opt.Clock.Now(), r.s.tried)
+	c, err := d.pickNow(r.s)
 	if err != nil || c.Kind == route.ToGroup || c.Kind == route.ToNode && d.opt.Peers == nil {
 		return c, nil
 	}
--- /dev/null
+++ b/internal/dispatch/pressure.go
@@ -0,0 +1,110 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"chervilloom/internal/backpressure"
+	"chervilloom/internal/clock"
+	"chervilloom/internal/engine"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/outcome"
+	"chervilloom/internal/request"
+	"chervilloom/internal/route"
+	"chervilloom/internal/view"
+)
+
+// pressureID names a life of an endpoint to the guard of what endpoints take.
+func (r *endpointRun) pressureID() backpressure.ID { return backpressure.ID(r.endpoint) }
+
+// taken asks for one request to be sent.
+func (r *endpointRun) taken() *outcome.Error {
+	if r.d.opt.Backpressure.Take(r.pressureID()) {
+		return nil
+	}
+	return takesNothing(r.d.opt.Backpressure.ComeBack(r.pressureID()))
+}
+
+// takesNothing refuses a request that no endpoint takes now. Callers that are refused for
+// the same time return over as much again.
+func takesNothing(comeBack time.Duration) *outcome.Error {
+	after := comeBack + time.Duration(rand.Float64()*float64(comeBack))
+	return outcome.New(outcome.Overloaded, outcome.NotRun, "the endpoints take nothing more now", "send the request again later").After(after)
+}
+
+// answered takes up what the endpoint says of how much it takes.
+func (r *endpointRun) answered(resp *http.Response, sent clock.Instant) {
+	w, err := wordsOf(resp.Header)
+	if err != nil {
+		r.d.opt.Log.Debug("answer's header not readable", "request", r.req.ID, "endpoint", r.endpoint, "error", err)
+		return
+	}
+	r.d.opt.Backpressure.Answered(r.pressureID(), w, sent)
+}
+
+// wordsOf reads what an answer says of its endpoint.
+func wordsOf(h http.Header) (w backpressure.Words, err error) {
+	text := h.Get(engine.HeaderRateLimit)
+	if text == "" {
+		return w, nil
+	}
+	limit, err := strconv.ParseFloat(text, 64)
+	if err == nil && (math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0) {
+		err = strconv.ErrRange
+	}
+	w.Limit = &limit
+	return w, err
+}
+
+// heldEndpoint is an endpoint that could serve a request and takes nothing now.
+type heldEndpoint struct {
+	vm       fleet.VM
+	comeBack time.Duration // until it takes something again
+}
+
+type heldEndpoints []heldEndpoint
+
+// heldBack returns the endpoints that could serve the request and take nothing from this
+// node now.
+func (d *Dispatcher) heldBack(req *request.Request, snap *view.Snapshot) (out heldEndpoints) {
+	for _, id := range d.opt.Backpressure.Held() {
+		vm, _, _ := strings.Cut(string(id), "@")
+		if couldServe(req, snap, fleet.VM(vm)) {
+			out = append(out, heldEndpoint{fleet.VM(vm), d.opt.Backpressure.ComeBack(id)})
+		}
+	}
+	return out
+}
+
+// couldServe reports whether an endpoint is of the request's service, or leads a group of its
+// model.
+func couldServe(req *request.Request, snap *view.Snapshot, vm fleet.VM) bool {
+	if req.Class != request.ClassModel {
+		return slices.ContainsFunc(snap.VMs, func(v view.VM) bool {
+			return v.Record.VM == vm && v.Record.Service == req.Service
+		})
+	}
+	return slices.ContainsFunc(snap.Groups, func(g view.Group) bool {
+		return leader(&g).VM == vm && g.Model == req.Target.Model
+	})
+}
+
+// tried returns them as destinations that a request shall not get.
+func (h heldEndpoints) tried() []route.Tried {
+	out := make([]route.Tried, len(h))
+	for i, e := range h {
+		out[i] = route.Tried{VM: e.vm}
+	}
+	return out
+}
+
+// comeBack returns when the first of them takes something again.
+func (h heldEndpoints) comeBack() time.Duration {
+	return slices.MinFunc(h, func(a, b heldEndpoint) int { return cmp.Compare(a.comeBack, b.comeBack) }).comeBack
+}
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -34,14 +34,13 @@
 	return quarantine.Of(string(req.Organisation), req.Method, req.Service, req.Path, req.Body)
 }
 
-// allowed refuses a request that ends the endpoints that run it. It is asked immediately
-// before each send, whichever try it is.
+// allowed refuses a request that ends the endpoints that run it, and one that the endpoint
+// doesn't take now. It is asked immediately before each send, whichever try it is.
 func (r *endpointRun) allowed(ctx context.Context) *outcome.Error {
-	v, refused := r.d.opt.Quarantine.Refused(ctx, r.fp)
-	if !refused {
-		return nil
+	if v, refused := r.d.opt.Quarantine.Refused(ctx, r.fp); refused {
+		return v.Refusal()
 	}
-	return v.Refusal()
+	return r.taken()
 }
 
 // broke notes that the endpoint gave no whole answer, unless the try was ended here.
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -178,7 +178,7 @@
 	}
 	for i := range snap.Groups {
 		g := &snap.Groups[i]
-		if req.Class == request.ClassModel && g.Zone == snap.Zone && !was(func(t route.Tried) bool { return t.Group == g.ID }) {
+		if req.Class == request.ClassModel && g.Zone == snap.Zone && !was(func(t route.Tried) bool { return t.Group == g.ID || t.VM != "" && t.VM == g.Members[0].VM }) {
 			return route.Choice{Kind: route.ToGroup, Group: g}, nil
 		}
 	}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -42,19 +42,21 @@
 	if refused := run.allowed(ctx); refused != nil {
 		return nil, refused
 	}
-	rep, told := d.exchange(ctx, req, vm, t, r)
+	rep, told := d.exchange(ctx, req, vm, t, r, run)
 	run.ended(ctx, told)
 	return rep, told
 }
 
 // exchange sends the call and receives its answer.
-func (d *Dispatcher) exchange(ctx context.Context, req *request.Request, vm *view.VM, t *try, r *http.Request) (*reply, *outcome.Error) {
+func (d *Dispatcher) exchange(ctx context.Context, req *request.Request, vm *view.VM, t *try, r *http.Request, run *endpointRun) (*reply, *outcome.Error) {
+	sent := d.opt.Clock.Now()
 	resp, sn, err := d.client.do(r, req.Idempotent)
 	if err != nil {
 		t.blamed = ctx.Err() == nil
 		return nil, d.failed(ctx, sn, err)
 	}
 	t.first(d.opt.Clock.Now())
+	run.answered(resp, sent)
 	if oerr := checkService(resp, req.Idempotent); oerr != nil {
 		resp.Body.Close()
 		t.blamed = true
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
+	"chervilloom/internal/backpressure"
 	"chervilloom/internal/balance"
 	"chervilloom/internal/board"
 	"chervilloom/internal/catalog"
@@ -76,6 +77,7 @@
 	send        func(m news.Message, to ...string) // through mesh
 	loads       *loads
 	quarantine  *quarantine.Guard
+	pressure    *backpressure.Guard
 	quarantined *quarantine.Rows
 	demand      demand.Zone // what the zone's other nodes are asked for
 	began       clock.Instant
@@ -165,6 +167,7 @@
 		Doubted:      n.doubted,
 	}
 	n.quarantine = n.newGuard()
+	n.pressure = n.newPressure()
 	n.forwarder = &forward.Forwarder{
 		Codec: o.Codec, Clock: o.Clock, Log: o.Log, Metrics: forward.NewMetrics(o.Registry), Pool: n.pool, Tracker: n.tracker,
 		Zone:    o.Settings.Zone,
@@ -173,8 +176,8 @@
 		Ejector: retry.NewEjector(ejection, o.Clock, o.Log, o.Registry),
 		View:    n.view, NewBudget: n.newBudget, Missed: n.lookSoon, Unanswered: n.tellFailed,
 		Started: n.started, Placed: n.tellPlaced, Sample: n.sample, ZoneLoad: func(zone, model string) board.Mean { return n.loads.meanOf(zone, model) },
-		Quarantine: n.quarantine,
-		Nodes:      func() int { return n.leaseRows.nodes() },
+		Quarantine: n.quarantine, Backpressure: n.pressure,
+		Nodes: func() int { return n.leaseRows.nodes() },
 	}
 	n.follower = &follower{node: n, ask: feed.NewClient(), clock: o.Clock, log: o.Log, wake: make(chan struct{}, 1)}
 	n.roster.leaves = n.tellLeaving
@@ -356,6 +359,7 @@
 		}
 	})
 	n.forwarder.Ejector.SetCandidates(ids)
+	n.pressure.Sweep(n.listed)
 	n.keepAllQuarantined()
 	n.keepAnnounced()
 }
--- a/internal/entry/hints.go
+++ b/internal/entry/hints.go
@@ -104,6 +104,9 @@
 	if m.Quarantine != nil {
 		n.quarantine.Hear(*m.Quarantine)
 	}
+	if m.Pressure != nil {
+		n.pressure.Hear(*m.Pressure)
+	}
 	if m.Failed != "" {
 		n.forwarder.Ejector.Report(retry.ID(m.Failed), true)
 	}
--- a/internal/entry/leases.go
+++ b/internal/entry/leases.go
@@ -292,6 +292,28 @@
 	return out
 }
 
+// nodesBeside returns the nodes of a zone and those of the others. The node self, of selfZone,
+// is among them also while its row isn't known yet.
+func (c *leaseCache) nodesBeside(zone, self, selfZone string) (near, far []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.directory()
+	for z, vms := range d.zones {
+		if z == zone {
+			near = append(near, vms...)
+			continue
+		}
+		far = append(far, vms...)
+	}
+	if _, known := d.addrs[self]; known {
+		return near, far
+	}
+	if zone == selfZone {
+		return append(near, self), far
+	}
+	return near, append(far, self)
+}
+
 // zoneNodes returns how many nodes of a zone have announced themselves.
 func (c *leaseCache) zoneNodes(zone string) int {
 	c.mu.Lock()
--- a/internal/forward/beside_test.go
+++ b/internal/forward/beside_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"chervilloom/internal/backpressure"
 	"chervilloom/internal/balance"
 	"chervilloom/internal/board"
 	"chervilloom/internal/catalog"
@@ -69,7 +70,7 @@
 			return forward.View{Catalog: cat, Fresh: true, Current: true, Roster: known}
 		},
 		Ejector:    retry.NewEjector(retry.OutlierOptions{Consecutive: 100, MinRequests: 100, Margin: 1}, c, log, nil),
-		Quarantine: r.guard,
+		Quarantine: r.guard, Backpressure: backpressure.New(backpressure.Options{Clock: c}),
 		NewBudget: func() *retry.Windowed {
 			return &retry.Windowed{Clock: c, Window: 10 * time.Second, Slack: func() float64 { return slack }}
 		},
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 
+	"chervilloom/internal/backpressure"
 	"chervilloom/internal/balance"
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/retry"
@@ -99,15 +100,22 @@
 // got them all, and read their prompts for half a second while their clients waited.
 const sampleAgain = 2
 
-// candidates returns the endpoints that could serve the request.
+// pressureID names an endpoint to the guard of what endpoints take.
+func pressureID(e *roster.Endpoint) backpressure.ID { return backpressure.ID(e.ID) }
+
+// candidates returns the endpoints that could serve the request. Those that take nothing
+// from this node now are left out.
 func (x *exchange) candidates() []*roster.Endpoint {
 	all := x.f.View().Roster.Service(x.service)
 	engine := x.engine()
+	x.held, x.comeBack = 0, 0
 	out := make([]*roster.Endpoint, 0, len(all))
 	for _, e := range all {
 		switch {
 		case !e.Usable():
 		case engine != nil && !(e.Leads() && e.Model == x.req.Model):
+		case !x.f.Backpressure.Allows(pressureID(e)):
+			x.noteHeld(e)
 		default:
 			out = append(out, e)
 		}
@@ -115,6 +123,15 @@
 	return out
 }
 
+// noteHeld counts an endpoint that takes nothing now, and when the first one does again.
+func (x *exchange) noteHeld(e *roster.Endpoint) {
+	back := x.f.Backpressure.ComeBack(pressureID(e))
+	if x.held == 0 || back < x.comeBack {
+		x.comeBack = back
+	}
+	x.held++
+}
+
 func (x *exchange) engine() *catalog.Engine {
 	if s := x.catalog.Service(x.service); s != nil {
 		return s.Engine
--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"chervilloom/internal/backpressure"
 	"chervilloom/internal/balance"
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
@@ -47,6 +48,7 @@
 				}},
 			}
 			f.Quarantine = (&quarantine.Guard{Clock: c}).Init(nil)
+			f.Backpressure = backpressure.New(backpressure.Options{Clock: c})
 			in := httptest.NewRequest(http.MethodGet, "/a/b", nil)
 			in = in.WithContext(WithClient(context.Background(), server))
 			x := &exchange{
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -44,6 +45,10 @@
 	lastCause string // of the newest attempt that failed
 	noChoice  balance.Reason
 	choices   choices
+	held      int           // endpoints that could serve the request and take nothing now
+	comeBack  time.Duration // until the first of them does again
+	unsent    bool          // the newest attempt was held back before it was sent
+	sentAt    clock.Instant // the newest attempt
 	first     time.Duration // from the start to the answer's first event; 0: none came
 	lastEvent clock.Instant
 	gap       time.Duration // longest pause between two events
@@ -92,28 +97,28 @@
 // mostClosed is how many endpoints that refuse the connection cost a request nothing.
 const mostClosed = 3
 
-// free reports whether the next attempt takes nothing from the retry budget: nothing has
-// arrived at an endpoint that refuses connections, and many requests meet one that ended
+// free reports whether the next attempt takes nothing from the retry budget: an attempt that
+// was held back isn't one, and nothing has arrived at an endpoint that refuses connections, and many requests meet one that ended
 // before it leaves the list. A connection that hangs has cost its time and counts.
 func (x *exchange) free(res Result) bool {
-	return res == NotRun && x.refusedDial && x.closed <= mostClosed
+	return res == NotRun && (x.unsent || x.refusedDial && x.closed <= mostClosed)
 }
 
 // attempt sends the request to an endpoint and relays what comes back.
 func (x *exchange) attempt(ctx context.Context, ep *roster.Endpoint) Result {
 	x.tried = append(x.tried, ep.ID)
-	x.lastCause, x.refusedDial = "", false
+	x.lastCause, x.refusedDial, x.unsent = "", false, false
 	x.recalled.Store(false)
 	conn, err := x.connect(ctx, ep)
 	if err != nil {
 		return x.failed(ctx, ep, err)
 	}
-	if res, over := x.overBeforeSend(ctx); over {
+	if res, over := x.overBeforeSend(ctx, ep); over {
 		x.f.Pool.Return(conn, x.keptIdle())
 		return res
 	}
 	x.progress.Sent++
-	sent := x.f.Clock.Now()
+	x.sentAt = x.f.Clock.Now()
 	ticket := x.f.Tracker.Start(ep.ID, func() {
 		if x.mayMove() {
 			conn.Abort()
@@ -135,7 +140,7 @@
 		ticket.Progress()
 		res = x.judge(ctx, ep, conn, resp, ticket)
 	}
-	x.noteRun(ep, res, sent)
+	x.noteRun(ep, res, x.sentAt)
 	// Whatever may abort the connection must be over before another request
 	// gets it: an abort that came late would end that one's exchange.
 	ticket.End()
@@ -148,11 +153,11 @@
 	return res
 }
 
-// overBeforeSend looks once more whether the request may be sent: at the client, its time
-// and the quarantine. A node that is short of processor time, or whose dial hangs, comes
+// overBeforeSend looks once more whether the request may be sent: at the client, its time,
+// the quarantine and what the endpoint takes. A node that is short of processor time, or whose dial hangs, comes
 // here seconds after the client left; the server's own look at the connection is as late,
 // and the endpoint would run for nobody.
-func (x *exchange) overBeforeSend(ctx context.Context) (Result, bool) {
+func (x *exchange) overBeforeSend(ctx context.Context, ep *roster.Endpoint) (Result, bool) {
 	switch {
 	case x.client.Err() != nil || clientLeft(x.in):
 		x.lastCause = "the client had left before the request was sent"
@@ -163,6 +168,9 @@
 	case x.quarantined(ctx):
 		x.lastCause = "the request ends the endpoints that run it"
 		return Banned, true
+	case !x.f.Backpressure.Take(pressureID(ep)): // the last question: it counts what is sent
+		x.lastCause, x.unsent = "the endpoint takes nothing more now", true
+		return NotRun, true
 	}
 	return 0, false
 }
@@ -349,10 +357,18 @@
 		stage, e = "quarantine", x.verdict.Refusal()
 	case x.noChoice == balance.AllFull:
 		e = outcome.New(outcome.Overloaded, outcome.NotRun, "every endpoint is full", "try again").After(retryAfterFull)
+	case x.held > 0 && x.choices.endpoints == 0:
+		e = outcome.New(outcome.Overloaded, outcome.NotRun, "the endpoints take nothing more now", "try again").After(spreadReturn(x.comeBack))
 	}
 	x.f.refuse(x.w, x.req, stage, e.WithCause(errors.New(string(x.noChoice)+"; "+x.lastCause)),
 		"route", x.route.Name, "model", x.req.Model, "endpoints", x.choices.endpoints, "free_slots", x.choices.freeSlots,
-		"tried", x.tried, "fingerprint", x.fp)
+		"held_back", x.held, "tried", x.tried, "fingerprint", x.fp)
+}
+
+// spreadReturn spreads the returns of clients that are refused for the same time over as
+// much again.
+func spreadReturn(after time.Duration) time.Duration {
+	return after + time.Duration(rand.Float64()*float64(after))
 }
 
 func (x *exchange) log(message string, res Result) {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"chervilloom/internal/backpressure"
 	"chervilloom/internal/balance"
 	"chervilloom/internal/board"
 	"chervilloom/internal/catalog"
@@ -71,6 +72,8 @@
 	Ejector *retry.Ejector
 	// Quarantine keeps requests that end endpoints from further ones.
 	Quarantine Quarantine
+	// Backpressure keeps to what endpoints say of how much they take.
+	Backpressure *backpressure.Guard
 	// NewBudget makes the retry budget of one service.
 	NewBudget func() *retry.Windowed
 	// Missed is told when a request met an endpoint that is no longer there, so
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 
+	"chervilloom/internal/backpressure"
 	"chervilloom/internal/balance"
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/roster"
@@ -28,7 +29,7 @@
 	if rep.HasLoad {
 		ticket.Load(rep.Running, rep.Waiting)
 	}
-	x.noteLimit(ep, rep)
+	x.notePressure(ep, rep)
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	switch {
 	case rep.NotRun || rep.Other:
@@ -48,18 +49,20 @@
 	return x.relayWhole(ctx, ep, conn, resp, success)
 }
 
-// noteLimit tells of each answer in which an endpoint names a rate limit.
-func (x *exchange) noteLimit(ep *roster.Endpoint, rep Reply) {
+// notePressure takes up what an endpoint says of how much it takes.
+func (x *exchange) notePressure(ep *roster.Endpoint, rep Reply) {
 	if rep.Other {
 		return
 	}
 	if rep.Unreadable != "" {
 		x.f.Log.Debug("answer's header not readable", "request", x.req.ID, "endpoint", ep.ID, "header", rep.Unreadable)
+		return
 	}
 	if rep.RateLimit != nil {
 		x.f.Metrics.limited.Inc()
 		x.f.Log.Debug("answer names a rate limit", "request", x.req.ID, "endpoint", ep.ID, "limit", *rep.RateLimit)
 	}
+	x.f.Backpressure.Answered(pressureID(ep), backpressure.Words{Limit: rep.RateLimit}, x.sentAt)
 }
 
 func (x *exchange) notRun(ep *roster.Endpoint, conn *upstream.Conn, resp *http.Response, rep Reply) Result {
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/netip"
 
+	"chervilloom/internal/backpressure"
 	"chervilloom/internal/board"
 	"chervilloom/internal/quarantine"
 	"chervilloom/internal/roster"
@@ -35,6 +36,8 @@
 	Board []board.Count `json:"board,omitempty"`
 	// Quarantine is of requests that end endpoints.
 	Quarantine *quarantine.Message `json:"quarantine,omitempty"`
+	// Pressure is of an endpoint that limits what it takes.
+	Pressure *backpressure.Notice `json:"pressure,omitempty"`
 	// Means are the mean loads of zones, from their holders.
 	Means []board.Mean `json:"means,omitempty"`
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 
 	"chervilloom/internal/accept"
 	"chervilloom/internal/admit"
+	"chervilloom/internal/backpressure"
 	"chervilloom/internal/capacity"
 	"chervilloom/internal/clock"
 	"chervilloom/internal/discovery"
@@ -95,6 +96,7 @@
 	ejector    *retry.Ejector
 	dispatcher *dispatch.Dispatcher
 	quarantine *quarantine.Guard
+	pressure   *backpressure.Guard
 	// quarantined holds the rows of the requests that the quarantine refuses.
 	quarantined *quarantine.Rows
 	accept      *accept.Server
--- a/internal/node/path.go
+++ b/internal/node/path.go
@@ -35,10 +35,11 @@
 		View: n.view, Clock: n.clock, Log: n.log, Registerer: n.reg, Recorder: n.explained, Usage: n.usage,
 	})
 	n.buildQuarantine()
+	n.buildPressure()
 	n.dispatcher = dispatch.New(dispatch.Options{
 		View: n.view, Clock: n.clock, Router: ejecting{n.router, n.ejector, n.uses}, Retry: n.retries, Peers: n.mesh,
 		Prober: n.prober, Answers: n.answers, Explain: n.explained, Log: n.log, Registerer: n.reg,
-		Quarantine: n.quarantine,
+		Quarantine: n.quarantine, Backpressure: n.pressure,
 	})
 	keyed := filter.Chain(n.dispatcher,
 		acc.Timed("once", n.once.Filter()),
--- /dev/null
+++ b/internal/node/pressure.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"chervilloom/internal/backpressure"
+	"chervilloom/internal/clock"
+	"chervilloom/internal/fleet"
+	"chervilloom/internal/membership"
+	"chervilloom/internal/view"
+)
+
+const (
+	topicPressure = "pressure"
+	// pressureSweep is the pause between two looks which nodes and endpoints there are.
+	pressureSweep = time.Second
+)
+
+func (n *Node) buildPressure() {
+	n.pressure = backpressure.New(backpressure.Options{
+		Node: string(n.self.VM), Clock: n.clock, Log: n.log, Registerer: n.reg,
+		Order: n.pressureOrder, Announce: n.announcePressure,
+	})
+	n.mesh.Subscribe(topicPressure, n.hearPressure)
+}
+
+// pressureOrder returns the nodes in rendezvous order for an endpoint, those of its zone
+// first: only they send there.
+func (n *Node) pressureOrder(id backpressure.ID) []string {
+	snap := n.view.Snapshot()
+	zone := snap.Zone
+	vm, _, _ := strings.Cut(string(id), "@")
+	for i := range snap.VMs {
+		if snap.VMs[i].Record.VM == fleet.VM(vm) {
+			zone = snap.VMs[i].Record.Zone
+		}
+	}
+	near, far := []fleet.VM{}, []fleet.VM{}
+	add := func(vm fleet.VM, in fleet.AvailabilityZone) {
+		if in == zone {
+			near = append(near, vm)
+			return
+		}
+		far = append(far, vm)
+	}
+	add(n.self.VM, n.set.Zone)
+	for _, other := range snap.Nodes {
+		if other.State == view.NodeAlive && other.VM != n.self.VM {
+			add(other.VM, other.Zone)
+		}
+	}
+	var out []string
+	for _, vms := range [][]fleet.VM{near, far} {
+		for _, vm := range membership.TopK(string(id), vms, len(vms)) {
+			out = append(out, string(vm))
+		}
+	}
+	return out
+}
+
+// announcePressure tells all nodes.
+func (n *Node) announcePressure(m backpressure.Notice) {
+	raw, err := json.Marshal(m)
+	if err != nil {
+		n.log.Error("backpressure not told", "error", err)
+		return
+	}
+	n.mesh.Broadcast(topicPressure, raw)
+}
+
+func (n *Node) hearPressure(from fleet.Node, payload []byte) {
+	var m backpressure.Notice
+	if err := json.Unmarshal(payload, &m); err != nil {
+		n.log.Warn("backpressure not readable", "from", from, "error", err)
+		return
+	}
+	n.pressure.Hear(m)
+}
+
+// runPressure keeps the guard's view of nodes and endpoints until ctx ends.
+func (n *Node) runPressure(ctx context.Context) error {
+	clock.Every(ctx, pressureSweep, func() { n.pressure.Sweep(n.knownVM) })
+	return nil
+}
+
+func (n *Node) knownVM(id backpressure.ID) bool {
+	vm, _, _ := strings.Cut(string(id), "@")
+	snap := n.view.Snapshot()
+	for i := range snap.VMs {
+		if snap.VMs[i].Record.VM == fleet.VM(vm) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -81,6 +81,7 @@
 	s.start("admission", forever(n.admit.Run))
 	s.start("cancels", n.dispatcher.Run)
 	s.start("quarantine", n.runQuarantine)
+	s.start("backpressure", n.runPressure)
 }
 
 // serve answers HTTP at the listener until the returned server is closed.
