A rate limit that can't be read is neither a limit nor the end of one

A value such as NaN was taken for an answer without a limit on one of the two ways and ended what stood. Now what was known before holds, and the line says what couldn't be read. Guarded by TestRateLimitsOfEndpointsAreRead.

--- a/internal/backpressure/guard.go
+++ b/internal/backpressure/guard.go
@@ -18,6 +18,8 @@
 	// Limit is the requests a second that the endpoint takes from all nodes together; nil:
 	// it names none.
 	Limit *float64
+	// LimitUnclear says that it names one that can't be kept to: what was known before holds.
+	LimitUnclear bool
 }
 
 // Options are what a Guard needs.
@@ -81,9 +83,11 @@
 
 // Answered takes up what the endpoint said in the answer to a request that was sent at sent.
 func (g *Guard) Answered(id ID, w Words, sent clock.Instant) {
+	if w.LimitUnclear {
+		return
+	}
 	g.mu.Lock()
-	now := g.Clock.Now()
-	tell := g.limits.answered(id, w.Limit, sent, now, g.Order)
+	tell := g.limits.answered(id, w.Limit, sent, g.Clock.Now(), g.Order)
 	g.mu.Unlock()
 	if tell == nil {
 		return
--- a/internal/dispatch/pressure.go
+++ b/internal/dispatch/pressure.go
@@ -40,17 +40,16 @@
 
 // answered takes up what the endpoint says of how much it takes.
 func (r *endpointRun) answered(resp *http.Response, sent clock.Instant) {
-	w, err := wordsOf(resp.Header)
+	w, err := wordsOf(resp)
 	if err != nil {
 		r.d.opt.Log.Debug("answer's header not readable", "request", r.req.ID, "endpoint", r.endpoint, "error", err)
-		return
 	}
 	r.d.opt.Backpressure.Answered(r.pressureID(), w, sent)
 }
 
 // wordsOf reads what an answer says of its endpoint.
-func wordsOf(h http.Header) (w backpressure.Words, err error) {
-	text := h.Get(engine.HeaderRateLimit)
+func wordsOf(resp *http.Response) (w backpressure.Words, err error) {
+	text := resp.Header.Get(engine.HeaderRateLimit)
 	if text == "" {
 		return w, nil
 	}
@@ -58,7 +57,7 @@
 	if err == nil && (math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0) {
 		err = strconv.ErrRange
 	}
-	w.Limit = &limit
+	w.Limit, w.LimitUnclear = &limit, err != nil
 	return w, err
 }
 
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -53,6 +53,8 @@
 	// RateLimit is the requests a second that the endpoint takes from all nodes together;
 	// nil: it names no limit.
 	RateLimit *float64
+	// LimitUnclear says that it names a limit that can't be kept to.
+	LimitUnclear bool
 	// Unreadable is a header about the endpoint itself whose value can't be kept to; empty:
 	// none.
 	Unreadable string
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -56,13 +56,12 @@
 	}
 	if rep.Unreadable != "" {
 		x.f.Log.Debug("answer's header not readable", "request", x.req.ID, "endpoint", ep.ID, "header", rep.Unreadable)
-		return
 	}
 	if rep.RateLimit != nil {
 		x.f.Metrics.limited.Inc()
 		x.f.Log.Debug("answer names a rate limit", "request", x.req.ID, "endpoint", ep.ID, "limit", *rep.RateLimit)
 	}
-	x.f.Backpressure.Answered(pressureID(ep), backpressure.Words{Limit: rep.RateLimit}, x.sentAt)
+	x.f.Backpressure.Answered(pressureID(ep), backpressure.Words{Limit: rep.RateLimit, LimitUnclear: rep.LimitUnclear}, x.sentAt)
 }
 
 func (x *exchange) notRun(ep *roster.Endpoint, conn *upstream.Conn, resp *http.Response, rep Reply) Result {
