Logs and a metric for endpoints that ask for rest

Cause: the logs of the incident have no line for an attempt that was turned away, so that neither the word of an endpoint nor what its node sent there after it can be read.

No decision uses it.

--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -55,6 +55,9 @@
 	RateLimit *float64
 	// LimitUnclear says that it names a limit that can't be kept to.
 	LimitUnclear bool
+	// Rest is how long an endpoint that turned the request away wants nothing from this
+	// node; 0: it doesn't say.
+	Rest time.Duration
 	// Unreadable is a header about the endpoint itself whose value can't be kept to; empty:
 	// none.
 	Unreadable string
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -16,6 +16,7 @@
 	first    *prometheus.HistogramVec
 	refused  *prometheus.CounterVec
 	limited  prometheus.Counter
+	rests    prometheus.Counter
 }
 
 // NewMetrics registers the metrics; reg may be nil.
@@ -37,9 +38,12 @@
 		limited: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "chervilloom_answers_limited_total", Help: "Answers in which an endpoint named a rate limit.",
 		}),
+		rests: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chervilloom_answers_rest_total", Help: "Answers with which an endpoint turned a request away and asked for rest.",
+		}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.requests, m.attempts, m.first, m.refused, m.limited)
+		reg.MustRegister(m.requests, m.attempts, m.first, m.refused, m.limited, m.rests)
 	}
 	return m
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -61,6 +61,10 @@
 		x.f.Metrics.limited.Inc()
 		x.f.Log.Debug("answer names a rate limit", "request", x.req.ID, "endpoint", ep.ID, "limit", *rep.RateLimit)
 	}
+	if rep.Rest > 0 {
+		x.f.Metrics.rests.Inc()
+		x.f.Log.Debug("answer asks for rest", "request", x.req.ID, "endpoint", ep.ID, "rest_ms", rep.Rest.Milliseconds())
+	}
 	x.f.Backpressure.Answered(pressureID(ep), backpressure.Words{Limit: rep.RateLimit, LimitUnclear: rep.LimitUnclear}, x.sentAt)
 }
 
