An endpoint's rest: stand-ins and two tests that fail

Callers: with one of two endpoints at rest some are refused although the other one is free; the endpoint that asked for nothing gets more than before.

Change: the stand-ins of both ways turn requests away with 503 and Retry-After, and check at every arrival what a node sent within a rest, from half a second after it was told.

--- a/internal/dispatch/pressure_test.go
+++ b/internal/dispatch/pressure_test.go
@@ -34,11 +34,22 @@
 
 // Guards against endpoints in need that get their usual share from a node that knows the limit.
 func TestRateLimitOfAnEndpointIsKept(t *testing.T) {
+	testPressure(t, pressure.Words{Limit: 1.9})
+}
+
+// Guards against endpoints that asked for rest and get requests all the same.
+func TestEndpointAtRestIsLeft(t *testing.T) {
+	testPressure(t, pressure.Words{Rest: 2250 * time.Millisecond})
+}
+
+// testPressure sends traffic while one of two engines and one of two plain endpoints say how
+// much they take: these keep to it, and all is served.
+func testPressure(t *testing.T, words pressure.Words) {
 	r := newRig(t, nil)
 	engine, other := r.addEngine(standin.Options{}), r.addEngine(standin.Options{})
 	plain, second := r.addService(), r.addService()
-	engine.Pressure.Say(pressure.Words{Limit: 1.9})
-	plain.Pressure.Say(pressure.Words{Limit: 1.9})
+	engine.Pressure.Say(words)
+	plain.Pressure.Say(words)
 	var clients sync.WaitGroup
 	for name, make := range map[string]func(id string) *request.Request{
 		"lookup": r.lookup, "call": r.receipt,
@@ -56,5 +67,5 @@
 			t.Errorf("%s: %d times, first %s", name, len(broken), broken[0])
 		}
 	}
-	t.Logf("in need %d and %d, beside %d and %d", engine.Pressure.Arrivals(), plain.Pressure.Arrivals(), other.Pressure.Arrivals(), second.Pressure.Arrivals())
+	t.Logf("at them %d and %d, beside %d and %d", engine.Pressure.Arrivals(), plain.Pressure.Arrivals(), other.Pressure.Arrivals(), second.Pressure.Arrivals())
 }
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -11,7 +11,7 @@
 	"chervilloom/internal/standin/pressure"
 )
 
-var pressureNames = pressure.Names{Limit: engine.HeaderRateLimit}
+var pressureNames = pressure.Names{Limit: engine.HeaderRateLimit, NotRun: engine.HeaderNotRun, Promise: "true"}
 
 // pressureBounds are short, so that tests don't wait.
 var pressureBounds = pressure.Bounds{Stable: time.Second}
--- a/internal/standin/pressure/pressure.go
+++ b/internal/standin/pressure/pressure.go
@@ -1,5 +1,6 @@
-// Package pressure lets a stand-in endpoint limit the requests that it takes. It counts what
-// arrives, and from whom, and tells whether callers kept to what they had been told.
+// Package pressure lets a stand-in endpoint limit the requests that it takes and turn them
+// away for a while. It counts what arrives, and from whom, and tells whether callers kept to
+// what they had been told.
 package pressure
 
 import (
@@ -14,11 +15,14 @@
 // Names are the headers of a wire.
 type Names struct {
 	Limit string // requests a second from all callers together
+	// NotRun promises that a request didn't run, with the value Promise.
+	NotRun, Promise string
 }
 
 // Words are what the endpoint says in its answers.
 type Words struct {
-	Limit float64 // requests a second; 0: none is named
+	Limit float64       // requests a second; 0: none is named
+	Rest  time.Duration // requests are turned away with this Retry-After; 0: they are served
 }
 
 // The bounds that callers must keep.
@@ -28,6 +32,7 @@
 	slack     = 5   // requests
 	// toldAfter is how long after an answer its caller must act by it.
 	toldAfter = 500 * time.Millisecond
+	inRest    = 2 // requests within a rest
 )
 
 // Endpoint is the part of a stand-in that says and counts. The zero value says nothing.
@@ -38,6 +43,7 @@
 	since    time.Time            // when the limit was first named
 	told     map[string]time.Time // who was told the limit, and when first
 	recent   []arrival
+	rests    []rest
 	arrivals int
 	broken   []string
 }
@@ -47,6 +53,13 @@
 	from string
 }
 
+// rest is the time in which a caller that was turned away should send nothing.
+type rest struct {
+	from       string
+	begin, end time.Time
+	requests   int
+}
+
 // Bounds are the times of the deployment that the checks need.
 type Bounds struct {
 	Stable time.Duration // from the first naming of a limit until it must hold
@@ -76,15 +89,22 @@
 	return append([]string(nil), e.broken...)
 }
 
-// Serve adds the endpoint's words to the answer to a request, which next serves. The
-// caller's name is the request's id up to a dot.
+// Serve adds the endpoint's words to the answer to a request, and turns it away if the
+// endpoint rests; next serves it otherwise. The caller's name is the request's id up to a
+// dot.
 func (e *Endpoint) Serve(w http.ResponseWriter, r *http.Request, n Names, b Bounds, next http.HandlerFunc) {
 	from, _, _ := strings.Cut(r.Header.Get("X-Request-Id"), ".")
 	words := e.arrive(from, time.Now(), b)
 	if words.Limit > 0 {
 		w.Header().Set(n.Limit, strconv.FormatFloat(words.Limit, 'f', -1, 64))
 	}
-	next(w, r)
+	if words.Rest == 0 {
+		next(w, r)
+		return
+	}
+	w.Header().Set(n.NotRun, n.Promise)
+	w.Header().Set("Retry-After", strconv.FormatFloat(words.Rest.Seconds(), 'f', -1, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // arrive counts a request, checks it, and notes what its caller is told.
@@ -93,6 +113,7 @@
 	defer e.mu.Unlock()
 	e.arrivals++
 	e.checkLimit(from, now, b)
+	e.checkRests(from, now)
 	e.note(from, now)
 	return e.words
 }
@@ -113,8 +134,28 @@
 	}
 }
 
+func (e *Endpoint) checkRests(from string, now time.Time) {
+	open := e.rests[:0]
+	for _, r := range e.rests {
+		if now.After(r.end) {
+			continue
+		}
+		if r.from == from && !now.Before(r.begin) {
+			r.requests++
+			if r.requests == inRest+1 {
+				e.broken = append(e.broken, fmt.Sprintf("%d requests from %s within a rest", r.requests, from))
+			}
+		}
+		open = append(open, r)
+	}
+	e.rests = open
+}
+
 func (e *Endpoint) note(from string, now time.Time) {
 	if _, ok := e.told[from]; !ok && e.words.Limit > 0 {
 		e.told[from] = now
 	}
+	if e.words.Rest > 0 {
+		e.rests = append(e.rests, rest{from: from, begin: now.Add(toldAfter), end: now.Add(e.words.Rest)})
+	}
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -88,7 +88,7 @@
 	Pressure pressure.Endpoint
 }
 
-var pressureNames = pressure.Names{Limit: engine.HeaderRateLimit}
+var pressureNames = pressure.Names{Limit: engine.HeaderRateLimit, NotRun: engine.HeaderNotRun, Promise: "true"}
 
 // pressureBounds are short, so that tests don't wait.
 var pressureBounds = pressure.Bounds{Stable: time.Second}
--- a/test/entry_pressure_test.go
+++ b/test/entry_pressure_test.go
@@ -25,7 +25,7 @@
 type traffic struct {
 	mu     sync.Mutex
 	served int
-	other  map[string]int // by path, status and text
+	other  map[string]int // by path, status and error
 }
 
 // sendTraffic has one client a node and path send requests one after another for a while.
@@ -62,12 +62,11 @@
 		return
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	if resp.StatusCode == http.StatusOK && err == nil {
-		tr.served++
+	if _, err := io.Copy(io.Discard, resp.Body); resp.StatusCode != http.StatusOK || err != nil {
+		tr.other[fmt.Sprintf("%s %d %v", path, resp.StatusCode, err)]++
 		return
 	}
-	tr.other[fmt.Sprintf("%s %d %s", path, resp.StatusCode, text)]++
+	tr.served++
 }
 
 // keptTo fails the test for whatever the endpoints' callers did against what they were told.
@@ -94,3 +93,19 @@
 	}
 	t.Logf("%d served; %d and %d at the endpoints in need", tr.served, head.Pressure.Arrivals()-before, plain.Pressure.Arrivals())
 }
+
+// Guards against endpoints that asked for rest and get more requests than before, because a
+// fast refusal looks like an idle endpoint.
+func TestEntryLeavesAnEndpointAtRest(t *testing.T) {
+	f := startEntryFleet(t, "a", "a", "b")
+	head, plain := f.fleet.Open("m")[0], f.fleet.Get("i-p0")
+	head.Pressure.Say(pressure.Words{Rest: 2250 * time.Millisecond})
+	plain.Pressure.Say(pressure.Words{Rest: 2250 * time.Millisecond})
+	before := head.Pressure.Arrivals()
+	tr := f.sendTraffic("/text/x", "/lookup/x")
+	f.keptTo(head, plain)
+	if len(tr.other) > 0 {
+		t.Errorf("%d served, not served: %v", tr.served, tr.other)
+	}
+	t.Logf("%d served; %d and %d at the endpoints at rest", tr.served, head.Pressure.Arrivals()-before, plain.Pressure.Arrivals())
+}
