An endpoint that asks for rest is left until the rest is over

Callers: with two of six heads turning requests away and asking for 3 s of rest, 20 to 25 of 100 requests a second were refused and up to 31 late, with four sound heads beside.

Cause: the word ended with the request that it answered. Not run went to another endpoint and the next request knew nothing; the endpoint that refuses within 3 ms has nothing in flight and no failure, so the choice preferred it, and each detour took from the retry budget until that was spent. Its class: a promise 'not run' taken for health.

Ruled out: one request that is repeated at the same endpoint (each reached it once).

Change: the guard that stands before each send keeps, for each life of an endpoint, until when this node sends it nothing: from the answer on, decimals too, a tenth longer at most so that nodes don't return together. Then one request at a time goes until one is taken; an answer to a request that was sent before doesn't end a rest. Where all endpoints of a request rest it is refused at once, not run, with the time at which the first is back. The rest is for the node that was told and isn't told to others. Way serve reads decimals of the advice as well.

--- a/internal/backpressure/guard.go
+++ b/internal/backpressure/guard.go
@@ -1,6 +1,7 @@
 // Package backpressure keeps to what endpoints say of how much they take. An endpoint in
 // need names the requests a second that it takes from all nodes together; a few nodes share
-// that and the others send it nothing.
+// that and the others send it nothing. One that turns a request away may ask the node that
+// sent it for rest.
 package backpressure
 
 import (
@@ -20,6 +21,9 @@
 	Limit *float64
 	// LimitUnclear says that it names one that can't be kept to: what was known before holds.
 	LimitUnclear bool
+	// Rest is how long an endpoint that turned the request away wants nothing from this
+	// node; 0: it doesn't say.
+	Rest time.Duration
 }
 
 // Options are what a Guard needs.
@@ -43,6 +47,7 @@
 
 	mu     sync.Mutex
 	limits *limits
+	rests  *rests
 }
 
 // New returns a guard that knows of no endpoint.
@@ -56,7 +61,7 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
-	g := &Guard{Options: o, limits: newLimits(o.Node)}
+	g := &Guard{Options: o, limits: newLimits(o.Node), rests: newRests(o.Node)}
 	g.metrics = newMetrics(o.Registerer, g)
 	return g
 }
@@ -65,35 +70,57 @@
 func (g *Guard) Allows(id ID) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.limits.allows(id, g.Clock.Now())
+	return g.allows(id, g.Clock.Now())
+}
+
+func (g *Guard) allows(id ID, now clock.Instant) bool {
+	return g.rests.allows(id, now) && g.limits.allows(id, now)
 }
 
 // Take asks for one request to be sent now. Whoever sends one calls it immediately before:
 // what other requests took since the endpoint was chosen counts.
 func (g *Guard) Take(id ID) bool {
-	g.mu.Lock()
-	ok, tell := g.limits.take(id, g.Clock.Now())
-	g.mu.Unlock()
+	tell, reason := g.take(id)
 	g.announce(tell)
+	if reason != "" {
+		g.metrics.held.WithLabelValues(reason).Inc()
+	}
+	return reason == ""
+}
+
+// take returns why the request must not be sent, or what the others should be told.
+func (g *Guard) take(id ID) (tell *Notice, reason string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	if !g.rests.allows(id, now) {
+		return nil, reasonRest
+	}
+	ok, tell := g.limits.take(id, now)
 	if !ok {
-		g.metrics.held.WithLabelValues(reasonLimit).Inc()
+		return nil, reasonLimit
 	}
-	return ok
+	g.rests.take(id, now)
+	return tell, ""
 }
 
 // Answered takes up what the endpoint said in the answer to a request that was sent at sent.
 func (g *Guard) Answered(id ID, w Words, sent clock.Instant) {
-	if w.LimitUnclear {
-		return
-	}
 	g.mu.Lock()
-	tell := g.limits.answered(id, w.Limit, sent, g.Clock.Now(), g.Order)
+	now := g.Clock.Now()
+	var tell *Notice
+	if !w.LimitUnclear {
+		tell = g.limits.answered(id, w.Limit, sent, now, g.Order)
+	}
+	begins := g.rests.answered(id, w.Rest, sent, now)
 	g.mu.Unlock()
-	if tell == nil {
-		return
+	if begins {
+		g.Log.Info("endpoint asks for rest", "endpoint", id, "rest_ms", w.Rest.Milliseconds())
+	}
+	if tell != nil {
+		g.logLimit(*tell)
+		g.announce(tell)
 	}
-	g.logLimit(*tell)
-	g.announce(tell)
 }
 
 // Hear takes up another node's notice.
@@ -113,7 +140,7 @@
 func (g *Guard) ComeBack(id ID) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.limits.comeBack(id)
+	return max(g.rests.comeBack(id, g.Clock.Now()), g.limits.comeBack(id))
 }
 
 // Held returns the endpoints to which this node may send nothing now.
@@ -123,7 +150,12 @@
 	now := g.Clock.Now()
 	var held []ID
 	for id := range g.limits.by {
-		if !g.limits.allows(id, now) {
+		if !g.allows(id, now) {
+			held = append(held, id)
+		}
+	}
+	for id := range g.rests.by {
+		if _, limited := g.limits.by[id]; !limited && !g.allows(id, now) {
 			held = append(held, id)
 		}
 	}
@@ -134,7 +166,9 @@
 func (g *Guard) Sweep(listed func(ID) bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.limits.keep(listed, g.Clock.Now(), g.Order)
+	now := g.Clock.Now()
+	g.limits.keep(listed, now, g.Order)
+	g.rests.keep(now)
 }
 
 func (g *Guard) announce(n *Notice) {
--- a/internal/backpressure/limits.go
+++ b/internal/backpressure/limits.go
@@ -97,8 +97,13 @@
 
 // release ends the limit for this node a little later, each node at a time of its own.
 func (l *limit) release(self string, id ID, now clock.Instant) {
-	share := float64(xxhash.Sum64String(self+" "+string(id))%1000) / 1000
-	l.released = now.Add(time.Duration(share * float64(returnSpread)))
+	l.released = now.Add(spreadOf(self, id, returnSpread))
+}
+
+// spreadOf returns a part of a time that differs from node to node.
+func spreadOf(self string, id ID, over time.Duration) time.Duration {
+	const steps = 1000
+	return over * time.Duration(xxhash.Sum64String(self+" "+string(id))%steps) / steps
 }
 
 // hear takes up another node's notice. It reports whether the limit is new here, or ended.
--- a/internal/backpressure/metrics.go
+++ b/internal/backpressure/metrics.go
@@ -3,7 +3,10 @@
 import "github.com/prometheus/client_golang/prometheus"
 
 // The reasons for which sends are held back.
-const reasonLimit = "rate_limit"
+const (
+	reasonLimit = "rate_limit"
+	reasonRest  = "rest"
+)
 
 type metrics struct {
 	held *prometheus.CounterVec
@@ -16,12 +19,19 @@
 	if reg == nil {
 		return m
 	}
-	reg.MustRegister(m.held, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "chervilloom_endpoints_limited", Help: "Endpoints that name a rate limit, as this node knows.",
-	}, func() float64 {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		return float64(len(g.limits.by))
-	}))
+	gauge := func(name, help string, count func() int) {
+		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return float64(count())
+		}))
+	}
+	reg.MustRegister(m.held)
+	gauge("chervilloom_endpoints_limited", "Endpoints that name a rate limit, as this node knows.", func() int {
+		return len(g.limits.by)
+	})
+	gauge("chervilloom_endpoints_resting", "Endpoints that asked this node for rest.", func() int {
+		return g.rests.resting(g.Clock.Now())
+	})
 	return m
 }
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"chervilloom/internal/answer"
+	"chervilloom/internal/backpressure"
 	"chervilloom/internal/clock"
 	"chervilloom/internal/engine"
 	"chervilloom/internal/fleet"
@@ -160,10 +162,14 @@
 const maxAdvice = time.Minute
 
 // retryAfter returns the advice of an answer's header, 0 when there is none.
-func retryAfter(h http.Header) time.Duration {
-	s, err := strconv.ParseUint(h.Get("Retry-After"), 10, 64)
-	if err != nil {
+func retryAfter(h http.Header) time.Duration { return min(restOf(h), maxAdvice) }
+
+// restOf returns how long an endpoint wants nothing, in seconds with decimals if there are
+// any; 0 when it doesn't say.
+func restOf(h http.Header) time.Duration {
+	s, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || math.IsNaN(s) || s < 0 {
 		return 0
 	}
-	return time.Duration(min(s, uint64(maxAdvice/time.Second))) * time.Second
+	return time.Duration(min(s, backpressure.LongestRest.Seconds()) * float64(time.Second))
 }
--- a/internal/dispatch/pressure.go
+++ b/internal/dispatch/pressure.go
@@ -49,6 +49,9 @@
 
 // wordsOf reads what an answer says of its endpoint.
 func wordsOf(resp *http.Response) (w backpressure.Words, err error) {
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		w.Rest = restOf(resp.Header)
+	}
 	text := resp.Header.Get(engine.HeaderRateLimit)
 	if text == "" {
 		return w, nil
--- a/internal/forward/beside_test.go
+++ b/internal/forward/beside_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -85,13 +86,7 @@
 // get asks for a path and returns the status of the answer and its body.
 func (r *rig) get(t *testing.T, id, path string) (int, string) {
 	t.Helper()
-	req, err := http.NewRequest(http.MethodGet, r.server.URL+path, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Host = "h.example"
-	req.Header.Set("X-Request-Id", id)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := r.ask(t, id, path)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -103,6 +98,18 @@
 	return resp.StatusCode, string(body)
 }
 
+// ask sends a request for a path.
+func (r *rig) ask(t *testing.T, id, path string) (*http.Response, error) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, r.server.URL+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("X-Request-Id", id)
+	return http.DefaultClient.Do(req)
+}
+
 // endpoint starts one that answers as endpoints do.
 func endpoint(t *testing.T) string {
 	t.Helper()
@@ -159,3 +166,34 @@
 	is.Equal(code, http.StatusServiceUnavailable)
 	is.True(dials.Load() <= 4)
 }
+
+// Guards against requests that wait or are sent on while every endpoint of their service
+// rests.
+func TestRequestsAreRefusedAtOnceWhileAllEndpointsRest(t *testing.T) {
+	is := is.New(t)
+	var arrivals atomic.Int32
+	resting := func() string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			arrivals.Add(1)
+			w.Header().Set("X-Not-Run", "1")
+			w.Header().Set("Retry-After", "30.5")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		t.Cleanup(s.Close)
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	r := newRig(t, 100, resting(), resting())
+	for i := range 20 {
+		resp, err := r.ask(t, string(rune('a'+i)), "/lookup/x")
+		is.NoErr(err)
+		resp.Body.Close()
+		is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+		if i == 0 {
+			continue // it found out
+		}
+		after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(after > 25)
+	}
+	is.Equal(arrivals.Load(), int32(2)) // one each
+}
