An endpoint that says it leaves: stand-ins and two tests that fail

Callers: requests go to an endpoint that has told the node, in its answers, that it leaves, until the platform's list or a probe says so; what is there when it ends is cut.

Change: the stand-ins of both ways say it in all answers, and check at every arrival who had been told longer ago than the drain time.

--- a/internal/dispatch/pressure_test.go
+++ b/internal/dispatch/pressure_test.go
@@ -42,6 +42,12 @@
 	testPressure(t, pressure.Words{Rest: 2250 * time.Millisecond})
 }
 
+// Guards against endpoints that say in their answers that they leave and get requests until
+// a probe says so too.
+func TestEndpointThatSaysItLeavesIsLeft(t *testing.T) {
+	testPressure(t, pressure.Words{Leaving: true})
+}
+
 // testPressure sends traffic while one of two engines and one of two plain endpoints say how
 // much they take: these keep to it, and all is served.
 func testPressure(t *testing.T, words pressure.Words) {
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -11,10 +11,10 @@
 	"chervilloom/internal/standin/pressure"
 )
 
-var pressureNames = pressure.Names{Limit: engine.HeaderRateLimit, NotRun: engine.HeaderNotRun, Promise: "true"}
+var pressureNames = pressure.Names{Limit: engine.HeaderRateLimit, Leaving: engine.HeaderLeaving, NotRun: engine.HeaderNotRun, Promise: "true"}
 
 // pressureBounds are short, so that tests don't wait.
-var pressureBounds = pressure.Bounds{Stable: time.Second}
+var pressureBounds = pressure.Bounds{Stable: time.Second, Drain: time.Second}
 
 // ServeHTTP serves the protocol of package engine, and for tests:
 //
--- a/internal/standin/pressure/pressure.go
+++ b/internal/standin/pressure/pressure.go
@@ -1,6 +1,6 @@
-// Package pressure lets a stand-in endpoint limit the requests that it takes and turn them
-// away for a while. It counts what arrives, and from whom, and tells whether callers kept to
-// what they had been told.
+// Package pressure lets a stand-in endpoint limit the requests that it takes, turn them away
+// for a while and say that it leaves. It counts what arrives, and from whom, and tells
+// whether callers kept to what they had been told.
 package pressure
 
 import (
@@ -14,7 +14,8 @@
 
 // Names are the headers of a wire.
 type Names struct {
-	Limit string // requests a second from all callers together
+	Limit   string // requests a second from all callers together
+	Leaving string // the endpoint leaves, with the value 1
 	// NotRun promises that a request didn't run, with the value Promise.
 	NotRun, Promise string
 }
@@ -23,6 +24,8 @@
 type Words struct {
 	Limit float64       // requests a second; 0: none is named
 	Rest  time.Duration // requests are turned away with this Retry-After; 0: they are served
+
+	Leaving bool
 }
 
 // The bounds that callers must keep.
@@ -43,6 +46,7 @@
 	since    time.Time            // when the limit was first named
 	told     map[string]time.Time // who was told the limit, and when first
 	recent   []arrival
+	leaving  map[string]time.Time // who was told that the endpoint leaves, and when first
 	rests    []rest
 	arrivals int
 	broken   []string
@@ -63,6 +67,7 @@
 // Bounds are the times of the deployment that the checks need.
 type Bounds struct {
 	Stable time.Duration // from the first naming of a limit until it must hold
+	Drain  time.Duration // from the word that the endpoint leaves until nothing may come
 }
 
 // Say changes what the endpoint says from now on.
@@ -72,6 +77,9 @@
 	if w.Limit != e.words.Limit {
 		e.since, e.told, e.recent = time.Now(), map[string]time.Time{}, nil
 	}
+	if !w.Leaving || e.leaving == nil {
+		e.leaving = map[string]time.Time{}
+	}
 	e.words = w
 }
 
@@ -98,6 +106,9 @@
 	if words.Limit > 0 {
 		w.Header().Set(n.Limit, strconv.FormatFloat(words.Limit, 'f', -1, 64))
 	}
+	if words.Leaving {
+		w.Header().Set(n.Leaving, "1")
+	}
 	if words.Rest == 0 {
 		next(w, r)
 		return
@@ -114,6 +125,9 @@
 	e.arrivals++
 	e.checkLimit(from, now, b)
 	e.checkRests(from, now)
+	if at, ok := e.leaving[from]; ok && now.Sub(at) > b.Drain {
+		e.broken = append(e.broken, fmt.Sprintf("a request from %s %v after it was told that the endpoint leaves", from, now.Sub(at)))
+	}
 	e.note(from, now)
 	return e.words
 }
@@ -155,6 +169,9 @@
 	if _, ok := e.told[from]; !ok && e.words.Limit > 0 {
 		e.told[from] = now
 	}
+	if _, ok := e.leaving[from]; !ok && e.words.Leaving {
+		e.leaving[from] = now
+	}
 	if e.words.Rest > 0 {
 		e.rests = append(e.rests, rest{from: from, begin: now.Add(toldAfter), end: now.Add(e.words.Rest)})
 	}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -88,10 +88,10 @@
 	Pressure pressure.Endpoint
 }
 
-var pressureNames = pressure.Names{Limit: engine.HeaderRateLimit, NotRun: engine.HeaderNotRun, Promise: "true"}
+var pressureNames = pressure.Names{Limit: engine.HeaderRateLimit, Leaving: engine.HeaderLeaving, NotRun: engine.HeaderNotRun, Promise: "true"}
 
 // pressureBounds are short, so that tests don't wait.
-var pressureBounds = pressure.Bounds{Stable: time.Second}
+var pressureBounds = pressure.Bounds{Stable: time.Second, Drain: time.Second}
 
 // New returns a service with a fresh boot id.
 func New(o Options) *Service {
--- a/test/entry_pressure_test.go
+++ b/test/entry_pressure_test.go
@@ -109,3 +109,19 @@
 	}
 	t.Logf("%d served; %d and %d at the endpoints at rest", tr.served, head.Pressure.Arrivals()-before, plain.Pressure.Arrivals())
 }
+
+// Guards against endpoints that say in their answers that they leave and get requests until
+// the platform's list says so too.
+func TestEntryLeavesAnEndpointThatSaysItLeaves(t *testing.T) {
+	f := startEntryFleet(t, "a", "a", "b")
+	head, plain := f.fleet.Open("m")[0], f.fleet.Get("i-p0")
+	head.Pressure.Say(pressure.Words{Leaving: true})
+	plain.Pressure.Say(pressure.Words{Leaving: true})
+	before := head.Pressure.Arrivals()
+	tr := f.sendTraffic("/text/x", "/lookup/x")
+	f.keptTo(head, plain)
+	if len(tr.other) > 0 {
+		t.Errorf("%d served, not served: %v", tr.served, tr.other)
+	}
+	t.Logf("%d served; %d and %d at the endpoints that leave", tr.served, head.Pressure.Arrivals()-before, plain.Pressure.Arrivals())
+}
