An endpoint that says in its answers that it leaves gets nothing new

Callers: requests went to an endpoint that leaves until the list said so, up to a second after its entry, for as long as the store is away, or while this node can't reach it.

That one leaves was known from the list alone.

Change: the guard holds each life that said so for as long as it is listed and ten minutes more, so that an entry that comes back after an outage changes nothing; the other nodes and the holder of the group's duty are told as they are of a leaving that the list shows (way serve: marked in the view, which all nodes share).

--- a/internal/backpressure/guard.go
+++ b/internal/backpressure/guard.go
@@ -1,11 +1,12 @@
 // Package backpressure keeps to what endpoints say of how much they take. An endpoint in
 // need names the requests a second that it takes from all nodes together; a few nodes share
 // that and the others send it nothing. One that turns a request away may ask the node that
-// sent it for rest.
+// sent it for rest, and one that leaves gets nothing new.
 package backpressure
 
 import (
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	// Rest is how long an endpoint that turned the request away wants nothing from this
 	// node; 0: it doesn't say.
 	Rest time.Duration
+	// Leaving says that the endpoint leaves.
+	Leaving bool
 }
 
 // Options are what a Guard needs.
@@ -35,7 +38,9 @@
 	// all nodes with the same view return the same. nil: this node is alone.
 	Order func(ID) []string
 	// Announce tells a notice to all other nodes; nil: there are none.
-	Announce   func(Notice)
+	Announce func(Notice)
+	// Leaves is told once of each endpoint that says that it leaves; nil: nobody.
+	Leaves     func(ID)
 	Registerer prometheus.Registerer // nil: no metrics
 }
 
@@ -45,9 +50,10 @@
 	Options
 	metrics *metrics
 
-	mu     sync.Mutex
-	limits *limits
-	rests  *rests
+	mu      sync.Mutex
+	limits  *limits
+	rests   *rests
+	leaving leaving
 }
 
 // New returns a guard that knows of no endpoint.
@@ -58,10 +64,13 @@
 	if o.Announce == nil {
 		o.Announce = func(Notice) {}
 	}
+	if o.Leaves == nil {
+		o.Leaves = func(ID) {}
+	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
-	g := &Guard{Options: o, limits: newLimits(o.Node), rests: newRests(o.Node)}
+	g := &Guard{Options: o, limits: newLimits(o.Node), rests: newRests(o.Node), leaving: leaving{}}
 	g.metrics = newMetrics(o.Registerer, g)
 	return g
 }
@@ -74,7 +83,14 @@
 }
 
 func (g *Guard) allows(id ID, now clock.Instant) bool {
-	return g.rests.allows(id, now) && g.limits.allows(id, now)
+	return !g.leaving.has(id) && g.rests.allows(id, now) && g.limits.allows(id, now)
+}
+
+// Leaving reports whether the endpoint said that it leaves.
+func (g *Guard) Leaving(id ID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leaving.has(id)
 }
 
 // Take asks for one request to be sent now. Whoever sends one calls it immediately before:
@@ -93,6 +109,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
+	if g.leaving.has(id) {
+		return nil, reasonLeaving
+	}
 	if !g.rests.allows(id, now) {
 		return nil, reasonRest
 	}
@@ -113,7 +132,12 @@
 		tell = g.limits.answered(id, w.Limit, sent, now, g.Order)
 	}
 	begins := g.rests.answered(id, w.Rest, sent, now)
+	leaves := w.Leaving && g.leaving.add(id, now)
 	g.mu.Unlock()
+	if leaves {
+		g.Log.Info("endpoint says that it leaves", "endpoint", id)
+		g.Leaves(id)
+	}
 	if begins {
 		g.Log.Info("endpoint asks for rest", "endpoint", id, "rest_ms", w.Rest.Milliseconds())
 	}
@@ -136,10 +160,14 @@
 	}
 }
 
-// ComeBack returns after how long the endpoint can take a request that it isn't allowed now.
+// ComeBack returns after how long the endpoint can take a request that it isn't allowed now;
+// 0: it leaves.
 func (g *Guard) ComeBack(id ID) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.leaving.has(id) {
+		return 0
+	}
 	return max(g.rests.comeBack(id, g.Clock.Now()), g.limits.comeBack(id))
 }
 
@@ -155,11 +183,15 @@
 		}
 	}
 	for id := range g.rests.by {
-		if _, limited := g.limits.by[id]; !limited && !g.allows(id, now) {
+		if !g.allows(id, now) {
 			held = append(held, id)
 		}
 	}
-	return held
+	for id := range g.leaving {
+		held = append(held, id)
+	}
+	slices.Sort(held)
+	return slices.Compact(held)
 }
 
 // Sweep forgets endpoints that are no longer listed, and takes up which nodes there are.
@@ -169,6 +201,7 @@
 	now := g.Clock.Now()
 	g.limits.keep(listed, now, g.Order)
 	g.rests.keep(now)
+	g.leaving.keep(listed, now)
 }
 
 func (g *Guard) announce(n *Notice) {
--- a/internal/backpressure/metrics.go
+++ b/internal/backpressure/metrics.go
@@ -4,8 +4,9 @@
 
 // The reasons for which sends are held back.
 const (
-	reasonLimit = "rate_limit"
-	reasonRest  = "rest"
+	reasonLimit   = "rate_limit"
+	reasonRest    = "rest"
+	reasonLeaving = "leaving"
 )
 
 type metrics struct {
@@ -33,5 +34,8 @@
 	gauge("chervilloom_endpoints_resting", "Endpoints that asked this node for rest.", func() int {
 		return g.rests.resting(g.Clock.Now())
 	})
+	gauge("chervilloom_endpoints_leaving", "Endpoints that said that they leave, those of the last minutes included.", func() int {
+		return len(g.leaving)
+	})
 	return m
 }
--- a/internal/backpressure/rests_test.go
+++ b/internal/backpressure/rests_test.go
@@ -91,3 +91,22 @@
 	rs.answered("e", 0, now, now.Add(time.Millisecond))
 	is.True(rs.allows("e", now.Add(time.Millisecond)))
 }
+
+// Guards against an endpoint that leaves and is used again when its entry comes back.
+func TestLeavingIsFinalForALife(t *testing.T) {
+	is := is.New(t)
+	now := clock.NewManual(worldStart)
+	g := New(Options{Node: "n", Clock: now})
+	g.Answered("e~1", Words{Leaving: true}, worldStart)
+	g.Answered("e~1", Words{}, worldStart) // overtaken
+	is.True(!g.Allows("e~1") && !g.Take("e~1"))
+	now.Advance(time.Minute)
+	g.Sweep(func(ID) bool { return false })
+	is.True(!g.Allows("e~1"))
+	is.True(g.Allows("e~2")) // the next life
+	for range 3 {
+		now.Advance(leavingMemory)
+		g.Sweep(func(ID) bool { return true })
+		is.True(!g.Allows("e~1"))
+	}
+}
--- a/internal/dispatch/pressure.go
+++ b/internal/dispatch/pressure.go
@@ -28,7 +28,7 @@
 	if r.d.opt.Backpressure.Take(r.pressureID()) {
 		return nil
 	}
-	return takesNothing(r.d.opt.Backpressure.ComeBack(r.pressureID()))
+	return takesNothing(cmp.Or(r.d.opt.Backpressure.ComeBack(r.pressureID()), defaultComeBack))
 }
 
 // takesNothing refuses a request that no endpoint takes now. Callers that are refused for
@@ -49,6 +49,7 @@
 
 // wordsOf reads what an answer says of its endpoint.
 func wordsOf(resp *http.Response) (w backpressure.Words, err error) {
+	w.Leaving = resp.Header.Get(engine.HeaderLeaving) == "1"
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		w.Rest = restOf(resp.Header)
 	}
@@ -78,7 +79,7 @@
 	for _, id := range d.opt.Backpressure.Held() {
 		vm, _, _ := strings.Cut(string(id), "@")
 		if couldServe(req, snap, fleet.VM(vm)) {
-			out = append(out, heldEndpoint{fleet.VM(vm), d.opt.Backpressure.ComeBack(id)})
+			out = append(out, heldEndpoint{fleet.VM(vm), cmp.Or(d.opt.Backpressure.ComeBack(id), defaultComeBack)})
 		}
 	}
 	return out
--- a/internal/entry/pressure.go
+++ b/internal/entry/pressure.go
@@ -13,7 +13,7 @@
 func (n *Node) newPressure() *backpressure.Guard {
 	return backpressure.New(backpressure.Options{
 		Node: n.Settings.VM, Clock: n.Clock, Log: n.Log, Registerer: n.Registry,
-		Order: n.pressureOrder, Announce: n.announcePressure,
+		Order: n.pressureOrder, Announce: n.announcePressure, Leaves: n.endpointLeaves,
 	})
 }
 
@@ -52,3 +52,15 @@
 func (n *Node) listed(id backpressure.ID) bool {
 	return n.roster.current.Load().Get(roster.ID(id)) != nil
 }
+
+// endpointLeaves has all nodes leave an endpoint out that said that it leaves: the list may
+// tell it later, or be out of reach.
+func (n *Node) endpointLeaves(id backpressure.ID) {
+	e := n.roster.current.Load().Get(roster.ID(id))
+	if e == nil || !e.Usable() {
+		return // the list told it, or another node
+	}
+	leaves := []roster.ID{e.ID}
+	n.roster.leaving(leaves, nil)
+	n.spread(news.Message{Leaving: leaves})
+}
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -53,6 +53,7 @@
 	// RateLimit is the requests a second that the endpoint takes from all nodes together;
 	// nil: it names no limit.
 	RateLimit *float64
+	Leaving   bool // the endpoint leaves: nothing new is to be sent there
 	// LimitUnclear says that it names a limit that can't be kept to.
 	LimitUnclear bool
 	// Rest is how long an endpoint that turned the request away wants nothing from this
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -65,7 +65,7 @@
 		x.f.Metrics.rests.Inc()
 		x.f.Log.Debug("answer asks for rest", "request", x.req.ID, "endpoint", ep.ID, "rest_ms", rep.Rest.Milliseconds())
 	}
-	x.f.Backpressure.Answered(pressureID(ep), backpressure.Words{Limit: rep.RateLimit, LimitUnclear: rep.LimitUnclear, Rest: rep.Rest}, x.sentAt)
+	x.f.Backpressure.Answered(pressureID(ep), backpressure.Words{Limit: rep.RateLimit, LimitUnclear: rep.LimitUnclear, Rest: rep.Rest, Leaving: rep.Leaving}, x.sentAt)
 }
 
 func (x *exchange) notRun(ep *roster.Endpoint, conn *upstream.Conn, resp *http.Response, rep Reply) Result {
--- a/internal/node/pressure.go
+++ b/internal/node/pressure.go
@@ -22,7 +22,7 @@
 func (n *Node) buildPressure() {
 	n.pressure = backpressure.New(backpressure.Options{
 		Node: string(n.self.VM), Clock: n.clock, Log: n.log, Registerer: n.reg,
-		Order: n.pressureOrder, Announce: n.announcePressure,
+		Order: n.pressureOrder, Announce: n.announcePressure, Leaves: n.endpointLeaves,
 	})
 	n.mesh.Subscribe(topicPressure, n.hearPressure)
 }
@@ -96,3 +96,9 @@
 	}
 	return false
 }
+
+// endpointLeaves has all nodes know that a life of an endpoint leaves.
+func (n *Node) endpointLeaves(id backpressure.ID) {
+	vm, boot, _ := strings.Cut(string(id), "@")
+	n.view.Put(view.MarkLeaving{VM: fleet.VM(vm), Boot: fleet.BootID(boot), Reason: "said in an answer"})
+}
