--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -112,8 +112,9 @@
 	out := make([]*roster.Endpoint, 0, len(all))
 	for _, e := range all {
 		switch {
-		case !e.Usable() || x.f.Backpressure.Leaving(pressureID(e)):
+		case !e.Usable():
 		case engine != nil && !(e.Leads() && e.Model == x.req.Model):
+		case x.f.Backpressure.Leaving(pressureID(e)):
 		case !x.f.Backpressure.Allows(pressureID(e)):
 			x.noteHeld(e)
 		default:
