What endpoints say of themselves is read by one parser for both wires

The codec of the platform and the dispatcher each read limits and rests. Now package backpressure does; an unreadable value is a typed error that the line shows.

--- a/internal/backpressure/guard.go
+++ b/internal/backpressure/guard.go
@@ -15,20 +15,6 @@
 	"chervilloom/internal/clock"
 )
 
-// Words are what an answer says of its endpoint.
-type Words struct {
-	// Limit is the requests a second that the endpoint takes from all nodes together; nil:
-	// it names none.
-	Limit *float64
-	// LimitUnclear says that it names one that can't be kept to: what was known before holds.
-	LimitUnclear bool
-	// Rest is how long an endpoint that turned the request away wants nothing from this
-	// node; 0: it doesn't say.
-	Rest time.Duration
-	// Leaving says that the endpoint leaves.
-	Leaving bool
-}
-
 // Options are what a Guard needs.
 type Options struct {
 	Node  string // this one
--- a/internal/backpressure/rests.go
+++ b/internal/backpressure/rests.go
@@ -7,9 +7,6 @@
 )
 
 const (
-	// LongestRest is the longest time that an endpoint gets no requests for its word: a
-	// value that is wrong must not keep it from them for good.
-	LongestRest = 10 * time.Minute
 	// trialTime is how long the first request after a rest is waited for before another one
 	// is sent.
 	trialTime = 2 * time.Second
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -161,15 +160,12 @@
 // product would run over into a time that has passed.
 const maxAdvice = time.Minute
 
-// retryAfter returns the advice of an answer's header, 0 when there is none.
-func retryAfter(h http.Header) time.Duration { return min(restOf(h), maxAdvice) }
+// headerRest is how long an endpoint that turned a request away wants nothing.
+const headerRest = "Retry-After"
 
-// restOf returns how long an endpoint wants nothing, in seconds with decimals if there are
-// any; 0 when it doesn't say.
-func restOf(h http.Header) time.Duration {
-	s, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
-	if err != nil || math.IsNaN(s) || s < 0 {
-		return 0
-	}
-	return time.Duration(min(s, backpressure.LongestRest.Seconds()) * float64(time.Second))
+// retryAfter returns the advice of an answer's header, 0 when there is none that can be used.
+func retryAfter(h http.Header) time.Duration {
+	var w backpressure.Words
+	_ = w.ReadRest(h.Values(headerRest)) // whoever takes up what the endpoint says logs it
+	return min(w.Rest, maxAdvice)
 }
--- a/internal/dispatch/pressure.go
+++ b/internal/dispatch/pressure.go
@@ -2,11 +2,10 @@
 
 import (
 	"cmp"
-	"math"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -42,7 +41,7 @@
 func (r *endpointRun) answered(resp *http.Response, sent clock.Instant) {
 	w, err := wordsOf(resp)
 	if err != nil {
-		r.d.opt.Log.Debug("answer's header not readable", "request", r.req.ID, "endpoint", r.endpoint, "error", err)
+		r.d.opt.Log.Debug("answer's header not readable", "request", r.req.ID, "endpoint", r.endpoint, "err", err)
 	}
 	r.d.opt.Backpressure.Answered(r.pressureID(), w, sent)
 }
@@ -50,18 +49,10 @@
 // wordsOf reads what an answer says of its endpoint.
 func wordsOf(resp *http.Response) (w backpressure.Words, err error) {
 	w.Leaving = resp.Header.Get(engine.HeaderLeaving) == "1"
+	err = w.ReadLimit(resp.Header.Get(engine.HeaderRateLimit))
 	if resp.StatusCode == http.StatusServiceUnavailable {
-		w.Rest = restOf(resp.Header)
+		err = errors.Join(err, w.ReadRest(resp.Header.Values(headerRest)))
 	}
-	text := resp.Header.Get(engine.HeaderRateLimit)
-	if text == "" {
-		return w, nil
-	}
-	limit, err := strconv.ParseFloat(text, 64)
-	if err == nil && (math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0) {
-		err = strconv.ErrRange
-	}
-	w.Limit, w.LimitUnclear = &limit, err != nil
 	return w, err
 }
 
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"chervilloom/internal/backpressure"
 	"chervilloom/internal/outcome"
 	"chervilloom/internal/roster"
 )
@@ -50,18 +51,10 @@
 	Waiting int    // requests that wait there
 	Culprit string // the endpoint that made a group refuse; empty: not told
 	Other   bool   // another endpoint has the address now
-	// RateLimit is the requests a second that the endpoint takes from all nodes together;
-	// nil: it names no limit.
-	RateLimit *float64
-	Leaving   bool // the endpoint leaves: nothing new is to be sent there
-	// LimitUnclear says that it names a limit that can't be kept to.
-	LimitUnclear bool
-	// Rest is how long an endpoint that turned the request away wants nothing from this
-	// node; 0: it doesn't say.
-	Rest time.Duration
-	// Unreadable is a header about the endpoint itself whose value can't be kept to; empty:
-	// none.
-	Unreadable string
+	// Pressure is what it says of how much it takes, Unreadable what of that can't be kept
+	// to; nil: nothing.
+	Pressure   backpressure.Words
+	Unreadable error
 }
 
 // Codec translates between the project and what clients and endpoints speak.
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 
-	"chervilloom/internal/backpressure"
 	"chervilloom/internal/balance"
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/roster"
@@ -54,18 +53,18 @@
 	if rep.Other {
 		return
 	}
-	if rep.Unreadable != "" {
-		x.f.Log.Debug("answer's header not readable", "request", x.req.ID, "endpoint", ep.ID, "header", rep.Unreadable)
+	if rep.Unreadable != nil {
+		x.f.Log.Debug("answer's header not readable", "request", x.req.ID, "endpoint", ep.ID, "err", rep.Unreadable)
 	}
-	if rep.RateLimit != nil {
+	if w := rep.Pressure; w.Limit != nil {
 		x.f.Metrics.limited.Inc()
-		x.f.Log.Debug("answer names a rate limit", "request", x.req.ID, "endpoint", ep.ID, "limit", *rep.RateLimit)
+		x.f.Log.Debug("answer names a rate limit", "request", x.req.ID, "endpoint", ep.ID, "limit", *w.Limit)
 	}
-	if rep.Rest > 0 {
+	if w := rep.Pressure; w.Rest > 0 {
 		x.f.Metrics.rests.Inc()
-		x.f.Log.Debug("answer asks for rest", "request", x.req.ID, "endpoint", ep.ID, "rest_ms", rep.Rest.Milliseconds())
+		x.f.Log.Debug("answer asks for rest", "request", x.req.ID, "endpoint", ep.ID, "rest_ms", w.Rest.Milliseconds())
 	}
-	x.f.Backpressure.Answered(pressureID(ep), backpressure.Words{Limit: rep.RateLimit, LimitUnclear: rep.LimitUnclear, Rest: rep.Rest, Leaving: rep.Leaving}, x.sentAt)
+	x.f.Backpressure.Answered(pressureID(ep), rep.Pressure, x.sentAt)
 }
 
 func (x *exchange) notRun(ep *roster.Endpoint, conn *upstream.Conn, resp *http.Response, rep Reply) Result {
