Soak: endpoints name limits, ask for rest and say that they leave

Beside signals, restarts, store faults and harmful requests; the stand-ins check what arrives against what each process had been told. A paused process is excused.

--- a/internal/standin/pressure/pressure.go
+++ b/internal/standin/pressure/pressure.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -83,6 +84,16 @@
 	e.words = w
 }
 
+// Excuse forgets what a caller was told: it was paused, and acts by what it knew before.
+func (e *Endpoint) Excuse(from string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.told, from)
+	delete(e.leaving, from)
+	e.recent = slices.DeleteFunc(e.recent, func(a arrival) bool { return a.from == from })
+	e.rests = slices.DeleteFunc(e.rests, func(r rest) bool { return r.from == from })
+}
+
 // Arrivals returns how many requests came.
 func (e *Endpoint) Arrivals() int {
 	e.mu.Lock()
--- a/test/entry_soak_test.go
+++ b/test/entry_soak_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"chervilloom/internal/standin/pressure"
 	"chervilloom/internal/testkit"
 	"chervilloom/platform/platformtest"
 )
@@ -41,10 +42,12 @@
 // in order; nodes are killed, paused, told to stop and start anew; the store is
 // down, loses answers, forgets its history, comes back from an older copy; endpoints lose answers; keys change.
 // Requests that end the endpoints that run them come, before their first event or after
-// some, each time or every other time. All the while: streams have each piece once and in
+// some, each time or every other time. Endpoints name a rate limit, ask for rest, or say that
+// they leave. All the while: streams have each piece once and in
 // order, receipts run once at most, what was refused has not run, no group opens without
 // its members, no engine joins a second group that serves, and none of the requests beside
-// is quarantined, all of whose streams have one and the same body. Afterwards requests are
+// is quarantined, all of whose streams have one and the same body; endpoints get no more than
+// they told. Afterwards requests are
 // served again, and one that ends endpoints reaches no more than it may.
 func TestEntrySoak(t *testing.T) {
 	for i := range *soakSeeds {
@@ -83,6 +86,11 @@
 	}
 	s.checkHarm(rand.New(rand.NewPCG(seed, 99)))
 	s.wrong = append(s.wrong, s.fleet.Broken()...)
+	for _, e := range s.fleet.All() {
+		for _, b := range e.Pressure.Broken() {
+			s.fail("%s got %s", e.ID, b)
+		}
+	}
 	if len(s.wrong) > 0 {
 		t.Logf("faults:\n%s", strings.Join(s.faults, "\n"))
 	}
@@ -94,7 +102,7 @@
 func (s *soak) fault() {
 	engines := s.fleet.Open("m")
 	n := s.nodes[s.rnd.IntN(len(s.nodes))]
-	kind := s.rnd.IntN(13)
+	kind := s.rnd.IntN(15)
 	s.faults = append(s.faults, fmt.Sprintf("%s kind %d at %s", time.Now().Format(time.TimeOnly), kind, n.name))
 	switch kind {
 	case 0: // a member of a serving group dies, a new engine comes
@@ -116,6 +124,9 @@
 	case 4, 5:
 		s.signal(n, syscall.SIGSTOP)
 		time.Sleep(time.Duration(s.rnd.IntN(2500)) * time.Millisecond) // the pause
+		for _, e := range s.fleet.All() {
+			e.Pressure.Excuse(caller(n))
+		}
 		s.signal(n, syscall.SIGCONT)
 	case 6:
 		s.store.SetDown(s.rnd.IntN(2) == 0)
@@ -139,6 +150,8 @@
 		s.configure()
 	case 12:
 		s.restore()
+	case 13, 14:
+		s.press()
 	case 11:
 		body := s.addHarm(s.rnd)
 		for i := range 4 {
@@ -167,6 +180,26 @@
 	s.rewrite()
 }
 
+// press has an endpoint say how much it takes, or nothing any more.
+func (s *soak) press() {
+	endpoints := append(s.fleet.Open("m"), s.fleet.Get("i-p0"), s.fleet.Get("i-p1"))
+	i := s.rnd.IntN(len(endpoints))
+	words := []pressure.Words{{}, {Limit: 0.1 + 4*s.rnd.Float64()}, {Rest: time.Duration(500+s.rnd.IntN(2500)) * time.Millisecond}, {Leaving: true}}
+	w := words[s.rnd.IntN(len(words))]
+	if w.Leaving { // for good: an engine, and a new one comes
+		if i >= len(endpoints)-2 {
+			return
+		}
+		s.fleet.AddEngine(fmt.Sprintf("i-n%d", s.rnd.Uint64()), "engines", "a", "d0")
+	}
+	s.faults = append(s.faults, fmt.Sprintf("%s says %+v", endpoints[i].ID, w))
+	endpoints[i].Pressure.Say(w)
+}
+
+// caller is how requests through a node are named to the endpoints: each of its processes by
+// a name of its own.
+func caller(n *entryNode) string { return strings.NewReplacer(".", "_", ":", "_").Replace(n.front) }
+
 // addHarm lets another request end the engines that run it.
 func (s *soak) addHarm(rnd *rand.Rand) (body string) {
 	body = fmt.Sprintf("crash%d", rnd.Uint64())
@@ -245,6 +278,9 @@
 	for _, id := range []string{"i-p0", "i-p1"} {
 		s.fleet.Get(id).Mangle(nil)
 	}
+	for _, e := range s.fleet.All() {
+		e.Pressure.Say(pressure.Words{})
+	}
 	for _, n := range s.nodes {
 		s.signal(n, syscall.SIGCONT)
 	}
@@ -271,7 +307,7 @@
 		s.mu.Lock()
 		n := s.nodes[rnd.IntN(len(s.nodes))]
 		s.mu.Unlock()
-		id := fmt.Sprintf("%s-%d", name, i)
+		id := fmt.Sprintf("%s.%s-%d", caller(n), name, i)
 		switch rnd.IntN(3) {
 		case 0:
 			s.checkStream(n, id, 1+rnd.IntN(60))
