--- /dev/null
+++ b/internal/backpressure/bench_test.go
@@ -0,0 +1,35 @@
+package backpressure
+
+import (
+	"fmt"
+	"testing"
+
+	"chervilloom/internal/clock"
+)
+
+// BenchmarkAllows asks for the 120 heads of a large service, as each request's choice does:
+// none of them says anything, or twelve name a limit to a node that is last in order.
+func BenchmarkAllows(b *testing.B) {
+	var order []string
+	for i := range 295 {
+		order = append(order, fmt.Sprintf("front-%d", i))
+	}
+	for _, limited := range []int{0, 12} {
+		b.Run(fmt.Sprintf("limited=%d", limited), func(b *testing.B) {
+			g := New(Options{Node: "front-294", Clock: clock.Boot{}, Order: func(ID) []string { return order }})
+			ids := make([]ID, 120)
+			for i := range ids {
+				ids[i] = ID(fmt.Sprintf("i-%010d~1790000000000", i))
+				if i < limited {
+					g.Hear(Notice{Node: "front-1", ID: ids[i], Rate: 1.9, Sends: true})
+				}
+			}
+			for b.Loop() {
+				for _, id := range ids {
+					g.Leaving(id)
+					g.Allows(id)
+				}
+			}
+		})
+	}
+}
--- a/internal/backpressure/world_test.go
+++ b/internal/backpressure/world_test.go
@@ -46,6 +46,7 @@
 	later    map[clock.Instant][]func()
 	arrivals []worldArrival
 	total    int // while the limit stood, after the grace
+	notices  int
 	broken   []string
 }
 
@@ -115,6 +116,7 @@
 	if n == nil {
 		return
 	}
+	w.notices++
 	if n.Ended { // told twice
 		w.tellOnce(from, n)
 	}
@@ -279,7 +281,7 @@
 						if len(w.broken) > 0 {
 							t.Errorf("%d times, first %s", len(w.broken), w.broken[0])
 						}
-						t.Logf("%d arrivals in %v, the limit allows %.0f", w.total, worldTime-stable, limit*(worldTime-stable).Seconds())
+						t.Logf("%d arrivals in %v, the limit allows %.0f; %d notices", w.total, worldTime-stable, limit*(worldTime-stable).Seconds(), w.notices)
 					})
 				}
 			}
