A guard that knows of nothing takes no lock and reads no clock

A choice among 120 heads asked the guard 240 times and read the clock as often, 33 us of each request, although nearly always no endpoint has said anything.

No decision changes.

--- a/internal/backpressure/guard.go
+++ b/internal/backpressure/guard.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -36,7 +37,11 @@
 	Options
 	metrics *metrics
 
-	mu      sync.Mutex
+	// quiet is set while no endpoint has said anything that is still kept: then a choice
+	// among hundreds of endpoints takes no lock and reads no clock.
+	quiet atomic.Bool
+
+	mu      sync.Mutex // guards what follows
 	limits  *limits
 	rests   *rests
 	leaving leaving
@@ -58,11 +63,20 @@
 	}
 	g := &Guard{Options: o, limits: newLimits(o.Node), rests: newRests(o.Node), leaving: leaving{}}
 	g.metrics = newMetrics(o.Registerer, g)
+	g.quiet.Store(true)
 	return g
 }
 
+// noteQuiet is called under mu after each change.
+func (g *Guard) noteQuiet() {
+	g.quiet.Store(len(g.limits.by)+len(g.rests.by)+len(g.leaving) == 0)
+}
+
 // Allows reports whether the endpoint may be chosen for a request now.
 func (g *Guard) Allows(id ID) bool {
+	if g.quiet.Load() {
+		return true
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.allows(id, g.Clock.Now())
@@ -74,6 +88,9 @@
 
 // Leaving reports whether the endpoint said that it leaves.
 func (g *Guard) Leaving(id ID) bool {
+	if g.quiet.Load() {
+		return false
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.leaving.has(id)
@@ -82,6 +99,9 @@
 // Take asks for one request to be sent now. Whoever sends one calls it immediately before:
 // what other requests took since the endpoint was chosen counts.
 func (g *Guard) Take(id ID) bool {
+	if g.quiet.Load() {
+		return true
+	}
 	tell, reason := g.take(id)
 	g.announce(tell)
 	if reason != "" {
@@ -111,6 +131,9 @@
 
 // Answered takes up what the endpoint said in the answer to a request that was sent at sent.
 func (g *Guard) Answered(id ID, w Words, sent clock.Instant) {
+	if g.quiet.Load() && w == (Words{}) {
+		return
+	}
 	g.mu.Lock()
 	now := g.Clock.Now()
 	var tell *Notice
@@ -119,6 +142,7 @@
 	}
 	begins := g.rests.answered(id, w.Rest, sent, now)
 	leaves := w.Leaving && g.leaving.add(id, now)
+	g.noteQuiet()
 	g.mu.Unlock()
 	if leaves {
 		g.Log.Info("endpoint says that it leaves", "endpoint", id)
@@ -140,6 +164,7 @@
 	}
 	g.mu.Lock()
 	news := g.limits.hear(n, g.Clock.Now(), g.Order)
+	g.noteQuiet()
 	g.mu.Unlock()
 	if news {
 		g.logLimit(n)
@@ -159,6 +184,9 @@
 
 // Held returns the endpoints to which this node may send nothing now.
 func (g *Guard) Held() []ID {
+	if g.quiet.Load() {
+		return nil
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
@@ -182,8 +210,12 @@
 
 // Sweep forgets endpoints that are no longer listed, and takes up which nodes there are.
 func (g *Guard) Sweep(listed func(ID) bool) {
+	if g.quiet.Load() {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	defer g.noteQuiet()
 	now := g.Clock.Now()
 	g.limits.keep(listed, now, g.Order)
 	g.rests.keep(now)
