Way serve: what an endpoint said counts for that life alone

Callers: an endpoint that had said that it leaves, and whose process was started again on its VM, got no request any more, until the nodes were restarted too.

Found by reading. The way of entry names each life by an id of its own.

Change: both match the life. The three tests of processes share their body; no check or bound changed.

--- a/internal/dispatch/pressure.go
+++ b/internal/dispatch/pressure.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"chervilloom/internal/backpressure"
@@ -68,25 +67,32 @@
 // node now.
 func (d *Dispatcher) heldBack(req *request.Request, snap *view.Snapshot) (out heldEndpoints) {
 	for _, id := range d.opt.Backpressure.Held() {
-		vm, _, _ := strings.Cut(string(id), "@")
-		if couldServe(req, snap, fleet.VM(vm)) {
-			out = append(out, heldEndpoint{fleet.VM(vm), cmp.Or(d.opt.Backpressure.ComeBack(id), defaultComeBack)})
+		if vm := holderOf(id, req, snap); vm != "" {
+			out = append(out, heldEndpoint{vm, cmp.Or(d.opt.Backpressure.ComeBack(id), defaultComeBack)})
 		}
 	}
 	return out
 }
 
-// couldServe reports whether an endpoint is of the request's service, or leads a group of its
-// model.
-func couldServe(req *request.Request, snap *view.Snapshot, vm fleet.VM) bool {
-	if req.Class != request.ClassModel {
-		return slices.ContainsFunc(snap.VMs, func(v view.VM) bool {
-			return v.Record.VM == vm && v.Record.Service == req.Service
-		})
+// holderOf returns the VM on which that life of an endpoint runs, if it is of the request's
+// service or leads a group of its model; empty otherwise.
+func holderOf(id backpressure.ID, req *request.Request, snap *view.Snapshot) fleet.VM {
+	if req.Class == request.ClassModel {
+		for i := range snap.Groups {
+			g := &snap.Groups[i]
+			if m := leader(g); g.Model == req.Target.Model && lifeOf(m.VM, m.Boot) == string(id) {
+				return m.VM
+			}
+		}
+		return ""
+	}
+	for i := range snap.VMs {
+		v := &snap.VMs[i]
+		if v.Record.Service == req.Service && lifeOf(v.Record.VM, v.Load.Boot) == string(id) {
+			return v.Record.VM
+		}
 	}
-	return slices.ContainsFunc(snap.Groups, func(g view.Group) bool {
-		return leader(&g).VM == vm && g.Model == req.Target.Model
-	})
+	return ""
 }
 
 // tried returns them as destinations that a request shall not get.
--- a/internal/dispatch/pressure_test.go
+++ b/internal/dispatch/pressure_test.go
@@ -10,6 +10,7 @@
 	"chervilloom/internal/request"
 	standin "chervilloom/internal/standin/engine"
 	"chervilloom/internal/standin/pressure"
+	"chervilloom/internal/view"
 )
 
 const (
@@ -75,3 +76,29 @@
 	}
 	t.Logf("at them %d and %d, beside %d and %d", engine.Pressure.Arrivals(), plain.Pressure.Arrivals(), other.Pressure.Arrivals(), second.Pressure.Arrivals())
 }
+
+// Guards against an endpoint that is left out for what an earlier life of it said.
+func TestNextLifeOfAnEndpointIsUsed(t *testing.T) {
+	r := newRig(t, nil)
+	plain, other := r.addService(), r.addService()
+	setBoot := func() {
+		r.change(func(s *view.Snapshot) { s.VMs[0].Load.Boot = plain.State().Boot })
+	}
+	setBoot()
+	plain.Pressure.Say(pressure.Words{Leaving: true})
+	for i := range 5 {
+		r.serve(context.Background(), r.lookup(fmt.Sprintf("leaving.%d", i)))
+	}
+	if plain.Pressure.Arrivals() != 1 || other.Pressure.Arrivals() != 4 {
+		t.Fatalf("%d and %d arrivals, want 1 and 4", plain.Pressure.Arrivals(), other.Pressure.Arrivals())
+	}
+	plain.Restart()
+	setBoot()
+	plain.Pressure.Say(pressure.Words{})
+	for i := range 5 {
+		r.serve(context.Background(), r.lookup(fmt.Sprintf("next.%d", i)))
+	}
+	if plain.Pressure.Arrivals() != 6 {
+		t.Errorf("%d arrivals in both lives, want 6", plain.Pressure.Arrivals())
+	}
+}
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -20,15 +20,18 @@
 }
 
 func (d *Dispatcher) runAtMember(req *request.Request, m *fleet.Member) *endpointRun {
-	return &endpointRun{d, req, fingerprintOf(req), string(m.VM) + "@" + string(m.Boot), m.Addr}
+	return &endpointRun{d, req, fingerprintOf(req), lifeOf(m.VM, m.Boot), m.Addr}
 }
 
 // runAtService tells the lives of a plain endpoint apart by the boot of its newest load
 // report. While a restart isn't reported yet its end counts with the former life's.
 func (d *Dispatcher) runAtService(req *request.Request, vm *view.VM) *endpointRun {
-	return &endpointRun{d, req, fingerprintOf(req), string(vm.Record.VM) + "@" + string(vm.Load.Boot), vm.Record.Addr}
+	return &endpointRun{d, req, fingerprintOf(req), lifeOf(vm.Record.VM, vm.Load.Boot), vm.Record.Addr}
 }
 
+// lifeOf names one life of an endpoint.
+func lifeOf(vm fleet.VM, boot fleet.BootID) string { return string(vm) + "@" + string(boot) }
+
 // fingerprintOf is the same at each node that a request is passed on to.
 func fingerprintOf(req *request.Request) quarantine.Fingerprint {
 	return quarantine.Of(string(req.Organisation), req.Method, req.Service, req.Path, req.Body)
--- a/internal/node/pressure.go
+++ b/internal/node/pressure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -82,19 +83,17 @@
 
 // runPressure keeps the guard's view of nodes and endpoints until ctx ends.
 func (n *Node) runPressure(ctx context.Context) error {
-	clock.Every(ctx, pressureSweep, func() { n.pressure.Sweep(n.knownVM) })
+	clock.Every(ctx, pressureSweep, func() { n.pressure.Sweep(n.knownLife) })
 	return nil
 }
 
-func (n *Node) knownVM(id backpressure.ID) bool {
-	vm, _, _ := strings.Cut(string(id), "@")
-	snap := n.view.Snapshot()
-	for i := range snap.VMs {
-		if snap.VMs[i].Record.VM == fleet.VM(vm) {
-			return true
-		}
-	}
-	return false
+// knownLife reports whether that life of an endpoint is the one that is known now.
+func (n *Node) knownLife(id backpressure.ID) bool {
+	vm, life, _ := strings.Cut(string(id), "@")
+	boot := fleet.BootID(life)
+	return slices.ContainsFunc(n.view.Snapshot().VMs, func(v view.VM) bool {
+		return v.Record.VM == fleet.VM(vm) && (v.Load.Boot == boot || v.Probe.State.Boot == boot)
+	})
 }
 
 // endpointLeaves has all nodes know that a life of an endpoint leaves.
--- a/test/entry_pressure_test.go
+++ b/test/entry_pressure_test.go
@@ -81,47 +81,33 @@
 
 // Guards against endpoints in need that get their usual share from nodes that know the limit.
 func TestEntryKeepsTheRateLimitOfAnEndpoint(t *testing.T) {
-	f := startEntryFleet(t, "a", "a", "a", "b", "b", "b")
-	head, plain := f.fleet.Open("m")[0], f.fleet.Get("i-p0")
-	head.Pressure.Say(pressure.Words{Limit: 1.9})
-	plain.Pressure.Say(pressure.Words{Limit: 1.9})
-	before := head.Pressure.Arrivals()
-	tr := f.sendTraffic("/text/x", "/lookup/x")
-	f.keptTo(head, plain)
-	if len(tr.other) > 0 {
-		t.Errorf("%d served, not served: %v", tr.served, tr.other)
-	}
-	t.Logf("%d served; %d and %d at the endpoints in need", tr.served, head.Pressure.Arrivals()-before, plain.Pressure.Arrivals())
+	testEntryPressure(t, pressure.Words{Limit: 1.9}, "a", "a", "a", "b", "b", "b")
 }
 
 // Guards against endpoints that asked for rest and get more requests than before, because a
 // fast refusal looks like an idle endpoint.
 func TestEntryLeavesAnEndpointAtRest(t *testing.T) {
-	f := startEntryFleet(t, "a", "a", "b")
-	head, plain := f.fleet.Open("m")[0], f.fleet.Get("i-p0")
-	head.Pressure.Say(pressure.Words{Rest: 2250 * time.Millisecond})
-	plain.Pressure.Say(pressure.Words{Rest: 2250 * time.Millisecond})
-	before := head.Pressure.Arrivals()
-	tr := f.sendTraffic("/text/x", "/lookup/x")
-	f.keptTo(head, plain)
-	if len(tr.other) > 0 {
-		t.Errorf("%d served, not served: %v", tr.served, tr.other)
-	}
-	t.Logf("%d served; %d and %d at the endpoints at rest", tr.served, head.Pressure.Arrivals()-before, plain.Pressure.Arrivals())
+	testEntryPressure(t, pressure.Words{Rest: 2250 * time.Millisecond}, "a", "a", "b")
 }
 
 // Guards against endpoints that say in their answers that they leave and get requests until
 // the platform's list says so too.
 func TestEntryLeavesAnEndpointThatSaysItLeaves(t *testing.T) {
-	f := startEntryFleet(t, "a", "a", "b")
+	testEntryPressure(t, pressure.Words{Leaving: true}, "a", "a", "b")
+}
+
+// testEntryPressure sends traffic while one of two heads and one of two plain endpoints say
+// how much they take: nodes in the zones keep to it, and all is served.
+func testEntryPressure(t *testing.T, words pressure.Words, zones ...string) {
+	f := startEntryFleet(t, zones...)
 	head, plain := f.fleet.Open("m")[0], f.fleet.Get("i-p0")
-	head.Pressure.Say(pressure.Words{Leaving: true})
-	plain.Pressure.Say(pressure.Words{Leaving: true})
+	head.Pressure.Say(words)
+	plain.Pressure.Say(words)
 	before := head.Pressure.Arrivals()
 	tr := f.sendTraffic("/text/x", "/lookup/x")
 	f.keptTo(head, plain)
 	if len(tr.other) > 0 {
 		t.Errorf("%d served, not served: %v", tr.served, tr.other)
 	}
-	t.Logf("%d served; %d and %d at the endpoints that leave", tr.served, head.Pressure.Arrivals()-before, plain.Pressure.Arrivals())
+	t.Logf("%d served; %d and %d at these endpoints", tr.served, head.Pressure.Arrivals()-before, plain.Pressure.Arrivals())
 }
