--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"chervilloom/internal/balance"
 	"chervilloom/internal/board"
@@ -52,6 +53,8 @@
 			n := testNode(&fakeStore{}, p.clock)
 			n.Settings.VM, n.Settings.Zone, n.Settings.Zones, n.Settings.Cores = vm, zone, names, at.cores
 			n.send = func(m news.Message, to ...string) { p.deliver(vm, m, to) }
+			n.Registry = prometheus.NewRegistry()
+			n.pressure = n.newPressure() // by its name
 			p.nodes[vm] = n
 		}
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -98,8 +98,9 @@
 const mostClosed = 3
 
 // free reports whether the next attempt takes nothing from the retry budget: an attempt that
-// was held back isn't one, and nothing has arrived at an endpoint that refuses connections, and many requests meet one that ended
-// before it leaves the list. A connection that hangs has cost its time and counts.
+// was held back isn't one, and nothing has arrived at an endpoint that refuses connections.
+// Many requests meet one that ended before it leaves the list. A connection that hangs has
+// cost its time and counts.
 func (x *exchange) free(res Result) bool {
 	return res == NotRun && (x.unsent || x.refusedDial && x.closed <= mostClosed)
 }
