Way serve: an endpoint that asked for rest isn't held against as failing

Cause: a refusal by a plain endpoint counted as its failure as well, and the cost of a destination that fails stays until it serves something.

Change: a refusal that asks for rest isn't blamed. Refusals without advice are, as before.

TestRestIsNoFailureOfItsEndpoint: red before. Way entry never blamed them.

--- a/internal/dispatch/pressure.go
+++ b/internal/dispatch/pressure.go
@@ -36,13 +36,15 @@
 	return outcome.New(outcome.Overloaded, outcome.NotRun, "the endpoints take nothing more now", "send the request again later").After(after)
 }
 
-// answered takes up what the endpoint says of how much it takes.
-func (r *endpointRun) answered(resp *http.Response, sent clock.Instant) {
+// answered takes up what the endpoint says of how much it takes. It reports whether it asks for
+// rest.
+func (r *endpointRun) answered(resp *http.Response, sent clock.Instant) (rests bool) {
 	w, err := wordsOf(resp)
 	if err != nil {
 		r.d.opt.Log.Debug("answer's header not readable", "request", r.req.ID, "endpoint", r.endpoint, "err", err)
 	}
 	r.d.opt.Backpressure.Answered(r.pressureID(), w, sent)
+	return w.Rest > 0
 }
 
 // wordsOf reads what an answer says of its endpoint.
--- a/internal/dispatch/pressure_test.go
+++ b/internal/dispatch/pressure_test.go
@@ -102,3 +102,19 @@
 		t.Errorf("%d arrivals in both lives, want 6", plain.Pressure.Arrivals())
 	}
 }
+
+// Guards against an endpoint that is avoided as a failing one long after its rest is over.
+func TestRestIsNoFailureOfItsEndpoint(t *testing.T) {
+	r := newRig(t, nil)
+	plain, _ := r.addService(), r.addService()
+	plain.Pressure.Say(pressure.Words{Rest: time.Minute})
+	r.serve(context.Background(), r.lookup("rest.1"))
+	if plain.Pressure.Arrivals() != 1 {
+		t.Fatalf("%d arrivals", plain.Pressure.Arrivals())
+	}
+	for _, res := range r.router.results {
+		if res.Failed {
+			t.Errorf("a try is held against an endpoint: %+v", res)
+		}
+	}
+}
