Way serve: an endpoint that is held back doesn't turn callers away from the others

Callers: 503 "the endpoints take nothing more now" with another endpoint in service.

Cause: where the router found nothing and something was held back, the request was refused as if the held ones were the only ones. It no longer waited, as it does without them, for an endpoint that a probe 250 ms late hides until the next round.

Found beside it by reading: a try that the guard held back after it was chosen asked the retry budget, though POLICY said that it doesn't; with the budget spent the caller was refused.

Change: a refusal at once only where no endpoint beside the held ones carries what is asked for; leaving ones tell no time to come back. A held-back try goes on without the budget.

Tests: TestRequestWaitsBesideAnEndpointThatIsHeldBack and TestSendHeldBackTakesNoRetry, both red before.

--- a/internal/dispatch/await.go
+++ b/internal/dispatch/await.go
@@ -89,14 +89,17 @@
 	return d.served.lately(s.req, d.opt.Clock.Now())
 }
 
-// pickNow chooses a destination among those that take requests now. Where they are the only
-// ones left, the caller is told at once when they do again.
+// pickNow chooses a destination among those that take requests now. Where no other carries
+// what is asked for, the caller is told at once when they do again.
 func (d *Dispatcher) pickNow(s *session) (route.Choice, *outcome.Error) {
 	snap, now := d.opt.View.Snapshot(), d.opt.Clock.Now()
-	held := d.heldBack(s.req, snap)
-	choice, err := d.opt.Router.Pick(s.req, snap, now, slices.Concat(s.tried, held.tried()))
-	if err != nil && len(held) > 0 {
-		return choice, takesNothing(held.comeBack())
+	h := d.heldBack(s.req, snap)
+	choice, err := d.opt.Router.Pick(s.req, snap, now, slices.Concat(s.tried, h.tried))
+	switch {
+	case err == nil || h.comeBack == 0:
+		return choice, err
+	case h.others:
+		return choice, err.After(min(err.RetryAfter, h.comeBack))
 	}
-	return choice, err
+	return choice, takesNothing(h.comeBack)
 }
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"errors"
 	"time"
 
 	"chervilloom/internal/outcome"
@@ -39,6 +40,9 @@
 	if reason := final(f); reason != "" {
 		return decision{verdict: giveUp, reason: reason}
 	}
+	if errors.Is(f.err, errUnsent) {
+		return decision{verdict: retry, reason: "nothing was sent"}
+	}
 	ok, wait := budget()
 	if !ok {
 		return decision{verdict: giveUp, wait: wait, reason: "the retry budget is spent"}
--- a/internal/dispatch/pressure.go
+++ b/internal/dispatch/pressure.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"iter"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -26,9 +27,12 @@
 	if r.d.opt.Backpressure.Take(r.pressureID()) {
 		return nil
 	}
-	return takesNothing(cmp.Or(r.d.opt.Backpressure.ComeBack(r.pressureID()), defaultComeBack))
+	return takesNothing(cmp.Or(r.d.opt.Backpressure.ComeBack(r.pressureID()), defaultComeBack)).WithCause(errUnsent)
 }
 
+// errUnsent is the cause of a try that was held back before anything was sent.
+var errUnsent = errors.New("dispatch: held back before it was sent")
+
 // takesNothing refuses a request that no endpoint takes now. Callers that are refused for
 // the same time return over as much again.
 func takesNothing(comeBack time.Duration) *outcome.Error {
@@ -57,56 +61,65 @@
 	return w, err
 }
 
-// heldEndpoint is an endpoint that could serve a request and takes nothing now.
-type heldEndpoint struct {
-	vm       fleet.VM
-	comeBack time.Duration // until it takes something again
+// held is what of a request's endpoints takes nothing from this node now.
+type held struct {
+	tried    []route.Tried // those endpoints, as destinations that the request shall not get
+	comeBack time.Duration // until the first of them takes something again; 0: none does
+	others   bool          // an endpoint that isn't among them carries what is asked for as well
 }
 
-type heldEndpoints []heldEndpoint
-
-// heldBack returns the endpoints that could serve the request and take nothing from this
-// node now.
-func (d *Dispatcher) heldBack(req *request.Request, snap *view.Snapshot) (out heldEndpoints) {
-	for _, id := range d.opt.Backpressure.Held() {
-		if vm := holderOf(id, req, snap); vm != "" {
-			out = append(out, heldEndpoint{vm, cmp.Or(d.opt.Backpressure.ComeBack(id), defaultComeBack)})
+// heldBack returns what takes nothing from this node now.
+func (d *Dispatcher) heldBack(req *request.Request, snap *view.Snapshot) (h held) {
+	ids := d.opt.Backpressure.Held()
+	if len(ids) == 0 {
+		return held{}
+	}
+	for vm, id := range carriers(req, snap) {
+		if !slices.Contains(ids, id) {
+			h.others = true
+			continue
+		}
+		h.tried = append(h.tried, route.Tried{VM: vm})
+		if d.opt.Backpressure.Leaving(id) {
+			continue
+		}
+		back := cmp.Or(d.opt.Backpressure.ComeBack(id), defaultComeBack)
+		if h.comeBack == 0 || back < h.comeBack {
+			h.comeBack = back
 		}
 	}
-	return out
+	return h
 }
 
-// holderOf returns the VM on which that life of an endpoint runs, if it is of the request's
-// service or leads a group of its model; empty otherwise.
-func holderOf(id backpressure.ID, req *request.Request, snap *view.Snapshot) fleet.VM {
+// carriers returns the VMs whose endpoints carry what a request asks for, whether or not they
+// can serve now, with the lives that these are in. Leaving ones are not among them.
+func carriers(req *request.Request, snap *view.Snapshot) iter.Seq2[fleet.VM, backpressure.ID] {
 	if req.Class == request.ClassModel {
-		for i := range snap.Groups {
-			g := &snap.Groups[i]
-			if m := leader(g); g.Model == req.Target.Model && lifeOf(m.VM, m.Boot) == string(id) {
-				return m.VM
-			}
-		}
-		return ""
+		return leaders(req, snap)
 	}
-	for i := range snap.VMs {
-		v := &snap.VMs[i]
-		if v.Record.Service == req.Service && lifeOf(v.Record.VM, v.Load.Boot) == string(id) {
-			return v.Record.VM
+	return func(yield func(fleet.VM, backpressure.ID) bool) {
+		for i := range snap.VMs {
+			v := &snap.VMs[i]
+			if v.Record.Service != req.Service || v.Leaving || v.Record.State == fleet.StateLeaving {
+				continue
+			}
+			if !yield(v.Record.VM, backpressure.ID(lifeOf(v.Record.VM, v.Load.Boot))) {
+				return
+			}
 		}
 	}
-	return ""
 }
 
-// tried returns them as destinations that a request shall not get.
-func (h heldEndpoints) tried() []route.Tried {
-	out := make([]route.Tried, len(h))
-	for i, e := range h {
-		out[i] = route.Tried{VM: e.vm}
+func leaders(req *request.Request, snap *view.Snapshot) iter.Seq2[fleet.VM, backpressure.ID] {
+	return func(yield func(fleet.VM, backpressure.ID) bool) {
+		for i := range snap.Groups {
+			g := &snap.Groups[i]
+			if g.Phase != fleet.PhaseServing || g.Model != req.Target.Model {
+				continue
+			}
+			if m := leader(g); !yield(m.VM, backpressure.ID(lifeOf(m.VM, m.Boot))) {
+				return
+			}
+		}
 	}
-	return out
-}
-
-// comeBack returns when the first of them takes something again.
-func (h heldEndpoints) comeBack() time.Duration {
-	return slices.MinFunc(h, func(a, b heldEndpoint) int { return cmp.Compare(a.comeBack, b.comeBack) }).comeBack
 }
--- a/internal/dispatch/pressure_test.go
+++ b/internal/dispatch/pressure_test.go
@@ -7,9 +7,14 @@
 	"testing"
 	"time"
 
+	"chervilloom/internal/backpressure"
+	"chervilloom/internal/clock"
+	"chervilloom/internal/outcome"
 	"chervilloom/internal/request"
+	"chervilloom/internal/route"
 	standin "chervilloom/internal/standin/engine"
 	"chervilloom/internal/standin/pressure"
+	"chervilloom/internal/testkit"
 	"chervilloom/internal/view"
 )
 
@@ -118,3 +123,73 @@
 		}
 	}
 }
+
+// hidingRouter leaves an endpoint out of some choices, as if a probe was answered late.
+type hidingRouter struct {
+	*listRouter
+	hides int
+}
+
+func (h *hidingRouter) Pick(req *request.Request, snap *view.Snapshot, now clock.Instant, tried []route.Tried) (route.Choice, *outcome.Error) {
+	if h.hides > 0 {
+		h.hides--
+		tried = append(tried, route.Tried{VM: "s2"})
+	}
+	return h.listRouter.Pick(req, snap, now, tried)
+}
+
+// Guards against callers that are refused because one endpoint is held back while a late probe
+// hides the other one.
+func TestRequestWaitsBesideAnEndpointThatIsHeldBack(t *testing.T) {
+	h := &hidingRouter{}
+	r := newRig(t, func(o *Options) {
+		h.listRouter = o.Router.(*listRouter)
+		o.Router, o.PickWait = h, patience
+	})
+	resting, _ := r.addService(), r.addService()
+	resting.Pressure.Say(pressure.Words{Rest: time.Minute})
+	for i := range 2 {
+		if c := r.serve(context.Background(), r.lookup(fmt.Sprintf("rest.%d", i))); !c.end.Whole {
+			t.Error(c.end.Error)
+		}
+		h.hides = 2
+	}
+	if n := resting.Pressure.Arrivals(); n != 1 {
+		t.Errorf("%d arrivals at the endpoint at rest, want 1", n)
+	}
+}
+
+// takingRouter has another request take what an endpoint takes once it is chosen.
+type takingRouter struct {
+	*listRouter
+	guard *backpressure.Guard
+}
+
+func (r *takingRouter) Pick(req *request.Request, snap *view.Snapshot, now clock.Instant, tried []route.Tried) (route.Choice, *outcome.Error) {
+	c, err := r.listRouter.Pick(req, snap, now, tried)
+	if err == nil && c.VM.Record.VM == "s1" {
+		r.guard.Take("s1@")
+	}
+	return c, err
+}
+
+// Guards against callers that are refused for want of retries although nothing was sent.
+func TestSendHeldBackTakesNoRetry(t *testing.T) {
+	guard := backpressure.New(backpressure.Options{Clock: clock.Boot{}})
+	r := newRig(t, func(o *Options) {
+		o.Router, o.Backpressure = &takingRouter{o.Router.(*listRouter), guard}, guard
+	})
+	limited, _ := r.addService(), r.addService()
+	limit := 40.0
+	guard.Answered("s1@", backpressure.Words{Limit: &limit}, r.clock.Now())
+	r.retry.allow = false
+	for i := range 3 {
+		testkit.Eventually(t, "the endpoint takes a request", func() bool { return guard.Allows("s1@") })
+		if c := r.serve(context.Background(), r.lookup(fmt.Sprint(i))); !c.end.Whole {
+			t.Error(c.end.Error)
+		}
+	}
+	if limited.Pressure.Arrivals() != 0 || r.retry.asked != 0 {
+		t.Errorf("%d arrivals at the limited endpoint, %d retries asked for, want none", limited.Pressure.Arrivals(), r.retry.asked)
+	}
+}
