Backpressure: the field's usual names

Words become Signals, rests backoffs, ComeBack RetryAfter, silence and patience of senders timeouts and join delays; the stand-ins' Say becomes Set.

No behaviour, bound, check or message between nodes changed.

--- a/internal/backpressure/rests_test.go
+++ b/internal/backpressure/backoffs_test.go
@@ -32,7 +32,7 @@
 				at := now.Add(time.Duration(1+rng.IntN(30)) * worldStep)
 				later[at] = append(later[at], f)
 			}
-			rs := newRests("n")
+			bs := newBackoffs("n")
 			var windows []*window
 			shedding, taken, arrivals := false, 0, 0
 			arrive := func(sent clock.Instant) {
@@ -51,7 +51,7 @@
 				} else {
 					taken++
 				}
-				after(func() { rs.answered("e", asked, sent, now) })
+				after(func() { bs.answered("e", asked, sent, now) })
 			}
 			for now = worldStart; now < worldStart.Add(runs); now = now.Add(worldStep) {
 				for _, f := range later[now] {
@@ -60,10 +60,10 @@
 				if rng.Float64() < worldStep.Seconds()/3 {
 					shedding = !shedding
 				}
-				if rng.Float64() > perSecond*worldStep.Seconds() || !rs.allows("e", now) {
+				if rng.Float64() > perSecond*worldStep.Seconds() || !bs.allows("e", now) {
 					continue
 				}
-				rs.take("e", now)
+				bs.take("e", now)
 				sent := now
 				after(func() { arrive(sent) })
 			}
@@ -77,19 +77,19 @@
 // Guards against a crowd of requests at an endpoint whose rest is over.
 func TestOneRequestTriesAnEndpointAfterItsRest(t *testing.T) {
 	is := is.New(t)
-	rs := newRests("n")
+	bs := newBackoffs("n")
 	now := worldStart
-	is.True(rs.answered("e", 2*time.Second, now, now))
+	is.True(bs.answered("e", 2*time.Second, now, now))
 	late := now.Add(10 * time.Millisecond)
-	is.True(!rs.answered("e", 0, now, late)) // an answer to a request of before
-	is.True(!rs.allows("e", late))
-	now = now.Add(2*time.Second + longestSpread)
-	is.True(rs.allows("e", now))
-	rs.take("e", now)
-	is.True(!rs.allows("e", now))
-	is.True(rs.comeBack("e", now) > 0)
-	rs.answered("e", 0, now, now.Add(time.Millisecond))
-	is.True(rs.allows("e", now.Add(time.Millisecond)))
+	is.True(!bs.answered("e", 0, now, late)) // an answer to a request of before
+	is.True(!bs.allows("e", late))
+	now = now.Add(2*time.Second + maxBackoffJitter)
+	is.True(bs.allows("e", now))
+	bs.take("e", now)
+	is.True(!bs.allows("e", now))
+	is.True(bs.retryAfter("e", now) > 0)
+	bs.answered("e", 0, now, now.Add(time.Millisecond))
+	is.True(bs.allows("e", now.Add(time.Millisecond)))
 }
 
 // Guards against an endpoint that leaves and is used again when its entry comes back.
@@ -97,8 +97,8 @@
 	is := is.New(t)
 	now := clock.NewManual(worldStart)
 	g := New(Options{Node: "n", Clock: now})
-	g.Answered("e~1", Words{Leaving: true}, worldStart)
-	g.Answered("e~1", Words{}, worldStart) // overtaken
+	g.Answered("e~1", Signals{Leaving: true}, worldStart)
+	g.Answered("e~1", Signals{}, worldStart) // overtaken
 	is.True(!g.Allows("e~1") && !g.Take("e~1"))
 	now.Advance(time.Minute)
 	g.Sweep(func(ID) bool { return false })
--- a/internal/backpressure/guard.go
+++ b/internal/backpressure/guard.go
@@ -1,7 +1,7 @@
-// Package backpressure keeps to what endpoints say of how much they take. An endpoint in
-// need names the requests a second that it takes from all nodes together; a few nodes share
-// that and the others send it nothing. One that turns a request away may ask the node that
-// sent it for rest, and one that leaves gets nothing new.
+// Package backpressure keeps to the load that endpoints accept. An endpoint under pressure
+// names the requests a second that it takes from all nodes together: a few nodes share that
+// rate limit and the others send it nothing. One that turns a request away may ask the node
+// that sent it to back off, and one that leaves gets nothing new.
 package backpressure
 
 import (
@@ -41,10 +41,10 @@
 	// among hundreds of endpoints takes no lock and reads no clock.
 	quiet atomic.Bool
 
-	mu      sync.Mutex // guards what follows
-	limits  *limits
-	rests   *rests
-	leaving leaving
+	mu       sync.Mutex // guards what follows
+	limits   *limits
+	backoffs *backoffs
+	leaving  leaving
 }
 
 // New returns a guard that knows of no endpoint.
@@ -61,7 +61,7 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
-	g := &Guard{Options: o, limits: newLimits(o.Node), rests: newRests(o.Node), leaving: leaving{}}
+	g := &Guard{Options: o, limits: newLimits(o.Node), backoffs: newBackoffs(o.Node), leaving: leaving{}}
 	g.metrics = newMetrics(o.Registerer, g)
 	g.quiet.Store(true)
 	return g
@@ -69,7 +69,7 @@
 
 // noteQuiet is called under mu after each change.
 func (g *Guard) noteQuiet() {
-	g.quiet.Store(len(g.limits.by)+len(g.rests.by)+len(g.leaving) == 0)
+	g.quiet.Store(len(g.limits.by)+len(g.backoffs.by)+len(g.leaving) == 0)
 }
 
 // Allows reports whether the endpoint may be chosen for a request now.
@@ -83,7 +83,7 @@
 }
 
 func (g *Guard) allows(id ID, now clock.Instant) bool {
-	return !g.leaving.has(id) && g.rests.allows(id, now) && g.limits.allows(id, now)
+	return !g.leaving.has(id) && g.backoffs.allows(id, now) && g.limits.allows(id, now)
 }
 
 // Leaving reports whether the endpoint said that it leaves.
@@ -118,30 +118,30 @@
 	if g.leaving.has(id) {
 		return nil, reasonLeaving
 	}
-	if !g.rests.allows(id, now) {
-		return nil, reasonRest
+	if !g.backoffs.allows(id, now) {
+		return nil, reasonBackoff
 	}
 	ok, tell := g.limits.take(id, now)
 	if !ok {
 		return nil, reasonLimit
 	}
-	g.rests.take(id, now)
+	g.backoffs.take(id, now)
 	return tell, ""
 }
 
-// Answered takes up what the endpoint said in the answer to a request that was sent at sent.
-func (g *Guard) Answered(id ID, w Words, sent clock.Instant) {
-	if g.quiet.Load() && w == (Words{}) {
+// Answered takes up the signals of the answer to a request that was sent at sent.
+func (g *Guard) Answered(id ID, s Signals, sent clock.Instant) {
+	if g.quiet.Load() && s == (Signals{}) {
 		return
 	}
 	g.mu.Lock()
 	now := g.Clock.Now()
 	var tell *Notice
-	if !w.LimitUnclear {
-		tell = g.limits.answered(id, w.Limit, sent, now, g.Order)
+	if !s.LimitInvalid {
+		tell = g.limits.answered(id, s.Limit, sent, now, g.Order)
 	}
-	begins := g.rests.answered(id, w.Rest, sent, now)
-	leaves := w.Leaving && g.leaving.add(id, now)
+	begins := g.backoffs.answered(id, s.RetryAfter, sent, now)
+	leaves := s.Leaving && g.leaving.add(id, now)
 	g.noteQuiet()
 	g.mu.Unlock()
 	if leaves {
@@ -149,7 +149,7 @@
 		g.Leaves(id)
 	}
 	if begins {
-		g.Log.Info("endpoint asks for rest", "endpoint", id, "rest_ms", w.Rest.Milliseconds())
+		g.Log.Info("endpoint asks for a backoff", "endpoint", id, "retry_after_ms", s.RetryAfter.Milliseconds())
 	}
 	if tell != nil {
 		g.logLimit(*tell)
@@ -171,15 +171,15 @@
 	}
 }
 
-// ComeBack returns after how long the endpoint can take a request that it isn't allowed now;
+// RetryAfter returns after how long the endpoint can take a request that it isn't allowed now;
 // 0: it leaves.
-func (g *Guard) ComeBack(id ID) time.Duration {
+func (g *Guard) RetryAfter(id ID) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.leaving.has(id) {
 		return 0
 	}
-	return max(g.rests.comeBack(id, g.Clock.Now()), g.limits.comeBack(id))
+	return max(g.backoffs.retryAfter(id, g.Clock.Now()), g.limits.retryAfter(id))
 }
 
 // Held returns the endpoints to which this node may send nothing now.
@@ -196,7 +196,7 @@
 			held = append(held, id)
 		}
 	}
-	for id := range g.rests.by {
+	for id := range g.backoffs.by {
 		if !g.allows(id, now) {
 			held = append(held, id)
 		}
@@ -218,7 +218,7 @@
 	defer g.noteQuiet()
 	now := g.Clock.Now()
 	g.limits.keep(listed, now, g.Order)
-	g.rests.keep(now)
+	g.backoffs.keep(now)
 	g.leaving.keep(listed, now)
 }
 
--- a/internal/backpressure/limits.go
+++ b/internal/backpressure/limits.go
@@ -28,11 +28,11 @@
 	leastRate = 0.05
 	// announcePause is between two announcements of a sender that sends.
 	announcePause = 2 * time.Second
-	// senderSilence is after how long a sender that announces nothing is taken for idle or
+	// senderTimeout is after how long a sender that announces nothing is taken for idle or
 	// lost. It outlasts two announcements.
-	senderSilence = 5 * time.Second
-	// returnSpread is the time over which nodes return to an endpoint whose limit has ended.
-	returnSpread = time.Second
+	senderTimeout = 5 * time.Second
+	// returnJitter is the time over which nodes return to an endpoint whose limit has ended.
+	returnJitter = time.Second
 	// staleNotice is how much older than an own answer the word of another node may be.
 	staleNotice = 200 * time.Millisecond
 )
@@ -46,15 +46,15 @@
 
 // limit is what an endpoint takes, and who sends it.
 type limit struct {
-	rate     float64                  // requests a second from all nodes
-	order    []string                 // the nodes in the order in which they become senders
-	learnt   clock.Instant            // when this node learnt of it
-	named    clock.Instant            // newest own answer that named it; 0: others told
-	heard    map[string]clock.Instant // nodes that announced that they send
-	tokens   float64                  // requests that this node may send at once, as of filled
-	filled   clock.Instant
-	told     clock.Instant // newest own announcement
-	released clock.Instant // when this node sends freely again; 0: the limit stands
+	rate      float64                  // requests a second from all nodes
+	order     []string                 // the nodes in the order in which they become senders
+	learnt    clock.Instant            // when this node learnt of it
+	named     clock.Instant            // newest own answer that named it; 0: others told
+	heard     map[string]clock.Instant // nodes that announced that they send
+	tokens    float64                  // requests that this node may send at once, as of filled
+	filled    clock.Instant
+	announced clock.Instant // newest own announcement
+	released  clock.Instant // when this node sends freely again; 0: the limit stands
 }
 
 // Notice is what a node tells the others of an endpoint's limit.
@@ -97,11 +97,11 @@
 
 // release ends the limit for this node a little later, each node at a time of its own.
 func (l *limit) release(self string, id ID, now clock.Instant) {
-	l.released = now.Add(spreadOf(self, id, returnSpread))
+	l.released = now.Add(jitter(self, id, returnJitter))
 }
 
-// spreadOf returns a part of a time that differs from node to node.
-func spreadOf(self string, id ID, over time.Duration) time.Duration {
+// jitter returns a part of a time that differs from node to node.
+func jitter(self string, id ID, over time.Duration) time.Duration {
 	const steps = 1000
 	return over * time.Duration(xxhash.Sum64String(self+" "+string(id))%steps) / steps
 }
@@ -153,10 +153,10 @@
 		return false, nil
 	}
 	l.tokens, l.filled = l.level(now)-1, now
-	if now.Sub(l.told) < announcePause {
+	if now.Sub(l.announced) < announcePause {
 		return true, nil
 	}
-	l.told = now
+	l.announced = now
 	return true, &Notice{Node: ls.self, ID: id, Rate: l.rate, Sends: true}
 }
 
@@ -179,30 +179,30 @@
 	return min(1, l.tokens+l.share()*now.Sub(l.filled).Seconds())
 }
 
-// silence is how long a sender may announce nothing: one with a low rate sends rarely.
-func (l *limit) silence() time.Duration {
-	return max(senderSilence, time.Duration(2/l.share()*float64(time.Second)))
+// announceTimeout is how long a sender may announce nothing: one with a low rate sends rarely.
+func (l *limit) announceTimeout() time.Duration {
+	return max(senderTimeout, time.Duration(2/l.share()*float64(time.Second)))
 }
 
 // sends reports whether this node is a sender. The first nodes in order are; those that
 // announce nothing for a while are idle, cut off or lost, and the next ones take their place.
 // Once others work no further one joins, and one that works gives way to those before it.
 func (l *limit) sends(self string, now clock.Instant) bool {
-	if l.working(l.told, now) {
+	if l.active(l.announced, now) {
 		return l.before(self, now) < l.senders()
 	}
 	others := 0
 	for _, heard := range l.heard {
-		if l.working(heard, now) {
+		if l.active(heard, now) {
 			others++
 		}
 	}
 	return others < l.senders() && l.before(self, now) < l.senders()
 }
 
-// working reports whether a node that announced at announced (0: never) sends.
-func (l *limit) working(announced, now clock.Instant) bool {
-	return announced != 0 && now.Sub(announced) < l.silence()
+// active reports whether a node that announced at announced (0: never) sends.
+func (l *limit) active(announced, now clock.Instant) bool {
+	return announced != 0 && now.Sub(announced) < l.announceTimeout()
 }
 
 // before returns how many nodes before this one send or may still begin to, as many as share
@@ -214,22 +214,22 @@
 			break
 		}
 		heard := l.heard[node]
-		if l.working(heard, now) || heard == 0 && now < l.learnt.Add(l.patience(k)) {
+		if l.active(heard, now) || heard == 0 && now < l.learnt.Add(l.joinDelay(k)) {
 			n++
 		}
 	}
 	return n
 }
 
-// patience is how long the node at position k may take until it sends first. It grows by one
+// joinDelay is how long the node at position k may take until it sends first. It grows by one
 // silence each time that twice as many nodes could have: many that are all idle must not
 // become senders at the same moment.
-func (l *limit) patience(k int) time.Duration {
-	return time.Duration(max(1, bits.Len(uint(k)))) * l.silence()
+func (l *limit) joinDelay(k int) time.Duration {
+	return time.Duration(max(1, bits.Len(uint(k)))) * l.announceTimeout()
 }
 
-// comeBack returns after how long the endpoint can take another request, whoever sends it.
-func (ls *limits) comeBack(id ID) time.Duration {
+// retryAfter returns after how long the endpoint can take another request, whoever sends it.
+func (ls *limits) retryAfter(id ID) time.Duration {
 	l := ls.by[id]
 	if l == nil {
 		return 0
@@ -246,12 +246,12 @@
 		for _, heard := range l.heard {
 			newest = max(newest, heard)
 		}
-		if l.over(now) || !listed(id) && now.Sub(newest) > unlistedFor {
+		if l.over(now) || !listed(id) && now.Sub(newest) > unlistedMemory {
 			delete(ls.by, id)
 		}
 	}
 }
 
-// unlistedFor is how long an endpoint that isn't listed is remembered: its entry may be back
+// unlistedMemory is how long an endpoint that isn't listed is remembered: its entry may be back
 // after an outage of the platform.
-const unlistedFor = time.Minute
+const unlistedMemory = time.Minute
--- a/internal/backpressure/metrics.go
+++ b/internal/backpressure/metrics.go
@@ -5,7 +5,7 @@
 // The reasons for which sends are held back.
 const (
 	reasonLimit   = "rate_limit"
-	reasonRest    = "rest"
+	reasonBackoff = "backoff"
 	reasonLeaving = "leaving"
 )
 
@@ -31,8 +31,8 @@
 	gauge("chervilloom_endpoints_limited", "Endpoints that name a rate limit, as this node knows.", func() int {
 		return len(g.limits.by)
 	})
-	gauge("chervilloom_endpoints_resting", "Endpoints that asked this node for rest.", func() int {
-		return g.rests.resting(g.Clock.Now())
+	gauge("chervilloom_endpoints_backed_off", "Endpoints that asked this node to send nothing for a while.", func() int {
+		return g.backoffs.active(g.Clock.Now())
 	})
 	gauge("chervilloom_endpoints_leaving", "Endpoints that said that they leave, those of the last minutes included.", func() int {
 		return len(g.leaving)
--- a/internal/dispatch/pressure.go
+++ b/internal/dispatch/pressure.go
@@ -27,7 +27,7 @@
 	if r.d.opt.Backpressure.Take(r.pressureID()) {
 		return nil
 	}
-	return takesNothing(cmp.Or(r.d.opt.Backpressure.ComeBack(r.pressureID()), defaultComeBack)).WithCause(errUnsent)
+	return takesNothing(cmp.Or(r.d.opt.Backpressure.RetryAfter(r.pressureID()), defaultComeBack)).WithCause(errUnsent)
 }
 
 // errUnsent is the cause of a try that was held back before anything was sent.
@@ -41,22 +41,22 @@
 }
 
 // answered takes up what the endpoint says of how much it takes. It reports whether it asks for
-// rest.
-func (r *endpointRun) answered(resp *http.Response, sent clock.Instant) (rests bool) {
-	w, err := wordsOf(resp)
+// a backoff.
+func (r *endpointRun) answered(resp *http.Response, sent clock.Instant) (backsOff bool) {
+	w, err := signalsOf(resp)
 	if err != nil {
 		r.d.opt.Log.Debug("answer's header not readable", "request", r.req.ID, "endpoint", r.endpoint, "err", err)
 	}
 	r.d.opt.Backpressure.Answered(r.pressureID(), w, sent)
-	return w.Rest > 0
+	return w.RetryAfter > 0
 }
 
-// wordsOf reads what an answer says of its endpoint.
-func wordsOf(resp *http.Response) (w backpressure.Words, err error) {
+// signalsOf reads what an answer says of its endpoint.
+func signalsOf(resp *http.Response) (w backpressure.Signals, err error) {
 	w.Leaving = resp.Header.Get(engine.HeaderLeaving) == "1"
 	err = w.ReadLimit(resp.Header.Get(engine.HeaderRateLimit))
 	if resp.StatusCode == http.StatusServiceUnavailable {
-		err = errors.Join(err, w.ReadRest(resp.Header.Values(headerRest)))
+		err = errors.Join(err, w.ReadRetryAfter(resp.Header.Values(headerRetryAfter)))
 	}
 	return w, err
 }
@@ -83,7 +83,7 @@
 		if d.opt.Backpressure.Leaving(id) {
 			continue
 		}
-		back := cmp.Or(d.opt.Backpressure.ComeBack(id), defaultComeBack)
+		back := cmp.Or(d.opt.Backpressure.RetryAfter(id), defaultComeBack)
 		if h.comeBack == 0 || back < h.comeBack {
 			h.comeBack = back
 		}
--- a/internal/dispatch/pressure_test.go
+++ b/internal/dispatch/pressure_test.go
@@ -40,28 +40,28 @@
 
 // Guards against endpoints in need that get their usual share from a node that knows the limit.
 func TestRateLimitOfAnEndpointIsKept(t *testing.T) {
-	testPressure(t, pressure.Words{Limit: 1.9})
+	testPressure(t, pressure.Signals{Limit: 1.9})
 }
 
 // Guards against endpoints that asked for rest and get requests all the same.
 func TestEndpointAtRestIsLeft(t *testing.T) {
-	testPressure(t, pressure.Words{Rest: 2250 * time.Millisecond})
+	testPressure(t, pressure.Signals{RetryAfter: 2250 * time.Millisecond})
 }
 
 // Guards against endpoints that say in their answers that they leave and get requests until
 // a probe says so too.
 func TestEndpointThatSaysItLeavesIsLeft(t *testing.T) {
-	testPressure(t, pressure.Words{Leaving: true})
+	testPressure(t, pressure.Signals{Leaving: true})
 }
 
 // testPressure sends traffic while one of two engines and one of two plain endpoints say how
 // much they take: these keep to it, and all is served.
-func testPressure(t *testing.T, words pressure.Words) {
+func testPressure(t *testing.T, signals pressure.Signals) {
 	r := newRig(t, nil)
 	engine, other := r.addEngine(standin.Options{}), r.addEngine(standin.Options{})
 	plain, second := r.addService(), r.addService()
-	engine.Pressure.Say(words)
-	plain.Pressure.Say(words)
+	engine.Pressure.Set(signals)
+	plain.Pressure.Set(signals)
 	var clients sync.WaitGroup
 	for name, make := range map[string]func(id string) *request.Request{
 		"lookup": r.lookup, "call": r.receipt,
@@ -90,7 +90,7 @@
 		r.change(func(s *view.Snapshot) { s.VMs[0].Load.Boot = plain.State().Boot })
 	}
 	setBoot()
-	plain.Pressure.Say(pressure.Words{Leaving: true})
+	plain.Pressure.Set(pressure.Signals{Leaving: true})
 	for i := range 5 {
 		r.serve(context.Background(), r.lookup(fmt.Sprintf("leaving.%d", i)))
 	}
@@ -99,7 +99,7 @@
 	}
 	plain.Restart()
 	setBoot()
-	plain.Pressure.Say(pressure.Words{})
+	plain.Pressure.Set(pressure.Signals{})
 	for i := range 5 {
 		r.serve(context.Background(), r.lookup(fmt.Sprintf("next.%d", i)))
 	}
@@ -112,7 +112,7 @@
 func TestRestIsNoFailureOfItsEndpoint(t *testing.T) {
 	r := newRig(t, nil)
 	plain, _ := r.addService(), r.addService()
-	plain.Pressure.Say(pressure.Words{Rest: time.Minute})
+	plain.Pressure.Set(pressure.Signals{RetryAfter: time.Minute})
 	r.serve(context.Background(), r.lookup("rest.1"))
 	if plain.Pressure.Arrivals() != 1 {
 		t.Fatalf("%d arrivals", plain.Pressure.Arrivals())
@@ -147,7 +147,7 @@
 		o.Router, o.PickWait = h, patience
 	})
 	resting, _ := r.addService(), r.addService()
-	resting.Pressure.Say(pressure.Words{Rest: time.Minute})
+	resting.Pressure.Set(pressure.Signals{RetryAfter: time.Minute})
 	for i := range 2 {
 		if c := r.serve(context.Background(), r.lookup(fmt.Sprintf("rest.%d", i))); !c.end.Whole {
 			t.Error(c.end.Error)
@@ -181,7 +181,7 @@
 	})
 	limited, _ := r.addService(), r.addService()
 	limit := 40.0
-	guard.Answered("s1@", backpressure.Words{Limit: &limit}, r.clock.Now())
+	guard.Answered("s1@", backpressure.Signals{Limit: &limit}, r.clock.Now())
 	r.retry.allow = false
 	for i := range 3 {
 		testkit.Eventually(t, "the endpoint takes a request", func() bool { return guard.Allows("s1@") })
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -56,10 +56,10 @@
 		return nil, d.failed(ctx, sn, err)
 	}
 	t.first(d.opt.Clock.Now())
-	rests := run.answered(resp, sent)
+	backsOff := run.answered(resp, sent)
 	if oerr := checkService(resp, req.Idempotent); oerr != nil {
 		resp.Body.Close()
-		t.blamed = !rests // its word is kept; held against it, it would be avoided long after
+		t.blamed = !backsOff // what it asks for is kept; held against it, it would be avoided long after
 		return nil, oerr
 	}
 	h := answer.Head{Status: resp.StatusCode, Header: incoming(resp), Endpoint: vm.Record.VM}
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -126,7 +126,7 @@
 
 // noteHeld counts an endpoint that takes nothing now, and when the first one does again.
 func (x *exchange) noteHeld(e *roster.Endpoint) {
-	back := x.f.Backpressure.ComeBack(pressureID(e))
+	back := x.f.Backpressure.RetryAfter(pressureID(e))
 	if x.held == 0 || back < x.comeBack {
 		x.comeBack = back
 	}
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -53,7 +53,7 @@
 	Other   bool   // another endpoint has the address now
 	// Pressure is what it says of how much it takes, Unreadable what of that can't be kept
 	// to; nil: nothing.
-	Pressure   backpressure.Words
+	Pressure   backpressure.Signals
 	Unreadable error
 }
 
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -16,7 +16,7 @@
 	first    *prometheus.HistogramVec
 	refused  *prometheus.CounterVec
 	limited  prometheus.Counter
-	rests    prometheus.Counter
+	backoffs prometheus.Counter
 }
 
 // NewMetrics registers the metrics; reg may be nil.
@@ -38,12 +38,12 @@
 		limited: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "chervilloom_answers_limited_total", Help: "Answers in which an endpoint named a rate limit.",
 		}),
-		rests: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "chervilloom_answers_rest_total", Help: "Answers with which an endpoint turned a request away and asked for rest.",
+		backoffs: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chervilloom_answers_retry_after_total", Help: "Answers with which an endpoint turned a request away and asked for a backoff.",
 		}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.requests, m.attempts, m.first, m.refused, m.limited, m.rests)
+		reg.MustRegister(m.requests, m.attempts, m.first, m.refused, m.limited, m.backoffs)
 	}
 	return m
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -60,9 +60,9 @@
 		x.f.Metrics.limited.Inc()
 		x.f.Log.Debug("answer names a rate limit", "request", x.req.ID, "endpoint", ep.ID, "limit", *w.Limit)
 	}
-	if w := rep.Pressure; w.Rest > 0 {
-		x.f.Metrics.rests.Inc()
-		x.f.Log.Debug("answer asks for rest", "request", x.req.ID, "endpoint", ep.ID, "rest_ms", w.Rest.Milliseconds())
+	if w := rep.Pressure; w.RetryAfter > 0 {
+		x.f.Metrics.backoffs.Inc()
+		x.f.Log.Debug("answer asks for a backoff", "request", x.req.ID, "endpoint", ep.ID, "retry_after_ms", w.RetryAfter.Milliseconds())
 	}
 	x.f.Backpressure.Answered(pressureID(ep), rep.Pressure, x.sentAt)
 }
--- a/internal/standin/pressure/pressure.go
+++ b/internal/standin/pressure/pressure.go
@@ -21,10 +21,10 @@
 	NotRun, Promise string
 }
 
-// Words are what the endpoint says in its answers.
-type Words struct {
-	Limit float64       // requests a second; 0: none is named
-	Rest  time.Duration // requests are turned away with this Retry-After; 0: they are served
+// Signals are what the endpoint says in its answers.
+type Signals struct {
+	Limit      float64       // requests a second; 0: none is named
+	RetryAfter time.Duration // requests are turned away with this Retry-After; 0: they are served
 
 	Leaving bool
 }
@@ -43,7 +43,7 @@
 // It is safe for concurrent use.
 type Endpoint struct {
 	mu       sync.Mutex
-	words    Words
+	signals  Signals
 	since    time.Time            // when the limit was first named
 	told     map[string]time.Time // who was told the limit, and when first
 	recent   []arrival
@@ -71,17 +71,17 @@
 	Drain  time.Duration // from the word that the endpoint leaves until nothing may come
 }
 
-// Say changes what the endpoint says from now on.
-func (e *Endpoint) Say(w Words) {
+// Set changes what the endpoint says from now on.
+func (e *Endpoint) Set(w Signals) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if w.Limit != e.words.Limit {
+	if w.Limit != e.signals.Limit {
 		e.since, e.told, e.recent = time.Now(), map[string]time.Time{}, nil
 	}
 	if !w.Leaving || e.leaving == nil {
 		e.leaving = map[string]time.Time{}
 	}
-	e.words = w
+	e.signals = w
 }
 
 // Excuse forgets what a caller was told: it was paused, and acts by what it knew before.
@@ -108,29 +108,29 @@
 	return append([]string(nil), e.broken...)
 }
 
-// Serve adds the endpoint's words to the answer to a request, and turns it away if the
+// Serve adds the endpoint's signals to the answer to a request, and turns it away if the
 // endpoint rests; next serves it otherwise. The caller's name is the request's id up to a
 // dot.
 func (e *Endpoint) Serve(w http.ResponseWriter, r *http.Request, n Names, b Bounds, next http.HandlerFunc) {
 	from, _, _ := strings.Cut(r.Header.Get("X-Request-Id"), ".")
-	words := e.arrive(from, time.Now(), b)
-	if words.Limit > 0 {
-		w.Header().Set(n.Limit, strconv.FormatFloat(words.Limit, 'f', -1, 64))
+	signals := e.arrive(from, time.Now(), b)
+	if signals.Limit > 0 {
+		w.Header().Set(n.Limit, strconv.FormatFloat(signals.Limit, 'f', -1, 64))
 	}
-	if words.Leaving {
+	if signals.Leaving {
 		w.Header().Set(n.Leaving, "1")
 	}
-	if words.Rest == 0 {
+	if signals.RetryAfter == 0 {
 		next(w, r)
 		return
 	}
 	w.Header().Set(n.NotRun, n.Promise)
-	w.Header().Set("Retry-After", strconv.FormatFloat(words.Rest.Seconds(), 'f', -1, 64))
+	w.Header().Set("Retry-After", strconv.FormatFloat(signals.RetryAfter.Seconds(), 'f', -1, 64))
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // arrive counts a request, checks it, and notes what its caller is told.
-func (e *Endpoint) arrive(from string, now time.Time, b Bounds) Words {
+func (e *Endpoint) arrive(from string, now time.Time, b Bounds) Signals {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.arrivals++
@@ -140,11 +140,11 @@
 		e.broken = append(e.broken, fmt.Sprintf("a request from %s %v after it was told that the endpoint leaves", from, now.Sub(at)))
 	}
 	e.note(from, now)
-	return e.words
+	return e.signals
 }
 
 func (e *Endpoint) checkLimit(from string, now time.Time, b Bounds) {
-	if e.words.Limit == 0 {
+	if e.signals.Limit == 0 {
 		return
 	}
 	if at, ok := e.told[from]; ok && now.Sub(at) >= toldAfter {
@@ -153,9 +153,9 @@
 	for len(e.recent) > 0 && now.Sub(e.recent[0].at) > window {
 		e.recent = e.recent[1:]
 	}
-	allowed := overLimit*e.words.Limit*window.Seconds() + slack
+	allowed := overLimit*e.signals.Limit*window.Seconds() + slack
 	if now.Sub(e.since) >= b.Stable && float64(len(e.recent)) > allowed {
-		e.broken = append(e.broken, fmt.Sprintf("%d requests in %v at a limit of %v a second; allowed %.0f", len(e.recent), window, e.words.Limit, allowed))
+		e.broken = append(e.broken, fmt.Sprintf("%d requests in %v at a limit of %v a second; allowed %.0f", len(e.recent), window, e.signals.Limit, allowed))
 	}
 }
 
@@ -177,13 +177,13 @@
 }
 
 func (e *Endpoint) note(from string, now time.Time) {
-	if _, ok := e.told[from]; !ok && e.words.Limit > 0 {
+	if _, ok := e.told[from]; !ok && e.signals.Limit > 0 {
 		e.told[from] = now
 	}
-	if _, ok := e.leaving[from]; !ok && e.words.Leaving {
+	if _, ok := e.leaving[from]; !ok && e.signals.Leaving {
 		e.leaving[from] = now
 	}
-	if e.words.Rest > 0 {
-		e.rests = append(e.rests, rest{from: from, begin: now.Add(toldAfter), end: now.Add(e.words.Rest)})
+	if e.signals.RetryAfter > 0 {
+		e.rests = append(e.rests, rest{from: from, begin: now.Add(toldAfter), end: now.Add(e.signals.RetryAfter)})
 	}
 }
--- a/test/entry_pressure_test.go
+++ b/test/entry_pressure_test.go
@@ -81,28 +81,28 @@
 
 // Guards against endpoints in need that get their usual share from nodes that know the limit.
 func TestEntryKeepsTheRateLimitOfAnEndpoint(t *testing.T) {
-	testEntryPressure(t, pressure.Words{Limit: 1.9}, "a", "a", "a", "b", "b", "b")
+	testEntryPressure(t, pressure.Signals{Limit: 1.9}, "a", "a", "a", "b", "b", "b")
 }
 
 // Guards against endpoints that asked for rest and get more requests than before, because a
 // fast refusal looks like an idle endpoint.
 func TestEntryLeavesAnEndpointAtRest(t *testing.T) {
-	testEntryPressure(t, pressure.Words{Rest: 2250 * time.Millisecond}, "a", "a", "b")
+	testEntryPressure(t, pressure.Signals{RetryAfter: 2250 * time.Millisecond}, "a", "a", "b")
 }
 
 // Guards against endpoints that say in their answers that they leave and get requests until
 // the platform's list says so too.
 func TestEntryLeavesAnEndpointThatSaysItLeaves(t *testing.T) {
-	testEntryPressure(t, pressure.Words{Leaving: true}, "a", "a", "b")
+	testEntryPressure(t, pressure.Signals{Leaving: true}, "a", "a", "b")
 }
 
 // testEntryPressure sends traffic while one of two heads and one of two plain endpoints say
 // how much they take: nodes in the zones keep to it, and all is served.
-func testEntryPressure(t *testing.T, words pressure.Words, zones ...string) {
+func testEntryPressure(t *testing.T, signals pressure.Signals, zones ...string) {
 	f := startEntryFleet(t, zones...)
 	head, plain := f.fleet.Open("m")[0], f.fleet.Get("i-p0")
-	head.Pressure.Say(words)
-	plain.Pressure.Say(words)
+	head.Pressure.Set(signals)
+	plain.Pressure.Set(signals)
 	before := head.Pressure.Arrivals()
 	tr := f.sendTraffic("/text/x", "/lookup/x")
 	f.keptTo(head, plain)
--- a/test/entry_soak_test.go
+++ b/test/entry_soak_test.go
@@ -184,8 +184,8 @@
 func (s *soak) press() {
 	endpoints := append(s.fleet.Open("m"), s.fleet.Get("i-p0"), s.fleet.Get("i-p1"))
 	i := s.rnd.IntN(len(endpoints))
-	words := []pressure.Words{{}, {Limit: 0.1 + 4*s.rnd.Float64()}, {Rest: time.Duration(500+s.rnd.IntN(2500)) * time.Millisecond}, {Leaving: true}}
-	w := words[s.rnd.IntN(len(words))]
+	signals := []pressure.Signals{{}, {Limit: 0.1 + 4*s.rnd.Float64()}, {RetryAfter: time.Duration(500+s.rnd.IntN(2500)) * time.Millisecond}, {Leaving: true}}
+	w := signals[s.rnd.IntN(len(signals))]
 	if w.Leaving { // for good: an engine, and a new one comes
 		if i >= len(endpoints)-2 {
 			return
@@ -193,7 +193,7 @@
 		s.fleet.AddEngine(fmt.Sprintf("i-n%d", s.rnd.Uint64()), "engines", "a", "d0")
 	}
 	s.faults = append(s.faults, fmt.Sprintf("%s says %+v", endpoints[i].ID, w))
-	endpoints[i].Pressure.Say(w)
+	endpoints[i].Pressure.Set(w)
 }
 
 // caller is how requests through a node are named to the endpoints: each of its processes by
@@ -279,7 +279,7 @@
 		s.fleet.Get(id).Mangle(nil)
 	}
 	for _, e := range s.fleet.All() {
-		e.Pressure.Say(pressure.Words{})
+		e.Pressure.Set(pressure.Signals{})
 	}
 	for _, n := range s.nodes {
 		s.signal(n, syscall.SIGCONT)
--- a/test/pressure_test.go
+++ b/test/pressure_test.go
@@ -59,15 +59,15 @@
 		})
 	}
 	for _, c := range []struct {
-		name  string
-		words pressure.Words
+		name    string
+		signals pressure.Signals
 	}{
-		{"limit", pressure.Words{Limit: 1.9}},
-		{"rest", pressure.Words{Rest: 2250 * time.Millisecond}},
-		{"leaving", pressure.Words{Leaving: true}},
+		{"limit", pressure.Signals{Limit: 1.9}},
+		{"rest", pressure.Signals{RetryAfter: 2250 * time.Millisecond}},
+		{"leaving", pressure.Signals{Leaving: true}},
 	} {
 		before := pressed.Pressure.Arrivals()
-		pressed.Pressure.Say(c.words)
+		pressed.Pressure.Set(c.signals)
 		failed := f.lookUpFor(pressureTime, c.name)
 		if broken := pressed.Pressure.Broken(); len(broken) > 0 {
 			t.Fatalf("%s: %d times, first %s", c.name, len(broken), broken[0])
@@ -76,10 +76,10 @@
 			t.Errorf("%s: %d not served, first %s", c.name, len(failed), failed[0])
 		}
 		t.Logf("%s: %d arrivals", c.name, pressed.Pressure.Arrivals()-before)
-		if c.words.Leaving {
+		if c.signals.Leaving {
 			break // for good
 		}
-		pressed.Pressure.Say(pressure.Words{})
+		pressed.Pressure.Set(pressure.Signals{})
 		used := pressed.Pressure.Arrivals()
 		testkit.Eventually(t, "it is used again", func() bool {
 			f.lookUpFor(pressurePause, c.name+"-after")
