--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -160,12 +160,9 @@
 // product would run over into a time that has passed.
 const maxAdvice = time.Minute
 
-// headerRetryAfter is how long an endpoint that turned a request away wants nothing.
-const headerRetryAfter = "Retry-After"
-
 // retryAfter returns the advice of an answer's header, 0 when there is none that can be used.
 func retryAfter(h http.Header) time.Duration {
 	var w backpressure.Signals
-	_ = w.ReadRetryAfter(h.Values(headerRetryAfter)) // whoever takes up what the endpoint says logs it
+	_ = w.ReadRetryAfter(h.Values(engine.HeaderRetryAfter)) // whoever takes up what the endpoint says logs it
 	return min(w.RetryAfter, maxAdvice)
 }
--- a/internal/dispatch/pressure.go
+++ b/internal/dispatch/pressure.go
@@ -56,7 +56,7 @@
 	w.Leaving = resp.Header.Get(engine.HeaderLeaving) == "1"
 	err = w.ReadLimit(resp.Header.Get(engine.HeaderRateLimit))
 	if resp.StatusCode == http.StatusServiceUnavailable {
-		err = errors.Join(err, w.ReadRetryAfter(resp.Header.Values(headerRetryAfter)))
+		err = errors.Join(err, w.ReadRetryAfter(resp.Header.Values(engine.HeaderRetryAfter)))
 	}
 	return w, err
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -39,6 +39,9 @@
 	// service: the requests a second, a decimal number, that it takes from all
 	// nodes together for as long as it says so.
 	HeaderRateLimit = "Engine-Rate-Limit"
+	// HeaderRetryAfter is in the answers of an endpoint that turns a request away: the seconds,
+	// with decimals, for which it wants nothing from this node.
+	HeaderRetryAfter = "Retry-After"
 	// HeaderLeaving is "1" in the answers of an endpoint that leaves, also of a plain
 	// service: nothing new is sent there in this life.
 	HeaderLeaving = "Engine-Leaving"
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -11,7 +11,7 @@
 	"chervilloom/internal/standin/pressure"
 )
 
-var pressureNames = pressure.Names{Limit: engine.HeaderRateLimit, Leaving: engine.HeaderLeaving, NotRun: engine.HeaderNotRun, Promise: "true"}
+var pressureNames = pressure.Names{Limit: engine.HeaderRateLimit, RetryAfter: engine.HeaderRetryAfter, Leaving: engine.HeaderLeaving, NotRun: engine.HeaderNotRun, Promise: "true"}
 
 // pressureBounds are short, so that tests don't wait.
 var pressureBounds = pressure.Bounds{Stable: time.Second, Drain: time.Second}
--- a/internal/standin/pressure/pressure.go
+++ b/internal/standin/pressure/pressure.go
@@ -15,8 +15,9 @@
 
 // Names are the headers of a wire.
 type Names struct {
-	Limit   string // requests a second from all callers together
-	Leaving string // the endpoint leaves, with the value 1
+	Limit      string // requests a second from all callers together
+	RetryAfter string // seconds for which a caller that is turned away shall send nothing
+	Leaving    string // the endpoint leaves, with the value 1
 	// NotRun promises that a request didn't run, with the value Promise.
 	NotRun, Promise string
 }
@@ -125,7 +126,7 @@
 		return
 	}
 	w.Header().Set(n.NotRun, n.Promise)
-	w.Header().Set("Retry-After", strconv.FormatFloat(signals.RetryAfter.Seconds(), 'f', -1, 64))
+	w.Header().Set(n.RetryAfter, strconv.FormatFloat(signals.RetryAfter.Seconds(), 'f', -1, 64))
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
