A node that others tell of requests doesn't refuse all for that alone

Cause: in zones of up to five nodes each request is told to the others, and what was told fades over the turnover of 4 s. Answers correct the sum. A node that stood still for 100 ms had only the others' telling, took the head for full, sent nothing, so got no answer, and the others went on telling. Ruled out: the guard (held_back 1, reason "every endpoint is full"), a limit of slots (six clients, eight slots), the load as such (five nodes were served).

Change: what was told since an answer or a board came is unconfirmed. Where this node has nothing in flight, a head that is full by that alone may be taken when no other is left. Zones with a board tell no single requests and choose as before.

TestToldRequestsAloneDontFillAnEndpoint: red before.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -110,6 +110,36 @@
 	is.Equal(tr.Of("e", 4*time.Second).Load, 0.0)
 }
 
+// Guards against a node that refuses everything because others tell it of requests that have
+// ended: without a request of its own no answer tells otherwise.
+func TestToldRequestsAloneDontFillAnEndpoint(t *testing.T) {
+	is := is.New(t)
+	tr, c, _ := newTracker(time.Second)
+	const turnover = 4 * time.Second
+	pick := func() Reason {
+		st := tr.Of("e", turnover)
+		_, reason := Pick([]Candidate{{Load: st.Load, Unconfirmed: st.Unconfirmed, Slots: 8}}, Bounds{}, 0)
+		return reason
+	}
+	tell := func() {
+		for range 20 {
+			c.Advance(10 * time.Millisecond)
+			tr.Told("e", 1, 0, turnover)
+		}
+	}
+	tell()
+	is.Equal(pick(), Chosen)
+	k := tr.Start("e", nil)
+	is.Equal(pick(), AllFull) // one at a time finds out
+	k.Load(1, 0)
+	is.Equal(pick(), Chosen)
+	k.Load(20, 0)
+	k.End()
+	is.Equal(pick(), AllFull)
+	tell()
+	is.Equal(pick(), AllFull)
+}
+
 func TestGapFollowsThePace(t *testing.T) {
 	is := is.New(t)
 	tr, c, _ := newTracker(time.Second)
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -9,13 +9,14 @@
 
 // Candidate is an endpoint that could take a request.
 type Candidate struct {
-	Load    float64 // requests that run or wait there, as far as known
-	Slots   int     // requests that run at once
-	Unread  float64 // prompt tokens that it has yet to read
-	Local   bool    // in this node's availability zone
-	Suspect bool    // gave no sign of life when it should have
-	Avoid   bool    // it fails more than others, or is too slow to be on time
-	Tried   bool    // this request has been sent there before
+	Load        float64 // requests that run or wait there, as far as known
+	Unconfirmed float64 // the part of Load that doesn't show that it is full
+	Slots       int     // requests that run at once
+	Unread      float64 // prompt tokens that it has yet to read
+	Local       bool    // in this node's availability zone
+	Suspect     bool    // gave no sign of life when it should have
+	Avoid       bool    // it fails more than others, or is too slow to be on time
+	Tried       bool    // this request has been sent there before
 }
 
 // Bounds tune a choice.
@@ -48,18 +49,21 @@
 
 // Pick returns the index of the candidate with the least load for its slots,
 // or -1. Endpoints that were tried before or are suspect are not taken, those
-// to avoid only when there is no other. draw rotates the order in which equals are
-// looked at, and draws the sample, so that nodes with the same view don't all choose
-// the same.
+// to avoid, or full by an unconfirmed load, only when there is no other. draw rotates
+// the order in which equals are looked at, and draws the sample, so that nodes with
+// the same view don't all choose the same.
 func Pick(cands []Candidate, b Bounds, draw int) (int, Reason) {
-	best, reason := pickAmong(cands, b, draw, false)
+	best, reason := pickAmong(cands, b, draw, false, false)
 	if best < 0 {
-		best, reason = pickAmong(cands, b, draw, true)
+		best, reason = pickAmong(cands, b, draw, true, false)
+	}
+	if reason == AllFull {
+		best, reason = pickAmong(cands, b, draw, true, true)
 	}
 	return best, reason
 }
 
-func pickAmong(cands []Candidate, b Bounds, draw int, avoided bool) (int, Reason) {
+func pickAmong(cands []Candidate, b Bounds, draw int, avoided, confirmed bool) (int, Reason) {
 	reason := None
 	var local, remote []int
 	for k := range cands {
@@ -67,7 +71,7 @@
 		c := &cands[i]
 		switch {
 		case c.Tried || c.Suspect || c.Avoid && !avoided:
-		case c.Load >= float64(c.Slots)*(1+b.Queue):
+		case c.full(b, confirmed):
 			reason = AllFull
 		case c.Local:
 			local = append(local, i)
@@ -91,6 +95,16 @@
 	return -1, reason
 }
 
+// full reports whether requests would wait there for too long; with confirmed, by the
+// confirmed part of the load alone.
+func (c *Candidate) full(b Bounds, confirmed bool) bool {
+	load := c.Load
+	if confirmed {
+		load -= c.Unconfirmed
+	}
+	return load >= float64(c.Slots)*(1+b.Queue)
+}
+
 // sample returns n of the indexes, or all if they are no more.
 func sample(rng *rand.Rand, indexes []int, n int) []int {
 	if len(indexes) <= n {
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -31,6 +31,6 @@
 	defer t.mu.Unlock()
 	now := t.Clock.Now()
 	r := t.record(c.ID)
-	r.others, r.reported = float64(max(0, c.Requests-r.told)), now
+	r.others, r.placed, r.reported = float64(max(0, c.Requests-r.told)), 0, now
 	r.unread.told, r.unread.toldAt = float64(max(0, c.Unread-r.unread.own)), now
 }
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -36,6 +36,7 @@
 	begun    int           // of these, streams that have had an event
 	told     int           // of these, as this node has told last
 	others   float64       // load by other nodes at the last report
+	placed   float64       // of others, what other nodes told since an answer or a board did
 	reported clock.Instant // when that report came
 	sign     clock.Instant // last sign of life, or start of the first request in flight
 	suspect  clock.Instant // since when; 0: not suspect
@@ -147,7 +148,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.record(k.id)
-	r.others = max(0, float64(running+waiting-r.inFlight))
+	r.others, r.placed = max(0, float64(running+waiting-r.inFlight)), 0
 	r.reported = t.Clock.Now()
 }
 
@@ -276,11 +277,14 @@
 
 // State is what a choice needs to know of an endpoint.
 type State struct {
-	Load    float64
-	Suspect bool
-	Doubted bool
-	Gap     time.Duration // pause between the events of a stream; 0: unknown
-	Unread  float64       // prompt tokens that it has yet to read
+	Load float64
+	// Unconfirmed is the part of Load that other nodes alone told, where this node has
+	// nothing in flight and so gets no answer that would tell otherwise.
+	Unconfirmed float64
+	Suspect     bool
+	Doubted     bool
+	Gap         time.Duration // pause between the events of a stream; 0: unknown
+	Unread      float64       // prompt tokens that it has yet to read
 }
 
 // Of returns the state of the endpoint. A load that an answer reported fades
@@ -296,7 +300,10 @@
 	}
 	now := t.Clock.Now()
 	s := State{Load: float64(r.inFlight), Unread: float64(r.unread.own) + r.unread.others(now)}
-	s.Load += r.othersAt(now, turnover)
+	s.Load += r.faded(r.others, now, turnover)
+	if r.inFlight == 0 {
+		s.Unconfirmed = r.faded(r.placed, now, turnover)
+	}
 	s.Suspect = r.suspectAt(now)
 	s.Doubted = r.doubted && r.inFlight > 0
 	if now.Sub(r.sign) < gapFor {
@@ -305,13 +312,13 @@
 	return s
 }
 
-// othersAt returns the load by other nodes, faded since it was reported.
-func (r *record) othersAt(now clock.Instant, turnover time.Duration) float64 {
+// faded returns what is left of a load by other nodes since it was reported.
+func (r *record) faded(load float64, now clock.Instant, turnover time.Duration) float64 {
 	age := now.Sub(r.reported)
 	if r.reported == 0 || age >= turnover {
 		return 0
 	}
-	return r.others * (1 - float64(age)/float64(turnover))
+	return load * (1 - float64(age)/float64(turnover))
 }
 
 // Sign returns the last sign of life of an endpoint (0: none is known) and
--- a/internal/balance/unread.go
+++ b/internal/balance/unread.go
@@ -52,5 +52,6 @@
 	now := t.Clock.Now()
 	r := t.record(id)
 	r.unread.told, r.unread.toldAt = r.unread.others(now)+tokens, now
-	r.others, r.reported = r.othersAt(now, turnover)+requests, now
+	r.others, r.placed = r.faded(r.others, now, turnover)+requests, r.faded(r.placed, now, turnover)+requests
+	r.reported = now
 }
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -78,11 +78,13 @@
 		if e.Zone != x.f.Zone && x.engine() != nil {
 			// This node sees what it has there itself; the zone's mean tells the others'.
 			mean := x.f.ZoneLoad(e.Zone, e.Model)
-			st.Load, st.Unread = max(st.Load, mean.Load*float64(e.Slots)), max(st.Unread, mean.Unread)
+			load := mean.Load * float64(e.Slots)
+			st.Load, st.Unread = max(st.Load, load), max(st.Unread, mean.Unread)
+			st.Unconfirmed = min(st.Unconfirmed, st.Load-load)
 		}
 		x.choices.freeSlots += max(0, e.Slots-int(st.Load))
 		cands[i] = balance.Candidate{
-			Load: st.Load, Slots: e.Slots, Unread: st.Unread, Local: again || e.Zone == x.f.Zone,
+			Load: st.Load, Unconfirmed: st.Unconfirmed, Slots: e.Slots, Unread: st.Unread, Local: again || e.Zone == x.f.Zone,
 			Suspect: st.Suspect, Tried: x.wasTried(e.ID),
 			Avoid: st.Doubted || x.f.Ejector.Ejected(EjectionID(e)) || x.route.GapAim > 0 && st.Gap > x.route.GapAim,
 		}
