Tests: callers of the whole path don't depend on a dial within a second

Traced: "the endpoint took no connection: i/o timeout". The dispatcher gives a dial one second; 200 callers at once on a starved box took longer, the only group had been tried, and they were refused, not run, as they should be.

--- a/internal/accept/path_test.go
+++ b/internal/accept/path_test.go
@@ -31,6 +31,7 @@
 	"chervilloom/internal/request"
 	"chervilloom/internal/route"
 	standin "chervilloom/internal/standin/engine"
+	"chervilloom/internal/testkit"
 	"chervilloom/internal/view"
 )
 
@@ -86,7 +87,7 @@
 	}
 	v := fixedView{snap}
 	clk := clock.Boot{}
-	d := dispatch.New(dispatch.Options{View: v, Clock: clk, Router: firstRouter{}, Retry: freeRetry{}})
+	d := dispatch.New(dispatch.Options{View: v, Clock: clk, Router: firstRouter{}, Retry: freeRetry{}, DialTimeout: testkit.Patience})
 	t.Cleanup(d.Close)
 	acc := account.New(account.Options{Clock: clk})
 	id := identify.New(identify.Options{View: v, Clock: clk})
@@ -192,6 +193,10 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		refusal, _ := io.ReadAll(resp.Body)
+		return nil, fmt.Errorf("%s: %s", resp.Status, refusal)
+	}
 	var out []string
 	for events := relay.NewReader(resp.Body, 1<<16); ; {
 		ev, err := events.Next()
