Quarantine: checks of endpoints end with their guard

Cause: a check of an endpoint at which an attempt broke off runs for up to four seconds in a goroutine that nobody ends or waits for. A dispatcher, and a node that stops, left it running. Ruled out: a test that leaves its server open (the address refused connections at once), and the tests after it (they leave no check behind).

Change: the guard owns its checks and the runs of suspects that it decides on. Close ends both and waits; nothing begins afterwards, and a check that Close ended tells nothing of its endpoint. Both ways to serve close their guard when they stop, a dispatcher the one it made. How long a check takes and what it concludes is as before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -119,9 +119,6 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
-	if o.Quarantine == nil {
-		o.Quarantine = quarantine.Alone(o.Clock, o.Log)
-	}
 	if o.Backpressure == nil {
 		o.Backpressure = backpressure.New(backpressure.Options{Clock: o.Clock, Log: o.Log})
 	}
@@ -130,6 +127,7 @@
 // Dispatcher is the last filter.Handler of the path.
 type Dispatcher struct {
 	opt     Options
+	own     *quarantine.Guard // nil: the options brought one
 	client  *client
 	cancels *ring.Queue[abandoned]
 	guard   *guard
@@ -144,7 +142,13 @@
 // is lost.
 func New(opt Options) *Dispatcher {
 	opt.fill()
+	var own *quarantine.Guard
+	if opt.Quarantine == nil {
+		own = quarantine.Alone(opt.Clock, opt.Log)
+		opt.Quarantine = own
+	}
 	return &Dispatcher{
+		own:     own,
 		opt:     opt,
 		client:  newClient(opt.DialTimeout),
 		cancels: ring.NewQueue[abandoned](cancelQueue),
@@ -155,8 +159,13 @@
 	}
 }
 
-// Close closes idle connections.
-func (d *Dispatcher) Close() { d.client.close() }
+// Close closes idle connections, and the guard that New made.
+func (d *Dispatcher) Close() {
+	d.client.close()
+	if d.own != nil {
+		d.own.Close()
+	}
+}
 
 // Serve sends the request and finishes w.
 func (d *Dispatcher) Serve(ctx context.Context, req *request.Request, w answer.Writer) {
--- a/internal/dispatch/harm_test.go
+++ b/internal/dispatch/harm_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -10,6 +11,9 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
+	"chervilloom/internal/clock"
 	"chervilloom/internal/fleet"
 	"chervilloom/internal/outcome"
 	"chervilloom/internal/request"
@@ -127,3 +131,17 @@
 		t.Errorf("%v and %v", first, second)
 	}
 }
+
+// Guards against checks of endpoints that go on after their dispatcher is closed.
+func TestClosedDispatcherChecksNoEndpoint(t *testing.T) {
+	endpoint, err := net.Listen("tcp", "127.0.0.1:0") // takes connections and says nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer endpoint.Close()
+	d := New(Options{Clock: clock.Boot{}})
+	others := goleak.IgnoreCurrent()
+	d.opt.Quarantine.Broke("e1@b", endpoint.Addr().String(), "fp", 1)
+	d.Close()
+	goleak.VerifyNone(t, others)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -391,6 +391,7 @@
 	// What serves requests goes on after ctx has ended, until they are done.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	defer n.quarantine.Close()
 	g, _ := errgroup.WithContext(work)
 	g.Go(func() error { n.awaitKnowledge(work); return nil })
 	g.Go(func() error { return n.config.run(work) })
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -128,6 +128,7 @@
 
 func (n *Node) close() {
 	n.dispatcher.Close()
+	n.quarantine.Close()
 	n.engines.Close()
 	n.movers.Close()
 	n.platform.Close()
--- a/internal/quarantine/checks.go
+++ b/internal/quarantine/checks.go
@@ -71,8 +71,11 @@
 	g.noteBroken(endpoint, addr, fp, attempt)
 }
 
-// noteBroken has the endpoint checked, unless too many are.
+// noteBroken has the endpoint checked, unless too many are or the guard is closed.
 func (g *Guard) noteBroken(endpoint, addr string, fp Fingerprint, attempt uint32) *broken {
+	if g.ctx.Err() != nil {
+		return nil
+	}
 	now := g.Clock.Now()
 	b := g.broken[endpoint]
 	if b == nil || b.over != 0 && !b.ended {
@@ -82,7 +85,7 @@
 		}
 		b = &broken{at: now, checked: make(chan struct{})}
 		g.broken[endpoint] = b
-		go g.check(b, endpoint, addr)
+		g.work.Go(func() { g.check(b, endpoint, addr) })
 	}
 	b.runs = append(b.runs, Run{Fingerprint: fp, Attempt: attempt, Sound: g.history.runs(fp)})
 	return b
@@ -91,6 +94,10 @@
 // check looks whether anything still listens at an endpoint.
 func (g *Guard) check(b *broken, endpoint, addr string) {
 	found := g.liveness(addr)
+	if g.ctx.Err() != nil {
+		close(b.checked)
+		return // the guard was closed, which tells nothing of the endpoint
+	}
 	g.metrics.checks.WithLabelValues(found.String()).Inc()
 	g.mu.Lock()
 	b.ended = found == Refused
@@ -112,14 +119,14 @@
 
 // liveness connects until a connection is refused or stands.
 func (g *Guard) liveness(addr string) Liveness {
-	ctx, cancel := context.WithTimeout(context.Background(), checkLimit)
+	ctx, cancel := context.WithTimeout(g.ctx, checkLimit)
 	defer cancel()
 	for pause := redialPause; ; pause *= 2 {
 		conn, err := g.dial(ctx, addr)
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
 			return Refused
-		case err == nil && stands(conn):
+		case err == nil && stands(g.ctx, conn):
 			return Connected
 		}
 		if !clock.Sleep(ctx, pause) {
@@ -134,9 +141,11 @@
 	return g.Dial(ctx, addr)
 }
 
-// stands reports whether the endpoint keeps the connection open, and closes it.
-func stands(conn net.Conn) bool {
+// stands reports whether the endpoint keeps the connection open until standsFor is over or
+// ctx ends, and closes it.
+func stands(ctx context.Context, conn net.Conn) bool {
 	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	if err := conn.SetReadDeadline(time.Now().Add(standsFor)); err != nil {
 		return false
 	}
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -15,7 +15,7 @@
 
 // Guard is a node's part in the quarantine: it notes with which requests endpoints ended
 // here, tells the nodes that tally, tallies what it hears, and says whether a request may
-// be sent. It is safe for concurrent use.
+// be sent. It is safe for concurrent use. Close ends what it does in the background.
 type Guard struct {
 	Node  string // this node's name
 	Clock clock.Clock
@@ -39,6 +39,9 @@
 
 	metrics *metrics
 	alone   bool
+	ctx     context.Context // ends with Close
+	stop    context.CancelFunc
+	work    sync.WaitGroup // checks of endpoints and runs of suspects
 
 	mu      sync.Mutex
 	tally   Tally
@@ -66,6 +69,7 @@
 
 // Init registers the metrics; reg may be nil.
 func (g *Guard) Init(reg prometheus.Registerer) *Guard {
+	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.broken, g.bans, g.checks = map[string]*broken{}, map[Fingerprint]*ban{}, map[Fingerprint]*broken{}
 	g.asked, g.freed = map[Fingerprint]clock.Instant{}, map[Fingerprint]clock.Instant{}
 	g.runs = map[Fingerprint][]*run{}
@@ -87,6 +91,14 @@
 	return g
 }
 
+// Close ends the checks of endpoints and waits for them. The guard begins none afterwards.
+func (g *Guard) Close() {
+	g.mu.Lock()
+	g.stop()
+	g.mu.Unlock()
+	g.work.Wait()
+}
+
 // count returns how many requests are refused.
 func (g *Guard) count() float64 {
 	g.mu.Lock()
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"sync"
@@ -424,3 +425,26 @@
 		is.Equal(time.Since(begun), slow)
 	})
 }
+
+// Guards against checks that outlive their guard.
+func TestClosedGuardChecksNothing(t *testing.T) {
+	bubble(t, func(is *is.I) {
+		g := Alone(clock.NewManual(clock.Instant(time.Hour)), slog.New(slog.DiscardHandler))
+		near, far := net.Pipe()
+		dials := 0
+		g.Dial = func(context.Context, string) (net.Conn, error) {
+			dials++
+			return near, nil
+		}
+		g.Broke("e", "stands", "fp", 1)
+		synctest.Wait()
+		begun := time.Now()
+		g.Close()
+		is.Equal(time.Since(begun), time.Duration(0)) // of the virtual clock
+		_, err := far.Read(make([]byte, 1))
+		is.Equal(err, io.EOF)
+		g.Broke("f", "stands", "fp", 2)
+		synctest.Wait()
+		is.Equal(dials, 1)
+	})
+}
--- a/internal/quarantine/runs.go
+++ b/internal/quarantine/runs.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"context"
 	"slices"
 	"sync"
 )
@@ -55,20 +54,19 @@
 // an endpoint with each of them.
 func (g *Guard) keepOneRun(v Verdict) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	b, runs := g.bans[v.Fingerprint], slices.Clone(g.runs[v.Fingerprint])
-	if b == nil || len(runs) == 0 {
-		g.mu.Unlock()
+	if b == nil || len(runs) == 0 || g.ctx.Err() != nil {
 		return
 	}
 	b.asked = g.Clock.Now()
-	g.mu.Unlock()
-	go func() {
-		granted, err := g.try(context.Background(), b, v)
+	g.work.Go(func() {
+		granted, err := g.try(g.ctx, b, v)
 		if granted || err != nil {
 			runs = runs[1:]
 		}
 		g.recall(v.Fingerprint, runs)
-	}()
+	})
 }
 
 func (g *Guard) recall(fp Fingerprint, runs []*run) {
