A node that is heard is waited for

Callers: 502, "unknown", "another node of the system doesn't answer", for a stream that the other node ran (the known red of streams over lossy links: given up after 1.518 s).

Cause of that duration: the wait for the other node's first word looked at the link twice a second, and a look that saw no packet moved no deadline. Packets between 1.0 and 1.5 s came too late for it: 0.5 s without any, at the wrong moment, ended a wait that is meant to end after one second of silence. Ruled out: the bound on the whole wait (three seconds), a look that ran late (it would have seen more, not less).

--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -140,7 +140,8 @@
 
 // await reads Ready, or the End of a refusal.
 func (h *hop) await(c *conn, s *quic.Stream) (*endFrame, error) {
-	p := newReadyWait(h.mesh.opts.Ready, c, s)
+	packets := func() uint64 { return c.ConnectionStats().PacketsReceived }
+	p := newReadyWait(h.mesh.opts.Ready, packets, func(t time.Time) { s.SetReadDeadline(t) })
 	defer p.end()
 	kind, content, err := h.in.next(maxAnswerBytes)
 	switch {
