Backpressure: the stand-in and the callers use the field's usual names

Cause: a reader of this work met "rest" and "come back" beside "backoff" and "retry after" for the same thing, a type of signals called w, and a comment line twice as wide as the others. Change: names and comments; the stand-in's bounds, checks and messages are the same but for the word. No behaviour, check or bound changed.

--- a/internal/dispatch/await.go
+++ b/internal/dispatch/await.go
@@ -96,10 +96,10 @@
 	h := d.heldBack(s.req, snap)
 	choice, err := d.opt.Router.Pick(s.req, snap, now, slices.Concat(s.tried, h.tried))
 	switch {
-	case err == nil || h.comeBack == 0:
+	case err == nil || h.heldFor == 0:
 		return choice, err
 	case h.others:
-		return choice, err.After(min(err.RetryAfter, h.comeBack))
+		return choice, err.After(min(err.RetryAfter, h.heldFor))
 	}
-	return choice, takesNothing(h.comeBack)
+	return choice, takesNothing(h.heldFor)
 }
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -162,7 +162,7 @@
 
 // retryAfter returns the advice of an answer's header, 0 when there is none that can be used.
 func retryAfter(h http.Header) time.Duration {
-	var w backpressure.Signals
-	_ = w.ReadRetryAfter(h.Values(engine.HeaderRetryAfter)) // whoever takes up what the endpoint says logs it
-	return min(w.RetryAfter, maxAdvice)
+	var s backpressure.Signals
+	_ = s.ReadRetryAfter(h.Values(engine.HeaderRetryAfter)) // answered logs what can't be read
+	return min(s.RetryAfter, maxAdvice)
 }
--- a/internal/dispatch/pressure.go
+++ b/internal/dispatch/pressure.go
@@ -35,37 +35,37 @@
 
 // takesNothing refuses a request that no endpoint takes now. Callers that are refused for
 // the same time return over as much again.
-func takesNothing(comeBack time.Duration) *outcome.Error {
-	after := comeBack + time.Duration(rand.Float64()*float64(comeBack))
+func takesNothing(heldFor time.Duration) *outcome.Error {
+	after := heldFor + time.Duration(rand.Float64()*float64(heldFor))
 	return outcome.New(outcome.Overloaded, outcome.NotRun, "the endpoints take nothing more now", "send the request again later").After(after)
 }
 
 // answered takes up what the endpoint says of how much it takes. It reports whether it asks for
 // a backoff.
 func (r *endpointRun) answered(resp *http.Response, sent clock.Instant) (backsOff bool) {
-	w, err := signalsOf(resp)
+	signals, err := signalsOf(resp)
 	if err != nil {
 		r.d.opt.Log.Debug("answer's header not readable", "request", r.req.ID, "endpoint", r.endpoint, "err", err)
 	}
-	r.d.opt.Backpressure.Answered(r.pressureID(), w, sent)
-	return w.RetryAfter > 0
+	r.d.opt.Backpressure.Answered(r.pressureID(), signals, sent)
+	return signals.RetryAfter > 0
 }
 
 // signalsOf reads what an answer says of its endpoint.
-func signalsOf(resp *http.Response) (w backpressure.Signals, err error) {
-	w.Leaving = resp.Header.Get(engine.HeaderLeaving) == "1"
-	err = w.ReadLimit(resp.Header.Get(engine.HeaderRateLimit))
+func signalsOf(resp *http.Response) (s backpressure.Signals, err error) {
+	s.Leaving = resp.Header.Get(engine.HeaderLeaving) == "1"
+	err = s.ReadLimit(resp.Header.Get(engine.HeaderRateLimit))
 	if resp.StatusCode == http.StatusServiceUnavailable {
-		err = errors.Join(err, w.ReadRetryAfter(resp.Header.Values(engine.HeaderRetryAfter)))
+		err = errors.Join(err, s.ReadRetryAfter(resp.Header.Values(engine.HeaderRetryAfter)))
 	}
-	return w, err
+	return s, err
 }
 
 // held is what of a request's endpoints takes nothing from this node now.
 type held struct {
-	tried    []route.Tried // those endpoints, as destinations that the request shall not get
-	comeBack time.Duration // until the first of them takes something again; 0: none does
-	others   bool          // an endpoint that isn't among them carries what is asked for as well
+	tried   []route.Tried // those endpoints, as destinations that the request shall not get
+	heldFor time.Duration // until the first of them takes something again; 0: none does
+	others  bool          // an endpoint that isn't among them carries what is asked for as well
 }
 
 // heldBack returns what takes nothing from this node now.
@@ -83,9 +83,9 @@
 		if d.opt.Backpressure.Leaving(id) {
 			continue
 		}
-		back := cmp.Or(d.opt.Backpressure.RetryAfter(id), defaultComeBack)
-		if h.comeBack == 0 || back < h.comeBack {
-			h.comeBack = back
+		after := cmp.Or(d.opt.Backpressure.RetryAfter(id), defaultComeBack)
+		if h.heldFor == 0 || after < h.heldFor {
+			h.heldFor = after
 		}
 	}
 	return h
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -110,7 +110,7 @@
 func (x *exchange) candidates() []*roster.Endpoint {
 	all := x.f.View().Roster.Service(x.service)
 	engine := x.engine()
-	x.held, x.comeBack = 0, 0
+	x.held, x.heldFor = 0, 0
 	out := make([]*roster.Endpoint, 0, len(all))
 	for _, e := range all {
 		switch {
@@ -126,11 +126,11 @@
 	return out
 }
 
-// noteHeld counts an endpoint that takes nothing now, and when the first one does again.
+// noteHeld counts an endpoint that takes nothing now, and notes when the first one does again.
 func (x *exchange) noteHeld(e *roster.Endpoint) {
-	back := x.f.Backpressure.RetryAfter(pressureID(e))
-	if x.held == 0 || back < x.comeBack {
-		x.comeBack = back
+	after := x.f.Backpressure.RetryAfter(pressureID(e))
+	if x.held == 0 || after < x.heldFor {
+		x.heldFor = after
 	}
 	x.held++
 }
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -51,8 +51,8 @@
 	Waiting int    // requests that wait there
 	Culprit string // the endpoint that made a group refuse; empty: not told
 	Other   bool   // another endpoint has the address now
-	// Pressure is what it says of how much it takes, Unreadable what of that can't be kept
-	// to; nil: nothing.
+	// Pressure is what it says of how much it takes. Unreadable names the headers of that
+	// which can't be read; nil: none.
 	Pressure   backpressure.Signals
 	Unreadable error
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -46,9 +46,9 @@
 	noChoice  balance.Reason
 	choices   choices
 	held      int           // endpoints that could serve the request and take nothing now
-	comeBack  time.Duration // until the first of them does again
+	heldFor   time.Duration // until the first of them takes a request again
 	unsent    bool          // the newest attempt was held back before it was sent
-	sentAt    clock.Instant // the newest attempt
+	sentAt    clock.Instant // when the newest attempt was sent
 	first     time.Duration // from the start to the answer's first event; 0: none came
 	lastEvent clock.Instant
 	gap       time.Duration // longest pause between two events
@@ -155,9 +155,9 @@
 }
 
 // overBeforeSend looks once more whether the request may be sent: at the client, its time,
-// the quarantine and what the endpoint takes. A node that is short of processor time, or whose dial hangs, comes
-// here seconds after the client left; the server's own look at the connection is as late,
-// and the endpoint would run for nobody.
+// the quarantine and what the endpoint takes. A node that is short of processor time, or
+// whose dial hangs, comes here seconds after the client left; the server's own look at the
+// connection is as late, and the endpoint would run for nobody.
 func (x *exchange) overBeforeSend(ctx context.Context, ep *roster.Endpoint) (Result, bool) {
 	switch {
 	case x.client.Err() != nil || clientLeft(x.in):
@@ -359,7 +359,7 @@
 	case x.noChoice == balance.AllFull:
 		e = outcome.New(outcome.Overloaded, outcome.NotRun, "every endpoint is full", "try again").After(retryAfterFull)
 	case x.held > 0 && x.choices.endpoints == 0:
-		e = outcome.New(outcome.Overloaded, outcome.NotRun, "the endpoints take nothing more now", "try again").After(spreadReturn(x.comeBack))
+		e = outcome.New(outcome.Overloaded, outcome.NotRun, "the endpoints take nothing more now", "try again").After(spreadReturn(x.heldFor))
 	}
 	x.f.refuse(x.w, x.req, stage, e.WithCause(errors.New(string(x.noChoice)+"; "+x.lastCause)),
 		"route", x.route.Name, "model", x.req.Model, "endpoints", x.choices.endpoints, "free_slots", x.choices.freeSlots,
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -56,15 +56,16 @@
 	if rep.Unreadable != nil {
 		x.f.Log.Debug("answer's header not readable", "request", x.req.ID, "endpoint", ep.ID, "err", rep.Unreadable)
 	}
-	if w := rep.Pressure; w.Limit != nil {
+	signals := rep.Pressure
+	if signals.Limit != nil {
 		x.f.Metrics.limited.Inc()
-		x.f.Log.Debug("answer names a rate limit", "request", x.req.ID, "endpoint", ep.ID, "limit", *w.Limit)
+		x.f.Log.Debug("answer names a rate limit", "request", x.req.ID, "endpoint", ep.ID, "limit", *signals.Limit)
 	}
-	if w := rep.Pressure; w.RetryAfter > 0 {
+	if signals.RetryAfter > 0 {
 		x.f.Metrics.backoffs.Inc()
-		x.f.Log.Debug("answer asks for a backoff", "request", x.req.ID, "endpoint", ep.ID, "retry_after_ms", w.RetryAfter.Milliseconds())
+		x.f.Log.Debug("answer asks for a backoff", "request", x.req.ID, "endpoint", ep.ID, "retry_after_ms", signals.RetryAfter.Milliseconds())
 	}
-	x.f.Backpressure.Answered(pressureID(ep), rep.Pressure, x.sentAt)
+	x.f.Backpressure.Answered(pressureID(ep), signals, x.sentAt)
 }
 
 func (x *exchange) notRun(ep *roster.Endpoint, conn *upstream.Conn, resp *http.Response, rep Reply) Result {
--- a/internal/standin/pressure/pressure.go
+++ b/internal/standin/pressure/pressure.go
@@ -26,8 +26,7 @@
 type Signals struct {
 	Limit      float64       // requests a second; 0: none is named
 	RetryAfter time.Duration // requests are turned away with this Retry-After; 0: they are served
-
-	Leaving bool
+	Leaving    bool
 }
 
 // The bounds that callers must keep.
@@ -37,7 +36,7 @@
 	slack     = 5   // requests
 	// toldAfter is how long after an answer its caller must act by it.
 	toldAfter = 500 * time.Millisecond
-	inRest    = 2 // requests within a rest
+	inBackoff = 2 // requests within a backoff
 )
 
 // Endpoint is the part of a stand-in that says and counts. The zero value says nothing.
@@ -49,7 +48,7 @@
 	told     map[string]time.Time // who was told the limit, and when first
 	recent   []arrival
 	leaving  map[string]time.Time // who was told that the endpoint leaves, and when first
-	rests    []rest
+	backoffs []backoff
 	arrivals int
 	broken   []string
 }
@@ -59,8 +58,8 @@
 	from string
 }
 
-// rest is the time in which a caller that was turned away should send nothing.
-type rest struct {
+// backoff is the time in which a caller that was turned away should send nothing.
+type backoff struct {
 	from       string
 	begin, end time.Time
 	requests   int
@@ -73,16 +72,16 @@
 }
 
 // Set changes what the endpoint says from now on.
-func (e *Endpoint) Set(w Signals) {
+func (e *Endpoint) Set(s Signals) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if w.Limit != e.signals.Limit {
+	if s.Limit != e.signals.Limit {
 		e.since, e.told, e.recent = time.Now(), map[string]time.Time{}, nil
 	}
-	if !w.Leaving || e.leaving == nil {
+	if !s.Leaving || e.leaving == nil {
 		e.leaving = map[string]time.Time{}
 	}
-	e.signals = w
+	e.signals = s
 }
 
 // Excuse forgets what a caller was told: it was paused, and acts by what it knew before.
@@ -92,7 +91,7 @@
 	delete(e.told, from)
 	delete(e.leaving, from)
 	e.recent = slices.DeleteFunc(e.recent, func(a arrival) bool { return a.from == from })
-	e.rests = slices.DeleteFunc(e.rests, func(r rest) bool { return r.from == from })
+	e.backoffs = slices.DeleteFunc(e.backoffs, func(r backoff) bool { return r.from == from })
 }
 
 // Arrivals returns how many requests came.
@@ -110,8 +109,8 @@
 }
 
 // Serve adds the endpoint's signals to the answer to a request, and turns it away if the
-// endpoint rests; next serves it otherwise. The caller's name is the request's id up to a
-// dot.
+// endpoint asks for a backoff; next serves it otherwise. The caller's name is the request's
+// id up to a dot.
 func (e *Endpoint) Serve(w http.ResponseWriter, r *http.Request, n Names, b Bounds, next http.HandlerFunc) {
 	from, _, _ := strings.Cut(r.Header.Get("X-Request-Id"), ".")
 	signals := e.arrive(from, time.Now(), b)
@@ -136,7 +135,7 @@
 	defer e.mu.Unlock()
 	e.arrivals++
 	e.checkLimit(from, now, b)
-	e.checkRests(from, now)
+	e.checkBackoffs(from, now)
 	if at, ok := e.leaving[from]; ok && now.Sub(at) > b.Drain {
 		e.broken = append(e.broken, fmt.Sprintf("a request from %s %v after it was told that the endpoint leaves", from, now.Sub(at)))
 	}
@@ -160,21 +159,21 @@
 	}
 }
 
-func (e *Endpoint) checkRests(from string, now time.Time) {
-	open := e.rests[:0]
-	for _, r := range e.rests {
+func (e *Endpoint) checkBackoffs(from string, now time.Time) {
+	open := e.backoffs[:0]
+	for _, r := range e.backoffs {
 		if now.After(r.end) {
 			continue
 		}
 		if r.from == from && !now.Before(r.begin) {
 			r.requests++
-			if r.requests == inRest+1 {
-				e.broken = append(e.broken, fmt.Sprintf("%d requests from %s within a rest", r.requests, from))
+			if r.requests == inBackoff+1 {
+				e.broken = append(e.broken, fmt.Sprintf("%d requests from %s within a backoff", r.requests, from))
 			}
 		}
 		open = append(open, r)
 	}
-	e.rests = open
+	e.backoffs = open
 }
 
 func (e *Endpoint) note(from string, now time.Time) {
@@ -185,6 +184,6 @@
 		e.leaving[from] = now
 	}
 	if e.signals.RetryAfter > 0 {
-		e.rests = append(e.rests, rest{from: from, begin: now.Add(toldAfter), end: now.Add(e.signals.RetryAfter)})
+		e.backoffs = append(e.backoffs, backoff{from: from, begin: now.Add(toldAfter), end: now.Add(e.signals.RetryAfter)})
 	}
 }
