Soak: what an endpoint says in lost answers tells nobody

Traced: the soak had i-p0 lose all its answers before it named the limit; the nodes' logs show only attempts there that broke off. So no node was ever told, and what isn't told binds nobody: the promise is about nodes that had such an answer. The stand-in counted a caller as told when its request arrived.

Change: a caller is told when the head of an answer is written; what was said at arrival counts only while the endpoint still says it. As strict for every answer that goes out: the check and its bounds are the same, and the moment is that of the answer, as the promise has it. The soak's list of faults names the endpoint that loses its answers.

--- a/internal/standin/pressure/pressure.go
+++ b/internal/standin/pressure/pressure.go
@@ -110,7 +110,8 @@
 
 // Serve adds the endpoint's signals to the answer to a request, and turns it away if the
 // endpoint asks for a backoff; next serves it otherwise. The caller's name is the request's
-// id up to a dot.
+// id up to a dot. It is told when the answer's head is written: one that breaks off before
+// tells it nothing.
 func (e *Endpoint) Serve(w http.ResponseWriter, r *http.Request, n Names, b Bounds, next http.HandlerFunc) {
 	from, _, _ := strings.Cut(r.Header.Get("X-Request-Id"), ".")
 	signals := e.arrive(from, time.Now(), b)
@@ -120,16 +121,37 @@
 	if signals.Leaving {
 		w.Header().Set(n.Leaving, "1")
 	}
+	told := sync.OnceFunc(func() { e.note(from, signals, time.Now()) })
 	if signals.RetryAfter == 0 {
-		next(w, r)
+		next(&headWatcher{w, told}, r)
+		told()
 		return
 	}
 	w.Header().Set(n.NotRun, n.Promise)
 	w.Header().Set(n.RetryAfter, strconv.FormatFloat(signals.RetryAfter.Seconds(), 'f', -1, 64))
+	told()
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// arrive counts a request, checks it, and notes what its caller is told.
+// headWatcher calls written before an answer's head goes out.
+type headWatcher struct {
+	http.ResponseWriter
+	written func()
+}
+
+func (h *headWatcher) WriteHeader(status int) {
+	h.written()
+	h.ResponseWriter.WriteHeader(status)
+}
+
+func (h *headWatcher) Write(b []byte) (int, error) {
+	h.written()
+	return h.ResponseWriter.Write(b)
+}
+
+func (h *headWatcher) Unwrap() http.ResponseWriter { return h.ResponseWriter }
+
+// arrive counts and checks a request, and returns what its answer says.
 func (e *Endpoint) arrive(from string, now time.Time, b Bounds) Signals {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -139,7 +161,6 @@
 	if at, ok := e.leaving[from]; ok && now.Sub(at) > b.Drain {
 		e.broken = append(e.broken, fmt.Sprintf("a request from %s %v after it was told that the endpoint leaves", from, now.Sub(at)))
 	}
-	e.note(from, now)
 	return e.signals
 }
 
@@ -176,14 +197,17 @@
 	e.backoffs = open
 }
 
-func (e *Endpoint) note(from string, now time.Time) {
-	if _, ok := e.told[from]; !ok && e.signals.Limit > 0 {
+// note notes what a caller is told, unless the endpoint has changed its mind since.
+func (e *Endpoint) note(from string, s Signals, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.told[from]; !ok && s.Limit > 0 && s.Limit == e.signals.Limit {
 		e.told[from] = now
 	}
-	if _, ok := e.leaving[from]; !ok && e.signals.Leaving {
+	if _, ok := e.leaving[from]; !ok && s.Leaving && e.signals.Leaving {
 		e.leaving[from] = now
 	}
-	if e.signals.RetryAfter > 0 {
-		e.backoffs = append(e.backoffs, backoff{from: from, begin: now.Add(toldAfter), end: now.Add(e.signals.RetryAfter)})
+	if s.RetryAfter > 0 {
+		e.backoffs = append(e.backoffs, backoff{from: from, begin: now.Add(toldAfter), end: now.Add(s.RetryAfter)})
 	}
 }
--- /dev/null
+++ b/internal/standin/pressure/pressure_test.go
@@ -0,0 +1,45 @@
+package pressure
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// send sends 40 requests of one caller in 4 s; the endpoint breaks off without an answer if
+// lost is set.
+func send(e *Endpoint, lost bool) {
+	names := Names{Limit: "Limit", RetryAfter: "Retry-After", Leaving: "Leaving", NotRun: "Not-Run", Promise: "1"}
+	for range 40 {
+		func() {
+			defer func() { _ = recover() }() // as the server does with http.ErrAbortHandler
+			e.Serve(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil), names, Bounds{Stable: time.Second},
+				func(w http.ResponseWriter, _ *http.Request) {
+					if lost {
+						panic(http.ErrAbortHandler)
+					}
+					w.WriteHeader(http.StatusOK)
+				})
+		}()
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// Guards against a check that blames callers for what no answer has told them.
+func TestLostAnswersTellNothing(t *testing.T) {
+	for _, s := range []Signals{{Limit: 1}, {Leaving: true}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			var e Endpoint
+			e.Set(s)
+			send(&e, true)
+			is.Equal(len(e.Broken()), 0)
+			send(&e, false)
+			is.True(len(e.Broken()) > 0)
+		})
+	}
+}
--- a/test/entry_soak_test.go
+++ b/test/entry_soak_test.go
@@ -138,9 +138,11 @@
 		id := []string{"i-p0", "i-p1"}[s.rnd.IntN(2)]
 		e := s.fleet.Get(id)
 		if s.rnd.IntN(2) == 0 {
+			s.faults = append(s.faults, id+" answers")
 			e.Mangle(nil)
 			break
 		}
+		s.faults = append(s.faults, id+" loses its answers")
 		e.Mangle(func(_ http.ResponseWriter, r *http.Request) {
 			s.fleet.Ran(r.Header.Get("X-Request-Id"), id)
 			panic(http.ErrAbortHandler)
