Nodes: topics of typed messages share their encoding

Cause: what endpoints say of their load and the quarantine each had the same two functions that encode a message for all nodes and decode one of another node. Nothing else.

--- a/internal/node/pressure.go
+++ b/internal/node/pressure.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"strings"
 	"time"
@@ -23,9 +22,10 @@
 func (n *Node) buildPressure() {
 	n.pressure = backpressure.New(backpressure.Options{
 		Node: string(n.self.VM), Clock: n.clock, Log: n.log, Registerer: n.reg,
-		Order: n.pressureOrder, Announce: n.announcePressure, Leaves: n.endpointLeaves,
+		Order: n.pressureOrder, Leaves: n.endpointLeaves,
+		Announce: func(m backpressure.Notice) { n.broadcast(topicPressure, m) },
 	})
-	n.mesh.Subscribe(topicPressure, n.hearPressure)
+	subscribe(n, topicPressure, n.pressure.Hear)
 }
 
 // pressureOrder returns the nodes in rendezvous order for an endpoint, those of its zone
@@ -62,25 +62,6 @@
 	return out
 }
 
-// announcePressure tells all nodes.
-func (n *Node) announcePressure(m backpressure.Notice) {
-	raw, err := json.Marshal(m)
-	if err != nil {
-		n.log.Error("backpressure not told", "error", err)
-		return
-	}
-	n.mesh.Broadcast(topicPressure, raw)
-}
-
-func (n *Node) hearPressure(from fleet.Node, payload []byte) {
-	var m backpressure.Notice
-	if err := json.Unmarshal(payload, &m); err != nil {
-		n.log.Warn("backpressure not readable", "from", from, "error", err)
-		return
-	}
-	n.pressure.Hear(m)
-}
-
 // runPressure keeps the guard's view of nodes and endpoints until ctx ends.
 func (n *Node) runPressure(ctx context.Context) error {
 	clock.Every(ctx, pressureSweep, func() { n.pressure.Sweep(n.knownLife) })
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"chervilloom/internal/clock"
-	"chervilloom/internal/fleet"
 	"chervilloom/internal/membership"
 	"chervilloom/internal/platform"
 	"chervilloom/internal/quarantine"
@@ -29,12 +28,12 @@
 	n.quarantined = &quarantine.Rows{Get: n.platform.Get, Commit: n.platform.Commit, Table: platform.TableQuarantine, Log: n.log}
 	n.quarantine = (&quarantine.Guard{
 		Node: string(n.self.VM), Clock: n.clock, Log: n.log,
-		Tell: n.tellTalliers, Announce: n.announceQuarantine,
+		Tell: n.tellTalliers, Announce: func(m quarantine.Message) { n.broadcast(topicQuarantine, m) },
 		Keep: func(v quarantine.Verdict) { go n.keepQuarantined(v) },
 		Drop: func(fp quarantine.Fingerprint) { go n.quarantined.Drop(context.Background(), fp) },
 		Try:  n.quarantined.Try,
 	}).Init(n.reg)
-	n.mesh.Subscribe(topicQuarantine, n.hearQuarantine)
+	subscribe(n, topicQuarantine, n.quarantine.Hear)
 }
 
 // tellTalliers tells a few nodes, the same from everywhere.
@@ -54,24 +53,6 @@
 	}
 }
 
-func (n *Node) announceQuarantine(m quarantine.Message) {
-	raw, err := json.Marshal(m)
-	if err != nil {
-		n.log.Error("quarantine not told", "error", err)
-		return
-	}
-	n.mesh.Broadcast(topicQuarantine, raw)
-}
-
-func (n *Node) hearQuarantine(from fleet.Node, payload []byte) {
-	var m quarantine.Message
-	if err := json.Unmarshal(payload, &m); err != nil {
-		n.log.Warn("quarantine not readable", "from", from, "error", err)
-		return
-	}
-	n.quarantine.Hear(m)
-}
-
 // keepQuarantined writes the request's row, unless one stands that says as much.
 func (n *Node) keepQuarantined(v quarantine.Verdict) {
 	ctx := context.Background()
