--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -348,22 +348,6 @@
 	n.roster.soon()
 }
 
-// sweep closes old connections, tells the ejector whom there is to choose from, and
-// keeps the rows of quarantined requests.
-func (n *Node) sweep() {
-	n.pool.Sweep()
-	var ids []retry.ID
-	n.roster.current.Load().All(func(e *roster.Endpoint) {
-		if e.Domain == "" || e.Leads() {
-			ids = append(ids, forward.EjectionID(e))
-		}
-	})
-	n.forwarder.Ejector.SetCandidates(ids)
-	n.pressure.Sweep(n.listed)
-	n.keepAllQuarantined()
-	n.keepAnnounced()
-}
-
 // address is where other nodes reach this one.
 func (n *Node) address() nodeAddr {
 	return nodeAddr{n.Settings.Peer, n.Settings.Zone, n.Settings.Cores}
--- a/internal/quarantine/bans.go
+++ b/internal/quarantine/bans.go
@@ -143,6 +143,7 @@
 	return g.isFound(kept.Fingerprint) || freed && now.Sub(at) < rowGone
 }
 
+// liftedWithin reports whether the request's quarantine was lifted at most d ago.
 func (g *Guard) liftedWithin(fp Fingerprint, d time.Duration, now clock.Instant) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
