Pressure test: wait until each node knows both endpoints

Cause: the test began when a call had arrived at both endpoints, from whichever node. A node that knew only the endpoint that limits refused lookups for the 30 ms until discovery showed the other. Ruled out: a fault of the limits; the refusal is true while no other endpoint is known. Whether the program should have waited instead is left as it is: the endpoint's own rate decides, and a node can't tell an endpoint that isn't discovered yet from one that doesn't exist. Change: each node in turn sends until both endpoints have got calls of it. That is stricter than before: both of a node's calls must arrive while only this node sends.

--- a/test/pressure_test.go
+++ b/test/pressure_test.go
@@ -55,8 +55,11 @@
 	f := startFleet(t, fleetSpec{zones: []string{zoneA, zoneA, zoneA, zoneA}})
 	target, other := f.startInProcessService("counter-1"), f.startInProcessService("counter-2")
 	for _, n := range f.nodes {
-		testkit.Eventually(t, "lookups are served", func() bool {
-			return n.call(t.Context(), "GET", "/first", "", nil).isComplete() && target.Pressure.Arrivals() > 0 && other.Pressure.Arrivals() > 0
+		// Only this node sends meanwhile: it knows an endpoint at which a call arrives.
+		targetBefore, otherBefore := target.Pressure.Arrivals(), other.Pressure.Arrivals()
+		testkit.Eventually(t, "the node's lookups are served by both endpoints", func() bool {
+			return n.call(t.Context(), "GET", "/first", "", nil).isComplete() &&
+				target.Pressure.Arrivals() > targetBefore && other.Pressure.Arrivals() > otherBefore
 		})
 	}
 	for _, c := range []struct {
