Cold endpoints, evacuated zones, allowed regions and true refusals

Cause: the list's cold_remaining_ms was read and not used; nothing knew of evacuations or of allowed regions; an endpoint's own 408, 429 or 503 was relayed for requests that run once at most although only the endpoint's guarantee makes such a status true. Ruled out: a watch of its own for evacuations: they are rows of the operator's table, which the configuration's reads and feed cover already. Change: evacuations travel with the configuration and with each feed answer, ordered by the start of the read that confirmed them; candidates of evacuated zones and of regions that route or organisation don't allow are left out at every attempt, and the zone once more before the send; controllers of an evacuated zone send neither probes nor orders. A cold endpoint's rate is shared by the nodes that share rate limits. Statuses that claim "not run" are relayed with the guarantee or for repeatable requests.

--- a/internal/backpressure/guard.go
+++ b/internal/backpressure/guard.go
@@ -1,7 +1,8 @@
 // Package backpressure keeps the load within what endpoints accept. An endpoint under pressure
 // names a rate limit, in requests a second from all nodes together: a few nodes share it and the
-// others send nothing. An endpoint that rejects a request may ask the sending node to back off,
-// and one that is leaving gets no new requests.
+// others send nothing. The same holds for the rate that a service sets for its cold endpoints. An
+// endpoint that rejects a request may ask the sending node to back off, and one that is leaving
+// gets no new requests.
 package backpressure
 
 import (
@@ -43,6 +44,7 @@
 
 	mu       sync.Mutex // protects the fields below
 	limits   *limits
+	cold     *limits // rate limits of cold endpoints; in force only while the caller reports the endpoint as cold
 	backoffs *backoffs
 	leaving  leavingEndpoints
 }
@@ -61,7 +63,9 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
-	g := &Guard{Options: o, limits: newLimits(o.Node), backoffs: newBackoffs(o.Node), leaving: leavingEndpoints{}}
+	g := &Guard{
+		Options: o, limits: newLimits(o.Node), cold: newLimits(o.Node), backoffs: newBackoffs(o.Node), leaving: leavingEndpoints{},
+	}
 	g.metrics = newMetrics(o.Registerer, g)
 	g.quiet.Store(true)
 	return g
@@ -72,14 +76,28 @@
 	g.quiet.Store(len(g.limits.byID)+len(g.backoffs.byID)+len(g.leaving) == 0)
 }
 
-// Allows reports whether the endpoint may be chosen for a request now.
-func (g *Guard) Allows(id ID) bool {
-	if g.quiet.Load() {
+// notCold is the cold rate of an endpoint that isn't cold.
+const notCold = 0
+
+// Allows reports whether the endpoint, which isn't cold, may be chosen for a request now.
+func (g *Guard) Allows(id ID) bool { return g.AllowsCold(id, notCold) }
+
+// AllowsCold reports the same for an endpoint that is cold and accepts coldRate requests a second
+// from all nodes together; 0: it isn't cold, or has no such limit.
+func (g *Guard) AllowsCold(id ID, coldRate float64) bool {
+	if coldRate <= notCold && g.quiet.Load() {
 		return true
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.isAllowed(id, g.Clock.Now())
+	now := g.Clock.Now()
+	if coldRate > notCold {
+		g.cold.ensure(id, coldRate, now, g.SenderOrder)
+		if !g.cold.isAllowed(id, now) {
+			return false
+		}
+	}
+	return g.isAllowed(id, now)
 }
 
 func (g *Guard) isAllowed(id ID, now clock.Instant) bool {
@@ -96,24 +114,29 @@
 	return g.leaving.contains(id)
 }
 
-// Take reports whether one request may be sent now, and counts it if so. Senders call it
-// immediately before each send, since other requests may have used the rate limit after the
-// endpoint was chosen.
-func (g *Guard) Take(id ID) bool {
-	if g.quiet.Load() {
+// Take reports whether one request may be sent now to an endpoint that isn't cold, and counts it
+// if so. Senders call it immediately before each send, since other requests may have used the
+// rate limit after the endpoint was chosen.
+func (g *Guard) Take(id ID) bool { return g.TakeCold(id, notCold) }
+
+// TakeCold does the same for an endpoint with a cold rate, as AllowsCold.
+func (g *Guard) TakeCold(id ID, coldRate float64) bool {
+	if coldRate <= notCold && g.quiet.Load() {
 		return true
 	}
-	notice, reason := g.tryTake(id)
-	g.announce(notice)
+	notices, reason := g.tryTake(id, coldRate)
+	for _, n := range notices {
+		g.announce(n)
+	}
 	if reason != "" {
 		g.metrics.held.WithLabelValues(reason).Inc()
 	}
 	return reason == ""
 }
 
-// tryTake returns the reason why the request must not be sent, or else a notice for the other
-// nodes; nil: none.
-func (g *Guard) tryTake(id ID) (notice *Notice, reason string) {
+// tryTake returns the reason why the request must not be sent, or else the notices for the other
+// nodes.
+func (g *Guard) tryTake(id ID, coldRate float64) (notices []*Notice, reason string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
@@ -123,12 +146,26 @@
 	if !g.backoffs.isAllowed(id, now) {
 		return nil, reasonBackoff
 	}
+	if coldRate > notCold {
+		g.cold.ensure(id, coldRate, now, g.SenderOrder)
+		if !g.cold.isAllowed(id, now) {
+			return nil, reasonCold
+		}
+	}
 	ok, notice := g.limits.tryTake(id, now)
 	if !ok {
 		return nil, reasonLimit
 	}
+	notices = append(notices, notice)
+	if coldRate > notCold {
+		_, notice := g.cold.tryTake(id, now) // allowed, as checked above
+		if notice != nil {
+			notice.Cold = true
+		}
+		notices = append(notices, notice)
+	}
 	g.backoffs.recordSend(id, now)
-	return notice, ""
+	return notices, ""
 }
 
 // RecordAnswer processes the signals of the answer to a request that was sent at sentAt.
@@ -165,6 +202,11 @@
 		return
 	}
 	g.mu.Lock()
+	if n.Cold {
+		g.cold.applyNotice(n, g.Clock.Now(), g.SenderOrder)
+		g.mu.Unlock()
+		return
+	}
 	changed := g.limits.applyNotice(n, g.Clock.Now(), g.SenderOrder)
 	g.updateQuiet()
 	g.mu.Unlock()
@@ -181,7 +223,7 @@
 	if g.leaving.contains(id) {
 		return 0
 	}
-	return max(g.backoffs.retryAfter(id, g.Clock.Now()), g.limits.retryAfter(id))
+	return max(g.backoffs.retryAfter(id, g.Clock.Now()), g.limits.retryAfter(id), g.cold.retryAfter(id))
 }
 
 // Blocked returns the endpoints to which this node may send nothing now, sorted.
@@ -225,6 +267,15 @@
 	g.leaving.refresh(listed, now)
 }
 
+// SweepCold deletes the rate limits of endpoints that aren't cold any more, and refreshes the
+// order of senders of the others.
+func (g *Guard) SweepCold(isCold func(ID) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cold.retain(isCold)
+	g.cold.refresh(isCold, g.Clock.Now(), g.SenderOrder)
+}
+
 func (g *Guard) announce(n *Notice) {
 	if n != nil {
 		g.Broadcast(*n)
--- a/internal/backpressure/metrics.go
+++ b/internal/backpressure/metrics.go
@@ -5,6 +5,7 @@
 // Reasons for holding a send back.
 const (
 	reasonLimit   = "rate_limit"
+	reasonCold    = "cold"
 	reasonBackoff = "backoff"
 	reasonLeaving = "leaving"
 )
@@ -31,6 +32,9 @@
 	gauge("chervilloom_endpoints_limited", "Endpoints that name a rate limit, as this node knows.", func() int {
 		return len(g.limits.byID)
 	})
+	gauge("chervilloom_endpoints_cold", "Cold endpoints whose requests are limited, as this node knows.", func() int {
+		return len(g.cold.byID)
+	})
 	gauge("chervilloom_endpoints_backed_off", "Endpoints that asked this node to send nothing for a while.", func() int {
 		return g.backoffs.countActive(g.Clock.Now())
 	})
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -46,6 +46,8 @@
 	Priority    int           // 0 is the most urgent
 	MaxAttempts int           // maximum number of endpoints that run one request
 	Backends    []Backend
+	// AllowedRegions are the regions whose endpoints may run the requests; empty: all regions.
+	AllowedRegions []string
 }
 
 // Repeatable reports whether a request that may have run may be sent again.
@@ -65,6 +67,9 @@
 	HealthPath string
 	MaxConns   int     // maximum number of connections to an endpoint from all callers together
 	Engine     *Engine // nil: a plain service
+	// ColdRate is the number of requests a second that a cold endpoint accepts from all nodes
+	// together; 0: no limit.
+	ColdRate float64
 }
 
 // Engine describes the model engines of a service. Times are those of one group before they
@@ -127,6 +132,9 @@
 	Name     string
 	Keys     []string
 	Priority int // overrides the route's priority; NoPriority: not declared
+	// AllowedRegions are the regions whose endpoints may run the organisation's requests, in
+	// addition to the route's restriction; empty: all regions.
+	AllowedRegions []string
 }
 
 // NoPriority is the priority of an organisation that declares none; the route's applies.
@@ -232,8 +240,16 @@
 
 // Change is the result of a read of the operator's configuration.
 type Change struct {
-	Document *Document // nil: no newer version
-	Cursor   Cursor    // position for the next read
+	Document    *Document        // nil: no newer version
+	Evacuations EvacuationChange // zones that the operator evacuates
+	Cursor      Cursor           // position for the next read
+}
+
+// EvacuationChange is a change of the set of evacuated availability zones, to whose endpoints
+// nothing is sent.
+type EvacuationChange struct {
+	Complete bool            // Zones has all evacuated zones
+	Zones    map[string]bool // whether a zone is evacuated
 }
 
 // Cursor is a position in the history of the operator's changes. Versions are only
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"math"
 	"net"
 	"net/http"
@@ -64,6 +65,7 @@
 type Node struct {
 	Options
 	config            *configWatcher
+	evacuations       *evacuations
 	eras              *eraTracker
 	rowWritten        atomic.Bool // the node's row has been written
 	roster            *rosterWatcher
@@ -159,7 +161,11 @@
 func New(o Options) *Node {
 	n := &Node{Options: o, startedAt: o.Clock.Now(), stateKnown: make(chan struct{}), pool: &upstream.Pool{Clock: o.Clock}}
 	n.eras = newEraTracker(n)
-	n.config = &configWatcher{source: o.Store, clock: o.Clock, log: o.Log, askDutyHolders: n.askDutyHolders}
+	n.evacuations = &evacuations{zones: o.Settings.Zones, log: o.Log}
+	n.config = &configWatcher{
+		source: o.Store, clock: o.Clock, log: o.Log, askDutyHolders: n.askDutyHolders, onEvacuations: n.evacuations.apply,
+		regions: slices.Sorted(maps.Values(o.Settings.Regions)),
+	}
 	n.roster = newRosterWatcher(o.Store, o.Clock, o.Log)
 	n.tracker = &balance.Tracker{
 		Clock:        o.Clock,
@@ -172,7 +178,7 @@
 	n.backpressureGuard = n.newBackpressureGuard()
 	n.forwarder = &forward.Forwarder{
 		Codec: o.Codec, Clock: o.Clock, Log: o.Log, Metrics: forward.NewMetrics(o.Registry), Pool: n.pool, Tracker: n.tracker,
-		Zone:          o.Settings.Zone,
+		Zone: o.Settings.Zone, Regions: o.Settings.Regions,
 		PlainProfile:  forward.Profile{Bounds: balance.Bounds{RemotePenalty: crossZoneCost, QueueShare: plainQueueShare}, Turnover: plainLoadDecay},
 		EngineProfile: forward.Profile{Bounds: balance.Bounds{RemotePenalty: crossZoneCost, QueueShare: engineQueueShare, UnreadWeight: promptCost}, Turnover: engineLoadDecay},
 		Ejector:       retry.NewEjector(ejectionOptions, o.Clock, o.Log, o.Registry),
@@ -220,6 +226,7 @@
 		Announce:           n.announceHint,
 		Demand:             n.zoneDemand,
 		ManyNodes:          func() bool { return n.usesBoard(zone) },
+		Evacuated:          func() bool { return n.evacuations.contains(zone) },
 	}).Init()
 	m.Acquired = func() {
 		c.TriggerTick()
@@ -277,6 +284,7 @@
 			Roster:      n.roster.current.Load,
 			Rows:        n.leaseCache.allRows,
 			Era:         n.tableEra,
+			Evacuated:   n.evacuations.list,
 		},
 		Journal: &feed.Journal{Incarnation: uuid.NewString()},
 		Clock:   n.Clock, Log: n.Log, OnPoll: n.recordPoll,
@@ -321,7 +329,7 @@
 	n.requestSeen.Store(true)
 	return forward.View{
 		Catalog: n.config.current.Load(), Fresh: n.acceptsKeys(), Current: n.isConfigCurrent(), Roster: n.roster.current.Load(),
-		ConfigAge: n.config.age(n.Clock.Now()),
+		ConfigAge: n.config.age(n.Clock.Now()), Evacuated: n.evacuations.evacuated(),
 	}
 }
 
--- /dev/null
+++ b/internal/entry/evacuation.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"chervilloom/internal/catalog"
+	"chervilloom/internal/clock"
+)
+
+// evacuations is the set of availability zones that the operator evacuates. Nothing is sent to
+// the endpoints of these zones. It is read together with the configuration.
+type evacuations struct {
+	zones []string // the platform's zones
+	log   *slog.Logger
+
+	mu          sync.Mutex    // held while the set is changed
+	confirmedAt clock.Instant // start of the newest read that confirmed the set
+	current     atomic.Pointer[map[string]bool]
+}
+
+// evacuated returns the evacuated zones. The caller must not modify the map.
+func (e *evacuations) evacuated() map[string]bool {
+	if m := e.current.Load(); m != nil {
+		return *m
+	}
+	return nil
+}
+
+func (e *evacuations) contains(zone string) bool { return e.evacuated()[zone] }
+
+// list returns the evacuated zones in alphabetical order, never nil.
+func (e *evacuations) list() []string {
+	return append([]string{}, slices.Sorted(maps.Keys(e.evacuated()))...)
+}
+
+// apply applies a change that was read at asked. A complete set that is older than the known one
+// is ignored.
+func (e *evacuations) apply(change catalog.EvacuationChange, asked clock.Instant) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if change.Complete && asked.Before(e.confirmedAt) {
+		return
+	}
+	e.confirmedAt = max(e.confirmedAt, asked)
+	before := e.evacuated()
+	next := map[string]bool{}
+	if !change.Complete {
+		maps.Copy(next, before)
+	}
+	for zone, evacuated := range change.Zones {
+		if evacuated {
+			next[zone] = true
+			continue
+		}
+		delete(next, zone)
+	}
+	if maps.Equal(before, next) {
+		return
+	}
+	e.current.Store(&next)
+	e.logChange(before, next)
+}
+
+// applyPeerList applies the complete set of another node, which it read at asked; nil: that node
+// doesn't report evacuations.
+func (e *evacuations) applyPeerList(zones []string, asked clock.Instant) {
+	if zones == nil {
+		return
+	}
+	change := catalog.EvacuationChange{Complete: true, Zones: map[string]bool{}}
+	for _, zone := range zones {
+		change.Zones[zone] = true
+	}
+	e.apply(change, asked)
+}
+
+func (e *evacuations) logChange(before, next map[string]bool) {
+	for zone := range next {
+		switch {
+		case before[zone]:
+		case !slices.Contains(e.zones, zone):
+			e.log.Warn("evacuation of an unknown zone has no effect; check the zone's name", "zone", zone, "zones", e.zones)
+		default:
+			e.log.Info("zone is evacuated; its endpoints get no requests", "zone", zone)
+		}
+	}
+	for zone := range before {
+		if !next[zone] {
+			e.log.Info("evacuation of a zone ended", "zone", zone)
+		}
+	}
+}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -126,6 +126,7 @@
 		return false // that node has not detected the table restore yet
 	}
 	f.node.eras.observe(s.Era)
+	f.node.evacuations.applyPeerList(s.Evacuated, asked.Add(-ages.Config))
 	f.nextInterval = f.intervalAfter(ages.Config)
 	if !f.isFollowing() || addr != f.source {
 		f.log.Info("node is followed; the store is not read", "node", addr, "config_age_ms", ages.Config.Milliseconds(), "endpoints_age_ms", ages.Roster.Milliseconds())
@@ -146,11 +147,13 @@
 func (f *follower) fetchConfig(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
-	s, _, err := f.client.Poll(ctx, addr, feed.PollRequest{Node: f.node.Settings.VM, Zone: f.node.Settings.Zone})
+	asked := f.clock.Now()
+	s, ages, err := f.client.Poll(ctx, addr, feed.PollRequest{Node: f.node.Settings.VM, Zone: f.node.Settings.Zone})
 	if err != nil {
 		f.log.Info("configuration not received from node", "node", addr, "err", err)
 		return
 	}
+	f.node.evacuations.applyPeerList(s.Evacuated, asked.Add(-ages.Config))
 	f.node.config.recordPeerVersion(s.Config)
 	if s.Document != nil {
 		f.node.config.apply(s.Document)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -31,6 +31,9 @@
 		Name: "chervilloom_roster_rejected_total", Help: "Entries of the list that named no endpoint to use, each read anew.",
 	})
 	reg.MustRegister(n.roster.rejectCounter)
+	gauge("chervilloom_zones_evacuated", "Availability zones that the operator evacuates, as this node knows.", func() float64 {
+		return float64(len(n.evacuations.evacuated()))
+	})
 	gauge("chervilloom_duty_held_zones", "Availability zones whose groups this node runs.", n.countDuties)
 	gauge("chervilloom_feed_following", "1 while another node keeps this one up to date.", func() float64 {
 		if n.follower.isFollowing() {
--- a/internal/entry/pressure.go
+++ b/internal/entry/pressure.go
@@ -53,6 +53,11 @@
 	return n.roster.current.Load().Get(roster.ID(id)) != nil
 }
 
+func (n *Node) isCold(id backpressure.ID) bool {
+	e := n.roster.current.Load().Get(roster.ID(id))
+	return e != nil && e.Cold
+}
+
 // handleEndpointLeaving removes an endpoint that reported its shutdown from selection at all
 // nodes: the endpoint list may show it later or be unavailable.
 func (n *Node) handleEndpointLeaving(id backpressure.ID) {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -7,13 +7,14 @@
 	VM               string
 	Zone             string
 	Zones            []string
-	Cores            float64 // size of this VM in cores, possibly a fraction; 0: unknown
-	ClientAddr       string  // listen address for clients
-	PeerAddr         string  // listen address for other nodes
-	ReadinessAddr    string  // listen address for the load balancer's readiness probe
-	Bootstrap        bool    // the whole system is started for the first time
-	Store            string  // address of the store
-	StrictRevocation bool    // a revoked key must be rejected after RevokeAfter even without a connection to the store
+	Regions          map[string]string // region of each availability zone
+	Cores            float64           // size of this VM in cores, possibly a fraction; 0: unknown
+	ClientAddr       string            // listen address for clients
+	PeerAddr         string            // listen address for other nodes
+	ReadinessAddr    string            // listen address for the load balancer's readiness probe
+	Bootstrap        bool              // the whole system is started for the first time
+	Store            string            // address of the store
+	StrictRevocation bool              // a revoked key must be rejected after RevokeAfter even without a connection to the store
 	RevokeAfter      time.Duration
 	// MaxConfigDelay is the time within which a configuration change must be in force on
 	// nodes that can reach the store.
--- a/internal/entry/sweep.go
+++ b/internal/entry/sweep.go
@@ -19,6 +19,7 @@
 	})
 	n.forwarder.Ejector.SetCandidates(ids)
 	n.backpressureGuard.Sweep(n.isListed)
+	n.backpressureGuard.SweepCold(n.isCold)
 	n.syncQuarantineRows()
 	n.rewriteMissingRow()
 }
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -62,7 +62,11 @@
 	// askDutyHolders asks the nodes that read the store for their configuration before this
 	// node applies its first document; nil: no node is asked.
 	askDutyHolders func(context.Context)
-	backoff        backoff
+	// onEvacuations is called with the evacuated zones that a read returned and the start of that
+	// read, before its document is put into force; nil: no call.
+	onEvacuations func(change catalog.EvacuationChange, asked clock.Instant)
+	regions       []string // the platform's regions
+	backoff       backoff
 }
 
 func (w *configWatcher) run(ctx context.Context) error {
@@ -97,12 +101,16 @@
 			w.log.Info("configuration is read again", "version", w.version())
 		}
 		down = false
-		if w.current.Load() == nil && change.Document != nil && w.askDutyHolders != nil {
-			w.askDutyHolders(ctx)
+		if w.current.Load() == nil && change.Document != nil {
+			w.reportEvacuations(change, asked) // a document that another node returns is put into force at once
+			if w.askDutyHolders != nil {
+				w.askDutyHolders(ctx)
+			}
 		}
 		before := known
 		cursor, known = change.Cursor, w.showsNewest(change.Document, known)
 		if known {
+			w.reportEvacuations(change, asked)
 			w.confirm(change.Document, asked)
 			behind = false
 			continue
@@ -119,6 +127,12 @@
 	return nil
 }
 
+func (w *configWatcher) reportEvacuations(change catalog.Change, asked clock.Instant) {
+	if w.onEvacuations != nil {
+		w.onEvacuations(change.Evacuations, asked)
+	}
+}
+
 // showsNewest reports whether a read returned the newest configuration known to this node: a
 // newer one, or the one in force. An uninterrupted watch without a change confirms it as
 // well. A table restored from an older copy returns an older document until the operator
@@ -166,9 +180,28 @@
 		return
 	}
 	w.log.Info("configuration in force", "version", doc.Version, "before", w.version(), "routes", len(doc.Routes))
+	w.warnUnknownRegions(doc)
 	w.current.Store(next)
 }
 
+// warnUnknownRegions logs restrictions to regions that the platform doesn't have: endpoints of
+// other regions don't serve the requests in their place.
+func (w *configWatcher) warnUnknownRegions(doc *catalog.Document) {
+	warn := func(kind, name string, allowed []string) {
+		for _, region := range allowed {
+			if !slices.Contains(w.regions, region) {
+				w.log.Warn("allowed region is unknown; check the region's name", kind, name, "region", region, "regions", w.regions)
+			}
+		}
+	}
+	for _, r := range doc.Routes {
+		warn("route", r.Name, r.AllowedRegions)
+	}
+	for _, o := range doc.Organisations {
+		warn("organisation", o.Name, o.AllowedRegions)
+	}
+}
+
 // confirm records that a read started at asked confirmed the configuration in force. A
 // newer document is applied first.
 func (w *configWatcher) confirm(doc *catalog.Document, asked clock.Instant) {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -10,6 +10,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -50,7 +51,8 @@
 	Era         uint64                   `json:"era,omitempty"`      // era of the platform's table
 	Config      uint64                   `json:"config"`             // version of the responding node's configuration
 	Endpoints   changes[roster.Endpoint] `json:"endpoints"`
-	Rows        changes[table.Row]       `json:"rows"` // leases and addresses of nodes
+	Rows        changes[table.Row]       `json:"rows"`      // leases and addresses of nodes
+	Evacuated   []string                 `json:"evacuated"` // all evacuated zones; nil: the responding node doesn't report them
 }
 
 // Source provides the state of the responding node.
@@ -59,7 +61,8 @@
 	ConfirmedAt func() clock.Instant // start of the read that confirmed the catalog
 	Roster      func() *roster.Roster
 	Rows        func() []table.Row
-	Era         func() uint64 // era of the platform's table
+	Era         func() uint64   // era of the platform's table
+	Evacuated   func() []string // evacuated zones, sorted, never nil
 }
 
 // Journal numbers the changes of endpoints and rows, so that a response contains only those
@@ -101,7 +104,7 @@
 
 // isSameEntry reports whether two entries are equal for a polling node.
 func isSameEntry(a, b roster.Endpoint) bool {
-	return a.Addr == b.Addr && a.Draining == b.Draining && a.Domain == b.Domain && a.Model == b.Model &&
+	return a.Addr == b.Addr && a.Draining == b.Draining && a.Cold == b.Cold && a.Domain == b.Domain && a.Model == b.Model &&
 		a.Member == b.Member && slices.Equal(a.Staged, b.Staged)
 }
 
@@ -128,14 +131,21 @@
 	catalog         *catalog.Catalog // nil: not known yet
 	era             uint64
 	endpoints, rows uint64 // numbers of the journal's newest changes
+	evacuated       string // names of the evacuated zones, separated by zoneSeparator
 }
 
+// zoneSeparator can't be part of a zone's name.
+const zoneSeparator = "\n"
+
 // takeSnapshot updates the journal from the source and returns the current state and its ages.
 func takeSnapshot(src Source, j *Journal, now clock.Instant) (snapshot, Ages) {
 	r := src.Roster()
 	ages := Ages{Config: now.Sub(src.ConfirmedAt()), Roster: now.Sub(r.RequestedAt)}
 	k := snapshot{catalog: src.Catalog(), era: src.Era()}
 	k.endpoints, k.rows = j.Update(r, src.Rows())
+	if src.Evacuated != nil {
+		k.evacuated = strings.Join(src.Evacuated(), zoneSeparator)
+	}
 	return k, ages
 }
 
@@ -143,6 +153,10 @@
 func (k snapshot) stateSince(j *Journal, have Have) State {
 	s := j.Since(have)
 	s.Era = k.era
+	s.Evacuated = []string{}
+	if k.evacuated != "" {
+		s.Evacuated = strings.Split(k.evacuated, zoneSeparator)
+	}
 	if k.catalog != nil {
 		s.Config = k.catalog.Version
 		if k.catalog.Version > have.Config {
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -49,6 +49,9 @@
 	// ManyNodes reports whether the zone has so many nodes that each has only a few of a
 	// head's streams.
 	ManyNodes func() bool
+	// Evacuated reports whether the zone is evacuated: its engines get neither probes nor
+	// orders. nil: never.
+	Evacuated func() bool
 	// Announce notifies all nodes that a head has started or stopped accepting requests.
 	Announce func(roster.Hint)
 
@@ -152,6 +155,10 @@
 		c.endTenure()
 		return
 	}
+	if c.Evacuated != nil && c.Evacuated() {
+		c.endTenure() // the engines' states are read anew afterwards
+		return
+	}
 	if (!c.ledgerLoaded || grant.Fence != c.fence) && !c.beginTenure(ctx, grant) {
 		return
 	}
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -112,16 +112,20 @@
 // candidates returns the endpoints that could serve the request, without those that accept
 // no requests from this node at present.
 func (x *exchange) candidates() []*roster.Endpoint {
-	all := x.f.View().Roster.Service(x.service)
+	view := x.f.View()
+	all := view.Roster.Service(x.service)
 	engine := x.engine()
-	x.backingOff, x.backoffLeft = 0, 0
+	x.backingOff, x.backoffLeft, x.barredRegions = 0, 0, 0
 	out := make([]*roster.Endpoint, 0, len(all))
 	for _, e := range all {
 		switch {
 		case !e.Usable():
 		case engine != nil && !(e.IsServingHead() && e.Model == x.req.Model):
+		case view.Evacuated[e.Zone]:
+		case !isAllowedRegion(x.f.Regions[e.Zone], x.route.AllowedRegions, x.organisationRegions):
+			x.barredRegions++
 		case x.f.Backpressure.IsLeaving(backpressureID(e)):
-		case !x.f.Backpressure.Allows(backpressureID(e)):
+		case !x.f.Backpressure.AllowsCold(backpressureID(e), x.coldRate(e)):
 			x.noteBackingOff(e)
 		default:
 			out = append(out, e)
@@ -130,6 +134,16 @@
 	return out
 }
 
+// coldRate returns the number of requests a second that the endpoint accepts from all nodes
+// together while it is cold; 0: no limit.
+func (x *exchange) coldRate(e *roster.Endpoint) float64 {
+	s := x.catalog.Service(x.service)
+	if !e.Cold || s == nil {
+		return 0
+	}
+	return s.ColdRate
+}
+
 // noteBackingOff counts an endpoint that accepts nothing at present and records the shortest
 // time until one accepts requests again.
 func (x *exchange) noteBackingOff(e *roster.Endpoint) {
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -51,6 +51,7 @@
 	Running            int                  // requests running at the endpoint
 	Waiting            int                  // requests queued at the endpoint
 	CausingEndpoint    string               // the group member that caused the refusal; empty: not named
+	ClaimsNotRun       bool                 // the status tells a client that the request has not run, whether or not NotRun is set
 	IsMisdirected      bool                 // another endpoint has the address now
 	Signals            backpressure.Signals // the endpoint's rate limit and backoff
 	SignalsErr         error                // names the rate limit and backoff headers that cannot be parsed; nil: none
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -21,15 +21,17 @@
 
 // exchange is the state of one client request over all its attempts.
 type exchange struct {
-	f             *Forwarder
-	req           *Request
-	route         *catalog.Route
-	catalog       *catalog.Catalog
-	organisation  string
-	service       string
-	isClientRetry bool // an earlier attempt of the client was probably refused
-	start         clock.Instant
-	deadline      clock.Instant
+	f            *Forwarder
+	req          *Request
+	route        *catalog.Route
+	catalog      *catalog.Catalog
+	organisation string
+	// organisationRegions are the regions to which the organisation is restricted; empty: all.
+	organisationRegions []string
+	service             string
+	isClientRetry       bool // an earlier attempt of the client was probably refused
+	start               clock.Instant
+	deadline            clock.Instant
 
 	clientRequest *http.Request
 	w             http.ResponseWriter
@@ -45,6 +47,7 @@
 	lastCause        string // cause of the newest failed attempt
 	pickReason       balance.Reason
 	candidateStats   candidateStats
+	barredRegions    int           // endpoints that could serve the request but are in a region that it must not reach
 	backingOff       int           // endpoints that could serve the request but accept nothing at present
 	backoffLeft      time.Duration // until the first of them accepts a request again
 	heldBack         bool          // backpressure stopped the newest attempt before it was sent
@@ -172,7 +175,10 @@
 	case x.checkQuarantine(ctx):
 		x.lastCause = "the request is quarantined: endpoints that run it terminate"
 		return Quarantined, true
-	case !x.f.Backpressure.Take(backpressureID(ep)): // checked last, because it counts the request as sent
+	case x.f.View().Evacuated[ep.Zone]:
+		x.lastCause, x.heldBack = "the endpoint's zone is evacuated", true
+		return NotRun, true
+	case !x.f.Backpressure.TakeCold(backpressureID(ep), x.coldRate(ep)): // checked last, because it counts the request as sent
 		x.lastCause, x.heldBack = "the endpoint accepts no more requests at present", true
 		return NotRun, true
 	}
@@ -322,6 +328,9 @@
 
 // finish ends the request with the given step.
 func (x *exchange) finish(step Step, res Result) {
+	if step == RelayFailure && x.failure == nil { // the endpoint's status would claim that the request has not run
+		step = ReportUnknown
+	}
 	x.f.Metrics.countEnd(x.route, step, res)
 	switch step {
 	case Finish:
@@ -367,6 +376,10 @@
 		stage, e = "quarantine", x.verdict.Refusal()
 	case x.pickReason == balance.AllFull:
 		e = outcome.New(outcome.Overloaded, outcome.NotRun, "every endpoint is full", "try again").WithRetryAfter(retryAfterFull)
+	case x.barredRegions > 0 && x.candidateStats.endpoints == 0 && x.backingOff == 0:
+		stage = "region"
+		e = outcome.New(outcome.NoCapacity, outcome.NotRun, "no endpoint in a region that may run this request serves it now",
+			"try again later, or ask the operator which regions route and organisation allow").WithRetryAfter(retryAfterNone)
 	case x.backingOff > 0 && x.candidateStats.endpoints == 0:
 		e = outcome.New(outcome.Overloaded, outcome.NotRun, "the endpoints take nothing more now", "try again").WithRetryAfter(addJitter(x.backoffLeft))
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -34,6 +34,8 @@
 	Roster  *roster.Roster
 	// ConfigAge is the time since the start of the read that confirmed the configuration.
 	ConfigAge time.Duration
+	// Evacuated are the availability zones to whose endpoints nothing is sent.
+	Evacuated map[string]bool
 }
 
 // Profile configures the selection among the endpoints of a kind of service.
@@ -65,8 +67,9 @@
 	Pool          *upstream.Pool
 	Tracker       *balance.Tracker
 	Zone          string
-	PlainProfile  Profile // for services without engines
-	EngineProfile Profile // for services with engines
+	Regions       map[string]string // region of each availability zone
+	PlainProfile  Profile           // for services without engines
+	EngineProfile Profile           // for services with engines
 	View          func() View
 	// Ejector excludes endpoints that fail more than their peers.
 	Ejector *retry.Ejector
@@ -195,7 +198,7 @@
 			return nil, outcome.New(outcome.Unauthorised, outcome.NotRun,
 				"the key is not known", "send a key that the operator has issued")
 		}
-		x.organisation = org.Name
+		x.organisation, x.organisationRegions = org.Name, org.AllowedRegions
 	}
 	return x, nil
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -42,6 +42,13 @@
 		return MayHaveRun
 	}
 	x.progress.Runs++
+	if rep.ClaimsNotRun && !x.route.Repeatable() {
+		// The endpoint doesn't guarantee that the request has not run, as the status would to
+		// the client.
+		conn.MarkUnusable()
+		x.lastCause = fmt.Sprintf("endpoint answered %d without a guarantee that the request has not run", resp.StatusCode)
+		return Failed
+	}
 	if success && x.route.Repeat == catalog.Stream {
 		return x.relayStream(ctx, ep, conn, resp, ticket)
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -39,6 +39,7 @@
 	Zone     string     `json:"zone"`
 	Slots    int        `json:"slots"`
 	Draining bool       `json:"draining,omitempty"`
+	Cold     bool       `json:"cold,omitempty"`     // it accepts only the service's rate for cold endpoints
 	Sequence uint64     `json:"sequence,omitempty"` // number of writes of its entry by one incarnation
 	Domain   string     `json:"domain,omitempty"`   // fabric domain; engines only
 	Staged   []string   `json:"staged,omitempty"`   // models whose weights are stored on the host; engines only
