Starts and reads whose calls don't grow with the square of the fleet

Causes, each with what it grows with: - Every starting node read the rows of all nodes, once or more: nodes x nodes bytes. - Every starting node wrote its row in a call of its own: nodes. - Every duty holder read the list of all endpoints each second: zones x endpoints. - Every duty holder read all rows each 0.7 s to see the few leases that change: zones x nodes. Ruled out: longer intervals (leaving and takeovers would take longer); the feed of the endpoint list, which carries every heartbeat: 2,700 changes a second for 3,285 engines, as much as the list. Change: the lease row has its owner's address and the number of nodes; a small node reads that one row, polls the owner and gets all rows from it; without an answer the nodes read them spread over 1.2 s. Rows are read by changes. A holder that has just restarted follows nobody, since a node that follows answers no polls: after a loss of all power the holders had followed each other, and the others waited 1.2 s for them.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,6 +76,8 @@
 	leases            []*lease.Manager
 	leaseCache        *leaseCache
 	follower          *follower
+	lookup            *startLookup
+	announcer         *rowAnnouncer
 	mesh              *news.Mesh
 	send              func(m news.Message, to ...string) // sends through mesh; replaced by tests
 	loads             *loadExchange
@@ -166,7 +168,7 @@
 		source: o.Store, clock: o.Clock, log: o.Log, askDutyHolders: n.askDutyHolders, onEvacuations: n.evacuations.apply,
 		regions: slices.Sorted(maps.Values(o.Settings.Regions)),
 	}
-	n.roster = newRosterWatcher(o.Store, o.Clock, o.Log)
+	n.roster = newRosterWatcher(&endpointReader{node: n, store: o.Store}, o.Clock, o.Log)
 	n.tracker = &balance.Tracker{
 		Clock:        o.Clock,
 		Silence:      func(roster.ID) time.Duration { return streamStallTimeout },
@@ -188,13 +190,15 @@
 		NodeCount: func() int { return n.leaseCache.nodeCount() },
 	}
 	n.follower = &follower{node: n, client: feed.NewClient(), clock: o.Clock, log: o.Log, wake: make(chan struct{}, 1)}
+	n.lookup = &startLookup{node: n}
 	n.roster.onLeaving = n.broadcastLeaving
 	n.config.isFedByPeer, n.roster.isFedByPeer = n.isConfigFed, n.isRosterFed
 	n.config.backoff.usesFullRate, n.roster.backoff.usesFullRate = n.usesFullRate, n.usesFullRate
 	n.leaseCache = &leaseCache{
-		Table: o.Store, clock: o.Clock, isFedByPeer: n.areLeasesFed, backoff: backoff{usesFullRate: n.usesFullRate},
+		Table: o.Store, clock: o.Clock, isFedByPeer: n.areLeasesFed, defersRead: n.defersLeaseRead, backoff: backoff{usesFullRate: n.usesFullRate},
 		onRows: func(rows []table.Row) { n.quarantineGuard.ApplyPersisted(n.quarantineRows.ParseVerdicts(rows)) },
 	}
+	n.announcer = &rowAnnouncer{cache: n.leaseCache, log: o.Log, wake: make(chan struct{}, 1)}
 	n.quarantineRows = &quarantine.Rows{
 		Get: n.leaseCache.Table.Get, Commit: n.leaseCache.Commit, Table: table.TableLeases, Prefix: quarantinePrefix, Log: o.Log,
 	}
@@ -214,7 +218,7 @@
 	m := &lease.Manager{
 		Duty: zone, Self: fleet.Node{VM: fleet.VM(n.Settings.VM), Incarnation: fleet.Incarnation(time.Now().UnixNano())},
 		Params: lease.DefaultParams(leaseTerm), Table: n.leaseCache, Clock: n.Clock, Log: n.Log,
-		Era: n.tableEra, TableIsNew: n.Settings.Bootstrap,
+		Era: n.tableEra, TableIsNew: n.Settings.Bootstrap, Contact: n.ownContact,
 		Rank: func() int { return n.rank(zone) }, MaxRanks: rankNever, PollInterval: leasePollInterval,
 	}
 	n.leases = append(n.leases, m)
@@ -246,7 +250,7 @@
 			zones = append(zones, zone)
 		}
 	}
-	if n.holdsDuty(n.Settings.Zone) {
+	if n.holdsDuty(n.Settings.Zone) || n.isRestartedHolder() {
 		return nil
 	}
 	var addrs []string
@@ -261,6 +265,9 @@
 			addrs = append(addrs, addr)
 		}
 	}
+	if addr := n.lookup.addr(); addr != "" && !n.leaseCache.hasRows() {
+		addrs = append(addrs, addr)
+	}
 	return addrs
 }
 
@@ -288,7 +295,8 @@
 		},
 		Journal: &feed.Journal{Incarnation: uuid.NewString()},
 		Clock:   n.Clock, Log: n.Log, OnPoll: n.recordPoll,
-		Serving: func() bool { return !n.leaving.Load() && !n.follower.isFollowing() },
+		Serving:           func() bool { return !n.leaving.Load() && !n.follower.isFollowing() },
+		ReadsAllEndpoints: n.roster.readsStore.Load,
 	}}
 }
 
@@ -296,6 +304,7 @@
 // in a poll.
 func (n *Node) recordPoll(q feed.PollRequest) {
 	n.config.recordPeerVersion(q.Config)
+	n.announcer.recordPoll(q)
 	if q.Zone == n.Settings.Zone && q.Node != n.Settings.VM {
 		n.peerDemand.Update(q.Node, q.Demand, n.Clock.Now())
 	}
@@ -397,9 +406,8 @@
 	g.Go(func() error { return n.watchRequests(work) })
 	g.Go(func() error { clock.Every(work, sweepInterval, n.sweep); return nil })
 	g.Go(func() error { return n.mesh.Run(work) })
-	g.Go(func() error {
-		return n.leaseCache.runAnnounce(ctx, n.Settings.VM, n.address(), func() { n.rowWritten.Store(true) }, n.Log)
-	})
+	g.Go(func() error { return n.runAnnounce(ctx) })
+	g.Go(func() error { return n.announcer.run(work) })
 	n.startDuties(ctx, g)
 
 	server := &http.Server{
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -15,7 +15,7 @@
 // duty. While this succeeds, nothing is read from the store.
 type follower struct {
 	node   *Node
-	client *feed.Client
+	client feedClient
 	clock  clock.Clock
 	log    *slog.Logger
 
@@ -27,6 +27,11 @@
 	copies       map[string]*feed.Replica // state received from each node, by address; used by run only
 }
 
+// feedClient polls another node's feed.
+type feedClient interface {
+	Poll(ctx context.Context, addr string, q feed.PollRequest) (*feed.State, feed.Ages, error)
+}
+
 const (
 	followInterval = 900 * time.Millisecond // between two polls
 	followTimeout  = 400 * time.Millisecond // timeout of one answer
@@ -74,6 +79,7 @@
 		if f.node.isSeeking() {
 			f.nextInterval = seekInterval
 		}
+		f.node.lookup.run(ctx)
 		f.pollSources(ctx)
 		select {
 		case <-ctx.Done():
@@ -87,9 +93,9 @@
 // pollSources asks the nodes that read the store in turn until one returns a usable answer.
 func (f *follower) pollSources(ctx context.Context) {
 	addrs := f.node.feedSources()
-	own := f.node.leaseCache.addr(f.node.leaseCache.owner(f.node.Settings.Zone))
 	for _, addr := range addrs {
 		if f.pollSource(ctx, addr) {
+			own := f.node.leaseCache.addr(f.node.leaseCache.owner(f.node.Settings.Zone))
 			f.fromOwnZone.Store(addr == own)
 			return
 		}
@@ -112,7 +118,7 @@
 	q := feed.PollRequest{
 		Have: known.Have(), Node: f.node.Settings.VM, Zone: f.node.Settings.Zone, Demand: f.node.forwarder.AllDemand(),
 	}
-	q.Config = f.node.config.version()
+	q.Config, q.Row = f.node.config.version(), f.node.ownRow()
 	s, ages, err := f.client.Poll(ctx, addr, q)
 	if err != nil {
 		return false
--- a/internal/entry/leases.go
+++ b/internal/entry/leases.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"log/slog"
+	"errors"
 	"strconv"
 	"strings"
 	"sync"
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 
+	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
 	"chervilloom/internal/lease"
 	table "chervilloom/internal/platform"
@@ -19,7 +20,10 @@
 // leaseStore is the part of the platform's store that leases need.
 type leaseStore interface {
 	Get(ctx context.Context, table, key string) (table.Row, error)
-	List(ctx context.Context, table, prefix string) ([]table.Row, error)
+	// ReadAll returns all rows of a table and the cursor for Changes.
+	ReadAll(ctx context.Context, table string) ([]table.Row, table.Cursor, error)
+	// Changes returns the changes after a cursor; catalog.ErrHistoryGone requires ReadAll.
+	Changes(ctx context.Context, table string, after table.Cursor) (table.Changes, error)
 	Commit(ctx context.Context, txn table.Txn) (table.Result, error)
 	// Era returns the newest era of the table seen in any answer.
 	Era() uint64
@@ -32,6 +36,8 @@
 	Table       leaseStore
 	clock       clock.Clock
 	isFedByPeer func() bool // reports whether another node supplies the rows
+	// defersRead reports whether another node is expected to supply the first rows; nil: no.
+	defersRead func() bool
 	// onRows is called with the rows after each update.
 	onRows func([]table.Row)
 
@@ -43,6 +49,7 @@
 	mu     sync.Mutex    // guards the fields below; never held during a call
 	readAt clock.Instant // start of the latest read; 0: a read is due
 	era    uint64        // era of the rows
+	cursor table.Cursor  // position of the rows in the table's history; zero: another node read them
 	rows   map[string]table.Row
 	index  *rowIndex // index of rows; nil: outdated
 }
@@ -107,6 +114,9 @@
 func (c *leaseCache) refresh(ctx context.Context, tab string) error {
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
+	if c.defersRead != nil && c.defersRead() {
+		return errReadDeferred
+	}
 	idle := c.isFedByPeer()
 	c.mu.Lock()
 	now := c.clock.Now()
@@ -116,14 +126,12 @@
 	}
 	// Rows from before a table restore are not valid any more.
 	due := !idle && (c.readAt == 0 || now.Sub(c.readAt) > leaseCacheTTL) || c.era < c.Table.Era()
+	cursor := c.cursor
 	c.mu.Unlock()
 	if !due {
 		return nil
 	}
-	// The era of an answer without rows is this one or a later one. An era that is too early is
-	// safe: a write that is checked against it is rejected.
-	era := c.Table.Era()
-	rows, err := c.Table.List(ctx, tab, "")
+	err := c.read(ctx, tab, cursor, now)
 	c.readErr = err
 	if err != nil {
 		// The managers of all zones call this function: the error is returned to all of
@@ -132,23 +140,69 @@
 		return err
 	}
 	c.backoff.reset()
-	switch {
-	case len(rows) > 0:
-		era = rows[0].Era
-	case era == 0:
-		era = c.Table.Era() // no era was known before this answer, which contained one
+	return nil
+}
+
+// read reads the changes after cursor, or all rows if there is no cursor or the changes are not
+// available. now is the start of the read.
+func (c *leaseCache) read(ctx context.Context, tab string, cursor table.Cursor, now clock.Instant) error {
+	if cursor.Version != 0 && cursor.Era == c.Table.Era() {
+		changes, err := c.Table.Changes(ctx, tab, cursor)
+		if err == nil {
+			c.applyChanges(changes, cursor, now)
+			return nil
+		}
+		if !errors.Is(err, catalog.ErrHistoryGone) {
+			return err
+		}
+	}
+	rows, next, err := c.Table.ReadAll(ctx, tab)
+	if err != nil {
+		return err
 	}
 	c.mu.Lock()
 	c.readAt = now
-	c.setRows(rows, era)
+	c.setRows(rows, next.Era)
+	c.cursor = next
 	c.mu.Unlock()
 	c.onRows(rows) // not under c.mu: it may look addresses up
 	return nil
 }
 
+// applyChanges applies changes after the cursor after. They are dropped if the rows were replaced
+// during the read. A row that this node has written since is newer than the change.
+func (c *leaseCache) applyChanges(changes table.Changes, after table.Cursor, now clock.Instant) {
+	c.mu.Lock()
+	if c.cursor != after {
+		c.mu.Unlock()
+		return
+	}
+	c.readAt, c.cursor = now, changes.Cursor
+	changed := false
+	for _, r := range changes.Rows {
+		if c.rows[r.Key].Version < r.Version {
+			c.rows[r.Key] = r
+			changed = true
+		}
+	}
+	for _, r := range changes.Deleted {
+		if old, ok := c.rows[r.Key]; ok && old.Version < r.Version {
+			delete(c.rows, r.Key)
+			changed = true
+		}
+	}
+	if changed {
+		c.index = nil
+	}
+	c.mu.Unlock()
+	if changed {
+		c.onRows(c.allRows())
+	}
+}
+
 // setRows replaces the rows; c.mu must be held.
 func (c *leaseCache) setRows(rows []table.Row, era uint64) {
-	c.index, c.era = nil, era
+	c.index, c.era, c.cursor = nil, era, table.Cursor{}
 	c.rows = make(map[string]table.Row, len(rows))
 	for _, r := range rows {
 		c.rows[r.Key] = r
@@ -332,28 +386,3 @@
 	defer c.mu.Unlock()
 	return len(c.rowIndex().addrs)
 }
-
-// runAnnounce writes the node's row with retries, calls onWritten once it has succeeded, and
-// deletes the row when ctx ends.
-func (c *leaseCache) runAnnounce(ctx context.Context, vm string, at nodeAddr, onWritten func(), log *slog.Logger) error {
-	const retryInterval = 500 * time.Millisecond
-	for {
-		wctx, cancel := context.WithTimeout(ctx, announceTimeout)
-		err := c.announce(wctx, vm, at)
-		cancel()
-		if err == nil {
-			onWritten()
-			break
-		}
-		if !clock.Sleep(ctx, retryInterval) {
-			return nil
-		}
-	}
-	<-ctx.Done()
-	wctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
-	defer cancel()
-	if err := c.withdraw(wctx, vm); err != nil {
-		log.Info("node row not deleted; other nodes keep sending messages to this address", "err", err)
-	}
-	return nil
-}
--- a/internal/entry/start.go
+++ b/internal/entry/start.go
@@ -1,8 +1,18 @@
 package entry
 
 import (
+	"context"
+	"encoding/json"
+	"errors"
 	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"time"
+
+	"chervilloom/internal/clock"
+	"chervilloom/internal/lease"
+	table "chervilloom/internal/platform"
 )
 
 const (
@@ -11,6 +21,12 @@
 	seekDuration = 1200 * time.Millisecond
 	// seekInterval is the polling interval during that time.
 	seekInterval = 50 * time.Millisecond
+	// firstLookupDelay is the time after which a small node first looks for the holder of its
+	// zone's duty if the whole system starts for the first time: there is none before.
+	firstLookupDelay = 600 * time.Millisecond
+	// smallFleetNodes is the number of nodes up to which each starting node reads all rows at
+	// once: the calls are few, and the data is needed sooner.
+	smallFleetNodes = 30
 )
 
 // isSeeking reports whether this node has just started and leaves reading the store to
@@ -31,6 +47,105 @@
 	return n.Settings.Bootstrap || n.usesBoard(n.Settings.Zone)
 }
 
+// contact is the information in a lease row with which a starting node finds the duty holder
+// without reading the rows of all nodes.
+type contact struct {
+	addr  string
+	nodes int // number of nodes that the holder knows
+}
+
+func (c contact) encode() string { return c.addr + " " + strconv.Itoa(c.nodes) }
+
+func parseContact(text string) (contact, bool) {
+	addr, nodes, _ := strings.Cut(text, " ")
+	n, err := strconv.Atoi(nodes)
+	return contact{addr, n}, err == nil && addr != ""
+}
+
+// ownContact returns the contact that this node writes into the rows of its leases.
+func (n *Node) ownContact() string {
+	return contact{n.Settings.PeerAddr, n.leaseCache.nodeCount()}.encode()
+}
+
+// startLookup looks for the holder of the local zone's duty when the node starts.
+type startLookup struct {
+	node      *Node
+	found     atomic.Pointer[contact]
+	completed atomic.Bool   // a lookup has succeeded, whether or not there is a holder
+	nextAt    clock.Instant // earliest time of the next lookup; used by the follower's goroutine only
+}
+
+// run looks the holder up if this node is seeking and knows no rows yet.
+func (l *startLookup) run(ctx context.Context) {
+	n := l.node
+	now := n.Clock.Now()
+	if n.leaseCache.hasRows() || !n.isSeeking() || now.Before(l.nextAt) || !n.mayDeferLeaseRead() {
+		return
+	}
+	if n.Settings.Bootstrap && now.Sub(n.startedAt) < firstLookupDelay {
+		return
+	}
+	l.nextAt = now.Add(leasePollInterval)
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	row, err := n.Store.Get(ctx, table.TableLeases, n.Settings.Zone)
+	if err != nil {
+		n.Log.Info("holder of the zone's duty not looked up", "err", err)
+		return
+	}
+	var value lease.Row
+	if row.Version != 0 && json.Unmarshal(row.Value, &value) == nil && !value.Released {
+		if c, ok := parseContact(value.Contact); ok {
+			l.found.Store(&c)
+		}
+	}
+	l.completed.Store(true)
+}
+
+// addr returns the address of the holder that was found, or "".
+func (l *startLookup) addr() string {
+	if c := l.found.Load(); c != nil && c.addr != l.node.Settings.PeerAddr {
+		return c.addr
+	}
+	return ""
+}
+
+// mayDeferLeaseRead reports whether this node is so small that it doesn't compete for a duty
+// before it knows the other nodes.
+func (n *Node) mayDeferLeaseRead() bool {
+	return n.Settings.Cores > 0 && rankWithoutPeers(n.Settings.Cores) == rankSmall
+}
+
+// defersLeaseRead reports whether a starting node leaves the rows unread because it expects to
+// receive them from the holder of its zone's duty. They have one row for each node: nodes that
+// start together would read the square of their number. Without an answer of the holder, the
+// nodes of a large fleet read them one after the other.
+func (n *Node) defersLeaseRead() bool {
+	age := n.Clock.Now().Sub(n.startedAt)
+	if age >= seekDuration || !n.mayDeferLeaseRead() || n.leaseCache.hasRows() {
+		return false
+	}
+	c := n.lookup.found.Load()
+	switch {
+	case n.Settings.Bootstrap:
+		return true
+	case c == nil:
+		return !n.lookup.completed.Load()
+	case c.nodes <= smallFleetNodes:
+		return false
+	}
+	return age < seekDuration*time.Duration(hashName(n.Settings.VM)%1000)/1000
+}
+
+var errReadDeferred = errors.New("entry: the rows are not read yet; another node is expected to send them")
+
+// isRestartedHolder reports whether this node has just started and the row of its zone's duty
+// still names it. The zone's other nodes poll it meanwhile: it reads the store, since a node that
+// follows another one answers no polls.
+func (n *Node) isRestartedHolder() bool {
+	return n.Clock.Now().Sub(n.startedAt) < seekDuration && n.leaseCache.owner(n.Settings.Zone) == n.Settings.VM
+}
+
 // isConfigFed reports whether the configuration comes from another node.
 func (n *Node) isConfigFed() bool { return n.follower.isFollowing() || n.isSeeking() }
 
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -22,6 +22,9 @@
 	AwaitConfiguration(ctx context.Context, cursor catalog.Cursor, wait time.Duration) (catalog.Change, error)
 }
 
+// errOutdatedList means that a list received from another node is too old to be used.
+var errOutdatedList = errors.New("entry: the received list of endpoints is outdated")
+
 // EndpointSource reads the list of endpoints.
 type EndpointSource interface {
 	Endpoints(ctx context.Context) (roster.Listing, error)
@@ -233,6 +236,7 @@
 	log         *slog.Logger
 	mu          sync.Mutex // held while the next roster is built
 	current     atomic.Pointer[roster.Roster]
+	readsStore  atomic.Bool // the newest list was read from the store by this node
 	wake        chan struct{}
 	isFedByPeer func() bool // reports whether another node keeps the list up to date
 	// onLeaving is called when a list shows that usable endpoints are draining or no longer
@@ -284,6 +288,7 @@
 	for ctx.Err() == nil {
 		if w.isFedByPeer() {
 			down = false
+			w.readsStore.Store(false)
 			w.await(ctx, fedInterval)
 			continue
 		}
@@ -306,7 +311,12 @@
 			}
 			down = false
 			w.backoff.reset()
-			w.applyList(list, asked, recovered)
+			w.applyList(list, asked.Add(-list.Age), recovered)
+			w.readsStore.Store(!list.Relayed)
+		}
+		if err == nil && list.Relayed {
+			w.await(ctx, relayInterval)
+			continue
 		}
 		w.pause(ctx, down)
 	}
@@ -321,7 +331,7 @@
 	next := roster.Merge(old, list, asked, recovered)
 	w.current.Store(next)
 	w.mu.Unlock()
-	if w.onLeaving != nil {
+	if w.onLeaving != nil && !list.Relayed { // otherwise the node that read the list reports them
 		w.reportLeaving(old, next)
 	}
 }
--- /dev/null
+++ b/internal/entry/world_test.go
@@ -0,0 +1,381 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"chervilloom/internal/catalog"
+	"chervilloom/internal/clock"
+	"chervilloom/internal/feed"
+	table "chervilloom/internal/platform"
+	"chervilloom/internal/roster"
+)
+
+// worldStore is a store that counts calls and bytes. It has the endpoints of all zones.
+type worldStore struct {
+	mu        sync.Mutex
+	ver       uint64
+	rows      map[string]table.Row // of the table of leases
+	deleted   map[string]table.Row
+	doc       *catalog.Document
+	evacuated map[string]bool
+	endpoints []roster.Endpoint
+	calls     map[string]int // by kind
+	bytes     int
+	started   time.Time
+	down      bool
+}
+
+// Sizes of the platform's responses.
+const (
+	rowsPerPage       = 500
+	bytesPerRow       = 160
+	bytesPerEndpoint  = 480
+	bytesPerDocument  = 40_000
+	bytesPerEmptyCall = 200
+)
+
+var errStoreDown = errors.New("store is down")
+
+// call counts a call of a kind that returns bytes, in pages. It takes no virtual time: callers
+// that wait for a mutex would stop the bubble's clock.
+func (s *worldStore) call(kind string, pages, bytes int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[kind] += max(1, pages)
+	s.bytes += bytesPerEmptyCall*max(1, pages) + bytes
+	if s.down {
+		return errStoreDown
+	}
+	return nil
+}
+
+func pages(rows int) int { return (rows + rowsPerPage - 1) / rowsPerPage }
+
+func (s *worldStore) Configuration(context.Context) (catalog.Change, error) {
+	err := s.call("config", 1, bytesPerDocument)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return catalog.Change{
+		Document: s.doc, Cursor: catalog.Cursor{Version: s.ver},
+		Evacuations: catalog.EvacuationChange{Complete: true, Zones: maps.Clone(s.evacuated)},
+	}, err
+}
+
+func (s *worldStore) AwaitConfiguration(ctx context.Context, after catalog.Cursor, wait time.Duration) (catalog.Change, error) {
+	clock.Sleep(ctx, wait)
+	err := s.call("config", 1, 0)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return catalog.Change{Cursor: after, Evacuations: catalog.EvacuationChange{Zones: maps.Clone(s.evacuated)}}, err
+}
+
+func (s *worldStore) Endpoints(context.Context) (roster.Listing, error) {
+	err := s.call("endpoints", pages(len(s.endpoints)), len(s.endpoints)*bytesPerEndpoint)
+	return roster.Listing{Endpoints: slices.Clone(s.endpoints)}, err
+}
+
+func (s *worldStore) Era() uint64 { return 0 }
+
+func (s *worldStore) now() int64 { return time.Since(s.started).Milliseconds() + 1 }
+
+func (s *worldStore) Get(_ context.Context, tab, key string) (table.Row, error) {
+	err := s.call("row", 1, bytesPerRow)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.rows[key]
+	if !ok {
+		r = table.Row{Table: tab, Key: key}
+	}
+	r.ClockMs = s.now()
+	return r, err
+}
+
+func (s *worldStore) ReadAll(context.Context, string) ([]table.Row, table.Cursor, error) {
+	s.mu.Lock()
+	rows := len(s.rows)
+	s.mu.Unlock()
+	err := s.call("all rows", pages(rows), rows*bytesPerRow)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.rows)), table.Cursor{Version: s.ver}, err
+}
+
+func (s *worldStore) Changes(_ context.Context, _ string, after table.Cursor) (table.Changes, error) {
+	s.mu.Lock()
+	out := table.Changes{Cursor: table.Cursor{Version: s.ver}}
+	for _, r := range s.rows {
+		if r.Version > after.Version {
+			r.ClockMs = s.now()
+			out.Rows = append(out.Rows, r)
+		}
+	}
+	for _, r := range s.deleted {
+		if r.Version > after.Version {
+			out.Deleted = append(out.Deleted, r)
+		}
+	}
+	s.mu.Unlock()
+	return out, s.call("changed rows", 1, len(out.Rows)*bytesPerRow)
+}
+
+func (s *worldStore) Commit(_ context.Context, txn table.Txn) (table.Result, error) {
+	if err := s.call("write", 1, 0); err != nil {
+		return table.Result{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range txn.Checks {
+		if r := s.rows[c.Key]; r.Version != c.Version {
+			return table.Result{Rows: []table.Row{r}, ClockMs: s.now()}, nil
+		}
+	}
+	s.ver++
+	res := table.Result{Committed: true, ClockMs: s.now()}
+	for _, w := range txn.Writes {
+		row := table.Row{Table: w.Table, Key: w.Key, Version: s.ver, Value: w.Value, Attempt: txn.Attempt}
+		if w.Delete {
+			delete(s.rows, w.Key)
+			s.deleted[w.Key] = row
+			continue
+		}
+		delete(s.deleted, w.Key)
+		s.rows[w.Key] = row
+		res.Rows = append(res.Rows, row)
+	}
+	return res, nil
+}
+
+// count returns the calls since the last count, by kind, and their bytes.
+func (s *worldStore) count() (calls map[string]int, total, bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calls, bytes = s.calls, s.bytes
+	s.calls, s.bytes = map[string]int{}, 0
+	for _, n := range calls {
+		total += n
+	}
+	return calls, total, bytes
+}
+
+// world is a fleet of nodes with a store, in virtual time. Nodes poll each other by function
+// calls and exchange no messages.
+type world struct {
+	store   *worldStore
+	clock   bubbleClock
+	zones   []string
+	perZone int
+
+	mu    sync.Mutex
+	nodes map[string]*worldNode // by address
+}
+
+type worldNode struct {
+	*Node
+	feed *feed.Server
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+// largeNodes is the number of large nodes in each zone; the others are small.
+const largeNodes = 2
+
+// newWorld returns a world with endpoints but without running nodes. It must be called in a
+// synctest bubble.
+func newWorld(zones, perZone, endpoints int) *world {
+	w := &world{
+		store: &worldStore{
+			rows: map[string]table.Row{}, deleted: map[string]table.Row{}, calls: map[string]int{}, started: time.Now(),
+			doc: &catalog.Document{Version: 1}, evacuated: map[string]bool{},
+		},
+		clock: bubbleClock{time.Now()}, perZone: perZone, nodes: map[string]*worldNode{},
+	}
+	for z := range zones {
+		w.zones = append(w.zones, fmt.Sprintf("z%d", z))
+	}
+	for i := range endpoints {
+		w.store.endpoints = append(w.store.endpoints, roster.Endpoint{
+			ID: roster.NewID(fmt.Sprintf("e%d", i), 1), Service: "s", Domain: "d", Zone: w.zones[i%zones], Slots: 8,
+			Member: roster.Membership{Group: fmt.Sprint("g", i/32), Epoch: 1, Rank: i % 32, State: roster.Open},
+		})
+	}
+	return w
+}
+
+// startAll starts all nodes at the same moment.
+func (w *world) startAll(bootstrap bool) {
+	for _, zone := range w.zones {
+		for i := range w.perZone {
+			w.start(zone, i, bootstrap)
+		}
+	}
+}
+
+func (w *world) start(zone string, i int, bootstrap bool) {
+	cores := 0.2
+	if i < largeNodes {
+		cores = 0.8
+	}
+	vm := fmt.Sprintf("%s-%d", zone, i)
+	n := New(Options{
+		Settings: &Settings{
+			VM: vm, Zone: zone, Zones: w.zones, Cores: cores, PeerAddr: vm, Bootstrap: bootstrap, RevokeAfter: 5 * time.Second,
+			MaxConfigDelay: 5 * time.Second, StrictRevocation: true, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
+		},
+		Store: w.store, Clock: w.clock, Log: slog.New(slog.DiscardHandler), Registry: prometheus.NewRegistry(),
+	})
+	n.follower.client = w
+	ctx, stop := context.WithCancel(context.Background())
+	x := &worldNode{Node: n, feed: n.newFeedServer().Handler.(*feed.Server), stop: stop}
+	w.mu.Lock()
+	w.nodes[vm] = x
+	w.mu.Unlock()
+	run := func(f func(context.Context) error) { x.done.Go(func() { _ = f(ctx) }) }
+	run(n.config.run)
+	run(n.roster.run)
+	run(n.follower.run)
+	run(n.announcer.run)
+	run(func(ctx context.Context) error { _ = n.runAnnounce(ctx); return nil })
+	for _, m := range n.leases {
+		run(m.Run)
+	}
+}
+
+// killAll ends all nodes without a trace in the store.
+func (w *world) killAll() {
+	w.store.mu.Lock()
+	rows := maps.Clone(w.store.rows)
+	w.store.mu.Unlock()
+	w.stopAll()
+	w.store.mu.Lock()
+	w.store.rows, w.store.deleted = rows, map[string]table.Row{}
+	w.store.mu.Unlock()
+	w.store.count()
+}
+
+func (w *world) stopAll() {
+	for _, x := range w.nodes {
+		x.stop()
+	}
+	for _, x := range w.nodes {
+		x.done.Wait()
+	}
+	w.mu.Lock()
+	w.nodes = map[string]*worldNode{}
+	w.mu.Unlock()
+}
+
+var errNoFeed = errors.New("no feed at this address")
+
+// pollLatency is the time of one poll.
+const pollLatency = 3 * time.Millisecond
+
+// Poll answers a poll as the node at addr does.
+func (w *world) Poll(ctx context.Context, addr string, q feed.PollRequest) (*feed.State, feed.Ages, error) {
+	time.Sleep(pollLatency)
+	w.mu.Lock()
+	x := w.nodes[addr]
+	w.mu.Unlock()
+	if x == nil || ctx.Err() != nil || !x.feed.Serving() || q.Complete && !x.feed.ReadsAllEndpoints() {
+		return nil, feed.Ages{}, errNoFeed
+	}
+	x.feed.OnPoll(q)
+	s, ages := feed.BuildResponse(x.feed.Source, x.feed.Journal, q.Have, w.clock.Now())
+	return &s, ages, nil
+}
+
+// ready returns the number of nodes that know the configuration and the endpoints.
+func (w *world) ready() (n int) {
+	for _, x := range w.nodes {
+		if x.acceptsKeys() && x.roster.current.Load().IsLoaded() {
+			n++
+		}
+	}
+	return n
+}
+
+// runWorld runs f with a world of five zones in virtual time.
+func runWorld(t *testing.T, perZone, endpoints int, f func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		w := newWorld(5, perZone, endpoints)
+		f(w)
+		w.stopAll()
+	})
+}
+
+// Bounds of the calls and bytes at the store.
+const (
+	maxCallsPerStart = 1.5
+	maxBytesPerStart = 30_000
+	// maxFixedCalls are the calls of a start that don't grow with the nodes.
+	maxFixedCalls = 200
+	// maxCallsPerSecond are the calls of duty holders without those for the endpoint list.
+	maxCallsPerSecond = 30
+	maxBytesPerCall   = 1000 // for those calls
+	maxReturnTime     = 500 * time.Millisecond // until nine of ten nodes are ready after a loss of power
+)
+
+// Guards against calls and bytes at the store that grow with the square of the nodes when all of
+// them start, for the first time or after a loss of power, and against reads that grow with the
+// number of zones times that of all endpoints afterwards.
+func TestCallsOfStartingFleet(t *testing.T) {
+	for _, perZone := range []int{40, 200, 400} {
+		nodes, endpoints := 5*perZone, 16*perZone
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			runWorld(t, perZone, endpoints, func(w *world) {
+				w.startAll(true)
+				time.Sleep(5 * time.Second)
+				w.checkStart(t, "first start", nodes, endpoints, 5*time.Second)
+				const watched = 3 * time.Second
+				time.Sleep(watched)
+				calls, total, read := w.store.count()
+				listCalls := float64(pages(endpoints)) * (watched.Seconds() + 1)
+				if limit := maxCallsPerSecond*watched.Seconds() + listCalls; float64(total) > limit {
+					t.Errorf("%d calls in %v, %v allowed: %v", total, watched, limit, calls)
+				}
+				lists := (watched.Seconds() + 1) * float64(endpoints*bytesPerEndpoint)
+				if limit := lists + watched.Seconds()*maxCallsPerSecond*maxBytesPerCall; float64(read) > limit {
+					t.Errorf("%d bytes read in %v, %v allowed", read, watched, limit)
+				}
+				w.killAll()
+				time.Sleep(500 * time.Millisecond)
+				w.startAll(false)
+				time.Sleep(maxReturnTime)
+				if ready := w.ready(); ready < nodes*9/10 {
+					t.Errorf("%d of %d nodes are ready %v after the return of power", ready, nodes, maxReturnTime)
+				}
+				time.Sleep(5*time.Second - maxReturnTime)
+				w.checkStart(t, "return of power", nodes, endpoints, 5*time.Second)
+			})
+		})
+	}
+}
+
+// checkStart checks that all nodes are ready, and the calls since the last count.
+func (w *world) checkStart(t *testing.T, name string, nodes, endpoints int, took time.Duration) {
+	t.Helper()
+	calls, total, read := w.store.count()
+	t.Logf("%s: %d calls %v, %d bytes a node", name, total, calls, read/nodes)
+	steady := maxCallsPerSecond*took.Seconds() + float64(pages(endpoints))*(took.Seconds()+float64(len(w.zones)))
+	if limit := maxCallsPerStart*float64(nodes) + maxFixedCalls + steady; float64(total) > limit {
+		t.Errorf("%s: %d calls, %v allowed: %v", name, total, limit, calls)
+	}
+	lists := float64(endpoints*bytesPerEndpoint) * (took.Seconds() + float64(len(w.zones)))
+	if limit := maxBytesPerStart*float64(nodes) + lists; float64(read) > limit {
+		t.Errorf("%s: %d bytes read, %v allowed", name, read, limit)
+	}
+	if ready := w.ready(); ready != nodes {
+		t.Errorf("%s: %d of %d nodes are ready", name, ready, nodes)
+	}
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -27,6 +27,9 @@
 	Incarnation string `json:"life"`      // incarnation of the responding node's journal
 	Endpoints   uint64 `json:"endpoints"` // number of the newest change of endpoints in that incarnation
 	Rows        uint64 `json:"rows"`      // number of the newest change of rows in that incarnation
+	// Complete requests all endpoints and no rows. Otherwise the response has the endpoints that
+	// accept requests.
+	Complete bool `json:"complete,omitempty"`
 }
 
 // PollRequest is a poll of a node: the state that it has, and its recent demand.
@@ -35,6 +38,9 @@
 	Node   string                 `json:"node"` // polling node
 	Zone   string                 `json:"zone"` // zone of the polling node
 	Demand []demand.ServiceDemand `json:"demand,omitempty"`
+	// Row is the value of the polling node's own row, which the responding node is to write; empty:
+	// the row exists.
+	Row []byte `json:"row,omitempty"`
 }
 
 // Ages are the ages of the parts of a response.
@@ -75,6 +81,22 @@
 	lastRoster *roster.Roster // the roster from which endpoints was last updated
 	endpoints  changeLog[roster.Endpoint]
 	rows       changeLog[table.Row]
+
+	lastCompleteRoster *roster.Roster // the roster from which all was last updated
+	all                changeLog[roster.Endpoint]
+}
+
+// updateAll records all endpoints and returns the number of their newest change.
+func (j *Journal) updateAll(r *roster.Roster) uint64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if r != j.lastCompleteRoster {
+		all := map[string]roster.Endpoint{}
+		r.ForEach(func(e *roster.Endpoint) { all[string(e.ID)] = *e })
+		j.all.update(all, isSameEntry)
+		j.lastCompleteRoster = r
+	}
+	return j.all.seq
 }
 
 // Update records the newest endpoints and rows, and returns the numbers of their newest changes.
@@ -113,6 +135,9 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	known := have.Incarnation == j.Incarnation
+	if have.Complete {
+		return State{Incarnation: j.Incarnation, Endpoints: j.all.since(have.Endpoints, known)}
+	}
 	return State{
 		Incarnation: j.Incarnation,
 		Endpoints:   j.endpoints.since(have.Endpoints, known),
@@ -122,7 +147,7 @@
 
 // BuildResponse returns the response to a node that has have, at now.
 func BuildResponse(src Source, j *Journal, have Have, now clock.Instant) (State, Ages) {
-	current, ages := takeSnapshot(src, j, now)
+	current, ages := takeSnapshot(src, j, have.Complete, now)
 	return current.stateSince(j, have), ages
 }
 
@@ -138,11 +163,15 @@
 const zoneSeparator = "\n"
 
 // takeSnapshot updates the journal from the source and returns the current state and its ages.
-func takeSnapshot(src Source, j *Journal, now clock.Instant) (snapshot, Ages) {
+func takeSnapshot(src Source, j *Journal, complete bool, now clock.Instant) (snapshot, Ages) {
 	r := src.Roster()
 	ages := Ages{Config: now.Sub(src.ConfirmedAt()), Roster: now.Sub(r.RequestedAt)}
 	k := snapshot{catalog: src.Catalog(), era: src.Era()}
-	k.endpoints, k.rows = j.Update(r, src.Rows())
+	if complete {
+		k.endpoints = j.updateAll(r)
+	} else {
+		k.endpoints, k.rows = j.Update(r, src.Rows())
+	}
 	if src.Evacuated != nil {
 		k.evacuated = strings.Join(src.Evacuated(), zoneSeparator)
 	}
--- a/internal/feed/wire.go
+++ b/internal/feed/wire.go
@@ -32,6 +32,9 @@
 	// Serving reports whether this node reads the store itself; the state of a node that
 	// polls another one is older.
 	Serving func() bool
+	// ReadsAllEndpoints reports whether this node reads the list of all endpoints from the store
+	// itself; nil: it doesn't.
+	ReadsAllEndpoints func() bool
 	// OnPoll is called with each poll; may be nil.
 	OnPoll func(PollRequest)
 
@@ -51,6 +54,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if q.Complete && (s.ReadsAllEndpoints == nil || !s.ReadsAllEndpoints()) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if s.OnPoll != nil {
 		s.OnPoll(q)
 	}
@@ -87,7 +94,7 @@
 func (s *Server) response(have Have, now clock.Instant) ([]byte, Ages, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	current, ages := takeSnapshot(s.Source, s.Journal, now)
+	current, ages := takeSnapshot(s.Source, s.Journal, have.Complete, now)
 	key := responseKey{have, current}
 	if body, ok := s.cachedResponses[key]; ok {
 		return body, ages, nil
--- a/internal/lease/decide.go
+++ b/internal/lease/decide.go
@@ -29,6 +29,8 @@
 	// TermEnd is a time on the table's clock, in ms, at which the term has certainly ended; 0:
 	// unknown.
 	TermEnd int64 `json:"over,omitempty"`
+	// Contact tells other nodes how to reach the owner, in the owner's own format.
+	Contact string `json:"contact,omitempty"`
 }
 
 // ObservedRow is a node's knowledge of the lease row.
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -47,6 +47,8 @@
 	// PollInterval is the interval between two reads of a lease held by another node; 0: a sixth of
 	// the term.
 	PollInterval time.Duration
+	// Contact returns the text that this node's rows have as Contact; nil: none.
+	Contact func() string
 	// Era returns the newest known era of the table; nil: the table has no eras.
 	Era func() uint64
 	// TableIsNew reports that the table has just been created, so that no earlier lease can be
@@ -246,6 +248,9 @@
 	// longer than the wait of other nodes.
 	sent := m.Clock.Now()
 	d.Next.Era, d.Next.TermEnd = m.seen.Era, m.termEnd(sent, d.Next.Term)
+	if m.Contact != nil {
+		d.Next.Contact = m.Contact()
+	}
 	value, err := json.Marshal(d.Next)
 	if err != nil {
 		m.Log.Error("lease row cannot be encoded", "duty", m.Duty, "err", err)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -66,6 +66,20 @@
 	Rows      []Row `json:"rows"`            // the rows written if committed, otherwise the current rows of the failed checks
 }
 
+// Cursor is a position in the history of a table's changes. Versions are only comparable within
+// one era. The zero value is no position.
+type Cursor struct {
+	Era     uint64
+	Version uint64
+}
+
+// Changes are the newest versions of the rows of a table that changed after a cursor.
+type Changes struct {
+	Rows    []Row
+	Deleted []Row  // without values; Version is that of the deletion
+	Cursor  Cursor // position after these changes
+}
+
 // Errors of the platform's client.
 var (
 	// ErrUnavailable means that the platform is unavailable, and that the request certainly had
--- a/internal/roster/departed.go
+++ b/internal/roster/departed.go
@@ -23,7 +23,7 @@
 // departed, nor show a group that was dissolved. For an endpoint without a start time the
 // sequence counts only shortly after a restore, since a restart may have reset it.
 func (r *Roster) isStale(e *Endpoint, sequence uint64) bool {
-	if r.Partial {
+	if r.relayed {
 		return false // the sending node has made this check with newer sequences
 	}
 	restored := r.restoredAt != 0 && r.RequestedAt.Sub(r.restoredAt) < restoreGrace
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -68,6 +68,10 @@
 	// Partial reports whether another node sent the listing, which then has only the
 	// endpoints for which TakesRequests is true.
 	Partial bool
+	// Relayed reports whether another node read the list, and Age is the time since that read
+	// started.
+	Relayed bool
+	Age     time.Duration
 }
 
 // Roster is a snapshot of the endpoints.
@@ -75,6 +79,7 @@
 	RequestedAt  clock.Instant // when the list was requested; the list is at least as new
 	Era          uint64        // era of the platform's table
 	Partial      bool          // only endpoints for which TakesRequests is true
+	relayed      bool          // another node read the list
 	restoredAt   clock.Instant // when a list of this era was first requested; 0: no earlier era was known
 	byID         []*Endpoint   // sorted by ID
 	byService    map[string][]*Endpoint
@@ -154,6 +159,7 @@
 		RequestedAt:  asked,
 		Era:          l.Era,
 		Partial:      l.Partial,
+		relayed:      l.Relayed || l.Partial,
 		restoredAt:   old.restoredAt,
 		byID:         make([]*Endpoint, 0, len(listed)),
 		incarnations: make(map[string]incarnation, len(listed)),
@@ -161,7 +167,7 @@
 	if l.Era > old.Era && old.IsLoaded() {
 		next.restoredAt = asked
 	}
-	if !l.Partial { // for a partial list the sending node applies the grace
+	if !next.relayed { // otherwise the sending node applies the grace
 		recovered = max(recovered, next.restoredAt)
 	}
 	for i := range listed {
