Cold endpoints: a fixed set of senders, and care at the end of an evacuation

Cause: rate limits that answers name use 0.6 of the limit and let other nodes replace senders, so that two views may both send; a cold endpoint is cold for seconds. And endpoints are cold at the end of an evacuation, up to 2 s before the list shows it. Change: ceil(rate) + 1 nodes of the endpoint's order share the whole rate, one token each; nobody replaces them, so that no messages are needed. Endpoints of a zone whose evacuation ended are taken to be cold for 4 s.

--- a/internal/backpressure/guard.go
+++ b/internal/backpressure/guard.go
@@ -44,7 +44,7 @@
 
 	mu       sync.Mutex // protects the fields below
 	limits   *limits
-	cold     *limits // rate limits of cold endpoints; in force only while the caller reports the endpoint as cold
+	cold     *coldRates
 	backoffs *backoffs
 	leaving  leavingEndpoints
 }
@@ -64,7 +64,7 @@
 		o.Log = slog.New(slog.DiscardHandler)
 	}
 	g := &Guard{
-		Options: o, limits: newLimits(o.Node), cold: newLimits(o.Node), backoffs: newBackoffs(o.Node), leaving: leavingEndpoints{},
+		Options: o, limits: newLimits(o.Node), cold: newColdRates(o.Node), backoffs: newBackoffs(o.Node), leaving: leavingEndpoints{},
 	}
 	g.metrics = newMetrics(o.Registerer, g)
 	g.quiet.Store(true)
@@ -76,9 +76,6 @@
 	g.quiet.Store(len(g.limits.byID)+len(g.backoffs.byID)+len(g.leaving) == 0)
 }
 
-// notCold is the cold rate of an endpoint that isn't cold.
-const notCold = 0
-
 // Allows reports whether the endpoint, which isn't cold, may be chosen for a request now.
 func (g *Guard) Allows(id ID) bool { return g.AllowsCold(id, notCold) }
 
@@ -91,13 +88,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
-	if coldRate > notCold {
-		g.cold.ensure(id, coldRate, now, g.SenderOrder)
-		if !g.cold.isAllowed(id, now) {
-			return false
-		}
-	}
-	return g.isAllowed(id, now)
+	return g.cold.isAllowed(id, coldRate, now, g.SenderOrder) && g.isAllowed(id, now)
 }
 
 func (g *Guard) isAllowed(id ID, now clock.Instant) bool {
@@ -124,19 +115,17 @@
 	if coldRate <= notCold && g.quiet.Load() {
 		return true
 	}
-	notices, reason := g.tryTake(id, coldRate)
-	for _, n := range notices {
-		g.announce(n)
-	}
+	notice, reason := g.tryTake(id, coldRate)
+	g.announce(notice)
 	if reason != "" {
 		g.metrics.held.WithLabelValues(reason).Inc()
 	}
 	return reason == ""
 }
 
-// tryTake returns the reason why the request must not be sent, or else the notices for the other
-// nodes.
-func (g *Guard) tryTake(id ID, coldRate float64) (notices []*Notice, reason string) {
+// tryTake returns the reason why the request must not be sent, or else a notice for the other
+// nodes; nil: none.
+func (g *Guard) tryTake(id ID, coldRate float64) (notice *Notice, reason string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
@@ -146,26 +135,16 @@
 	if !g.backoffs.isAllowed(id, now) {
 		return nil, reasonBackoff
 	}
-	if coldRate > notCold {
-		g.cold.ensure(id, coldRate, now, g.SenderOrder)
-		if !g.cold.isAllowed(id, now) {
-			return nil, reasonCold
-		}
+	if !g.cold.isAllowed(id, coldRate, now, g.SenderOrder) {
+		return nil, reasonCold
 	}
 	ok, notice := g.limits.tryTake(id, now)
 	if !ok {
 		return nil, reasonLimit
 	}
-	notices = append(notices, notice)
-	if coldRate > notCold {
-		_, notice := g.cold.tryTake(id, now) // allowed, as checked above
-		if notice != nil {
-			notice.Cold = true
-		}
-		notices = append(notices, notice)
-	}
+	g.cold.recordSend(id, coldRate, now)
 	g.backoffs.recordSend(id, now)
-	return notices, ""
+	return notice, ""
 }
 
 // RecordAnswer processes the signals of the answer to a request that was sent at sentAt.
@@ -202,11 +181,6 @@
 		return
 	}
 	g.mu.Lock()
-	if n.Cold {
-		g.cold.applyNotice(n, g.Clock.Now(), g.SenderOrder)
-		g.mu.Unlock()
-		return
-	}
 	changed := g.limits.applyNotice(n, g.Clock.Now(), g.SenderOrder)
 	g.updateQuiet()
 	g.mu.Unlock()
@@ -223,7 +197,7 @@
 	if g.leaving.contains(id) {
 		return 0
 	}
-	return max(g.backoffs.retryAfter(id, g.Clock.Now()), g.limits.retryAfter(id), g.cold.retryAfter(id))
+	return max(g.backoffs.retryAfter(id, g.Clock.Now()), g.limits.retryAfter(id), g.cold.retryAfter(id, g.Clock.Now()))
 }
 
 // Blocked returns the endpoints to which this node may send nothing now, sorted.
@@ -267,13 +241,11 @@
 	g.leaving.refresh(listed, now)
 }
 
-// SweepCold deletes the rate limits of endpoints that aren't cold any more, and refreshes the
-// order of senders of the others.
+// SweepCold deletes the state of endpoints that aren't cold any more.
 func (g *Guard) SweepCold(isCold func(ID) bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.cold.retain(isCold)
-	g.cold.refresh(isCold, g.Clock.Now(), g.SenderOrder)
 }
 
 func (g *Guard) announce(n *Notice) {
--- a/internal/backpressure/limits.go
+++ b/internal/backpressure/limits.go
@@ -1,7 +1,6 @@
 package backpressure
 
 import (
-	"maps"
 	"math/bits"
 	"time"
 
@@ -66,7 +65,6 @@
 	Rate     float64 `json:"rate,omitempty"`
 	IsSender bool    `json:"sends,omitempty"` // the node sends requests to the endpoint
 	Ended    bool    `json:"ended,omitempty"`
-	Cold     bool    `json:"cold,omitempty"` // the rate is that of a cold endpoint
 }
 
 func newLimits(self string) *limits { return &limits{node: self, byID: map[ID]*limit{}} }
@@ -92,20 +90,6 @@
 	return &Notice{Node: ls.node, ID: id, Ended: true}
 }
 
-// ensure adds a limit for an endpoint without one, and updates the rate of an existing one.
-func (ls *limits) ensure(id ID, rate float64, now clock.Instant, order func(ID) []string) {
-	if l := ls.byID[id]; l != nil {
-		l.rate = rate
-		return
-	}
-	ls.add(id, rate, now, order)
-}
-
-// retain deletes the limits of all endpoints for which keep is false.
-func (ls *limits) retain(keep func(ID) bool) {
-	maps.DeleteFunc(ls.byID, func(id ID, _ *limit) bool { return !keep(id) })
-}
-
 func (ls *limits) add(id ID, rate float64, now clock.Instant, order func(ID) []string) *limit {
 	l := &limit{rate: rate, order: order(id), learntAt: now, refilledAt: now, heardAt: map[string]clock.Instant{}}
 	ls.byID[id] = l
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -163,7 +163,7 @@
 func New(o Options) *Node {
 	n := &Node{Options: o, startedAt: o.Clock.Now(), stateKnown: make(chan struct{}), pool: &upstream.Pool{Clock: o.Clock}}
 	n.eras = newEraTracker(n)
-	n.evacuations = &evacuations{zones: o.Settings.Zones, log: o.Log}
+	n.evacuations = &evacuations{zones: o.Settings.Zones, log: o.Log, clock: o.Clock}
 	n.config = &configWatcher{
 		source: o.Store, clock: o.Clock, log: o.Log, askDutyHolders: n.askDutyHolders, onEvacuations: n.evacuations.apply,
 		regions: slices.Sorted(maps.Values(o.Settings.Regions)),
@@ -338,7 +338,7 @@
 	n.requestSeen.Store(true)
 	return forward.View{
 		Catalog: n.config.current.Load(), Fresh: n.acceptsKeys(), Current: n.isConfigCurrent(), Roster: n.roster.current.Load(),
-		ConfigAge: n.config.age(n.Clock.Now()), Evacuated: n.evacuations.evacuated(),
+		ConfigAge: n.config.age(n.Clock.Now()), Evacuated: n.evacuations.evacuated(), PresumedCold: n.evacuations.presumedCold(),
 	}
 }
 
--- a/internal/entry/evacuation.go
+++ b/internal/entry/evacuation.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
@@ -17,9 +18,33 @@
 	zones []string // the platform's zones
 	log   *slog.Logger
 
-	mu          sync.Mutex    // held while the set is changed
+	clock clock.Clock
+
+	mu          sync.Mutex    // held while the sets are changed
 	confirmedAt clock.Instant // start of the newest read that confirmed the set
 	current     atomic.Pointer[map[string]bool]
+	endedAt     atomic.Pointer[map[string]clock.Instant] // by zone: when its last evacuation ended here
+}
+
+// coldReportDelay is the time until the endpoint list shows at all nodes whether endpoints are
+// cold: endpoints rewrite their entries every 1.2 s, entries appear up to 0.8 s later, and a
+// follower receives the list up to 1.9 s after that.
+const coldReportDelay = 4 * time.Second
+
+// presumedCold returns the zones whose endpoints may have become cold without the endpoint list
+// showing it yet: endpoints are cold at the end of an evacuation.
+func (e *evacuations) presumedCold() map[string]bool {
+	ended := e.endedAt.Load()
+	if ended == nil {
+		return nil
+	}
+	out := map[string]bool{}
+	for zone, at := range *ended {
+		if e.clock.Now().Sub(at) < coldReportDelay {
+			out[zone] = true
+		}
+	}
+	return out
 }
 
 // evacuated returns the evacuated zones. The caller must not modify the map.
@@ -61,10 +86,27 @@
 	if maps.Equal(before, next) {
 		return
 	}
+	e.recordEnds(before, next)
 	e.current.Store(&next)
 	e.logChange(before, next)
 }
 
+// recordEnds records the evacuations that end with the change from before to next.
+func (e *evacuations) recordEnds(before, next map[string]bool) {
+	ended := map[string]clock.Instant{}
+	if old := e.endedAt.Load(); old != nil {
+		maps.Copy(ended, *old)
+	}
+	for zone := range before {
+		if !next[zone] {
+			ended[zone] = e.clock.Now()
+		}
+	}
+	if len(ended) > 0 {
+		e.endedAt.Store(&ended)
+	}
+}
+
 // applyPeerList applies the complete set of another node, which it read at asked; nil: that node
 // doesn't report evacuations.
 func (e *evacuations) applyPeerList(zones []string, asked clock.Instant) {
--- a/internal/entry/pressure.go
+++ b/internal/entry/pressure.go
@@ -55,7 +55,7 @@
 
 func (n *Node) isCold(id backpressure.ID) bool {
 	e := n.roster.current.Load().Get(roster.ID(id))
-	return e != nil && e.Cold
+	return e != nil && (e.Cold || n.evacuations.presumedCold()[e.Zone])
 }
 
 // handleEndpointLeaving removes an endpoint that reported its shutdown from selection at all
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -125,7 +125,7 @@
 		case !isAllowedRegion(x.f.Regions[e.Zone], x.route.AllowedRegions, x.organisationRegions):
 			x.barredRegions++
 		case x.f.Backpressure.IsLeaving(backpressureID(e)):
-		case !x.f.Backpressure.AllowsCold(backpressureID(e), x.coldRate(e)):
+		case !x.f.Backpressure.AllowsCold(backpressureID(e), x.coldRate(&view, e)):
 			x.noteBackingOff(e)
 		default:
 			out = append(out, e)
@@ -136,9 +136,9 @@
 
 // coldRate returns the number of requests a second that the endpoint accepts from all nodes
 // together while it is cold; 0: no limit.
-func (x *exchange) coldRate(e *roster.Endpoint) float64 {
+func (x *exchange) coldRate(view *View, e *roster.Endpoint) float64 {
 	s := x.catalog.Service(x.service)
-	if !e.Cold || s == nil {
+	if s == nil || !e.Cold && !view.PresumedCold[e.Zone] {
 		return 0
 	}
 	return s.ColdRate
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -178,13 +178,19 @@
 	case x.f.View().Evacuated[ep.Zone]:
 		x.lastCause, x.heldBack = "the endpoint's zone is evacuated", true
 		return NotRun, true
-	case !x.f.Backpressure.TakeCold(backpressureID(ep), x.coldRate(ep)): // checked last, because it counts the request as sent
+	case !x.takeFromLimits(ep): // checked last, because it counts the request as sent
 		x.lastCause, x.heldBack = "the endpoint accepts no more requests at present", true
 		return NotRun, true
 	}
 	return 0, false
 }
 
+// takeFromLimits reports whether the endpoint accepts the request, and counts it as sent if so.
+func (x *exchange) takeFromLimits(ep *roster.Endpoint) bool {
+	view := x.f.View()
+	return x.f.Backpressure.TakeCold(backpressureID(ep), x.coldRate(&view, ep))
+}
+
 // checkQuarantine reports whether the request must not be sent because it terminates the
 // endpoints that run it. Every attempt passes this check before it is sent.
 func (x *exchange) checkQuarantine(ctx context.Context) bool {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -36,6 +36,9 @@
 	ConfigAge time.Duration
 	// Evacuated are the availability zones to whose endpoints nothing is sent.
 	Evacuated map[string]bool
+	// PresumedCold are the availability zones whose endpoints may be cold although the list
+	// doesn't show it yet.
+	PresumedCold map[string]bool
 }
 
 // Profile configures the selection among the endpoints of a kind of service.
