Bodies in memory are bounded; a broken response isn't followed by another's

Cause: bodies of requests and responses were held without a bound over all clients, so that clients which stop reading decide how much memory a node takes; and NextStep retried an idempotent request after the header of a response over 1 MiB had been sent, which would have put a second body behind the first. Change: a quarter of the VM's memory for bodies; beyond it requests are refused as not run and responses are relayed as they arrive. After its header only a stream is continued.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -147,9 +147,11 @@
 	// retryBudgetShare is the fraction of the platform's retry limit that is used, because the
 	// nodes' time windows and the platform's are not aligned.
 	retryBudgetShare = 0.8
-	headerTimeout    = 10 * time.Second
-	idleTimeout      = 30 * time.Second
-	maxHeader        = 64 << 10
+	// bodyMemoryDivisor gives request and response bodies a quarter of the memory.
+	bodyMemoryDivisor = 4
+	headerTimeout     = 10 * time.Second
+	idleTimeout       = 30 * time.Second
+	maxHeader         = 64 << 10
 )
 
 // ejectionOptions is tuned for few requests per endpoint: a node sends each one to three a
@@ -188,6 +190,7 @@
 		Started: n.stateKnown, OnSent: n.sendPlacement, SampleSize: n.sampleSize, ZoneLoad: func(zone, model string) board.MeanLoad { return n.loads.meanOf(zone, model) },
 		Quarantine: n.quarantineGuard, Backpressure: n.backpressureGuard,
 		NodeCount: func() int { return n.leaseCache.nodeCount() },
+		MaxHeld:   o.Settings.Memory / bodyMemoryDivisor,
 	}
 	n.follower = &follower{node: n, client: feed.NewClient(), clock: o.Clock, log: o.Log, wake: make(chan struct{}, 1)}
 	n.lookup = &startLookup{node: n}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -12,6 +12,7 @@
 	ClientAddr       string            // listen address for clients
 	PeerAddr         string            // listen address for other nodes
 	ReadinessAddr    string            // listen address for the load balancer's readiness probe
+	Memory           int64             // of this VM for the process, in bytes; 0: unknown
 	Bootstrap        bool              // the whole system is started for the first time
 	Store            string            // address of the store
 	StrictRevocation bool              // a revoked key must be rejected after RevokeAfter even without a connection to the store
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -100,7 +101,11 @@
 	ZoneLoad func(zone, model string) board.MeanLoad
 	// NodeCount returns the number of nodes that share the endpoints.
 	NodeCount func() int
+	// MaxHeld is the number of bytes of request and response bodies that may be held at the same
+	// time; 0: defaultMaxHeld.
+	MaxHeld int64
 
+	memory   memoryBudget
 	timeouts clientTimeouts
 	demand   demand.Meter
 	mu       sync.Mutex
@@ -139,7 +144,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(x.timeLeft(f.Clock.Now())))
 	defer cancel()
-	if x.body, problem = f.readBody(w, r, x.catalog.Limits.BodyBytes); problem != nil {
+	held := reservation{f: f}
+	defer held.release()
+	if x.body, problem = f.readBody(w, r, x.catalog.Limits.BodyBytes, &held); problem != nil {
 		f.refuse(w, &req, "body", problem)
 		return
 	}
@@ -225,7 +232,7 @@
 	return left
 }
 
-func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *outcome.Error) {
+func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request, limit int64, held *reservation) ([]byte, *outcome.Error) {
 	if r.Body == nil || r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -234,11 +241,14 @@
 		src = http.MaxBytesReader(w, r.Body, limit)
 	}
 	if r.ContentLength > 0 && r.ContentLength <= limit {
+		if !held.add(r.ContentLength) {
+			return nil, bodyError(errHeldTooMuch)
+		}
 		body := make([]byte, r.ContentLength)
 		_, err := io.ReadFull(src, body)
 		return body, bodyError(err)
 	}
-	body, err := io.ReadAll(src)
+	body, err := io.ReadAll(reservingReader{src, held})
 	return body, bodyError(err)
 }
 
@@ -247,6 +257,10 @@
 	if err == nil {
 		return nil
 	}
+	if errors.Is(err, errHeldTooMuch) {
+		return outcome.New(outcome.Overloaded, outcome.NotRun, "this node holds too many large requests and responses", "try again, another node may have room").
+			WithCause(err).WithRetryAfter(retryAfterFull)
+	}
 	kind := outcome.BadRequest
 	if _, ok := err.(*http.MaxBytesError); ok {
 		kind = outcome.TooLarge
--- a/internal/forward/next.go
+++ b/internal/forward/next.go
@@ -52,6 +52,9 @@
 		return endWithoutResponse(p)
 	}
 	canRetry := p.HasEndpoint && p.HasBudget && p.Sent < route.MaxAttempts+extraSends
+	if p.HeaderSent && route.Repeat != catalog.Stream {
+		canRetry = false // only a stream is continued by another run
+	}
 	switch res {
 	case NotRun:
 		if canRetry && (p.Runs == 0 || route.Repeatable()) {
--- a/internal/forward/next_test.go
+++ b/internal/forward/next_test.go
@@ -44,6 +44,7 @@
 		"failed, not repeatable":                 {onceRoute, Failed, ran, RelayFailure},
 		"stream cut, another endpoint available": {streamRoute, MayHaveRun, Progress{Sent: 1, Runs: 1, HeaderSent: true, HasEndpoint: true, HasBudget: true}, Retry},
 		"stream cut, no other endpoint":          {streamRoute, MayHaveRun, Progress{Sent: 1, Runs: 1, HeaderSent: true, HasBudget: true}, Abort},
+		"response cut after its header":          {idemRoute, MayHaveRun, Progress{Sent: 1, Runs: 1, HeaderSent: true, HasEndpoint: true, HasBudget: true}, Abort},
 		"out of time before any run":             {onceRoute, OutOfTime, Progress{}, Refuse},
 		"out of time, may have run":              {onceRoute, OutOfTime, Progress{Sent: 1, Runs: 1}, ReportUnknown},
 		"out of time during the response":        {streamRoute, OutOfTime, Progress{Runs: 1, HeaderSent: true}, Abort},
@@ -72,6 +73,8 @@
 			t.Fatal("sent again without budget or endpoint")
 		case step == Refuse && (p.Runs > 0 || p.HeaderSent):
 			t.Fatal("reported as not run although it may have run")
+		case step == Retry && p.HeaderSent && route.Repeat != catalog.Stream:
+			t.Fatal("a second body after the beginning of the first")
 		case (step == RelayFailure || step == ReportUnknown || step == Refuse) && p.HeaderSent:
 			t.Fatal("a second response header after the first")
 		}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -93,20 +93,49 @@
 // complete, so that a truncated one never reaches the client and the request can be retried.
 const maxBufferedResponse = 1 << 20
 
+// readBuffered reads a response body into memory. It stops early, with complete false, at
+// maxBufferedResponse or when the memory for bodies is used up; the rest is then relayed as it
+// arrives.
+func readBuffered(r io.Reader, held *reservation) (body []byte, complete bool, err error) {
+	const chunk = 8 << 10
+	for len(body) < maxBufferedResponse {
+		if len(body) == cap(body) {
+			growth := max(chunk, cap(body))
+			if !held.add(int64(growth)) {
+				return body, false, nil
+			}
+			grown := make([]byte, len(body), cap(body)+growth)
+			copy(grown, body)
+			body = grown
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+	return body, false, nil
+}
+
 // relayResponse relays a response that is not an event stream.
 func (x *exchange) relayResponse(ctx context.Context, ep *roster.Endpoint, conn *upstream.Conn, resp *http.Response, success bool) Result {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
+	held := reservation{f: x.f}
+	defer held.release()
+	body, complete, err := readBuffered(resp.Body, &held)
 	if err != nil {
 		conn.MarkUnusable()
 		return x.classifyError(ctx, ep, err)
 	}
-	if !success && len(body) <= maxBufferedResponse {
+	if !success && complete {
 		x.failure = &failureResponse{resp.StatusCode, resp.Header, body}
 		x.lastCause = "endpoint answered " + strconv.Itoa(resp.StatusCode)
 		return Failed
 	}
 	x.f.Codec.CopyHeader(x.w.Header(), resp.Header)
-	if len(body) <= maxBufferedResponse {
+	if complete {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	x.w.WriteHeader(resp.StatusCode)
@@ -115,7 +144,7 @@
 		conn.MarkUnusable()
 		return x.classifyError(ctx, ep, err)
 	}
-	if len(body) > maxBufferedResponse {
+	if !complete {
 		if _, err := io.Copy(x.w, resp.Body); err != nil {
 			conn.MarkUnusable()
 			return x.classifyError(ctx, ep, err)
