Memory test: sockets with small buffers, so that responses are held

Cause: the kernel took whole responses of 1 MiB, so that the test passed without the bound. Change: small socket buffers at both ends; the endpoint of the last request is another one, since the first is full of the stalled requests. Red now without the bound (all of 200 MiB may be held).

--- a/internal/forward/memory_test.go
+++ b/internal/forward/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -36,20 +37,28 @@
 	r := newTestForwarder(t, 1000)
 	r.MaxHeld = maxHeld
 	r.setView(t, lookupDocument(), nil, endpointAt("e", "z", startLargeEndpoint(t, responseSize)))
+	const socketBuffer = 4 << 10 // the kernel's buffers must not take whole responses
+	server := httptest.NewUnstartedServer(r.Forwarder)
+	server.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		is.NoErr(c.(*net.TCPConn).SetWriteBuffer(socketBuffer))
+		return ctx
+	}
+	server.Start()
+	defer server.Close()
 	for i := range clients {
-		conn, err := net.Dial("tcp", strings.TrimPrefix(r.server.URL, "http://"))
+		conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
 		is.NoErr(err)
-		defer conn.Close()
-		is.NoErr(conn.(*net.TCPConn).SetReadBuffer(4 << 10))
+		defer conn.Close() // before server.Close, which waits for the requests
+		is.NoErr(conn.(*net.TCPConn).SetReadBuffer(socketBuffer))
 		_, err = fmt.Fprintf(conn, "GET /lookup/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %d\r\n\r\n", i)
 		is.NoErr(err)
 	}
-	testkit.Eventually(t, "the memory for bodies is in use", func() bool { return r.HeldBytes() > 0 })
+	testkit.Eventually(t, "the memory for bodies is in use", func() bool { return r.HeldBytes() > maxHeld/2 })
 	for range 200 {
 		is.True(r.HeldBytes() <= maxHeld)
 		time.Sleep(time.Millisecond) // not a proof: the bound holds at every moment
 	}
-	small := endpointAt("e", "z", startNamedEndpoint(t, "small", 200))
+	small := endpointAt("other", "z", startNamedEndpoint(t, "small", 200))
 	r.setView(t, lookupDocument(), nil, small)
 	testkit.Eventually(t, "a small answer is served", func() bool {
 		status, body := r.get(t, "small", "/lookup/x")
