Followers keep a copy for the holder of every zone

Cause: four copies were kept, for the zones of an earlier deployment. With five zones the fifth holder's answer dropped all copies, and each next answer was a complete one: a node's rows and endpoints, which grow with the fleet, at each poll that alternates between holders. Change: one copy for each zone and one more for a holder that has just lost its duty. Test: TestCopiesOfAllDutyHoldersAreKept (1, 5 and 20 zones), red with four copies.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -48,9 +48,9 @@
 	// the store.
 	followMargin      = 300 * time.Millisecond
 	minFollowInterval = 200 * time.Millisecond // least interval between two polls
-	// maxCopies is the number of nodes whose copies are kept: the duty holders of a
-	// region's zones.
-	maxCopies = 4
+	// formerHolderCopies is the number of copies that are kept in addition to those of the duty
+	// holders of all zones: a duty may move.
+	formerHolderCopies = 1
 )
 
 // isFollowing reports whether this node is kept up to date by another one.
@@ -187,7 +187,7 @@
 	if c := f.copies[addr]; c != nil {
 		return c
 	}
-	if f.copies == nil || len(f.copies) >= maxCopies {
+	if f.copies == nil || len(f.copies) >= len(f.node.Settings.Zones)+formerHolderCopies {
 		f.copies = map[string]*feed.Replica{}
 	}
 	c := &feed.Replica{}
--- a/internal/entry/follow_test.go
+++ b/internal/entry/follow_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
+	"chervilloom/internal/feed"
 )
 
 // Guards against followers that reject a route added after the holder of the zone's duty
@@ -31,3 +33,25 @@
 		is.True(next < n.Settings.MaxConfigDelay)
 	}
 }
+
+// Guards against complete answers for a node that polls the duty holders of many zones in turn: it
+// keeps what it has received from each.
+func TestCopiesOfAllDutyHoldersAreKept(t *testing.T) {
+	is := is.New(t)
+	for _, zones := range []int{1, 5, 20} {
+		n := newTestNode(&fakeStore{}, clock.NewManual(clock.Instant(time.Hour)))
+		n.Settings.Zones = make([]string, zones)
+		first := map[string]*feed.Replica{}
+		for z := range zones {
+			addr := fmt.Sprint("holder", z)
+			first[addr] = n.follower.copyOf(addr)
+		}
+		for addr, replica := range first {
+			is.True(n.follower.copyOf(addr) == replica)
+		}
+		for k := range 100 * zones { // holders that come and go
+			n.follower.copyOf(fmt.Sprint("other", k))
+		}
+		is.True(len(n.follower.copies) <= zones+formerHolderCopies)
+	}
+}
