--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -114,20 +114,17 @@
 	promptCost = 0.25
 	// engineQueueShare leaves 4% of an engine's slots unused by this node, because other nodes
 	// send to the engine on equally old information. Requests should not queue at an
-	// engine, where they become late and delay those behind them. Over 36 days of two sites
-	// the mean score was 0.498 at -0.1, 0.511 at -0.04 and 0.501 at 0.04.
+	// engine, where they become late and delay those behind them.
 	engineQueueShare = -0.04
 	// engineSampleSize is the number of heads of the local zone, and of the other zones, that
-	// are compared for each request if loads come from a board. In the test driver (59
-	// nodes, 18 heads, 80% of their slots in use) prompts waited 4 ms for other prompts
-	// with two candidates, 6 ms with three and 50 ms with all.
+	// are compared for each request if loads come from a board. With more candidates, nodes
+	// that have the same board choose the same head.
 	engineSampleSize = 2
 	// plainQueueShare allows as many queued calls as running ones at a plain endpoint; each
 	// takes some 30 ms.
 	plainQueueShare = 1.0
 	// engineLoadDecay is how long a load reported by an engine takes to decay: somewhat
-	// longer than the longest streams run. Over 24 days the mean score was 0.446 at 4 s and
-	// 0.435 at 1.5 s.
+	// longer than the longest streams run.
 	engineLoadDecay = 4 * time.Second
 	// plainLoadDecay is the duration of five calls of 30 ms.
 	plainLoadDecay = 150 * time.Millisecond
--- a/internal/entry/loads.go
+++ b/internal/entry/loads.go
@@ -17,11 +17,7 @@
 	// reported directly; up to here that takes fewer messages than a board.
 	maxDirectPeers = 4
 	// boardInterval is the least interval between two boards of a zone; with a check every 30
-	// ms they are 60 ms apart. In the test driver (59 nodes, 18 heads, 80% of the slots in
-	// use) at 40 ms 0.3% of requests met a full head, none was refused by its node, and
-	// prompts waited 4 ms for other prompts; at 120 ms it was 1.2% and 7 ms. When each
-	// request was reported to 24 nodes instead, which also counted requests that had long
-	// ended, 25% were refused while heads had free slots.
+	// ms they are 60 ms apart. Counts that are older let requests meet full heads.
 	boardInterval = 3 * balance.SilenceCheckInterval
 	// meanInterval is the interval at which zones' mean loads are sent.
 	meanInterval = 10 * boardInterval
--- a/internal/entry/start.go
+++ b/internal/entry/start.go
@@ -30,10 +30,8 @@
 )
 
 // isSeeking reports whether this node has just started and leaves reading the store to
-// others. When 295 nodes started at once, each read the configuration, the endpoints (three
-// pages) and the leases until it knew which node to follow: some 13 calls a node by the
-// intervals of its reads. In a small fleet each node reads at once, because the data is
-// needed sooner and the calls are few.
+// others. In a small fleet each node reads at once, because the data is needed sooner and
+// the calls are few.
 func (n *Node) isSeeking() bool {
 	if n.Clock.Now().Sub(n.startedAt) >= seekDuration || n.config.current.Load() != nil {
 		return false
