--- a/internal/entry/evacuation.go
+++ b/internal/entry/evacuation.go
@@ -16,9 +16,8 @@
 // the endpoints of these zones. It is read together with the configuration.
 type evacuations struct {
 	zones []string // the platform's zones
-	log   *slog.Logger
-
 	clock clock.Clock
+	log   *slog.Logger
 
 	mu          sync.Mutex    // held while the sets are changed
 	confirmedAt clock.Instant // start of the newest read that confirmed the set
@@ -38,11 +37,15 @@
 	if ended == nil {
 		return nil
 	}
-	out := map[string]bool{}
+	var out map[string]bool // nil in the usual case, in which no evacuation has ended lately
 	for zone, at := range *ended {
-		if e.clock.Now().Sub(at) < coldReportDelay {
-			out[zone] = true
+		if e.clock.Now().Sub(at) >= coldReportDelay {
+			continue
+		}
+		if out == nil {
+			out = map[string]bool{}
 		}
+		out[zone] = true
 	}
 	return out
 }
