Logs of all nodes: long lines and lines that end no request

Cause: a line over 1 MiB made explain and the loss report of a whole directory fail; any message that begins with "request " counted as a request's end, so that the windows of the loss report could begin with a line about a quarantine; assessment.restarted was set and never read. Change: long lines are skipped; the five messages that end a request are listed; the field is gone. Tests: TestTooLongLineIsSkipped, TestWindowsBeginWithFirstEnd, both red before.

--- a/internal/group/health.go
+++ b/internal/group/health.go
@@ -94,7 +94,6 @@
 type assessment struct {
 	state     groupState
 	toReplace []int  // indexes of members that need another VM
-	restarted bool   // some member answers with a new boot id
 	reason    string // set when members are leaving or faulty
 }
 
@@ -120,7 +119,6 @@
 		case h == unknown:
 		case v.Probe.State.Boot != m.Boot:
 			faulty++
-			a.restarted = true
 			if p.mem.recentRestarts(m.VM, p.in.Now) >= unstableRestarts {
 				a.toReplace = append(a.toReplace, i)
 			}
--- a/internal/logwalk/logwalk.go
+++ b/internal/logwalk/logwalk.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -81,8 +82,7 @@
 	RelatedLines []RelatedLine // related lines of all nodes, in order of time
 }
 
-// maxLineBytes is the maximum length of a line, in bytes. Read returns an error for a
-// longer one.
+// maxLineBytes is the maximum length of a line, in bytes. Longer ones are skipped.
 const maxLineBytes = 1 << 20
 
 // ReadDir reads the logs in all files of a directory, without its subdirectories.
@@ -120,20 +120,37 @@
 // a time.
 func Read(r io.Reader) ([]Line, error) {
 	var lines []Line
-	s := bufio.NewScanner(r)
-	s.Buffer(nil, maxLineBytes)
-	for s.Scan() {
-		at := bytes.IndexByte(s.Bytes(), '{') // start of the object
-		if at < 0 {
+	in := bufio.NewReaderSize(r, maxLineBytes)
+	tooLong := false // the line that is being read is too long
+	for {
+		text, err := in.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			tooLong = true
 			continue
 		}
-		raw := slices.Clone(s.Bytes()[at:])
-		l := Line{raw: raw}
-		if json.Unmarshal(raw, &l) == nil && !l.Time.IsZero() {
-			lines = append(lines, l)
+		if !tooLong {
+			if l, ok := parseLine(text); ok {
+				lines = append(lines, l)
+			}
+		}
+		tooLong = false
+		switch {
+		case errors.Is(err, io.EOF):
+			return lines, nil
+		case err != nil:
+			return lines, err
 		}
 	}
-	return lines, s.Err()
+}
+
+// parseLine parses the JSON object in a line. It reports whether there is one with a time.
+func parseLine(text []byte) (Line, bool) {
+	at := bytes.IndexByte(text, '{') // start of the object
+	if at < 0 {
+		return Line{}, false
+	}
+	l := Line{raw: slices.Clone(bytes.TrimRight(text[at:], "\r\n"))}
+	return l, json.Unmarshal(l.raw, &l) == nil && !l.Time.IsZero()
 }
 
 // maxFactAge is the maximum age of a related line at the request's end. Groups are
--- a/internal/logwalk/losses.go
+++ b/internal/logwalk/losses.go
@@ -71,8 +71,12 @@
 	return out
 }
 
-// isEndMessage reports whether a message is that of a request's last line.
-func isEndMessage(message string) bool { return strings.HasPrefix(message, "request ") }
+// endMessages are the messages of a request's last line.
+var endMessages = []string{
+	"request done", "request refused", "request cut", "request unknown", "request failed at the endpoint",
+}
+
+func isEndMessage(message string) bool { return slices.Contains(endMessages, message) }
 
 // lossReason returns the reason why a request was lost or late. It returns "" if the
 // request was answered in time or the line is not a request's last one.
--- a/internal/logwalk/losses_test.go
+++ b/internal/logwalk/losses_test.go
@@ -45,3 +45,28 @@
 	is.NoErr(PrintLosses(&text, got))
 	is.Equal(strings.Count(text.String(), "\n"), 6)
 }
+
+// Guards against windows that begin with a line about a request's quarantine, which is no end of a
+// request.
+func TestWindowsBeginWithFirstEnd(t *testing.T) {
+	is := is.New(t)
+	quarantined := `{"time":"2026-01-01T00:00:00Z","msg":"request is quarantined","vm":"n1","fingerprint":"f"}` + "\n"
+	lines, err := Read(strings.NewReader(quarantined + `{"time":"2026-01-01T00:00:09Z","msg":"request cut","vm":"n1","request":"r"}`))
+	is.NoErr(err)
+	got := CountLosses(lines, 2*time.Second)
+	is.Equal(len(got), 1)
+	is.Equal(got[0].Window, time.Duration(0))
+}
+
+// Guards against one very long line that makes the logs of all nodes unreadable.
+func TestTooLongLineIsSkipped(t *testing.T) {
+	is := is.New(t)
+	line := func(vm string) string { return `{"time":"2026-01-01T00:00:00Z","msg":"request cut","vm":"` + vm + `"}` + "\n" }
+	for _, long := range []int{maxLineBytes, 5*maxLineBytes + 7} {
+		lines, err := Read(strings.NewReader(line("before") + strings.Repeat("x", long) + line("long") + line("after")))
+		is.NoErr(err)
+		is.Equal(len(lines), 2)
+		is.Equal(lines[0].VM, "before")
+		is.Equal(lines[1].VM, "after")
+	}
+}
