--- a/internal/logwalk/losses_test.go
+++ b/internal/logwalk/losses_test.go
@@ -61,7 +61,9 @@
 // Guards against one very long line that makes the logs of all nodes unreadable.
 func TestTooLongLineIsSkipped(t *testing.T) {
 	is := is.New(t)
-	line := func(vm string) string { return `{"time":"2026-01-01T00:00:00Z","msg":"request cut","vm":"` + vm + `"}` + "\n" }
+	line := func(vm string) string {
+		return `{"time":"2026-01-01T00:00:00Z","msg":"request cut","vm":"` + vm + `"}` + "\n"
+	}
 	for _, long := range []int{maxLineBytes, 5*maxLineBytes + 7} {
 		lines, err := Read(strings.NewReader(line("before") + strings.Repeat("x", long) + line("long") + line("after")))
 		is.NoErr(err)
