--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -194,3 +195,34 @@
 	f.copies[addr] = c
 	return c
 }
+
+// feedSources returns the addresses of the nodes that read the store: the holder of the local
+// zone's duty first, then those of other zones, which read the same data and serve while
+// the local zone has no holder. It returns none if this node holds the local zone's duty.
+func (n *Node) feedSources() []string {
+	zones := []string{n.Settings.Zone}
+	for _, zone := range n.Settings.Zones {
+		if zone != n.Settings.Zone {
+			zones = append(zones, zone)
+		}
+	}
+	if n.holdsDuty(n.Settings.Zone) || n.isRestartedHolder() {
+		return nil
+	}
+	var addrs []string
+	for _, zone := range zones {
+		owner := n.leaseCache.owner(zone)
+		if owner == n.Settings.VM {
+			// This node has lost the store, and with it the lease and the means to read who
+			// holds the zone now. Another zone's holder reports it.
+			continue
+		}
+		if addr := n.leaseCache.addr(owner); addr != "" && !slices.Contains(addrs, addr) {
+			addrs = append(addrs, addr)
+		}
+	}
+	if addr := n.lookup.addr(); addr != "" && !n.leaseCache.hasRows() {
+		addrs = append(addrs, addr)
+	}
+	return addrs
+}
