Links to endpoints: log and count when all of a node's links fail

Cause: the logs of the incident couldn't tell a failed endpoint from a failed link: both leave "endpoint is suspect" and "attempt broke off". New metrics chervilloom_links_*. Requests are handled as before. Ruled out: counting broken attempts in the existing lines; an idle node has too few of them, and they don't say that nothing else answered meanwhile.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,6 +31,7 @@
 	"chervilloom/internal/formation"
 	"chervilloom/internal/forward"
 	"chervilloom/internal/lease"
+	"chervilloom/internal/links"
 	"chervilloom/internal/news"
 	table "chervilloom/internal/platform"
 	"chervilloom/internal/quarantine"
@@ -56,6 +57,8 @@
 	Log      *slog.Logger
 	// Registry is where the node registers its metrics.
 	Registry *prometheus.Registry
+	// DialEndpoint opens a TCP connection to an endpoint; nil: upstream.DialTCP.
+	DialEndpoint func(ctx context.Context, addr string) (net.Conn, error)
 	// MetricsPort is the port on the clients' address that serves the metrics; 0 disables
 	// it.
 	MetricsPort int
@@ -71,6 +74,7 @@
 	roster            *rosterWatcher
 	tracker           *balance.Tracker
 	pool              *upstream.Pool
+	links             *links.Monitor
 	forwarder         *forward.Forwarder
 	controllers       []*formation.Controller
 	leases            []*lease.Manager
@@ -160,7 +164,9 @@
 
 // New returns a node that is started by Run.
 func New(o Options) *Node {
-	n := &Node{Options: o, startedAt: o.Clock.Now(), stateKnown: make(chan struct{}), pool: &upstream.Pool{Clock: o.Clock}}
+	n := &Node{Options: o, startedAt: o.Clock.Now(), stateKnown: make(chan struct{})}
+	n.links = n.newLinkMonitor()
+	n.pool = &upstream.Pool{Clock: o.Clock, Dial: n.dialEndpoint}
 	n.eras = newEraTracker(n)
 	n.evacuations = &evacuations{zones: o.Settings.Zones, log: o.Log, clock: o.Clock}
 	n.config = &configWatcher{
@@ -183,7 +189,7 @@
 		PlainProfile:  forward.Profile{Bounds: balance.Bounds{RemotePenalty: crossZoneCost, QueueShare: plainQueueShare}, Turnover: plainLoadDecay},
 		EngineProfile: forward.Profile{Bounds: balance.Bounds{RemotePenalty: crossZoneCost, QueueShare: engineQueueShare, UnreadWeight: promptCost}, Turnover: engineLoadDecay},
 		Ejector:       retry.NewEjector(ejectionOptions, o.Clock, o.Log, o.Registry),
-		View:          n.view, NewBudget: n.newBudget, OnStaleEndpoint: n.refreshSoon, OnNoResponse: n.broadcastFailure,
+		View:          n.view, NewBudget: n.newBudget, OnStaleEndpoint: n.refreshSoon, OnNoResponse: n.handleNoResponse, OnResponse: n.links.RecordResponse,
 		Started: n.stateKnown, OnSent: n.sendPlacement, SampleSize: n.sampleSize, ZoneLoad: func(zone, model string) board.MeanLoad { return n.loads.meanOf(zone, model) },
 		Quarantine: n.quarantineGuard, Backpressure: n.backpressureGuard,
 		NodeCount: func() int { return n.leaseCache.nodeCount() },
@@ -367,6 +373,7 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	defer n.quarantineGuard.Close()
+	defer n.links.Close()
 	g, _ := errgroup.WithContext(work)
 	g.Go(func() error { n.awaitState(work); return nil })
 	g.Go(func() error { return n.config.run(work) })
@@ -375,6 +382,7 @@
 	g.Go(func() error { return n.watchRequests(work) })
 	g.Go(func() error { clock.Every(work, sweepInterval, n.sweep); return nil })
 	g.Go(func() error { return n.mesh.Run(work) })
+	g.Go(func() error { return n.links.Run(work) })
 	g.Go(func() error { return n.runAnnounce(ctx) })
 	g.Go(func() error { return n.announcer.run(work) })
 	n.startDuties(ctx, g)
--- a/internal/entry/hints.go
+++ b/internal/entry/hints.go
@@ -15,6 +15,7 @@
 	n.reportStall(id)
 	n.sendToController(id, news.Message{Suspect: id})
 	n.refreshSoon()
+	n.checkLink(id, func(bool) {})
 }
 
 // handleDoubt requests a check of an endpoint that may have stalled, here or at the node that
@@ -22,6 +23,7 @@
 func (n *Node) handleDoubt(id roster.ID) {
 	n.reportDoubt(id)
 	n.sendToController(id, news.Message{Doubt: id})
+	n.checkLink(id, func(bool) {})
 }
 
 // sendToController sends a message to the node that controls the endpoint's group.
@@ -144,6 +146,11 @@
 	n.send(news.Message{Placed: &news.Placement{ID: id, Requests: 1, Tokens: float64(prompt)}}, peers...)
 }
 
-// broadcastFailure informs all nodes about a plain endpoint that returned no usable answer.
+// handleNoResponse informs all nodes about a plain endpoint that returned no usable answer.
 // In a large fleet each node sends it too few requests to detect the failure alone.
-func (n *Node) broadcastFailure(id roster.ID) { n.broadcast(news.Message{Failed: id}) }
+func (n *Node) handleNoResponse(e *roster.Endpoint) {
+	n.checkLink(e.ID, func(bool) {})
+	if e.Domain == "" {
+		n.broadcast(news.Message{Failed: e.ID})
+	}
+}
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -33,8 +33,8 @@
 			return
 		}
 		x.f.Ejector.Report(EjectionID(ep), true)
-		if res == MayHaveRun && x.engine() == nil {
-			x.f.OnNoResponse(ep.ID)
+		if res == MayHaveRun {
+			x.f.OnNoResponse(ep)
 		}
 	}
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -144,6 +144,7 @@
 		res = x.classifyError(ctx, ep, err)
 	} else {
 		ticket.RecordProgress()
+		x.f.OnResponse()
 		res = x.handleResponse(ctx, ep, conn, resp, ticket)
 	}
 	x.reportRun(ep, res, x.sentAt)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -86,8 +86,10 @@
 	// OnStaleEndpoint is called when a request was sent to an endpoint that no longer exists, so
 	// that the list is read again soon.
 	OnStaleEndpoint func()
-	// OnNoResponse is called with a plain endpoint that gave no usable response.
-	OnNoResponse func(roster.ID)
+	// OnNoResponse is called with an endpoint that gave no usable response.
+	OnNoResponse func(*roster.Endpoint)
+	// OnResponse is called for each response.
+	OnResponse func()
 	// OnSent is called for each request that is sent to an engine, with the prompt length
 	// in tokens.
 	OnSent func(id roster.ID, prompt int)
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -76,7 +76,7 @@
 		NewBudget: func() *retry.WindowedBudget {
 			return &retry.WindowedBudget{Clock: c, Window: 10 * time.Second, Slack: func() float64 { return slack }}
 		},
-		OnStaleEndpoint: func() {}, OnNoResponse: func(roster.ID) {}, OnSent: func(roster.ID, int) {},
+		OnStaleEndpoint: func() {}, OnNoResponse: func(*roster.Endpoint) {}, OnResponse: func() {}, OnSent: func(roster.ID, int) {},
 		SampleSize: func() int { return 0 }, ZoneLoad: func(string, string) board.MeanLoad { return board.MeanLoad{} }, NodeCount: func() int { return 1 },
 	}
 	r.server = httptest.NewServer(r.Forwarder)
--- a/internal/forward/recall_test.go
+++ b/internal/forward/recall_test.go
@@ -60,7 +60,7 @@
 	q.Quarantine = r.guard
 	r.Quarantine = q
 	var blamed atomic.Int32
-	r.OnNoResponse = func(roster.ID) { blamed.Add(1) }
+	r.OnNoResponse = func(*roster.Endpoint) { blamed.Add(1) }
 	status, body := r.get(t, "r1", "/lookup/x")
 	is.Equal(status, http.StatusOK)
 	is.Equal(body, "ok")
--- /dev/null
+++ b/internal/links/monitor.go
@@ -0,0 +1,288 @@
+package links
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"chervilloom/internal/clock"
+)
+
+const (
+	// checkTimeout is the timeout of a check's connection. A round trip takes up to 6 ms.
+	checkTimeout = 200 * time.Millisecond
+	// checkInterval is the interval between two rounds of checks while links are lost.
+	checkInterval = 250 * time.Millisecond
+	// checksPerRound is the number of endpoints that are checked in a round.
+	checksPerRound = 2
+	// maxChecks is the number of checks of silent endpoints at a time.
+	maxChecks = 4
+	// recentSuccess is the age up to which a sign of life of any endpoint shows that the node has
+	// its links, so that a silent endpoint needs no check.
+	recentSuccess = 100 * time.Millisecond
+)
+
+// Monitor keeps the Health of a node's links and checks lost ones until they work again.
+type Monitor struct {
+	Clock clock.Clock
+	Log   *slog.Logger
+	// Dial opens a direct connection to an endpoint.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Listed returns the addresses of the endpoints that requests may use.
+	Listed func() []string
+	// OnAllLost is called when all links are considered lost; may be nil.
+	OnAllLost func()
+
+	metrics *metrics
+	wake    chan struct{}
+	ctx     context.Context // ends with Close
+	cancel  context.CancelFunc
+	work    sync.WaitGroup // checks of silent endpoints
+
+	mu       sync.Mutex
+	health   *Health
+	checking map[string]bool // endpoints whose check is in progress
+}
+
+type metrics struct {
+	lost     prometheus.Gauge
+	changes  *prometheus.CounterVec
+	failures *prometheus.CounterVec
+	relayed  *prometheus.CounterVec
+}
+
+func newMetrics(reg prometheus.Registerer) *metrics {
+	m := &metrics{
+		lost: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chervilloom_links_lost", Help: "1 while this node considers all of its links to endpoints lost.",
+		}),
+		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chervilloom_links_changes_total", Help: "Losses and returns of all links to endpoints.",
+		}, []string{"change"}),
+		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chervilloom_links_failures_total", Help: "Direct connections to endpoints that could not be opened, by how they failed.",
+		}, []string{"how"}),
+		relayed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chervilloom_links_relayed_total", Help: "Attempts to connect to an endpoint through another node, by result.",
+		}, []string{"result"}),
+	}
+	if reg != nil {
+		reg.MustRegister(m.lost, m.changes, m.failures, m.relayed)
+	}
+	return m
+}
+
+// Init prepares the monitor and registers its metrics; reg may be nil.
+func (m *Monitor) Init(reg prometheus.Registerer) *Monitor {
+	m.health, m.checking = NewHealth(), map[string]bool{}
+	m.metrics, m.wake = newMetrics(reg), make(chan struct{}, 1)
+	m.ctx, m.cancel = context.WithCancel(context.Background())
+	return m
+}
+
+// Close ends the checks in progress and waits for them.
+func (m *Monitor) Close() {
+	m.cancel()
+	m.work.Wait()
+}
+
+// AreAllLost reports whether all links are considered lost.
+func (m *Monitor) AreAllLost() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.health.AreAllLost()
+}
+
+// IsLost reports whether a new connection to the endpoint will probably fail.
+func (m *Monitor) IsLost(addr string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.health.IsLost(addr)
+}
+
+// IsSilent reports whether open connections to the endpoint will probably hang.
+func (m *Monitor) IsSilent(addr string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.health.IsSilent(addr)
+}
+
+// RecordResponse records a response on a direct connection.
+func (m *Monitor) RecordResponse() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.health.RecordResponse(m.Clock.Now())
+}
+
+// RecordConnect records a direct connection that was opened.
+func (m *Monitor) RecordConnect(addr string) {
+	m.mu.Lock()
+	change := m.health.RecordConnect(addr, m.Clock.Now())
+	m.mu.Unlock()
+	m.apply(change, addr)
+}
+
+// RecordFailure records a direct connection that could not be opened.
+func (m *Monitor) RecordFailure(f Failure) {
+	how := "refused"
+	if f.Hung {
+		how = "timeout"
+	}
+	m.metrics.failures.WithLabelValues(how).Inc()
+	m.mu.Lock()
+	change := m.health.RecordFailure(f, m.Clock.Now())
+	m.mu.Unlock()
+	m.apply(change, f.Addr)
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// RecordEndpointDown records that another node can't connect to the endpoint either.
+func (m *Monitor) RecordEndpointDown(addr string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.health.RecordEndpointDown(addr)
+}
+
+// HasRecentSuccess reports whether an endpoint gave a sign of life within the last recentSuccess.
+func (m *Monitor) HasRecentSuccess() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hasRecentSuccess()
+}
+
+func (m *Monitor) hasRecentSuccess() bool {
+	last := m.health.LastSuccess()
+	return last != 0 && m.Clock.Now().Sub(last) < recentSuccess
+}
+
+// apply logs a change of the state of all links and passes it on.
+func (m *Monitor) apply(c Change, addr string) {
+	if c == Unchanged {
+		return
+	}
+	m.mu.Lock()
+	failed, confirmed := m.health.evidence(m.Clock.Now())
+	lost, silent := len(m.health.links), m.Clock.Now().Sub(m.health.LastSuccess())
+	m.mu.Unlock()
+	if c == Regained {
+		m.metrics.lost.Set(0)
+		m.metrics.changes.WithLabelValues("regained").Inc()
+		m.Log.Info("links to endpoints regained", "endpoint", addr, "still_lost", lost)
+		return
+	}
+	m.metrics.lost.Set(1)
+	m.metrics.changes.WithLabelValues("lost").Inc()
+	m.Log.Warn("links to endpoints lost", "endpoint", addr, "failed", failed, "reached_by_peers", confirmed,
+		"listed", len(m.Listed()), "last_success_ms_ago", silent.Milliseconds())
+	if m.OnAllLost != nil {
+		m.OnAllLost()
+	}
+}
+
+// Check finds out whether the node still has a link to an endpoint that has fallen silent or
+// broken a connection, and calls done with the result: at once if another sign of life is recent,
+// never if too many checks are running.
+func (m *Monitor) Check(addr string, done func(hasLink bool)) {
+	m.mu.Lock()
+	if m.hasRecentSuccess() {
+		m.mu.Unlock()
+		done(true)
+		return
+	}
+	if m.ctx.Err() != nil || m.checking[addr] || len(m.checking) >= maxChecks {
+		m.mu.Unlock()
+		return
+	}
+	m.checking[addr] = true
+	m.work.Go(func() { m.check(addr, done) })
+	m.mu.Unlock()
+}
+
+func (m *Monitor) check(addr string, done func(hasLink bool)) {
+	ok := m.probe(m.ctx, addr)
+	m.mu.Lock()
+	delete(m.checking, addr)
+	m.mu.Unlock()
+	if m.ctx.Err() == nil {
+		done(ok)
+	}
+}
+
+// probe opens a direct connection to an endpoint, closes it and records the result.
+func (m *Monitor) probe(ctx context.Context, addr string) bool {
+	dialCtx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	started := m.Clock.Now()
+	conn, err := m.Dial(dialCtx, addr)
+	if ctx.Err() != nil {
+		return false // the node stops
+	}
+	if err != nil {
+		m.RecordFailure(Failure{Addr: addr, StartedAt: started, Hung: dialCtx.Err() != nil})
+		return false
+	}
+	conn.Close()
+	m.RecordConnect(addr)
+	return true
+}
+
+// Run checks lost links until ctx ends. It wakes up only while links are lost.
+func (m *Monitor) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-m.wake:
+		}
+		for m.hasLost() {
+			jitter := time.Duration(rand.Int64N(int64(checkInterval / 2)))
+			if !clock.Sleep(ctx, checkInterval*3/4+jitter) {
+				return nil
+			}
+			m.checkAll(ctx, m.addrsToCheck())
+		}
+	}
+}
+
+// hasLost reports whether any link is considered lost.
+func (m *Monitor) hasLost() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.health.AreAllLost() || len(m.health.links) > 0
+}
+
+// checkAll checks endpoints at the same time and waits for the results.
+func (m *Monitor) checkAll(ctx context.Context, addrs []string) {
+	var checks sync.WaitGroup
+	for _, addr := range addrs {
+		checks.Go(func() { m.probe(ctx, addr) })
+	}
+	checks.Wait()
+}
+
+// addrsToCheck returns the endpoints of the next round of checks, random ones among those over
+// whose links connections failed, or among all while every link is considered lost.
+func (m *Monitor) addrsToCheck() []string {
+	listed := m.Listed()
+	isListed := make(map[string]bool, len(listed))
+	for _, addr := range listed {
+		isListed[addr] = true
+	}
+	m.mu.Lock()
+	m.health.Retain(func(addr string) bool { return isListed[addr] })
+	out := m.health.Lost()
+	if m.health.AreAllLost() {
+		out = listed
+	}
+	m.mu.Unlock()
+	rand.Shuffle(len(out), func(i, k int) { out[i], out[k] = out[k], out[i] })
+	return out[:min(len(out), checksPerRound)]
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -42,7 +42,7 @@
 	}
 	dial := p.Dial
 	if dial == nil {
-		dial = dialTCP
+		dial = DialTCP
 	}
 	nc, err := dial(ctx, addr)
 	if err != nil {
@@ -51,8 +51,8 @@
 	return &Conn{Conn: nc, addr: addr, buf: bufio.NewReaderSize(nc, readBufferBytes), idleLimit: defaultIdleLimit}, nil
 }
 
-// dialTCP opens a TCP connection with keep-alive probes and the user timeout.
-func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+// DialTCP opens a TCP connection to an endpoint with keep-alive probes and the user timeout.
+func DialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	nc, err := (&net.Dialer{KeepAlive: userTimeout}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
