Nodes without links to the endpoints connect through other nodes

What callers saw: nodes that had lost their links to all endpoints refused every request (0 of 156 and 0 of 305 first attempts served), while nodes beside them reached every endpoint. Cause: a node had no other way to an endpoint than its own links, and didn't know that it was the one cut off: it held each failure against the endpoint for 1.5 s and let the next caller find out. Class: a failure of the own link taken for one of its far end. Change: a connection to an endpoint is opened over several ways (internal/links.Dialer). While the link works it is the direct one; if that takes over 80 ms or fails, another node is asked for a tunnel (internal/tunnel, HTTP CONNECT on the nodes' own listener), own zone first, then any. Once three endpoints in a row failed, or two that another node reaches, all links count as lost: tunnels come first, idle direct connections aren't used, silence makes no endpoint suspect, and requests that hang are moved. Checks (two connections each 250 ms) end the state after two successes. Nothing of a request is sent before a connection stands, so that at most once, budgets, deadlines, limits and quarantine stay with the node that took the request; a tunnel never passes a third node. Regions bind the node between. A holder of a duty that is cut off gives its lease up if another node has links. A failed call is told to other nodes only if the link works. The quarantine's check of an endpoint goes the same ways: a reset by a cut is no crash. TCP_USER_TIMEOUT rises from 2 to 3 s with a probe each second: with the probe interval as long as the timeout a sound endpoint that was silent when the only probe came lost its connection. Ruled out: not ready while cut (two misses, clients keep their connections, a whole zone may be cut); refusing with Retry-After (0 of all first attempts served); passing whole requests on (two nodes would have to agree on attempts, budget, limits and keys).

--- a/cmd/chervilloom/entry.go
+++ b/cmd/chervilloom/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net"
 	"os"
 	"os/signal"
 	"syscall"
@@ -13,6 +14,7 @@
 
 	"chervilloom/internal/clock"
 	"chervilloom/internal/entry"
+	"chervilloom/internal/formation"
 	"chervilloom/internal/telemetry"
 	"chervilloom/platform"
 )
@@ -52,7 +54,7 @@
 
 	go reloadOnHangup(ctx, file, log)
 	n := entry.New(entry.Options{
-		Settings: set, Store: platform.NewStore(set.Store), Engines: platform.NewEngines(),
+		Settings: set, Store: platform.NewStore(set.Store), NewEngines: newEngines,
 		Codec: platform.Codec{}, Clock: clock.Boot{}, Log: log,
 		Registry: prometheus.NewRegistry(), MetricsPort: metricsPort,
 	})
@@ -61,6 +63,11 @@
 	return err
 }
 
+// newEngines returns the client of the engines' control API.
+func newEngines(dial func(ctx context.Context, network, addr string) (net.Conn, error)) formation.Engines {
+	return platform.NewEngines(dial)
+}
+
 // reloadOnHangup validates the settings file on SIGHUP and logs the result. The
 // process keeps the addresses and bounds that it read at its start, so a changed
 // file interrupts no request.
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +22,9 @@
 	FirstSilence time.Duration
 	// OnSuspect is called for each endpoint that becomes suspect; may be nil.
 	OnSuspect func(roster.ID)
+	// IgnoresSilence reports whether silence says nothing about endpoints, because this node has
+	// lost its links to them: requests are moved then, but no endpoint becomes suspect. nil: no.
+	IgnoresSilence func() bool
 	// OnDoubt is called for each endpoint that has been silent for longer than the event rate of
 	// its streams explains, before it becomes suspect; may be nil.
 	OnDoubt func(roster.ID)
@@ -202,8 +207,48 @@
 	return out
 }
 
+// ClearSuspicion lets a suspect endpoint be chosen again, whose silence was found to be that of this
+// node's link to it. Its requests in flight may be moved.
+func (t *Tracker) ClearSuspicion(id roster.ID) {
+	t.mu.Lock()
+	waiting := t.clearSuspicion(t.records[id], t.Clock.Now())
+	t.mu.Unlock()
+	for _, k := range waiting {
+		k.onSuspect()
+	}
+}
+
+// ClearSuspicions does the same for all endpoints that are suspect or have been silent.
+func (t *Tracker) ClearSuspicions() {
+	t.mu.Lock()
+	now := t.Clock.Now()
+	var waiting []*Ticket
+	for id, r := range t.records {
+		if r.suspectSince != 0 || now.Sub(r.lastSign) > t.Silence(id) {
+			waiting = append(waiting, t.clearSuspicion(r, now)...)
+		}
+	}
+	t.mu.Unlock()
+	for _, k := range waiting {
+		k.onSuspect()
+	}
+}
+
+// clearSuspicion returns the tickets of the record that have onSuspect; r may be nil. t.mu is held.
+func (t *Tracker) clearSuspicion(r *record, now clock.Instant) []*Ticket {
+	if r == nil {
+		return nil
+	}
+	r.suspectSince, r.doubted = 0, false
+	if len(r.waiting) == 0 {
+		return nil
+	}
+	r.lastSign = now // silence counts anew
+	return slices.Collect(maps.Keys(r.waiting))
+}
+
 func (t *Tracker) notifySuspect(id roster.ID, waiting []*Ticket) {
-	if t.OnSuspect != nil {
+	if t.OnSuspect != nil && id != "" {
 		t.OnSuspect(id)
 	}
 	for _, k := range waiting {
@@ -220,6 +265,7 @@
 	}
 	var suspects []verdict
 	var doubted []roster.ID
+	ignores := t.IgnoresSilence != nil && t.IgnoresSilence()
 	t.mu.Lock()
 	now := t.Clock.Now()
 	for id, r := range t.records {
@@ -227,6 +273,10 @@
 		case r.inFlight == 0 && now.Sub(max(r.lastSign, r.reportedAt)) > recordRetention:
 			delete(t.records, id)
 		case len(r.waiting) > 0 && r.suspectSince == 0 && now.Sub(r.lastSign) > t.silenceLimit(id, r):
+			if ignores {
+				suspects = append(suspects, verdict{"", t.clearSuspicion(r, now)})
+				continue
+			}
 			suspects = append(suspects, verdict{id, t.markSuspect(id, now)})
 		case len(r.waiting) > 0 && !r.doubted && r.eventGap > 0 && now.Sub(r.lastSign) > r.doubtThreshold():
 			r.doubted = true
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,6 +37,7 @@
 	"chervilloom/internal/quarantine"
 	"chervilloom/internal/retry"
 	"chervilloom/internal/roster"
+	"chervilloom/internal/tunnel"
 	"chervilloom/internal/upstream"
 )
 
@@ -51,10 +52,12 @@
 type Options struct {
 	Settings *Settings
 	Store    Store
-	Engines  formation.Engines
-	Codec    forward.Codec
-	Clock    clock.Clock
-	Log      *slog.Logger
+	// NewEngines returns the client of the engines' control API, which opens its connections with
+	// dial; nil: none.
+	NewEngines func(dial func(ctx context.Context, network, addr string) (net.Conn, error)) formation.Engines
+	Codec      forward.Codec
+	Clock      clock.Clock
+	Log        *slog.Logger
 	// Registry is where the node registers its metrics.
 	Registry *prometheus.Registry
 	// DialEndpoint opens a TCP connection to an endpoint; nil: upstream.DialTCP.
@@ -75,6 +78,9 @@
 	tracker           *balance.Tracker
 	pool              *upstream.Pool
 	links             *links.Monitor
+	dialer            *links.Dialer
+	tunnels           *tunnel.Server
+	engines           formation.Engines
 	forwarder         *forward.Forwarder
 	controllers       []*formation.Controller
 	leases            []*lease.Manager
@@ -166,7 +172,11 @@
 func New(o Options) *Node {
 	n := &Node{Options: o, startedAt: o.Clock.Now(), stateKnown: make(chan struct{})}
 	n.links = n.newLinkMonitor()
-	n.pool = &upstream.Pool{Clock: o.Clock, Dial: n.dialEndpoint}
+	n.dialer, n.tunnels = n.newDialer(), n.newTunnelServer()
+	n.pool = &upstream.Pool{Clock: o.Clock, Dial: n.dialer.Dial, IsUsable: n.isUsableIdle}
+	if o.NewEngines != nil {
+		n.engines = o.NewEngines(n.dialer.DialContext)
+	}
 	n.eras = newEraTracker(n)
 	n.evacuations = &evacuations{zones: o.Settings.Zones, log: o.Log, clock: o.Clock}
 	n.config = &configWatcher{
@@ -180,6 +190,8 @@
 		FirstSilence: firstEventTimeout,
 		OnSuspect:    n.handleSuspect,
 		OnDoubt:      n.handleDoubt,
+
+		IgnoresSilence: n.links.AreAllLost,
 	}
 	n.quarantineGuard = n.newQuarantineGuard()
 	n.backpressureGuard = n.newBackpressureGuard()
@@ -226,10 +238,11 @@
 		Params: lease.DefaultParams(leaseTerm), Table: n.leaseCache, Clock: n.Clock, Log: n.Log,
 		Era: n.tableEra, TableIsNew: n.Settings.Bootstrap, Contact: n.ownContact,
 		Rank: func() int { return n.rank(zone) }, MaxRanks: rankNever, PollInterval: leasePollInterval,
+		Unfit: n.lacksLinks,
 	}
 	n.leases = append(n.leases, m)
 	c := (&formation.Controller{
-		Zone: zone, Lease: m, Table: n.Store, Engines: n.Engines, Clock: n.Clock, Log: n.Log,
+		Zone: zone, Lease: m, Table: n.Store, Engines: n.engines, Clock: n.Clock, Log: n.Log,
 		Params: n.formationParams, Catalog: n.config.current.Load, Roster: n.roster.current.Load,
 		BeforeFirstRequest: func() bool { return n.Settings.Bootstrap && !n.requestSeen.Load() },
 		Activity:           n.tracker.LastSign,
@@ -257,9 +270,23 @@
 	return false
 }
 
-// newFeedServer returns the server that answers the polls of other nodes.
-func (n *Node) newFeedServer() *http.Server {
-	return &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Handler: &feed.Server{
+// newPeerServer returns the server that answers the polls of other nodes and connects them to
+// endpoints.
+func (n *Node) newPeerServer() *http.Server {
+	polls := n.newFeedServer()
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodConnect {
+			n.tunnels.ServeHTTP(w, r)
+			return
+		}
+		polls.ServeHTTP(w, r)
+	})
+	return &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Handler: handler}
+}
+
+// newFeedServer returns the handler of the polls of other nodes.
+func (n *Node) newFeedServer() *feed.Server {
+	return &feed.Server{
 		Source: feed.Source{
 			Catalog:     n.config.current.Load,
 			ConfirmedAt: func() clock.Instant { return clock.Instant(n.config.confirmed.Load()) },
@@ -272,7 +299,7 @@
 		Clock:   n.Clock, Log: n.Log, OnPoll: n.recordPoll,
 		Serving:           func() bool { return !n.leaving.Load() && !n.follower.isFollowing() },
 		ReadsAllEndpoints: n.roster.readsStore.Load,
-	}}
+	}
 }
 
 // recordPoll records the configuration version and, from nodes of the local zone, the demand
@@ -392,10 +419,10 @@
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
 	}
 	readiness := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
-	feeds := n.newFeedServer()
+	peerServer := n.newPeerServer()
 	metrics := n.serveMetrics(n.Registry)
 	failed := make(chan error, 3)
-	go func() { failed <- feeds.Serve(peers) }()
+	go func() { failed <- peerServer.Serve(peers) }()
 	go func() { failed <- server.Serve(front) }()
 	go func() { failed <- readiness.Serve(ready) }()
 	select {
@@ -406,7 +433,8 @@
 	}
 	err = n.shutdown(server)
 	stop()
-	return errors.Join(err, readiness.Close(), feeds.Close(), metrics.Close(), g.Wait())
+	n.tunnels.Close()
+	return errors.Join(err, readiness.Close(), peerServer.Close(), metrics.Close(), g.Wait())
 }
 
 // watchRequests checks the requests in flight and exchanges load and quarantine data with
@@ -463,6 +491,7 @@
 		n.Log.Warn("requests in flight aborted at the end of the grace period", "err", err)
 		return server.Close()
 	}
+	n.tunnels.AwaitQuiet(ctx)
 	n.Log.Info("node shut down", "took_ms", n.Clock.Now().Sub(began).Milliseconds())
 	return nil
 }
--- a/internal/entry/hints.go
+++ b/internal/entry/hints.go
@@ -15,7 +15,7 @@
 	n.reportStall(id)
 	n.sendToController(id, news.Message{Suspect: id})
 	n.refreshSoon()
-	n.checkLink(id, func(bool) {})
+	n.checkStall(id)
 }
 
 // handleDoubt requests a check of an endpoint that may have stalled, here or at the node that
@@ -23,7 +23,17 @@
 func (n *Node) handleDoubt(id roster.ID) {
 	n.reportDoubt(id)
 	n.sendToController(id, news.Message{Doubt: id})
-	n.checkLink(id, func(bool) {})
+	n.checkStall(id)
+}
+
+// checkStall has the link to a silent endpoint checked. If it is the link that is lost, other
+// nodes still reach the endpoint.
+func (n *Node) checkStall(id roster.ID) {
+	n.checkLink(id, func(hasLink bool) {
+		if !hasLink {
+			n.tracker.ClearSuspicion(id)
+		}
+	})
 }
 
 // sendToController sends a message to the node that controls the endpoint's group.
@@ -146,11 +156,13 @@
 	n.send(news.Message{Placed: &news.Placement{ID: id, Requests: 1, Tokens: float64(prompt)}}, peers...)
 }
 
-// handleNoResponse informs all nodes about a plain endpoint that returned no usable answer.
-// In a large fleet each node sends it too few requests to detect the failure alone.
+// handleNoResponse informs all nodes about a plain endpoint that returned no usable answer,
+// unless it is this node's link to it that is lost. In a large fleet each node sends it too few
+// requests to detect the failure alone.
 func (n *Node) handleNoResponse(e *roster.Endpoint) {
-	n.checkLink(e.ID, func(bool) {})
-	if e.Domain == "" {
-		n.broadcast(news.Message{Failed: e.ID})
-	}
+	n.checkLink(e.ID, func(hasLink bool) {
+		if hasLink && e.Domain == "" {
+			n.broadcast(news.Message{Failed: e.ID})
+		}
+	})
 }
--- a/internal/entry/leases.go
+++ b/internal/entry/leases.go
@@ -14,6 +14,7 @@
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
 	"chervilloom/internal/lease"
+	"chervilloom/internal/links"
 	table "chervilloom/internal/platform"
 )
 
@@ -61,6 +62,7 @@
 	addrs  map[string]string   // address, by VM
 	nodes  map[string][]string // VMs, by availability zone
 	cores  map[string]float64  // size, by VM; 0: unknown
+	peers  links.PeersByZone   // addresses of all nodes but one; nil: not listed yet
 	// maxCores is the size of the largest VM, in cores, by zone.
 	maxCores map[string]float64
 }
@@ -351,6 +353,25 @@
 	return out
 }
 
+// peersByZone returns the addresses of the nodes other than vm, which must be the same in all
+// calls. The caller must not change them.
+func (c *leaseCache) peersByZone(vm string) links.PeersByZone {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.rowIndex()
+	if d.peers == nil {
+		d.peers = links.PeersByZone{}
+		for zone, names := range d.nodes {
+			for _, name := range names {
+				if name != vm {
+					d.peers[zone] = append(d.peers[zone], d.addrs[name])
+				}
+			}
+		}
+	}
+	return d.peers
+}
+
 // nodesByZone returns the nodes of a zone and those of all other zones. The node self, of
 // zone selfZone, is included even if its row is not known yet.
 func (c *leaseCache) nodesByZone(zone, self, selfZone string) (near, far []string) {
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 
 	"chervilloom/internal/news"
 	"chervilloom/internal/quarantine"
@@ -17,6 +18,9 @@
 func (n *Node) newQuarantineGuard() *quarantine.Guard {
 	return (&quarantine.Guard{
 		Node: n.Settings.VM, Clock: n.Clock, Log: n.Log,
+		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			return n.dialer.DialContext(ctx, "tcp", addr)
+		},
 		SendToTalliers:  func(m quarantine.Message) { n.send(news.Message{Quarantine: &m}, n.tallyAddrs()...) },
 		Broadcast:       n.announceQuarantine,
 		Persist:         func(v quarantine.Verdict) { go n.writeQuarantineRow(v) },
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -243,7 +243,7 @@
 	})
 	n.follower.client = w
 	ctx, stop := context.WithCancel(context.Background())
-	x := &worldNode{Node: n, feed: n.newFeedServer().Handler.(*feed.Server), stop: stop}
+	x := &worldNode{Node: n, feed: n.newFeedServer(), stop: stop}
 	w.mu.Lock()
 	w.nodes[vm] = x
 	w.mu.Unlock()
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -32,6 +32,9 @@
 		if x.isAbortedHere() {
 			return
 		}
+		if res != Failed && !x.peer.IsDirect() {
+			return // the node between may have failed
+		}
 		x.f.Ejector.Report(EjectionID(ep), true)
 		if res == MayHaveRun {
 			x.f.OnNoResponse(ep)
--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -35,7 +35,7 @@
 			c := clock.NewManual(clock.Instant(time.Hour))
 			f := &Forwarder{
 				Clock: c, Tracker: &balance.Tracker{Clock: c, Silence: func(roster.ID) time.Duration { return time.Second }},
-				Pool: &upstream.Pool{Clock: c, Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+				Pool: &upstream.Pool{Clock: c, Dial: func(ctx context.Context, addr string, _ func(string) bool) (net.Conn, upstream.Peer, error) {
 					if late {
 						c.Advance(time.Minute)
 					} else {
@@ -44,7 +44,8 @@
 							time.Sleep(time.Millisecond) // the FIN has not arrived over the loopback yet
 						}
 					}
-					return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+					conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+					return conn, upstream.Peer{}, err
 				}},
 			}
 			f.Quarantine = (&quarantine.Guard{Clock: c}).Init(nil)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -13,6 +13,7 @@
 	"chervilloom/internal/balance"
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
+	"chervilloom/internal/links"
 	"chervilloom/internal/outcome"
 	"chervilloom/internal/quarantine"
 	"chervilloom/internal/roster"
@@ -50,8 +51,10 @@
 	barredRegions    int           // endpoints that could serve the request but are in a region that it must not reach
 	backingOff       int           // endpoints that could serve the request but accept nothing at present
 	backoffLeft      time.Duration // until the first of them accepts a request again
-	heldBack         bool          // backpressure stopped the newest attempt before it was sent
+	noPath           bool          // neither this node nor another one has links to endpoints
+	heldBack         bool          // the newest attempt was stopped before it was sent, through no fault of the endpoint
 	sentAt           clock.Instant // when the newest attempt was sent
+	peer             upstream.Peer // the node that passed the newest attempt on
 	firstByteLatency time.Duration // from the start to the response header; 0: none sent yet
 	lastEventAt      clock.Instant
 	maxGap           time.Duration // longest pause between two events
@@ -103,8 +106,8 @@
 const maxFreeRefusals = 3
 
 // isExemptFromBudget reports whether the next attempt is exempt from the retry budget, because
-// nothing reached the last endpoint: backpressure stopped the attempt, or the endpoint refused
-// the connection. Many requests are placed at a terminated endpoint until it is removed from the
+// nothing reached the last endpoint: backpressure stopped the attempt, no node has a link to the
+// endpoint, or it refused the connection. Many requests are placed at a terminated endpoint until it is removed from the
 // list. A dial that times out has used up the request's time and does count.
 func (x *exchange) isExemptFromBudget(res Result) bool {
 	return res == NotRun && (x.heldBack || x.connRefused && x.connRefusals <= maxFreeRefusals)
@@ -113,7 +116,7 @@
 // attempt sends the request to an endpoint and relays the response.
 func (x *exchange) attempt(ctx context.Context, ep *roster.Endpoint) Result {
 	x.tried = append(x.tried, ep.ID)
-	x.lastCause, x.connRefused, x.heldBack = "", false, false
+	x.lastCause, x.connRefused, x.heldBack, x.peer = "", false, false, upstream.Peer{}
 	x.recalled.Store(false)
 	conn, err := x.connect(ctx, ep)
 	if err != nil {
@@ -124,7 +127,7 @@
 		return res
 	}
 	x.progress.Sent++
-	x.sentAt = x.f.Clock.Now()
+	x.sentAt, x.peer = x.f.Clock.Now(), conn.Peer
 	ticket := x.f.Tracker.Start(ep.ID, func() {
 		if x.allowsMove() {
 			conn.Abort()
@@ -144,7 +147,9 @@
 		res = x.classifyError(ctx, ep, err)
 	} else {
 		ticket.RecordProgress()
-		x.f.OnResponse()
+		if conn.Peer.IsDirect() {
+			x.f.OnResponse()
+		}
 		res = x.handleResponse(ctx, ep, conn, resp, ticket)
 	}
 	x.reportRun(ep, res, x.sentAt)
@@ -246,7 +251,7 @@
 // attempt continues: the endpoint may recover, and an abort would only cut the response. It
 // is called while the attempt runs.
 func (x *exchange) allowsMove() bool {
-	if !x.route.Repeatable() || x.progress.Runs+1 >= x.route.MaxAttempts {
+	if !x.route.Repeatable() || x.progress.Runs+1 >= x.route.MaxAttempts || x.abortedStalled.Load() {
 		return false
 	}
 	if ep, _ := x.choose(x.candidates()); ep == nil {
@@ -277,9 +282,15 @@
 // connect returns a connection to the endpoint. A request that may run only once gets a new
 // one.
 func (x *exchange) connect(ctx context.Context, ep *roster.Endpoint) (*upstream.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, links.Timeout)
 	defer cancel()
-	return x.f.Pool.Get(ctx, ep.Addr, x.route.Repeat == catalog.Once)
+	return x.f.Pool.Get(ctx, ep.Addr, x.route.Repeat == catalog.Once, x.allowsPeerZone)
+}
+
+// allowsPeerZone reports whether a node of the zone may pass the request on: its body must not
+// leave the regions to which route and organisation restrict it.
+func (x *exchange) allowsPeerZone(zone string) bool {
+	return !x.f.View().Evacuated[zone] && isAllowedRegion(x.f.Regions[zone], x.route.AllowedRegions, x.organisationRegions)
 }
 
 // outboundRequest returns the request to send to the endpoint.
@@ -322,6 +333,9 @@
 		return ClientGone
 	case ctx.Err() != nil:
 		return OutOfTime
+	case errors.Is(err, links.ErrNoPath):
+		x.noPath, x.heldBack = true, true
+		return NotRun
 	case errors.Is(err, upstream.ErrNotSent):
 		if x.connRefused = errors.Is(err, syscall.ECONNREFUSED); x.connRefused {
 			x.connRefusals++
@@ -381,6 +395,10 @@
 	switch {
 	case x.isQuarantined:
 		stage, e = "quarantine", x.verdict.Refusal()
+	case x.noPath:
+		stage = "links"
+		e = outcome.New(outcome.NoCapacity, outcome.NotRun, "this node has lost its links to the endpoints and no other node passes requests on", "try again, at another node if possible").
+			WithRetryAfter(addJitter(retryAfterNone))
 	case x.pickReason == balance.AllFull:
 		e = outcome.New(outcome.Overloaded, outcome.NotRun, "every endpoint is full", "try again").WithRetryAfter(retryAfterFull)
 	case x.barredRegions > 0 && x.candidateStats.endpoints == 0 && x.backingOff == 0:
@@ -403,7 +421,7 @@
 
 func (x *exchange) logEnd(message string, res Result) {
 	x.f.Log.Info(message, "request", x.req.ID, "route", x.route.Name, "organisation", x.organisation,
-		"config", x.catalog.Version, "tried", x.tried, "events", x.eventsSent, "result", res.String(),
+		"config", x.catalog.Version, "tried", x.tried, "peer", x.peer.Addr, "events", x.eventsSent, "result", res.String(),
 		"cause", x.lastCause, "ms", x.f.Clock.Now().Sub(x.start).Milliseconds(),
 		"model", x.req.Model, "endpoints", x.candidateStats.endpoints, "free_slots", x.candidateStats.freeSlots,
 		"first_ms", x.firstByteLatency.Milliseconds(), "objective_ms", x.route.Objective.Milliseconds(),
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -86,9 +86,9 @@
 	// OnStaleEndpoint is called when a request was sent to an endpoint that no longer exists, so
 	// that the list is read again soon.
 	OnStaleEndpoint func()
-	// OnNoResponse is called with an endpoint that gave no usable response.
+	// OnNoResponse is called with an endpoint that gave no usable response on a direct connection.
 	OnNoResponse func(*roster.Endpoint)
-	// OnResponse is called for each response.
+	// OnResponse is called for each response on a direct connection.
 	OnResponse func()
 	// OnSent is called for each request that is sent to an engine, with the prompt length
 	// in tokens.
@@ -117,9 +117,6 @@
 const (
 	// defaultTimeout is the timeout of a request whose client sends none.
 	defaultTimeout = 30 * time.Second
-	// dialTimeout is the timeout for connecting to an endpoint. A round trip between
-	// zones takes 3 ms, so an endpoint that exceeds it is unreachable.
-	dialTimeout = 300 * time.Millisecond
 	// maxStartWait is the maximum time that a request waits for the first reads of the
 	// store by a node that has just started; they take 10 to 30 ms.
 	maxStartWait = 300 * time.Millisecond
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -160,9 +160,10 @@
 	}
 	r := newTestForwarder(t, 0, addrs...)
 	var dials atomic.Int32
-	r.Pool.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+	r.Pool.Dial = func(ctx context.Context, addr string, _ func(string) bool) (net.Conn, upstream.Peer, error) {
 		dials.Add(1)
-		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		return conn, upstream.Peer{}, err
 	}
 	code, _ := r.get(t, "a", "/lookup/x")
 	is.Equal(code, http.StatusServiceUnavailable)
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -39,6 +39,9 @@
 	// Rank returns this node's position in rendezvous order for the duty
 	// among the live nodes of the availability zone.
 	Rank func() int
+	// Unfit reports whether this node can't do the duty now although another node can: it releases
+	// the lease and doesn't acquire it. nil: it always can.
+	Unfit func() bool
 	// Acquired is called when the lease has been acquired; nil: no call.
 	Acquired func()
 	// MaxRanks is the number of ranks that watch the lease; 0: defaultMaxRanks.
@@ -121,6 +124,13 @@
 		poll = m.Params.Term / 6
 	}
 	held := m.grant()
+	if m.Unfit != nil && m.Unfit() {
+		if held.Fence != 0 {
+			m.Log.Info("lease given up: another node can do the duty", "duty", m.Duty, "fence", held.Fence)
+			m.release(ctx)
+		}
+		return poll
+	}
 	if held.Fence != 0 && m.isRestored(held) {
 		m.rewriteRow(ctx, held)
 		return m.Params.Term / 6
--- a/internal/links/health.go
+++ b/internal/links/health.go
@@ -133,6 +133,12 @@
 	return h.AreAllLost() || l != nil && l.hung
 }
 
+// IsConfirmedLost reports whether another node reached the endpoint while this one did not.
+func (h *Health) IsConfirmedLost(addr string) bool {
+	l := h.links[addr]
+	return l != nil && l.confirmed
+}
+
 // Lost returns the addresses of the endpoints over whose links the latest connection failed.
 func (h *Health) Lost() []string {
 	out := make([]string, 0, len(h.links))
--- a/internal/links/monitor.go
+++ b/internal/links/monitor.go
@@ -112,6 +112,13 @@
 	return m.health.IsSilent(addr)
 }
 
+// IsConfirmedLost reports whether another node reached the endpoint while this one did not.
+func (m *Monitor) IsConfirmedLost(addr string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.health.IsConfirmedLost(addr)
+}
+
 // RecordResponse records a response on a direct connection.
 func (m *Monitor) RecordResponse() {
 	m.mu.Lock()
--- /dev/null
+++ b/internal/tunnel/client.go
@@ -0,0 +1,73 @@
+package tunnel
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"chervilloom/internal/upstream"
+)
+
+// Errors of Dial.
+var (
+	// ErrPeerUnfit means that the other node could not try: choose another one.
+	ErrPeerUnfit = errors.New("tunnel: the node can't pass connections on; try another node")
+	// ErrNoLink means that the other node has lost its link to this endpoint, or doesn't know it,
+	// but may reach others.
+	ErrNoLink = errors.New("tunnel: the node has no link to the endpoint; try another node")
+	// ErrEndpointDown means that the other node, which has links to endpoints, could not
+	// connect to this one.
+	ErrEndpointDown = errors.New("tunnel: another node can't connect to the endpoint either")
+)
+
+// Dial opens a connection to the endpoint at addr through the node at peer, both ip:port. It
+// returns the TCP connection to that node, and fails with ErrPeerUnfit, ErrNoLink or
+// ErrEndpointDown; the last includes ECONNREFUSED if the endpoint refuses connections.
+func Dial(ctx context.Context, peer, addr string) (net.Conn, error) {
+	conn, err := upstream.DialTCP(ctx, peer)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrPeerUnfit, err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	err = connect(conn, addr)
+	if !stop() && err == nil {
+		err = fmt.Errorf("%w: %w", ErrPeerUnfit, ctx.Err())
+	}
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// connect requests the tunnel on a new connection to the other node.
+func connect(conn net.Conn, addr string) error {
+	if _, err := fmt.Fprintf(conn, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n\r\n", addr, addr); err != nil {
+		return fmt.Errorf("%w: %w", ErrPeerUnfit, err)
+	}
+	const size = 512
+	buf := bufio.NewReaderSize(conn, size)
+	resp, err := http.ReadResponse(buf, &http.Request{Method: http.MethodConnect})
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrPeerUnfit, err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode == http.StatusOK && buf.Buffered() == 0 {
+		return nil
+	}
+	switch why := reason(resp.Header.Get(headerReason)); why {
+	case reasonRefused:
+		return fmt.Errorf("%w: %w", ErrEndpointDown, syscall.ECONNREFUSED)
+	case reasonUnreachable:
+		return ErrEndpointDown
+	case reasonNoLink, reasonUnknown:
+		return ErrNoLink
+	default:
+		return fmt.Errorf("%w: status %d, %q", ErrPeerUnfit, resp.StatusCode, why)
+	}
+}
--- /dev/null
+++ b/internal/tunnel/server.go
@@ -0,0 +1,199 @@
+package tunnel
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"chervilloom/internal/clock"
+	"chervilloom/internal/upstream"
+)
+
+const (
+	// connectTimeout is the timeout of a connection to an endpoint. A round trip takes up to
+	// 6 ms; the connecting node tries other nodes meanwhile.
+	connectTimeout = 200 * time.Millisecond
+	// maxTunnels bounds the tunnels through a node: each takes two descriptors and 8 KiB of
+	// buffers. Nodes of other zones take what is beyond.
+	maxTunnels = 512
+	// bufferBytes is the size of the buffer of each direction.
+	bufferBytes = 4 << 10
+	// quietTime is how long a tunnel without traffic is taken for idle while the node shuts down.
+	quietTime = time.Second
+)
+
+// Server connects other nodes to endpoints. It handles CONNECT requests.
+type Server struct {
+	Clock clock.Clock
+	Log   *slog.Logger
+	// Dial opens a direct connection to an endpoint and records whether the link works.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// HasLinks reports whether this node has links to endpoints, and WasReached whether one of
+	// them has answered lately.
+	HasLinks, WasReached func() bool
+	// HasNoLink reports whether another node reached the endpoint at addr while this one did not.
+	HasNoLink func(addr string) bool
+	// IsListed reports whether an address is that of a listed endpoint.
+	IsListed func(addr string) bool
+	// IsLeaving reports whether the node shuts down.
+	IsLeaving func() bool
+
+	results *prometheus.CounterVec
+	open    atomic.Int64 // tunnels, including those that are being connected
+
+	mu      sync.Mutex
+	tunnels map[*pipe]struct{}
+	closed  bool
+	work    sync.WaitGroup
+}
+
+// Init prepares the server and registers its metrics; reg may be nil.
+func (s *Server) Init(reg prometheus.Registerer) *Server {
+	s.tunnels = map[*pipe]struct{}{}
+	s.results = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "chervilloom_tunnel_requests_total", Help: "Connections to endpoints that other nodes requested, by result.",
+	}, []string{"result"})
+	if reg != nil {
+		reg.MustRegister(s.results, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "chervilloom_tunnel_open", Help: "Connections of other nodes to endpoints through this node.",
+		}, func() float64 { return float64(s.open.Load()) }))
+	}
+	return s
+}
+
+// ServeHTTP connects the requesting node to an endpoint. The connection is always a direct one:
+// a tunnel never passes a third node.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer s.open.Add(-1)
+	if s.open.Add(1) > maxTunnels {
+		s.refuse(w, reasonFull)
+		return
+	}
+	endpoint, why := s.connect(r.Context(), r.Host)
+	if why != "" {
+		s.refuse(w, why)
+		return
+	}
+	node, err := hijack(w)
+	if err != nil {
+		endpoint.Close()
+		s.Log.Warn("tunnel not opened", "from", r.RemoteAddr, "endpoint", r.Host, "err", err)
+		return
+	}
+	s.results.WithLabelValues("connected").Inc()
+	s.Log.Debug("tunnel opened", "from", r.RemoteAddr, "endpoint", r.Host)
+	p := &pipe{clock: s.Clock, log: s.Log, node: node, endpoint: endpoint}
+	if s.add(p) {
+		p.run()
+		s.remove(p)
+	}
+}
+
+// connect opens the connection to an endpoint, or returns why it could not.
+func (s *Server) connect(ctx context.Context, addr string) (net.Conn, reason) {
+	switch {
+	case s.IsLeaving():
+		return nil, reasonLeaving
+	case !s.HasLinks():
+		return nil, reasonNoLinks
+	case !s.IsListed(addr):
+		return nil, reasonUnknown
+	case s.HasNoLink(addr):
+		return nil, reasonNoLink
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	conn, err := s.Dial(ctx, addr)
+	switch {
+	case err == nil:
+		return conn, ""
+	case !s.WasReached():
+		return nil, reasonNoLinks // probably; this node's links may just have been lost
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, reasonRefused
+	}
+	return nil, reasonUnreachable
+}
+
+func (s *Server) refuse(w http.ResponseWriter, why reason) {
+	s.results.WithLabelValues(string(why)).Inc()
+	w.Header().Set(headerReason, string(why))
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// hijack takes the connection over from the HTTP server and confirms the tunnel.
+func hijack(w http.ResponseWriter) (net.Conn, error) {
+	conn, _, err := http.NewResponseController(w).Hijack() // the other node sends nothing before the response
+	if err != nil {
+		return nil, err
+	}
+	if err := upstream.SetTimeouts(conn); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// add registers a tunnel. It returns false, and closes the tunnel, if the server is closed.
+func (s *Server) add(p *pipe) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		p.abort()
+		return false
+	}
+	s.tunnels[p] = struct{}{}
+	s.work.Add(1)
+	return true
+}
+
+func (s *Server) remove(p *pipe) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.tunnels, p)
+	s.work.Done()
+}
+
+// AwaitQuiet waits until no tunnel has passed anything on for quietTime, or until ctx ends.
+func (s *Server) AwaitQuiet(ctx context.Context) {
+	const pollInterval = 50 * time.Millisecond
+	for s.isBusy() && clock.Sleep(ctx, pollInterval) {
+	}
+}
+
+func (s *Server) isBusy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	for p := range s.tunnels {
+		if now.Sub(clock.Instant(p.lastActive.Load())) < quietTime {
+			return true
+		}
+	}
+	return false
+}
+
+// Close ends all tunnels and waits for them.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	for p := range s.tunnels {
+		p.abort()
+	}
+	s.mu.Unlock()
+	s.work.Wait()
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -32,6 +32,7 @@
 // Conn is a connection to an endpoint. It is used by one request at a time.
 type Conn struct {
 	net.Conn
+	Peer      Peer // the node that passes the connection on
 	addr      string
 	buf       *bufio.Reader
 	idleLimit time.Duration // maximum idle time
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,11 +15,24 @@
 	"chervilloom/internal/clock"
 )
 
+// Peer is another node that passes a connection on to an endpoint. The zero value stands for a
+// direct connection.
+type Peer struct {
+	Addr string // for other nodes, ip:port
+	Zone string
+}
+
+// IsDirect reports whether there is no other node between.
+func (p Peer) IsDirect() bool { return p == Peer{} }
+
 // Pool opens connections and keeps idle ones by address.
 type Pool struct {
 	Clock clock.Clock
-	// Dial opens a connection; nil: TCP.
-	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Dial opens a connection, directly or through a node of an allowed zone; nil: direct TCP.
+	Dial func(ctx context.Context, addr string, allowed func(zone string) bool) (net.Conn, Peer, error)
+	// IsUsable reports whether an idle connection that takes the given way to an endpoint may be
+	// used; nil: always.
+	IsUsable func(addr string, peer Peer) bool
 
 	mu   sync.Mutex
 	idle map[string][]*Conn // by address, the most recently used connection last
@@ -26,34 +40,43 @@
 
 const (
 	// userTimeout is the TCP_USER_TIMEOUT, after which a connection fails whose peer
-	// acknowledges nothing. A peer without power or behind a partition sends no reset.
-	userTimeout     = 2 * time.Second
-	readBufferBytes = 4 << 10
+	// acknowledges nothing. A peer without power or behind a partition sends no reset. It also
+	// ends connections by unanswered keep-alive probes, so it leaves time for several of them: a
+	// sound peer may fall silent for a second or two.
+	userTimeout       = 3 * time.Second
+	keepAliveInterval = time.Second
+	readBufferBytes   = 4 << 10
 )
 
 // Get returns an idle connection to addr, or a new one. With fresh it always opens a new
 // one: a request that may run only once cannot be sent again if an idle connection turns
-// out to be closed. It fails with ErrNotSent.
-func (p *Pool) Get(ctx context.Context, addr string, fresh bool) (*Conn, error) {
+// out to be closed. Connections through nodes of zones that are not allowed are left out. It fails
+// with ErrNotSent.
+func (p *Pool) Get(ctx context.Context, addr string, fresh bool, allowed func(zone string) bool) (*Conn, error) {
 	if !fresh {
-		if c := p.takeIdle(addr); c != nil {
+		if c := p.takeIdle(addr, allowed); c != nil {
 			return c, nil
 		}
 	}
 	dial := p.Dial
 	if dial == nil {
-		dial = DialTCP
+		dial = dialDirect
 	}
-	nc, err := dial(ctx, addr)
+	nc, peer, err := dial(ctx, addr, allowed)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return &Conn{Conn: nc, addr: addr, buf: bufio.NewReaderSize(nc, readBufferBytes), idleLimit: defaultIdleLimit}, nil
+	return &Conn{Conn: nc, Peer: peer, addr: addr, buf: bufio.NewReaderSize(nc, readBufferBytes), idleLimit: defaultIdleLimit}, nil
 }
 
-// DialTCP opens a TCP connection to an endpoint with keep-alive probes and the user timeout.
+func dialDirect(ctx context.Context, addr string, _ func(zone string) bool) (net.Conn, Peer, error) {
+	nc, err := DialTCP(ctx, addr)
+	return nc, Peer{}, err
+}
+
+// DialTCP opens a TCP connection with keep-alive probes and the user timeout.
 func DialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	nc, err := (&net.Dialer{KeepAlive: userTimeout}).DialContext(ctx, "tcp", addr)
+	nc, err := (&net.Dialer{KeepAlive: keepAliveInterval}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
@@ -64,6 +87,17 @@
 	return nc, nil
 }
 
+// SetTimeouts sets keep-alive probes and the user timeout of an accepted TCP connection.
+func SetTimeouts(nc net.Conn) error {
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		probes := net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval}
+		if err := tcp.SetKeepAliveConfig(probes); err != nil {
+			return err
+		}
+	}
+	return setUserTimeout(nc)
+}
+
 // setUserTimeout sets the user timeout of a TCP connection.
 func setUserTimeout(nc net.Conn) error {
 	tcp, ok := nc.(*net.TCPConn)
@@ -85,30 +119,32 @@
 }
 
 // takeIdle returns a usable idle connection to addr, or nil. Unusable ones are closed.
-func (p *Pool) takeIdle(addr string) *Conn {
+func (p *Pool) takeIdle(addr string, allowed func(zone string) bool) *Conn {
 	for {
-		c := p.pop(addr)
+		c := p.pop(addr, allowed)
 		if c == nil {
 			return nil
 		}
-		if p.Clock.Now().Sub(c.idleSince) < c.idleLimit && c.isReusable() {
+		if p.Clock.Now().Sub(c.idleSince) < c.idleLimit && (p.IsUsable == nil || p.IsUsable(addr, c.Peer)) && c.isReusable() {
 			return c
 		}
 		c.Close()
 	}
 }
 
-// pop removes and returns the most recently used idle connection to addr, or nil.
-func (p *Pool) pop(addr string) *Conn {
+// pop removes and returns the most recently used idle connection to addr that is direct or passes
+// a node of an allowed zone, or nil.
+func (p *Pool) pop(addr string, allowed func(zone string) bool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[addr]
-	if len(idle) == 0 {
-		return nil
+	for i := len(idle) - 1; i >= 0; i-- {
+		if c := idle[i]; c.Peer.IsDirect() || allowed(c.Peer.Zone) {
+			p.idle[addr] = slices.Delete(idle, i, i+1)
+			return c
+		}
 	}
-	c := idle[len(idle)-1]
-	p.idle[addr] = idle[:len(idle)-1]
-	return c
+	return nil
 }
 
 // Put returns a connection to the pool after the body of resp was read to its end. The
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -62,7 +62,7 @@
 // connection to the pool.
 func sendAndReturn(t *testing.T, p *Pool, addr string) (*Conn, error) {
 	t.Helper()
-	c, err := p.Get(context.Background(), addr, false)
+	c, err := p.Get(context.Background(), addr, false, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -112,7 +112,7 @@
 	kept := len(p.idle[addr])
 	p.mu.Unlock()
 	if kept == 1 {
-		is.True(!one.isReusable() || p.takeIdle(addr) == nil) // the second response arrived after Put
+		is.True(!one.isReusable() || p.takeIdle(addr, nil) == nil) // the second response arrived after Put
 	}
 }
 
@@ -169,7 +169,7 @@
 	}).addr()
 	defer close(release)
 	p := &Pool{Clock: clock.Boot{}}
-	c, err := p.Get(context.Background(), addr, false)
+	c, err := p.Get(context.Background(), addr, false, nil)
 	is.NoErr(err)
 	resp, err := c.Send(&Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, 16<<20)})
 	is.NoErr(err)
@@ -187,7 +187,7 @@
 		io.Copy(io.Discard, br) // until the connection is closed
 	}).addr()
 	p := &Pool{Clock: clock.Boot{}}
-	c, err := p.Get(context.Background(), addr, true)
+	c, err := p.Get(context.Background(), addr, true, nil)
 	is.NoErr(err)
 	go func() { <-got; c.Abort() }()
 	_, err = c.Send(&Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
--- a/test/links/cluster_test.go
+++ b/test/links/cluster_test.go
@@ -19,6 +19,7 @@
 
 	"chervilloom/internal/clock"
 	"chervilloom/internal/entry"
+	"chervilloom/internal/formation"
 	"chervilloom/internal/testkit"
 	"chervilloom/platform"
 	"chervilloom/platform/platformtest"
@@ -164,11 +165,15 @@
 
 func (n *node) run(ctx context.Context, set *entry.Settings, log *slog.Logger) error {
 	return entry.New(entry.Options{
-		Settings: set, Store: platform.NewStore(set.Store), Engines: platform.NewEngines(),
+		Settings: set, Store: platform.NewStore(set.Store), NewEngines: newEngines,
 		Codec: platform.Codec{}, Clock: clock.Boot{}, Log: log, Registry: prometheus.NewRegistry(), DialEndpoint: n.links.dial,
 	}).Run(ctx)
 }
 
+func newEngines(dial func(ctx context.Context, network, addr string) (net.Conn, error)) formation.Engines {
+	return platform.NewEngines(dial)
+}
+
 // openLog returns a node's log, which is kept if the test fails and LINKS_TEST_LOGS names a folder.
 func (c *cluster) openLog(vm string) *slog.Logger {
 	dir := os.Getenv("LINKS_TEST_LOGS")
