--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -22,9 +22,9 @@
 	// connectTimeout is the timeout of a connection to an endpoint. A round trip takes up to
 	// 6 ms; the connecting node tries other nodes meanwhile.
 	connectTimeout = 200 * time.Millisecond
-	// maxTunnels bounds the tunnels through a node: each takes two descriptors and 8 KiB of
+	// MaxTunnels bounds the tunnels through a node: each takes two descriptors and 8 KiB of
 	// buffers. Nodes of other zones take what is beyond.
-	maxTunnels = 512
+	MaxTunnels = 512
 	// bufferBytes is the size of the buffer of each direction.
 	bufferBytes = 4 << 10
 	// quietTime is how long a tunnel without traffic is taken for idle while the node shuts down.
@@ -74,7 +74,7 @@
 // a tunnel never passes a third node.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer s.open.Add(-1)
-	if s.open.Add(1) > maxTunnels {
+	if s.open.Add(1) > MaxTunnels {
 		s.refuse(w, reasonFull)
 		return
 	}
