Soak of lost links: cuts of all kinds beside shutdowns, pauses, crashes and changes

Nodes run in the test's process, because a link of one node alone can't be cut from outside on a loopback: a dial that gets no answer has no stand-in there. Kills and pauses of whole processes stay with the soak of real processes.

--- a/test/links/cluster_test.go
+++ b/test/links/cluster_test.go
@@ -52,7 +52,7 @@
 platform.address=%s
 `
 
-const document = `{"version":1,"routes":[
+const document = `{"version":%d,"routes":[
  {"name":"text","host":"h.example","prefix":"/text/","type":"stream","timeout_ms":20000,"target_latency_ms":1000,
   "service":"engines","max_attempts":3,"resumable":true,"gap_aim_ms":1000},
  {"name":"receipt","host":"h.example","prefix":"/receipt/","type":"non_idempotent","timeout_ms":10000,"service":"plain","max_attempts":1},
@@ -67,14 +67,16 @@
 	store *platformtest.Store
 	fleet *platformtest.Fleet
 	nodes []*node
+
+	version int // of the operator's document
 }
 
 // node is a node that runs in the test's process.
 type node struct {
-	vm, front, ready string
-	links            *link
-	stop             context.CancelFunc
-	done             chan struct{}
+	vm, zone, front, ready string
+	links                  *link
+	stop                   context.CancelFunc
+	done                   chan struct{}
 }
 
 // startCluster starts a cluster with one node in each of the given zones.
@@ -90,7 +92,7 @@
 	for i, zone := range []string{"a", "b", "c"} {
 		c.fleet.AddService(fmt.Sprintf("i-p%d", i), "plain", zone)
 	}
-	c.store.PutRaw("op", "config", []byte(document))
+	c.writeNextDocument()
 	t.Cleanup(c.stopAll)
 	for i, zone := range zones {
 		c.startNode(fmt.Sprintf("front-%s-%d", zone, i), zone)
@@ -105,6 +107,12 @@
 	return c
 }
 
+// writeNextDocument writes the operator's document with a higher version.
+func (c *cluster) writeNextDocument() {
+	c.version += 3
+	c.store.PutRaw("op", "config", fmt.Appendf(nil, document, c.version))
+}
+
 // ips counts the loopback addresses given to nodes.
 var ips atomic.Uint32
 
@@ -138,7 +146,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	n := &node{vm: vm, front: addrs[0], ready: addrs[1], links: newLink(c.t), done: make(chan struct{})}
+	n := &node{vm: vm, zone: zone, front: addrs[0], ready: addrs[1], links: newLink(c.t), done: make(chan struct{})}
 	log := c.openLog(vm)
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
