Tunnels: a node that shuts down closes unused tunnels and waits for the others

Cause: a node that passes connections on exited at the end of its grace period under the requests of other nodes, which kept using their open tunnels.

--- a/internal/links/dialer.go
+++ b/internal/links/dialer.go
@@ -19,7 +19,7 @@
 
 const (
 	// Timeout is the timeout for connecting to an endpoint over all ways.
-	Timeout = 400 * time.Millisecond
+	Timeout = 300 * time.Millisecond
 	// hedgeDelay is how long a direct connection may take before another node is asked for one
 	// as well. A round trip takes up to 6 ms.
 	hedgeDelay = 80 * time.Millisecond
--- a/internal/tunnel/pipe.go
+++ b/internal/tunnel/pipe.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"chervilloom/internal/clock"
 )
@@ -17,6 +18,12 @@
 	log            *slog.Logger
 	node, endpoint net.Conn
 	lastActive     atomic.Int64 // clock.Instant of the last copied bytes
+	isAnswered     atomic.Bool  // the last bytes came from the endpoint
+}
+
+// quietFor returns how long the pipe has copied nothing.
+func (p *pipe) quietFor(now clock.Instant) time.Duration {
+	return now.Sub(clock.Instant(p.lastActive.Load()))
 }
 
 // run copies in both directions until one side closes its connection, and then closes both.
@@ -36,6 +43,7 @@
 		n, err := src.Read(buf)
 		if n > 0 {
 			p.lastActive.Store(int64(p.clock.Now()))
+			p.isAnswered.Store(src == p.endpoint)
 			if _, werr := dst.Write(buf[:n]); werr != nil {
 				p.abort()
 				return
@@ -43,8 +51,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			dst.Close()
-			src.Close()
+			p.close()
 			return
 		case err != nil:
 			p.abort()
@@ -53,6 +60,12 @@
 	}
 }
 
+// close closes both connections. The other node then opens another one for its next request.
+func (p *pipe) close() {
+	p.node.Close()
+	p.endpoint.Close()
+}
+
 // abort resets both connections.
 func (p *pipe) abort() {
 	for _, c := range []net.Conn{p.node, p.endpoint} {
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -27,8 +27,11 @@
 	MaxTunnels = 512
 	// bufferBytes is the size of the buffer of each direction.
 	bufferBytes = 4 << 10
-	// quietTime is how long a tunnel without traffic is taken for idle while the node shuts down.
-	quietTime = time.Second
+	// quietTime is how long a tunnel must be without traffic to count as unused while the node
+	// shuts down, and answeredQuietTime the same after bytes of the endpoint: a stream has an
+	// event every 50 ms.
+	quietTime         = time.Second
+	answeredQuietTime = 300 * time.Millisecond
 )
 
 // Server connects other nodes to endpoints. It handles CONNECT requests.
@@ -168,23 +171,30 @@
 	s.work.Done()
 }
 
-// AwaitQuiet waits until no tunnel has passed anything on for quietTime, or until ctx ends.
+// AwaitQuiet closes tunnels as they become unused, and waits until none is left or ctx ends.
 func (s *Server) AwaitQuiet(ctx context.Context) {
 	const pollInterval = 50 * time.Millisecond
-	for s.isBusy() && clock.Sleep(ctx, pollInterval) {
+	for s.closeQuiet() > 0 && clock.Sleep(ctx, pollInterval) {
 	}
 }
 
-func (s *Server) isBusy() bool {
+// closeQuiet closes the unused tunnels and returns the number of the others.
+func (s *Server) closeQuiet() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.Clock.Now()
+	now, inUse := s.Clock.Now(), 0
 	for p := range s.tunnels {
-		if now.Sub(clock.Instant(p.lastActive.Load())) < quietTime {
-			return true
+		limit := quietTime
+		if p.isAnswered.Load() {
+			limit = answeredQuietTime
 		}
+		if p.quietFor(now) < limit {
+			inUse++
+			continue
+		}
+		p.close()
 	}
-	return false
+	return inUse
 }
 
 // Close ends all tunnels and waits for them.
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -163,18 +163,38 @@
 	conn.Close()
 }
 
-// Guards against a node that shuts down while a stream of another node passes it.
+// Guards against a node that shuts down while a stream of another node passes it, and against one
+// that waits for tunnels that the other node only keeps for later requests.
 func TestShutdownWaitsForTunnelsInUse(t *testing.T) {
 	is := is.New(t)
 	n := startNode(t)
-	conn, err := Dial(t.Context(), n.addr, startEndpoint(t, func(c *net.TCPConn) { _, _ = io.Copy(c, c) }))
+	done := make(chan struct{})
+	stream := startEndpoint(t, func(c *net.TCPConn) {
+		_, _ = io.ReadFull(c, make([]byte, 1)) // the request
+		for range 20 {
+			_, _ = io.WriteString(c, "event")
+			time.Sleep(answeredQuietTime / 6) // the interval of events
+		}
+		close(done)
+		_, _ = io.Copy(io.Discard, c)
+	})
+	conn, err := Dial(t.Context(), n.addr, stream)
 	is.NoErr(err)
 	defer conn.Close()
-	is.True(n.isBusy())
+	_, err = io.WriteString(conn, "x")
+	is.NoErr(err)
+	idle, err := Dial(t.Context(), n.addr, startEndpoint(t, func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) }))
+	is.NoErr(err)
+	defer idle.Close()
 	quiet := make(chan struct{})
 	go func() { n.AwaitQuiet(t.Context()); close(quiet) }()
+	_, err = idle.Read(make([]byte, 1))
+	is.Equal(err, io.EOF) // closed, so that it isn't used for another request
+	got, err := io.ReadAll(conn)
+	is.NoErr(err)
+	is.Equal(len(got), 20*len("event"))
+	<-done
 	<-quiet
-	is.True(!n.isBusy())
 }
 
 func unusedAddr(t *testing.T) string {
