Endpoints' connections: probes each second, so that several fit into the user timeout

What callers would see: a request that a sound endpoint still works on is broken off when the endpoint was silent for a second at the wrong moment. Cause: net.Dialer.KeepAlive sets the idle time alone; the interval stays 15 s. The user timeout ends a connection at the first check at which it has passed with a probe unanswered, so a single lost probe was enough.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -48,6 +48,9 @@
 	readBufferBytes   = 4 << 10
 )
 
+// keepAlive sets the interval between probes too, which is 15 s otherwise.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval}
+
 // Get returns an idle connection to addr, or a new one. With fresh it always opens a new
 // one: a request that may run only once cannot be sent again if an idle connection turns
 // out to be closed. Connections through nodes of zones that are not allowed are left out. It fails
@@ -76,7 +79,7 @@
 
 // DialTCP opens a TCP connection with keep-alive probes and the user timeout.
 func DialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	nc, err := (&net.Dialer{KeepAlive: keepAliveInterval}).DialContext(ctx, "tcp", addr)
+	nc, err := (&net.Dialer{KeepAliveConfig: keepAlive}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
@@ -90,8 +93,7 @@
 // SetTimeouts sets keep-alive probes and the user timeout of an accepted TCP connection.
 func SetTimeouts(nc net.Conn) error {
 	if tcp, ok := nc.(*net.TCPConn); ok {
-		probes := net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval}
-		if err := tcp.SetKeepAliveConfig(probes); err != nil {
+		if err := tcp.SetKeepAliveConfig(keepAlive); err != nil {
 			return err
 		}
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 
 	"chervilloom/internal/clock"
 )
@@ -275,3 +276,33 @@
 	resetting.Close()
 	is.True(waitForClose(reset))
 }
+
+// Guards against sound endpoints that lose their connections when they are silent for a second or
+// two: the user timeout also ends a connection whose keep-alive probes are unanswered, so several
+// probes must fit into it.
+func TestSeveralProbesFitIntoUserTimeout(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	dialed, err := DialTCP(t.Context(), ln.Addr().String())
+	is.NoErr(err)
+	defer dialed.Close()
+	accepted, err := ln.Accept()
+	is.NoErr(err)
+	defer accepted.Close()
+	is.NoErr(SetTimeouts(accepted))
+	for _, c := range []net.Conn{dialed, accepted} {
+		option := func(name int) time.Duration {
+			raw, err := c.(*net.TCPConn).SyscallConn()
+			is.NoErr(err)
+			value := 0
+			is.NoErr(raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name) }))
+			is.NoErr(err)
+			return time.Duration(value) * time.Second
+		}
+		timeout := option(unix.TCP_USER_TIMEOUT) / 1000 // in ms
+		is.True(timeout > 2*time.Second)
+		is.True(option(unix.TCP_KEEPIDLE)+option(unix.TCP_KEEPINTVL) < timeout)
+	}
+}
