Links: a refused connection is checked by two nodes at once; requests move without a data race

A node whose own links may be lost says so only after it has tried another endpoint, so that an idle node's word on an endpoint counts. When the direct connection is refused, two nodes are asked at the same time: the quarantine's check of an endpoint that ended must not take longer for it. A link found lost moves only requests at endpoints that have not answered since.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -211,7 +211,10 @@
 // node's link to it. Its requests in flight may be moved.
 func (t *Tracker) ClearSuspicion(id roster.ID) {
 	t.mu.Lock()
-	waiting := t.clearSuspicion(t.records[id], t.Clock.Now())
+	var waiting []*Ticket
+	if r := t.records[id]; r != nil && (r.suspectSince != 0 || r.doubted) { // otherwise it has answered since
+		waiting = t.clearSuspicion(r, t.Clock.Now())
+	}
 	t.mu.Unlock()
 	for _, k := range waiting {
 		k.onSuspect()
@@ -234,11 +237,8 @@
 	}
 }
 
-// clearSuspicion returns the tickets of the record that have onSuspect; r may be nil. t.mu is held.
+// clearSuspicion returns the tickets of the record that have onSuspect. t.mu is held.
 func (t *Tracker) clearSuspicion(r *record, now clock.Instant) []*Ticket {
-	if r == nil {
-		return nil
-	}
 	r.suspectSince, r.doubted = 0, false
 	if len(r.waiting) == 0 {
 		return nil
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -31,7 +31,7 @@
 func (n *Node) newTunnelServer() *tunnel.Server {
 	return (&tunnel.Server{
 		Clock: n.Clock, Log: n.Log, Dial: n.dialForPeer, IsListed: n.isListedAddr, IsLeaving: n.leaving.Load,
-		HasLinks: func() bool { return !n.links.AreAllLost() }, WasReached: n.links.HasRecentSuccess, HasNoLink: n.links.IsConfirmedLost,
+		HasLinks: func() bool { return !n.links.AreAllLost() }, HasOtherLinks: n.links.HasOtherLinks, HasNoLink: n.links.IsConfirmedLost,
 	}).Init(n.Registry)
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -5,7 +5,9 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -42,6 +44,7 @@
 
 	tried            []roster.ID
 	progress         Progress
+	runs             atomic.Int64 // progress.Runs, for other goroutines
 	lastEventID      string // id of the last event that the client received
 	eventsSent       int    // number of events sent to the client
 	failure          *failureResponse
@@ -128,8 +131,9 @@
 	}
 	x.progress.Sent++
 	x.sentAt, x.peer = x.f.Clock.Now(), conn.Peer
+	mayMove := x.newMoveCheck()
 	ticket := x.f.Tracker.Start(ep.ID, func() {
-		if x.allowsMove() {
+		if mayMove() {
 			conn.Abort()
 		}
 	})
@@ -138,12 +142,12 @@
 		x.f.OnSent(ep.ID, x.req.PromptTokens)
 	}
 	stop := context.AfterFunc(ctx, conn.Abort)
-	stopLimit := x.startAttemptTimeout(conn)
+	stopLimit := x.startAttemptTimeout(conn, mayMove)
 	endRun := x.f.Quarantine.BeginRun(x.fingerprint, x.recallFunc(conn))
 	resp, err := conn.Send(x.outboundRequest(ep))
 	var res Result
 	if err != nil {
-		x.progress.Runs++
+		x.countRun()
 		res = x.classifyError(ctx, ep, err)
 	} else {
 		ticket.RecordProgress()
@@ -223,12 +227,12 @@
 // startAttemptTimeout starts a timeout for an attempt of an idempotent request: a hanging
 // endpoint would otherwise block the request until its deadline. The returned function stops the
 // timeout.
-func (x *exchange) startAttemptTimeout(conn *upstream.Conn) func() {
+func (x *exchange) startAttemptTimeout(conn *upstream.Conn, mayMove func() bool) func() {
 	if x.route.Repeat != catalog.Idempotent {
 		return func() {}
 	}
 	t := time.AfterFunc(max(minAttemptTimeout, attemptTimeoutObjectives*x.route.Objective), func() {
-		if x.allowsMove() {
+		if mayMove() {
 			conn.Abort()
 		}
 	})
@@ -246,22 +250,38 @@
 	minAttemptTimeout        = 200 * time.Millisecond
 )
 
-// allowsMove reports whether an attempt at a stalled endpoint should be aborted and retried at
-// another one; if so, the retry has been taken from the budget. Without another endpoint the
-// attempt continues: the endpoint may recover, and an abort would only cut the response. It
-// is called while the attempt runs.
-func (x *exchange) allowsMove() bool {
-	if !x.route.Repeatable() || x.progress.Runs+1 >= x.route.MaxAttempts || x.abortedStalled.Load() {
-		return false
-	}
-	if ep, _ := x.choose(x.candidates()); ep == nil {
-		return false
+// countRun counts an attempt that ran or may have run.
+func (x *exchange) countRun() {
+	x.progress.Runs++
+	x.runs.Store(int64(x.progress.Runs))
+}
+
+// newMoveCheck returns a function that reports whether the attempt at a stalled endpoint should be
+// aborted and retried at another one; if so, the retry has been taken from the budget. Without
+// another endpoint the attempt continues: the endpoint may recover, and an abort would only cut the
+// response. The function is called from other goroutines while the attempt runs, and has its own
+// copy of what the choice depends on.
+func (x *exchange) newMoveCheck() func() bool {
+	choice := &exchange{
+		f: x.f, req: x.req, route: x.route, catalog: x.catalog, organisationRegions: x.organisationRegions,
+		service: x.service, tried: slices.Clone(x.tried),
 	}
-	ok := x.f.budget(x.service).Allow()
-	if ok {
-		x.abortedStalled.Store(true)
+	var mu sync.Mutex // guards choice
+	return func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		if !x.route.Repeatable() || int(x.runs.Load())+1 >= x.route.MaxAttempts || x.abortedStalled.Load() {
+			return false
+		}
+		if ep, _ := choice.choose(choice.candidates()); ep == nil {
+			return false
+		}
+		ok := x.f.budget(x.service).Allow()
+		if ok {
+			x.abortedStalled.Store(true)
+		}
+		return ok
 	}
-	return ok
 }
 
 // maxIdleConns returns the maximum number of idle connections from this node to an endpoint of
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -37,11 +37,11 @@
 		// A late or forged response to another request: it must not reach the client,
 		// and later data on the connection cannot be trusted.
 		conn.MarkUnusable()
-		x.progress.Runs++
+		x.countRun()
 		x.lastCause = fmt.Sprintf("response with status %d does not belong to the request", resp.StatusCode)
 		return MayHaveRun
 	}
-	x.progress.Runs++
+	x.countRun()
 	if rep.ClaimsNotRun && !x.route.Repeatable() {
 		// The endpoint doesn't guarantee that the request has not run, as the status would to
 		// the client.
--- a/internal/links/dialer.go
+++ b/internal/links/dialer.go
@@ -192,6 +192,10 @@
 			if ok {
 				delay, ok = r.startNext()
 			}
+			if ok && a.peer.IsDirect() && r.isRefused() {
+				// Either the endpoint has ended or the link is lost: two nodes tell which.
+				delay, ok = r.startNext()
+			}
 		case <-next:
 			if len(r.results) == 0 { // the timer may fire late, together with a result
 				delay, ok = r.startNext()
@@ -306,16 +310,20 @@
 	return cmp.Or(r.directErr, r.lastErr, errNoWay)
 }
 
+// isRefused reports whether the direct connection was refused or reset.
+func (r *race) isRefused() bool {
+	return errors.Is(r.directErr, syscall.ECONNREFUSED) || errors.Is(r.directErr, syscall.ECONNRESET)
+}
+
 // recordDirectFailure records that the direct attempt failed or takes too long, if there was one.
 func (r *race) recordDirectFailure(confirmed bool) {
 	if r.directSince == 0 {
 		return
 	}
-	hung := !errors.Is(r.directErr, syscall.ECONNREFUSED) && !errors.Is(r.directErr, syscall.ECONNRESET)
 	if r.directErr == nil && r.d.Clock.Now().Sub(r.directSince) < hedgeDelay {
 		return
 	}
-	r.d.Monitor.RecordFailure(Failure{Addr: r.addr, StartedAt: r.directSince, Hung: hung, Confirmed: confirmed})
+	r.d.Monitor.RecordFailure(Failure{Addr: r.addr, StartedAt: r.directSince, Hung: !r.isRefused(), Confirmed: confirmed})
 }
 
 // drain closes the connections that open after the end of the race.
--- a/internal/links/monitor.go
+++ b/internal/links/monitor.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -158,11 +159,17 @@
 	m.health.RecordEndpointDown(addr)
 }
 
-// HasRecentSuccess reports whether an endpoint gave a sign of life within the last recentSuccess.
-func (m *Monitor) HasRecentSuccess() bool {
+// HasOtherLinks reports whether the node has links to endpoints other than the one at addr: one of
+// them gave a sign of life lately, or accepts a connection now.
+func (m *Monitor) HasOtherLinks(ctx context.Context, addr string) bool {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.hasRecentSuccess()
+	recent := m.hasRecentSuccess()
+	m.mu.Unlock()
+	if recent {
+		return true
+	}
+	others := slices.DeleteFunc(m.Listed(), func(other string) bool { return other == addr })
+	return len(others) > 0 && m.probe(ctx, others[rand.IntN(len(others))])
 }
 
 func (m *Monitor) hasRecentSuccess() bool {
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -40,9 +40,10 @@
 	Log   *slog.Logger
 	// Dial opens a direct connection to an endpoint and records whether the link works.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
-	// HasLinks reports whether this node has links to endpoints, and WasReached whether one of
-	// them has answered lately.
-	HasLinks, WasReached func() bool
+	// HasLinks reports whether this node has links to endpoints, as far as it knows.
+	HasLinks func() bool
+	// HasOtherLinks finds out whether it has links to endpoints other than the one at addr.
+	HasOtherLinks func(ctx context.Context, addr string) bool
 	// HasNoLink reports whether another node reached the endpoint at addr while this one did not.
 	HasNoLink func(addr string) bool
 	// IsListed reports whether an address is that of a listed endpoint.
@@ -113,14 +114,14 @@
 	case s.HasNoLink(addr):
 		return nil, reasonNoLink
 	}
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	conn, err := s.Dial(ctx, addr)
+	conn, err := s.Dial(dialCtx, addr)
 	switch {
 	case err == nil:
 		return conn, ""
-	case !s.WasReached():
-		return nil, reasonNoLinks // probably; this node's links may just have been lost
+	case !s.HasOtherLinks(ctx, addr):
+		return nil, reasonNoLinks // this node's links may just have been lost
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return nil, reasonRefused
 	}
