--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -45,8 +45,8 @@
 	tried            []roster.ID
 	progress         Progress
 	runs             atomic.Int64 // progress.Runs, for other goroutines
-	lastEventID      string // id of the last event that the client received
-	eventsSent       int    // number of events sent to the client
+	lastEventID      string       // id of the last event that the client received
+	eventsSent       int          // number of events sent to the client
 	failure          *failureResponse
 	lastCause        string // cause of the newest failed attempt
 	pickReason       balance.Reason
--- a/internal/forward/placement_test.go
+++ b/internal/forward/placement_test.go
@@ -1,6 +1,8 @@
 package forward_test
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -12,7 +14,9 @@
 
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/forward"
+	"chervilloom/internal/links"
 	"chervilloom/internal/roster"
+	"chervilloom/internal/upstream"
 )
 
 // endpointAt is an endpoint of a zone, where id is also the body of its answers.
@@ -155,3 +159,43 @@
 	}
 	is.True(counts["cold"] > requests/4)
 }
+
+// Guards against bodies that leave the regions of their route through a node that passes a
+// connection on, and against nodes of evacuated zones on the way.
+func TestConnectionsAreNotPassedOnByNodesOfOtherRegions(t *testing.T) {
+	is := is.New(t)
+	r := newTestForwarder(t, 100)
+	doc := lookupDocument()
+	doc.Routes[0].AllowedRegions = []string{"east"}
+	r.setView(t, doc, map[string]bool{"y": true}, endpointAt("near", "z", startNamedEndpoint(t, "near", 200)))
+	asked := map[string]bool{}
+	r.Pool.Dial = func(ctx context.Context, addr string, allowed func(string) bool) (net.Conn, upstream.Peer, error) {
+		for _, zone := range []string{"z", "y", "w"} {
+			asked[zone] = allowed(zone)
+		}
+		conn, err := upstream.DialTCP(ctx, addr)
+		return conn, upstream.Peer{Addr: "node", Zone: "z"}, err
+	}
+	status, body := r.get(t, "a", "/lookup/x")
+	is.Equal(status, 200)
+	is.Equal(body, "near")
+	is.Equal(asked, map[string]bool{"z": true, "y": false, "w": false})
+}
+
+// Guards against a node without links that tells others of endpoints that failed only for it, and
+// against clients that wait although no node has links.
+func TestRequestIsRefusedAtOnceWithoutAnyPath(t *testing.T) {
+	is := is.New(t)
+	r := newTestForwarder(t, 0)
+	r.setView(t, lookupDocument(), nil, endpointAt("a", "z", "10.0.0.1:1"), endpointAt("b", "z", "10.0.0.2:1"))
+	r.Pool.Dial = func(context.Context, string, func(string) bool) (net.Conn, upstream.Peer, error) {
+		return nil, upstream.Peer{}, links.ErrNoPath
+	}
+	r.OnNoResponse = func(*roster.Endpoint) { t.Error("an endpoint is blamed") }
+	resp, err := r.send(t, "a", "/receipt/x")
+	is.NoErr(err)
+	resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable) // not run
+	is.True(resp.Header.Get("Retry-After") != "")
+	is.True(!r.Tracker.StateOf("a", time.Second).Suspect && !r.Tracker.StateOf("b", time.Second).Suspect)
+}
--- a/internal/lease/manager_test.go
+++ b/internal/lease/manager_test.go
@@ -160,6 +160,32 @@
 	is.True(!g.TakenOver)
 }
 
+// Guards against a duty that stays with a node that can't do it: it releases the lease, the next
+// node acquires it, and the first one takes it again only when it is free.
+func TestUnfitHolderGivesLeaseUp(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewManual(clock.Instant(time.Hour))
+	tab := &fakeTable{clock: clk}
+	a, b := newTestManager(tab, nodeA, clk, 0), newTestManager(tab, nodeB, clk, 0)
+	unfit := false
+	a.Unfit = func() bool { return unfit }
+	a.Step(context.Background())
+	_, ok := a.Held(clk.Now())
+	is.True(ok)
+	unfit = true
+	a.Step(context.Background())
+	_, ok = a.Held(clk.Now())
+	is.True(!ok)
+	a.Step(context.Background()) // doesn't acquire the free lease
+	b.Step(context.Background())
+	_, ok = b.Held(clk.Now())
+	is.True(ok)
+	unfit = false
+	a.Step(context.Background())
+	_, ok = a.Held(clk.Now())
+	is.True(!ok)
+}
+
 // skewedClock is a clock with another start and a slightly different rate, as between VMs.
 type skewedClock struct {
 	real   *clock.Manual
--- a/test/links/cluster_test.go
+++ b/test/links/cluster_test.go
@@ -198,6 +198,15 @@
 // call sends a request and returns the status and the body of the response. A stream has ten
 // events.
 func (c *cluster) call(n *node, method, path, id string) (int, string, error) {
+	return c.do(n, method, path, id, 10)
+}
+
+// stream requests a stream of the given number of events.
+func (c *cluster) stream(n *node, id string, events int) (int, string, error) {
+	return c.do(n, "POST", "/text/x", id, events)
+}
+
+func (c *cluster) do(n *node, method, path, id string, events int) (int, string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.front+path, strings.NewReader("body"))
@@ -208,7 +217,7 @@
 	req.Header.Set("X-Request-Id", id)
 	req.Header.Set("Authorization", "Token k1")
 	req.Header.Set("X-Model", "m")
-	req.Header.Set("X-Token-Counts", "100,70")
+	req.Header.Set("X-Token-Counts", fmt.Sprintf("100,%d", 7*events)) // seven tokens an event
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, "", err
--- a/test/links/lost_links_test.go
+++ b/test/links/lost_links_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
+
+	"chervilloom/internal/testkit"
 )
 
 const (
@@ -67,6 +72,36 @@
 	}
 }
 
+// Guards against streams that are lost with the links of their node: the rest comes through a peer,
+// each event once.
+func TestStreamsResumeThroughPeers(t *testing.T) {
+	for _, m := range []mode{hang, reset} {
+		t.Run(m.String(), func(t *testing.T) {
+			is := is.New(t)
+			cl := startCluster(t, "a", "b")
+			n := cl.nodes[0]
+			type result struct {
+				code int
+				body string
+				err  error
+			}
+			got := make(chan result, 1)
+			go func() {
+				code, body, err := cl.stream(n, "moved", 150)
+				got <- result{code, body, err}
+			}()
+			testkit.Eventually(t, "the stream runs", func() bool { return len(cl.fleet.Runs("moved")) == 1 })
+			n.links.set(m)
+			r := <-got
+			is.NoErr(r.err)
+			is.Equal(r.code, http.StatusOK)
+			is.True(isEventsInOrder(r.body, 150))
+			is.True(len(cl.fleet.Runs("moved")) > 1)
+			n.links.set(up)
+		})
+	}
+}
+
 // sendUntil sends requests of all kinds one after the other until stop is closed. Those that are
 // sent while isCounting are counted.
 func (c *cluster) sendUntil(stop <-chan struct{}, n *node, name string, isCounting func() bool, to *tally) {
--- a/test/links/soak_test.go
+++ b/test/links/soak_test.go
@@ -181,7 +181,7 @@
 		switch rnd.IntN(3) {
 		case 0:
 			code, body, err := s.call(n, "POST", "/text/x", id)
-			s.check(id, code, body, err, 3, func() bool { return isEventsInOrder(body, err == nil) })
+			s.check(id, code, body, err, 3, func() bool { return isEventsInOrder(body, 10) || err != nil && isEventsInOrder(body, -1) })
 		case 1:
 			code, body, err := s.call(n, "POST", "/receipt/"+id, id)
 			s.check(id, code, body, err, 1, func() bool { return err != nil || strings.Contains(body, "/receipt/"+id) })
@@ -215,19 +215,17 @@
 	}
 }
 
-// isEventsInOrder reports whether a stream has its ten events once and in order, or, if it isn't
-// complete, the first of them.
-func isEventsInOrder(body string, complete bool) bool {
-	var ids []string
+// isEventsInOrder reports whether a stream has the given number of events, each once and in order;
+// -1: any number.
+func isEventsInOrder(body string, want int) bool {
+	count := 0
 	for line := range strings.Lines(body) {
 		if id, ok := strings.CutPrefix(line, "id: "); ok {
-			ids = append(ids, strings.TrimSpace(id))
-		}
-	}
-	for i, id := range ids {
-		if id != fmt.Sprint(i+1) {
-			return false
+			count++
+			if strings.TrimSpace(id) != fmt.Sprint(count) {
+				return false
+			}
 		}
 	}
-	return len(ids) <= 10 && (!complete || len(ids) == 10)
+	return want < 0 || count == want
 }
