Links: a silent endpoint that no node reaches stays suspect

Cause: a failed check of a silent endpoint was taken for a lost link, and its suspicion was cleared; requests went on to an engine that was dark. Change: the check asks other nodes too. Only if one of them connects is it the link; if they find the endpoint silent it is down, and nothing counts against the links. A node in between waits 150 ms for the endpoint, so that its word arrives within the time of the request. TestDarkEndpointsAreNoLostLinks fails on the code before: there was no such finding.

--- a/internal/entry/hints.go
+++ b/internal/entry/hints.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"chervilloom/internal/links"
 	"chervilloom/internal/news"
 	"chervilloom/internal/retry"
 	"chervilloom/internal/roster"
@@ -26,11 +27,11 @@
 	n.checkStall(id)
 }
 
-// checkStall has the link to a silent endpoint checked. If it is the link that is lost, other
-// nodes still reach the endpoint.
+// checkStall has the link to a silent endpoint checked. If only the link is lost, other nodes
+// reach the endpoint, and requests go on there.
 func (n *Node) checkStall(id roster.ID) {
-	n.checkLink(id, func(hasLink bool) {
-		if !hasLink {
+	n.checkLink(id, func(found links.Finding) {
+		if found == links.OtherNode {
 			n.tracker.ClearSuspicion(id)
 		}
 	})
@@ -160,8 +161,9 @@
 // unless it is this node's link to it that is lost. In a large fleet each node sends it too few
 // requests to detect the failure alone.
 func (n *Node) handleNoResponse(e *roster.Endpoint) {
-	n.checkLink(e.ID, func(hasLink bool) {
-		if hasLink && e.Domain == "" {
+	n.checkLink(e.ID, func(found links.Finding) {
+		isBlamed := found == links.ThisNode || found == links.Nobody && !n.links.AreAllLost()
+		if isBlamed && e.Domain == "" {
 			n.broadcast(news.Message{Failed: e.ID})
 		}
 	})
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -90,7 +90,7 @@
 
 // checkLink has the link to an endpoint checked that may have stalled or broken a connection;
 // done is called with the result.
-func (n *Node) checkLink(id roster.ID, done func(hasLink bool)) {
+func (n *Node) checkLink(id roster.ID, done func(links.Finding)) {
 	if e := n.roster.current.Load().Get(id); e != nil {
 		n.links.Check(e.Addr, done)
 	}
--- a/internal/links/dialer.go
+++ b/internal/links/dialer.go
@@ -20,6 +20,8 @@
 const (
 	// Timeout is the timeout for connecting to an endpoint over all ways.
 	Timeout = 300 * time.Millisecond
+	// verifyTimeout leaves other nodes time to find that an endpoint doesn't answer them either.
+	verifyTimeout = 600 * time.Millisecond
 	// hedgeDelay is how long a direct connection may take before another node is asked for one
 	// as well. A round trip takes up to 6 ms.
 	hedgeDelay = 80 * time.Millisecond
@@ -64,6 +66,7 @@
 // Init prepares the dialer of a node in zone.
 func (d *Dialer) Init(zone string) *Dialer {
 	d.choice.Zone = zone
+	d.Monitor.Verify = d.Verify
 	d.rnd = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	d.limiter = rate.NewLimiter(relayRate, relayBurst)
 	return d
@@ -101,6 +104,23 @@
 	return conn, peer, err
 }
 
+// Verify finds out who can connect to an endpoint: this node, or, if that fails or takes too long,
+// another one.
+func (d *Dialer) Verify(ctx context.Context, addr string) Finding {
+	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	defer cancel()
+	r := &race{d: d, ctx: ctx, addr: addr, selectPeers: func() []Peer { return d.selectPeers(AllZones) }}
+	conn, peer, err := r.run()
+	if err != nil {
+		return Nobody
+	}
+	conn.Close()
+	if peer.IsDirect() {
+		return ThisNode
+	}
+	return OtherNode
+}
+
 // DialContext opens a connection for an HTTP client.
 func (d *Dialer) DialContext(ctx context.Context, _, addr string) (net.Conn, error) {
 	conn, _, err := d.Dial(ctx, addr, AllZones)
--- a/internal/links/dialer_test.go
+++ b/internal/links/dialer_test.go
@@ -206,3 +206,26 @@
 		running.Wait()
 	})
 }
+
+// Guards against a dark endpoint that is taken for a lost link: requests would go on to it. Three of
+// them are no loss of all links either while other nodes find them silent too.
+func TestDarkEndpointsAreNoLostLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		silent := func(ctx context.Context) error { time.Sleep(160 * time.Millisecond); return tunnel.ErrEndpointDown }
+		f := &fakeNet{direct: direct(hangs), relay: map[string]func(context.Context) error{"p": silent, "q": silent}}
+		d := newTestDialer(f, "p", "q")
+		for _, addr := range []string{"x", "y", "w"} {
+			is.Equal(d.Verify(t.Context(), addr), Nobody)
+			_, _, err := d.Dial(t.Context(), addr, AllZones)
+			is.True(errors.Is(err, tunnel.ErrEndpointDown))
+		}
+		is.True(!d.Monitor.AreAllLost())
+		f.relay["q"] = connects
+		is.Equal(d.Verify(t.Context(), "x"), OtherNode)
+		f.direct = direct(connects)
+		is.Equal(d.Verify(t.Context(), "x"), ThisNode)
+		time.Sleep(time.Second)
+		is.Equal(f.openConns(), 0)
+	})
+}
--- a/internal/links/monitor.go
+++ b/internal/links/monitor.go
@@ -34,6 +34,8 @@
 	Log   *slog.Logger
 	// Dial opens a direct connection to an endpoint.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Verify finds out who can connect to an endpoint and records the state of the link.
+	Verify func(ctx context.Context, addr string) Finding
 	// Listed returns the addresses of the endpoints that requests may use.
 	Listed func() []string
 	// OnAllLost is called when all links are considered lost; may be nil.
@@ -201,14 +203,24 @@
 	}
 }
 
-// Check finds out whether the node still has a link to an endpoint that has fallen silent or
-// broken a connection, and calls done with the result: at once if another sign of life is recent,
+// Finding is who can connect to an endpoint.
+type Finding int
+
+// The findings.
+const (
+	Nobody    Finding = iota // neither this node nor another one that has links, or that is unknown
+	ThisNode                 // this node directly
+	OtherNode                // another node, but not this one: the link is lost
+)
+
+// Check finds out who can connect to an endpoint that has fallen silent or broken a connection, and
+// calls done with the result: at once if another sign of life shows that this node has its links,
 // never if too many checks are running.
-func (m *Monitor) Check(addr string, done func(hasLink bool)) {
+func (m *Monitor) Check(addr string, done func(Finding)) {
 	m.mu.Lock()
 	if m.hasRecentSuccess() {
 		m.mu.Unlock()
-		done(true)
+		done(ThisNode)
 		return
 	}
 	if m.ctx.Err() != nil || m.checking[addr] || len(m.checking) >= maxChecks {
@@ -220,13 +232,13 @@
 	m.mu.Unlock()
 }
 
-func (m *Monitor) check(addr string, done func(hasLink bool)) {
-	ok := m.probe(m.ctx, addr)
+func (m *Monitor) check(addr string, done func(Finding)) {
+	found := m.Verify(m.ctx, addr)
 	m.mu.Lock()
 	delete(m.checking, addr)
 	m.mu.Unlock()
 	if m.ctx.Err() == nil {
-		done(ok)
+		done(found)
 	}
 }
 
@@ -273,11 +285,16 @@
 	return m.health.AreAllLost() || len(m.health.links) > 0
 }
 
-// checkAll checks endpoints at the same time and waits for the results.
+// checkAll checks endpoints at the same time and waits for the results. While not all links are
+// lost, other nodes tell whether it is the endpoint that is down.
 func (m *Monitor) checkAll(ctx context.Context, addrs []string) {
+	check := func(addr string) { m.Verify(ctx, addr) }
+	if m.AreAllLost() {
+		check = func(addr string) { m.probe(ctx, addr) }
+	}
 	var checks sync.WaitGroup
 	for _, addr := range addrs {
-		checks.Go(func() { m.probe(ctx, addr) })
+		checks.Go(func() { check(addr) })
 	}
 	checks.Wait()
 }
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -20,8 +20,8 @@
 
 const (
 	// connectTimeout is the timeout of a connection to an endpoint. A round trip takes up to
-	// 6 ms; the connecting node tries other nodes meanwhile.
-	connectTimeout = 200 * time.Millisecond
+	// 6 ms, and the requesting node waits 300 ms for the result, part of which has passed.
+	connectTimeout = 150 * time.Millisecond
 	// MaxTunnels bounds the tunnels through a node: each takes two descriptors and 8 KiB of
 	// buffers. Nodes of other zones take what is beyond.
 	MaxTunnels = 512
