--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -54,7 +54,7 @@
 	barredRegions    int           // endpoints that could serve the request but are in a region that it must not reach
 	backingOff       int           // endpoints that could serve the request but accept nothing at present
 	backoffLeft      time.Duration // until the first of them accepts a request again
-	noPath           bool          // neither this node nor another one has links to endpoints
+	noPath           bool          // no node that may pass the newest attempt on has links to endpoints
 	heldBack         bool          // the newest attempt was stopped before it was sent, through no fault of the endpoint
 	sentAt           clock.Instant // when the newest attempt was sent
 	peer             upstream.Peer // the node that passed the newest attempt on
@@ -110,8 +110,8 @@
 
 // isExemptFromBudget reports whether the next attempt is exempt from the retry budget, because
 // nothing reached the last endpoint: backpressure stopped the attempt, no node has a link to the
-// endpoint, or it refused the connection. Many requests are placed at a terminated endpoint until it is removed from the
-// list. A dial that times out has used up the request's time and does count.
+// endpoint, or it refused the connection. Many requests are placed at a terminated endpoint until
+// it is removed from the list. A dial that times out has used up the request's time and does count.
 func (x *exchange) isExemptFromBudget(res Result) bool {
 	return res == NotRun && (x.heldBack || x.connRefused && x.connRefusals <= maxFreeRefusals)
 }
@@ -119,7 +119,7 @@
 // attempt sends the request to an endpoint and relays the response.
 func (x *exchange) attempt(ctx context.Context, ep *roster.Endpoint) Result {
 	x.tried = append(x.tried, ep.ID)
-	x.lastCause, x.connRefused, x.heldBack, x.peer = "", false, false, upstream.Peer{}
+	x.lastCause, x.connRefused, x.noPath, x.heldBack, x.peer = "", false, false, false, upstream.Peer{}
 	x.recalled.Store(false)
 	conn, err := x.connect(ctx, ep)
 	if err != nil {
