--- a/internal/links/world_test.go
+++ b/internal/links/world_test.go
@@ -34,8 +34,6 @@
 	choice           PeerChoice
 	losses, passed   int
 	sent, served     int
-	lastChecked      clock.Instant
-	regainedAt       clock.Instant
 	checksInProgress bool
 }
 
@@ -177,8 +175,8 @@
 			}
 			if w.isCut(n) {
 				n.health.RecordFailure(Failure{Addr: addr, StartedAt: w.now, Hung: !n.refuses}, w.now)
-			} else if n.health.RecordConnect(addr, w.now) == Regained {
-				n.regainedAt = w.now
+			} else {
+				n.health.RecordConnect(addr, w.now)
 			}
 		}
 		if n.health.AreAllLost() || len(n.health.Lost()) > 0 {
