Logs: parts of the prompt of an attempt that broke off

Cause: requests that crash endpoints may have nothing in common but a part of their prompts, and no line names one; the fingerprint is that of the whole request. No change of logic.

--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -24,6 +24,7 @@
 	PromptTokens         int           // prompt length in tokens
 	MaxAnswerTokens      int           // maximum answer length in tokens; 0: not given
 	ExpectedAnswerTokens int           // the client's estimate of the answer length in tokens; 0: none
+	PromptParts          []string      // IDs of the parts of the prompt that other requests may share, each once
 	LastEventID          string        // id of the last event that the client received
 	TimeLeft             time.Duration // the client's remaining timeout; 0: not given
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -475,6 +475,6 @@
 // logBrokenAttempt logs an attempt without a usable response. Each attempt of a client has its
 // own request id; attempts with the same fingerprint are the same request.
 func (x *exchange) logBrokenAttempt(ep *roster.Endpoint, sent clock.Instant) {
-	x.f.Log.Info("attempt broke off", "request", x.req.ID, "fingerprint", x.fingerprint, "endpoint", ep.ID,
+	x.f.Log.Info("attempt broke off", "request", x.req.ID, "fingerprint", x.fingerprint, "prompt_parts", x.req.PromptParts, "endpoint", ep.ID,
 		"group", ep.Member.Group, "sent_ms_ago", x.f.Clock.Now().Sub(sent).Milliseconds(), "events", x.eventsSent, "cause", x.lastCause)
 }
