Test of a part of the prompt that crashes engines; it fails

Cause: the quarantine's name of a request is that of the whole request. Requests that share one part of the prompt and nothing else are each a new one. The stand-in crashes by a part and counts the runs.

--- a/test/entry_quarantine_test.go
+++ b/test/entry_quarantine_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -100,3 +101,73 @@
 		return text.StatusCode == http.StatusOK && call.StatusCode == http.StatusOK
 	})
 }
+
+const (
+	// partThreshold is the number of crashes under requests with one part of the prompt after
+	// which at most partOvershoot more such requests may reach endpoints.
+	partThreshold = 5
+	partOvershoot = 3
+)
+
+// promptHeader returns the headers of a short stream whose prompt has the given parts.
+func promptHeader(parts ...string) map[string]string {
+	h := textHeader(35)
+	h["X-Prompt-Prefix"] = strings.Join(parts, ":40,") + ":40"
+	return h
+}
+
+// Guards against a part of the prompt that crashes each engine that runs a request with it: the
+// requests differ in everything else, and sound ones share their key and their first part.
+func TestEntryQuarantinesPromptPartThatCrashesEndpoints(t *testing.T) {
+	for _, events := range []int{0, 2} {
+		t.Run(fmt.Sprintf("after %d events", events), func(t *testing.T) {
+			is := is.New(t)
+			f := startEntryFleet(t, "a", "a", "b")
+			f.fleet.AddPoisonRequest(platformtest.PoisonRequest{Part: "bad", EventsBeforeCrash: events, ReplacementDelay: endpointRestartDelay})
+			send := func(n *entryNode, id string, parts ...string) (int, string) {
+				code, body, err := f.sendPrompt(n, id, promptHeader(append(parts, id)...))
+				is.NoErr(err)
+				return code, body
+			}
+			text := ""
+			for i := range harmfulAttempts {
+				f.awaitServing()
+				for k, n := range f.nodes {
+					send(n, fmt.Sprintf("aa%d%d", i, k), "f1")
+				}
+				part := []string{"bad", "00BAD", " Bad"}[i%3]
+				_, text = send(f.nodes[i%len(f.nodes)], fmt.Sprintf("cc%d", i), "f1", part)
+			}
+			if n := f.fleet.PoisonRuns("bad"); n > partThreshold+partOvershoot {
+				t.Errorf("%d requests with the part reached engines, %d crashed", n, len(f.fleet.Crashed("bad")))
+			}
+			var refusal struct {
+				Error struct{ Type, Outcome string }
+			}
+			is.NoErr(json.Unmarshal([]byte(text), &refusal))
+			is.Equal(refusal.Error.Type, "quarantined")
+			is.Equal(refusal.Error.Outcome, "not-run")
+			f.awaitServing()
+			for i, n := range f.nodes {
+				testkit.Eventually(t, "a request with the sound part is served at each node", func() bool {
+					code, _ := send(n, fmt.Sprintf("dd%d", i), "f1")
+					return code == http.StatusOK
+				})
+			}
+		})
+	}
+}
+
+// sendPrompt sends a stream request whose id is its body, and reads the response up to its end or
+// its interruption.
+func (f *entryFleet) sendPrompt(n *entryNode, id string, header map[string]string) (int, string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	resp, err := http.DefaultClient.Do(f.request(ctx, n, "POST", "/text/x", id, id, header))
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body) // an interrupted stream is an expected response
+	return resp.StatusCode, string(text), nil
+}
