Links: crashed endpoints are no loss of all links

What callers saw: while engines crashed one after the other, nodes refused everything, lookups of other services too: 430 of 523 refusals in the incident's first 25 s say that the node has lost its links and no other node passes requests on. All six nodes said so within 380 ms. Cause: three refused connections without a success since they began counted as the loss of all links. Requests that were at a crashed engine go to the next one at once, so that a node meets several crashed ones within 25 ms, between two answers. Other nodes are asked whether an endpoint is down, but at most 50 times a second, and a node that believes its links lost answers nothing: each node that errs makes the others err. Ruled out: a cut (endpoints answered at the same nodes 25 to 93 ms before); crashes alone (heads were listed with 62 to 129 free slots). Change: before a node takes its links for lost without another node's word, it probes up to four other endpoints at once; a single one that accepts is enough. The word of two nodes that an endpoint is down holds for a second, so that the requests at a crashed engine don't ask again. TestTwoNodesMustFindAnEndpointDown has the same bounds over the time in which a word holds, with five connections in each.

--- a/internal/links/dialer.go
+++ b/internal/links/dialer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -35,6 +36,8 @@
 	// minVerdicts is the number of nodes that must find an endpoint down before it counts as
 	// such: the first one may have lost its own link to it.
 	minVerdicts = 2
+	// downDuration is how long their word holds for further connections that are refused.
+	downDuration = time.Second
 )
 
 // ErrNoPath means that this node has lost its links to the endpoints and found no other node that
@@ -58,6 +61,13 @@
 	choice  PeerChoice
 	rnd     *rand.Rand
 	noPath  clock.Instant // when the latest connection found no path
+	down    map[string]downVerdict
+}
+
+// downVerdict is the word of other nodes that an endpoint is down.
+type downVerdict struct {
+	err error
+	at  clock.Instant
 }
 
 // Init prepares the dialer of a node in zone.
@@ -65,6 +75,7 @@
 	d.choice.Zone = zone
 	d.Monitor.Verify = d.Verify
 	d.rnd = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	d.down = map[string]downVerdict{}
 	d.limiter = rate.NewLimiter(relayRate, relayBurst)
 	return d
 }
@@ -131,6 +142,25 @@
 	d.noPath = d.Clock.Now()
 }
 
+// recordDown records the word of minVerdicts other nodes that an endpoint is down.
+func (d *Dialer) recordDown(addr string, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock.Now()
+	maps.DeleteFunc(d.down, func(_ string, v downVerdict) bool { return now.Sub(v.at) > downDuration })
+	d.down[addr] = downVerdict{err, now}
+}
+
+// foundDownLately returns the error of an endpoint that other nodes found down lately, or nil.
+func (d *Dialer) foundDownLately(addr string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if v, ok := d.down[addr]; ok && d.Clock.Now().Sub(v.at) <= downDuration {
+		return v.err
+	}
+	return nil
+}
+
 // KnowsPath reports whether another node passed a connection on lately.
 func (d *Dialer) KnowsPath() bool {
 	d.mu.Lock()
--- a/internal/links/dialer_test.go
+++ b/internal/links/dialer_test.go
@@ -140,8 +140,11 @@
 		f := &fakeNet{direct: direct(refuses), relay: map[string]func(context.Context) error{"p": down, "q": down, "r": down}}
 		d := newTestDialer(f, "p", "q", "r")
 		for range 10 {
-			_, _, err := d.Dial(t.Context(), "x", AllZones)
-			is.True(errors.Is(err, syscall.ECONNREFUSED))
+			for range 5 { // the word of two nodes holds for a while
+				_, _, err := d.Dial(t.Context(), "x", AllZones)
+				is.True(errors.Is(err, syscall.ECONNREFUSED))
+			}
+			time.Sleep(downDuration + time.Millisecond)
 		}
 		is.True(len(f.asked) >= 20 && len(f.asked) <= 30) // two nodes, or all three at the same moment
 		is.True(!d.Monitor.IsLost("x"))
@@ -154,6 +157,35 @@
 	})
 }
 
+// Guards against a node that refuses all requests because several endpoints crashed, while no other
+// node tells it that they are down: all nodes ask each other then.
+func TestCrashedEndpointsLeaveLinksInUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		crashed := map[string]bool{"c0": true, "c1": true, "c2": true, "c3": true, "c4": true}
+		f := &fakeNet{direct: func(_ context.Context, addr string) error {
+			if crashed[addr] {
+				return syscall.ECONNREFUSED
+			}
+			return nil
+		}}
+		d := newTestDialer(f, "p", "q")
+		d.Monitor.Listed = func() []string { return []string{"c0", "c1", "c2", "c3", "c4", "x", "y"} }
+		for range 10 {
+			for addr := range crashed {
+				_, _, err := d.Dial(t.Context(), addr, AllZones)
+				is.True(errors.Is(err, syscall.ECONNREFUSED))
+			}
+			time.Sleep(10 * time.Millisecond)
+			is.True(!d.Monitor.AreAllLost())
+		}
+		_, peer, err := d.Dial(t.Context(), "x", AllZones)
+		is.NoErr(err)
+		is.True(peer.IsDirect())
+		d.Monitor.Close()
+	})
+}
+
 // Guards against requests that wait for connections that no node can open: the first one finds
 // out, the following ones fail at once, until a node has links again.
 func TestConnectionsFailAtOnceWhileNoNodeHasLinks(t *testing.T) {
--- a/internal/links/health.go
+++ b/internal/links/health.go
@@ -30,6 +30,8 @@
 	lastSuccess clock.Instant    // last sign of life of any endpoint on a direct connection
 	lostSince   clock.Instant    // 0: the links are not all lost
 	regained    map[string]bool  // endpoints that were reached again since lostSince
+	// probesFailedAt is the end of the latest round of probes in which no endpoint was reached.
+	probesFailedAt clock.Instant
 }
 
 // link is a link over which the latest connection failed.
@@ -54,6 +56,7 @@
 // The changes.
 const (
 	Unchanged Change = iota
+	Suspected        // all links may be lost: probes of further endpoints tell
 	AllLost          // every link is now considered lost
 	Regained         // links are used again, those that failed once they are reached
 )
@@ -92,12 +95,32 @@
 	if h.lostSince != 0 {
 		return Unchanged
 	}
-	failed, confirmed := h.evidence(now)
-	if failed < minFailures && confirmed < minConfirmed {
+	return h.decide(now)
+}
+
+// RecordProbesFailed records the end of a round of probes in which no endpoint was reached.
+// Requests alone don't show that all links are lost: while endpoints crash under a request, it is
+// sent to one after the other, and the requests beside it follow.
+func (h *Health) RecordProbesFailed(now clock.Instant) Change {
+	h.probesFailedAt = now
+	if h.lostSince != 0 {
 		return Unchanged
 	}
-	h.lostSince, h.regained = now, map[string]bool{}
-	return AllLost
+	return h.decide(now)
+}
+
+// decide decides from the evidence whether all links are lost.
+func (h *Health) decide(now clock.Instant) Change {
+	failed, confirmed := h.evidence(now)
+	probesFailed := h.probesFailedAt.After(h.lastSuccess) && now.Sub(h.probesFailedAt) <= evidenceAge
+	switch {
+	case confirmed >= minConfirmed, failed >= minFailures && probesFailed:
+		h.lostSince, h.regained = now, map[string]bool{}
+		return AllLost
+	case failed >= minFailures-1: // the probes are over when the last failure comes
+		return Suspected
+	}
+	return Unchanged
 }
 
 // RecordEndpointDown records that another node could not connect to the endpoint either, so that
--- a/internal/links/monitor.go
+++ b/internal/links/monitor.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -26,6 +27,11 @@
 	// recentSuccess is the age up to which a sign of life of any endpoint shows that the node has
 	// its links, so that a silent endpoint needs no check.
 	recentSuccess = 100 * time.Millisecond
+	// probesPerRound is the number of endpoints that are probed when all links may be lost. Some
+	// of them may have crashed, too.
+	probesPerRound = 4
+	// probeInterval is the minimum interval between the starts of two rounds.
+	probeInterval = 250 * time.Millisecond
 )
 
 // Monitor keeps the Health of a node's links and checks lost ones until they work again.
@@ -50,6 +56,8 @@
 	mu       sync.Mutex
 	health   *Health
 	checking map[string]bool // endpoints whose check is in progress
+	probing  bool            // a round of probes is in progress
+	probedAt clock.Instant   // when the latest round began; 0: never
 }
 
 type metrics struct {
@@ -147,6 +155,9 @@
 	m.mu.Lock()
 	change := m.health.RecordFailure(f, m.Clock.Now())
 	m.mu.Unlock()
+	if change == Suspected {
+		m.startProbes()
+	}
 	m.apply(change, f.Addr)
 	select {
 	case m.wake <- struct{}{}:
@@ -179,9 +190,57 @@
 	return last != 0 && m.Clock.Now().Sub(last) < recentSuccess
 }
 
+// startProbes starts a round of probes that tell whether the links are lost or only some endpoints
+// are down, unless there was one lately.
+func (m *Monitor) startProbes() {
+	listed := m.Listed()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	if m.ctx.Err() != nil || m.probing || m.probedAt != 0 && now.Sub(m.probedAt) < probeInterval {
+		return
+	}
+	m.probing, m.probedAt = true, now
+	addrs := m.selectProbes(listed)
+	m.work.Go(func() { m.runProbes(addrs) })
+}
+
+// runProbes probes the endpoints and records if none of them was reached.
+func (m *Monitor) runProbes(addrs []string) {
+	var probes sync.WaitGroup
+	var reached atomic.Bool
+	for _, addr := range addrs {
+		probes.Go(func() {
+			if m.probe(m.ctx, addr) {
+				reached.Store(true)
+			}
+		})
+	}
+	probes.Wait()
+	m.mu.Lock()
+	m.probing = false
+	change := Unchanged
+	if !reached.Load() && m.ctx.Err() == nil {
+		change = m.health.RecordProbesFailed(m.Clock.Now())
+	}
+	m.mu.Unlock()
+	m.apply(change, "")
+}
+
+// selectProbes returns random listed endpoints to probe, those without a failure if there are any.
+// m.mu is held.
+func (m *Monitor) selectProbes(listed []string) []string {
+	others := slices.DeleteFunc(slices.Clone(listed), m.health.IsLost)
+	if len(others) == 0 {
+		others = slices.Clone(listed)
+	}
+	rand.Shuffle(len(others), func(i, k int) { others[i], others[k] = others[k], others[i] })
+	return others[:min(len(others), probesPerRound)]
+}
+
 // apply logs a change of the state of all links and passes it on.
 func (m *Monitor) apply(c Change, addr string) {
-	if c == Unchanged {
+	if c == Unchanged || c == Suspected {
 		return
 	}
 	m.mu.Lock()
--- a/internal/links/race.go
+++ b/internal/links/race.go
@@ -60,7 +60,7 @@
 				return a.conn, a.peer, nil
 			}
 			r.recordFailure(a)
-			if r.verdicts >= minVerdicts {
+			if r.isKnownDown(a) {
 				return nil, Peer{}, r.fail()
 			}
 			if ok {
@@ -185,6 +185,20 @@
 	return cmp.Or(r.directErr, r.lastErr, errNoWay)
 }
 
+// isKnownDown reports whether other nodes have found the endpoint down, now or, if the failed
+// attempt is a direct one that was refused, lately.
+func (r *race) isKnownDown(failed attempt) bool {
+	if r.verdicts >= minVerdicts {
+		r.d.recordDown(r.addr, r.endpointDown)
+		return true
+	}
+	if failed.peer.IsDirect() && r.isRefused() {
+		r.endpointDown = cmp.Or(r.endpointDown, r.d.foundDownLately(r.addr))
+		return r.endpointDown != nil && r.verdicts == 0
+	}
+	return false
+}
+
 // isRefused reports whether the direct connection was refused or reset.
 func (r *race) isRefused() bool {
 	return errors.Is(r.directErr, syscall.ECONNREFUSED) || errors.Is(r.directErr, syscall.ECONNRESET)
