Quarantine: parts of prompts that crash endpoints

What callers saw: engines crashed in bursts of four to six, 45 by the 21st second and 54 in the second spell; hardly any short draft was in time, and sound requests beside them were refused. Cause: the quarantine judges whole requests, by caller, method, target and body. Its class: a safeguard by a name that the harm doesn't have. Ruled out: overload or a faulty release (the two stories of the record: engines that had not crashed before do so 54 to 82 ms after such a request began to run). Change: a crash is told with the parts of the requests that ran, without the last one, and with how often and how lately requests with each part succeeded at the node. A part is found harmful after six crashes and different requests together, two requests at least, if it was hardly ever sound; a part that was sound before after six crashes of three requests since its latest success. What tells it from the parts that come with it: they have successes, or have seen fewer of the crashes, or stand earlier in the prompt. Crashes that another harmful part or request explains don't count, nor those of one mass loss. All nodes are asked for successes before the verdict. Requests with it are refused at once; the verdict is a row as before, ends by a trial run, and for a part that was sound is tried after 10 s. Answers that end with their connection vouch for no part, and count as broken if the endpoint is found crashed. Builds that know no parts skip the new fields. Weighed: limiting a part in doubt to one run at a time stops the service if all requests share it; counting successes over minutes only (a part that turns harmful is never found); five crashes and requests together, or seven (more sound parts found, or the second of two parts too late).

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -41,6 +41,7 @@
 	clientCtx     context.Context // cancelled when the client disconnects
 	body          []byte
 	fingerprint   quarantine.Fingerprint
+	parts         []quarantine.Part // of the prompt, that other requests may share
 
 	tried            []roster.ID
 	progress         Progress
@@ -57,6 +58,7 @@
 	noPath           bool          // no node that may pass the newest attempt on has links to endpoints
 	heldBack         bool          // the newest attempt was stopped before it was sent, through no fault of the endpoint
 	sentAt           clock.Instant // when the newest attempt was sent
+	endsWithConn     bool          // the newest attempt's response has neither a length nor chunks
 	peer             upstream.Peer // the node that passed the newest attempt on
 	firstByteLatency time.Duration // from the start to the response header; 0: none sent yet
 	lastEventAt      clock.Instant
@@ -120,6 +122,7 @@
 func (x *exchange) attempt(ctx context.Context, ep *roster.Endpoint) Result {
 	x.tried = append(x.tried, ep.ID)
 	x.lastCause, x.connRefused, x.noPath, x.heldBack, x.peer = "", false, false, false, upstream.Peer{}
+	x.endsWithConn = false
 	x.recalled.Store(false)
 	conn, err := x.connect(ctx, ep)
 	if err != nil {
@@ -151,6 +154,7 @@
 		res = x.classifyError(ctx, ep, err)
 	} else {
 		ticket.RecordProgress()
+		x.endsWithConn = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 		if conn.Peer.IsDirect() {
 			x.f.OnResponse()
 		}
@@ -204,7 +208,7 @@
 // checkQuarantine reports whether the request must not be sent because it terminates the
 // endpoints that run it. Every attempt passes this check before it is sent.
 func (x *exchange) checkQuarantine(ctx context.Context) bool {
-	x.verdict, x.isQuarantined = x.f.Quarantine.Refused(ctx, x.fingerprint)
+	x.verdict, x.isQuarantined = x.f.Quarantine.Refused(ctx, x.fingerprint, x.parts...)
 	return x.isQuarantined
 }
 
@@ -430,7 +434,7 @@
 	}
 	x.f.refuse(x.w, x.req, stage, e.WithCause(errors.New(string(x.pickReason)+"; "+x.lastCause)),
 		"route", x.route.Name, "model", x.req.Model, "endpoints", x.candidateStats.endpoints, "free_slots", x.candidateStats.freeSlots,
-		"held_back", x.backingOff, "tried", x.tried, "fingerprint", x.fingerprint)
+		"held_back", x.backingOff, "tried", x.tried, "fingerprint", x.fingerprint, "part", x.verdict.Part)
 }
 
 // addJitter returns a random duration between after and twice after, so that clients that
@@ -455,7 +459,12 @@
 func (x *exchange) reportRun(ep *roster.Endpoint, res Result, sent clock.Instant) {
 	switch res {
 	case Answered:
-		x.f.Quarantine.RunSucceeded(x.fingerprint)
+		if x.endsWithConn {
+			x.f.Quarantine.RunSucceeded(x.fingerprint)
+			x.f.Quarantine.ResponseUnclear(string(ep.ID), x.fingerprint, quarantine.AttemptID(x.req.ID), x.parts...)
+			return
+		}
+		x.f.Quarantine.RunSucceeded(x.fingerprint, x.parts...)
 	case MayHaveRun:
 		x.logBrokenAttempt(ep, sent)
 		if x.abortedStalled.Load() {
@@ -468,7 +477,7 @@
 		if x.recalled.Load() {
 			note = x.f.Quarantine.AttemptRecalled
 		}
-		note(string(ep.ID), ep.Addr, x.fingerprint, quarantine.AttemptID(x.req.ID))
+		note(string(ep.ID), ep.Addr, x.fingerprint, quarantine.AttemptID(x.req.ID), x.parts...)
 	}
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -50,16 +50,19 @@
 
 // Quarantine detects requests that terminate the endpoints that run them.
 type Quarantine interface {
-	// Refused reports whether the request must not be sent, and the evidence.
-	Refused(ctx context.Context, fp quarantine.Fingerprint) (quarantine.Verdict, bool)
+	// Refused reports whether the request must not be sent, and the evidence. parts are the parts
+	// of its prompt that other requests may share.
+	Refused(ctx context.Context, fp quarantine.Fingerprint, parts ...quarantine.Part) (quarantine.Verdict, bool)
 	// BeginRun registers the start of a run; the caller calls end when the run ends. recall
 	// aborts a run that is to be repeated later; nil: the run must not be aborted.
 	BeginRun(fp quarantine.Fingerprint, recall func()) (end func())
 	// AttemptFailed reports an attempt that ended without a usable response, AttemptRecalled one
-	// that was recalled, and RunSucceeded a run that succeeded.
-	AttemptFailed(endpoint, addr string, fp quarantine.Fingerprint, attempt uint32)
-	AttemptRecalled(endpoint, addr string, fp quarantine.Fingerprint, attempt uint32)
-	RunSucceeded(fp quarantine.Fingerprint)
+	// that was recalled, RunSucceeded a run that succeeded, and ResponseUnclear one whose response
+	// may be cut although it looks complete.
+	AttemptFailed(endpoint, addr string, fp quarantine.Fingerprint, attempt uint32, parts ...quarantine.Part)
+	AttemptRecalled(endpoint, addr string, fp quarantine.Fingerprint, attempt uint32, parts ...quarantine.Part)
+	RunSucceeded(fp quarantine.Fingerprint, parts ...quarantine.Part)
+	ResponseUnclear(endpoint string, fp quarantine.Fingerprint, attempt uint32, parts ...quarantine.Part)
 }
 
 // Forwarder is the HTTP handler for clients.
@@ -151,6 +154,7 @@
 	}
 	x.clientRequest, x.w, x.clientCtx = r, w, r.Context()
 	x.fingerprint = quarantine.Of(x.organisation, r.Method, req.Host, req.Target, x.body)
+	x.parts = quarantine.Parts(req.PromptParts)
 	x.run(ctx)
 }
 
--- a/internal/forward/recall_test.go
+++ b/internal/forward/recall_test.go
@@ -33,7 +33,7 @@
 	return func() {}
 }
 
-func (q *recallingQuarantine) AttemptRecalled(string, string, quarantine.Fingerprint, uint32) {
+func (q *recallingQuarantine) AttemptRecalled(string, string, quarantine.Fingerprint, uint32, ...quarantine.Part) {
 	q.recalled.Add(1)
 }
 
--- a/internal/logwalk/logwalk.go
+++ b/internal/logwalk/logwalk.go
@@ -26,7 +26,9 @@
 
 	Request     string   `json:"request"`
 	Fingerprint string   `json:"fingerprint"` // equal for equal requests with different ids
-	Stage       string   `json:"stage"`       // of a refusal
+	Part        string   `json:"part"`        // part of the prompt for which requests are refused
+	PromptParts []string `json:"prompt_parts"`
+	Stage       string   `json:"stage"` // of a refusal
 	Tried       []string `json:"tried"`
 	Endpoint    string   `json:"endpoint"`
 	ID          string   `json:"id"`       // of an ejection
@@ -193,6 +195,8 @@
 			ex.RelatedLines = append(ex.RelatedLines, RelatedLine{l, age, why})
 		} else if fp != "" && l.Fingerprint == fp && l.Request != request && slices.Contains(fingerprintMessages, l.Message) {
 			ex.RelatedLines = append(ex.RelatedLines, RelatedLine{l, age, "an equal request, with any id"})
+		} else if end.Part != "" && l.Request != request && concernsPart(&l, end.Part) {
+			ex.RelatedLines = append(ex.RelatedLines, RelatedLine{l, age, "a request with the same part in its prompt"})
 		}
 	}
 	for _, l := range newest {
@@ -208,6 +212,18 @@
 	"attempt broke off", "request is quarantined", "quarantined request is tried", "request is quarantined no more",
 }
 
+// partMessages lists messages about a part of prompts. Their age is not limited either.
+var partMessages = []string{"prompt part is quarantined", "quarantined request is tried", "prompt part is quarantined no more"}
+
+// concernsPart reports whether the line is about a part of prompts, or about an attempt with it that
+// broke off.
+func concernsPart(l *Line, part string) bool {
+	if l.Message == "attempt broke off" {
+		return slices.Contains(l.PromptParts, part)
+	}
+	return l.Part == part && slices.Contains(partMessages, l.Message)
+}
+
 // firstFingerprint returns the first fingerprint in the lines, or "".
 func firstFingerprint(own []Line) string {
 	for _, l := range own {
--- a/internal/logwalk/logwalk_test.go
+++ b/internal/logwalk/logwalk_test.go
@@ -64,6 +64,22 @@
 	is.True(!strings.Contains(text.String(), "good"))
 }
 
+// Guards against a refusal for a part of the prompt that can't be explained: the attempts that broke
+// off belong to other requests.
+func TestWalkFindsCauseOfPartQuarantine(t *testing.T) {
+	is := is.New(t)
+	lines, err := Read(strings.NewReader(`{"time":"2026-01-01T00:00:01Z","msg":"attempt broke off","vm":"front-1","request":"r1","fingerprint":"f1","prompt_parts":["a","bad"],"endpoint":"e1"}
+{"time":"2026-01-01T00:00:02Z","msg":"attempt broke off","vm":"front-2","request":"r2","fingerprint":"f2","prompt_parts":["a"],"endpoint":"e2"}
+{"time":"2026-01-01T00:00:03Z","msg":"prompt part is quarantined","vm":"front-3","fingerprint":"f3","part":"bad","ends":5}
+{"time":"2026-01-01T00:05:00Z","msg":"request refused","vm":"front-1","request":"r9","fingerprint":"f9","part":"bad","stage":"quarantine"}
+`))
+	is.NoErr(err)
+	ex := ExplainRequest(lines, "r9")
+	is.Equal(len(ex.RelatedLines), 2)
+	is.Equal(ex.RelatedLines[0].Line.Request, "r1")
+	is.Equal(ex.RelatedLines[1].Line.Message, "prompt part is quarantined")
+}
+
 func TestUnknownRequestHasNoLines(t *testing.T) {
 	is := is.New(t)
 	lines, err := Read(strings.NewReader(walkLogs))
--- a/internal/quarantine/bans.go
+++ b/internal/quarantine/bans.go
@@ -8,7 +8,7 @@
 	"chervilloom/internal/clock"
 )
 
-// ban is the quarantine state of one request: refused at every node, or, for a suspect, limited
+// ban is the quarantine state of one request, or of all requests with a part of the prompt: refused at every node, or, for a suspect, limited
 // to one run at a time.
 type ban struct {
 	Verdict
@@ -26,7 +26,18 @@
 	if b.Suspect {
 		return b.trialRequestedAt == 0 || now.Sub(b.trialRequestedAt) > suspectRunTimeout
 	}
-	return now.Sub(b.since) > banDuration && (b.trialRequestedAt == 0 || now.Sub(b.trialRequestedAt) > trialRetryPause)
+	return now.Sub(b.since) > b.trialDelay() && (b.trialRequestedAt == 0 || now.Sub(b.trialRequestedAt) > trialRetryPause)
+}
+
+// trialDelay is how long the request, or all with the part, are refused before the next trial run.
+func (v Verdict) trialDelay() time.Duration {
+	switch {
+	case v.Part == "" || v.Successes == 0 || v.Trials > 1:
+		return banDuration
+	case v.Trials == 1:
+		return secondPartTrial
+	}
+	return firstPartTrial
 }
 
 const (
@@ -57,15 +68,19 @@
 	g.mu.Lock()
 	b.Verdict, b.since, b.hasTrial = v, g.Clock.Now(), true
 	g.mu.Unlock()
-	g.Log.Info("quarantined request is tried", "suspect", v.Suspect, "fingerprint", v.Fingerprint, "ends", v.Crashes, "tries", v.Trials)
+	g.Log.Info("quarantined request is tried", "suspect", v.Suspect, "fingerprint", v.Fingerprint, "part", v.Part, "ends", v.Crashes, "tries", v.Trials)
 	return true, nil
 }
 
 // RunSucceeded records a successful run. It releases a suspect, lifts a ban whose trial run this
 // was, and otherwise reports the runs of a banned request to the other nodes.
-func (g *Guard) RunSucceeded(fp Fingerprint) {
+func (g *Guard) RunSucceeded(fp Fingerprint, parts ...Part) {
+	now := g.Clock.Now()
 	g.mu.Lock()
-	g.history.add(fp, g.Clock.Now())
+	g.history.add(fp, now)
+	for _, p := range parts {
+		g.partHistory.add(p, now)
+	}
 	b, runs := g.bans[fp], g.history.runs(fp)
 	tried := b != nil && b.hasTrial
 	suspect := b != nil && b.Suspect
@@ -78,6 +93,9 @@
 	case b != nil:
 		g.reportSuccesses(fp, runs)
 	}
+	for _, banned := range g.bannedParts(parts) {
+		g.lift(banned, "a run of a request with it succeeded")
+	}
 }
 
 // reportSuccesses sends the number of this node's successful runs of a harmful request. Many
@@ -99,6 +117,18 @@
 	}
 }
 
+// answerPartQuery reports the successful runs with the part at this node, if there are any.
+func (g *Guard) answerPartQuery(p Part) {
+	g.mu.Lock()
+	s := g.partHistory.successes(p, g.Clock.Now())
+	g.mu.Unlock()
+	if s.Runs > 0 {
+		m := Message{Node: g.Node, PartSuccesses: &PartReport{p, s}}
+		g.Receive(m)
+		g.SendToTalliers(m)
+	}
+}
+
 // ApplyPersisted applies the verdicts that were read from the platform's table. A ban whose row was
 // present and stays missing for missingRowTimeout was lifted by another node.
 func (g *Guard) ApplyPersisted(persisted []Verdict) {
@@ -225,13 +255,21 @@
 	}
 	g.remove(v.Fingerprint)
 	g.bans[v.Fingerprint] = &ban{Verdict: v, since: now, successes: successCounts{}, changed: make(chan struct{})}
+	if v.Part != "" {
+		g.partBans[v.Part] = v.Fingerprint
+	}
 	runs := g.history.runs(v.Fingerprint)
 	g.mu.Unlock()
-	if v.Suspect {
+	switch {
+	case v.Part != "":
+		g.metrics.foundParts.Inc()
+		g.Log.Warn("prompt part is quarantined", "part", v.Part, "fingerprint", v.Fingerprint, "ends", v.Crashes, "requests", v.Attempts,
+			"successes", v.Successes, "source", source, "for_ms", v.trialDelay().Milliseconds())
+	case v.Suspect:
 		g.metrics.suspects.Inc()
 		g.Log.Info("request is limited to one run at a time", "fingerprint", v.Fingerprint, "ends", v.Crashes, "attempts", v.Attempts, "source", source)
 		g.keepOneRun(v)
-	} else {
+	default:
 		g.metrics.found.Inc()
 		g.Log.Warn("request is quarantined", "fingerprint", v.Fingerprint, "ends", v.Crashes, "attempts", v.Attempts, "source", source, "for_ms", banDuration.Milliseconds())
 	}
@@ -245,6 +283,7 @@
 	if b := g.bans[fp]; b != nil {
 		close(b.changed)
 		delete(g.bans, fp)
+		delete(g.partBans, b.Part)
 	}
 }
 
@@ -286,21 +325,32 @@
 	b := g.bans[fp]
 	g.remove(fp)
 	g.tally.Clear(fp)
+	if b != nil && b.Part != "" {
+		g.tally.ClearPart(b.Part)
+	}
 	g.liftedAt[fp] = g.Clock.Now()
 	g.mu.Unlock()
 	if b != nil {
-		g.Log.Info("request is quarantined no more", "fingerprint", fp, "reason", reason)
+		g.logLifted(b, reason)
 	}
 	return b != nil
 }
 
+func (g *Guard) logLifted(b *ban, reason string) {
+	if b.Part != "" {
+		g.Log.Info("prompt part is quarantined no more", "part", b.Part, "fingerprint", b.Fingerprint, "reason", reason)
+		return
+	}
+	g.Log.Info("request is quarantined no more", "fingerprint", b.Fingerprint, "reason", reason)
+}
+
 // removeExpired deletes the expired bans that have no row, and old entries of releasedAt and
 // liftedAt.
 func (g *Guard) removeExpired(now clock.Instant) {
 	for fp, b := range g.bans {
 		if !b.persisted && now.Sub(b.since) > b.retention() {
 			g.remove(fp)
-			g.Log.Info("request is quarantined no more", "fingerprint", fp, "reason", "it has expired")
+			g.logLifted(b, "it has expired")
 		}
 	}
 	for _, times := range []map[Fingerprint]clock.Instant{g.releasedAt, g.liftedAt} {
--- a/internal/quarantine/checks.go
+++ b/internal/quarantine/checks.go
@@ -1,11 +1,13 @@
 package quarantine
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"hash/fnv"
 	"net"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -18,9 +20,29 @@
 	finishedAt clock.Instant // when the check completed; 0: still in progress
 	crashed    bool          // the endpoint refuses connections
 	done       chan struct{} // closed when the check is complete
-	unreported []Run         // runs at the endpoint that have not been reported to the tallying nodes
+	unreported []failedRun   // runs at the endpoint that have not been reported to the tallying nodes
 }
 
+// failedRun is a run of a request that ended without a usable response.
+type failedRun struct {
+	Run
+	parts []Part
+}
+
+// unclearRun is a run whose response ended with its connection, so that it may be cut.
+type unclearRun struct {
+	failedRun
+	endpoint string
+	at       clock.Instant
+}
+
+const (
+	// maxUnclearRuns bounds the unclear runs that are kept, and unclearRetention is how long: other
+	// runs at a crashed endpoint break off at the same moment.
+	maxUnclearRuns   = 128
+	unclearRetention = time.Second
+)
+
 const (
 	// dialTimeout bounds each connection attempt of a check.
 	dialTimeout = 300 * time.Millisecond
@@ -58,25 +80,58 @@
 // checked. The failure counts as a crash only if the endpoint refuses connections afterwards:
 // one that resets a connection, sends garbage or is unreachable has not crashed. The request's
 // retry waits for the check.
-func (g *Guard) AttemptFailed(endpoint, addr string, fp Fingerprint, attempt uint32) {
+func (g *Guard) AttemptFailed(endpoint, addr string, fp Fingerprint, attempt uint32, parts ...Part) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if check := g.startCheck(endpoint, addr, fp, attempt); check != nil {
+	if check := g.startCheck(endpoint, addr, fp, attempt, parts); check != nil {
 		g.checksByRequest[fp] = check
 	}
 }
 
 // AttemptRecalled records that an attempt at an endpoint was recalled. The request may already be
 // crashing the endpoint, so it is checked, but the request's retry does not wait for the check.
-func (g *Guard) AttemptRecalled(endpoint, addr string, fp Fingerprint, attempt uint32) {
+func (g *Guard) AttemptRecalled(endpoint, addr string, fp Fingerprint, attempt uint32, parts ...Part) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.startCheck(endpoint, addr, fp, attempt)
+	g.startCheck(endpoint, addr, fp, attempt, parts)
+}
+
+// ResponseUnclear records a run that succeeded, or was cut when the endpoint crashed: its response
+// ended with the connection. It counts as failed if the endpoint is found crashed because of other
+// runs there, and is no evidence that the parts of its prompt are sound.
+func (g *Guard) ResponseUnclear(endpoint string, fp Fingerprint, attempt uint32, parts ...Part) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	g.unclear = slices.DeleteFunc(g.unclear, func(u unclearRun) bool { return now.Sub(u.at) > unclearRetention })
+	run := failedRun{Run{Fingerprint: fp, Attempt: attempt, Successes: g.history.runs(fp)}, parts}
+	if check := g.checksByEndpoint[endpoint]; check != nil && (check.finishedAt == 0 || check.crashed) {
+		check.unreported = append(check.unreported, run)
+		return
+	}
+	if len(g.unclear) < maxUnclearRuns {
+		g.unclear = append(g.unclear, unclearRun{run, endpoint, now})
+	}
+}
+
+// takeUnclear returns the unclear runs at an endpoint. g.mu is held.
+func (g *Guard) takeUnclear(endpoint string, now clock.Instant) []failedRun {
+	var taken []failedRun
+	g.unclear = slices.DeleteFunc(g.unclear, func(u unclearRun) bool {
+		if u.endpoint != endpoint {
+			return false
+		}
+		if now.Sub(u.at) <= unclearRetention {
+			taken = append(taken, u.failedRun)
+		}
+		return true
+	})
+	return taken
 }
 
 // startCheck starts a check of the endpoint, or joins the one in progress, and adds the run to
 // it. It returns nil if too many checks are kept or the guard is closed. g.mu is held.
-func (g *Guard) startCheck(endpoint, addr string, fp Fingerprint, attempt uint32) *endpointCheck {
+func (g *Guard) startCheck(endpoint, addr string, fp Fingerprint, attempt uint32, parts []Part) *endpointCheck {
 	if g.ctx.Err() != nil {
 		return nil
 	}
@@ -87,11 +142,11 @@
 			g.metrics.checks.WithLabelValues("skipped").Inc()
 			return nil
 		}
-		check = &endpointCheck{startedAt: now, done: make(chan struct{})}
+		check = &endpointCheck{startedAt: now, done: make(chan struct{}), unreported: g.takeUnclear(endpoint, now)}
 		g.checksByEndpoint[endpoint] = check
 		g.work.Go(func() { g.checkEndpoint(check, endpoint, addr) })
 	}
-	check.unreported = append(check.unreported, Run{Fingerprint: fp, Attempt: attempt, Successes: g.history.runs(fp)})
+	check.unreported = append(check.unreported, failedRun{Run{Fingerprint: fp, Attempt: attempt, Successes: g.history.runs(fp)}, parts})
 	return check
 }
 
@@ -189,7 +244,7 @@
 	var crashes []CrashReport
 	for endpoint, check := range g.checksByEndpoint {
 		if check.crashed && len(check.unreported) > 0 {
-			crashes = append(crashes, CrashReport{endpoint, check.unreported, check.startedAt})
+			crashes = append(crashes, CrashReport{endpoint, g.describeRuns(check.unreported, now), check.startedAt})
 			check.unreported = nil
 		}
 		if check.finishedAt != 0 && now.Sub(check.finishedAt) > checkRetention {
@@ -204,6 +259,30 @@
 	return crashes
 }
 
+// describeRuns returns the runs with the parts of their prompts. g.mu is held.
+func (g *Guard) describeRuns(failed []failedRun, now clock.Instant) []Run {
+	runs := make([]Run, len(failed))
+	for i, f := range failed {
+		runs[i] = f.Run
+		runs[i].Parts = g.describeParts(f.parts, now)
+	}
+	return runs
+}
+
+// describeParts returns up to maxPartsPerRun parts, first those with the fewest successful runs here.
+// g.mu is held.
+func (g *Guard) describeParts(parts []Part, now clock.Instant) []PartRun {
+	var out []PartRun
+	for depth, p := range parts {
+		out = append(out, PartRun{p, depth, g.partHistory.successes(p, now)})
+	}
+	if len(out) <= maxPartsPerRun {
+		return out
+	}
+	slices.SortStableFunc(out, func(a, b PartRun) int { return cmp.Compare(a.Runs, b.Runs) })
+	return out[:maxPartsPerRun]
+}
+
 // Liveness is the result of a check.
 type Liveness int
 
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -54,9 +54,12 @@
 	judgedAt         clock.Instant
 	hasNewEvidence   bool // evidence was added since the last judgement
 	history          history
+	partHistory      partHistory
 	checksByEndpoint map[string]*endpointCheck
 	checksByRequest  map[Fingerprint]*endpointCheck // where the request last failed
+	unclear          []unclearRun
 	bans             map[Fingerprint]*ban
+	partBans         map[Part]Fingerprint          // the bans on parts of prompts
 	queriedAt        map[Fingerprint]clock.Instant // when the other nodes were asked for their successful runs
 	releasedAt       map[Fingerprint]clock.Instant // when a suspect was released
 	liftedAt         map[Fingerprint]clock.Instant // when a ban was lifted
@@ -80,7 +83,7 @@
 	g.checksByEndpoint, g.bans, g.checksByRequest = map[string]*endpointCheck{}, map[Fingerprint]*ban{}, map[Fingerprint]*endpointCheck{}
 	g.queriedAt = map[Fingerprint]clock.Instant{}
 	g.releasedAt, g.liftedAt = map[Fingerprint]clock.Instant{}, map[Fingerprint]clock.Instant{}
-	g.runs = map[Fingerprint][]*run{}
+	g.runs, g.partBans = map[Fingerprint][]*run{}, map[Part]Fingerprint{}
 	g.metrics = newMetrics(reg, g.countRefused)
 	if g.Dial == nil {
 		g.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
@@ -114,17 +117,23 @@
 	return float64(len(g.bans) - g.countSuspects())
 }
 
-// Refused reports whether the request must not be sent, and the verdict. It is called
+// Refused reports whether the request must not be sent, and the verdict, which is on the request or
+// on one of the parts of its prompt that other requests may share. It is called
 // immediately before each send: while a request waits, or is retried at a second endpoint,
 // others may find it harmful. It waits for the check of the endpoint at which the request last
 // failed, for answers to a query, and up to suspectRunWait for another run of a suspect.
-func (g *Guard) Refused(ctx context.Context, fp Fingerprint) (Verdict, bool) {
+func (g *Guard) Refused(ctx context.Context, fp Fingerprint, parts ...Part) (Verdict, bool) {
 	if g.awaitCheck(ctx, fp) || g.standalone {
 		g.Tick()
 	}
-	if g.awaitAnswers(ctx, fp) {
+	if g.awaitAnswers(ctx, fp, parts) {
 		g.Tick()
 	}
+	if v, refused := g.refusedForPart(ctx, parts); refused {
+		g.metrics.refused.Inc()
+		g.metrics.refusedParts.Inc()
+		return v, true
+	}
 	deadline := g.Clock.Now().Add(suspectRunWait)
 	g.awaitRun(ctx, fp, deadline)
 	v, refused := g.refusedNow(ctx, fp)
@@ -138,6 +147,32 @@
 	return v, refused
 }
 
+// refusedForPart reports whether one of the parts is harmful, and the verdict.
+func (g *Guard) refusedForPart(ctx context.Context, parts []Part) (Verdict, bool) {
+	for _, fp := range g.bannedParts(parts) {
+		if v, refused := g.refusedNow(ctx, fp); refused {
+			return v, true
+		}
+	}
+	return Verdict{}, false
+}
+
+// bannedParts returns the fingerprints of those parts that are harmful.
+func (g *Guard) bannedParts(parts []Part) []Fingerprint {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.partBans) == 0 {
+		return nil
+	}
+	var out []Fingerprint
+	for _, p := range parts {
+		if fp, ok := g.partBans[p]; ok {
+			out = append(out, fp)
+		}
+	}
+	return out
+}
+
 // refusedNow is Refused without the waits.
 func (g *Guard) refusedNow(ctx context.Context, fp Fingerprint) (Verdict, bool) {
 	g.mu.Lock()
@@ -170,10 +205,12 @@
 		messages, g.resend = append(messages, m), append(g.resend, m) // sent twice, since a lost packet would lose the evidence
 	}
 	var found, suspects []Verdict
-	var queries []Fingerprint
+	query := Message{Node: g.Node}
 	if len(g.tally.order) > 0 && (g.hasNewEvidence || len(g.queriedAt) > 0 || now.Sub(g.judgedAt) >= maxJudgeInterval) {
 		g.judgedAt, g.hasNewEvidence = now, false
-		found, queries = g.splitAnswered(g.tally.Judge(g.isFoundHarmful, now), now)
+		found = g.tally.JudgeParts(g.isHarmfulPart, g.isFoundHarmful)
+		found = append(found, g.tally.Judge(g.isFoundHarmful, g.isHarmfulPart, now)...)
+		found, query.Queries, query.PartQueries = g.splitAnswered(found, now)
 		suspects = g.newSuspects()
 	}
 	g.removeExpired(now)
@@ -181,8 +218,8 @@
 	for _, m := range messages {
 		g.SendToTalliers(m)
 	}
-	if len(queries) > 0 {
-		g.Broadcast(Message{Node: g.Node, Queries: queries})
+	if len(query.Queries)+len(query.PartQueries) > 0 {
+		g.Broadcast(query)
 	}
 	for _, v := range append(suspects, found...) {
 		g.ban(v, "tally")
@@ -201,18 +238,23 @@
 	return b != nil && !b.Suspect
 }
 
+func (g *Guard) isHarmfulPart(p Part) bool {
+	_, banned := g.partBans[p]
+	return banned
+}
+
 // newSuspects returns the suspects that have no ban yet. g.mu is held.
 func (g *Guard) newSuspects() []Verdict {
 	if g.AcquireTrial == nil {
 		return nil
 	}
-	return slices.DeleteFunc(g.tally.Suspects(g.isFoundHarmful), func(v Verdict) bool { return g.bans[v.Fingerprint] != nil })
+	return slices.DeleteFunc(g.tally.Suspects(g.isFoundHarmful, g.isHarmfulPart), func(v Verdict) bool { return g.bans[v.Fingerprint] != nil })
 }
 
 // splitAnswered splits the findings into those that are confirmed, since the other nodes have
 // had queryWait to report successful runs, and those about which they are to be asked now. g.mu
 // is held.
-func (g *Guard) splitAnswered(found []Verdict, now clock.Instant) (confirmed []Verdict, queries []Fingerprint) {
+func (g *Guard) splitAnswered(found []Verdict, now clock.Instant) (confirmed []Verdict, queries []Fingerprint, partQueries []Part) {
 	pending := map[Fingerprint]clock.Instant{}
 	for _, v := range found {
 		at, ok := g.queriedAt[v.Fingerprint]
@@ -221,6 +263,10 @@
 			confirmed = append(confirmed, v)
 		case ok:
 			pending[v.Fingerprint] = at
+		case v.Part != "":
+			pending[v.Fingerprint] = now
+			partQueries = append(partQueries, v.Part)
+			g.tally.RecordPartSuccesses(g.Node, v.Part, g.partHistory.successes(v.Part, now), now)
 		default:
 			pending[v.Fingerprint] = now
 			queries = append(queries, v.Fingerprint)
@@ -228,14 +274,21 @@
 		}
 	}
 	g.queriedAt = pending
-	return confirmed, queries
+	return confirmed, queries, partQueries
 }
 
 // awaitAnswers waits until queryWait has passed since the other nodes were asked about the
-// request, and reports whether they were asked.
-func (g *Guard) awaitAnswers(ctx context.Context, fp Fingerprint) bool {
+// request or a part of it, and reports whether they were asked.
+func (g *Guard) awaitAnswers(ctx context.Context, fp Fingerprint, parts []Part) bool {
 	g.mu.Lock()
 	at, asked := g.queriedAt[fp]
+	if len(g.queriedAt) > 0 {
+		for _, p := range parts {
+			if partAt, ok := g.queriedAt[p.Fingerprint()]; ok {
+				at, asked = max(at, partAt), true
+			}
+		}
+	}
 	left := queryWait - g.Clock.Now().Sub(at)
 	g.mu.Unlock()
 	if asked {
@@ -269,6 +322,9 @@
 			harmless = b.successes.isHarmless(b.Crashes)
 		}
 	}
+	if s := m.PartSuccesses; s != nil {
+		g.tally.RecordPartSuccesses(m.Node, s.Part, s.PartSuccesses, now)
+	}
 	g.mu.Unlock()
 	if harmless {
 		const reason = "its successful runs far outnumber the crashes"
@@ -279,6 +335,9 @@
 	for _, fp := range m.Queries {
 		g.answerQuery(fp)
 	}
+	for _, p := range m.PartQueries {
+		g.answerPartQuery(p)
+	}
 	for _, v := range m.Found {
 		if !g.wasLiftedWithin(v.Fingerprint, lateFindingWindow, now) {
 			g.ban(v, m.Node)
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -309,7 +309,7 @@
 	for i := range 60 {
 		runs := make([]Run, 1+i%40)
 		for k := range runs {
-			runs[k] = Run{fp, 4294967295, 999}
+			runs[k] = Run{Fingerprint: fp, Attempt: 4294967295, Successes: 999}
 		}
 		ends = append(ends, CrashReport{Endpoint: "i-0123456789~1790000000000", Runs: runs})
 	}
@@ -328,6 +328,32 @@
 	is.Equal(packed, sent)
 }
 
+// Guards against evidence with parts of prompts that exceeds a packet or is lost.
+func TestPackedPartsFitPackets(t *testing.T) {
+	is := is.New(t)
+	const packet = 1400 // bytes
+	longest := Parts([]string{"123456789abcdef012345678"})[0]
+	is.True(len(longest) <= maxPartBytes)
+	parts := make([]PartRun, maxPartsPerRun)
+	for i := range parts {
+		parts[i] = PartRun{Part("0123456789abcdef0123"), 999, PartSuccesses{99999, generationLifetime.Milliseconds()}}
+	}
+	var runs []Run
+	for i := range 60 {
+		runs = append(runs, Run{Fingerprint: Of("org", "POST", "h", "/x", nil), Attempt: 4294967295, Successes: 999, Parts: parts[:i%(maxPartsPerRun+1)]})
+	}
+	packed := 0
+	for _, m := range packCrashes("front-a-long-zone-name-12", []CrashReport{{Endpoint: "i-0123456789~1790000000000", Runs: runs}}) {
+		raw, err := json.Marshal(map[string]any{"quarantine": m})
+		is.NoErr(err)
+		is.True(len(raw) <= packet)
+		for _, e := range m.Crashes {
+			packed += len(e.Runs)
+		}
+	}
+	is.Equal(packed, len(runs))
+}
+
 // Guards against a wrong liveness result: an exited process refuses connections, a running one
 // accepts them.
 func TestRefusedConnectionShowsCrash(t *testing.T) {
--- a/internal/quarantine/refusal.go
+++ b/internal/quarantine/refusal.go
@@ -10,6 +10,10 @@
 			"endpoints ended while they ran this request, and another run of it is under way",
 			"send it again").WithRetryAfter(suspectRetryAfter)
 	}
+	if v.Part != "" {
+		return outcome.New(outcome.Quarantined, outcome.NotRun, "endpoints end when they run requests with part "+string(v.Part)+" of this prompt",
+			"send the prompt without that part; it is tried again in some minutes")
+	}
 	return outcome.New(outcome.Quarantined, outcome.NotRun, "endpoints end when they run this request",
 		"send another request; this one is tried again in some minutes")
 }
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -34,16 +34,16 @@
 
 // Suspects returns the requests to be limited to one run at a time, without those for which
 // isKnownHarmful is true.
-func (t *Tally) Suspects(isKnownHarmful func(Fingerprint) bool) []Verdict {
-	found := map[Fingerprint]bool{}
+func (t *Tally) Suspects(isKnownHarmful func(Fingerprint) bool, isHarmfulPart func(Part) bool) []Verdict {
+	found := foundSet{requests: map[Fingerprint]bool{}, isPart: isHarmfulPart}
 	for fp := range t.byFingerprint {
 		if isKnownHarmful(fp) {
-			found[fp] = true
+			found.requests[fp] = true
 		}
 	}
 	var out []Verdict
 	for fp, ev := range t.byFingerprint {
-		if found[fp] || len(ev.crashes) < minSuspectCrashes || ev.isHarmless() {
+		if found.requests[fp] || len(ev.crashes) < minSuspectCrashes || ev.isHarmless() {
 			continue
 		}
 		own := t.unexplainedCrashes(fp, found)
--- a/internal/quarantine/tally.go
+++ b/internal/quarantine/tally.go
@@ -21,6 +21,7 @@
 	Fingerprint Fingerprint `json:"f"`
 	Attempt     uint32      `json:"a"`           // AttemptID; distinguishes client attempts with the same fingerprint
 	Successes   int         `json:"s,omitempty"` // recent successful runs of the request at the reporting node
+	Parts       []PartRun   `json:"p,omitempty"` // parts of its prompt that other requests may share
 }
 
 // CrashReport reports the crash of an endpoint and the requests that one node had there.
@@ -32,13 +33,15 @@
 	at clock.Instant
 }
 
-// Tally collects reports of crashes, from which Judge finds the requests that cause them. It has
+// Tally collects reports of crashes, from which Judge finds the requests that cause them and
+// JudgeParts the parts of their prompts. It has
 // no clock and does no I/O, and is not safe for concurrent use. Duplicates count once, so that
 // evidence may be sent again.
 type Tally struct {
 	crashes       map[string]*crash
 	order         []*crash // in the order of their first reports
 	byFingerprint map[Fingerprint]*requestEvidence
+	byPart        map[Part]*partEvidence
 }
 
 // crash is an endpoint's crash with the runs that all nodes have reported.
@@ -46,6 +49,7 @@
 	endpoint string
 	at       clock.Instant            // time of the crash if this node saw it first, else of the first report
 	runs     map[Fingerprint][]uint32 // client attempts of each request
+	parts    map[Part]*partPresence
 }
 
 // requestEvidence is the evidence on a request that has seen a crash.
@@ -59,13 +63,13 @@
 // AddCrash adds a node's report of a crash, and returns whether it is the first report of it.
 func (t *Tally) AddCrash(node string, e CrashReport, now clock.Instant) (first bool) {
 	if t.crashes == nil {
-		t.crashes, t.byFingerprint = map[string]*crash{}, map[Fingerprint]*requestEvidence{}
+		t.crashes, t.byFingerprint, t.byPart = map[string]*crash{}, map[Fingerprint]*requestEvidence{}, map[Part]*partEvidence{}
 	}
 	known := t.crashes[e.Endpoint]
 	first = known == nil
 	if first {
 		t.evictOld(now)
-		known = &crash{endpoint: e.Endpoint, at: now, runs: map[Fingerprint][]uint32{}}
+		known = &crash{endpoint: e.Endpoint, at: now, runs: map[Fingerprint][]uint32{}, parts: map[Part]*partPresence{}}
 		if e.at != 0 {
 			known.at = e.at
 		}
@@ -74,6 +78,7 @@
 	}
 	for _, r := range e.Runs {
 		t.addRun(node, known, r)
+		t.addParts(node, known, r, now)
 	}
 	return first
 }
@@ -112,6 +117,7 @@
 				delete(t.byFingerprint, fp)
 			}
 		}
+		t.removeFromParts(old)
 	}
 }
 
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -60,18 +60,22 @@
 	Trials int `json:"tries,omitempty"`
 	// Suspect is set if the request is not found harmful but limited to one run at a time.
 	Suspect bool `json:"suspect,omitempty"`
+	// Part is set if the verdict is on all requests with this part of the prompt. Attempts then
+	// counts the requests, and Successes the recent successful runs with the part.
+	Part      Part `json:"part,omitempty"`
+	Successes int  `json:"successes,omitempty"`
 }
 
 // Judge returns the requests that are found harmful at now, without those for which
-// isKnownHarmful is true. A crash under one of these, or under one that is found earlier in the
-// same call, is no evidence against the other requests that were there.
-func (t *Tally) Judge(isKnownHarmful func(Fingerprint) bool, now clock.Instant) []Verdict {
-	found := map[Fingerprint]bool{}
+// isKnownHarmful is true. A crash under one of these, under one that is found earlier in the same
+// call or under a harmful part is no evidence against the other requests that were there.
+func (t *Tally) Judge(isKnownHarmful func(Fingerprint) bool, isHarmfulPart func(Part) bool, now clock.Instant) []Verdict {
+	found := foundSet{requests: map[Fingerprint]bool{}, isPart: isHarmfulPart}
 	var undecided []Fingerprint
 	for fp, ev := range t.byFingerprint {
 		switch {
 		case isKnownHarmful(fp):
-			found[fp] = true
+			found.requests[fp] = true
 		case len(ev.crashes) >= minHarmfulCrashes:
 			undecided = append(undecided, fp)
 		}
@@ -84,7 +88,7 @@
 	for _, fp := range undecided {
 		if v, harmful := t.judgeRequest(fp, found, now); harmful {
 			out = append(out, v)
-			found[fp] = true
+			found.requests[fp] = true
 		}
 	}
 	return out
@@ -101,15 +105,19 @@
 // isHarmless reports whether the request succeeded too often to be the cause of that many
 // crashes.
 func (c successCounts) isHarmless(crashes int) bool {
+	return c.sum() > maxSuccessesPerCrash*crashes
+}
+
+func (c successCounts) sum() int {
 	n := 0
 	for _, runs := range c {
 		n += runs
 	}
-	return n > maxSuccessesPerCrash*crashes
+	return n
 }
 
 // judgeRequest weighs the crashes of one request that no request in found explains.
-func (t *Tally) judgeRequest(fp Fingerprint, found map[Fingerprint]bool, now clock.Instant) (Verdict, bool) {
+func (t *Tally) judgeRequest(fp Fingerprint, found foundSet, now clock.Instant) (Verdict, bool) {
 	ev := t.byFingerprint[fp]
 	own := t.unexplainedCrashes(fp, found)
 	v := Verdict{Fingerprint: fp, Crashes: len(own), Attempts: len(ev.attempts)}
@@ -136,22 +144,35 @@
 
 // unexplainedCrashes returns the crashes that the request has seen, without those that a harmful
 // request explains and those that belong to the same loss as another one.
-func (t *Tally) unexplainedCrashes(fp Fingerprint, found map[Fingerprint]bool) []*crash {
+func (t *Tally) unexplainedCrashes(fp Fingerprint, found foundSet) []*crash {
+	attempts := func(c *crash) []uint32 { return c.runs[fp] }
 	ev := t.byFingerprint[fp]
 	var own []*crash
 	for _, c := range ev.crashes {
-		if !t.isExplained(c, found, len(ev.crashes)) && !t.isSameLoss(fp, c, own) {
+		if !t.isExplained(c, found, len(ev.crashes)) && !t.isSameLoss(attempts, c, own) {
 			own = append(own, c)
 		}
 	}
 	return own
 }
 
-// isExplained reports whether a harmful request was present at the crash and has seen at least
-// as many crashes as the judged one. A request that has seen more is judged by itself.
-func (t *Tally) isExplained(c *crash, found map[Fingerprint]bool, crashes int) bool {
+// foundSet is what is known to crash endpoints.
+type foundSet struct {
+	requests map[Fingerprint]bool
+	isPart   func(Part) bool
+}
+
+// isExplained reports whether a harmful part was present at the crash, or a harmful request that
+// has seen at least as many crashes as the judged one. A request that has seen more is judged by
+// itself.
+func (t *Tally) isExplained(c *crash, found foundSet, crashes int) bool {
+	for p := range c.parts {
+		if found.isPart(p) {
+			return true
+		}
+	}
 	for other := range c.runs {
-		if found[other] && len(t.byFingerprint[other].crashes) >= crashes {
+		if found.requests[other] && len(t.byFingerprint[other].crashes) >= crashes {
 			return true
 		}
 	}
@@ -189,13 +210,14 @@
 // isSameLoss reports whether the crash adds no evidence to the simultaneous ones in own: many
 // endpoints were lost together, or the request was at several of them because its clients had
 // sent it more than once. A single client attempt that meets one crash after the other within a
-// few milliseconds is evidence for each of them.
-func (t *Tally) isSameLoss(fp Fingerprint, c *crash, own []*crash) bool {
+// few milliseconds is evidence for each of them. attemptsAt returns the client attempts at a crash
+// of the judged request, or of those with the judged part.
+func (t *Tally) isSameLoss(attemptsAt func(*crash) []uint32, c *crash, own []*crash) bool {
 	simultaneous, chained := false, false
 	for _, o := range own {
 		if isSimultaneous(c, o) {
 			simultaneous = true
-			chained = chained || shareAttempt(o.runs[fp], c.runs[fp])
+			chained = chained || shareAttempt(attemptsAt(o), attemptsAt(c))
 		}
 	}
 	if !simultaneous {
@@ -205,7 +227,7 @@
 	for _, o := range t.order {
 		switch {
 		case !isSimultaneous(c, o):
-		case o.runs[fp] != nil:
+		case attemptsAt(o) != nil:
 			with++
 		default:
 			without++
