--- a/test/entry_soak_test.go
+++ b/test/entry_soak_test.go
@@ -45,7 +45,7 @@
 // from an older copy. Endpoints lose responses, set a rate limit, ask for a
 // pause or announce that they are leaving; keys change. Harmful requests crash
 // the endpoints that run them, before the first event or after some, every time
-// or every other time. Throughout: streams contain each event once and in
+// or every other time, or whatever their body for a part of their prompts. Throughout: streams contain each event once and in
 // order, receipts run at most once, refused requests did not run, no group
 // opens without its members, no engine joins a second serving group, none of
 // the other requests is quarantined although their streams all have the same
@@ -159,9 +159,9 @@
 	case 13, 14:
 		s.setRandomPressure()
 	case 11:
-		body := s.addHarmfulRequest(s.rng)
+		h := s.addHarmfulRequest(s.rng)
 		for i := range 4 {
-			s.sendHarmfulRequest(s.nodes[s.rng.IntN(len(s.nodes))], fmt.Sprintf("%s-%d", body, i), body)
+			s.sendHarmfulRequest(s.nodes[s.rng.IntN(len(s.nodes))], fmt.Sprintf("%s-%d", h.name, i), h)
 		}
 	}
 }
@@ -207,22 +207,44 @@
 // start of the ids of the requests that they send through this node.
 func callerID(n *entryNode) string { return strings.NewReplacer(".", "_", ":", "_").Replace(n.front) }
 
-// addHarmfulRequest registers a new request body that crashes the engines that
-// run it.
-func (s *soak) addHarmfulRequest(rnd *rand.Rand) (body string) {
-	body = fmt.Sprintf("crash%d", rnd.Uint64())
-	s.fleet.AddPoisonRequest(platformtest.PoisonRequest{
-		Body: body, EventsBeforeCrash: rnd.IntN(3), RunsPerCrash: 1 + rnd.IntN(2), ReplacementDelay: time.Duration(100+rnd.IntN(700)) * time.Millisecond,
-	})
-	return body
+// harmfulRequest is a request body that crashes the engines that run it, or a part
+// of the prompt that does so whatever the body.
+type harmfulRequest struct {
+	name   string // the body, or the part's ID
+	isPart bool
 }
 
-// sendHarmfulRequest sends a request whose body crashes engines, and checks
-// that a refused one did not run.
-func (s *soak) sendHarmfulRequest(n *entryNode, id, body string) {
+// sharedPart is the first part of the prompts of all streams.
+const sharedPart = "aa"
+
+// addHarmfulRequest registers a new request body, or a new part of the prompt, that
+// crashes the engines that run it.
+func (s *soak) addHarmfulRequest(rnd *rand.Rand) harmfulRequest {
+	n := rnd.Uint64()
+	p := platformtest.PoisonRequest{
+		EventsBeforeCrash: rnd.IntN(3), RunsPerCrash: 1 + rnd.IntN(2), ReplacementDelay: time.Duration(100+rnd.IntN(700)) * time.Millisecond,
+	}
+	h := harmfulRequest{fmt.Sprintf("crash%d", n), false}
+	p.Body = h.name
+	if n%2 == 0 {
+		h = harmfulRequest{fmt.Sprintf("bad%x", n), true}
+		p.Body, p.Part, p.RunsPerCrash = "", h.name, 1
+	}
+	s.fleet.AddPoisonRequest(p)
+	return h
+}
+
+// sendHarmfulRequest sends a harmful request and checks that a refused one did not
+// run. Requests with a harmful part differ in all else.
+func (s *soak) sendHarmfulRequest(n *entryNode, id string, h harmfulRequest) {
 	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 	defer cancel()
-	resp, err := http.DefaultClient.Do(s.request(ctx, n, "POST", "/text/x", id, body, textHeader(70)))
+	body, header := h.name, textHeader(70)
+	if h.isPart {
+		body = id
+		header["X-Prompt-Prefix"] = fmt.Sprintf("%s:40,%s:10,%s:500", sharedPart, h.name, id)
+	}
+	resp, err := http.DefaultClient.Do(s.request(ctx, n, "POST", "/text/x", id, body, header))
 	if err != nil {
 		return // the node may have exited
 	}
@@ -236,18 +258,22 @@
 // checkHarmfulRequest sends a harmful request to nodes that are connected again
 // and checks that it reaches no more endpoints than allowed.
 func (s *soak) checkHarmfulRequest(rnd *rand.Rand) {
-	body := s.addHarmfulRequest(rnd)
+	h := s.addHarmfulRequest(rnd)
 	for i := range harmfulAttempts {
 		for k := range 2 { // engines crash and restart meanwhile
 			n := s.nodes[rnd.IntN(len(s.nodes))]
 			if !s.hasExited(n) {
-				s.sendHarmfulRequest(n, fmt.Sprintf("%s-%d-%d", body, i, k), body)
+				s.sendHarmfulRequest(n, fmt.Sprintf("%s-%d-%d", h.name, i, k), h)
 			}
 		}
 		time.Sleep(endpointRestartDelay) // interval between client retries
 	}
-	if ended := s.fleet.Crashed(body); len(ended) > quarantineThreshold+quarantineOvershoot {
-		s.recordViolation("one request crashed %d endpoints: %v", len(ended), ended)
+	most := quarantineThreshold + quarantineOvershoot
+	if h.isPart {
+		most = partThreshold + partOvershoot
+	}
+	if ended := s.fleet.Crashed(h.name); len(ended) > most {
+		s.recordViolation("%s crashed %d endpoints: %v", h.name, len(ended), ended)
 	}
 }
 
@@ -339,7 +365,9 @@
 // checkStream requests a stream of the given number of events and checks the
 // events that arrive.
 func (s *soak) checkStream(n *entryNode, id string, events int) {
-	code, body, err := s.sendAndRead(n, "POST", "/text/x", id, textHeader(events*7))
+	header := textHeader(events * 7)
+	header["X-Prompt-Prefix"] = sharedPart + ":40," + id + ":60"
+	code, body, err := s.sendAndRead(n, "POST", "/text/x", id, header)
 	if strings.Contains(body, "quarantined") {
 		s.recordViolation("stream %s was quarantined: %s", id, body)
 	}
