Quarantine: parts of whole fleets' prompts and common bodies need more evidence

A part of all prompts was refused (four crashes, one success), or the body that all clients send; then nobody succeeded with it, and it stayed refused. Cause: a count of crashes without regard to how much of the traffic has the part; a found request kept the part from being found that had caused its crashes. Change: a part counts as hardly ever sound with less than one success to four crashes beyond the first four, and less than three client attempts a crash; four crashes of two requests prove it (six crashes and requests together before), seven of four since its latest success if it was sound (six of three). A found request explains a part's crashes only if it also crashed an endpoint without the part. When a part is found, requests whose crashes it explains are lifted. A request that succeeded isn't found by time alone while requests or parts that never succeeded were at its crashes.

--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -230,6 +230,29 @@
 			g.Persist(v)
 		}
 		g.Broadcast(Message{Node: g.Node, Found: []Verdict{v}})
+		if v.Part != "" {
+			g.liftExplained()
+		}
+	}
+}
+
+// liftExplained ends the bans and suspicions of requests that were found before the part that
+// caused their crashes.
+func (g *Guard) liftExplained() {
+	g.mu.Lock()
+	var requests []Fingerprint
+	for fp, b := range g.bans {
+		if b.Part == "" {
+			requests = append(requests, fp)
+		}
+	}
+	explained := g.tally.ExplainedByParts(requests, g.isHarmfulPart)
+	g.mu.Unlock()
+	const reason = "a harmful part of other prompts explains its crashes"
+	for _, fp := range explained {
+		if !g.release(fp, reason) {
+			g.lift(fp, reason)
+		}
 	}
 }
 
--- a/internal/quarantine/parttally.go
+++ b/internal/quarantine/parttally.go
@@ -12,20 +12,24 @@
 // endpoints, while those with any other part of the same prompts also succeed, unless that part
 // is never used without the harmful one.
 const (
-	// minPartRequests is the number of different requests with the part that must have seen a
-	// crash, and minPartEvidence the number of crashes and different requests together.
+	// minPartCrashes is the number of crashes that the part must have seen, and minPartRequests the
+	// number of different requests with it at these crashes.
+	minPartCrashes  = 4
 	minPartRequests = 2
-	minPartEvidence = 6
 	// maxMissedPerSeen bounds the crashes without the part between its first and its last one, per
 	// crash with it: while many endpoints crash for other reasons, a rarely used part may see several.
 	maxMissedPerSeen = 2
-	// minCrashesPerSuccess is the number of crashes for each recent successful run from which a
-	// part counts as hardly ever sound. A short answer may be complete before its endpoint crashes.
+	// minCrashesPerSuccess is the number of crashes for each recent successful run, and as many more,
+	// from which a part counts as hardly ever sound. A short answer may be complete before its
+	// endpoint crashes.
 	minCrashesPerSuccess = 4
+	// manyAttemptsPerCrash is the mean number of client attempts with the part at a crash from
+	// which it counts as widely used: a harmful part crashes the endpoint under the first of them.
+	manyAttemptsPerCrash = 3
 	// minTurnedCrashes and minTurnedRequests are the numbers of crashes and of different requests
 	// since the latest successful run for a part that was sound before.
-	minTurnedCrashes  = 6
-	minTurnedRequests = 3
+	minTurnedCrashes  = 7
+	minTurnedRequests = 4
 	// turnedCrashesFactor is how many times the crashes of a part that was hardly ever sound one
 	// that was sound before must have seen to be the more likely cause of them.
 	turnedCrashesFactor = 2
@@ -118,13 +122,13 @@
 type partCase struct {
 	*partEvidence
 	own       []*crash
-	wasSound  bool // it has had successful runs; own are the crashes since then
+	wasSound  bool // it has had successful runs or is widely used; own are the crashes since the latest success
 	succeeded int  // number of successful runs
 }
 
 // JudgeParts returns the parts that are found harmful, without those for which isKnownHarmful is
 // true. foundRequests reports requests that were found harmful as a whole: their crashes are no
-// evidence against parts of other requests.
+// evidence against parts that were only at some of them.
 func (t *Tally) JudgeParts(isKnownHarmful func(Part) bool, foundRequests func(Fingerprint) bool) []Verdict {
 	found := map[Part]bool{}
 	isHarmful := func(p Part) bool { return found[p] || isKnownHarmful(p) }
@@ -146,11 +150,11 @@
 // culprits are the harmful parts and requests that were present at each crash.
 type culprits struct {
 	parts    map[*crash][]Part
-	requests map[*crash][]Fingerprint
+	requests map[*crash][]*requestEvidence
 }
 
 func (t *Tally) findCulprits(isHarmful func(Part) bool, foundRequests func(Fingerprint) bool) culprits {
-	out := culprits{map[*crash][]Part{}, map[*crash][]Fingerprint{}}
+	out := culprits{map[*crash][]Part{}, map[*crash][]*requestEvidence{}}
 	for p, ev := range t.byPart {
 		if isHarmful(p) {
 			for _, c := range ev.crashes {
@@ -161,20 +165,23 @@
 	for fp, ev := range t.byFingerprint {
 		if foundRequests(fp) {
 			for _, c := range ev.crashes {
-				out.requests[c] = append(out.requests[c], fp)
+				out.requests[c] = append(out.requests[c], ev)
 			}
 		}
 	}
 	return out
 }
 
-// explain reports whether another harmful part, or a harmful request without the part, was present
-// at the crash.
+// explain reports whether another harmful part was present at the crash, or a harmful request that
+// has also crashed an endpoint without the part. One that never did may have been found by mistake,
+// because of the part.
 func (k culprits) explain(c *crash, p Part) bool {
 	if slices.ContainsFunc(k.parts[c], func(other Part) bool { return other != p }) {
 		return true
 	}
-	return slices.ContainsFunc(k.requests[c], func(fp Fingerprint) bool { return !slices.Contains(c.parts[p].requests, fp) })
+	return slices.ContainsFunc(k.requests[c], func(ev *requestEvidence) bool {
+		return slices.ContainsFunc(ev.crashes, func(o *crash) bool { return o.parts[p] == nil })
+	})
 }
 
 // partCases returns the parts that may be harmful, first those that were hardly ever sound, then
@@ -182,14 +189,14 @@
 func (t *Tally) partCases(isHarmful func(Part) bool, known culprits) []partCase {
 	var cases []partCase
 	for p, ev := range t.byPart {
-		if len(ev.crashes) < minPartEvidence/2 || isHarmful(p) {
+		if len(ev.crashes) < minPartCrashes-1 || isHarmful(p) {
 			continue
 		}
 		c := partCase{partEvidence: ev, succeeded: ev.successes.sum()}
-		c.wasSound = minCrashesPerSuccess*c.succeeded > len(ev.crashes)
+		c.wasSound = !isHardlySound(c.succeeded, len(ev.crashes))
 		if !c.wasSound {
 			c.own = t.unexplainedPartCrashes(ev, known, 0)
-			c.wasSound = minCrashesPerSuccess*c.succeeded > len(c.own)
+			c.wasSound = !isHardlySound(c.succeeded, len(c.own)) || c.countAttempts() >= manyAttemptsPerCrash*len(c.own)
 		}
 		if c.wasSound {
 			c.own = t.unexplainedPartCrashes(ev, known, ev.lastSuccessAt)
@@ -210,13 +217,28 @@
 	return cases
 }
 
+// isHardlySound reports whether a part with these numbers of successful runs and crashes was hardly
+// ever sound.
+func isHardlySound(successes, crashes int) bool {
+	return successes == 0 || minCrashesPerSuccess*(successes+1) <= crashes
+}
+
+// countAttempts counts the client attempts with the part at its crashes.
+func (c partCase) countAttempts() int {
+	n := 0
+	for _, o := range c.own {
+		n += len(o.parts[c.part].attempts)
+	}
+	return n
+}
+
 // isProven reports whether the crashes suffice to find the part harmful, if no other part is.
 func (t *Tally) isProven(c partCase) bool {
 	requests := c.countRequests()
 	if c.wasSound {
 		return len(c.own) >= minTurnedCrashes && requests >= minTurnedRequests
 	}
-	return requests >= minPartRequests && len(c.own)+requests >= minPartEvidence &&
+	return requests >= minPartRequests && len(c.own) >= minPartCrashes &&
 		t.countMissedByPart(c) <= maxMissedPerSeen*len(c.own)
 }
 
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -125,7 +125,7 @@
 		return v, false
 	}
 	third, last := own[minHarmfulCrashes-1], own[len(own)-1]
-	if now.Sub(third.at) > settleTime && !t.hasMassLoss(own) {
+	if now.Sub(third.at) > settleTime && !t.hasMassLoss(own) && !t.isExplainedByUnproven(ev, fp, own) {
 		return v, true // requests that moved along with it have finished
 	}
 	if v.Attempts < conclusiveAttempts && v.Crashes < minCrashesFewAttempts {
@@ -179,6 +179,53 @@
 	return false
 }
 
+// isExplainedByUnproven reports whether another request that never succeeded was at all the crashes,
+// or parts of other prompts that never did were at each of them, while the judged request did succeed:
+// they may be the cause although too little is known of them yet.
+func (t *Tally) isExplainedByUnproven(ev *requestEvidence, fp Fingerprint, own []*crash) bool {
+	if ev.successes.sum() == 0 {
+		return false
+	}
+	everywhere := func(isAt func(*crash) bool) bool {
+		return !slices.ContainsFunc(own, func(c *crash) bool { return !isAt(c) })
+	}
+	for other := range own[0].runs {
+		if other != fp && t.byFingerprint[other].successes.sum() == 0 && everywhere(func(c *crash) bool { return c.runs[other] != nil }) {
+			return true
+		}
+	}
+	return everywhere(func(c *crash) bool { return t.hasUnprovenPart(c, fp) })
+}
+
+// hasUnprovenPart reports whether a part of other prompts that never succeeded was at the crash.
+func (t *Tally) hasUnprovenPart(c *crash, fp Fingerprint) bool {
+	for p, presence := range c.parts {
+		if !slices.Contains(presence.requests, fp) && t.byPart[p].successes.sum() == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// ExplainedByParts returns those of the requests whose crashes harmful parts of other prompts
+// explain.
+func (t *Tally) ExplainedByParts(requests []Fingerprint, isHarmfulPart func(Part) bool) []Fingerprint {
+	return slices.DeleteFunc(requests, func(fp Fingerprint) bool {
+		ev := t.byFingerprint[fp]
+		return ev == nil || slices.ContainsFunc(ev.crashes, func(c *crash) bool { return !c.hasHarmfulPart(isHarmfulPart, fp) })
+	})
+}
+
+// hasHarmfulPart reports whether a harmful part was at the crash with another request than fp alone.
+func (c *crash) hasHarmfulPart(isHarmful func(Part) bool, fp Fingerprint) bool {
+	for p, presence := range c.parts {
+		if isHarmful(p) && !slices.Contains(presence.requests, fp) {
+			return true
+		}
+	}
+	return false
+}
+
 // allOthersMissed reports whether every other request that may be harmful missed at least margin
 // of the crashes.
 func (t *Tally) allOthersMissed(fp Fingerprint, own []*crash, margin int) bool {
--- a/test/entry_soak_test.go
+++ b/test/entry_soak_test.go
@@ -59,6 +59,10 @@
 	}
 }
 
+// Guards against a body that all clients send and that is quarantined in the first seconds of a
+// fleet, because two harmful requests crash the engines that run it.
+func TestSoakQuarantinesCommonBodyOfNewFleet(t *testing.T) { runSoak(t, 3008) }
+
 // runSoak runs the soak test with one seed.
 func runSoak(t *testing.T, seed uint64) {
 	is := is.New(t)
