--- a/internal/quarantine/bans.go
+++ b/internal/quarantine/bans.go
@@ -8,8 +8,8 @@
 	"chervilloom/internal/clock"
 )
 
-// ban is the quarantine state of one request, or of all requests with a part of the prompt: refused at every node, or, for a suspect, limited
-// to one run at a time.
+// ban is the quarantine state of one request, or of all requests with a part of the prompt: refused
+// at every node, or, for a suspect, limited to one run at a time.
 type ban struct {
 	Verdict
 	since            clock.Instant // when this node learnt of the verdict or of the newest trial run
--- a/internal/quarantine/parttally.go
+++ b/internal/quarantine/parttally.go
@@ -122,7 +122,7 @@
 type partCase struct {
 	*partEvidence
 	own       []*crash
-	wasSound  bool // it has had successful runs or is widely used; own are the crashes since the latest success
+	wasSound  bool // it has had successful runs, or is widely used; own are the crashes since the latest one
 	succeeded int  // number of successful runs
 }
 
@@ -147,7 +147,7 @@
 	}
 }
 
-// culprits are the harmful parts and requests that were present at each crash.
+// culprits are the harmful parts and requests that were running at each crash.
 type culprits struct {
 	parts    map[*crash][]Part
 	requests map[*crash][]*requestEvidence
@@ -277,10 +277,10 @@
 		}
 	}
 	if !isMost(shared, len(other.own)) {
-		return false // it was not even there
+		return false
 	}
 	if !isMost(shared, len(c.own)) {
-		return true // it has seen all these crashes and more
+		return true
 	}
 	return cmp.Or(cmp.Compare(c.succeeded, other.succeeded), cmp.Compare(other.depth, c.depth), cmp.Compare(c.part, other.part)) < 0
 }
--- a/test/entry_quarantine_test.go
+++ b/test/entry_quarantine_test.go
@@ -74,12 +74,7 @@
 			}
 			is.Equal(last.StatusCode, http.StatusServiceUnavailable)
 			is.Equal(last.Header.Get("Retry-After"), "") // the client must not be invited to retry
-			var refusal struct {
-				Error struct{ Type, Outcome string }
-			}
-			is.NoErr(json.Unmarshal([]byte(text), &refusal))
-			is.Equal(refusal.Error.Type, "quarantined")
-			is.Equal(refusal.Error.Outcome, "not-run")
+			checkQuarantined(is, text)
 			f.awaitServing()
 			for i, n := range f.nodes {
 				testkit.Eventually(t, "other requests are served at each node", func() bool {
@@ -141,12 +136,7 @@
 			if n := f.fleet.PoisonRuns("bad"); n > partThreshold+partOvershoot {
 				t.Errorf("%d requests with the part reached engines, %d crashed", n, len(f.fleet.Crashed("bad")))
 			}
-			var refusal struct {
-				Error struct{ Type, Outcome string }
-			}
-			is.NoErr(json.Unmarshal([]byte(text), &refusal))
-			is.Equal(refusal.Error.Type, "quarantined")
-			is.Equal(refusal.Error.Outcome, "not-run")
+			checkQuarantined(is, text)
 			f.awaitServing()
 			for i, n := range f.nodes {
 				testkit.Eventually(t, "a request with the sound part is served at each node", func() bool {
@@ -171,3 +161,14 @@
 	text, _ := io.ReadAll(resp.Body) // an interrupted stream is an expected response
 	return resp.StatusCode, string(text), nil
 }
+
+// checkQuarantined checks that a response refuses a quarantined request as not run.
+func checkQuarantined(is *is.I, text string) {
+	is.Helper()
+	var refusal struct {
+		Error struct{ Type, Outcome string }
+	}
+	is.NoErr(json.Unmarshal([]byte(text), &refusal))
+	is.Equal(refusal.Error.Type, "quarantined")
+	is.Equal(refusal.Error.Outcome, "not-run")
+}
