Ranks of a service's streams, expected times, contention setting: the seams of the parts for hard load

Cause: the priority that routes and organisations declare is read and reaches no decision, and nothing predicts when an engine answers.

Nothing uses them yet, so no decision changes.

Ruled out: a switch by the declared engine arithmetic alone, as every deployment so far declares it and is to be served as before.

--- a/cmd/chervilloom/entry.go
+++ b/cmd/chervilloom/entry.go
@@ -23,20 +23,26 @@
 	file := platform.SettingsPath()
 	verbose := false
 	metricsPort := 0
+	contention := string(entry.ContentionAuto)
 	sub := flaggy.NewSubcommand("entry")
 	sub.Description = "run a node on the users' platform. Example: chervilloom entry --settings local.conf"
 	sub.String(&file, "s", "settings", "the platform's settings file; default: the path from the environment")
 	sub.Bool(&verbose, "v", "verbose", "log each attempt of each request")
 	sub.Int(&metricsPort, "m", "metrics", "port on the clients' address that serves metrics under /metrics; 0: none")
+	sub.String(&contention, "c", "contention", "services with engines for which rank and expected time decide: auto (streams of unlike rank), on (all) or off")
 	return command{sub, func(ctx context.Context) error {
 		if file == "" {
 			return &exitError{exitUsage, errors.New("no settings given: add --settings FILE")}
 		}
-		return runEntry(ctx, file, verbose, metricsPort)
+		mode, err := entry.ParseContention(contention)
+		if err != nil {
+			return &exitError{exitUsage, err}
+		}
+		return runEntry(ctx, file, verbose, metricsPort, mode)
 	}}
 }
 
-func runEntry(ctx context.Context, file string, verbose bool, metricsPort int) error {
+func runEntry(ctx context.Context, file string, verbose bool, metricsPort int, contention entry.Contention) error {
 	set, err := platform.ReadSettings(file)
 	if err != nil {
 		return err
@@ -56,7 +62,7 @@
 	n := entry.New(entry.Options{
 		Settings: set, Store: platform.NewStore(set.Store), NewEngines: newEngines,
 		Codec: platform.Codec{}, Clock: clock.Boot{}, Log: log,
-		Registry: prometheus.NewRegistry(), MetricsPort: metricsPort,
+		Registry: prometheus.NewRegistry(), MetricsPort: metricsPort, Contention: contention,
 	})
 	err = n.Run(ctx)
 	log.Info("node stops", "err", err)
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -154,6 +154,9 @@
 	byHost   map[string][]*Route // longest prefix first
 	byKey    map[string]*Organisation
 	services map[string]*Service
+	ranks    map[string][]int // by service with an engine, see Ranks
+	// invalidRanks are the services with engines for which an invalid rank is declared.
+	invalidRanks []string
 }
 
 // New indexes a document. It fails if a route has no service, or one that the document does
@@ -182,6 +185,7 @@
 	for _, routes := range c.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
+	c.indexRanks()
 	return c, nil
 }
 
--- /dev/null
+++ b/internal/entry/contention.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"fmt"
+
+	"chervilloom/internal/catalog"
+)
+
+// Contention determines for which services with engines rank and expected time decide about
+// requests and groups.
+type Contention string
+
+// The values of Contention.
+const (
+	ContentionAuto Contention = "auto" // services whose streams differ in rank
+	ContentionOn   Contention = "on"   // all services with engines
+	ContentionOff  Contention = "off"  // no service
+)
+
+// ParseContention returns the value named by text; an empty text means ContentionAuto.
+func ParseContention(text string) (Contention, error) {
+	switch c := Contention(text); c {
+	case "":
+		return ContentionAuto, nil
+	case ContentionAuto, ContentionOn, ContentionOff:
+		return c, nil
+	}
+	return "", fmt.Errorf("contention is %q; write auto, on or off", text)
+}
+
+// appliesTo reports whether rank and expected time decide about a service's requests.
+func (c Contention) appliesTo(cat *catalog.Catalog, service string) bool {
+	s := cat.Service(service)
+	if s == nil || s.Engine == nil || c == ContentionOff {
+		return false
+	}
+	return c == ContentionOn || cat.HasRanks(service)
+}
+
+// isContended reports the same for the configuration in force.
+func (n *Node) isContended(service string) bool {
+	cat := n.config.current.Load()
+	return cat != nil && n.Contention.appliesTo(cat, service)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -65,6 +65,8 @@
 	// MetricsPort is the port on the clients' address that serves the metrics; 0 disables
 	// it.
 	MetricsPort int
+	// Contention determines for which services rank and expected time decide.
+	Contention Contention
 }
 
 // Node is a node of the system, created by New and started by Run.
@@ -205,6 +207,7 @@
 		Started: n.stateKnown, OnSent: n.sendPlacement, SampleSize: n.sampleSize, ZoneLoad: func(zone, model string) board.MeanLoad { return n.loads.meanOf(zone, model) },
 		Quarantine: n.quarantineGuard, Backpressure: n.backpressureGuard,
 		NodeCount: func() int { return n.leaseCache.nodeCount() },
+		Contended: n.isContended,
 		MaxHeld:   o.Settings.Memory / bodyMemoryDivisor,
 	}
 	n.follower = &follower{node: n, client: feed.NewClient(), clock: o.Clock, log: o.Log, wake: make(chan struct{}, 1)}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -106,6 +106,9 @@
 	ZoneLoad func(zone, model string) board.MeanLoad
 	// NodeCount returns the number of nodes that share the endpoints.
 	NodeCount func() int
+	// Contended reports whether rank and expected time decide about a service's requests; nil:
+	// never.
+	Contended func(service string) bool
 	// MaxHeld is the number of bytes of request and response bodies that may be held at the same
 	// time; 0: defaultMaxHeld.
 	MaxHeld int64
