--- a/internal/expect/accuracy_test.go
+++ b/internal/expect/accuracy_test.go
@@ -137,6 +137,31 @@
 	}
 }
 
+// Guards against a slow group that is predicted as a usual one until a report states its pace.
+func TestEventGapShowsSlowGroup(t *testing.T) {
+	is := is.New(t)
+	gap := seconds(newPass(firstEngine, largeModel, Group{Running: 24}, Work{}).mean)
+	first := func(g Group) time.Duration {
+		g.Running = 24
+		return Predict(firstEngine, largeModel, g, Work{}).First.Round(time.Millisecond)
+	}
+	is.Equal(first(Group{EventGap: gap}), first(Group{}))
+	is.Equal(first(Group{EventGap: 4 * gap}), first(Group{Pace: 4}))
+	is.Equal(first(Group{EventGap: 4 * gap, Pace: 4}), first(Group{Pace: 4}))
+}
+
+// Guards against a long prompt that is predicted to be read in one pass: a pass without other
+// requests reads a single chunk, and one with others stride chunks.
+func TestLongPromptTakesSeveralPasses(t *testing.T) {
+	is := is.New(t)
+	e := &catalog.Engine{Slots: 8, Stride: 5, Chunk: 1000, Step: ms(10), ReadPerSecond: 100_000, UsualPrompt: 1000, UsualAnswer: 100}
+	m := &catalog.Model{Pace: 1}
+	idle := Predict(e, m, Group{}, Work{Prompt: 12_000, Answer: 10})
+	is.Equal(idle.First.Round(time.Millisecond), 240*time.Millisecond) // 12 steps, 120 ms of reading
+	busy := Predict(e, m, Group{Running: 1.2, Context: 1, PassLeft: time.Nanosecond}, Work{Prompt: 12_000, Answer: 10})
+	is.Equal(busy.First.Round(time.Millisecond), 270*time.Millisecond) // 3 passes of 5 steps, 120 ms of reading
+}
+
 // Guards against a prediction too expensive for every candidate of every request.
 func TestPredictDoesNotAllocate(t *testing.T) {
 	is.New(t).Equal(testing.AllocsPerRun(100, func() {
--- a/internal/expect/expect.go
+++ b/internal/expect/expect.go
@@ -17,7 +17,7 @@
 	Running  float64       // requests that hold a slot: they decode or their prompt is being read
 	Waiting  float64       // requests that wait for a slot and are admitted before a new one
 	Unread   float64       // prompt tokens that are still to be read, of running and waiting requests
-	Context  float64       // tokens in the KV cache
+	Context  float64       // tokens in the KV cache; 0: unknown
 	Slots    int           // requests that can run at once
 	PassLeft time.Duration // rest of the current pass; 0: unknown
 	// UnreadAge is the age of Unread. Prompts that were unread then have been read after one or
@@ -27,7 +27,7 @@
 	// a pass; 0: unknown.
 	SinceEvent time.Duration
 	// EventGap is the measured time between the events of a stream, the mean time of a pass; 0:
-	// unknown.
+	// unknown. It shows that a group is slow before a report states its Pace.
 	EventGap time.Duration
 }
 
@@ -132,6 +132,9 @@
 		p.waiting += p.running - p.slots
 		p.running = p.slots
 	}
+	if p.context == 0 {
+		p.context = p.running * (p.usualPrompt + float64(e.UsualAnswer)/2)
+	}
 	p.turnover = 1.5 + math.Ceil(float64(max(1, e.UsualAnswer))/p.stride)
 	p.arrivals = p.running / p.turnover
 	usualRead := p.promptSeconds(p.usualPrompt)
@@ -141,11 +144,7 @@
 	p.read = p.arrivals * usualRead
 	p.decoding = max(0, p.running-p.arrivals)
 	p.mean = p.stride*p.step(p.decoding, 0) + p.read
-	if gap := g.EventGap.Seconds() / p.factor; gap > 0 {
-		// The measured pass shows how much is read per pass, whatever the sizes of the requests.
-		p.read = min(max(gap-p.stride*p.step(p.decoding, 0), p.read/2), 2*p.read)
-		p.mean = p.stride*p.step(p.decoding, 0) + p.read
-	}
+	p.useEventGap(g.EventGap.Seconds())
 	p.mean = max(p.mean, 1e-6) // of an engine that declares no times
 	if g.SinceEvent > 0 {
 		p.sinceEvent = g.SinceEvent.Seconds() / p.factor
@@ -154,6 +153,26 @@
 	return p
 }
 
+// useEventGap corrects the mean time of a pass by the measured one.
+func (p *pass) useEventGap(gap float64) {
+	if gap <= 0 || p.mean <= 0 {
+		return
+	}
+	const (
+		slow  = 1.8 // reported paces of slow members are 2 and above
+		reads = 3   // prompts of a burst, as a multiple of the mean, do not count as slowness
+	)
+	decode := p.mean - p.read
+	gap /= p.factor
+	if gap > slow*p.mean && gap > decode+reads*p.read {
+		p.factor *= gap / p.mean
+		return
+	}
+	// The measured pass shows how much is read per pass, whatever the sizes of the requests.
+	p.read = min(max(gap-decode, p.read/2), 2*p.read)
+	p.mean = decode + p.read
+}
+
 // setUnread estimates what is unread now. Of the prompts that were unread at the time of the
 // report, the share that has not been read yet counts, and the usual amount for the rest: a
 // prompt is unread for one and a half passes on average.
@@ -249,8 +268,10 @@
 	}
 	quantile := 0.56 // of the normal distribution, mean of the larger of two draws
 	if n > 2 {
-		root := math.Sqrt(2 * math.Log(n))
-		quantile = root - (math.Log(math.Log(n))+math.Log(4*math.Pi)-2*0.577)/(2*root) // Gumbel's mean
+		const offset = 1.377 // log(4 pi) - 2 x Euler's constant, of the mean of Gumbel's distribution
+		log := math.Log(n)
+		root := math.Sqrt(2 * log)
+		quantile = root - (math.Log(log)+offset)/(2*root)
 	}
 	return p.read * (1 + quantile*math.Sqrt(1.25/p.arrivals))
 }
