Expected and observed time to the first event, compared per model

Cause: nothing shows how far predictions are off in operation, and the correction has no observations.

Change: where a service is contended, an attempt records its predicted time to the first event when it is sent, without its own prompt in the state, and compares it at the first event. chervilloom_expect_first_event_ratio holds the ratio of observed to corrected predicted time by model; only models that the configuration declares are labels. Resumed streams have no prediction.

Ruled out: the ratio without the correction as the metric. It shows the declaration's error but not that of the prediction that decides.

Conclusion: go test ./internal/forward passes; without Contended nothing changes.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -67,6 +67,7 @@
 	recalled         atomic.Bool   // the quarantine aborted the attempt
 	isQuarantined    bool          // the request is quarantined and not sent
 	verdict          quarantine.Verdict
+	expectedFirst    time.Duration // predicted time to the newest attempt's first event; 0: none, or it was observed
 	// connRefused reports whether the newest attempt's endpoint refused the connection;
 	// connRefusals counts the attempts for which this happened.
 	connRefused  bool
@@ -134,6 +135,7 @@
 	}
 	x.progress.Sent++
 	x.sentAt, x.peer = x.f.Clock.Now(), conn.Peer
+	x.predictFirst(ep)
 	mayMove := x.newMoveCheck()
 	ticket := x.f.Tracker.Start(ep.ID, func() {
 		if mayMove() {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -16,6 +16,7 @@
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
 	"chervilloom/internal/demand"
+	"chervilloom/internal/expect"
 	"chervilloom/internal/outcome"
 	"chervilloom/internal/quarantine"
 	"chervilloom/internal/retry"
@@ -113,11 +114,12 @@
 	// time; 0: defaultMaxHeld.
 	MaxHeld int64
 
-	memory   memoryBudget
-	timeouts clientTimeouts
-	demand   demand.Meter
-	mu       sync.Mutex
-	budgets  map[string]*retry.WindowedBudget
+	memory    memoryBudget
+	timeouts  clientTimeouts
+	demand    demand.Meter
+	corrector expect.Corrector
+	mu        sync.Mutex
+	budgets   map[string]*retry.WindowedBudget
 }
 
 const (
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -9,7 +9,7 @@
 )
 
 // Metrics counts the outcomes of requests and attempts. Its labels have few values: kinds
-// and outcomes, never names that an operator or a client chooses.
+// and outcomes, never names that a client chooses.
 type Metrics struct {
 	requests  *prometheus.CounterVec
 	attempts  *prometheus.CounterVec
@@ -17,6 +17,8 @@
 	refused   *prometheus.CounterVec
 	limited   prometheus.Counter
 	backoffs  prometheus.Counter
+	// firstEventRatio is labelled by model, of which the configuration declares few.
+	firstEventRatio *prometheus.HistogramVec
 }
 
 // NewMetrics registers the metrics; reg may be nil.
@@ -41,9 +43,13 @@
 		backoffs: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "chervilloom_answers_retry_after_total", Help: "Answers with which an endpoint turned a request away and asked for a backoff.",
 		}),
+		firstEventRatio: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "chervilloom_expect_first_event_ratio", Help: "Observed time to the first event of an answer, divided by the predicted time, by model.",
+			Buckets: []float64{0.25, 0.5, 0.67, 0.8, 0.9, 1, 1.1, 1.25, 1.5, 2, 4, 12},
+		}, []string{"model"}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.requests, m.attempts, m.firstByte, m.refused, m.limited, m.backoffs)
+		reg.MustRegister(m.requests, m.attempts, m.firstByte, m.refused, m.limited, m.backoffs, m.firstEventRatio)
 	}
 	return m
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -172,6 +172,7 @@
 			return x.classifyError(ctx, ep, err)
 		}
 		ticket.RecordEvent()
+		x.observeFirst()
 		if x.isDuplicate(id) {
 			continue
 		}
