--- a/internal/forward/expected.go
+++ b/internal/forward/expected.go
@@ -7,11 +7,12 @@
 )
 
 // predictFirst predicts the time to the first event of an attempt that is about to be sent. A
-// resumed stream has none: its engine also reads what was answered before.
+// resumed stream has none, since its engine also reads what was answered before, and neither has
+// an attempt in another zone, of whose heads this node knows only its own requests.
 func (x *exchange) predictFirst(ep *roster.Endpoint) {
 	x.expectedFirst = 0
 	engine := x.engine()
-	if engine == nil || x.f.Contended == nil || x.lastEventID != "" || !x.f.Contended(x.service) {
+	if engine == nil || x.f.Contended == nil || x.lastEventID != "" || ep.Zone != x.f.Zone || !x.f.Contended(x.service) {
 		return
 	}
 	model := engine.Model(x.req.Model)
