Expected times: an event many passes ago is not the end of the newest pass

Cause: for a group that was idle or hangs, the time since its newest event exceeds any pass, and Predict took it for the age of the current one: no rest of the pass, and all reported prompts read.

Change: beyond five mean passes, or one chunk for a group without decoding requests, the phase counts as unknown.

--- a/internal/expect/expect.go
+++ b/internal/expect/expect.go
@@ -64,7 +64,7 @@
 		passes = max(1, math.Ceil(tokens/(p.chunk*steps)))
 	}
 	first := left + passes*steps*p.step(p.decoding, p.prompt) + waiting + own
-	queue := p.passesInQueue(g)
+	queue := p.passesInQueue()
 	first += queue * p.mean
 
 	// Later passes also read the prompts that arrive meanwhile.
@@ -193,9 +193,11 @@
 	}
 }
 
-// elapsed returns the time since the current pass began: half of a pass if it is unknown.
+// elapsed returns the time since the current pass began: half of a pass if it is unknown. An event
+// many passes ago is not the end of the newest pass: the group was idle since, or hangs.
 func (p *pass) elapsed() float64 {
-	if p.sinceEvent >= 0 {
+	const newest = 5 // passes; those of a started group take up to three times the mean
+	if p.sinceEvent >= 0 && p.sinceEvent < newest*p.mean {
 		return p.sinceEvent
 	}
 	return p.mean / 2
@@ -213,8 +215,8 @@
 			chunk = min(chunk, p.chunk/p.tokensPerSecond)
 		}
 		left = p.step(p.decoding, 0) + chunk
-		if p.sinceEvent >= 0 {
-			return max(0, left-p.sinceEvent), p.unread - chunk
+		if p.sinceEvent >= 0 && p.sinceEvent < left {
+			return left - p.sinceEvent, p.unread - chunk
 		}
 		return left / 2, p.unread - chunk
 	}
@@ -232,7 +234,7 @@
 
 // passesInQueue returns the passes after the current one until the request has a slot and room
 // in the KV cache.
-func (p *pass) passesInQueue(g Group) float64 {
+func (p *pass) passesInQueue() float64 {
 	ahead := 0.0
 	if p.slots > 0 {
 		ahead = p.running + p.waiting + 1 - p.slots
