--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -14,6 +14,11 @@
 type Demand struct {
 	Requests float64            // number of requests, decayed by age
 	Work     map[string]float64 // group time needed at full batches by model, in seconds, decayed by age
+	// Value and Lost are recorded for services under contention only, and decayed by age:
+	// by model, the requests weighted by rank and size, and the same weights of those that
+	// were refused or late.
+	Value map[string]float64 `json:",omitempty"`
+	Lost  map[string]float64 `json:",omitempty"`
 }
 
 // Meter measures the demand for each service. Its zero value is ready for use.
--- a/internal/formation/sim_test.go
+++ b/internal/formation/sim_test.go
@@ -35,6 +35,7 @@
 	highestEpoch  uint64  // highest epoch of a join so far
 	count         uint64  // orders begun
 	pace          float64 // slow if above 1
+	active        int     // requests that it runs as a head, as reported
 	group         string
 	epoch         uint64
 	members       []roster.ID
@@ -175,7 +176,7 @@
 	rep := Report{
 		Member: roster.Membership{Group: e.group, Epoch: e.epoch, Rank: e.rank(), State: e.state},
 		Busy:   e.staging != "" || e.state == roster.Joining,
-		Pace:   e.pace, OrderCount: e.count, Model: e.model, Staged: []string{}, Domain: e.domain,
+		Pace:   e.pace, Active: e.active, OrderCount: e.count, Model: e.model, Staged: []string{}, Domain: e.domain,
 	}
 	if e.staged != "" {
 		rep.Staged = append(rep.Staged, e.staged)
