Demand records value and loss; plans value options by them

Change: requests of contended services are recorded with a weight by rank and size, and with the same weight when they are refused, cut or late. Where such a value is known, a plan weights the models by it (with a least weight, and full weight for the first quarter of a model's requests), lets each curve go through what is lost now, and charges a closed group with the streams that find no slot in the others. A conversion needs a least gain, is not reversed for 30 s, keeps a model's last group, and starts only where no other group of the domain changes. The claims of its groups are marked as ending before anything is announced, so that a next owner sees it; without the claim the conversion is withdrawn.

Ruled out: the margins of today (0.02) with the new value.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -4,6 +4,7 @@
 package demand
 
 import (
+	"maps"
 	"math"
 	"sync"
 
@@ -32,6 +33,8 @@
 	updatedAt clock.Instant
 	requests  float64
 	work      map[string]float64
+	value     map[string]float64
+	lost      map[string]float64
 }
 
 // decaySeconds is the time constant of the decay: a burst of one kind of request shows
@@ -39,21 +42,45 @@
 // requests.
 const decaySeconds = 5.0
 
+// minWeight is the weight below which the decayed value of a model is dropped, so that
+// messages do not contain it after contention was switched off.
+const minWeight = 1e-3
+
 // Record adds a request for a model. work is the group time that it needs, in seconds.
 func (d *Meter) Record(service, model string, work float64, now clock.Instant) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	a := d.decayed(service, now)
+	a.requests++
+	a.work[model] += work
+}
+
+// RecordValue adds the weight of a request for a model.
+func (d *Meter) RecordValue(service, model string, weight float64, now clock.Instant) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.decayed(service, now).value[model] += weight
+}
+
+// RecordLost adds the weight of a request for a model that was refused or late.
+func (d *Meter) RecordLost(service, model string, weight float64, now clock.Instant) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.decayed(service, now).lost[model] += weight
+}
+
+// decayed returns the demand for a service, decayed up to now.
+func (d *Meter) decayed(service string, now clock.Instant) *decayedDemand {
 	if d.services == nil {
 		d.services = map[string]*decayedDemand{}
 	}
 	a := d.services[service]
 	if a == nil {
-		a = &decayedDemand{work: map[string]float64{}}
+		a = &decayedDemand{work: map[string]float64{}, value: map[string]float64{}, lost: map[string]float64{}}
 		d.services[service] = a
 	}
 	a.decay(now)
-	a.requests++
-	a.work[model] += work
+	return a
 }
 
 func (a *decayedDemand) decay(now clock.Instant) {
@@ -63,6 +90,8 @@
 		for m := range a.work {
 			a.work[m] *= f
 		}
+		decayWeights(a.value, f)
+		decayWeights(a.lost, f)
 	}
 	a.updatedAt = now
 }
@@ -76,9 +105,27 @@
 		return Demand{}
 	}
 	a.decay(now)
-	out := Demand{Requests: a.requests, Work: make(map[string]float64, len(a.work))}
-	for m, w := range a.work {
-		out.Work[m] = w
+	return Demand{
+		Requests: a.requests, Work: maps.Clone(a.work),
+		Value: cloneWeights(a.value), Lost: cloneWeights(a.lost),
 	}
-	return out
 }
+
+func decayWeights(w map[string]float64, f float64) {
+	for m := range w {
+		if w[m] *= f; w[m] < minWeight {
+			delete(w, m)
+		}
+	}
+}
+
+// cloneWeights returns a copy; nil without weights.
+func cloneWeights(w map[string]float64) map[string]float64 {
+	if len(w) == 0 {
+		return nil
+	}
+	return maps.Clone(w)
+}
+
+// BusyGroups returns the number of groups of a model that the demand keeps at full batches.
+func (d *Demand) BusyGroups(model string) float64 { return d.Work[model] / decaySeconds }
--- a/internal/demand/zone.go
+++ b/internal/demand/zone.go
@@ -53,9 +53,7 @@
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	sum := Demand{Requests: own.Requests, Work: map[string]float64{}}
-	for m, w := range own.Work {
-		sum.Work[m] = w
-	}
+	sum.add(Demand{Work: own.Work, Value: own.Value, Lost: own.Lost}, 1)
 	for _, n := range z.nodes {
 		age := now.Sub(n.receivedAt).Seconds()
 		if age > nodeDemandTTLSeconds {
@@ -73,9 +71,20 @@
 
 func (d *Demand) add(o Demand, weight float64) {
 	d.Requests += weight * o.Requests
-	for m, w := range o.Work {
-		d.Work[m] += weight * w
+	d.Work = addWeights(d.Work, o.Work, weight)
+	d.Value = addWeights(d.Value, o.Value, weight)
+	d.Lost = addWeights(d.Lost, o.Lost, weight)
+}
+
+// addWeights adds weighted values to sum, which may be nil, and returns it.
+func addWeights(sum, values map[string]float64, weight float64) map[string]float64 {
+	for m, v := range values {
+		if sum == nil {
+			sum = map[string]float64{}
+		}
+		sum[m] += weight * v
 	}
+	return sum
 }
 
 // All returns the demand for each service.
--- a/internal/formation/allocate.go
+++ b/internal/formation/allocate.go
@@ -24,6 +24,9 @@
 	closed []*Group
 	formed []candidateGroup
 	value  float64
+	// without is the value of the best option that closes no group, with the margin that an
+	// option which closes groups has to exceed.
+	without float64
 }
 
 const (
@@ -121,6 +124,10 @@
 
 func (p *planner) beginConversion(domain string, o option) {
 	t := conversion{until: p.in.Now.Add(maxConversionTime)}
+	p.out.Conversions++
+	if p.values != nil {
+		p.recordConversion(&o)
+	}
 	for _, g := range o.closed {
 		c := &closing{reason: "another model needs its engines more", mode: Truncate, since: p.in.Now, begun: true}
 		if p.countGroups(g.Model, domain) <= 1 {
@@ -128,6 +135,11 @@
 		}
 		p.mem.closing[g.Name] = c
 		t.groups = append(t.groups, g.Name)
+		if p.values != nil {
+			c.mode, c.awaitsClaim, g.Ending, p.out.Changed = Truncate, true, true, true
+			p.noteDecision("group %s of %s closes: %s, value %.3f with the conversion and %.3f without", g.Name, g.Model, c.reason, o.value, o.without)
+			continue
+		}
 		p.noteDecision("group %s of %s closes: %s", g.Name, g.Model, c.reason)
 		p.announceLost(g, c)
 	}
@@ -149,13 +161,18 @@
 		p.mem.evaluatedAt[domain] = p.in.Now
 		best.value += noFreeEngineMargin
 	}
+	if p.values != nil && p.isChanging(domain) {
+		return best
+	}
+	without := best.value
 	for i := range p.in.Engine.Models {
 		m := &p.in.Engine.Models[i]
 		groups := p.closableGroups(domain, m)
-		for k := 1; k <= min(len(groups), p.maxClosedGroups(m)); k++ {
+		for k := 1; k <= min(len(groups), p.maxClosedGroups(m)) && p.mayClose(m, k); k++ {
 			best = betterOption(best, p.bestFormation(domain, groups[:k], free))
 		}
 	}
+	best.without = without
 	return best
 }
 
@@ -286,6 +303,9 @@
 // optionValue returns the value of the option's serving groups over the horizon, less the
 // cost of closing groups. Each model contributes 0 to 1.
 func (p *planner) optionValue(domain string, o *option) float64 {
+	if p.values != nil {
+		return p.weightedValue(domain, o)
+	}
 	groups := map[string]float64{}
 	for i := range p.in.Engine.Models {
 		m := &p.in.Engine.Models[i]
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -24,6 +24,8 @@
 	NextEpoch func() uint64
 	// Demand is the zone's recent demand for the service.
 	Demand demand.Demand
+	// Elsewhere is the number of groups, by model, that stand free in other zones.
+	Elsewhere map[string]float64
 	// BeforeFirstRequest is set while no request has arrived yet: loads slow nothing down then
 	// and need no throttling.
 	BeforeFirstRequest bool
@@ -40,6 +42,7 @@
 	Decisions   []string                    // decisions about groups, with their reasons
 	Lost        []roster.Hint               // heads of groups that have just lost a member
 	Resumed     []roster.Hint               // heads of groups that were considered lost and have resumed
+	Conversions int                         // conversions that begin
 }
 
 // Memory is the planner's state between the plans of one tenure. A new owner starts with
@@ -53,6 +56,7 @@
 	opened      map[string]bool          // groups that have been open
 	firstSeen   map[string]clock.Instant // when a group was first seen, by name
 	conversions map[string]conversion    // by domain
+	converted   map[string]clock.Instant // by model: when engines were last converted to it
 	evaluatedAt map[string]clock.Instant // newest evaluation of a domain without free engines
 	ended       map[string]bool          // groups whose head can't accept requests any more
 	formed      map[string]bool          // groups that this owner formed
@@ -70,6 +74,9 @@
 	mode   CloseMode
 	since  clock.Instant
 	begun  bool // an order was given or a claim written to end the group; it can't resume
+	// awaitsClaim is set for a group that closes for another model until the claim that marks
+	// it as ending is committed. Only then is the group announced as lost.
+	awaitsClaim bool
 }
 
 // NewMemory returns an empty memory.
@@ -77,7 +84,7 @@
 	return &Memory{
 		sent: map[orderKey]clock.Instant{}, joinDue: map[orderKey]clock.Instant{}, closing: map[string]*closing{},
 		loading: map[roster.ID]load{}, opened: map[string]bool{},
-		conversions: map[string]conversion{}, evaluatedAt: map[string]clock.Instant{},
+		conversions: map[string]conversion{}, converted: map[string]clock.Instant{}, evaluatedAt: map[string]clock.Instant{},
 		firstSeen: map[string]clock.Instant{}, ended: map[string]bool{}, formed: map[string]bool{},
 	}
 }
@@ -90,6 +97,7 @@
 	claimed             map[roster.ID]bool
 	groupsInPreparation map[string]int     // groups that engines are being prepared for, by model
 	neededGroupsByModel map[string]float64 // cache of neededGroups
+	values              []modelValue       // in the order of the engine's models; nil: all models count alike
 	emptyEngineWaits    bool               // an engine without weights could start a load
 }
 
@@ -101,6 +109,7 @@
 	for _, g := range in.Ledger.Groups {
 		p.keepOrRelease(&g)
 	}
+	p.valueModels()
 	for _, domain := range p.domains() {
 		p.allocateDomain(domain)
 	}
@@ -120,6 +129,9 @@
 		p.mem.firstSeen[g.Name] = p.in.Now
 	}
 	c := p.mem.closing[g.Name]
+	if c != nil && c.awaitsClaim && !p.confirmConversion(g, c) {
+		c = nil
+	}
 	if c == nil {
 		if c = p.decideClose(g); c != nil {
 			c.since = p.in.Now
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -71,6 +71,7 @@
 	// connRefusals counts the attempts for which this happened.
 	connRefused  bool
 	connRefusals int
+	value        valueRecord
 }
 
 // timeLeft returns the time from now to the request's deadline.
@@ -373,6 +374,7 @@
 
 // finish ends the request with the given step.
 func (x *exchange) finish(step Step, res Result) {
+	x.recordEnd(step)
 	if step == RelayFailure && x.failure == nil { // the endpoint's status would claim that the request has not run
 		step = ReportUnknown
 	}
@@ -414,6 +416,7 @@
 
 // refuseNotRun reports to the client that the request has not run, and why.
 func (x *exchange) refuseNotRun() {
+	x.recordEnd(Refuse)
 	e := outcome.New(outcome.NoCapacity, outcome.NotRun, "nothing serves this now", "try again").WithRetryAfter(retryAfterNone)
 	stage := "pick"
 	switch {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -213,6 +213,7 @@
 	x.progress.HeaderSent = true
 	x.firstByteLatency = x.f.Clock.Now().Sub(x.start)
 	x.f.Metrics.observeFirstByte(x.route, x.firstByteLatency)
+	x.recordIfLate()
 }
 
 // recordEvent updates the longest pause between events after an event was sent to the client.
@@ -220,6 +221,7 @@
 	now := x.f.Clock.Now()
 	if x.lastEventAt != 0 {
 		x.maxGap = max(x.maxGap, now.Sub(x.lastEventAt))
+		x.recordIfLate()
 	}
 	x.lastEventAt = now
 }
