Conversions: groups in formation and mean groups count, first group goes first; properties

A trial fleet (models of 4 and 1, domains of 7, one loss in each) kept no group of the large model, since the margin counted for each of the four groups to close.

Change: the curve goes through the current loss at the number of groups averaged over the time that the losses comprise; groups that conversions in other domains will form count; the margin counts once per conversion; an option that leaves a model without a group, with none free in another zone, is worth less than any other; free groups of other zones count (Input.Elsewhere); a conversion that could not be recorded is tried again after two seconds.

Conclusion: one conversion after the other, each for losses that the one before left.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -37,10 +37,10 @@
 	lost      map[string]float64
 }
 
-// decaySeconds is the time constant of the decay: a burst of one kind of request shows
+// DecaySeconds is the time constant of the decay: a burst of one kind of request shows
 // within two seconds, and at ten requests per second a node's demand still comprises fifty
 // requests.
-const decaySeconds = 5.0
+const DecaySeconds = 5.0
 
 // minWeight is the weight below which the decayed value of a model is dropped, so that
 // messages do not contain it after contention was switched off.
@@ -85,7 +85,7 @@
 
 func (a *decayedDemand) decay(now clock.Instant) {
 	if a.updatedAt != 0 {
-		f := math.Exp(-max(0, now.Sub(a.updatedAt).Seconds()) / decaySeconds)
+		f := math.Exp(-max(0, now.Sub(a.updatedAt).Seconds()) / DecaySeconds)
 		a.requests *= f
 		for m := range a.work {
 			a.work[m] *= f
@@ -128,4 +128,4 @@
 }
 
 // BusyGroups returns the number of groups of a model that the demand keeps at full batches.
-func (d *Demand) BusyGroups(model string) float64 { return d.Work[model] / decaySeconds }
+func (d *Demand) BusyGroups(model string) float64 { return d.Work[model] / DecaySeconds }
--- a/internal/demand/zone.go
+++ b/internal/demand/zone.go
@@ -59,7 +59,7 @@
 		if age > nodeDemandTTLSeconds {
 			continue
 		}
-		weight := math.Exp(-max(0, age) / decaySeconds)
+		weight := math.Exp(-max(0, age) / DecaySeconds)
 		for _, t := range n.services {
 			if t.Service == service {
 				sum.add(t.Demand, weight)
--- a/internal/demand/zone_test.go
+++ b/internal/demand/zone_test.go
@@ -1,6 +1,7 @@
 package demand
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -43,3 +44,30 @@
 	m.Record("s", "a", 0.5, now)
 	is.Equal(m.All(now), []ServiceDemand{{"s", Demand{Requests: 1, Work: map[string]float64{"a": 0.5}}}})
 }
+
+// Guards against value and loss that are dropped between nodes, that change messages while
+// nothing is recorded, or that remain after contention was switched off.
+func TestValueAndLossAreDecayedAndCarried(t *testing.T) {
+	is := is.New(t)
+	now := clock.Instant(time.Hour)
+	var m Meter
+	m.Record("s", "a", 0.5, now)
+	raw, err := json.Marshal(m.Demand("s", now))
+	is.NoErr(err)
+	is.Equal(string(raw), `{"Requests":1,"Work":{"a":0.5}}`)
+	m.RecordValue("s", "a", 2, now)
+	m.RecordLost("s", "a", 1, now)
+	raw, err = json.Marshal(m.All(now))
+	is.NoErr(err)
+	var received []ServiceDemand
+	is.NoErr(json.Unmarshal(raw, &received))
+	var z ZoneDemand
+	z.Update("n1", received, now)
+	z.Update("n2", received, now)
+	sum := z.Total("s", m.Demand("s", now), now)
+	is.Equal(sum.Value["a"], 6.0)
+	is.Equal(sum.Lost["a"], 3.0)
+	later := m.Demand("s", now.Add(5*time.Second))
+	is.True(later.Value["a"] > 0.7 && later.Value["a"] < 0.8)
+	is.Equal(m.Demand("s", now.Add(time.Minute)).Value, nil)
+}
--- a/internal/formation/allocate.go
+++ b/internal/formation/allocate.go
@@ -66,6 +66,7 @@
 type conversion struct {
 	groups []string
 	until  clock.Instant
+	formed map[string]int // groups to be formed, by model; only while value is recorded
 }
 
 // allocateDomain assigns the free engines of a domain: to new groups, together with
@@ -126,7 +127,7 @@
 	t := conversion{until: p.in.Now.Add(maxConversionTime)}
 	p.out.Conversions++
 	if p.values != nil {
-		p.recordConversion(&o)
+		t.formed = p.recordConversion(&o)
 	}
 	for _, g := range o.closed {
 		c := &closing{reason: "another model needs its engines more", mode: Truncate, since: p.in.Now, begun: true}
--- a/internal/formation/apply.go
+++ b/internal/formation/apply.go
@@ -25,6 +25,9 @@
 	if p.output.Changed && !c.commit(ctx, grant, p.output.Ledger) {
 		return // the next plan starts from the committed claims
 	}
+	if p.output.Conversions > 0 && c.CountConversions != nil {
+		c.CountConversions(p.output.Conversions)
+	}
 	for _, o := range p.output.Orders {
 		go c.sendOrder(ctx, grant, o)
 	}
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -46,6 +46,11 @@
 	Activity func(roster.ID) (last clock.Instant, suspect bool)
 	// Demand returns the zone's recent demand for a service.
 	Demand func(service string) demand.Demand
+	// Elsewhere returns the number of groups of a service, by model, that stand free in other
+	// zones; nil: not known.
+	Elsewhere func(s *catalog.Service) map[string]float64
+	// CountConversions is called with the number of conversions that have begun; nil: no call.
+	CountConversions func(int)
 	// ManyNodes reports whether the zone has so many nodes that each has only a few of a
 	// head's streams.
 	ManyNodes func() bool
@@ -284,9 +289,13 @@
 		}
 		engineStates[id] = f
 	}
+	var elsewhere map[string]float64
+	if c.Elsewhere != nil {
+		elsewhere = c.Elsewhere(s)
+	}
 	return Plan(&Input{
 		Now: c.Clock.Now(), TenureStart: c.tenureStart, Zone: c.Zone, Service: s.Name, Engine: s.Engine,
-		Engines: engineStates, Ledger: c.ledger, NextEpoch: c.nextEpoch, Demand: c.Demand(s.Name),
+		Engines: engineStates, Ledger: c.ledger, NextEpoch: c.nextEpoch, Demand: c.Demand(s.Name), Elsewhere: elsewhere,
 		BeforeFirstRequest: c.BeforeFirstRequest(), Params: c.Params(s.Engine),
 	}, mem)
 }
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -57,9 +57,12 @@
 	firstSeen   map[string]clock.Instant // when a group was first seen, by name
 	conversions map[string]conversion    // by domain
 	converted   map[string]clock.Instant // by model: when engines were last converted to it
-	evaluatedAt map[string]clock.Instant // newest evaluation of a domain without free engines
-	ended       map[string]bool          // groups whose head can't accept requests any more
-	formed      map[string]bool          // groups that this owner formed
+	meanGroups  map[string]groupMean     // by model
+	// noConversionUntil is set when a conversion could not be recorded.
+	noConversionUntil clock.Instant
+	evaluatedAt       map[string]clock.Instant // newest evaluation of a domain without free engines
+	ended             map[string]bool          // groups whose head can't accept requests any more
+	formed            map[string]bool          // groups that this owner formed
 }
 
 type orderKey struct {
@@ -84,7 +87,7 @@
 	return &Memory{
 		sent: map[orderKey]clock.Instant{}, joinDue: map[orderKey]clock.Instant{}, closing: map[string]*closing{},
 		loading: map[roster.ID]load{}, opened: map[string]bool{},
-		conversions: map[string]conversion{}, converted: map[string]clock.Instant{}, evaluatedAt: map[string]clock.Instant{},
+		conversions: map[string]conversion{}, converted: map[string]clock.Instant{}, meanGroups: map[string]groupMean{}, evaluatedAt: map[string]clock.Instant{},
 		firstSeen: map[string]clock.Instant{}, ended: map[string]bool{}, formed: map[string]bool{},
 	}
 }
--- a/internal/formation/sim_test.go
+++ b/internal/formation/sim_test.go
@@ -89,6 +89,7 @@
 	tenureStart  clock.Instant // start of this owner's tenure
 	loadsAreFree bool          // loads take a tenth of their time and are not throttled
 	demand       demand.Demand
+	elsewhere    map[string]float64 // free groups of other zones by model
 	delayed      []delayedOrder
 	ready        map[string]map[roster.ID]bool // members that have been ready, by group and epoch
 	sizes        map[string]int                // initial number of members by group
@@ -384,7 +385,7 @@
 	return &Input{
 		Now: w.now, TenureStart: w.tenureStart, Zone: "z", Service: "s", Engine: w.engine, Engines: w.engineStates, Ledger: w.ledger,
 		NextEpoch:          func() uint64 { w.epochs++; return w.fence*1_000_000 + w.epochs },
-		BeforeFirstRequest: w.loadsAreFree, Demand: w.demand, Params: DefaultParams(5*time.Second, 7, 2),
+		BeforeFirstRequest: w.loadsAreFree, Demand: w.demand, Elsewhere: w.elsewhere, Params: DefaultParams(5*time.Second, 7, 2),
 	}
 }
 
--- a/internal/formation/value.go
+++ b/internal/formation/value.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"chervilloom/internal/catalog"
+	"chervilloom/internal/clock"
+	"chervilloom/internal/demand"
 	"chervilloom/internal/roster"
 )
 
@@ -42,7 +44,11 @@
 	scarceLost = 0.1
 	// minUtilisation limits the number of groups that a model seems to be able to spare.
 	minUtilisation = 0.1
-	// valueMargin is the least net gain of closing a group, of 1 per model. A conversion takes
+	// noGroupPenalty is the cost, per model of the engine, of an option that leaves a model
+	// without a group while no zone has a free one for it. It exceeds what the other models
+	// can lose by a conversion, since callers of that model get nothing at all.
+	noGroupPenalty = 2
+	// valueMargin is the least net gain of a conversion, of 1 per model. A conversion takes
 	// engines out of service for two seconds and a burst lasts 4 to 6 s.
 	valueMargin = 0.05
 	// closeHysteresis is the part by which closing a group is valued too high. Demand that
@@ -52,6 +58,9 @@
 	// another model. It exceeds the bursts that were observed (4 to 6 s) and the time
 	// until the recorded losses have decayed.
 	reverseDelay = 30 * time.Second
+	// withdrawnDelay is the time until the next conversion after one that could not be
+	// recorded. The table may be unavailable for seconds.
+	withdrawnDelay = 2 * time.Second
 )
 
 // valueModels computes the values of the models. They remain nil unless value is recorded.
@@ -94,6 +103,7 @@
 			active += max(0, f.Report.Active)
 		}
 	}
+	mean := p.meanGroups(m.Name, float64(groups))
 	v.rate = saturation / p.neededGroups(m)
 	value := p.in.Demand.Value[m.Name]
 	lost := 0.0
@@ -105,7 +115,7 @@
 	if groups > 0 {
 		utilisation = float64(active) / (n * float64(slots))
 		known := value / (value + valueCertainty)
-		v.rate = (1-known)*v.rate + known*p.calibratedRate(m, n, v.elsewhere, lost, utilisation)
+		v.rate = (1-known)*v.rate + known*p.calibratedRate(m, mean, v.elsewhere, lost, utilisation)
 	}
 	// The streams of a closed group continue in the free slots of the other groups. Those
 	// that find none are lost with the time that they ran, about half of a run at full
@@ -122,6 +132,41 @@
 	v.moveTime = left*streamMoveTime.Seconds() + (1-left)*max(run, streamMoveTime.Seconds())
 }
 
+// meanGroups returns the number of a model's serving groups averaged over the time that the
+// recorded losses comprise. While they still show the time before a conversion, they must not
+// be attributed to the groups after it, or the next domain would convert for the same losses.
+func (p *planner) meanGroups(model string, now float64) float64 {
+	mean, ok := p.mem.meanGroups[model]
+	if !ok {
+		mean = groupMean{now, p.in.Now}
+	}
+	age := max(0, p.in.Now.Sub(mean.at).Seconds())
+	mean = groupMean{now + (mean.groups-now)*math.Exp(-age/demand.DecaySeconds), p.in.Now}
+	p.mem.meanGroups[model] = mean
+	return max(mean.groups, minMeanGroups)
+}
+
+// groupMean is a decayed mean of a number of groups at a time.
+type groupMean struct {
+	groups float64
+	at     clock.Instant
+}
+
+// minMeanGroups bounds the mean for a model that has just got its first group.
+const minMeanGroups = 0.25
+
+// pendingGroups returns the groups of a model that will be formed by conversions in other
+// domains.
+func (p *planner) pendingGroups(model, domain string) float64 {
+	n := 0
+	for d, c := range p.mem.conversions {
+		if d != domain {
+			n += c.formed[model]
+		}
+	}
+	return float64(n)
+}
+
 // calibratedRate returns the rate of the curve on which n groups lose the given share. While
 // little is lost, the curve rises at least as steeply as the utilisation of the groups
 // indicates.
@@ -144,14 +189,17 @@
 // by the recorded value.
 func (p *planner) weightedValue(domain string, o *option) float64 {
 	sum := 0.0
+	if len(o.closed) > 0 {
+		sum -= valueMargin
+	}
 	for i := range p.values {
 		v := &p.values[i]
-		n := float64(p.countGroups(v.model.Name, domain))
+		n := float64(p.countGroups(v.model.Name, domain)) + p.pendingGroups(v.model.Name, domain)
 		for _, g := range o.closed {
 			if g.Model != v.model.Name {
 				continue
 			}
-			sum -= valueMargin + v.of(n)/max(1, n)*v.moveTime/valueHorizon.Seconds() + closeHysteresis*(v.of(n)-v.of(n-1))
+			sum -= v.of(n)/max(1, n)*v.moveTime/valueHorizon.Seconds() + closeHysteresis*(v.of(n)-v.of(n-1))
 			n--
 		}
 		sum += v.of(n)
@@ -166,6 +214,9 @@
 			sum += (v.of(n+1) - v.of(n)) * (1 - horizonShare(t))
 			n++
 		}
+		if n < 1 && v.elsewhere < 1 {
+			sum -= noGroupPenalty * float64(len(p.values))
+		}
 	}
 	return sum
 }
@@ -177,7 +228,7 @@
 		return true
 	}
 	at, ok := p.mem.converted[m.Name]
-	if ok && p.in.Now.Sub(at) < reverseDelay {
+	if p.in.Now.Before(p.mem.noConversionUntil) || ok && p.in.Now.Sub(at) < reverseDelay {
 		return false
 	}
 	serving := 0
@@ -215,11 +266,15 @@
 	return false
 }
 
-// recordConversion notes the models for which the option closes groups.
-func (p *planner) recordConversion(o *option) {
+// recordConversion notes the models for which the option closes groups, and returns the
+// number of groups that it forms of each.
+func (p *planner) recordConversion(o *option) map[string]int {
+	formed := map[string]int{}
 	for i := range o.formed {
+		formed[o.formed[i].model.Name]++
 		p.mem.converted[o.formed[i].model.Name] = p.in.Now
 	}
+	return formed
 }
 
 // confirmConversion reports whether the claim that marks a group as ending is committed, and
@@ -233,6 +288,7 @@
 	}
 	delete(p.mem.closing, g.Name)
 	delete(p.mem.conversions, g.Domain)
+	p.mem.noConversionUntil = p.in.Now.Add(withdrawnDelay)
 	p.noteDecision("group %s continues: its end could not be recorded", g.Name)
 	return false
 }
