Lease holders pass free groups of other zones to the planner and count conversions

Change: freeGroupsElsewhere sums the free share of the heads of other zones from their mean loads, discounted by age, without evacuated zones, and divided by the zones that may use them; empty for services that are not contended. chervilloom_supply_conversions_total counts the conversions that began, without labels, as names that operators choose are none.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -97,6 +97,7 @@
 	backpressureGuard *backpressure.Guard
 	quarantineRows    *quarantine.Rows
 	peerDemand        demand.ZoneDemand // demand reported by the zone's other nodes
+	conversions       prometheus.Counter
 	startedAt         clock.Instant
 	stateKnown        chan struct{}          // closed once the configuration and the endpoints are known
 	holdsDuty         func(zone string) bool // reports whether this node holds the zone's duty now
@@ -251,6 +252,8 @@
 		Activity:           n.tracker.LastSign,
 		Announce:           n.announceHint,
 		Demand:             n.zoneDemand,
+		Elsewhere:          func(s *catalog.Service) map[string]float64 { return n.freeGroupsElsewhere(zone, s) },
+		CountConversions:   func(k int) { n.conversions.Add(float64(k)) },
 		ManyNodes:          func() bool { return n.usesBoard(zone) },
 		Evacuated:          func() bool { return n.evacuations.contains(zone) },
 	}).Init()
--- a/internal/entry/loads.go
+++ b/internal/entry/loads.go
@@ -7,6 +7,7 @@
 
 	"chervilloom/internal/balance"
 	"chervilloom/internal/board"
+	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
 	"chervilloom/internal/news"
 	"chervilloom/internal/roster"
@@ -278,6 +279,43 @@
 	return m.MeanLoad
 }
 
+// meanAt returns the mean load of a zone's heads for a model and its age; known is false
+// without a valid one.
+func (l *loadExchange) meanAt(zone, model string, now clock.Instant) (load board.MeanLoad, age time.Duration, known bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m, ok := l.means[meanKey{zone, model}]
+	age = now.Sub(m.at)
+	return m.MeanLoad, age, ok && age <= meanTTL
+}
+
+// freeGroupsElsewhere returns the number of groups, by model, that stand free in zones other
+// than the given one: the free share of their heads, discounted by the age of the mean load.
+// Each of these zones may also be used by the others, so the zone counts its share only.
+// The result is nil for a service that is not contended.
+func (n *Node) freeGroupsElsewhere(zone string, s *catalog.Service) map[string]float64 {
+	others := len(n.Settings.Zones) - 1
+	if others < 1 || !n.isContended(s.Name) {
+		return nil
+	}
+	heads := map[meanKey]int{}
+	n.roster.current.Load().ForEach(func(e *roster.Endpoint) {
+		if e.Zone != zone && e.Service == s.Name && e.IsServingHead() && e.Usable() && !n.evacuations.contains(e.Zone) {
+			heads[meanKey{e.Zone, e.Model}]++
+		}
+	})
+	now := n.Clock.Now()
+	out := map[string]float64{}
+	for k, count := range heads {
+		m, age, known := n.loads.meanAt(k.zone, k.model, now)
+		if known {
+			fresh := 1 - age.Seconds()/meanTTL.Seconds()
+			out[k.model] += float64(count) * max(0, 1-m.Load) * fresh / float64(others)
+		}
+	}
+	return out
+}
+
 // withEmptied returns the counts in now, and zero counts for heads that had requests in before
 // only.
 func withEmptied(before, now []board.HeadLoad) []board.HeadLoad {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -30,7 +30,10 @@
 	n.roster.rejectCounter = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "chervilloom_roster_rejected_total", Help: "Entries of the list that named no endpoint to use, each read anew.",
 	})
-	reg.MustRegister(n.roster.rejectCounter)
+	n.conversions = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "chervilloom_supply_conversions_total", Help: "Conversions of groups to another model that this node began.",
+	})
+	reg.MustRegister(n.roster.rejectCounter, n.conversions)
 	gauge("chervilloom_zones_evacuated", "Availability zones that the operator evacuates, as this node knows.", func() float64 {
 		return float64(len(n.evacuations.evacuated()))
 	})
