--- a/internal/formation/sim_test.go
+++ b/internal/formation/sim_test.go
@@ -35,6 +35,7 @@
 	highestEpoch  uint64  // highest epoch of a join so far
 	count         uint64  // orders begun
 	pace          float64 // slow if above 1
+	active        int     // requests that it runs as a head, as reported
 	group         string
 	epoch         uint64
 	members       []roster.ID
@@ -88,6 +89,7 @@
 	tenureStart  clock.Instant // start of this owner's tenure
 	loadsAreFree bool          // loads take a tenth of their time and are not throttled
 	demand       demand.Demand
+	elsewhere    map[string]float64 // free groups of other zones by model
 	delayed      []delayedOrder
 	ready        map[string]map[roster.ID]bool // members that have been ready, by group and epoch
 	sizes        map[string]int                // initial number of members by group
@@ -175,7 +177,7 @@
 	rep := Report{
 		Member: roster.Membership{Group: e.group, Epoch: e.epoch, Rank: e.rank(), State: e.state},
 		Busy:   e.staging != "" || e.state == roster.Joining,
-		Pace:   e.pace, OrderCount: e.count, Model: e.model, Staged: []string{}, Domain: e.domain,
+		Pace:   e.pace, Active: e.active, OrderCount: e.count, Model: e.model, Staged: []string{}, Domain: e.domain,
 	}
 	if e.staged != "" {
 		rep.Staged = append(rep.Staged, e.staged)
@@ -383,7 +385,7 @@
 	return &Input{
 		Now: w.now, TenureStart: w.tenureStart, Zone: "z", Service: "s", Engine: w.engine, Engines: w.engineStates, Ledger: w.ledger,
 		NextEpoch:          func() uint64 { w.epochs++; return w.fence*1_000_000 + w.epochs },
-		BeforeFirstRequest: w.loadsAreFree, Demand: w.demand, Params: DefaultParams(5*time.Second, 7, 2),
+		BeforeFirstRequest: w.loadsAreFree, Demand: w.demand, Elsewhere: w.elsewhere, Params: DefaultParams(5*time.Second, 7, 2),
 	}
 }
 
