Boards carry the gap of a head's streams and the pace of its slowest member

Cause: a node recognises a slow group only from its own few streams there, averaged over 16 events, and knows nothing of the pace in engine reports.

Ruled out: the existing smoothing of 16 events for reported gaps (at a group that became 12 times slower, a node with two streams there needs many seconds); a gap only from complete pairs of events, since the first one takes a second there.

Change: board.HeadLoad has g and p, both omitted at their zero value. Nodes report gaps for contended services only; the board averages them weighted by requests; the holder of the duty adds paces from its reports (Controller.SlowestPaces).

The board tests name the fields of their literals, since the struct has more of them now; their expectations are unchanged.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -31,7 +31,8 @@
 
 	mu      sync.Mutex
 	records map[roster.ID]*record
-	changes uint64 // starts and ends of requests
+	changes uint64        // starts and ends of requests
+	boardAt clock.Instant // when the newest part of a board was applied; 0: never
 }
 
 // record is the state of one endpoint.
@@ -47,6 +48,13 @@
 	doubted          bool          // reported as doubted since the last sign of life
 	eventGap         time.Duration // smoothed time between the events of a stream
 	gapDeviation     time.Duration // smoothed absolute deviation from eventGap
+	recentGap        recentGap
+	zoneGap          time.Duration // time between the events of a stream, averaged over the zone's nodes
+	zoneGapAt        clock.Instant // when zoneGap was received; 0: never
+	zoneGapLoad      float64       // requests in flight at that time
+	pace             float64       // slowdown of the group's slowest member, at least 1
+	paceAt           clock.Instant // when pace was received; 0: never
+	trialCheckedAt   clock.Instant // when TrialDue was last called; 0: never
 	unread           unreadPrompts
 	waiting          map[*Ticket]struct{} // tickets with onSuspect
 }
@@ -124,6 +132,7 @@
 	k.finishPrompt(r)
 	if k.lastEvent != 0 {
 		r.addGap(now.Sub(k.lastEvent))
+		r.recentGap.add(now.Sub(k.lastEvent), now)
 	} else {
 		r.startedStreams++
 	}
@@ -334,6 +343,11 @@
 	Doubted     bool
 	EventGap    time.Duration // time between the events of a stream; 0: unknown
 	Unread      float64       // prompt tokens that the endpoint has yet to read
+	// RecentGap is the time between the events of a stream as the zone's nodes measured it, or else
+	// this node; it follows changes faster than EventGap. 0: unknown.
+	RecentGap time.Duration
+	GapLoad   float64 // requests in flight when RecentGap was measured
+	Pace      float64 // slowdown of the group's slowest member; 1: usual or unknown
 }
 
 // StateOf returns the state of the endpoint. A reported load decays over turnover, the time in which
@@ -344,7 +358,7 @@
 	defer t.mu.Unlock()
 	r := t.records[id]
 	if r == nil {
-		return State{}
+		return State{Pace: 1}
 	}
 	now := t.Clock.Now()
 	s := State{Load: float64(r.inFlight), Unread: float64(r.unread.own) + r.unread.remainingOthers(now)}
@@ -357,6 +371,8 @@
 	if now.Sub(r.lastSign) < gapLifetime {
 		s.EventGap = r.eventGap
 	}
+	s.RecentGap, s.GapLoad = r.reportedGap(now, s.Load, t.boardAt)
+	s.Pace = r.reportedPace(now)
 	return s
 }
 
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -19,6 +19,10 @@
 	ID       roster.ID `json:"i"`
 	Requests int       `json:"n"`
 	Unread   int       `json:"u,omitempty"` // prompt tokens not yet read by the engine
+	// Gap is the time between two events of a stream in ms, and Pace the slowdown of the group's
+	// slowest member; 0: unknown or not needed. Only heads of contended services have them.
+	Gap  int     `json:"g,omitempty"`
+	Pace float64 `json:"p,omitempty"`
 }
 
 const (
@@ -58,11 +62,13 @@
 }
 
 // Sums returns the load in flight of all nodes at each head, sorted by ID, and whether
-// any node has sent counts within countTTL.
+// any node has sent counts within countTTL. A head's gap is the mean of the nodes that
+// measured one, weighted by their requests.
 func (b *Board) Sums(now clock.Instant) ([]HeadLoad, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	sums := map[roster.ID]HeadLoad{}
+	gaps := map[roster.ID]gapSum{}
 	for node, t := range b.nodes {
 		age := now.Sub(t.receivedAt)
 		if age > countTTL {
@@ -72,17 +78,32 @@
 		left := max(0, 1-float64(age)/float64(promptReadTime))
 		for _, c := range t.counts {
 			s := sums[c.ID]
-			sums[c.ID] = HeadLoad{c.ID, s.Requests + c.Requests, s.Unread + int(left*float64(c.Unread))}
+			sums[c.ID] = HeadLoad{ID: c.ID, Requests: s.Requests + c.Requests, Unread: s.Unread + int(left*float64(c.Unread))}
+			if c.Gap > 0 && c.Requests > 0 {
+				g := gaps[c.ID]
+				gaps[c.ID] = gapSum{g.weighted + c.Gap*c.Requests, g.requests + c.Requests}
+			}
 		}
 	}
 	out := make([]HeadLoad, 0, len(sums))
 	for _, c := range sums {
+		c.Gap = gaps[c.ID].mean()
 		out = append(out, c)
 	}
 	slices.SortFunc(out, func(a, b HeadLoad) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return out, len(b.nodes) > 0
 }
 
+// gapSum is the sum of the gaps at one head, weighted by requests.
+type gapSum struct{ weighted, requests int }
+
+func (g gapSum) mean() int {
+	if g.requests == 0 {
+		return 0
+	}
+	return g.weighted / g.requests
+}
+
 // MeanLoad is the mean load of a model's heads in a zone.
 type MeanLoad struct {
 	Zone   string  `json:"z"`
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -18,19 +19,19 @@
 	var b Board
 	_, known := b.Sums(now)
 	is.True(!known)
-	b.Update("n1", []HeadLoad{{"h1", 3, 1000}, {"h2", 1, 0}}, false, now)
-	b.Update("n2", []HeadLoad{{"h1", 2, 500}}, false, now)
+	b.Update("n1", []HeadLoad{{ID: "h1", Requests: 3, Unread: 1000}, {ID: "h2", Requests: 1}}, false, now)
+	b.Update("n2", []HeadLoad{{ID: "h1", Requests: 2, Unread: 500}}, false, now)
 	sums, known := b.Sums(now)
 	is.True(known)
-	is.Equal(sums, []HeadLoad{{"h1", 5, 1500}, {"h2", 1, 0}})
-	b.Update("n1", []HeadLoad{{"h1", 4, 0}}, false, now.Add(time.Second)) // also reports the end at h2
+	is.Equal(sums, []HeadLoad{{ID: "h1", Requests: 5, Unread: 1500}, {ID: "h2", Requests: 1}})
+	b.Update("n1", []HeadLoad{{ID: "h1", Requests: 4}}, false, now.Add(time.Second)) // also reports the end at h2
 	sums, _ = b.Sums(now.Add(time.Second))
-	is.Equal(sums, []HeadLoad{{"h1", 6, 0}}) // prompts sent a second ago have been read
+	is.Equal(sums, []HeadLoad{{ID: "h1", Requests: 6}}) // prompts sent a second ago have been read
 	sums, _ = b.Sums(now.Add(3 * time.Second))
-	is.Equal(sums, []HeadLoad{{"h1", 4, 0}})                               // counts of n2 have expired
-	b.Update("n1", []HeadLoad{{"h3", 2, 0}}, true, now.Add(3*time.Second)) // another part
+	is.Equal(sums, []HeadLoad{{ID: "h1", Requests: 4}})                               // counts of n2 have expired
+	b.Update("n1", []HeadLoad{{ID: "h3", Requests: 2}}, true, now.Add(3*time.Second)) // another part
 	sums, _ = b.Sums(now.Add(3 * time.Second))
-	is.Equal(sums, []HeadLoad{{"h1", 4, 0}, {"h3", 2, 0}})
+	is.Equal(sums, []HeadLoad{{ID: "h1", Requests: 4}, {ID: "h3", Requests: 2}})
 	b.Update("n1", nil, false, now.Add(3*time.Second))
 	sums, known = b.Sums(now.Add(3 * time.Second))
 	is.Equal(len(sums), 0)
@@ -44,7 +45,23 @@
 	heads := []*roster.Endpoint{
 		{ID: "a", Model: "big", Slots: 20}, {ID: "b", Model: "big", Slots: 20}, {ID: "c", Model: "small", Slots: 10},
 	}
-	sums := []HeadLoad{{"a", 10, 500}, {"c", 9, 0}, {"closed", 7, 0}}
+	sums := []HeadLoad{{ID: "a", Requests: 10, Unread: 500}, {ID: "c", Requests: 9}, {ID: "closed", Requests: 7}}
 	is.Equal(MeanLoads("z", sums, heads), []MeanLoad{{"z", "big", 0.25, 250}, {"z", "small", 0.9, 0}})
 	is.Equal(len(MeanLoads("z", sums, nil)), 0)
 }
+
+// Guards against a gap that one node with a single stream decides for a zone, and against entries
+// of deployments that need no gap which differ from those before gaps were added.
+func TestGapsAreWeightedByRequests(t *testing.T) {
+	is := is.New(t)
+	now := clock.Instant(time.Hour)
+	var b Board
+	b.Update("n1", []HeadLoad{{ID: "h1", Requests: 9, Gap: 100}, {ID: "h2", Requests: 1}}, false, now)
+	b.Update("n2", []HeadLoad{{ID: "h1", Requests: 1, Gap: 900}}, false, now)
+	b.Update("n3", []HeadLoad{{ID: "h1", Requests: 5}}, false, now) // measured none
+	sums, _ := b.Sums(now)
+	is.Equal(sums, []HeadLoad{{ID: "h1", Requests: 15, Gap: 180}, {ID: "h2", Requests: 1}})
+	raw, err := json.Marshal(sums)
+	is.NoErr(err)
+	is.Equal(string(raw), `[{"i":"h1","n":15,"g":180},{"i":"h2","n":1}]`)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -207,8 +207,8 @@
 		Started: n.stateKnown, OnSent: n.sendPlacement, SampleSize: n.sampleSize, ZoneLoad: func(zone, model string) board.MeanLoad { return n.loads.meanOf(zone, model) },
 		Quarantine: n.quarantineGuard, Backpressure: n.backpressureGuard,
 		NodeCount: func() int { return n.leaseCache.nodeCount() },
-		Contended: n.isContended,
-		MaxHeld:   o.Settings.Memory / bodyMemoryDivisor,
+		Contended: n.isContended, ZoneNodeCount: func() int { return n.leaseCache.zoneNodeCount(n.Settings.Zone) },
+		MaxHeld: o.Settings.Memory / bodyMemoryDivisor,
 	}
 	n.follower = &follower{node: n, client: feed.NewClient(), clock: o.Clock, log: o.Log, wake: make(chan struct{}, 1)}
 	n.lookup = &startLookup{node: n}
--- a/internal/entry/loads.go
+++ b/internal/entry/loads.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
 	"chervilloom/internal/balance"
 	"chervilloom/internal/board"
+	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
 	"chervilloom/internal/news"
 	"chervilloom/internal/roster"
@@ -110,6 +112,9 @@
 	r := n.roster.current.Load()
 	for _, c := range n.tracker.ReportInFlight() {
 		if e := r.Get(c.ID); e != nil && e.Domain != "" {
+			if !n.isContended(e.Service) {
+				c.Gap = 0
+			}
 			counts[e.Zone] = append(counts[e.Zone], c)
 		}
 	}
@@ -172,6 +177,7 @@
 		if !known {
 			continue
 		}
+		sums = addPaces(sums, n.slowestPaces(zone))
 		last := l.published[zone]
 		next := publishedBoard{last.fullAt, sums}
 		out := changedCounts(last.counts, sums)
@@ -278,8 +284,35 @@
 	return m.MeanLoad
 }
 
-// withEmptied returns the counts in now, and zero counts for heads that had requests in before
-// only.
+// slowestPaces returns the pace of the slowest member of each slow group in a zone, by head, for the
+// contended services; only the holder of the zone's duty knows them.
+func (n *Node) slowestPaces(zone string) map[roster.ID]float64 {
+	cat := n.config.current.Load()
+	if cat == nil {
+		return nil
+	}
+	for _, c := range n.controllers {
+		if c.Zone == zone && slices.ContainsFunc(cat.Services, func(s catalog.Service) bool { return n.isContended(s.Name) }) {
+			return c.SlowestPaces(n.isContended)
+		}
+	}
+	return nil
+}
+
+// addPaces adds paces to the counts, which it may change, and entries for heads without requests.
+func addPaces(counts []board.HeadLoad, paces map[roster.ID]float64) []board.HeadLoad {
+	for i := range counts {
+		counts[i].Pace = paces[counts[i].ID]
+		delete(paces, counts[i].ID)
+	}
+	for id, pace := range paces {
+		counts = append(counts, board.HeadLoad{ID: id, Pace: pace})
+	}
+	return counts
+}
+
+// withEmptied returns the counts in now, and zero counts for heads that had requests or a pace in
+// before only.
 func withEmptied(before, now []board.HeadLoad) []board.HeadLoad {
 	have := map[roster.ID]bool{}
 	for _, c := range now {
@@ -287,7 +320,7 @@
 	}
 	out := now
 	for _, c := range before {
-		if !have[c.ID] && c.Requests > 0 {
+		if !have[c.ID] && (c.Requests > 0 || c.Pace > 1) {
 			out = append(out, board.HeadLoad{ID: c.ID})
 		}
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -106,6 +106,8 @@
 	ZoneLoad func(zone, model string) board.MeanLoad
 	// NodeCount returns the number of nodes that share the endpoints.
 	NodeCount func() int
+	// ZoneNodeCount returns the number of nodes in the zone; nil: NodeCount.
+	ZoneNodeCount func() int
 	// Contended reports whether rank and expected time decide about a service's requests; nil:
 	// never.
 	Contended func(service string) bool
@@ -114,6 +116,7 @@
 	MaxHeld int64
 
 	memory   memoryBudget
+	drawSeed func() int // nil: random; set by tests
 	timeouts clientTimeouts
 	demand   demand.Meter
 	mu       sync.Mutex
@@ -161,6 +164,14 @@
 	x.run(ctx)
 }
 
+// draw returns the seed of a choice.
+func (f *Forwarder) draw() int {
+	if f.drawSeed != nil {
+		return f.drawSeed()
+	}
+	return int(rand.Uint32())
+}
+
 // awaitStart waits up to maxStartWait for the configuration and the endpoints of a node that
 // has just started. After a power failure all nodes start at once, and clients reach them a
 // few milliseconds later, often with their last retry: a refusal would lose the request.
