Contended services choose heads by predicted times

Cause: placement counts requests and prompt tokens. It ignores how long a request takes at a head, so it meets heads that can't answer it in time while others could, and a slow group until this node's own streams show it.

Ruled out: looking for a head in time among all heads of the zone.

Change: balance.PickPredicted takes the head that delays others least among those in time (random samples, own zone first as with the existing bounds), otherwise the earliest of one sample. A slow head is chosen only without another in time, or for a trial. Forwarder.Contended selects this choice; without it the choices equal a series recorded with.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -1,8 +1,6 @@
 package forward
 
 import (
-	"math/rand/v2"
-
 	"chervilloom/internal/backpressure"
 	"chervilloom/internal/balance"
 	"chervilloom/internal/catalog"
@@ -76,7 +74,7 @@
 	if again {
 		profile.Bounds.SampleSize = retrySampleSize
 	}
-	cands := make([]balance.Candidate, len(eps))
+	cands, states := make([]balance.Candidate, len(eps)), make([]balance.State, len(eps))
 	x.candidateStats = candidateStats{endpoints: len(eps)}
 	for i, e := range eps {
 		st := x.f.Tracker.StateOf(e.ID, profile.Turnover)
@@ -88,6 +86,7 @@
 			st.Load, st.Unread = max(st.Load, load), max(st.Unread, mean.Unread)
 			st.Unconfirmed = min(st.Unconfirmed, st.Load-load)
 		}
+		states[i] = st
 		x.candidateStats.freeSlots += max(0, e.Slots-int(st.Load))
 		cands[i] = balance.Candidate{
 			Load: st.Load, Unconfirmed: st.Unconfirmed, Slots: e.Slots, Unread: st.Unread, Local: again || e.Zone == x.f.Zone,
@@ -95,7 +94,13 @@
 			Avoid: st.Doubted || x.f.Ejector.Ejected(EjectionID(e)) || x.route.GapAim > 0 && st.EventGap > x.route.GapAim,
 		}
 	}
-	i, reason := balance.Pick(cands, profile.Bounds, int(rand.Uint32()))
+	var i int
+	var reason balance.Reason
+	if x.isContended() {
+		i, reason = x.choosePredicted(eps, cands, states, profile.Bounds)
+	} else {
+		i, reason = balance.Pick(cands, profile.Bounds, x.f.draw())
+	}
 	if i < 0 {
 		return nil, reason
 	}
