The holder of a zone's duty seeds its board with the heads' own reports

Cause: after the loss of all nodes, starting nodes know nothing of the requests that engines still run. The board counts the nodes' requests only, so that heads full of older work seem idle.

Ruled out: the larger of seed and counts (a head with 20 older and 13 new requests of 33 would show 20); reducing a seed by all counts, for the same reason; a seed from each report, as later reports include requests that the nodes count.

Change: Controller.TenureReports returns the reports read within a second after a tenure began. Where contended, the holder adds them to the board, less the requests in each node's first counts, which were in flight when the reports were made. The rest decays over engineLoadDecay. In zones without a board the holder sends them once, as a part of a board; the nodes' trackers decay them. A board that has seeds counts as known.

Paces and reports are read before the lock of the load exchange is taken, because a controller that plans may delay them and requests need that lock.

Conclusion: the new tests and the other ones for boards in internal/entry, the one for reports in internal/formation, and all of internal/board and internal/forward pass.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -40,6 +40,7 @@
 type Board struct {
 	mu    sync.Mutex
 	nodes map[string]nodeCounts
+	seeds seeds
 }
 
 type nodeCounts struct {
@@ -55,6 +56,7 @@
 	if b.nodes == nil {
 		b.nodes = map[string]nodeCounts{}
 	}
+	b.seeds.explain(node, counts, further)
 	if further {
 		counts = append(slices.Clone(b.nodes[node].counts), counts...)
 	}
@@ -62,7 +64,7 @@
 }
 
 // Sums returns the load in flight of all nodes at each head, sorted by ID, and whether
-// any node has sent counts within countTTL. A head's gap is the mean of the nodes that
+// any node has sent counts within countTTL or heads have seeds. A head's gap is the mean of the nodes that
 // measured one, weighted by their requests.
 func (b *Board) Sums(now clock.Instant) ([]HeadLoad, bool) {
 	b.mu.Lock()
@@ -85,13 +87,14 @@
 			}
 		}
 	}
+	b.seeds.addTo(sums, now)
 	out := make([]HeadLoad, 0, len(sums))
 	for _, c := range sums {
 		c.Gap = gaps[c.ID].mean()
 		out = append(out, c)
 	}
 	slices.SortFunc(out, func(a, b HeadLoad) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	return out, len(b.nodes) > 0
+	return out, len(b.nodes)+len(b.seeds.heads) > 0
 }
 
 // gapSum is the sum of the gaps at one head, weighted by requests.
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -65,3 +65,34 @@
 	is.NoErr(err)
 	is.Equal(string(raw), `[{"i":"h1","n":15,"g":180},{"i":"h2","n":1}]`)
 }
+
+// Guards against work of lost nodes that nobody counts, against requests that count twice because
+// both a head and a node report them, and against seeds that outlive the work.
+func TestSeedsAreWorkThatNoNodeCounts(t *testing.T) {
+	is := is.New(t)
+	began := clock.Instant(time.Hour)
+	var b Board
+	at := func(after time.Duration) int {
+		sums, known := b.Sums(began.Add(after))
+		is.True(known)
+		for _, c := range sums {
+			if c.ID == "h" {
+				return c.Requests
+			}
+		}
+		return 0
+	}
+	b.Seed("h", 30, 4*time.Second, began)
+	is.Equal(at(0), 30)
+	b.Update("old", []HeadLoad{{ID: "other", Requests: 1}}, false, began)
+	b.Update("old", []HeadLoad{{ID: "h", Requests: 10}}, true, began) // in flight when the head reported
+	is.Equal(at(0), 30)
+	b.Update("old", []HeadLoad{{ID: "h", Requests: 16}}, false, began) // six more, which it did not report
+	b.Update("new", nil, false, began)                                 // a node that has just started
+	b.Update("new", []HeadLoad{{ID: "h", Requests: 4}}, false, began)
+	is.Equal(at(0), 40)
+	b.Seed("h", 40, 4*time.Second, began.Add(time.Second)) // a later report includes them
+	is.Equal(at(2*time.Second), 30)                        // half of the seed is left
+	b.Update("new", nil, false, began.Add(4*time.Second))
+	is.Equal(at(4*time.Second), 0)
+}
--- a/internal/entry/loads.go
+++ b/internal/entry/loads.go
@@ -10,6 +10,7 @@
 	"chervilloom/internal/board"
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
+	"chervilloom/internal/formation"
 	"chervilloom/internal/news"
 	"chervilloom/internal/roster"
 )
@@ -39,6 +40,11 @@
 	lastChanges           uint64
 	lastSent              map[string]clock.Instant // by zone: when a count was sent last
 	lastSentEmpty         map[string]bool          // by zone: the last count sent was empty
+	seeded                map[string]seededHeads   // by small zone whose duty this node holds
+
+	// tenureReports returns the reports of a zone's heads that were read when this node acquired
+	// the zone's duty; replaced by tests.
+	tenureReports func(zone string) []formation.HeadReport
 
 	mu        sync.Mutex
 	boards    map[string]*board.Board // by zone, for the duties that this node holds
@@ -63,6 +69,7 @@
 
 func newLoadExchange(n *Node) *loadExchange {
 	return &loadExchange{
+		tenureReports: n.tenureReports, seeded: map[string]seededHeads{},
 		node: n, lastSent: map[string]clock.Instant{}, lastSentEmpty: map[string]bool{},
 		boards: map[string]*board.Board{}, published: map[string]publishedBoard{}, means: map[meanKey]meanLoad{},
 	}
@@ -151,20 +158,18 @@
 	if !l.node.holdsDuty(m.Zone) {
 		return
 	}
-	l.mu.Lock()
-	b := l.boards[m.Zone]
-	if b == nil {
-		b = &board.Board{}
-		l.boards[m.Zone] = b
-	}
-	l.mu.Unlock()
-	b.Update(m.Node, m.Counts, m.IsContinuation, now)
+	l.board(m.Zone).Update(m.Node, m.Counts, m.IsContinuation, now)
 }
 
 // publishBoards publishes the sums to the nodes of each zone whose duty this node holds.
 func (l *loadExchange) publishBoards() {
 	n := l.node
 	now := n.Clock.Now()
+	l.seedBoards()
+	paces := map[string]map[roster.ID]float64{} // read without l.mu: a controller that plans may delay it
+	for _, zone := range l.heldZones() {
+		paces[zone] = n.slowestPaces(zone)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for zone, b := range l.boards {
@@ -177,7 +182,7 @@
 		if !known {
 			continue
 		}
-		sums = addPaces(sums, n.slowestPaces(zone))
+		sums = addPaces(sums, paces[zone])
 		last := l.published[zone]
 		next := publishedBoard{last.fullAt, sums}
 		out := changedCounts(last.counts, sums)
@@ -287,13 +292,21 @@
 // slowestPaces returns the pace of the slowest member of each slow group in a zone, by head, for the
 // contended services; only the holder of the zone's duty knows them.
 func (n *Node) slowestPaces(zone string) map[roster.ID]float64 {
+	if c := n.contendedController(zone); c != nil {
+		return c.SlowestPaces(n.isContended)
+	}
+	return nil
+}
+
+// contendedController returns the controller of a zone, nil if no service is contended.
+func (n *Node) contendedController(zone string) *formation.Controller {
 	cat := n.config.current.Load()
-	if cat == nil {
+	if cat == nil || !slices.ContainsFunc(cat.Services, func(s catalog.Service) bool { return n.isContended(s.Name) }) {
 		return nil
 	}
 	for _, c := range n.controllers {
-		if c.Zone == zone && slices.ContainsFunc(cat.Services, func(s catalog.Service) bool { return n.isContended(s.Name) }) {
-			return c.SlowestPaces(n.isContended)
+		if c.Zone == zone {
+			return c
 		}
 	}
 	return nil
--- a/internal/formation/pace_test.go
+++ b/internal/formation/pace_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -34,3 +35,26 @@
 	c.ledgerLoaded = false // the lease is held by another node
 	is.Equal(len(c.SlowestPaces(isWanted)), 0)
 }
+
+// Guards against seeds from reports that already include the requests of restarted nodes, from
+// groups that have ended and from heads that are in another group by now.
+func TestTenureReportsAreThoseOfItsBeginning(t *testing.T) {
+	is := is.New(t)
+	began := clock.Instant(time.Hour)
+	state := func(id roster.ID, group string, after time.Duration) *EngineState {
+		return &EngineState{ID: id, ReportedAt: began.Add(after), Report: Report{Member: roster.Membership{Group: group}, Active: 30, Queued: 4}}
+	}
+	c := &Controller{
+		ledgerLoaded: true, tenureStart: began,
+		ledger: Ledger{Groups: []Group{
+			{Name: "a", Service: "s", Members: []roster.ID{"a1", "a2"}}, {Name: "b", Service: "s", Members: []roster.ID{"b1"}},
+			{Name: "c", Service: "s", Members: []roster.ID{"c1"}, Ending: true}, {Name: "d", Service: "s", Members: []roster.ID{"d1"}},
+			{Name: "e", Service: "other", Members: []roster.ID{"e1"}}, {Name: "f", Service: "s", Members: []roster.ID{"f1"}},
+		}},
+		engineStates: map[roster.ID]*EngineState{
+			"a1": state("a1", "a", 0), "a2": state("a2", "a", 0), "b1": state("b1", "b", 2*time.Second), "c1": state("c1", "c", 0),
+			"d1": state("d1", "earlier", 0), "e1": state("e1", "e", 0), "f1": {ID: "f1"},
+		},
+	}
+	is.Equal(c.TenureReports(func(service string) bool { return service == "s" }), []HeadReport{{"a1", 34, began}})
+}
--- a/internal/forward/predict_test.go
+++ b/internal/forward/predict_test.go
@@ -214,6 +214,27 @@
 	is.Equal(z.chosen[0], 1) // by this node's own counts
 }
 
+// Guards against nodes that have all lost power and send their first requests to heads that are still
+// full of older ones, and against heads that stay unused after that work has ended.
+func TestStartingNodesSpreadOverHeadsBySeeds(t *testing.T) {
+	is := is.New(t)
+	z := newChoiceZone(t, 8, 8)
+	for i := range 4 {
+		z.board.Seed(choiceHead(i), 34, 4*time.Second, z.clock.Now())
+	}
+	z.exchangeBoards()
+	for i := range 40 {
+		z.place(t, z.nodes[i%8], 1000)
+	}
+	t.Logf("choices: %v", z.chosen)
+	for i, n := range z.chosen {
+		is.True(i < 4 && n == 0 || i >= 4 && n >= 5 && n <= 15)
+	}
+	z.run(t, 4*time.Second, 40)
+	later := z.run(t, 4*time.Second, 40)
+	is.True(slices.Min(later) > 160/8/2)
+}
+
 // Guards against choices that cost a node with a fifth of a core much of its time.
 func BenchmarkChoosePredicted(b *testing.B) {
 	t := &testing.T{}
