Retry budget: a share can be kept for more urgent requests

Cause: the retry budget is spent in the order of arrival, so that a burst of the least urgent requests leaves none for more urgent ones.

Change: AllowKeeping(share) leaves a share unused; Allow is AllowKeeping(0) and decides as before.

--- a/internal/retry/windowed.go
+++ b/internal/retry/windowed.go
@@ -66,11 +66,14 @@
 }
 
 // Allow consumes one repeat from the budget and reports whether one was available.
-func (w *WindowedBudget) Allow() bool {
+func (w *WindowedBudget) Allow() bool { return w.AllowKeeping(0) }
+
+// AllowKeeping does the same but leaves a share of the budget unused.
+func (w *WindowedBudget) AllowKeeping(share float64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
-	if w.repeats.sum()+1 > w.Ratio*w.firsts.sum()+w.Slack() {
+	if w.repeats.sum()+1 > (1-share)*(w.Ratio*w.firsts.sum()+w.Slack()) {
 		return false
 	}
 	w.repeats.add()
--- a/internal/retry/windowed_test.go
+++ b/internal/retry/windowed_test.go
@@ -62,6 +62,20 @@
 	})
 }
 
+// Guards against retries of the least urgent requests that use up the budget before more urgent
+// ones, and against a budget that changes for those.
+func TestShareOfTheBudgetIsKept(t *testing.T) {
+	is := is.New(t)
+	w := &WindowedBudget{Clock: &manualClock{now: clock.Instant(time.Hour)}, Window: 10 * time.Second, Slack: func() float64 { return 8 }}
+	for range 6 {
+		is.True(w.AllowKeeping(0.25))
+	}
+	is.True(!w.AllowKeeping(0.25))
+	is.True(w.Allow())
+	is.True(w.Allow())
+	is.True(!w.Allow())
+}
+
 // countAfter counts the instants after since.
 func countAfter(all []clock.Instant, since clock.Instant) int {
 	n := 0
