Requests of contended services are admitted and ordered by rank

Cause: the rank that routes and organisations declare reaches no decision.

Change, where Forwarder.Contended says so only: the urgency for engines follows the rank of the organisation or route; a less urgent request is refused at once while free slots of its model are short for more urgent ones (stage "rank"), an organisation beyond its share likewise (stage "organisation"); the least urgent rank leaves a quarter of the retry budget unused. Resumed streams are never refused. Slots that become free are counted as running requests by their run time: the smoothed one of this node's answers, predicted until there is one. Metrics by rank, rank and predicted first event in log lines, one warning for each configuration version with invalid ranks.

Ruled out: admission for the second attempt of a request, which would make of an endpoint's refusal one of the rank's.

--- a/internal/entry/contention.go
+++ b/internal/entry/contention.go
@@ -42,3 +42,10 @@
 	cat := n.config.current.Load()
 	return cat != nil && n.Contention.appliesTo(cat, service)
 }
+
+// warnInvalidRanks logs the services with engines for which an invalid rank is declared.
+func (w *configWatcher) warnInvalidRanks(c *catalog.Catalog) {
+	if names := c.InvalidRanks(); len(names) > 0 {
+		w.log.Warn("rank is invalid; requests of the services are treated alike", "version", c.Version, "services", names, "most", catalog.MaxRank)
+	}
+}
--- a/internal/entry/contention_test.go
+++ b/internal/entry/contention_test.go
@@ -1,11 +1,16 @@
 package entry
 
 import (
+	"bytes"
+	"log/slog"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"chervilloom/internal/catalog"
+	"chervilloom/internal/clock"
 )
 
 // Guards against contended services being recognised by anything but their ranks and the setting.
@@ -36,3 +41,24 @@
 	_, err = ParseContention("maybe")
 	is.True(err != nil)
 }
+
+// Guards against invalid ranks that go unnoticed, or are logged with every read of a version.
+func TestInvalidRanksAreLoggedOncePerVersion(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(clock.Instant(time.Hour))
+	n := newTestNode(&fakeStore{}, c)
+	var out bytes.Buffer
+	n.config.log = slog.New(slog.NewTextHandler(&out, nil))
+	lines := func(version uint64, rank int) int {
+		out.Reset()
+		doc := catalog.Document{
+			Version: version, Services: []catalog.Service{{Name: "engines", Engine: &catalog.Engine{}}},
+			Routes: []catalog.Route{{Host: "h", Prefix: "/", Repeat: catalog.Stream, Priority: rank, Backends: []catalog.Backend{{Service: "engines", Weight: 1}}}},
+		}
+		for range 3 {
+			n.config.confirm(&doc, c.Now())
+		}
+		return strings.Count(out.String(), "rank is invalid")
+	}
+	is.Equal([]int{lines(1, 10), lines(2, 10), lines(3, 9)}, []int{1, 1, 0})
+}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -184,6 +184,7 @@
 	}
 	w.log.Info("configuration in force", "version", doc.Version, "before", w.version(), "routes", len(doc.Routes))
 	w.warnUnknownRegions(doc)
+	w.warnInvalidRanks(next)
 	w.current.Store(next)
 }
 
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -95,6 +95,7 @@
 			Avoid: st.Doubted || x.f.Ejector.Ejected(EjectionID(e)) || x.route.GapAim > 0 && st.EventGap > x.route.GapAim,
 		}
 	}
+	x.recordSupply(cands, profile.Bounds)
 	i, reason := balance.Pick(cands, profile.Bounds, int(rand.Uint32()))
 	if i < 0 {
 		return nil, reason
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -17,6 +17,7 @@
 	"chervilloom/internal/clock"
 	"chervilloom/internal/links"
 	"chervilloom/internal/outcome"
+	"chervilloom/internal/priority"
 	"chervilloom/internal/quarantine"
 	"chervilloom/internal/roster"
 	"chervilloom/internal/upstream"
@@ -32,7 +33,8 @@
 	// organisationRegions are the regions to which the organisation is restricted; empty: all.
 	organisationRegions []string
 	service             string
-	isClientRetry       bool // an earlier attempt of the client was probably refused
+	isClientRetry       bool        // an earlier attempt of the client was probably refused
+	contention          *contention // nil: the service is not contended
 	start               clock.Instant
 	deadline            clock.Instant
 
@@ -81,7 +83,7 @@
 	x.f.budget(x.service).CountFirst()
 	ep := x.pick()
 	x.recordDemand()
-	if ep == nil {
+	if !x.isAdmitted(ep) {
 		x.refuseNotRun()
 		return
 	}
@@ -94,7 +96,7 @@
 		x.progress.HasBudget = true
 		step := NextStep(x.route, res, x.progress)
 		if step == Retry && !x.abortedStalled.Swap(false) {
-			x.progress.HasBudget = x.isExemptFromBudget(res) || x.f.budget(x.service).Allow()
+			x.progress.HasBudget = x.isExemptFromBudget(res) || x.allowRetry()
 			step = NextStep(x.route, res, x.progress)
 		}
 		x.f.Log.Debug("attempt", "request", x.req.ID, "endpoint", ep.ID, "result", res.String(), "step", step.String(), "cause", x.lastCause, "events", x.eventsSent)
@@ -280,7 +282,7 @@
 		if ep, _ := choice.choose(choice.candidates()); ep == nil {
 			return false
 		}
-		ok := x.f.budget(x.service).Allow()
+		ok := x.allowRetry()
 		if ok {
 			x.abortedStalled.Store(true)
 		}
@@ -332,15 +334,17 @@
 // Urgencies of requests to engines. Endpoints resume a started response before they start
 // others; a request that is already late comes last.
 const (
-	urgencyResumed = 1
-	urgencyNew     = 4
-	urgencyRetried = 8
+	urgencyResumed = priority.UrgencyResumed
+	urgencyNew     = priority.UrgencyNew
+	urgencyRetried = priority.UrgencyRetried
 )
 
 func (x *exchange) urgency() int {
 	switch {
 	case x.engine() == nil:
 		return NoUrgency
+	case x.contention != nil:
+		return priority.Urgency(x.contention.levels, x.contention.request.Level, x.lastEventID != "", x.isClientRetry)
 	case x.lastEventID != "":
 		return urgencyResumed
 	case x.isClientRetry:
@@ -377,6 +381,7 @@
 		step = ReportUnknown
 	}
 	x.f.Metrics.countEnd(x.route, step, res)
+	x.recordEnd(step, res)
 	switch step {
 	case Finish:
 		x.logEnd("request done", res)
@@ -432,9 +437,11 @@
 	case x.backingOff > 0 && x.candidateStats.endpoints == 0:
 		e = outcome.New(outcome.Overloaded, outcome.NotRun, "the endpoints take nothing more now", "try again").WithRetryAfter(addJitter(x.backoffLeft))
 	}
+	stage, e = x.refuseUnderContention(stage, e)
 	x.f.refuse(x.w, x.req, stage, e.WithCause(errors.New(string(x.pickReason)+"; "+x.lastCause)),
-		"route", x.route.Name, "model", x.req.Model, "endpoints", x.candidateStats.endpoints, "free_slots", x.candidateStats.freeSlots,
-		"held_back", x.backingOff, "tried", x.tried, "fingerprint", x.fingerprint, "part", x.verdict.Part)
+		append(x.rankFields(),
+			"route", x.route.Name, "model", x.req.Model, "endpoints", x.candidateStats.endpoints, "free_slots", x.candidateStats.freeSlots,
+			"held_back", x.backingOff, "tried", x.tried, "fingerprint", x.fingerprint, "part", x.verdict.Part)...)
 }
 
 // addJitter returns a random duration between after and twice after, so that clients that
@@ -444,7 +451,7 @@
 }
 
 func (x *exchange) logEnd(message string, res Result) {
-	x.f.Log.Info(message, "request", x.req.ID, "route", x.route.Name, "organisation", x.organisation,
+	x.f.Log.With(x.rankFields()...).Info(message, "request", x.req.ID, "route", x.route.Name, "organisation", x.organisation,
 		"config", x.catalog.Version, "tried", x.tried, "peer", x.peer.Addr, "events", x.eventsSent, "result", res.String(),
 		"cause", x.lastCause, "ms", x.f.Clock.Now().Sub(x.start).Milliseconds(),
 		"model", x.req.Model, "endpoints", x.candidateStats.endpoints, "free_slots", x.candidateStats.freeSlots,
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -113,11 +113,12 @@
 	// time; 0: defaultMaxHeld.
 	MaxHeld int64
 
-	memory   memoryBudget
-	timeouts clientTimeouts
-	demand   demand.Meter
-	mu       sync.Mutex
-	budgets  map[string]*retry.WindowedBudget
+	memory    memoryBudget
+	timeouts  clientTimeouts
+	demand    demand.Meter
+	contended contendedModels
+	mu        sync.Mutex
+	budgets   map[string]*retry.WindowedBudget
 }
 
 const (
@@ -202,11 +203,12 @@
 		service: route.PickBackend(rand.Float64()), lastEventID: req.LastEventID,
 	}
 	x.isClientRetry = f.timeouts.isRetry(route.Name, req.TimeLeft)
+	var org *catalog.Organisation
 	if v.Catalog.RequiresKey() && !route.Public {
 		if !v.Fresh {
 			return nil, refuseStaleConfig()
 		}
-		org := v.Catalog.Organisation(req.APIKey)
+		org = v.Catalog.Organisation(req.APIKey)
 		if org == nil && !v.Current {
 			return nil, refuseStaleConfig()
 		}
@@ -216,6 +218,7 @@
 		}
 		x.organisation, x.organisationRegions = org.Name, org.AllowedRegions
 	}
+	x.contention = x.newContention(org)
 	return x, nil
 }
 
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -17,11 +17,13 @@
 	refused   *prometheus.CounterVec
 	limited   prometheus.Counter
 	backoffs  prometheus.Counter
+	ranks     rankMetrics
 }
 
 // NewMetrics registers the metrics; reg may be nil.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
+		ranks: newRankMetrics(reg),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chervilloom_request_ended_total", Help: "Requests that ended, by kind of route and how.",
 		}, []string{"kind", "outcome"}),
@@ -65,11 +67,15 @@
 }
 
 func (m *Metrics) countEnd(route *catalog.Route, step Step, res Result) {
-	outcome := step.String()
+	m.requests.WithLabelValues(kindNames[route.Repeat], endOutcome(step, res)).Inc()
+}
+
+// endOutcome returns the label of a request's end.
+func endOutcome(step Step, res Result) string {
 	if res == ClientGone {
-		outcome = res.String()
+		return res.String()
 	}
-	m.requests.WithLabelValues(kindNames[route.Repeat], outcome).Inc()
+	return step.String()
 }
 
 func (m *Metrics) observeFirstByte(route *catalog.Route, after time.Duration) {
--- /dev/null
+++ b/internal/forward/rank.go
@@ -0,0 +1,258 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"chervilloom/internal/balance"
+	"chervilloom/internal/catalog"
+	"chervilloom/internal/expect"
+	"chervilloom/internal/priority"
+	"chervilloom/internal/roster"
+)
+
+// contention is the state of one request of a contended service.
+type contention struct {
+	rank     int
+	levels   int              // ranks of the service
+	request  priority.Request // as its admission depends on it
+	model    *contendedModel  // nil: the model is not declared
+	supply   priority.Supply  // as the newest choice saw it
+	best     expect.Estimate  // of the endpoint that would complete it first; 0: none
+	refusal  refusalReason    // why it is refused at once; empty: it is not
+	isPlaced bool             // counted as sent to an endpoint
+}
+
+// refusalReason is the label of a refusal in metrics and, as the stage, in logs.
+type refusalReason string
+
+const (
+	refusedByRank         = refusalReason(priority.ShortForRank)
+	refusedByOrganisation = refusalReason(priority.OverOrganisations)
+	refusedFull           = refusalReason("full")
+	refusedUnavailable    = refusalReason("unavailable") // no endpoint serves, or all have asked for a backoff
+)
+
+// contendedModel is what this node knows about the requests for a contended model.
+type contendedModel struct {
+	mu      sync.Mutex
+	history priority.History
+	runTime time.Duration // smoothed run time of complete answers; 0: none yet
+}
+
+// runTimeSmoothing is the number of answers over which a change of the run time takes effect.
+const runTimeSmoothing = 16
+
+type modelKey struct{ service, model string }
+
+// contendedModels has the state of each contended model. Only declared models have one.
+type contendedModels struct {
+	mu     sync.Mutex
+	models map[modelKey]*contendedModel
+}
+
+func (c *contendedModels) get(k modelKey) *contendedModel {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.models[k]
+	if m == nil {
+		if c.models == nil {
+			c.models = map[modelKey]*contendedModel{}
+		}
+		m = &contendedModel{}
+		c.models[k] = m
+	}
+	return m
+}
+
+// newContention returns the state of a request of an organisation, nil unless its service is
+// contended. o may be nil.
+func (x *exchange) newContention(o *catalog.Organisation) *contention {
+	e := x.engine()
+	if e == nil || x.f.Contended == nil || !x.f.Contended(x.service) {
+		return nil
+	}
+	ranks := x.catalog.Ranks(x.service)
+	c := &contention{rank: x.route.Rank(o), levels: max(1, len(ranks))}
+	c.request = priority.Request{
+		Level: priority.Level(ranks, c.rank), Organisation: x.organisation, Resumed: x.lastEventID != "",
+	}
+	if e.Model(x.req.Model) != nil {
+		c.model = x.f.contended.get(modelKey{x.service, x.req.Model})
+	}
+	return c
+}
+
+// recordSupply records the capacity that the candidates have for the request's model, and the
+// prediction for the endpoint that would complete the request first.
+func (x *exchange) recordSupply(cands []balance.Candidate, b balance.Bounds) {
+	c := x.contention
+	if c == nil || c.model == nil {
+		return
+	}
+	e := x.engine()
+	m := e.Model(x.req.Model)
+	work := expect.Work{Prompt: x.req.PromptTokens, Answer: x.req.ExpectedAnswerTokens}
+	c.supply, c.best = priority.Supply{Nodes: x.f.NodeCount()}, expect.Estimate{}
+	running, heads := 0.0, 0.0
+	for i := range cands {
+		k := &cands[i]
+		if k.Suspect || k.Tried {
+			continue
+		}
+		slots := float64(k.Slots) * (1 + min(0, b.QueueShare))
+		c.supply.Slots += slots
+		c.supply.Free += max(0, slots-k.Load)
+		running += min(k.Load, float64(k.Slots))
+		heads++
+		if est := expect.Predict(e, m, groupState(e, k), work); c.best.Total == 0 || est.Total < c.best.Total {
+			c.best = est
+		}
+	}
+	if heads == 0 {
+		return
+	}
+	c.model.mu.Lock()
+	runTime := c.model.runTime
+	c.model.mu.Unlock()
+	if runTime <= 0 {
+		mean := balance.Candidate{Load: running / heads, Slots: e.Slots}
+		runTime = expect.Predict(e, m, groupState(e, &mean), expect.Work{}).Total
+	}
+	if runTime <= 0 {
+		runTime = x.f.EngineProfile.Turnover
+	}
+	c.supply.Turnover = running / runTime.Seconds()
+}
+
+// groupState returns the state of a group as far as a candidate has it. Requests that run there
+// are assumed to be of the usual size and half done.
+func groupState(e *catalog.Engine, k *balance.Candidate) expect.Group {
+	running := min(k.Load, float64(k.Slots))
+	return expect.Group{
+		Running: running, Waiting: k.Load - running, Unread: k.Unread, Slots: k.Slots,
+		Context: running * (float64(e.UsualPrompt) + float64(e.UsualAnswer)/2),
+	}
+}
+
+// isAdmitted reports whether the request may be sent to the chosen endpoint, nil if there is none.
+// While free slots are short, some requests are refused at once in favour of others.
+func (x *exchange) isAdmitted(ep *roster.Endpoint) bool {
+	c := x.contention
+	if c == nil || c.model == nil {
+		return ep != nil
+	}
+	now := x.f.Clock.Now()
+	c.model.mu.Lock()
+	defer c.model.mu.Unlock()
+	c.model.history.Ask(now, c.request)
+	if ep == nil {
+		return false
+	}
+	if reason := c.model.history.Admit(now, c.supply, c.request, rand.Float64()); reason != priority.Admitted {
+		c.refusal = refusalReason(reason)
+		return false
+	}
+	c.isPlaced = true
+	c.model.history.Place(now, c.request)
+	return true
+}
+
+// recordRefusal counts the request as refused, for want of slots or for another reason.
+func (x *exchange) recordRefusal(reason refusalReason) {
+	c := x.contention
+	if c == nil {
+		return
+	}
+	x.f.Metrics.ranks.refused.WithLabelValues(c.label(), string(reason)).Inc()
+	x.f.Metrics.ranks.requests.WithLabelValues(c.label(), Refuse.String()).Inc()
+	if c.model == nil {
+		return
+	}
+	now := x.f.Clock.Now()
+	c.model.mu.Lock()
+	defer c.model.mu.Unlock()
+	if c.isPlaced {
+		c.isPlaced = false
+		c.model.history.Withdraw(now, c.request)
+	}
+	if c.refusal != "" || reason == refusedFull {
+		c.model.history.Refuse(now)
+	}
+}
+
+// recordEnd counts the end of a request that was not refused.
+func (x *exchange) recordEnd(step Step, res Result) {
+	c := x.contention
+	if c == nil || step == Refuse {
+		return
+	}
+	x.f.Metrics.ranks.requests.WithLabelValues(c.label(), endOutcome(step, res)).Inc()
+	if c.model == nil || res != Answered || x.progress.Runs != 1 {
+		return
+	}
+	took := x.f.Clock.Now().Sub(x.sentAt)
+	c.model.mu.Lock()
+	defer c.model.mu.Unlock()
+	if c.model.runTime == 0 {
+		c.model.runTime = took
+		return
+	}
+	c.model.runTime += (took - c.model.runTime) / runTimeSmoothing
+}
+
+// reservedRetryShare is the share of the retry budget that is kept for requests more urgent than
+// the least urgent rank.
+const reservedRetryShare = 0.25
+
+// allowRetry takes a retry from the budget and reports whether one was available.
+func (x *exchange) allowRetry() bool {
+	b := x.f.budget(x.service)
+	if c := x.contention; c != nil && c.levels > 1 && c.request.Level == c.levels-1 {
+		return b.AllowKeeping(reservedRetryShare)
+	}
+	return b.Allow()
+}
+
+// rankFields returns the attributes of log entries that only requests of contended services have.
+func (x *exchange) rankFields() []any {
+	c := x.contention
+	if c == nil {
+		return nil
+	}
+	return []any{"rank", c.rank, "expect_first_ms", c.best.First.Milliseconds()}
+}
+
+// label returns the rank's label in metrics. A rank that is not valid has no value of its own, so
+// that the number of values stays bounded.
+func (c *contention) label() string {
+	if c.rank < 0 || c.rank > catalog.MaxRank {
+		return "invalid"
+	}
+	return strconv.Itoa(c.rank)
+}
+
+// rankMetrics counts the requests of contended services by rank.
+type rankMetrics struct {
+	requests *prometheus.CounterVec
+	refused  *prometheus.CounterVec
+}
+
+func newRankMetrics(reg prometheus.Registerer) rankMetrics {
+	m := rankMetrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chervilloom_rank_requests_total", Help: "Requests of contended services that ended, by rank and how.",
+		}, []string{"rank", "outcome"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chervilloom_rank_refused_total", Help: "Requests of contended services that this node refused, by rank and reason.",
+		}, []string{"rank", "reason"}),
+	}
+	if reg != nil {
+		reg.MustRegister(m.requests, m.refused)
+	}
+	return m
+}
