Refused requests of contended services return when slots are expected

Cause: "every endpoint is full" always states 400 ms, so that clients refused together return together; a request that cannot be answered in its time is sent all the same.

Change, where contended only: internal/comeback states times at which the requests refused at this node return at its share of the slots that become free, the most urgent and the oldest first, with jitter of a quarter, at least 50 ms and at most a third of the time left. A client's retry before its time (same fingerprint, same deadline within 50 ms) counts as the newest refusal, is asked to return no earlier than before, is not counted as an arrival, and is admitted after the other requests of its rank. A request whose best predicted total time exceeds twice its time left is refused at once (stage "late"). Nothing is refused for ranks or shares while more than a quarter of the slots are free.

Ruled out: admission by arrival rates alone. With 19 of 19 slots free it refused 4 to 8 of 300 requests of one rank that arrived within 50 ms.

Without contention the recorded answers are unchanged.

--- a/internal/forward/contention_test.go
+++ b/internal/forward/contention_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -37,14 +38,14 @@
 func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
 // engineForwarder is a forwarder in front of engines in memory: two heads of the model large and
-// one of small, with ten slots each, and three streams of the ranks 0, 1 and 2.
+// one of small, with ten slots each, and streams of the given ranks. The organisation late has the last of them.
 type engineForwarder struct {
 	*testForwarder
 	urgency string // of the newest request at an engine
 	next    int
 }
 
-func newEngineForwarder(t *testing.T) *engineForwarder {
+func newEngineForwarder(t *testing.T, ranks ...int) *engineForwarder {
 	t.Helper()
 	e := &engineForwarder{testForwarder: newTestForwarder(t, 100)}
 	e.EngineProfile = forward.Profile{Turnover: time.Hour, Bounds: balance.Bounds{QueueShare: -0.04}}
@@ -71,12 +72,12 @@
 			UsualPrompt: 1500, UsualAnswer: 100, Models: []catalog.Model{{Name: "large", Pace: 1}, {Name: "small", Pace: 0.6}},
 		}}},
 		Organisations: []catalog.Organisation{
-			{Name: "o", Keys: []string{"k"}, Priority: catalog.NoPriority}, {Name: "late", Keys: []string{"l"}, Priority: 2},
+			{Name: "o", Keys: []string{"k"}, Priority: catalog.NoPriority}, {Name: "late", Keys: []string{"l"}, Priority: ranks[len(ranks)-1]},
 		},
 	}
-	for rank := range 3 {
+	for i, rank := range ranks {
 		doc.Routes = append(doc.Routes, catalog.Route{
-			Name: strconv.Itoa(rank), Host: "h.example", Prefix: fmt.Sprintf("/%d/", rank), Repeat: catalog.Stream, Resumable: true, Priority: rank,
+			Name: strconv.Itoa(i), Host: "h.example", Prefix: fmt.Sprintf("/%d/", i), Repeat: catalog.Stream, Resumable: true, Priority: rank,
 			Timeout: 8 * time.Second, Objective: 500 * time.Millisecond, MaxAttempts: 2, Backends: []catalog.Backend{{Service: "engines", Weight: 1}},
 		})
 	}
@@ -106,7 +107,7 @@
 
 // streamRequest is one request of a client.
 type streamRequest struct {
-	rank              int
+	rank              int // of three ranks: number of the stream
 	key, model, event string
 	left              time.Duration
 	body              string
@@ -136,7 +137,7 @@
 	for name, contended := range map[string]func(string) bool{"no service": nil, "other services": func(string) bool { return false }} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			e := newEngineForwarder(t)
+			e := newEngineForwarder(t, 0, 1, 2)
 			e.Contended = contended
 			want, err := os.ReadFile("testdata/uncontended.txt")
 			is.NoErr(err)
@@ -156,7 +157,7 @@
 		release := e.fill([]int{0, 5, 9, 10, 10}[rng.IntN(5)])
 		q := streamRequest{
 			rank: rng.IntN(3), key: pick("k", "k", "l", "unknown"), model: pick("large", "large", "large", "small", "none"),
-			event: pick("", "", "", "3"), left: 8 * time.Second, body: pick("a", "b"),
+			event: pick("", "", "", "3"), left: 8 * time.Second, body: pick("a", "b") + strconv.Itoa(i),
 		}
 		if i > 0 && rng.IntN(4) == 0 {
 			q.left = 4 * time.Second
@@ -173,7 +174,7 @@
 // the route where the organisation has its own.
 func TestContendedRequestsCarryTheirRank(t *testing.T) {
 	is := is.New(t)
-	e := newEngineForwarder(t)
+	e := newEngineForwarder(t, 0, 1, 2)
 	e.Contended = func(string) bool { return true }
 	urgency := func(q streamRequest) string {
 		q.model = "large"
@@ -192,7 +193,7 @@
 // urgent or resumed ones that are refused, and against requests for another model that are.
 func TestLastSlotsOfAModelAreKeptForItsMoreUrgentRequests(t *testing.T) {
 	is := is.New(t)
-	e := newEngineForwarder(t)
+	e := newEngineForwarder(t, 0, 1, 2)
 	e.Contended = func(string) bool { return true }
 	reg := prometheus.NewRegistry()
 	e.Metrics = forward.NewMetrics(reg)
@@ -228,3 +229,50 @@
 		}
 	}
 }
+
+// Guards against one rank that is not served as without ranks. Only the times after which refused
+// requests return may differ.
+func TestOneRankIsServedAsBefore(t *testing.T) {
+	is := is.New(t)
+	e := newEngineForwarder(t, 1, 1, 1)
+	e.Contended = func(string) bool { return true }
+	want, err := os.ReadFile("testdata/uncontended.txt")
+	is.NoErr(err)
+	times := regexp.MustCompile(`retry=\S*`)
+	got := strings.Split(times.ReplaceAllString(e.playRecorded(), ""), "\n")
+	for i, line := range strings.Split(times.ReplaceAllString(string(want), ""), "\n") {
+		if got[i] != line {
+			t.Errorf("request %d: got %q, want %q", i, got[i], line)
+		}
+	}
+}
+
+// Guards against refused clients that return together, against one that gains by a retry at once,
+// and against requests that are sent although their time cannot suffice.
+func TestRefusedRequestsOfAContendedServiceReturnInOrder(t *testing.T) {
+	is := is.New(t)
+	e := newEngineForwarder(t, 0, 1, 2)
+	e.Contended = func(string) bool { return true }
+	e.Clock = clock.NewManual(clock.Instant(time.Hour))
+	release := e.fill(10)
+	refuse := func(rank int, body string) float64 {
+		resp, urgency := e.ask(streamRequest{rank: rank, key: "k", model: "large", left: 6 * time.Second, body: body})
+		is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+		is.Equal(urgency, "") // it has not run
+		after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(after >= 0.05 && after <= 2)
+		return after
+	}
+	first := refuse(1, "first")
+	for i := range 12 {
+		refuse(1, strconv.Itoa(i))
+	}
+	is.True(refuse(1, "first") > first) // its retry at once comes after the others
+	is.True(refuse(0, "urgent") < refuse(1, "last"))
+	release()
+	resp, urgency := e.ask(streamRequest{rank: 0, key: "k", model: "large", left: 100 * time.Millisecond})
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(urgency, "")
+	is.Equal(resp.Header.Get("Chervilloom-Outcome"), "not-run")
+}
--- a/internal/forward/rank.go
+++ b/internal/forward/rank.go
@@ -10,6 +10,7 @@
 
 	"chervilloom/internal/balance"
 	"chervilloom/internal/catalog"
+	"chervilloom/internal/comeback"
 	"chervilloom/internal/expect"
 	"chervilloom/internal/priority"
 	"chervilloom/internal/roster"
@@ -34,6 +35,7 @@
 	refusedByRank         = refusalReason(priority.ShortForRank)
 	refusedByOrganisation = refusalReason(priority.OverOrganisations)
 	refusedFull           = refusalReason("full")
+	refusedLate           = refusalReason("late")        // cannot be answered in the time left
 	refusedUnavailable    = refusalReason("unavailable") // no endpoint serves, or all have asked for a backoff
 )
 
@@ -41,7 +43,8 @@
 type contendedModel struct {
 	mu      sync.Mutex
 	history priority.History
-	runTime time.Duration // smoothed run time of complete answers; 0: none yet
+	returns comeback.Queue // refused requests that are expected to return
+	runTime time.Duration  // smoothed run time of complete answers; 0: none yet
 }
 
 // runTimeSmoothing is the number of answers over which a change of the run time takes effect.
@@ -96,7 +99,7 @@
 	}
 	e := x.engine()
 	m := e.Model(x.req.Model)
-	work := expect.Work{Prompt: x.req.PromptTokens, Answer: x.req.ExpectedAnswerTokens}
+	work := expect.Work{Prompt: x.req.PromptTokens, Answer: x.expectedAnswer(e)}
 	c.supply, c.best = priority.Supply{Nodes: x.f.NodeCount()}, expect.Estimate{}
 	running, heads := 0.0, 0.0
 	for i := range cands {
@@ -129,6 +132,18 @@
 	c.supply.Turnover = running / runTime.Seconds()
 }
 
+// expectedAnswer returns the expected length of the answer in tokens.
+func (x *exchange) expectedAnswer(e *catalog.Engine) int {
+	answer := x.req.ExpectedAnswerTokens
+	if answer <= 0 {
+		answer = e.UsualAnswer
+	}
+	if most := x.req.MaxAnswerTokens; most > 0 {
+		answer = min(answer, most)
+	}
+	return answer
+}
+
 // groupState returns the state of a group as far as a candidate has it. Requests that run there
 // are assumed to be of the usual size and half done.
 func groupState(e *catalog.Engine, k *balance.Candidate) expect.Group {
@@ -149,25 +164,45 @@
 	now := x.f.Clock.Now()
 	c.model.mu.Lock()
 	defer c.model.mu.Unlock()
+	c.request.Early = c.model.returns.IsEarly(now, x.returning())
 	c.model.history.Ask(now, c.request)
 	if ep == nil {
 		return false
 	}
+	if !c.request.Resumed && comeback.IsUnservable(c.best.Total, x.timeLeft(now)) {
+		c.refusal = refusedLate
+		return false
+	}
 	if reason := c.model.history.Admit(now, c.supply, c.request, rand.Float64()); reason != priority.Admitted {
 		c.refusal = refusalReason(reason)
 		return false
 	}
 	c.isPlaced = true
 	c.model.history.Place(now, c.request)
+	c.model.returns.Forget(x.returning())
 	return true
 }
 
+// returning returns what the time of the request's return depends on.
+func (x *exchange) returning() comeback.Request {
+	return comeback.Request{Key: string(x.fingerprint), Deadline: x.deadline, Level: x.contention.request.Level}
+}
+
+// returnDelay returns the time after which the request, refused for want of slots, should return.
+func (x *exchange) returnDelay() time.Duration {
+	c := x.contention
+	if c.model == nil {
+		return retryAfterFull
+	}
+	now := x.f.Clock.Now()
+	c.model.mu.Lock()
+	defer c.model.mu.Unlock()
+	return c.model.returns.Refuse(now, x.returning(), c.supply.Turnover/float64(max(1, c.supply.Nodes)), rand.Float64())
+}
+
 // recordRefusal counts the request as refused, for want of slots or for another reason.
 func (x *exchange) recordRefusal(reason refusalReason) {
 	c := x.contention
-	if c == nil {
-		return
-	}
 	x.f.Metrics.ranks.refused.WithLabelValues(c.label(), string(reason)).Inc()
 	x.f.Metrics.ranks.requests.WithLabelValues(c.label(), Refuse.String()).Inc()
 	if c.model == nil {
@@ -180,7 +215,7 @@
 		c.isPlaced = false
 		c.model.history.Withdraw(now, c.request)
 	}
-	if c.refusal != "" || reason == refusedFull {
+	if reason == refusedFull || reason == refusedByRank || reason == refusedByOrganisation {
 		c.model.history.Refuse(now)
 	}
 }
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -14,17 +14,22 @@
 	}
 	reason := refusalReason(stage)
 	switch {
-	case c.refusal == refusedByRank:
+	case c.refusal != "":
 		reason, stage = c.refusal, string(c.refusal)
-		e = outcome.New(outcome.Overloaded, outcome.NotRun, "free slots are short for more urgent requests", "try again").WithRetryAfter(addJitter(retryAfterFull))
-	case c.refusal == refusedByOrganisation:
-		reason, stage = c.refusal, string(c.refusal)
-		e = outcome.New(outcome.OverLimit, outcome.NotRun, "the organisation uses more than its share while slots are short", "try again").WithRetryAfter(addJitter(retryAfterFull))
+		e = refusals[reason].WithRetryAfter(x.returnDelay())
 	case stage == "pick" && x.pickReason == balance.AllFull:
-		reason = refusedFull
+		reason, e = refusedFull, e.WithRetryAfter(x.returnDelay())
 	case stage == "pick":
 		reason = refusedUnavailable
 	}
 	x.recordRefusal(reason)
 	return stage, e
 }
+
+// refusals are the errors of requests that were refused at once although an endpoint has a free
+// slot.
+var refusals = map[refusalReason]*outcome.Error{
+	refusedByRank:         outcome.New(outcome.Overloaded, outcome.NotRun, "free slots are short for more urgent requests", "try again after the stated time"),
+	refusedByOrganisation: outcome.New(outcome.OverLimit, outcome.NotRun, "the organisation uses more than its share while slots are short", "try again after the stated time"),
+	refusedLate:           outcome.New(outcome.Overloaded, outcome.NotRun, "no endpoint can complete the answer in the time left", "allow more time"),
+}
--- a/internal/priority/admit.go
+++ b/internal/priority/admit.go
@@ -46,8 +46,10 @@
 	// free within the lag. Slots kept for all arrivals of the lag as well left a twelfth of a
 	// simulated fleet unused.
 	reserveDeviations = 3
-	// maxReserveShare bounds the reserve as a share of all slots.
+	// maxReserveShare bounds the reserve as a share of all slots, and freeShare is the share of free
+	// slots above which nothing is refused, whatever the arrival rates.
 	maxReserveShare = 0.25
+	freeShare       = 0.25
 	// guardShare is the share of the overall service rate below which a rank or organisation is
 	// not refused in favour of others. A quarter is required; the rest is a margin for
 	// admitted requests that find every endpoint full.
@@ -101,7 +103,7 @@
 // chance returns the share of requests with the arrival rate own to admit, while requests at the
 // rate ahead come before them. All rates are those of all nodes.
 func chance(s Supply, ahead, own float64) float64 {
-	if ahead <= 0 {
+	if ahead <= 0 || s.Free > freeShare*s.Slots {
 		return 1
 	}
 	reserve := min(reserveDeviations*math.Sqrt(s.Turnover*lag.Seconds()), maxReserveShare*s.Slots)
--- a/internal/priority/fleet_test.go
+++ b/internal/priority/fleet_test.go
@@ -83,7 +83,7 @@
 				served = reason == Admitted && seen > 0 && len(ends) < fleetSlots
 				if !served {
 					h.Refuse(now)
-					refusedWithFree = seen > fleetSlots*(maxReserveShare+0.1)
+					refusedWithFree = seen > fleetSlots*freeShare
 					continue
 				}
 				h.Place(now, r)
