--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -94,6 +94,7 @@
 			Avoid: st.Doubted || x.f.Ejector.Ejected(EjectionID(e)) || x.route.GapAim > 0 && st.EventGap > x.route.GapAim,
 		}
 	}
+	x.recordSupply(cands, profile.Bounds)
 	var i int
 	var reason balance.Reason
 	if x.isContended() {
--- a/internal/forward/demand.go
+++ b/internal/forward/demand.go
@@ -76,10 +76,10 @@
 	}
 }
 
-// recordEnd records a request as lost if it ends without a complete response, or if its
+// recordLoss records a request as lost if it ends without a complete response, or if its
 // client left without a first event after the objective. Requests that are quarantined or
 // that no node can pass on are not recorded: more groups would not serve them.
-func (x *exchange) recordEnd(step Step) {
+func (x *exchange) recordLoss(step Step) {
 	late := !x.progress.HeaderSent && x.route.Objective > 0 && x.f.Clock.Now().Sub(x.start) > x.route.Objective
 	if (step != Finish || late) && !x.isQuarantined && !x.noPath {
 		x.recordLost()
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -17,6 +17,7 @@
 	"chervilloom/internal/clock"
 	"chervilloom/internal/links"
 	"chervilloom/internal/outcome"
+	"chervilloom/internal/priority"
 	"chervilloom/internal/quarantine"
 	"chervilloom/internal/roster"
 	"chervilloom/internal/upstream"
@@ -32,7 +33,8 @@
 	// organisationRegions are the regions to which the organisation is restricted; empty: all.
 	organisationRegions []string
 	service             string
-	isClientRetry       bool // an earlier attempt of the client was probably refused
+	isClientRetry       bool        // an earlier attempt of the client was probably refused
+	contention          *contention // nil: the service is not contended
 	start               clock.Instant
 	deadline            clock.Instant
 
@@ -83,7 +85,7 @@
 	x.f.budget(x.service).CountFirst()
 	ep := x.pick()
 	x.recordDemand()
-	if ep == nil {
+	if !x.isAdmitted(ep) {
 		x.refuseNotRun()
 		return
 	}
@@ -96,7 +98,7 @@
 		x.progress.HasBudget = true
 		step := NextStep(x.route, res, x.progress)
 		if step == Retry && !x.abortedStalled.Swap(false) {
-			x.progress.HasBudget = x.isExemptFromBudget(res) || x.f.budget(x.service).Allow()
+			x.progress.HasBudget = x.isExemptFromBudget(res) || x.allowRetry()
 			step = NextStep(x.route, res, x.progress)
 		}
 		x.f.Log.Debug("attempt", "request", x.req.ID, "endpoint", ep.ID, "result", res.String(), "step", step.String(), "cause", x.lastCause, "events", x.eventsSent)
@@ -283,7 +285,7 @@
 		if ep, _ := choice.choose(choice.candidates()); ep == nil {
 			return false
 		}
-		ok := x.f.budget(x.service).Allow()
+		ok := x.allowRetry()
 		if ok {
 			x.abortedStalled.Store(true)
 		}
@@ -335,15 +337,17 @@
 // Urgencies of requests to engines. Endpoints resume a started response before they start
 // others; a request that is already late comes last.
 const (
-	urgencyResumed = 1
-	urgencyNew     = 4
-	urgencyRetried = 8
+	urgencyResumed = priority.UrgencyResumed
+	urgencyNew     = priority.UrgencyNew
+	urgencyRetried = priority.UrgencyRetried
 )
 
 func (x *exchange) urgency() int {
 	switch {
 	case x.engine() == nil:
 		return NoUrgency
+	case x.contention != nil:
+		return priority.Urgency(x.contention.levels, x.contention.request.Level, x.lastEventID != "", x.isClientRetry)
 	case x.lastEventID != "":
 		return urgencyResumed
 	case x.isClientRetry:
@@ -376,11 +380,12 @@
 
 // finish ends the request with the given step.
 func (x *exchange) finish(step Step, res Result) {
-	x.recordEnd(step)
+	x.recordLoss(step)
 	if step == RelayFailure && x.failure == nil { // the endpoint's status would claim that the request has not run
 		step = ReportUnknown
 	}
 	x.f.Metrics.countEnd(x.route, step, res)
+	x.recordEnd(step, res)
 	switch step {
 	case Finish:
 		x.logEnd("request done", res)
@@ -418,7 +423,7 @@
 
 // refuseNotRun reports to the client that the request has not run, and why.
 func (x *exchange) refuseNotRun() {
-	x.recordEnd(Refuse)
+	x.recordLoss(Refuse)
 	e := outcome.New(outcome.NoCapacity, outcome.NotRun, "nothing serves this now", "try again").WithRetryAfter(retryAfterNone)
 	stage := "pick"
 	switch {
@@ -437,9 +442,11 @@
 	case x.backingOff > 0 && x.candidateStats.endpoints == 0:
 		e = outcome.New(outcome.Overloaded, outcome.NotRun, "the endpoints take nothing more now", "try again").WithRetryAfter(addJitter(x.backoffLeft))
 	}
+	stage, e = x.refuseUnderContention(stage, e)
 	x.f.refuse(x.w, x.req, stage, e.WithCause(errors.New(string(x.pickReason)+"; "+x.lastCause)),
-		"route", x.route.Name, "model", x.req.Model, "endpoints", x.candidateStats.endpoints, "free_slots", x.candidateStats.freeSlots,
-		"held_back", x.backingOff, "tried", x.tried, "fingerprint", x.fingerprint, "part", x.verdict.Part)
+		append(x.rankFields(),
+			"route", x.route.Name, "model", x.req.Model, "endpoints", x.candidateStats.endpoints, "free_slots", x.candidateStats.freeSlots,
+			"held_back", x.backingOff, "tried", x.tried, "fingerprint", x.fingerprint, "part", x.verdict.Part)...)
 }
 
 // addJitter returns a random duration between after and twice after, so that clients that
@@ -449,7 +456,7 @@
 }
 
 func (x *exchange) logEnd(message string, res Result) {
-	x.f.Log.Info(message, "request", x.req.ID, "route", x.route.Name, "organisation", x.organisation,
+	x.f.Log.With(x.rankFields()...).Info(message, "request", x.req.ID, "route", x.route.Name, "organisation", x.organisation,
 		"config", x.catalog.Version, "tried", x.tried, "peer", x.peer.Addr, "events", x.eventsSent, "result", res.String(),
 		"cause", x.lastCause, "ms", x.f.Clock.Now().Sub(x.start).Milliseconds(),
 		"model", x.req.Model, "endpoints", x.candidateStats.endpoints, "free_slots", x.candidateStats.freeSlots,
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -123,6 +123,7 @@
 	mu        sync.Mutex
 	budgets   map[string]*retry.WindowedBudget
 	drawSeed  func() int // nil: random; set by tests
+	contended contendedModels
 }
 
 const (
@@ -215,11 +216,12 @@
 		service: route.PickBackend(rand.Float64()), lastEventID: req.LastEventID,
 	}
 	x.isClientRetry = f.timeouts.isRetry(route.Name, req.TimeLeft)
+	var org *catalog.Organisation
 	if v.Catalog.RequiresKey() && !route.Public {
 		if !v.Fresh {
 			return nil, refuseStaleConfig()
 		}
-		org := v.Catalog.Organisation(req.APIKey)
+		org = v.Catalog.Organisation(req.APIKey)
 		if org == nil && !v.Current {
 			return nil, refuseStaleConfig()
 		}
@@ -229,6 +231,7 @@
 		}
 		x.organisation, x.organisationRegions = org.Name, org.AllowedRegions
 	}
+	x.contention = x.newContention(org)
 	return x, nil
 }
 
