Admission by rank: an organisation's share counts what its ranks let through

Its requests were refused for their rank first and then, as a part of all that their organisation asks for, again for its share. The draw was also used for both decisions without being scaled between them.

Change: the share of an organisation is divided among requests that were not refused for their rank; the draw is uniform for each decision; what the guard admits is not refused again. The predicted first event in log lines is that of the first choice and not of the one after the answer, and resumed streams do not count as run times.

--- a/internal/forward/rank.go
+++ b/internal/forward/rank.go
@@ -23,7 +23,8 @@
 	request  priority.Request // as its admission depends on it
 	model    *contendedModel  // nil: the model is not declared
 	supply   priority.Supply  // as the newest choice saw it
-	best     expect.Estimate  // of the endpoint that would complete it first; 0: none
+	best     expect.Estimate  // of the endpoint that would complete it first, for the same choice; 0: none
+	first    time.Duration    // best.First of the first choice
 	refusal  refusalReason    // why it is refused at once; empty: it is not
 	isPlaced bool             // counted as sent to an endpoint
 }
@@ -164,16 +165,18 @@
 	now := x.f.Clock.Now()
 	c.model.mu.Lock()
 	defer c.model.mu.Unlock()
+	c.first = c.best.First
 	c.request.Early = c.model.returns.IsEarly(now, x.returning())
 	c.model.history.Ask(now, c.request)
-	if ep == nil {
+	if ep != nil && !c.request.Resumed && comeback.IsUnservable(c.best.Total, x.timeLeft(now)) {
+		c.refusal = refusedLate
 		return false
 	}
-	if !c.request.Resumed && comeback.IsUnservable(c.best.Total, x.timeLeft(now)) {
-		c.refusal = refusedLate
+	reason := c.model.history.Admit(now, c.supply, c.request, rand.Float64()) // also counts what is refused for other reasons
+	if ep == nil {
 		return false
 	}
-	if reason := c.model.history.Admit(now, c.supply, c.request, rand.Float64()); reason != priority.Admitted {
+	if reason != priority.Admitted {
 		c.refusal = refusalReason(reason)
 		return false
 	}
@@ -227,7 +230,7 @@
 		return
 	}
 	x.f.Metrics.ranks.requests.WithLabelValues(c.label(), endOutcome(step, res)).Inc()
-	if c.model == nil || res != Answered || x.progress.Runs != 1 {
+	if c.model == nil || res != Answered || x.progress.Runs != 1 || c.request.Resumed {
 		return
 	}
 	took := x.f.Clock.Now().Sub(x.sentAt)
@@ -259,7 +262,7 @@
 	if c == nil {
 		return nil
 	}
-	return []any{"rank", c.rank, "expect_first_ms", c.best.First.Milliseconds()}
+	return []any{"rank", c.rank, "expect_first_ms", c.first.Milliseconds()}
 }
 
 // label returns the rank's label in metrics. A rank that is not valid has no value of its own, so
--- a/internal/priority/admit.go
+++ b/internal/priority/admit.go
@@ -83,9 +83,18 @@
 		}
 		return Admitted
 	}
-	if draw >= max(h.leastChance(), chance(s, ahead, own)) && !h.isGuarded(r) {
+	ofRank := max(h.leastChance(), chance(s, ahead, own))
+	guarded := h.isGuarded(r)
+	if draw >= ofRank && !guarded {
 		return ShortForRank
 	}
+	if c := h.organisation(r.Organisation); c != nil {
+		c.wanted++
+	}
+	if guarded {
+		return Admitted
+	}
+	draw /= ofRank // uniform again
 	if h.refusedAt == 0 || now.Sub(h.refusedAt) > refusalMemory {
 		return Admitted
 	}
@@ -93,8 +102,8 @@
 	if within = max(within, h.leastChance()); draw < within {
 		return Admitted
 	}
-	draw = (draw - within) / (1 - within) // uniform again
-	if draw >= chance(s, ahead+own*all, own*(1-all)) && !h.isGuarded(r) {
+	draw = (draw - within) / (1 - within)
+	if draw >= chance(s, ahead+own*all, own*(1-all)) {
 		return OverOrganisations
 	}
 	return Admitted
@@ -149,29 +158,29 @@
 		return 1, 0
 	}
 	limit := h.fairShare()
-	if c.asked <= limit {
+	if c.wanted <= limit {
 		return 1, 0
 	}
 	total, inShares := 0.0, 0.0
 	for _, o := range h.organisations {
-		total += o.asked
-		inShares += min(o.asked, limit)
+		total += o.wanted
+		inShares += min(o.wanted, limit)
 	}
-	return limit / c.asked, inShares / total
+	return limit / c.wanted, inShares / total
 }
 
 // fairShare returns the number of placed requests that each organisation gets if the capacity is
 // divided evenly and what an organisation does not ask for is left to the others.
 func (h *History) fairShare() float64 {
-	asked := make([]float64, 0, len(h.organisations))
+	wanted := make([]float64, 0, len(h.organisations))
 	left := 0.0
 	for _, o := range h.organisations {
-		asked = append(asked, o.asked)
+		wanted = append(wanted, o.wanted)
 		left += o.placed
 	}
-	slices.Sort(asked)
-	for i, n := range asked {
-		if even := left / float64(len(asked)-i); n >= even {
+	slices.Sort(wanted)
+	for i, n := range wanted {
+		if even := left / float64(len(wanted)-i); n >= even {
 			return even
 		}
 		left -= n
--- a/internal/priority/history.go
+++ b/internal/priority/history.go
@@ -43,6 +43,7 @@
 type count struct {
 	asked  float64
 	placed float64 // of asked: those that were sent to an endpoint
+	wanted float64 // of an organisation: those that were not refused for their rank
 }
 
 // served returns the share of requests that were placed.
@@ -56,6 +57,7 @@
 func (c *count) scale(f float64) {
 	c.asked *= f
 	c.placed *= f
+	c.wanted *= f
 }
 
 // History counts the recent requests for one model at this node. Its zero value is ready for use.
