--- a/internal/formation/bench_test.go
+++ b/internal/formation/bench_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"chervilloom/internal/demand"
 )
 
 // largeZone returns a zone of three domains of 73 engines with all groups open.
@@ -27,3 +29,17 @@
 		Plan(in, w.mem)
 	}
 }
+
+// BenchmarkPlanLargeContendedZone measures the same with the value of requests known.
+func BenchmarkPlanLargeContendedZone(b *testing.B) {
+	w := largeZone()
+	w.plan()
+	in := w.input()
+	in.Demand = demand.Demand{
+		Requests: 1000, Work: map[string]float64{"big": 30, "small": 30},
+		Value: map[string]float64{"big": 300, "small": 700}, Lost: map[string]float64{"small": 100},
+	}
+	for b.Loop() {
+		Plan(in, w.mem)
+	}
+}
