quarantine: a common body isn't blamed for the crashes of two other requests

Cause: a body that all clients send is at the crashes of two harmful requests that have seen two each. Nobody has seen as many as the body, each of the two missed two of its four, and that found it at once; the passing of time found it after three. That a single other request was at all crashes was checked, two were not.

Ruled out: the mean number of client attempts at a crash (1 to 3 for the body in a simulated new fleet, 1 to 2 for a harmful request); the number of successful runs alone (4 to 13 at 4 to 6 crashes for the body, up to 8 at 5 for a request that crashes every other endpoint).

Change: for a request that did succeed, crashes don't count at which another request, or a part of other prompts, was that succeeded at most half as often for each crash and would be a suspect by these crashes alone. This ends when the request sees a crash later than settleTime after its third.

Conclusion: a body of which no run has succeeded yet can still be refused; the nodes are asked for successful runs before.

--- a/internal/quarantine/sim_test.go
+++ b/internal/quarantine/sim_test.go
@@ -698,6 +698,32 @@
 	}
 }
 
+// newFleetParams is a fleet in its first seconds, in which most of the streams have the same body and
+// two harmful requests crash endpoints from the start.
+var newFleetParams = simulationParams{
+	endpoints: 8, nodes: 3, innocentRate: 4, sameBodyRate: 8, runsPerAttempt: 2, duration: 10 * time.Second,
+	harmful: []harmfulLoad{
+		{rate: 2, first: 300 * time.Millisecond, last: 4 * time.Second, timeToCrash: 200 * time.Millisecond},
+		{rate: 2, first: 700 * time.Millisecond, last: 4 * time.Second, timeToCrash: 200 * time.Millisecond},
+	},
+}
+
+// Guards against a body that all clients send and that is refused in the first seconds of a fleet:
+// two harmful requests crash engines under it before its runs have succeeded more often.
+func TestCommonBodyOfNewFleetIsNotFound(t *testing.T) {
+	found := 0
+	for seed := range uint64(40) {
+		w := newSimulation(newFleetParams, seed)
+		w.run()
+		w.checkSendBound(t, seed)
+		if w.wronglyRefused["hot"] {
+			found++
+			t.Errorf("seed %d: the common body was refused", seed)
+		}
+	}
+	t.Logf("refused with %d of 40 seeds", found)
+}
+
 // Guards against a fourth or fifth late send of a harmful request. This was seen in these
 // simulations: two harmful requests, or one beside the loss of half of the endpoints, of which
 // several client attempts were in flight when the evidence was complete.
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -41,6 +41,9 @@
 	// that crashes every other endpoint is found; one that many clients repeat all day and that
 	// sees an occasional crash is not.
 	maxSuccessesPerCrash = 3
+	// minRateRatio is how many times as often for each crash a request must have succeeded as another one
+	// that is the likelier cause of their common crashes.
+	minRateRatio = 2
 	// massLossWindow is the time within which crashes count as one loss if most of them were
 	// without the request. The loss of a rack or a zone, or a release, stops many endpoints at
 	// once, and a request that clients repeat at once may have been at several of them.
@@ -120,18 +123,20 @@
 func (t *Tally) judgeRequest(fp Fingerprint, found foundSet, now clock.Instant) (Verdict, bool) {
 	ev := t.byFingerprint[fp]
 	own := t.unexplainedCrashes(fp, found)
+	if ev.successes.sum() > 0 && !isSettled(own) {
+		own = t.withoutLikelier(fp, own)
+	}
 	v := Verdict{Fingerprint: fp, Crashes: len(own), Attempts: len(ev.attempts)}
 	if v.Crashes < minHarmfulCrashes || v.Attempts < minHarmfulAttempts || ev.isHarmless() {
 		return v, false
 	}
-	third, last := own[minHarmfulCrashes-1], own[len(own)-1]
-	if now.Sub(third.at) > settleTime && !t.hasMassLoss(own) && !t.isExplainedByUnproven(ev, fp, own) {
+	if now.Sub(own[minHarmfulCrashes-1].at) > settleTime && !t.hasMassLoss(own) && !t.isExplainedByUnproven(ev, fp, own) {
 		return v, true // requests that moved along with it have finished
 	}
 	if v.Attempts < conclusiveAttempts && v.Crashes < minCrashesFewAttempts {
 		return v, false
 	}
-	settled := last.at.Sub(third.at) > settleTime
+	settled := isSettled(own)
 	if !settled && v.Attempts < conclusiveAttempts && minSeenPerMissed*t.countMissed(fp, own) > v.Crashes {
 		return v, false
 	}
@@ -142,6 +147,11 @@
 	return v, t.allOthersMissed(fp, own, margin)
 }
 
+// isSettled reports whether the request saw a crash later than settleTime after the third one.
+func isSettled(own []*crash) bool {
+	return len(own) > minHarmfulCrashes && own[len(own)-1].at.Sub(own[minHarmfulCrashes-1].at) > settleTime
+}
+
 // unexplainedCrashes returns the crashes that the request has seen, without those that a harmful
 // request explains and those that belong to the same loss as another one.
 func (t *Tally) unexplainedCrashes(fp Fingerprint, found foundSet) []*crash {
@@ -197,6 +207,68 @@
 	return everywhere(func(c *crash) bool { return t.hasUnprovenPart(c, fp) })
 }
 
+// withoutLikelier returns the crashes without those at which a likelier cause was: another request, or a
+// part of other prompts, that succeeded less and would be a suspect by these crashes alone. Two harmful
+// requests that aren't found yet have been at all crashes of a body that all clients send.
+func (t *Tally) withoutLikelier(fp Fingerprint, own []*crash) []*crash {
+	ev := t.byFingerprint[fp]
+	judged := successRate{ev.successes.sum(), len(ev.crashes)}
+	requests, parts := map[Fingerprint]*sharedCrashes{}, map[Part]*sharedCrashes{}
+	for _, c := range own {
+		for other, attempts := range c.runs {
+			ev := t.byFingerprint[other]
+			if other != fp && judged.isHigher(successRate{ev.successes.sum(), len(ev.crashes)}) {
+				addShared(requests, other, attempts)
+			}
+		}
+		for p, presence := range c.parts {
+			ev := t.byPart[p]
+			if !slices.Contains(presence.requests, fp) && judged.isHigher(successRate{ev.successes.sum(), len(ev.crashes)}) {
+				addShared(parts, p, presence.attempts)
+			}
+		}
+	}
+	return slices.DeleteFunc(own, func(c *crash) bool {
+		return hasSuspect(requests, c.runs) || hasSuspect(parts, c.parts)
+	})
+}
+
+// successRate is the number of successful runs of a request or with a part, and that of its crashes.
+type successRate struct{ successes, crashes int }
+
+// isHigher reports whether the rate is at least minRateRatio times the other one.
+func (r successRate) isHigher(other successRate) bool {
+	return minRateRatio*other.successes*r.crashes <= r.successes*other.crashes
+}
+
+// sharedCrashes is what a request, or a part, has of another request's crashes.
+type sharedCrashes struct {
+	crashes  int
+	attempts map[uint32]bool
+}
+
+func addShared[K comparable](shared map[K]*sharedCrashes, k K, attempts []uint32) {
+	s := shared[k]
+	if s == nil {
+		s = &sharedCrashes{attempts: map[uint32]bool{}}
+		shared[k] = s
+	}
+	s.crashes++
+	for _, a := range attempts {
+		s.attempts[a] = true
+	}
+}
+
+// hasSuspect reports whether one of those that were present would be a suspect by the shared crashes.
+func hasSuspect[K comparable, V any](shared map[K]*sharedCrashes, present map[K]V) bool {
+	for k := range present {
+		if s := shared[k]; s != nil && isSuspicious(Verdict{Crashes: s.crashes, Attempts: len(s.attempts)}) {
+			return true
+		}
+	}
+	return false
+}
+
 // hasUnprovenPart reports whether a part of other prompts that never succeeded was at the crash.
 func (t *Tally) hasUnprovenPart(c *crash, fp Fingerprint) bool {
 	for p, presence := range c.parts {
