quarantine: parts that turn harmful are found earlier

Change: crashes of a part that was sound count from 500 ms before its latest success; eight crashes of three requests instead of seven of four; of two parts that were sound the one with more crashes since is blamed, then the more specific one. Presence at the other's crashes counts.

--- a/internal/quarantine/parttally.go
+++ b/internal/quarantine/parttally.go
@@ -27,9 +27,13 @@
 	// which it counts as widely used: a harmful part crashes the endpoint under the first of them.
 	manyAttemptsPerCrash = 3
 	// minTurnedCrashes and minTurnedRequests are the numbers of crashes and of different requests
-	// since the latest successful run for a part that was sound before.
-	minTurnedCrashes  = 7
-	minTurnedRequests = 4
+	// since the latest successful run for a part that was sound before. A request may crash four
+	// endpoints, and requests may come seconds apart: a fourth one would come too late.
+	minTurnedCrashes  = 8
+	minTurnedRequests = 3
+	// turnedGrace is how long before the latest successful run the crashes are counted from: a run that
+	// began before the part turned harmful may succeed after its first crashes.
+	turnedGrace = 500 * time.Millisecond
 	// turnedCrashesFactor is how many times the crashes of a part that was hardly ever sound one
 	// that was sound before must have seen to be the more likely cause of them.
 	turnedCrashesFactor = 2
@@ -122,7 +126,7 @@
 type partCase struct {
 	*partEvidence
 	own       []*crash
-	wasSound  bool // it has had successful runs, or is widely used; own are the crashes since the latest one
+	wasSound  bool // it has had successful runs, or is widely used; own are the crashes since shortly before the latest one
 	succeeded int  // number of successful runs
 }
 
@@ -199,7 +203,7 @@
 			c.wasSound = !isHardlySound(c.succeeded, len(c.own)) || c.countAttempts() >= manyAttemptsPerCrash*len(c.own)
 		}
 		if c.wasSound {
-			c.own = t.unexplainedPartCrashes(ev, known, ev.lastSuccessAt)
+			c.own = t.unexplainedPartCrashes(ev, known, ev.lastSuccessAt.Add(-turnedGrace))
 		}
 		if len(c.own) > 0 {
 			cases = append(cases, c)
@@ -270,11 +274,17 @@
 	if c.part == other.part || len(c.own) == 0 {
 		return false
 	}
-	shared := 0
+	shared, present := 0, 0
 	for _, o := range other.own {
 		if slices.Contains(c.own, o) {
 			shared++
 		}
+		if o.parts[c.part] != nil {
+			present++
+		}
+	}
+	if c.wasSound && other.wasSound {
+		return 2*shared >= len(other.own) && isMost(present, len(other.own)) && c.isLikelierTurned(other)
 	}
 	if !isMost(shared, len(other.own)) {
 		return false
@@ -285,6 +295,17 @@
 	return cmp.Or(cmp.Compare(c.succeeded, other.succeeded), cmp.Compare(other.depth, c.depth), cmp.Compare(c.part, other.part)) < 0
 }
 
+// isLikelierTurned reports whether the part is more likely than another one to have turned harmful: it has
+// seen more crashes since its successful runs, or is the more specific part of the prompt. How often the
+// parts were used before says nothing. Crashes before a success count for its presence, since the other's
+// successes may be older.
+func (c partCase) isLikelierTurned(other partCase) bool {
+	if len(c.own) > len(other.own) {
+		return true
+	}
+	return cmp.Or(cmp.Compare(other.depth, c.depth), cmp.Compare(len(other.own), len(c.own)), cmp.Compare(c.part, other.part)) < 0
+}
+
 // isMost reports whether n is most of some crashes.
 func isMost(n, of int) bool { return 4*n >= 3*of }
 
--- a/internal/quarantine/verdict_test.go
+++ b/internal/quarantine/verdict_test.go
@@ -64,3 +64,24 @@
 	})
 	is.True(findsCommonBody(tally, last))
 }
+
+// Guards against a part that turned harmful and is found late: behind a sound first part of its prompts that
+// was used less, or because a run that began before succeeded after its first crashes.
+func TestPartThatTurnedHarmful(t *testing.T) {
+	is := is.New(t)
+	tally, at := &Tally{}, clock.Instant(time.Hour)
+	soundAt := at.Add(400 * time.Millisecond) // two crashes later
+	for i := range minTurnedCrashes {
+		at = at.Add(150 * time.Millisecond)
+		tally.AddCrash("node", CrashReport{Endpoint: fmt.Sprint("e", i), Runs: []Run{{
+			Fingerprint: Fingerprint(fmt.Sprint("request", i/2)), Attempt: uint32(i), Parts: []PartRun{
+				{Part: "first", PartSuccesses: PartSuccesses{Runs: 60, AgeMs: at.Sub(clock.Instant(time.Hour)).Milliseconds()}},
+				{Part: "turned", Depth: 1, PartSuccesses: PartSuccesses{Runs: 90, AgeMs: max(0, at.Sub(soundAt).Milliseconds())}},
+			},
+		}}}, at)
+	}
+	found := tally.JudgeParts(func(Part) bool { return false }, func(Fingerprint) bool { return false })
+	is.Equal(len(found), 1)
+	is.Equal(found[0].Part, Part("turned"))
+	is.Equal(found[0].Crashes, minTurnedCrashes)
+}
