Admission by rank: requests that cannot be served in time keep no slots

A request that is refused because no endpoint can complete it in the time left was counted as an arrival of its rank and organisation. Slots were kept for such arrivals, so that less urgent requests were refused while slots stayed free; a rank or organisation with many of them also appeared to be served too rarely, which exempts its other requests from refusal.

Ruled out: taking the count back afterwards, since the rate of arrivals has no inverse operation and needs none if the check comes first.

Change: the request is counted after the check. TestUnservableRequestsDoNotKeepSlots failed before (503 for a less urgent request beside unservable ones) and passes.

--- a/internal/forward/contention_test.go
+++ b/internal/forward/contention_test.go
@@ -276,3 +276,21 @@
 	is.Equal(urgency, "")
 	is.Equal(resp.Header.Get("Chervilloom-Outcome"), "not-run")
 }
+
+// Guards against requests that are refused in favour of more urgent ones that are themselves refused,
+// because no endpoint can complete them in the time left, and leave the slots free.
+func TestUnservableRequestsDoNotKeepSlots(t *testing.T) {
+	is := is.New(t)
+	e := newEngineForwarder(t, 0, 1, 2)
+	e.Contended = func(string) bool { return true }
+	c := clock.NewManual(clock.Instant(time.Hour))
+	e.Clock = c
+	defer e.fill(9)()
+	for range 200 {
+		c.Advance(10 * time.Millisecond)
+		resp, _ := e.ask(streamRequest{rank: 0, key: "k", model: "large", left: 100 * time.Millisecond})
+		is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+		resp, _ = e.ask(streamRequest{rank: 2, key: "k", model: "large", left: 8 * time.Second})
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+}
--- a/internal/forward/rank.go
+++ b/internal/forward/rank.go
@@ -167,11 +167,11 @@
 	defer c.model.mu.Unlock()
 	c.first = c.best.First
 	c.request.Early = c.model.returns.IsEarly(now, x.returning())
-	c.model.history.Ask(now, c.request)
 	if ep != nil && !c.request.Resumed && comeback.IsUnservable(c.best.Total, x.timeLeft(now)) {
-		c.refusal = refusedLate
+		c.refusal = refusedLate // takes no slot, so that none is kept for such requests
 		return false
 	}
+	c.model.history.Ask(now, c.request)
 	reason := c.model.history.Admit(now, c.supply, c.request, rand.Float64()) // also counts what is refused for other reasons
 	if ep == nil {
 		return false
