priority: counts decay once for each instant

Ask, Admit and Place of one request each scaled the counts of all ranks and of up to 256 organisations, though all three have the same time. Scaling again at the same instant multiplies by one, so it is left out. No decision changes; the tests of priority and forward pass. The saving was not measured.

--- a/internal/priority/history.go
+++ b/internal/priority/history.go
@@ -72,6 +72,9 @@
 }
 
 func (h *History) advance(now clock.Instant) {
+	if now == h.shares.at { // as for the further counts of the same request
+		return
+	}
 	f := h.rates.advance(now, rateSeconds)
 	for i := range h.arrivals {
 		h.arrivals[i] *= f
