forward: one prediction per candidate, from one description of the group

The state of a group was described in three places. Placement used the pace and the gap of the zone, the supply neither, and the prediction that is compared with the observed time only this node's gap, without the reported pace. The learnt correction thus followed errors that placement does not make, and was itself applied only to the metric.

Change: groupOf describes a group for all callers, with pace, gap and unread prompts (expect assumes the usual context where none is given, so that none is passed). The gap that it passes is limited to what the pace explains: otherwise expect takes a gap for slowness that placement does not. Candidates are predicted once, for placement and supply, with the learnt correction on the first event. The total time that decides about a refusal is divided by the pace, as it was predicted without one before: a slow group may recover, and a refusal has to be certain. The log states the earliest first event among the candidates instead of that of the candidate with the earliest end.

Ruled out: refusals by the total time at the measured pace. Streams that stall on a node's own links make all groups seem slow, and all requests with short deadlines would be refused although slots are free.

TestPlacementUsesLearntCorrection (105 ms needed before and after learning a factor of 1.5; now 158 ms) and TestComparedPredictionKnowsPaceAndGap (84.8 ms for a group of pace 4, now 339 ms) failed before and pass.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -94,11 +94,11 @@
 			Avoid: st.Doubted || x.f.Ejector.Ejected(EjectionID(e)) || x.route.GapAim > 0 && st.EventGap > x.route.GapAim,
 		}
 	}
-	x.recordSupply(cands, profile.Bounds)
 	var i int
 	var reason balance.Reason
-	if x.isContended() {
-		i, reason = x.choosePredicted(eps, cands, states, profile.Bounds)
+	if predictions := x.predictAll(eps, states); predictions != nil {
+		x.recordSupply(cands, predictions, profile.Bounds)
+		i, reason = x.choosePredicted(eps, cands, states, predictions, profile.Bounds)
 	} else {
 		i, reason = balance.Pick(cands, profile.Bounds, x.f.draw())
 	}
--- a/internal/forward/predict.go
+++ b/internal/forward/predict.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"chervilloom/internal/balance"
 	"chervilloom/internal/catalog"
@@ -14,21 +15,36 @@
 	return x.engine() != nil && x.f.Contended != nil && x.f.Contended(x.service)
 }
 
-// choosePredicted selects one of the candidates by the times that are predicted for the request
-// there, and returns its index.
-func (x *exchange) choosePredicted(eps []*roster.Endpoint, cands []balance.Candidate, states []balance.State, bounds balance.Bounds) (int, balance.Reason) {
+// predictAll returns the request's predicted times at the candidates, nil unless they decide about
+// it. states are those of the candidates.
+func (x *exchange) predictAll(eps []*roster.Endpoint, states []balance.State) []prediction {
+	if !x.isContended() {
+		return nil
+	}
 	engine := x.engine()
 	model := engine.Model(x.req.Model)
 	if model == nil {
-		return balance.Pick(cands, bounds, x.f.draw())
+		return nil
+	}
+	out := make([]prediction, len(eps))
+	factor := x.f.corrector.Factor(x.req.Model)
+	for i, e := range eps {
+		out[i] = x.predict(engine, model, e.Slots, states[i])
+		out[i].First = time.Duration(factor * float64(out[i].First))
 	}
+	return out
+}
+
+// choosePredicted selects one of the candidates by the times that are predicted for the request
+// there, and returns its index.
+func (x *exchange) choosePredicted(eps []*roster.Endpoint, cands []balance.Candidate, states []balance.State, predictions []prediction, bounds balance.Bounds) (int, balance.Reason) {
 	predicted := make([]balance.Predicted, len(cands))
 	for i, e := range eps {
-		c := cands[i]
-		// Gaps enter the prediction instead.
-		c.Avoid = states[i].Doubted || x.f.Ejector.Ejected(EjectionID(e))
-		predicted[i] = x.predict(engine, model, c, states[i])
+		at := &predictions[i]
+		predicted[i] = balance.Predicted{Candidate: cands[i], First: at.First, Pause: at.Pause, Pace: at.pace}
 		p := &predicted[i]
+		// Gaps enter the prediction instead.
+		p.Avoid = states[i].Doubted || x.f.Ejector.Ejected(EjectionID(e))
 		mayTry := e.Zone == x.f.Zone && len(x.tried) == 0 && !x.isClientRetry
 		// Streams that run there show whether it is still slow.
 		if mayTry && p.IsSlow() && states[i].Load < 1 {
@@ -38,26 +54,40 @@
 	return balance.PickPredicted(predicted, bounds, x.need(), x.f.draw())
 }
 
-// predict returns the candidate with the request's predicted times.
-func (x *exchange) predict(engine *catalog.Engine, model *catalog.Model, c balance.Candidate, st balance.State) balance.Predicted {
-	running := min(c.Load, float64(c.Slots))
-	g := expect.Group{
-		Pace: 1, Running: running, Waiting: c.Load - running, Unread: c.Unread, Slots: c.Slots,
-		// The board doesn't state contexts: half of the usual answer has been generated on average.
-		Context: running * float64(engine.UsualPrompt+engine.UsualAnswer/2),
+// prediction is what is predicted for a request at a group.
+type prediction struct {
+	expect.Estimate
+	pace float64 // slowdown of the group, see balance.EffectivePace
+}
+
+// predict returns the request's times at a group in the given state, without the learnt correction.
+func (x *exchange) predict(engine *catalog.Engine, model *catalog.Model, slots int, st balance.State) prediction {
+	g := groupOf(engine, model, slots, st)
+	at := expect.Predict(engine, model, g, expect.Work{Prompt: x.req.PromptTokens, Answer: x.expectedAnswer(engine)})
+	if st.Load >= 1 { // otherwise the gap is that of an earlier load
+		at.Pause = max(at.Pause, st.RecentGap)
 	}
-	if st.RecentGap > 0 || st.Pace > 1 {
-		// A gap is compared with the pause at the load for which it was measured.
-		measured := g
-		measured.Running = min(max(running, st.GapLoad), float64(c.Slots))
-		usual := expect.Predict(engine, model, measured, expect.Work{})
-		g.Pace = balance.EffectivePace(st.Pace, st.RecentGap, usual.Pause)
+	return prediction{at, g.Pace}
+}
+
+// groupOf returns what this node knows about a group. The contexts of its requests are not known;
+// those of half answered requests of the usual size are assumed.
+func groupOf(engine *catalog.Engine, model *catalog.Model, slots int, st balance.State) expect.Group {
+	running := min(st.Load, float64(slots))
+	g := expect.Group{Pace: 1, Running: running, Waiting: st.Load - running, Unread: st.Unread, Slots: slots}
+	if st.RecentGap <= 0 && st.Pace <= 1 {
+		return g
 	}
-	at := expect.Predict(engine, model, g, expect.Work{Prompt: x.req.PromptTokens, Answer: x.req.ExpectedAnswerTokens})
+	// A gap is compared with the pause at the load for which it was measured.
+	measured := g
+	measured.Running = min(max(running, st.GapLoad), float64(slots))
+	usual := expect.Predict(engine, model, measured, expect.Work{})
+	g.Pace = balance.EffectivePace(st.Pace, st.RecentGap, usual.Pause)
 	if st.Load >= 1 { // otherwise the gap is that of an earlier load
-		at.Pause = max(at.Pause, st.RecentGap)
+		// What exceeds the usual pause is part of the pace, or is not taken for slowness.
+		g.EventGap = min(st.RecentGap, time.Duration(g.Pace*float64(usual.Pause)))
 	}
-	return balance.Predicted{Candidate: c, First: at.First, Pause: at.Pause, Pace: g.Pace}
+	return g
 }
 
 // need returns how soon the request needs its events: a stream that has started needs the next one
--- a/internal/forward/predict_test.go
+++ b/internal/forward/predict_test.go
@@ -235,6 +235,50 @@
 	is.True(slices.Min(later) > 160/8/2)
 }
 
+// Guards against placement that ignores what was learnt from earlier predictions of the model.
+func TestPlacementUsesLearntCorrection(t *testing.T) {
+	is := is.New(t)
+	f := newChoiceZone(t, 1, 1).nodes[0]
+	needed := func() time.Duration { // shortest time left for which the first event is expected in time
+		x := newChoice(f, 4000)
+		x.route.Objective = time.Second
+		for left := time.Millisecond; left < time.Second; left += time.Millisecond {
+			x.start = f.Clock.Now().Add(left - time.Second)
+			if _, reason := x.choose(x.candidates()); reason == balance.ChosenInTime {
+				return left
+			}
+		}
+		return time.Second
+	}
+	before := needed()
+	for range 200 {
+		f.corrector.Observe("m", 100*time.Millisecond, 150*time.Millisecond)
+	}
+	after := needed()
+	t.Logf("needed before %v, after %v", before, after)
+	is.True(float64(after) > 1.4*float64(before) && float64(after) < 1.6*float64(before))
+}
+
+// Guards against predictions that are compared with the observed times but do not know the group's
+// pace and the zone's gap, as placement does: the correction would learn from their errors.
+func TestComparedPredictionKnowsPaceAndGap(t *testing.T) {
+	is := is.New(t)
+	for _, slow := range []board.HeadLoad{
+		{ID: choiceHead(0), Requests: 10, Pace: 4}, {ID: choiceHead(0), Requests: 10, Gap: 900}, {ID: choiceHead(0), Requests: 10, Gap: 900, Pace: 12},
+	} {
+		f := newChoiceZone(t, 1, 1).nodes[0]
+		x := newChoice(f, 1000)
+		ep := x.candidates()[0]
+		f.Tracker.ApplyBoard(board.HeadLoad{ID: slow.ID, Requests: slow.Requests})
+		x.predictFirst(ep)
+		usual := x.expectedFirst
+		f.Tracker.ApplyBoard(slow)
+		x.predictFirst(ep)
+		t.Logf("gap %v pace %v: first event after %v, usually %v", slow.Gap, slow.Pace, x.expectedFirst, usual)
+		is.True(usual > 0 && x.expectedFirst > 3*usual && x.expectedFirst < 30*usual)
+	}
+}
+
 // Guards against choices that cost a node with a fifth of a core much of its time.
 func BenchmarkChoosePredicted(b *testing.B) {
 	t := &testing.T{}
--- a/internal/forward/rank.go
+++ b/internal/forward/rank.go
@@ -18,15 +18,17 @@
 
 // contention is the state of one request of a contended service.
 type contention struct {
-	rank     int
-	levels   int              // ranks of the service
-	request  priority.Request // as its admission depends on it
-	model    *contendedModel  // nil: the model is not declared
-	supply   priority.Supply  // as the newest choice saw it
-	best     expect.Estimate  // of the endpoint that would complete it first, for the same choice; 0: none
-	first    time.Duration    // best.First of the first choice
-	refusal  refusalReason    // why it is refused at once; empty: it is not
-	isPlaced bool             // counted as sent to an endpoint
+	rank    int
+	levels  int              // ranks of the service
+	request priority.Request // as its admission depends on it
+	model   *contendedModel  // nil: the model is not declared
+	supply  priority.Supply  // as the newest choice saw it
+	// bestFirst and bestTotal are the least times to the first and to the last event that are
+	// predicted for any endpoint, as the newest choice saw them; 0: none.
+	bestFirst, bestTotal time.Duration
+	first                time.Duration // bestFirst of the first choice
+	refusal              refusalReason // why it is refused at once; empty: it is not
+	isPlaced             bool          // counted as sent to an endpoint
 }
 
 // refusalReason is the label of a refusal in metrics and, as the stage, in logs.
@@ -92,16 +94,15 @@
 }
 
 // recordSupply records the capacity that the candidates have for the request's model, and the
-// prediction for the endpoint that would complete the request first.
-func (x *exchange) recordSupply(cands []balance.Candidate, b balance.Bounds) {
+// best of the times that are predicted for the request there.
+func (x *exchange) recordSupply(cands []balance.Candidate, predictions []prediction, b balance.Bounds) {
 	c := x.contention
 	if c == nil || c.model == nil {
 		return
 	}
 	e := x.engine()
 	m := e.Model(x.req.Model)
-	work := expect.Work{Prompt: x.req.PromptTokens, Answer: x.expectedAnswer(e)}
-	c.supply, c.best = priority.Supply{Nodes: x.f.NodeCount()}, expect.Estimate{}
+	c.supply, c.bestFirst, c.bestTotal = priority.Supply{Nodes: x.f.NodeCount()}, 0, 0
 	running, heads := 0.0, 0.0
 	for i := range cands {
 		k := &cands[i]
@@ -113,9 +114,13 @@
 		c.supply.Free += max(0, slots-k.Load)
 		running += min(k.Load, float64(k.Slots))
 		heads++
-		if est := expect.Predict(e, m, groupState(e, k), work); c.best.Total == 0 || est.Total < c.best.Total {
-			c.best = est
+		// A group that seems slow may recover before its deadline: a refusal has to be certain.
+		at := &predictions[i]
+		first, total := at.First, time.Duration(float64(at.Total)/at.pace)
+		if heads == 1 {
+			c.bestFirst, c.bestTotal = first, total
 		}
+		c.bestFirst, c.bestTotal = min(c.bestFirst, first), min(c.bestTotal, total)
 	}
 	if heads == 0 {
 		return
@@ -124,8 +129,7 @@
 	runTime := c.model.runTime
 	c.model.mu.Unlock()
 	if runTime <= 0 {
-		mean := balance.Candidate{Load: running / heads, Slots: e.Slots}
-		runTime = expect.Predict(e, m, groupState(e, &mean), expect.Work{}).Total
+		runTime = expect.Predict(e, m, expect.Group{Running: running / heads}, expect.Work{}).Total
 	}
 	if runTime <= 0 {
 		runTime = x.f.EngineProfile.Turnover
@@ -145,16 +149,6 @@
 	return answer
 }
 
-// groupState returns the state of a group as far as a candidate has it. Requests that run there
-// are assumed to be of the usual size and half done.
-func groupState(e *catalog.Engine, k *balance.Candidate) expect.Group {
-	running := min(k.Load, float64(k.Slots))
-	return expect.Group{
-		Running: running, Waiting: k.Load - running, Unread: k.Unread, Slots: k.Slots,
-		Context: running * (float64(e.UsualPrompt) + float64(e.UsualAnswer)/2),
-	}
-}
-
 // isAdmitted reports whether the request may be sent to the chosen endpoint, nil if there is none.
 // While free slots are short, some requests are refused at once in favour of others.
 func (x *exchange) isAdmitted(ep *roster.Endpoint) bool {
@@ -165,9 +159,9 @@
 	now := x.f.Clock.Now()
 	c.model.mu.Lock()
 	defer c.model.mu.Unlock()
-	c.first = c.best.First
+	c.first = c.bestFirst
 	c.request.Early = c.model.returns.IsEarly(now, x.returning())
-	if ep != nil && !c.request.Resumed && comeback.IsUnservable(c.best.Total, x.timeLeft(now)) {
+	if ep != nil && !c.request.Resumed && comeback.IsUnservable(c.bestTotal, x.timeLeft(now)) {
 		c.refusal = refusedLate // takes no slot, so that none is kept for such requests
 		return false
 	}
