forward: the recorded demand uses the rank that admission found

rankWeight looked the organisation up by its key and searched the ranks of the service again. contention has the same position. The tests of forward pass.

--- a/internal/forward/demand.go
+++ b/internal/forward/demand.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/demand"
@@ -23,8 +22,8 @@
 		answer = e.UsualAnswer
 	}
 	x.f.demand.Record(x.service, m.Name, e.ServiceTime(m, x.req.PromptTokens, answer).Seconds(), x.start)
-	if x.f.Contended != nil && x.f.Contended(x.service) {
-		x.value = valueRecord{m.Name, x.rankWeight() * sizeWeight(e, x.req.PromptTokens, answer), false}
+	if c := x.contention; c != nil {
+		x.value = valueRecord{m.Name, c.rankWeight() * sizeWeight(e, x.req.PromptTokens, answer), false}
 		x.f.demand.RecordValue(x.service, m.Name, x.value.weight, x.start)
 	}
 }
@@ -59,14 +58,7 @@
 
 // rankWeight returns the weight of a request by its rank: 1 for the most urgent one of the
 // service, and half of the previous one for each of the others.
-func (x *exchange) rankWeight() float64 {
-	var org *catalog.Organisation
-	if x.catalog.RequiresKey() && !x.route.Public {
-		org = x.catalog.Organisation(x.req.APIKey)
-	}
-	place := slices.Index(x.catalog.Ranks(x.service), x.route.Rank(org))
-	return math.Exp2(-float64(max(0, place)))
-}
+func (c *contention) rankWeight() float64 { return math.Exp2(-float64(c.request.Level)) }
 
 // recordIfLate records the request as lost if its first event came after the objective or a
 // pause exceeded the gap target.
