Soak with streams of unlike rank, bursts of the least urgent and slow engines

Cause: the soak knew one rank, so that none of the new decisions ran in it. Change: TestEntrySoakWithRanks plays the same faults with a second route of lower rank; engines of the stand-in have a pace that their reports state. The seeds of TestEntrySoak and of the listed seed 3008 draw as before.

--- a/test/entry_soak_test.go
+++ b/test/entry_soak_test.go
@@ -31,7 +31,9 @@
 // throughout.
 type soak struct {
 	*entryFleet
-	rng *rand.Rand // for the faults
+	rng      *rand.Rand // for the faults
+	hasRanks bool       // streams differ in rank
+	bursts   sync.WaitGroup
 
 	mu         sync.Mutex
 	faults     []string
@@ -55,18 +57,35 @@
 func TestEntrySoak(t *testing.T) {
 	for i := range *soakSeeds {
 		seed := *soakSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSoak(t, seed) })
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSoak(t, seed, "") })
 	}
 }
 
+// TestEntrySoakWithRanks does the same where streams differ in rank, so that rank and expected
+// times decide. In addition, the least urgent streams come in bursts and engines become slow.
+func TestEntrySoakWithRanks(t *testing.T) {
+	for i := range *soakSeeds {
+		seed := *soakSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSoak(t, seed, batchRoute) })
+	}
+}
+
+// batchRoute is a route of streams that are less urgent than those of /text/.
+const batchRoute = `,
+ {"name":"batch","host":"h.example","prefix":"/batch/","type":"stream","timeout_ms":20000,"target_latency_ms":2000,
+  "service":"engines","max_attempts":3,"resumable":true,"gap_aim_ms":1000,"priority":2}`
+
 // Guards against a body that all clients send and that is quarantined in the first seconds of a
 // fleet, because two harmful requests crash the engines that run it.
-func TestSoakQuarantinesCommonBodyOfNewFleet(t *testing.T) { runSoak(t, 3008) }
+func TestSoakQuarantinesCommonBodyOfNewFleet(t *testing.T) { runSoak(t, 3008, "") }
 
-// runSoak runs the soak test with one seed.
-func runSoak(t *testing.T, seed uint64) {
+// runSoak runs the soak test with one seed and the given routes beside the usual ones.
+func runSoak(t *testing.T, seed uint64, furtherRoutes string) {
 	is := is.New(t)
-	s := &soak{entryFleet: startEntryFleetOn(t, (*platformtest.Store).SendEras, "a", "a", "b"), rng: rand.New(rand.NewPCG(seed, 0))}
+	s := &soak{
+		entryFleet: startEntryFleetWith(t, furtherRoutes, (*platformtest.Store).SendEras, "a", "a", "b"),
+		rng:        rand.New(rand.NewPCG(seed, 0)), hasRanks: furtherRoutes != "",
+	}
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	for c := range 6 {
@@ -78,11 +97,15 @@
 	}
 	for end := time.Now().Add(*soakTime); time.Now().Before(end); {
 		s.injectFault()
+		if s.hasRanks {
+			s.injectLoad(seed)
+		}
 		time.Sleep(time.Duration(100+s.rng.IntN(500)) * time.Millisecond) // interval between faults
 	}
 	s.clearFaults()
 	close(stop)
 	clients.Wait()
+	s.bursts.Wait()
 	for i, n := range s.nodes {
 		if s.hasExited(n) {
 			continue
@@ -170,6 +193,31 @@
 	}
 }
 
+// injectLoad makes a random engine slow or usual again, or sends a burst of the least urgent streams.
+func (s *soak) injectLoad(seed uint64) {
+	const burst = 16 // as many as the slots of the two groups
+	switch s.rng.IntN(4) {
+	case 0:
+		if heads := s.fleet.OpenHeads("m"); len(heads) > 0 {
+			factor := []float64{1, 4, 12}[s.rng.IntN(3)]
+			e := heads[s.rng.IntN(len(heads))]
+			s.faults = append(s.faults, fmt.Sprintf("%s has pace %v", e.ID, factor))
+			e.SetPace(factor)
+		}
+	case 1:
+		n := s.nodes[s.rng.IntN(len(s.nodes))]
+		number := s.rng.Uint64()
+		s.faults = append(s.faults, "burst at "+n.name)
+		for i := range burst {
+			s.bursts.Add(1)
+			go func() {
+				defer s.bursts.Done()
+				s.checkStreamOf(n, "/batch/x", fmt.Sprintf("%s.s%d-burst%d-%d", callerID(n), seed, number, i), 1+i*3)
+			}()
+		}
+	}
+}
+
 // restoreStore restores the store from a copy up to 3 s old. The endpoints and
 // the operator then write their lost records again, in random order; the nodes
 // detect the loss themselves.
@@ -324,6 +372,7 @@
 	}
 	for _, e := range s.fleet.All() {
 		e.Pressure.SetSignals(pressure.Signals{})
+		e.SetPace(1)
 	}
 	for _, n := range s.nodes {
 		s.signal(n, syscall.SIGCONT)
@@ -369,9 +418,14 @@
 // checkStream requests a stream of the given number of events and checks the
 // events that arrive.
 func (s *soak) checkStream(n *entryNode, id string, events int) {
+	s.checkStreamOf(n, "/text/x", id, events)
+}
+
+// checkStreamOf does the same for a path.
+func (s *soak) checkStreamOf(n *entryNode, path, id string, events int) {
 	header := textHeader(events * 7)
 	header["X-Prompt-Prefix"] = sharedPart + ":40," + id + ":60"
-	code, body, err := s.sendAndRead(n, "POST", "/text/x", id, header)
+	code, body, err := s.sendAndRead(n, "POST", path, id, header)
 	if strings.Contains(body, "quarantined") {
 		s.recordViolation("stream %s was quarantined: %s", id, body)
 	}
--- a/test/entry_test.go
+++ b/test/entry_test.go
@@ -29,6 +29,9 @@
 	nodes   []*entryNode
 	version int
 	keys    []string
+	// furtherRoutes are routes that the document has beside the usual ones, in JSON with a leading
+	// comma.
+	furtherRoutes string
 }
 
 // entryNode is the process of an entry node with its client and readiness
@@ -66,7 +69,7 @@
  {"name":"text","host":"h.example","prefix":"/text/","type":"stream","timeout_ms":20000,"target_latency_ms":1000,
   "service":"engines","max_attempts":3,"resumable":true,"gap_aim_ms":1000},
  {"name":"receipt","host":"h.example","prefix":"/receipt/","type":"non_idempotent","timeout_ms":10000,"service":"plain","max_attempts":1},
- {"name":"lookup","host":"h.example","prefix":"/lookup/","type":"idempotent","timeout_ms":10000,"target_latency_ms":3000,"service":"plain","max_attempts":3}],
+ {"name":"lookup","host":"h.example","prefix":"/lookup/","type":"idempotent","timeout_ms":10000,"target_latency_ms":3000,"service":"plain","max_attempts":3}%s],
  "services":[{"name":"engines","engine":{"slots":8,"models":[{"name":"m","size":4,"share":1,"pace":1,"load_s":0.05,"warm_s":0.05}],
   "loads_per_s":100,"loads_at_once":6,"keeps":1,"form_ms":50}},{"name":"plain"}],
  "limits":{"max_body_bytes":65536},"tenants":[{"name":"org","api_keys":[%s]}]}`
@@ -80,7 +83,13 @@
 // startEntryFleetOn starts a fleet on a store that is first passed to prepare.
 func startEntryFleetOn(t *testing.T, prepare func(*platformtest.Store), zones ...string) *entryFleet {
 	t.Helper()
-	f := &entryFleet{t: t, store: platformtest.NewStore(), keys: []string{`"k1"`, `"k2"`}}
+	return startEntryFleetWith(t, "", prepare, zones...)
+}
+
+// startEntryFleetWith starts a fleet whose document has further routes.
+func startEntryFleetWith(t *testing.T, furtherRoutes string, prepare func(*platformtest.Store), zones ...string) *entryFleet {
+	t.Helper()
+	f := &entryFleet{t: t, store: platformtest.NewStore(), keys: []string{`"k1"`, `"k2"`}, furtherRoutes: furtherRoutes}
 	t.Cleanup(f.store.Close)
 	prepare(f.store)
 	f.fleet = platformtest.NewFleet(f.store)
@@ -115,7 +124,7 @@
 
 // rewriteDocument writes the operator's document again in its current version.
 func (f *entryFleet) rewriteDocument() {
-	f.store.PutRaw("op", "config", fmt.Appendf(nil, entryDocument, f.version, strings.Join(f.keys, ",")))
+	f.store.PutRaw("op", "config", fmt.Appendf(nil, entryDocument, f.version, f.furtherRoutes, strings.Join(f.keys, ",")))
 }
 
 // nodesStarted counts the nodes started by this process, to assign addresses.
