board: a board without counts is unknown again once its seeds have decayed

Cause: Sums took a board as known while it had any seed, and seeds are kept for the whole tenure so that later reports of the same head are ignored. Where a zone shrinks to so few nodes that they report each request to each other, the holder of the duty would go on publishing: the emptied heads once and slow heads without counts twice a second, which replaces the loads that nodes reported to each other.

Ruled out: deleting decayed seeds. The same reports are offered with every board, and a deleted seed would be taken in again.

Change: only seeds that have not decayed make a board known.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -63,9 +63,9 @@
 	b.nodes[node] = nodeCounts{now, counts}
 }
 
-// Sums returns the load in flight of all nodes at each head, sorted by ID, and whether
-// any node has sent counts within countTTL or heads have seeds. A head's gap is the mean of the nodes that
-// measured one, weighted by their requests.
+// Sums returns the load in flight of all nodes at each head, sorted by ID, and whether any node
+// has sent counts within countTTL or a seed has not decayed. A head's gap is the mean of the
+// nodes that measured one, weighted by their requests.
 func (b *Board) Sums(now clock.Instant) ([]HeadLoad, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -87,14 +87,14 @@
 			}
 		}
 	}
-	b.seeds.addTo(sums, now)
+	seeded := b.seeds.addTo(sums, now)
 	out := make([]HeadLoad, 0, len(sums))
 	for _, c := range sums {
 		c.Gap = gaps[c.ID].mean()
 		out = append(out, c)
 	}
 	slices.SortFunc(out, func(a, b HeadLoad) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	return out, len(b.nodes)+len(b.seeds.heads) > 0
+	return out, len(b.nodes) > 0 || seeded
 }
 
 // gapSum is the sum of the gaps at one head, weighted by requests.
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -96,3 +96,20 @@
 	b.Update("new", nil, false, began.Add(4*time.Second))
 	is.Equal(at(4*time.Second), 0)
 }
+
+// Guards against a board that is published for as long as the lease is held, although its seeds have
+// decayed and no node sends counts: where nodes report each request to each other, its entries would
+// replace the loads that they reported.
+func TestBoardIsUnknownOnceSeedsHaveDecayed(t *testing.T) {
+	is := is.New(t)
+	began := clock.Instant(time.Hour)
+	var b Board
+	b.Seed("h", 30, 4*time.Second, began)
+	_, known := b.Sums(began.Add(3900 * time.Millisecond))
+	is.True(known)
+	_, known = b.Sums(began.Add(4 * time.Second))
+	is.True(!known)
+	b.Seed("h", 30, 4*time.Second, began) // the same report is offered with each board
+	_, known = b.Sums(began.Add(4 * time.Second))
+	is.True(!known)
+}
--- a/internal/board/seed.go
+++ b/internal/board/seed.go
@@ -57,13 +57,14 @@
 	}
 }
 
-// addTo adds what remains of the seeds to the sums.
-func (s *seeds) addTo(sums map[roster.ID]HeadLoad, now clock.Instant) {
+// addTo adds what remains of the seeds to the sums, and returns whether any seed has not decayed.
+func (s *seeds) addTo(sums map[roster.ID]HeadLoad, now clock.Instant) (remain bool) {
 	for id, h := range s.heads {
 		age := now.Sub(h.at)
 		if age >= h.decay {
 			continue
 		}
+		remain = true
 		left := float64(h.requests-s.explained[id]) * (1 - max(0, float64(age))/float64(h.decay))
 		if n := int(left + 0.5); n > 0 {
 			c := sums[id]
@@ -72,4 +73,5 @@
 			sums[id] = c
 		}
 	}
+	return remain
 }
