formation: plans of one tick no longer overwrite each other's claims

Cause: a tick plans all services of a zone from the same claims and then commits one plan after the other. Each plan's ledger also contains the other services' groups as they were before the tick, and the check of the row's version passes because the controller's own commit has updated it. With two services with engines that both change in one tick, the second commit drops the first one's new groups, whose join orders have been sent, and the mark of its ending groups: a conversion is then withdrawn although it was counted. After a failed commit the row is read again, so that the next plan of the tick would even overwrite claims of another writer.

Ruled out: planning one service per tick. The announcements of lost groups of the others would come a tick later.

Change: a commit after another one of the same tick contains the committed groups of the other services. After a failed commit, the remaining changed plans of the tick are not committed and their orders not sent, as for the failed one itself. With one service, nothing changes.

Conclusion: a claim is not removed after its orders.

--- a/internal/formation/apply.go
+++ b/internal/formation/apply.go
@@ -14,23 +14,52 @@
 	"chervilloom/internal/roster"
 )
 
-// applyPlan commits changed claims and then sends the orders.
-func (c *Controller) applyPlan(ctx context.Context, grant lease.Grant, p servicePlan) {
+// applyPlans commits changed claims and then sends the orders, for the plans of one tick. All
+// of them start from the same claims, so each commits only the groups of its own service.
+// After a commit that failed, the claims may be others than the plans started from: the
+// remaining changes are left to the next tick.
+func (c *Controller) applyPlans(ctx context.Context, grant lease.Grant, plans []servicePlan) {
+	committed, failed := false, false
+	for _, p := range plans {
+		c.announcePlan(grant, p)
+		if p.output.Changed {
+			if committed {
+				p.output.Ledger.Groups = replaceGroups(c.ledger.Groups, p.output.Ledger.Groups, p.service)
+			}
+			if failed || !c.commit(ctx, grant, p.output.Ledger) {
+				failed = true
+				continue // the next plan starts from the committed claims
+			}
+			committed = true
+		}
+		if p.output.Conversions > 0 && c.CountConversions != nil {
+			c.CountConversions(p.output.Conversions)
+		}
+		for _, o := range p.output.Orders {
+			go c.sendOrder(ctx, grant, o)
+		}
+	}
+}
+
+func (c *Controller) announcePlan(grant lease.Grant, p servicePlan) {
 	for _, n := range p.output.Decisions {
 		c.Log.Info("groups", "zone", c.Zone, "service", p.service, "fence", grant.Fence, "decision", n)
 	}
 	for _, h := range slices.Concat(p.output.Lost, p.output.Resumed) {
 		c.Announce(h)
 	}
-	if p.output.Changed && !c.commit(ctx, grant, p.output.Ledger) {
-		return // the next plan starts from the committed claims
-	}
-	if p.output.Conversions > 0 && c.CountConversions != nil {
-		c.CountConversions(p.output.Conversions)
-	}
-	for _, o := range p.output.Orders {
-		go c.sendOrder(ctx, grant, o)
+}
+
+// replaceGroups returns the groups in current of other services, and those in planned of the
+// service.
+func replaceGroups(current, planned []Group, service string) []Group {
+	out := slices.DeleteFunc(slices.Clone(current), func(g Group) bool { return g.Service == service })
+	for _, g := range planned {
+		if g.Service == service {
+			out = append(out, g)
+		}
 	}
+	return out
 }
 
 // commit writes the claims if this node still holds the lease and no other node has
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -186,9 +186,7 @@
 		c.ledgerStale = !c.commit(ctx, grant, *recovered) // on failure, retried in the next tick
 		return
 	}
-	for _, out := range plans {
-		c.applyPlan(ctx, grant, out)
-	}
+	c.applyPlans(ctx, grant, plans)
 }
 
 func (c *Controller) endTenure() {
--- a/internal/formation/restore_test.go
+++ b/internal/formation/restore_test.go
@@ -260,3 +260,41 @@
 }
 
 func (idleEngines) Order(context.Context, string, Order) (OrderResult, error) { return Lost, nil }
+
+// Guards against claims of one service that are overwritten by the plan of another one of the same tick:
+// both start from the same claims, and the orders for the first one's groups have been sent by then.
+func TestPlansOfOneTickKeepEachOthersClaims(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	names := func(l Ledger) (out []string) {
+		for _, g := range l.Groups {
+			out = append(out, fmt.Sprintf("%s/%s/%v", g.Service, g.Name, g.Ending))
+		}
+		slices.Sort(out)
+		return out
+	}
+	planOf := func(service string, groups ...Group) servicePlan {
+		return servicePlan{service, Output{Changed: true, Ledger: Ledger{Groups: groups}}}
+	}
+	tab := &restorableTable{row: table.Row{Era: 1}}
+	grant := &lease.Grant{Duty: "z", Fence: 1 << 20, Era: 1}
+	c := &Controller{Zone: "z", Table: tab, Lease: heldLease{grant}, Clock: clock.NewManual(clock.Instant(time.Hour)), Log: slog.New(slog.DiscardHandler)}
+	is.True(c.beginTenure(ctx, *grant))
+	oldA, oldB := Group{Name: "a1", Service: "a"}, Group{Name: "b1", Service: "b"}
+	is.True(c.commit(ctx, *grant, Ledger{Groups: []Group{oldA, oldB}}))
+
+	ending := oldA
+	ending.Ending = true
+	c.applyPlans(ctx, *grant, []servicePlan{
+		planOf("a", ending, oldB, Group{Name: "a2", Service: "a"}),
+		planOf("b", oldA, Group{Name: "b2", Service: "b"}),
+	})
+	want := []string{"a/a1/true", "a/a2/false", "b/b2/false"}
+	is.Equal(names(tab.ledger()), want)
+	is.Equal(names(c.ledger), want)
+
+	// Another write came between: the plans are outdated, and none of them is committed.
+	tab.row.Version++
+	c.applyPlans(ctx, *grant, []servicePlan{planOf("a"), planOf("b")})
+	is.Equal(names(tab.ledger()), want)
+}
