entry: mean loads of many zones are split into messages like boards

Cause: the mean loads of all zones and models went into one message. With names of 15 characters, 15 pairs of a zone and a model take 1,331 bytes and 20 take 1,771; above 1,400 the message is dropped with an error in the log, and the other zones seem idle to all nodes. Free groups elsewhere then count as unknown to the planner.

Ruled out: shorter numbers. They would change the messages of deployments that fit today.

Change: mean loads are split like the counts of a board; what fits one message is sent as before. The test of boards' parts now also checks the encoded size, with gap and pace (it passes without the change: 1,271 bytes at most for a part of a board, 1,350 for a node's counts). The new test of mean loads failed before (0 of 40 arrived) and passes now.

Conclusion: messages fit with the new fields.

--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -186,19 +187,59 @@
 	is.Equal(sums[89].Requests, 1)
 }
 
-// A board of many heads is split into parts that each fit a packet.
+// A board of many heads is split into parts that each fit a packet, also with the fields of
+// contended services and a pace of many digits.
 func TestBoardPartsFitMessages(t *testing.T) {
 	is := is.New(t)
-	var counts []board.HeadLoad
-	for i := range 200 {
-		counts = append(counts, board.HeadLoad{ID: roster.NewID(fmt.Sprintf("i-%010d", i), 1790000000000), Requests: 22, Unread: 90000})
+	for heads, c := range map[int]board.HeadLoad{
+		200: {Requests: 22, Unread: 90000},
+		210: {Requests: 2200, Unread: 9000000, Gap: 100000, Pace: 11.333333333333334},
+	} {
+		var counts []board.HeadLoad
+		for i := range heads {
+			c.ID = roster.NewID(fmt.Sprintf("i-%010d", i), 1790000000000)
+			counts = append(counts, c)
+		}
+		n := 0
+		for _, part := range splitParts(counts) {
+			n += len(part)
+			is.True(len(part) > 10)
+			for _, m := range []news.Message{
+				{Board: part},
+				{InFlight: &news.InFlight{Node: "i-0123456789abcdef0", Zone: "us-northeast-12a", IsContinuation: true, Counts: part}},
+			} {
+				raw, err := json.Marshal(m)
+				is.NoErr(err)
+				is.True(len(raw) <= news.MaxMessageBytes)
+			}
+		}
+		is.Equal(n, heads)
+	}
+}
+
+// Guards against mean loads of many zones and models in one message that is too large, which is
+// dropped: all other zones would seem idle.
+func TestMeansOfManyZonesReachTheNodes(t *testing.T) {
+	is := is.New(t)
+	p := newSimFleet(t, 1, 27, 0)
+	holder, other := p.nodes["z0-0"], p.nodes["z0-1"]
+	holder.holdsDuty = (&fixedDuty{"z0"}).holds
+	holder.loads.board("z0")
+	send := holder.send
+	holder.send = func(m news.Message, to ...string) {
+		raw, err := json.Marshal(m)
+		is.NoErr(err)
+		if len(raw) <= news.MaxMessageBytes { // as news.Mesh does
+			send(m, to...)
+		}
 	}
-	n := 0
-	for _, part := range splitCounts(counts) {
-		n += len(part)
-		is.True(len(part) > 10)
+	var means []board.MeanLoad
+	for i := range 40 {
+		means = append(means, board.MeanLoad{Zone: fmt.Sprintf("us-northeast-%d", i/4), Model: fmt.Sprintf("model-%d", i%4), Load: 0.5294117647058824, Unread: 1234.5678901234567})
 	}
-	is.Equal(n, 200)
+	holder.loads.recordMeans(means, p.clock.Now())
+	holder.loads.sendMeans()
+	is.Equal(len(other.loads.currentMeans(p.clock.Now())), 40)
 }
 
 // The largest nodes of a zone try to acquire its duty first, then nodes of other zones
--- a/internal/entry/loads.go
+++ b/internal/entry/loads.go
@@ -142,7 +142,7 @@
 	n := l.node
 	owner := n.leaseCache.owner(zone)
 	addr := n.leaseCache.addr(owner)
-	for i, part := range splitCounts(counts) {
+	for i, part := range splitParts(counts) {
 		m := news.InFlight{Node: n.Settings.VM, Zone: zone, IsContinuation: i > 0, Counts: part}
 		switch {
 		case owner == n.Settings.VM:
@@ -204,7 +204,7 @@
 		n.tracker.ApplyBoard(c)
 	}
 	peers := n.leaseCache.zonePeers(n.Settings.VM, zone)
-	for _, part := range splitCounts(counts) {
+	for _, part := range splitParts(counts) {
 		n.send(news.Message{Board: part}, peers...)
 	}
 }
@@ -225,10 +225,17 @@
 		for _, other := range n.Settings.Zones {
 			owner := n.leaseCache.owner(other)
 			if addr := n.leaseCache.addr(owner); other != zone && owner != n.Settings.VM && addr != "" {
-				n.send(news.Message{Means: own}, addr)
+				n.sendMeans(own, addr)
 			}
 		}
-		n.send(news.Message{Means: l.currentMeans(now)}, n.leaseCache.zonePeers(n.Settings.VM, zone)...)
+		n.sendMeans(l.currentMeans(now), n.leaseCache.zonePeers(n.Settings.VM, zone)...)
+	}
+}
+
+// sendMeans sends mean loads, in several messages if needed.
+func (n *Node) sendMeans(means []board.MeanLoad, peers ...string) {
+	for _, part := range splitParts(means) {
+		n.send(news.Message{Means: part}, peers...)
 	}
 }
 
@@ -392,22 +399,22 @@
 	return out
 }
 
-// splitCounts splits counts into parts that each fit one message; without counts it returns
-// one empty part.
-func splitCounts(counts []board.HeadLoad) [][]board.HeadLoad {
+// splitParts splits counts or mean loads into parts that each fit one message; without any it
+// returns one empty part.
+func splitParts[T any](items []T) [][]T {
 	const limit = news.MaxMessageBytes - 100 // the rest is for the message's other fields
-	var out [][]board.HeadLoad
-	var part []board.HeadLoad
+	var out [][]T
+	var part []T
 	size := 0
-	for _, c := range counts {
-		raw, err := json.Marshal(c)
+	for _, item := range items {
+		raw, err := json.Marshal(item)
 		if err != nil {
-			continue // unreachable: an id and two numbers can always be encoded
+			continue // unreachable: strings and finite numbers can always be encoded
 		}
 		if size+len(raw)+1 > limit {
 			out, part, size = append(out, part), nil, 0
 		}
-		part, size = append(part, c), size+len(raw)+1
+		part, size = append(part, item), size+len(raw)+1
 	}
 	if len(part) > 0 || len(out) == 0 {
 		out = append(out, part)
