board: reports that come late don't double the load of heads

Cause: a seed is the part of a head's report that no node's first counts explain. That holds if the report follows the first counts closely. While the store is away, the holder of a lease gets counts but cannot read the claims, and the reports come seconds later; the same after the end of an evacuation. Such a report includes all that the nodes have sent since their first counts, which for restarted nodes are empty: a head with 30 requests in flight looked like one with 58 in the new test.

Ruled out: always the newest counts. The reports are up to 200 ms old, and after the loss of all nodes clients return at once, so the old work would be explained by requests that the report does not include.

Change: a node's first counts explain a report if they arrived within the second before it, else its newest counts do. The sums of first counts are kept by node for that. Of the new tests, the one of late reports failed before; the one of early reports guards the former rule and passed before and after.

Conclusion: a lease that moves while the store is away does not look like twice the load.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -56,7 +56,7 @@
 	if b.nodes == nil {
 		b.nodes = map[string]nodeCounts{}
 	}
-	b.seeds.explain(node, counts, further)
+	b.seeds.explain(node, counts, further, now)
 	if further {
 		counts = append(slices.Clone(b.nodes[node].counts), counts...)
 	}
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -113,3 +113,39 @@
 	_, known = b.Sums(began.Add(4 * time.Second))
 	is.True(!known)
 }
+
+// Guards against seeds that double the load of heads whose nodes live on. While the store is away, or
+// a zone is evacuated, a holder of the lease gets the heads' reports long after the nodes' first
+// counts, and the reports include all that the nodes have sent since.
+func TestLateReportsIncludeRequestsOfKnownNodes(t *testing.T) {
+	is := is.New(t)
+	began := clock.Instant(time.Hour)
+	var b Board
+	b.Update("n1", nil, false, began)
+	b.Update("n2", []HeadLoad{{ID: "h", Requests: 2}}, false, began)
+	late := began.Add(3 * time.Second)
+	b.Update("n1", []HeadLoad{{ID: "h", Requests: 20}}, false, late)
+	b.Update("n2", []HeadLoad{{ID: "h", Requests: 10}}, false, late)
+	b.Seed("h", 30, 4*time.Second, late)
+	sums, _ := b.Sums(late)
+	is.Equal(sums, []HeadLoad{{ID: "h", Requests: 30}})
+
+	b.Seed("old", 34, 4*time.Second, late) // work of nodes that no longer exist
+	b.Update("n3", []HeadLoad{{ID: "old", Requests: 5}}, false, late)
+	b.Update("n3", []HeadLoad{{ID: "old", Requests: 9}}, false, late)
+	sums, _ = b.Sums(late)
+	is.Equal(sums, []HeadLoad{{ID: "h", Requests: 30}, {ID: "old", Requests: 38}})
+}
+
+// Guards against old work that is forgotten because nodes have sent new requests between the report
+// and its arrival.
+func TestEarlyReportsDoNotIncludeNewRequests(t *testing.T) {
+	is := is.New(t)
+	began := clock.Instant(time.Hour)
+	var b Board
+	b.Update("n1", nil, false, began)
+	b.Update("n1", []HeadLoad{{ID: "h", Requests: 20}}, false, began.Add(200*time.Millisecond))
+	b.Seed("h", 34, 4*time.Second, began.Add(50*time.Millisecond))
+	sums, _ := b.Sums(began.Add(200 * time.Millisecond))
+	is.Equal(sums, []HeadLoad{{ID: "h", Requests: 20 + 33}}) // a little of the seed has decayed
+}
--- a/internal/board/seed.go
+++ b/internal/board/seed.go
@@ -12,19 +12,27 @@
 // counts have not arrived yet.
 type seeds struct {
 	heads map[roster.ID]seed
-	// explained are the requests in the first counts of each node: those were in flight when the
-	// reports were made. Later counts include requests that the reports do not.
-	explained map[roster.ID]int
-	nodes     map[string]isFirst // nodes that have sent counts
+	nodes map[string]firstCounts
 }
 
-// isFirst reports whether a node has sent its first counts only, of which further parts may follow.
-type isFirst bool
+// firstCounts are the counts that a node sent first: those requests were in flight when the
+// reports were made. Later counts include requests that the reports do not.
+type firstCounts struct {
+	receivedAt clock.Instant
+	counts     []HeadLoad
+	isComplete bool // no further part may follow
+}
+
+// firstCountsTTL is how long before a report a node's first counts may have arrived to show what
+// was in flight at the time of the report. Reports follow the beginning of a tenure at once, but
+// later if the store is away; they include what the nodes have sent by then.
+const firstCountsTTL = time.Second
 
 type seed struct {
-	requests int
-	at       clock.Instant
-	decay    time.Duration
+	requests  int
+	explained int // of requests: those that nodes count
+	at        clock.Instant
+	decay     time.Duration
 }
 
 // Seed sets the requests that a head reported at a time. They decay over the run time of a
@@ -36,24 +44,47 @@
 	if b.seeds.heads == nil {
 		b.seeds.heads = map[roster.ID]seed{}
 	}
-	if _, known := b.seeds.heads[id]; !known {
-		b.seeds.heads[id] = seed{requests, at, decay}
+	if _, known := b.seeds.heads[id]; known {
+		return
+	}
+	explained := 0
+	for node, first := range b.seeds.nodes {
+		counts := first.counts
+		if at.Sub(first.receivedAt) > firstCountsTTL {
+			counts = b.nodes[node].counts
+		}
+		for _, c := range counts {
+			if c.ID == id {
+				explained += c.Requests
+			}
+		}
 	}
+	b.seeds.heads[id] = seed{requests, explained, at, decay}
 }
 
-// explain records a node's counts if they are its first ones.
-func (s *seeds) explain(node string, counts []HeadLoad, further bool) {
+// explain records a node's counts if they are its first ones, of which further parts may follow.
+func (s *seeds) explain(node string, counts []HeadLoad, further bool, now clock.Instant) {
 	if s.nodes == nil {
-		s.nodes, s.explained = map[string]isFirst{}, map[roster.ID]int{}
+		s.nodes = map[string]firstCounts{}
 	}
 	first, known := s.nodes[node]
-	first = isFirst(!known) || first && isFirst(further)
-	s.nodes[node] = first
-	if !first {
+	switch {
+	case !known:
+		first = firstCounts{receivedAt: now}
+	case first.isComplete:
+		return
+	case !further:
+		first.isComplete = true
+		s.nodes[node] = first
 		return
 	}
+	first.counts = append(first.counts, counts...)
+	s.nodes[node] = first
 	for _, c := range counts {
-		s.explained[c.ID] += c.Requests
+		if h, seeded := s.heads[c.ID]; seeded {
+			h.explained += c.Requests
+			s.heads[c.ID] = h
+		}
 	}
 }
 
@@ -65,7 +96,7 @@
 			continue
 		}
 		remain = true
-		left := float64(h.requests-s.explained[id]) * (1 - max(0, float64(age))/float64(h.decay))
+		left := float64(h.requests-h.explained) * (1 - max(0, float64(age))/float64(h.decay))
 		if n := int(left + 0.5); n > 0 {
 			c := sums[id]
 			c.ID = id
