Refused requests return when slots are left over by new ones

Retry-After followed the rate at which slots become free, but in a burst new requests take all of them; a client that came back within some 100 ms was refused again and has no further try. Ruled out: the former 400 ms for all, which return in the burst as well. Change: the rate is what is left after the arrivals of the request's rank and of more urgent ones; without any, the request returns as late as the client waits, a third of its time, with jitter.

--- a/internal/comeback/comeback.go
+++ b/internal/comeback/comeback.go
@@ -16,8 +16,6 @@
 	// waitShare is the greatest part of its time left for which a request is asked to wait. Clients
 	// wait no longer.
 	waitShare = 1.0 / 3
-	// unknownDelay is the mean delay while no slots are known to become free.
-	unknownDelay = 400 * time.Millisecond
 	// jitter is the greatest deviation of a delay from its mean, as a share, so that clients that
 	// are refused at the same moment do not return at the same moment.
 	jitter = 0.25
@@ -76,7 +74,8 @@
 }
 
 // Refuse records a refusal and returns the time after which the request should return. rate is the
-// number of slots a second that become free for this node's requests; draw is uniform in [0, 1).
+// number of slots a second that become free for this node's requests that return, 0 or less if new
+// requests take them all; draw is uniform in [0, 1).
 // Requests return at this rate, the most urgent and the oldest first. One that returns too
 // early counts as refused now for the first time, and is asked to return no earlier than before.
 func (q *Queue) Refuse(now clock.Instant, r Request, rate, draw float64) time.Duration {
@@ -105,7 +104,7 @@
 
 // delay returns the time until a slot is expected to be free for the request, with jitter.
 func (q *Queue) delay(now clock.Instant, e *entry, rate float64, longest time.Duration, draw float64) time.Duration {
-	mean := float64(unknownDelay)
+	mean := float64(longest) // no slots are expected to become free before the load changes
 	if rate > 0 {
 		before := 0
 		for i := range q.entries {
--- a/internal/forward/rank.go
+++ b/internal/forward/rank.go
@@ -186,6 +186,8 @@
 }
 
 // returnDelay returns the time after which the request, refused for want of slots, should return.
+// Slots that new requests take are not free for those that return: a client that returns in the
+// middle of a burst is refused again and has no further try.
 func (x *exchange) returnDelay() time.Duration {
 	c := x.contention
 	if c.model == nil {
@@ -194,7 +196,8 @@
 	now := x.f.Clock.Now()
 	c.model.mu.Lock()
 	defer c.model.mu.Unlock()
-	return c.model.returns.Refuse(now, x.returning(), c.supply.Turnover/float64(max(1, c.supply.Nodes)), rand.Float64())
+	rate := c.supply.Turnover/float64(max(1, c.supply.Nodes)) - c.model.history.ArrivalRate(now, c.request.Level)
+	return c.model.returns.Refuse(now, x.returning(), rate, rand.Float64())
 }
 
 // recordRefusal counts the request as refused, for want of slots or for another reason.
--- a/internal/priority/history.go
+++ b/internal/priority/history.go
@@ -139,6 +139,12 @@
 	return c
 }
 
+// ArrivalRate returns the requests a second at this node of a level and of the more urgent ones.
+func (h *History) ArrivalRate(now clock.Instant, level int) float64 {
+	h.advance(now)
+	return h.rate(0, level)
+}
+
 // rate returns the arrivals a second of the levels from first up to and including last.
 func (h *History) rate(first, last int) float64 {
 	n := 0.0
