formation: no conversion in the plan in which the previous one ends

The domain closed three more groups before the engines had formed the first group.

Ruled out: waiting also after groups that ended for a lost member. Their engines may be used best together with another group's, and that is decided in this plan.

Change: a domain in which a group that closed for another model ended in this plan counts as changing, so that it only forms groups. This holds also for groups that a previous owner began to dissolve, which an entry in the memory would not show.

--- a/internal/formation/allocate.go
+++ b/internal/formation/allocate.go
@@ -130,7 +130,7 @@
 		t.formed = p.recordConversion(&o)
 	}
 	for _, g := range o.closed {
-		c := &closing{reason: "another model needs its engines more", mode: Truncate, since: p.in.Now, begun: true}
+		c := &closing{reason: "another model needs its engines more", mode: Truncate, since: p.in.Now, begun: true, converts: true}
 		if p.countGroups(g.Model, domain) <= 1 {
 			c.mode = Finish // no other group of the model could continue its streams
 		}
--- a/internal/formation/close.go
+++ b/internal/formation/close.go
@@ -153,7 +153,7 @@
 	// The previous owner began to dissolve the group. Its head may report that it is
 	// ready again, but some members may be in other groups by now.
 	if g.Ending {
-		return &closing{reason: "it was already being dissolved", mode: Truncate}
+		return &closing{reason: "it was already being dissolved", mode: Truncate, converts: true}
 	}
 	for _, m := range g.Members {
 		switch p.memberHealth(g, m) {
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -80,6 +80,9 @@
 	// awaitsClaim is set for a group that closes for another model until the claim that marks
 	// it as ending is committed. Only then is the group announced as lost.
 	awaitsClaim bool
+	// converts is set if the group closes for another model, or may do so because the
+	// previous owner began to dissolve it.
+	converts bool
 }
 
 // NewMemory returns an empty memory.
@@ -98,6 +101,7 @@
 	mem                 *Memory
 	out                 Output
 	claimed             map[roster.ID]bool
+	convertedIn         map[string]bool    // domains in which a group that closed for another model has ended in this plan
 	groupsInPreparation map[string]int     // groups that engines are being prepared for, by model
 	neededGroupsByModel map[string]float64 // cache of neededGroups
 	values              []modelValue       // in the order of the engine's models; nil: all models count alike
@@ -106,7 +110,7 @@
 
 // Plan computes the updated claims and the orders to give now. It updates mem.
 func Plan(in *Input, mem *Memory) Output {
-	p := &planner{in: in, mem: mem, claimed: map[roster.ID]bool{}, groupsInPreparation: map[string]int{}}
+	p := &planner{in: in, mem: mem, claimed: map[roster.ID]bool{}, convertedIn: map[string]bool{}, groupsInPreparation: map[string]int{}}
 	p.pruneLoads()
 	p.emptyEngineWaits = p.hasWaitingEmptyEngine()
 	for _, g := range in.Ledger.Groups {
@@ -158,6 +162,9 @@
 		p.keepClaim(g)
 		return
 	}
+	if c.converts {
+		p.convertedIn[g.Domain] = true
+	}
 	p.noteDecision("group %s has ended: %s", g.Name, c.reason)
 	p.out.Changed = true
 }
--- a/internal/formation/value.go
+++ b/internal/formation/value.go
@@ -247,9 +247,13 @@
 }
 
 // isChanging reports whether a group of the domain is closing or being formed, also one of a
-// conversion that the previous owner began. The time is limited because an unreachable
-// member stays claimed for as long as it is unreachable.
+// conversion that the previous owner began. A group that has ended in this plan is no longer
+// in the ledger, but its engines are still to form the group that it closed for. The time is
+// limited because an unreachable member stays claimed for as long as it is unreachable.
 func (p *planner) isChanging(domain string) bool {
+	if p.convertedIn[domain] {
+		return true
+	}
 	for i := range p.out.Ledger.Groups {
 		g := &p.out.Ledger.Groups[i]
 		if g.Service != p.in.Service || g.Domain != domain {
--- a/internal/formation/value_test.go
+++ b/internal/formation/value_test.go
@@ -292,3 +292,12 @@
 		}
 	})
 }
+
+// Guards against a conversion that begins in the plan in which the group of the previous one
+// ends, before its engines have formed the group that it closed for.
+func TestConversionFormsBeforeTheNext(t *testing.T) {
+	z := contendedCase{big: 3, small: 1, domain: 7, load: [2]float64{2, 0.0546875}, lost: []int{1}}
+	if _, violation := z.run(10 * time.Second); violation != "" {
+		t.Fatal(violation)
+	}
+}
