--- a/internal/forward/rank.go
+++ b/internal/forward/rank.go
@@ -10,9 +10,9 @@
 
 	"chervilloom/internal/balance"
 	"chervilloom/internal/catalog"
-	"chervilloom/internal/comeback"
 	"chervilloom/internal/expect"
 	"chervilloom/internal/priority"
+	"chervilloom/internal/retryafter"
 	"chervilloom/internal/roster"
 )
 
@@ -46,8 +46,8 @@
 type contendedModel struct {
 	mu      sync.Mutex
 	history priority.History
-	returns comeback.Queue // refused requests that are expected to return
-	runTime time.Duration  // smoothed run time of complete answers; 0: none yet
+	returns retryafter.Queue // refused requests that are expected to return
+	runTime time.Duration    // smoothed run time of complete answers; 0: none yet
 }
 
 // runTimeSmoothing is the number of answers over which a change of the run time takes effect.
@@ -161,11 +161,11 @@
 	defer c.model.mu.Unlock()
 	c.first = c.bestFirst
 	c.request.Early = c.model.returns.IsEarly(now, x.returning())
-	if ep != nil && !c.request.Resumed && comeback.IsUnservable(c.bestTotal, x.timeLeft(now)) {
+	if ep != nil && !c.request.Resumed && retryafter.IsUnservable(c.bestTotal, x.timeLeft(now)) {
 		c.refusal = refusedLate // takes no slot, so that none is kept for such requests
 		return false
 	}
-	c.model.history.Ask(now, c.request)
+	c.model.history.CountArrival(now, c.request)
 	reason := c.model.history.Admit(now, c.supply, c.request, rand.Float64()) // also counts what is refused for other reasons
 	if ep == nil {
 		return false
@@ -181,8 +181,8 @@
 }
 
 // returning returns what the time of the request's return depends on.
-func (x *exchange) returning() comeback.Request {
-	return comeback.Request{Key: string(x.fingerprint), Deadline: x.deadline, Level: x.contention.request.Level}
+func (x *exchange) returning() retryafter.Request {
+	return retryafter.Request{Key: string(x.fingerprint), Deadline: x.deadline, Level: x.contention.request.Level}
 }
 
 // returnDelay returns the time after which the request, refused for want of slots, should return.
--- a/internal/priority/admit.go
+++ b/internal/priority/admit.go
@@ -58,7 +58,7 @@
 	refusalMemory = time.Second
 )
 
-// Admit decides whether a request may use a slot. Ask must have counted it. draw is uniform in
+// Admit decides whether a request may use a slot. CountArrival must have counted it. draw is uniform in
 // [0, 1): while free slots are short, requests are admitted at the rate that leaves the
 // reserve for more urgent ones.
 func (h *History) Admit(now clock.Instant, s Supply, r Request, draw float64) Reason {
--- a/internal/priority/fleet_test.go
+++ b/internal/priority/fleet_test.go
@@ -75,7 +75,7 @@
 			served, refusedWithFree := false, false
 			for attempt := 0; attempt == 0 || s.repeats && attempt < mostRepeats && !served; attempt++ {
 				r := Request{Level: s.level, Organisation: s.organisation, Early: attempt > 0}
-				h.Ask(now, r)
+				h.CountArrival(now, r)
 				reason := Admitted
 				if ranks {
 					reason = h.Admit(now, supply, r, rng.Float64())
@@ -181,7 +181,7 @@
 		r := Request{Level: rapid.IntRange(0, 9).Draw(t, "level"), Organisation: rapid.SampledFrom([]string{"", "o"}).Draw(t, "organisation")}
 		for range rapid.IntRange(1, 100).Draw(t, "requests") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
-			h.Ask(now, r)
+			h.CountArrival(now, r)
 			s := Supply{Slots: 100, Free: float64(rapid.IntRange(0, 100).Draw(t, "free")), Turnover: 50, Nodes: 3}
 			if reason := h.Admit(now, s, r, 0.999); reason != Admitted {
 				t.Fatalf("refused: %s", reason)
--- a/internal/priority/history.go
+++ b/internal/priority/history.go
@@ -92,9 +92,9 @@
 	}
 }
 
-// Ask counts the arrival of a request. An early retry is not counted: otherwise a client that
+// CountArrival counts the arrival of a request. An early retry is not counted: otherwise a client that
 // repeats its request would raise the share that its rank and organisation appear to lack.
-func (h *History) Ask(now clock.Instant, r Request) {
+func (h *History) CountArrival(now clock.Instant, r Request) {
 	h.advance(now)
 	if r.Early {
 		return
--- a/internal/comeback/comeback.go
+++ b/internal/retryafter/retryafter.go
@@ -1,7 +1,7 @@
-// Package comeback decides when requests that were refused for want of slots should return, and
+// Package retryafter decides when requests that were refused for want of slots should return, and
 // which requests cannot be served in the time that they have. Its decisions depend only on their
 // arguments and on the recorded refusals; callers provide clocks, random draws and locks.
-package comeback
+package retryafter
 
 import (
 	"slices"
--- a/internal/comeback/comeback_test.go
+++ b/internal/retryafter/retryafter_test.go
@@ -1,4 +1,4 @@
-package comeback
+package retryafter
 
 import (
 	"fmt"
