Ranks of organisations alone do not make a service contended

Cause: organisations of the earlier deployments declare ranks 0 and 1, so the parts for hard load were on there. Ruled out: changes outside contention. Logs show ranks 0 and 1 in the lines of requests, which only contended services have. Change: the routes of a service's streams must differ in rank; an organisation's rank replaces the route's as before once they do. Open: why the parts cost so much with six nodes and no board.

--- a/cmd/chervilloom/entry.go
+++ b/cmd/chervilloom/entry.go
@@ -29,7 +29,7 @@
 	sub.String(&file, "s", "settings", "the platform's settings file; default: the path from the environment")
 	sub.Bool(&verbose, "v", "verbose", "log each attempt of each request")
 	sub.Int(&metricsPort, "m", "metrics", "port on the clients' address that serves metrics under /metrics; 0: none")
-	sub.String(&contention, "c", "contention", "services with engines for which rank and expected time decide: auto (streams of unlike rank), on (all) or off")
+	sub.String(&contention, "c", "contention", "services with engines for which rank and expected time decide: auto (routes of unlike rank), on (all) or off")
 	return command{sub, func(ctx context.Context) error {
 		if file == "" {
 			return &exitError{exitUsage, errors.New("no settings given: add --settings FILE")}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -155,6 +155,8 @@
 	byKey    map[string]*Organisation
 	services map[string]*Service
 	ranks    map[string][]int // by service with an engine, see Ranks
+	// rankedRoutes are the services with engines whose streams' routes differ in rank.
+	rankedRoutes map[string]bool
 	// invalidRanks are the services with engines for which an invalid rank is declared.
 	invalidRanks []string
 }
--- a/internal/catalog/rank.go
+++ b/internal/catalog/rank.go
@@ -21,8 +21,10 @@
 	return c.ranks[service]
 }
 
-// HasRanks reports whether the streams of a service differ in rank.
-func (c *Catalog) HasRanks(service string) bool { return len(c.ranks[service]) > 1 }
+// HasRankedRoutes reports whether the routes of a service's streams differ in rank. Organisations
+// that declare a rank of their own do not count: a customer whose routes are all alike has not asked
+// for some of its requests to be refused in favour of others.
+func (c *Catalog) HasRankedRoutes(service string) bool { return c.rankedRoutes[service] }
 
 // InvalidRanks returns the names of the services with engines for which a rank outside 0 to
 // MaxRank is declared, sorted.
@@ -30,7 +32,7 @@
 
 // indexRanks collects the ranks of each service's streams.
 func (c *Catalog) indexRanks() {
-	c.ranks = map[string][]int{}
+	c.ranks, c.rankedRoutes = map[string][]int{}, map[string]bool{}
 	for name, s := range c.services {
 		if s.Engine == nil {
 			continue
@@ -41,17 +43,34 @@
 			continue
 		}
 		c.ranks[name] = ranks
+		c.rankedRoutes[name] = len(c.routeRanks(name)) > 1
 	}
 	slices.Sort(c.invalidRanks)
 }
 
+// routeRanks returns the distinct ranks of the routes of a service's streams, sorted.
+func (c *Catalog) routeRanks(service string) []int {
+	var ranks []int
+	for i := range c.Routes {
+		if r := &c.Routes[i]; r.isStreamOf(service) {
+			ranks = append(ranks, r.Priority)
+		}
+	}
+	slices.Sort(ranks)
+	return slices.Compact(ranks)
+}
+
+func (r *Route) isStreamOf(service string) bool {
+	return r.Repeat == Stream && slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service })
+}
+
 // streamRanks returns the distinct ranks that requests on the streams of a service may have,
 // sorted.
 func (c *Catalog) streamRanks(service string) []int {
 	var ranks []int
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		if r.Repeat != Stream || !slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service }) {
+		if !r.isStreamOf(service) {
 			continue
 		}
 		if len(c.Organisations) == 0 || r.Public {
--- a/internal/catalog/rank_test.go
+++ b/internal/catalog/rank_test.go
@@ -25,11 +25,11 @@
 	c, err := New(rankedDocument(1, 1))
 	is.NoErr(err)
 	is.Equal(c.Ranks("engines"), []int{1})
-	is.True(!c.HasRanks("engines"))
+	is.True(!c.HasRankedRoutes("engines"))
 	c, err = New(rankedDocument(2, 0))
 	is.NoErr(err)
 	is.Equal(c.Ranks("engines"), []int{0, 2})
-	is.True(c.HasRanks("engines"))
+	is.True(c.HasRankedRoutes("engines"))
 	is.Equal(c.Ranks("plain"), nil)
 }
 
@@ -41,6 +41,7 @@
 	c, err := New(doc)
 	is.NoErr(err)
 	is.Equal(c.Ranks("engines"), []int{0, 1})
+	is.True(!c.HasRankedRoutes("engines"))
 	is.Equal(c.Route("h", "/a/").Rank(c.Organisation("u")), 0)
 	is.Equal(c.Route("h", "/a/").Rank(c.Organisation("k")), 1)
 	is.Equal(c.Route("h", "/a/").Rank(nil), 1)
@@ -52,7 +53,7 @@
 	for _, invalid := range []int{-2, 10} {
 		c, err := New(rankedDocument(0, invalid))
 		is.NoErr(err)
-		is.True(!c.HasRanks("engines"))
+		is.True(!c.HasRankedRoutes("engines"))
 		is.Equal(c.InvalidRanks(), []string{"engines"})
 	}
 }
--- a/internal/entry/contention.go
+++ b/internal/entry/contention.go
@@ -12,7 +12,7 @@
 
 // The values of Contention.
 const (
-	ContentionAuto Contention = "auto" // services whose streams differ in rank
+	ContentionAuto Contention = "auto" // services whose streams' routes differ in rank
 	ContentionOn   Contention = "on"   // all services with engines
 	ContentionOff  Contention = "off"  // no service
 )
@@ -34,7 +34,7 @@
 	if s == nil || s.Engine == nil || c == ContentionOff {
 		return false
 	}
-	return c == ContentionOn || cat.HasRanks(service)
+	return c == ContentionOn || cat.HasRankedRoutes(service)
 }
 
 // isContended reports the same for the configuration in force.
