--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -449,12 +448,6 @@
 			"held_back", x.backingOff, "tried", x.tried, "fingerprint", x.fingerprint, "part", x.verdict.Part)...)
 }
 
-// addJitter returns a random duration between after and twice after, so that clients that
-// are refused for the same time do not retry at the same moment.
-func addJitter(after time.Duration) time.Duration {
-	return after + time.Duration(rand.Float64()*float64(after))
-}
-
 func (x *exchange) logEnd(message string, res Result) {
 	x.f.Log.With(x.rankFields()...).Info(message, "request", x.req.ID, "route", x.route.Name, "organisation", x.organisation,
 		"config", x.catalog.Version, "tried", x.tried, "peer", x.peer.Addr, "events", x.eventsSent, "result", res.String(),
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -1,6 +1,9 @@
 package forward
 
 import (
+	"math/rand/v2"
+	"time"
+
 	"chervilloom/internal/balance"
 	"chervilloom/internal/outcome"
 )
@@ -33,3 +36,9 @@
 	refusedByOrganisation: outcome.New(outcome.OverLimit, outcome.NotRun, "the organisation uses more than its share while slots are short", "try again after the stated time"),
 	refusedLate:           outcome.New(outcome.Overloaded, outcome.NotRun, "no endpoint can complete the answer in the time left", "allow more time"),
 }
+
+// addJitter returns a random duration between after and twice after, so that clients that
+// are refused for the same time do not retry at the same moment.
+func addJitter(after time.Duration) time.Duration {
+	return after + time.Duration(rand.Float64()*float64(after))
+}
