Retry slack no longer starts anew with each process

Cause: WindowedBudget counts in the memory of a process. Each process had the VM's whole slack again; three or four processes of a VM within one window spent it three or four times. Besides, a process that had read no rows of nodes yet took an eighth of the fleet's slack: nine times its share at 71 nodes, 120 times at 985, and every process does so after a loss of all nodes.

Change: the slack comes from a token bucket that is empty at the start of a process. Capacity and gain of a window add up to the VM's share, so any number of processes in series stays within it. The share is none while the number of nodes is unknown, and is divided by the largest number of nodes seen in the last window, which replaces the minimum of eight. What the ratio lacks for a whole retry is taken from the bucket, since at 985 nodes the share is less than one. New metrics: retries by the part of the budget that paid, and the number of nodes used.

TestShareOfTheBudgetIsKept and TestRetryBudgetSharedByNodes asked a process for its slack at its first instant, which is now none: they fill the bucket first and check as much, also for the ratio. The fixture of the forwarder's tests grants retries by the ratio.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -103,6 +103,7 @@
 	holdsDuty         func(zone string) bool // reports whether this node holds the zone's duty now
 	leaving           atomic.Bool            // SIGTERM was received
 	requestSeen       atomic.Bool            // a client request was received
+	nodePeak          recentPeak             // of the number of nodes
 }
 
 // Timing constants and limits of a node.
@@ -151,9 +152,6 @@
 	// exitMargin is the part of the grace period that is reserved for the exit of the
 	// process.
 	exitMargin = 600 * time.Millisecond
-	// minBudgetNodes is the smallest number of nodes among which the retry budget is divided,
-	// so that a node that has read no node rows yet does not use all of it.
-	minBudgetNodes = 8
 	// retryBudgetShare is the fraction of the platform's retry limit that is used, because the
 	// nodes' time windows and the platform's are not aligned.
 	retryBudgetShare = 0.8
@@ -331,17 +329,27 @@
 	return formation.DefaultParams(s.LoadWindow, max(1, int(loads)), max(1, int(atOnce)))
 }
 
-// newBudget returns this node's share of the retry budget of a service.
+// newBudget returns this node's share of the retry budget of a service. A node that doesn't know
+// the number of nodes yet has no share of the slack.
 func (n *Node) newBudget() *retry.WindowedBudget {
 	s := n.Settings
 	return &retry.WindowedBudget{
 		Clock: n.Clock, Window: s.RetryWindow, Ratio: s.RetryRatio * retryBudgetShare,
 		Slack: func() float64 {
-			return s.RetrySlack * retryBudgetShare / float64(max(minBudgetNodes, n.leaseCache.nodeCount()))
+			if nodes := n.budgetNodes(); nodes > 0 {
+				return s.RetrySlack * retryBudgetShare / float64(nodes)
+			}
+			return 0
 		},
 	}
 }
 
+// budgetNodes returns among how many nodes the slack of the retry budget is divided; 0: unknown.
+// Nodes that have left since count for a window more: they may have used their share.
+func (n *Node) budgetNodes() int {
+	return n.nodePeak.observe(n.leaseCache.nodeCount(), n.Clock.Now(), n.Settings.RetryWindow)
+}
+
 func (n *Node) view() forward.View {
 	n.requestSeen.Store(true)
 	return forward.View{
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -178,30 +178,46 @@
 	is.True(err != nil) // the cached rows are too old to decide on
 }
 
-// Eighty nodes share the platform's retry slack; a node that knows of fewer nodes takes at
-// most an eighth of it.
+// The nodes of a fleet divide the slack of the retry budget. A node that doesn't know how many
+// there are uses none, and one that sees others leave keeps its share until what they have used
+// is out of the window.
 func TestRetryBudgetSharedByNodes(t *testing.T) {
 	is := is.New(t)
 	c := clock.NewManual(clock.Instant(time.Hour))
 	n := newTestNode(&fakeStore{}, c)
-	allowed := func() int {
+	usesInWindow := func() int {
 		b, k := n.newBudget(), 0
-		for {
-			if !b.Allow() {
-				return k
+		b.Allow()
+		c.Advance(3 * n.Settings.RetryWindow) // the bucket is full
+		for range int(n.Settings.RetryWindow / (100 * time.Millisecond)) {
+			for b.Allow() {
+				k++
 			}
-			k++
+			c.Advance(100 * time.Millisecond)
 		}
+		return k
 	}
-	allowedAlone := allowed()
-	is.True(allowedAlone*minBudgetNodes <= 100)
-	var rows []table.Row
-	for i := range 80 {
-		rows = append(rows, addrRow(string(rune('A'+i)), "10.0.0.1:1"))
+	is.Equal(usesInWindow(), 0)
+	rows := func(nodes int) {
+		var out []table.Row
+		for i := range nodes {
+			out = append(out, addrRow(string(rune('A'+i)), "10.0.0.1:1"))
+		}
+		n.leaseCache.applyRows(out, 0)
 	}
-	n.leaseCache.applyRows(rows, 0)
-	is.True(allowed() < allowedAlone)
-	is.True(allowed()*80 <= 100)
+	rows(20)
+	is.True(usesInWindow() > 0)
+	is.True(usesInWindow()*20 <= 100)
+	rows(6)
+	is.Equal(n.budgetNodes(), 20)
+	c.Advance(n.Settings.RetryWindow - time.Second)
+	is.Equal(n.budgetNodes(), 20)
+	c.Advance(2 * n.Settings.RetryWindow)
+	is.Equal(n.budgetNodes(), 6)
+	alone := usesInWindow()
+	is.True(alone*6 <= 100)
+	rows(80)
+	is.True(usesInWindow() < alone)
 }
 
 // The list shows one endpoint as draining and lacks another. Both are reported to the other
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -34,6 +34,9 @@
 		Name: "chervilloom_supply_conversions_total", Help: "Conversions of groups to another model that this node began.",
 	})
 	reg.MustRegister(n.roster.rejectCounter, n.conversions)
+	gauge("chervilloom_retry_budget_nodes", "Nodes among which the slack of the retry budget is divided; 0: unknown, and this node uses none.", func() float64 {
+		return float64(n.budgetNodes())
+	})
 	gauge("chervilloom_zones_evacuated", "Availability zones that the operator evacuates, as this node knows.", func() float64 {
 		return float64(len(n.evacuations.evacuated()))
 	})
--- a/internal/entry/sweep.go
+++ b/internal/entry/sweep.go
@@ -7,10 +7,11 @@
 )
 
 // sweep closes idle connections, updates the ejector's candidates, drops the load state of
-// endpoints that are no longer listed, and maintains the rows of quarantined requests and
-// of this node.
+// endpoints that are no longer listed, observes the number of nodes, and maintains the rows of
+// quarantined requests and of this node.
 func (n *Node) sweep() {
 	n.pool.CloseExpired()
+	n.budgetNodes()
 	var ids []retry.ID
 	n.roster.current.Load().ForEach(func(e *roster.Endpoint) {
 		if e.Domain == "" || e.IsServingHead() {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -97,7 +97,7 @@
 		x.progress.HasBudget = true
 		step := NextStep(x.route, res, x.progress)
 		if step == Retry && !x.abortedStalled.Swap(false) {
-			x.progress.HasBudget = x.isExemptFromBudget(res) || x.allowRetry()
+			x.progress.HasBudget = x.takeExemption(res) || x.allowRetry()
 			step = NextStep(x.route, res, x.progress)
 		}
 		x.f.Log.Debug("attempt", "request", x.req.ID, "endpoint", ep.ID, "result", res.String(), "step", step.String(), "cause", x.lastCause, "events", x.eventsSent)
@@ -113,6 +113,15 @@
 // retry budget.
 const maxFreeRefusals = 3
 
+// takeExemption reports whether the next attempt is exempt from the retry budget, and counts it.
+func (x *exchange) takeExemption(res Result) bool {
+	exempt := x.isExemptFromBudget(res)
+	if exempt {
+		x.f.Metrics.retries.WithLabelValues(exemptRetry).Inc()
+	}
+	return exempt
+}
+
 // isExemptFromBudget reports whether the next attempt is exempt from the retry budget, because
 // nothing reached the last endpoint: backpressure stopped the attempt, no node has a link to the
 // endpoint, or it refused the connection. Many requests are placed at a terminated endpoint until
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -35,9 +35,9 @@
 	guard  *quarantine.Guard
 }
 
-// newTestForwarder starts a forwarder whose budget allows slack retries in a window, for
+// newTestForwarder starts a forwarder whose budget allows retries for each request, for
 // endpoints at addrs.
-func newTestForwarder(t *testing.T, slack float64, addrs ...string) *testForwarder {
+func newTestForwarder(t *testing.T, retries float64, addrs ...string) *testForwarder {
 	t.Helper()
 	doc := catalog.Document{
 		Version:  1,
@@ -74,7 +74,7 @@
 		Ejector:    retry.NewEjector(retry.OutlierOptions{Consecutive: 100, MinRequests: 100, Margin: 1}, c, log, nil),
 		Quarantine: r.guard, Backpressure: backpressure.New(backpressure.Options{Clock: c}),
 		NewBudget: func() *retry.WindowedBudget {
-			return &retry.WindowedBudget{Clock: c, Window: 10 * time.Second, Slack: func() float64 { return slack }}
+			return &retry.WindowedBudget{Clock: c, Window: 10 * time.Second, Ratio: retries, Slack: func() float64 { return 0 }}
 		},
 		OnStaleEndpoint: func() {}, OnNoResponse: func(*roster.Endpoint) {}, OnResponse: func() {}, OnSent: func(roster.ID, int) {},
 		SampleSize: func() int { return 0 }, ZoneLoad: func(string, string) board.MeanLoad { return board.MeanLoad{} }, NodeCount: func() int { return 1 },
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -17,11 +17,16 @@
 	refused   *prometheus.CounterVec
 	limited   prometheus.Counter
 	backoffs  prometheus.Counter
+	retries   *prometheus.CounterVec
 	// firstEventRatio is labelled by model, of which the configuration declares few.
 	firstEventRatio *prometheus.HistogramVec
 	ranks           rankMetrics
 }
 
+// exemptRetry labels retries that take nothing from the retry budget; the other labels are those of
+// retry.Grant.
+const exemptRetry = "exempt"
+
 // NewMetrics registers the metrics; reg may be nil.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
@@ -45,13 +50,16 @@
 		backoffs: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "chervilloom_answers_retry_after_total", Help: "Answers with which an endpoint turned a request away and asked for a backoff.",
 		}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chervilloom_request_retries_total", Help: "Retries that requests asked for, by the part of the retry budget that paid: ratio or slack; exempt: nothing had reached the endpoint; denied.",
+		}, []string{"budget"}),
 		firstEventRatio: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "chervilloom_expect_first_event_ratio", Help: "Observed time to the first event of an answer, divided by the predicted time, by model.",
 			Buckets: []float64{0.25, 0.5, 0.67, 0.8, 0.9, 1, 1.1, 1.25, 1.5, 2, 4, 12},
 		}, []string{"model"}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.requests, m.attempts, m.firstByte, m.refused, m.limited, m.backoffs, m.firstEventRatio)
+		reg.MustRegister(m.requests, m.attempts, m.firstByte, m.refused, m.limited, m.backoffs, m.retries, m.firstEventRatio)
 	}
 	return m
 }
--- a/internal/forward/rank.go
+++ b/internal/forward/rank.go
@@ -12,6 +12,7 @@
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/expect"
 	"chervilloom/internal/priority"
+	"chervilloom/internal/retry"
 	"chervilloom/internal/retryafter"
 	"chervilloom/internal/roster"
 )
@@ -246,11 +247,13 @@
 
 // allowRetry takes a retry from the budget and reports whether one was available.
 func (x *exchange) allowRetry() bool {
-	b := x.f.budget(x.service)
+	keep := 0.0
 	if c := x.contention; c != nil && c.levels > 1 && c.request.Level == c.levels-1 {
-		return b.AllowKeeping(reservedRetryShare)
+		keep = reservedRetryShare
 	}
-	return b.Allow()
+	grant := x.f.budget(x.service).Take(keep)
+	x.f.Metrics.retries.WithLabelValues(grant.String()).Inc()
+	return grant != retry.Denied
 }
 
 // rankFields returns the attributes of log entries that only requests of contended services have.
--- a/internal/retry/windowed_test.go
+++ b/internal/retry/windowed_test.go
@@ -65,14 +65,69 @@
 // Guards against retries of the least urgent requests that use up the budget before more urgent
 // ones, and against a budget that changes for those.
 func TestShareOfTheBudgetIsKept(t *testing.T) {
+	fromSlack := func(w *WindowedBudget, c *manualClock) {
+		w.Slack = func() float64 { return 8 / slackBurstShare }
+		w.Allow()
+		c.now = c.now.Add(20 * time.Second)
+	}
+	fromRatio := func(w *WindowedBudget, _ *manualClock) {
+		w.Ratio, w.Slack = 1, func() float64 { return 0 }
+		for range 8 {
+			w.CountFirst()
+		}
+	}
+	for name, fill := range map[string]func(*WindowedBudget, *manualClock){"slack": fromSlack, "ratio": fromRatio} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := &manualClock{now: clock.Instant(time.Hour)}
+			w := &WindowedBudget{Clock: c, Window: 10 * time.Second}
+			fill(w, c)
+			for range 6 {
+				is.True(w.Take(0.25) != Denied)
+			}
+			is.Equal(w.Take(0.25), Denied)
+			is.True(w.Allow())
+			is.True(w.Allow())
+			is.True(!w.Allow())
+		})
+	}
+}
+
+// Guards against slack that each of several processes on one VM uses as if it were the first, and
+// against a share below one that is never used.
+func TestProcessesInSeriesShareTheSlackOfAWindow(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		const window = 10 * time.Second
+		slack := rapid.SampledFrom([]float64{0.84, 3, 20}).Draw(r, "slack")
+		c := &manualClock{now: clock.Instant(time.Hour)}
+		start := func() *WindowedBudget {
+			return &WindowedBudget{Clock: c, Window: window, Slack: func() float64 { return slack }}
+		}
+		w := start()
+		var repeats []clock.Instant
+		for range rapid.IntRange(1, 400).Draw(r, "events") {
+			c.now = c.now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(r, "pause")) * time.Millisecond)
+			if rapid.IntRange(0, 20).Draw(r, "restart") == 0 {
+				w = start()
+			}
+			if !w.Allow() {
+				continue
+			}
+			repeats = append(repeats, c.now)
+			if n := countAfter(repeats, c.now.Add(-window)); float64(n) > slack {
+				r.Fatalf("%d repeats in a window, %v allowed", n, slack)
+			}
+		}
+	})
 	is := is.New(t)
-	w := &WindowedBudget{Clock: &manualClock{now: clock.Instant(time.Hour)}, Window: 10 * time.Second, Slack: func() float64 { return 8 }}
-	for range 6 {
-		is.True(w.AllowKeeping(0.25))
+	c := &manualClock{now: clock.Instant(time.Hour)}
+	w := &WindowedBudget{Clock: c, Window: 10 * time.Second, Ratio: 0.16, Slack: func() float64 { return 0.84 }}
+	is.True(!w.Allow())
+	c.now = c.now.Add(20 * time.Second)
+	for range 4 {
+		w.CountFirst()
 	}
-	is.True(!w.AllowKeeping(0.25))
-	is.True(w.Allow())
-	is.True(w.Allow())
+	is.Equal(w.Take(0), FromSlack) // 0.64 of it from the ratio
 	is.True(!w.Allow())
 }
 
