Starting nodes spare a store that does not answer

Callers lost nothing by it, but a platform that comes back is knocked over again by its clients.

What a process has learnt of the store's state ends with it. A node without a configuration counted as one that keeps the full rate, and a node without rows knows no peer to ask: 71 of them each asked for configuration, endpoints, rows and the write of their own row twice a second.

Ruled out: peers that ask for all (a node that starts knows no address but the store's); longer backoffs of each kind of call (four kinds, and a large fleet's first second).

Change: storeGate in front of the store's client. After the first failure of a process that has had no answer yet one call passes at a time, after 0.5 s and then doubling to 1 s (large nodes) or 3 s (small ones), with jitter. The first answer opens it for good. The time in which a starting node looks for others before it reads the store itself counts from that answer: all nodes would otherwise read all rows at once on the store's return. The write of a node's own row backs off too.

Test: TestStartingFleetSparesFailingStore (6, 72 and 985 nodes in virtual time). The simulated store counted all pages of a read that fails at its first one; it counts one now.

--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -107,13 +107,14 @@
 
 // expectsRowFromHolder reports whether this node leaves the write of its row to a duty holder.
 func (n *Node) expectsRowFromHolder() bool {
-	return n.Clock.Now().Sub(n.startedAt) < announceDelay && n.mayDeferLeaseRead() && (n.isSeeking() || n.follower.isFollowing())
+	return n.storeGate.age() < announceDelay && n.mayDeferLeaseRead() && (n.isSeeking() || n.follower.isFollowing())
 }
 
 // runAnnounce makes sure that this node's row exists, and deletes it when ctx ends.
 func (n *Node) runAnnounce(ctx context.Context) error {
 	const retryInterval = 500 * time.Millisecond
 	c, vm := n.leaseCache, n.Settings.VM
+	var failures backoff
 	for !n.hasOwnRow() {
 		pause := announceCheckInterval
 		if !n.expectsRowFromHolder() {
@@ -123,7 +124,7 @@
 			if err == nil {
 				break
 			}
-			pause = retryInterval
+			pause = failures.recordFailure(retryInterval)
 		}
 		if !clock.Sleep(ctx, pause) {
 			return nil
--- a/internal/entry/backoff.go
+++ b/internal/entry/backoff.go
@@ -45,10 +45,10 @@
 const fullRateNodes = 4
 
 // usesFullRate reports whether this node calls a failing store at the usual rate: duty
-// holders, nodes without a configuration, and a few of the zone's largest nodes, ordered by
-// a hash of their names.
+// holders and a few of the zone's largest nodes, ordered by a hash of their names. The calls of a
+// node that knows no other one are spaced by the storeGate.
 func (n *Node) usesFullRate() bool {
-	if n.holdsAnyDuty() || n.config.current.Load() == nil {
+	if n.holdsAnyDuty() || n.config.current.Load() == nil && !n.leaseCache.hasRows() {
 		return true
 	}
 	return slices.Contains(n.leaseCache.largestNodes(n.Settings.Zone, fullRateNodes), n.Settings.VM)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -72,6 +72,7 @@
 // Node is a node of the system, created by New and started by Run.
 type Node struct {
 	Options
+	storeGate         *storeGate
 	config            *configWatcher
 	evacuations       *evacuations
 	eras              *eraTracker
@@ -171,7 +172,9 @@
 
 // New returns a node that is started by Run.
 func New(o Options) *Node {
-	n := &Node{Options: o, startedAt: o.Clock.Now(), stateKnown: make(chan struct{})}
+	gate := newStoreGate(o)
+	o.Store = gate
+	n := &Node{Options: o, storeGate: gate, startedAt: o.Clock.Now(), stateKnown: make(chan struct{})}
 	n.links = n.newLinkMonitor()
 	n.dialer, n.tunnels = n.newDialer(), n.newTunnelServer()
 	n.pool = &upstream.Pool{Clock: o.Clock, Dial: n.dialer.Dial, IsUsable: n.isUsableIdle}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -77,7 +77,7 @@
 func (f *follower) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		f.nextInterval = followInterval
-		if f.node.isSeeking() {
+		if f.node.isSeeking() && !f.node.storeGate.isClosed() {
 			f.nextInterval = seekInterval
 		}
 		f.node.lookup.run(ctx)
--- a/internal/entry/start.go
+++ b/internal/entry/start.go
@@ -30,10 +30,10 @@
 )
 
 // isSeeking reports whether this node has just started and leaves reading the store to
-// others. In a small fleet each node reads at once, because the data is needed sooner and
+// others; it goes on for as long as the store hasn't answered. In a small fleet each node reads at once, because the data is needed sooner and
 // the calls are few.
 func (n *Node) isSeeking() bool {
-	if n.Clock.Now().Sub(n.startedAt) >= seekDuration || n.config.current.Load() != nil {
+	if n.storeGate.age() >= seekDuration || n.config.current.Load() != nil {
 		return false
 	}
 	if !n.leaseCache.hasRows() {
@@ -88,7 +88,9 @@
 	defer cancel()
 	row, err := n.Store.Get(ctx, table.TableLeases, n.Settings.Zone)
 	if err != nil {
-		n.Log.Info("holder of the zone's duty not looked up", "err", err)
+		if !errors.Is(err, errStoreSilent) {
+			n.Log.Info("holder of the zone's duty not looked up", "err", err)
+		}
 		return
 	}
 	var value lease.Row
@@ -119,7 +121,7 @@
 // start together would read the square of their number. Without an answer of the holder, the
 // nodes of a large fleet read them one after the other.
 func (n *Node) defersLeaseRead() bool {
-	age := n.Clock.Now().Sub(n.startedAt)
+	age := n.storeGate.age()
 	if age >= seekDuration || !n.mayDeferLeaseRead() || n.leaseCache.hasRows() {
 		return false
 	}
@@ -141,7 +143,7 @@
 // still names it. The zone's other nodes poll it meanwhile: it reads the store, since a node that
 // follows another one answers no polls.
 func (n *Node) isRestartedHolder() bool {
-	return n.Clock.Now().Sub(n.startedAt) < seekDuration && n.leaseCache.owner(n.Settings.Zone) == n.Settings.VM
+	return n.storeGate.age() < seekDuration && n.leaseCache.owner(n.Settings.Zone) == n.Settings.VM
 }
 
 // isConfigFed reports whether the configuration comes from another node.
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -52,11 +52,13 @@
 func (s *worldStore) call(kind string, pages, bytes int) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls[kind] += max(1, pages)
-	s.bytes += bytesPerEmptyCall*max(1, pages) + bytes
 	if s.down {
+		s.calls[kind]++ // the first page fails
+		s.bytes += bytesPerEmptyCall
 		return errStoreDown
 	}
+	s.calls[kind] += max(1, pages)
+	s.bytes += bytesPerEmptyCall*max(1, pages) + bytes
 	return nil
 }
 
