A new process earns its first request to a cold endpoint

Each new process of a node had a full token for each cold endpoint, so a node that is killed in series sends one request more with each start.

Change: the bucket's tokens count from the start of the process. One that has run for longer than the time between two requests sends at once as before; one that has just started waits for its share.

TestProcessesInSeriesKeepTheColdRate was red before: 20 requests by 20 processes of 400 ms, none allowed at 0.5 requests a second.

--- a/internal/backpressure/cold.go
+++ b/internal/backpressure/cold.go
@@ -22,8 +22,9 @@
 // seconds, so that no other node replaces a sender that is idle or lost: two nodes with different
 // views of the senders' state would both send. It has no clock and no lock, and does no I/O.
 type coldRates struct {
-	node string
-	byID map[ID]*coldBucket
+	node      string
+	startedAt clock.Instant // of this process
+	byID      map[ID]*coldBucket
 }
 
 // coldBucket is this node's share of the rate of one cold endpoint.
@@ -33,7 +34,9 @@
 	refilledAt clock.Instant
 }
 
-func newColdRates(self string) *coldRates { return &coldRates{node: self, byID: map[ID]*coldBucket{}} }
+func newColdRates(self string, now clock.Instant) *coldRates {
+	return &coldRates{node: self, startedAt: now, byID: map[ID]*coldBucket{}}
+}
 
 // isAllowed reports whether this node may send a request to an endpoint with that cold rate now.
 func (cs *coldRates) isAllowed(id ID, rate float64, now clock.Instant, order func(ID) []string) bool {
@@ -42,7 +45,8 @@
 	}
 	b := cs.byID[id]
 	if b == nil {
-		b = &coldBucket{rate: shareOfColdRate(rate, cs.node, order(id)), tokens: 1, refilledAt: now}
+		// The node's previous process may have used its share just before this one started.
+		b = &coldBucket{rate: shareOfColdRate(rate, cs.node, order(id)), refilledAt: cs.startedAt}
 		cs.byID[id] = b
 	}
 	return b.rate > 0 && b.availableTokens(now) >= 1
--- a/internal/backpressure/cold_test.go
+++ b/internal/backpressure/cold_test.go
@@ -111,3 +111,31 @@
 		}
 	}
 }
+
+// Guards against a node's processes in series that each send a cold endpoint their first request at
+// once, beyond the node's share of its rate. A process that has run for long enough sends at once.
+func TestProcessesInSeriesKeepTheColdRate(t *testing.T) {
+	c := clock.NewManual(simStart)
+	const rate, lifetime, step = 2.0, 400 * time.Millisecond, 20 * time.Millisecond
+	start := func() *Guard {
+		return New(Options{Node: "a", Clock: c, SenderOrder: func(ID) []string { return []string{"a", "b", "c", "d"} }})
+	}
+	sent := 0
+	for range 20 {
+		g := start()
+		for range lifetime / step {
+			c.Advance(step)
+			if g.TakeCold("e", rate) {
+				sent++
+			}
+		}
+	}
+	if sent > 0 {
+		t.Errorf("%d requests by processes that are younger than the time between two", sent)
+	}
+	g := start()
+	c.Advance(5 * time.Second)
+	if !g.TakeCold("e", rate) {
+		t.Error("a process that has sent nothing for seconds may send nothing")
+	}
+}
--- a/internal/backpressure/guard.go
+++ b/internal/backpressure/guard.go
@@ -64,7 +64,7 @@
 		o.Log = slog.New(slog.DiscardHandler)
 	}
 	g := &Guard{
-		Options: o, limits: newLimits(o.Node), cold: newColdRates(o.Node), backoffs: newBackoffs(o.Node), leaving: leavingEndpoints{},
+		Options: o, limits: newLimits(o.Node), cold: newColdRates(o.Node, o.Clock.Now()), backoffs: newBackoffs(o.Node), leaving: leavingEndpoints{},
 	}
 	g.metrics = newMetrics(o.Registerer, g)
 	g.quiet.Store(true)
