retry.Budget starts without unused retries

Same cause as the retry slack of entry nodes, on the other way to serve: each new process had the whole burst of ten retries.

TestProcessesInSeriesShareTheBurst was red before: 55 retries by five processes of 2 s, 10 earned.

--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -71,7 +71,8 @@
 	return 2
 }
 
-// NewBudget returns a Budget with a full burst.
+// NewBudget returns a Budget without unused retries: the previous process on the VM may just have
+// used the whole burst.
 func NewBudget(o BudgetOptions) *Budget {
 	setDefault(&o.Ratio, defaultRatio)
 	setDefault(&o.MinPerSecond, defaultMinPerSecond)
@@ -86,7 +87,7 @@
 	b.SetRatio(o.Ratio)
 	b.randomState.Store(o.Seed)
 	for i := range b.accounts {
-		b.accounts[i].spentUntil.Store(int64(o.Clock.Now().Add(-b.burst)))
+		b.accounts[i].spentUntil.Store(int64(o.Clock.Now()))
 	}
 	b.registerMetrics(o.Registerer)
 	return b
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -199,3 +199,23 @@
 		}
 	})
 }
+
+// Guards against a burst of retries that each of several processes on one VM uses.
+func TestProcessesInSeriesShareTheBurst(t *testing.T) {
+	c := clock.NewManual(clock.Instant(time.Hour))
+	start, retries := c.Now(), 0
+	for range 5 {
+		b := NewBudget(BudgetOptions{Clock: c})
+		for range 20 {
+			c.Advance(100 * time.Millisecond)
+			for ok := true; ok; {
+				if ok, _ = b.Allow(request.ClassModel); ok {
+					retries++
+				}
+			}
+		}
+	}
+	if most := defaultMinPerSecond * c.Now().Sub(start).Seconds(); float64(retries) > most {
+		t.Errorf("%d retries by five processes, %v allowed", retries, most)
+	}
+}
