Few idle connections while the number of nodes is unknown

A node that has read no rows of nodes counted as the only one, and kept up to 16 idle connections to an endpoint that limits those of all nodes together. It keeps one until it knows how many nodes there are. TestIdleConnectionsAreFewWhileNodesAreUnknown was red before (16).

--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -69,6 +69,19 @@
 	}
 }
 
+// Guards against a node that keeps the idle connections of the whole fleet to an endpoint while it
+// doesn't know how many nodes there are.
+func TestIdleConnectionsAreFewWhileNodesAreUnknown(t *testing.T) {
+	is := is.New(t)
+	cat, err := catalog.New(catalog.Document{Version: 1, Services: []catalog.Service{{Name: "s", MaxConns: 300}}})
+	is.NoErr(err)
+	nodes := 0
+	x := &exchange{f: &Forwarder{NodeCount: func() int { return nodes }}, service: "s", catalog: cat}
+	is.Equal(x.maxIdleConns(), 1)
+	nodes = 45
+	is.Equal(x.maxIdleConns(), 5)
+}
+
 // tcpPair returns the two ends of a TCP connection.
 func tcpPair(t *testing.T) (client, server net.Conn) {
 	t.Helper()
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -309,11 +309,14 @@
 		idleShare = 0.75 // of an endpoint's connections; the rest is for running requests
 		most      = 16
 	)
-	s := x.catalog.Service(x.service)
-	if s == nil || s.MaxConns <= 0 {
+	s, nodes := x.catalog.Service(x.service), x.f.NodeCount()
+	switch {
+	case s == nil || s.MaxConns <= 0:
 		return most
+	case nodes == 0: // not known yet
+		return 1
 	}
-	return min(most, int(idleShare*float64(s.MaxConns))/max(1, x.f.NodeCount()))
+	return min(most, int(idleShare*float64(s.MaxConns))/nodes)
 }
 
 // connect returns a connection to the endpoint. A request that may run only once gets a new
