Nodes killed in series are played as processes

The soak has a variant in which most nodes are killed up to three times in series beside its other faults, while plain endpoints refuse most requests; the stand-ins count repeats, and every window is held against the platform's limit. In the usual soak the limit is as wide as before.

--- a/test/entry_soak_test.go
+++ b/test/entry_soak_test.go
@@ -33,6 +33,7 @@
 	*entryFleet
 	rng      *rand.Rand // for the faults
 	hasRanks bool       // streams differ in rank
+	kills    *rand.Rand // for kills in series; nil: none
 	bursts   sync.WaitGroup
 
 	mu         sync.Mutex
@@ -70,6 +71,32 @@
 	}
 }
 
+// tightRetryLimit leaves three nodes few repeats beside those of the ratio.
+var tightRetryLimit = platformtest.RetryLimit{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}
+
+// TestEntrySoakWithKillsInSeries does the same where plain endpoints refuse most requests and nodes
+// are killed several times within a window of the limit of repeats, which all processes together
+// must keep to.
+func TestEntrySoakWithKillsInSeries(t *testing.T) {
+	for i := range *soakSeeds {
+		seed := *soakSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			s := &soak{
+				entryFleet: startEntryFleetWithin(t, tightRetryLimit, "", (*platformtest.Store).SendEras, "a", "a", "b"),
+				rng:        rand.New(rand.NewPCG(seed, 0)), kills: rand.New(rand.NewPCG(seed, 1000)),
+			}
+			s.run(seed)
+			for _, service := range []string{"plain", "engines"} {
+				text, exceeded := s.fleet.MostRepeats(service, tightRetryLimit)
+				t.Log(text)
+				if exceeded {
+					t.Error(text)
+				}
+			}
+		})
+	}
+}
+
 // batchRoute is a route of streams that are less urgent than those of /text/.
 const batchRoute = `,
  {"name":"batch","host":"h.example","prefix":"/batch/","type":"stream","timeout_ms":20000,"target_latency_ms":2000,
@@ -81,11 +108,16 @@
 
 // runSoak runs the soak test with one seed and the given routes beside the usual ones.
 func runSoak(t *testing.T, seed uint64, furtherRoutes string) {
-	is := is.New(t)
 	s := &soak{
 		entryFleet: startEntryFleetWith(t, furtherRoutes, (*platformtest.Store).SendEras, "a", "a", "b"),
 		rng:        rand.New(rand.NewPCG(seed, 0)), hasRanks: furtherRoutes != "",
 	}
+	s.run(seed)
+}
+
+// run injects faults, then checks what clients and endpoints have seen.
+func (s *soak) run(seed uint64) {
+	t, is := s.t, is.New(s.t)
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	for c := range 6 {
@@ -95,11 +127,19 @@
 			s.client(fmt.Sprintf("s%d-c%d", seed, c), rand.New(rand.NewPCG(seed, uint64(c)+1)), stop)
 		}()
 	}
+	if s.kills != nil {
+		for c := range 12 {
+			clients.Go(func() { s.lookUp(fmt.Sprintf("s%d-l%d", seed, c), requestInterval, stop) })
+		}
+	}
 	for end := time.Now().Add(*soakTime); time.Now().Before(end); {
 		s.injectFault()
 		if s.hasRanks {
 			s.injectLoad(seed)
 		}
+		if s.kills != nil {
+			s.injectKills()
+		}
 		time.Sleep(time.Duration(100+s.rng.IntN(500)) * time.Millisecond) // interval between faults
 	}
 	s.clearFaults()
@@ -193,6 +233,38 @@
 	}
 }
 
+// injectKills kills most nodes up to three times in series, while the plain endpoints refuse most
+// requests.
+func (s *soak) injectKills() {
+	for _, id := range []string{"i-p0", "i-p1"} {
+		s.fleet.Get(id).SetHandler(refuseMost)
+	}
+	for range 1 + s.kills.IntN(3) {
+		s.mu.Lock()
+		nodes := slices.Clone(s.nodes)
+		s.mu.Unlock()
+		s.kills.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+		for _, n := range nodes[s.kills.IntN(len(nodes)):] {
+			s.faults = append(s.faults, fmt.Sprintf("%s kill of %s", time.Now().Format(time.TimeOnly), n.name))
+			s.restart(n, syscall.SIGKILL)
+		}
+		time.Sleep(time.Duration(300+s.kills.IntN(900)) * time.Millisecond) // life of the processes
+	}
+}
+
+// refuseMost refuses all requests but those of every eighth request id, by its last character.
+func refuseMost(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	if id != "" && id[len(id)-1]%8 == 0 {
+		w.Header().Set("X-Request-Id", id)
+		w.Header().Set("X-Server-Stamp", "stamp")
+		_, _ = io.WriteString(w, r.URL.Path) // the caller may have disconnected
+		return
+	}
+	w.Header().Set("X-Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // injectLoad makes a random engine slow or usual again, or sends a burst of the least urgent streams.
 func (s *soak) injectLoad(seed uint64) {
 	const burst = 16 // as many as the slots of the two groups
@@ -415,6 +487,24 @@
 	}
 }
 
+// lookUp sends lookups to one node after the other until stop is closed.
+func (s *soak) lookUp(name string, interval time.Duration, stop <-chan struct{}) {
+	pause := time.NewTicker(interval)
+	defer pause.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-pause.C:
+		}
+		s.mu.Lock()
+		n := s.nodes[i%len(s.nodes)]
+		s.mu.Unlock()
+		id := fmt.Sprintf("%s.%s-%d", callerID(n), name, i)
+		s.checkCall(n, "GET", "/lookup/"+id, id, 3)
+	}
+}
+
 // checkStream requests a stream of the given number of events and checks the
 // events that arrive.
 func (s *soak) checkStream(n *entryNode, id string, events int) {
--- a/test/entry_test.go
+++ b/test/entry_test.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -32,8 +33,12 @@
 	// furtherRoutes are routes that the document has beside the usual ones, in JSON with a leading
 	// comma.
 	furtherRoutes string
+	retryLimit    platformtest.RetryLimit
 }
 
+// usualRetryLimit is so wide that it doesn't bind.
+var usualRetryLimit = platformtest.RetryLimit{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second}
+
 // entryNode is the process of an entry node with its client and readiness
 // addresses.
 type entryNode struct {
@@ -57,9 +62,9 @@
 bounds.drain_ms=2000
 bounds.grace_s=8
 bounds.stall_ms=4000
-bounds.retry_budget_ratio=0.2
-bounds.budget_slack=1000
-bounds.budget_window_s=10
+bounds.retry_budget_ratio=%v
+bounds.budget_slack=%v
+bounds.budget_window_s=%v
 bounds.ceiling_over=1.1
 bounds.ceiling_window_s=5
 platform.address=%s
@@ -89,7 +94,13 @@
 // startEntryFleetWith starts a fleet whose document has further routes.
 func startEntryFleetWith(t *testing.T, furtherRoutes string, prepare func(*platformtest.Store), zones ...string) *entryFleet {
 	t.Helper()
-	f := &entryFleet{t: t, store: platformtest.NewStore(), keys: []string{`"k1"`, `"k2"`}, furtherRoutes: furtherRoutes}
+	return startEntryFleetWithin(t, usualRetryLimit, furtherRoutes, prepare, zones...)
+}
+
+// startEntryFleetWithin does the same with a limit of repeats.
+func startEntryFleetWithin(t *testing.T, limit platformtest.RetryLimit, furtherRoutes string, prepare func(*platformtest.Store), zones ...string) *entryFleet {
+	t.Helper()
+	f := &entryFleet{t: t, store: platformtest.NewStore(), keys: []string{`"k1"`, `"k2"`}, furtherRoutes: furtherRoutes, retryLimit: limit}
 	t.Cleanup(f.store.Close)
 	prepare(f.store)
 	f.fleet = platformtest.NewFleet(f.store)
@@ -161,7 +172,8 @@
 	_, port, err := net.SplitHostPort(addrs[2])
 	must(f.t, err)
 	file := filepath.Join(f.t.TempDir(), vm+".conf")
-	text := fmt.Sprintf(entrySettings, vm, zone, ip, n.front, n.ready, port, port, f.store.Addr)
+	limit := f.retryLimit
+	text := fmt.Sprintf(entrySettings, vm, zone, ip, n.front, n.ready, port, port, limit.Ratio, limit.Slack, limit.Window.Seconds(), f.store.Addr)
 	must(f.t, os.WriteFile(file, []byte(text), 0o600))
 	n.process = startProcess(f.t, vm, "entry", "--settings", file, "--verbose")
 	f.t.Cleanup(func() { checkLogs(f.t, n.process) })
@@ -180,6 +192,11 @@
 
 // request builds a client's request to a node.
 func (f *entryFleet) request(ctx context.Context, n *entryNode, method, path, id, body string, header map[string]string) *http.Request {
+	service := "plain"
+	if strings.HasPrefix(path, "/text/") || strings.HasPrefix(path, "/batch/") {
+		service = "engines"
+	}
+	f.fleet.RecordSent(service)
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.front+path, strings.NewReader(body))
 	must(f.t, err)
 	req.Host = "h.example"
