--- a/internal/entry/start.go
+++ b/internal/entry/start.go
@@ -30,8 +30,8 @@
 )
 
 // isSeeking reports whether this node has just started and leaves reading the store to
-// others; it goes on for as long as the store hasn't answered. In a small fleet each node reads at once, because the data is needed sooner and
-// the calls are few.
+// others; it goes on for as long as the store hasn't answered. In a small fleet each node reads
+// at once, because the data is needed sooner and the calls are few.
 func (n *Node) isSeeking() bool {
 	if n.storeGate.age() >= seekDuration || n.config.current.Load() != nil {
 		return false
