Slack is gained from the start of the process, not from the first request

What callers saw: a node refused the first requests of a service whose endpoint turned them away, though its process had run for seconds.

Cause: the budget of a service is created with its first request, and its empty bucket began to fill only then. Ruled out: the load; with a plentiful limit (800 for the node) no retry may be denied.

Change: the bucket gains from the start of the process on. The bound is the same: what the processes of a VM gain in a window is at most the window's part, however it is counted within each.

TestSlackIsGainedFromTheStartOfTheProcess guards it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -337,7 +337,7 @@
 func (n *Node) newBudget() *retry.WindowedBudget {
 	s := n.Settings
 	return &retry.WindowedBudget{
-		Clock: n.Clock, Window: s.RetryWindow, Ratio: s.RetryRatio * retryBudgetShare,
+		Clock: n.Clock, Window: s.RetryWindow, Ratio: s.RetryRatio * retryBudgetShare, Since: n.startedAt,
 		Slack: func() float64 {
 			if nodes := n.budgetNodes(); nodes > 0 {
 				return s.RetrySlack * retryBudgetShare / float64(nodes)
--- a/internal/retry/windowed.go
+++ b/internal/retry/windowed.go
@@ -15,12 +15,14 @@
 //
 // A process doesn't know what the previous one on its VM has sent. The repeats of the ratio are
 // earned by first tries that this process has counted. Those of the slack come from a bucket that
-// is empty at the start; its capacity and what it gains in a window add up to the slack, for any
+// is empty at the start of the process; its capacity and what it gains in a window add up to the slack, for any
 // number of processes one after the other. It is safe for concurrent use.
 type WindowedBudget struct {
 	Clock  clock.Clock
 	Window time.Duration
 	Ratio  float64
+	// Since is when this process started.
+	Since clock.Instant
 	// Slack returns the VM's repeats per window beyond the ratio; 0: its share isn't known.
 	Slack func() float64
 
@@ -60,12 +62,11 @@
 	refilledAt clock.Instant
 }
 
-// refill adds the tokens gained since the last call, up to the capacity.
-func (b *slackBucket) refill(now clock.Instant, slack float64, window time.Duration) {
-	gained := 0.0
-	if b.refilledAt != 0 {
-		gained = (1 - slackBurstShare) * slack * now.Sub(b.refilledAt).Seconds() / window.Seconds()
-	}
+// refill adds the tokens gained since the last call, or since the process started, up to the
+// capacity.
+func (b *slackBucket) refill(now, started clock.Instant, slack float64, window time.Duration) {
+	from := max(b.refilledAt, started)
+	gained := (1 - slackBurstShare) * slack * now.Sub(from).Seconds() / window.Seconds()
 	b.tokens, b.refilledAt = min(slackBurstShare*slack, b.tokens+gained), now
 }
 
@@ -103,7 +104,7 @@
 	slot := int64(now) / int64(w.Window/windowedSlots)
 	w.firsts.advance(slot)
 	w.repeats.advance(slot)
-	w.slackLeft.refill(now, w.Slack(), w.Window)
+	w.slackLeft.refill(now, w.Since, w.Slack(), w.Window)
 }
 
 // CountFirst counts the first try of a request.
--- a/internal/retry/windowed_test.go
+++ b/internal/retry/windowed_test.go
@@ -101,7 +101,7 @@
 		slack := rapid.SampledFrom([]float64{0.84, 3, 20}).Draw(r, "slack")
 		c := &manualClock{now: clock.Instant(time.Hour)}
 		start := func() *WindowedBudget {
-			return &WindowedBudget{Clock: c, Window: window, Slack: func() float64 { return slack }}
+			return &WindowedBudget{Clock: c, Window: window, Since: c.now, Slack: func() float64 { return slack }}
 		}
 		w := start()
 		var repeats []clock.Instant
@@ -121,7 +121,7 @@
 	})
 	is := is.New(t)
 	c := &manualClock{now: clock.Instant(time.Hour)}
-	w := &WindowedBudget{Clock: c, Window: 10 * time.Second, Ratio: 0.16, Slack: func() float64 { return 0.84 }}
+	w := &WindowedBudget{Clock: c, Window: 10 * time.Second, Ratio: 0.16, Since: c.now, Slack: func() float64 { return 0.84 }}
 	is.True(!w.Allow())
 	c.now = c.now.Add(20 * time.Second)
 	for range 4 {
@@ -131,6 +131,16 @@
 	is.True(!w.Allow())
 }
 
+// Guards against a budget that is created with the first request of a service and has no slack then,
+// although its process has run for long enough to have gained some.
+func TestSlackIsGainedFromTheStartOfTheProcess(t *testing.T) {
+	is := is.New(t)
+	c := &manualClock{now: clock.Instant(time.Hour)}
+	w := &WindowedBudget{Clock: c, Window: 10 * time.Second, Since: c.now.Add(-time.Second), Slack: func() float64 { return 20 }}
+	is.True(w.Allow())
+	is.True(!w.Allow())
+}
+
 // countAfter counts the instants after since.
 func countAfter(all []clock.Instant, since clock.Instant) int {
 	n := 0
