peer: an answer that a closing node leaves unfinished is cut, not failed

What a caller saw: a node that closed during an answer was reported as an internal failure, where the answer was cut.

Cause: the handler of a closing node returns when its context ends, without Finish. Its End frame says "the node failed" and may reach the other node before the connection closes. Ruled out: the other sources of that kind, by reading; none is reached once an answer has started.

Change: the reason is "the answer was cut" where the handler's context has ended. TestUnfinishedAnswerOfClosingNodeIsCut guards it.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -302,6 +302,16 @@
 	is.Equal(r.end.Error.Kind, outcome.AnswerCut)
 }
 
+// Guards against an answer that is reported as an internal failure because its node closes: the
+// handler may return, and its End frame arrive, before the connection closes.
+func TestUnfinishedAnswerOfClosingNodeIsCut(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	is.Equal(unfinishedReason(ctx).Kind, outcome.Internal)
+	cancel()
+	is.Equal(unfinishedReason(ctx).Kind, outcome.AnswerCut)
+}
+
 // A draining node must refuse new requests as not run and complete the one in
 // flight: Drain returns only after the caller has received the whole answer.
 func TestDrain(t *testing.T) {
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -131,7 +131,7 @@
 	req.TraceParent = traceParent(ctx, req.TraceParent)
 	w := &relayWriter{mesh: m, stream: s, sum: newSummary(false)}
 	m.runHandler(ctx, h, req, w)
-	w.close()
+	w.close(ctx)
 	m.metrics.served.WithLabelValues(w.result()).Inc()
 	endSpan(span, w.result(), w.failure)
 	// The other node closes its side when it has received the whole answer. From
@@ -274,13 +274,22 @@
 
 // close closes the stream. If the handler returned without calling Finish, it
 // first sends an End frame with an error.
-func (w *relayWriter) close() {
+func (w *relayWriter) close(ctx context.Context) {
 	if !w.finished {
-		w.Finish(answer.End{Error: outcome.New(outcome.Internal, outcome.Unknown, "the node failed", remedyLookUp)})
+		w.Finish(answer.End{Error: unfinishedReason(ctx)})
 	}
 	w.stream.Close()
 }
 
+// unfinishedReason returns the reason why a handler with this context returned without calling
+// Finish. A handler that was cancelled, as when the node closes, has not failed.
+func unfinishedReason(ctx context.Context) *outcome.Error {
+	if ctx.Err() != nil {
+		return outcome.New(outcome.AnswerCut, outcome.Unknown, "the answer was cut", remedyLookUp).WithCause(ctx.Err())
+	}
+	return outcome.New(outcome.Internal, outcome.Unknown, "the node failed", remedyLookUp)
+}
+
 func (w *relayWriter) result() string {
 	switch {
 	case w.whole && w.firstErr == nil:
