A node uses retry slack only once it finds itself among the announced nodes

What callers and endpoints see: while a fleet starts for the first time and engines refuse, more retries than the platform's slack allows.

Cause: a node divided the slack by the rows that it knew, whichever they were. One that had written its own row before its first read counted one node; the small nodes of a large fleet received the rows of the first ten and kept to a tenth of the slack each, 975 of 985 nodes for 0.9 s.

Ruled out by the same plays: nodes that freeze and wake, leave for good and come back, join, are cut off with their zone, a store that is away for longer than a lease, zones of unequal size. A slack or ratio that changes in a window does not exist: settings take effect at the next start, whose bucket is empty. A service behind two routes has one budget, which is created by service.

Change: the number of nodes counts as known once rows that were read or received have the node's own row; its own write is not enough. A node that writes its row itself reads the rows right after it. The idle connections to an endpoint use the same number. The log says once how many nodes share the slack and how long after the start.

Test: TestFleetKeepsToTheRetrySlack plays nodes with their own reads, feeds and leases in virtual time.

Checks changed: TestRetryBudgetSharedByNodes and the fleet of TestRestartedProcessesKeepToTheRetryLimit had rows without the node's own; it is now one of them, and rows without it must give no slack. The process tests wait for the new log line before they expect a retry: a node retries by the ratio alone until then, which TestEntryNeverRetriesNonIdempotentRequest met once. Its expectations are the same.

--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -110,6 +110,17 @@
 	return n.storeGate.age() < announceDelay && n.mayDeferLeaseRead() && (n.isSeeking() || n.follower.isFollowing())
 }
 
+// readAfterAnnounce reads the rows of the nodes that were announced before this one, unless they come
+// from another node: only rows with its own tell this node how many share the limits of the fleet.
+func (n *Node) readAfterAnnounce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	n.leaseCache.markOutdated()
+	if err := n.leaseCache.refresh(ctx, table.TableLeases); err != nil {
+		n.Log.Info("rows not read after the write of the node's row; the next read is due soon", "err", err)
+	}
+}
+
 // runAnnounce makes sure that this node's row exists, and deletes it when ctx ends.
 func (n *Node) runAnnounce(ctx context.Context) error {
 	const retryInterval = 500 * time.Millisecond
@@ -122,6 +133,7 @@
 			err := c.announce(wctx, vm, n.address())
 			cancel()
 			if err == nil {
+				n.readAfterAnnounce(ctx)
 				break
 			}
 			pause = failures.recordFailure(retryInterval)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -105,6 +105,7 @@
 	leaving           atomic.Bool            // SIGTERM was received
 	requestSeen       atomic.Bool            // a client request was received
 	nodePeak          recentPeak             // of the number of nodes
+	slackKnown        atomic.Bool            // the number of nodes has been known once
 }
 
 // Timing constants and limits of a node.
@@ -208,7 +209,7 @@
 		View:          n.view, NewBudget: n.newBudget, OnStaleEndpoint: n.refreshSoon, OnNoResponse: n.handleNoResponse, OnResponse: n.links.RecordResponse,
 		Started: n.stateKnown, OnSent: n.sendPlacement, SampleSize: n.sampleSize, ZoneLoad: func(zone, model string) board.MeanLoad { return n.loads.meanOf(zone, model) },
 		Quarantine: n.quarantineGuard, Backpressure: n.backpressureGuard,
-		NodeCount: func() int { return n.leaseCache.nodeCount() },
+		NodeCount: func() int { return n.leaseCache.listedNodeCount() },
 		Contended: n.isContended, ZoneNodeCount: func() int { return n.leaseCache.zoneNodeCount(n.Settings.Zone) },
 		MaxHeld: o.Settings.Memory / bodyMemoryDivisor,
 	}
@@ -218,7 +219,7 @@
 	n.config.isFedByPeer, n.roster.isFedByPeer = n.isConfigFed, n.isRosterFed
 	n.config.backoff.usesFullRate, n.roster.backoff.usesFullRate = n.usesFullRate, n.usesFullRate
 	n.leaseCache = &leaseCache{
-		Table: o.Store, clock: o.Clock, isFedByPeer: n.areLeasesFed, defersRead: n.defersLeaseRead, backoff: backoff{usesFullRate: n.usesFullRate},
+		Table: o.Store, clock: o.Clock, self: o.Settings.VM, isFedByPeer: n.areLeasesFed, defersRead: n.defersLeaseRead, backoff: backoff{usesFullRate: n.usesFullRate},
 		onRows: func(rows []table.Row) { n.quarantineGuard.ApplyPersisted(n.quarantineRows.ParseVerdicts(rows)) },
 	}
 	n.announcer = &rowAnnouncer{cache: n.leaseCache, log: o.Log, wake: make(chan struct{}, 1)}
@@ -350,7 +351,12 @@
 // budgetNodes returns among how many nodes the slack of the retry budget is divided; 0: unknown.
 // Nodes that have left since count for a window more: they may have used their share.
 func (n *Node) budgetNodes() int {
-	return n.nodePeak.observe(n.leaseCache.nodeCount(), n.Clock.Now(), n.Settings.RetryWindow)
+	now := n.Clock.Now()
+	nodes := n.nodePeak.observe(n.leaseCache.listedNodeCount(), now, n.Settings.RetryWindow)
+	if nodes > 0 && !n.slackKnown.Swap(true) {
+		n.Log.Info("share of the retry slack known", "nodes", nodes, "ms", now.Sub(n.startedAt).Milliseconds())
+	}
+	return nodes
 }
 
 func (n *Node) view() forward.View {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -199,12 +199,14 @@
 	}
 	is.Equal(usesInWindow(), 0)
 	rows := func(nodes int) {
-		var out []table.Row
-		for i := range nodes {
+		out := []table.Row{addrRow("me", "10.0.0.1:1")}
+		for i := range nodes - 1 {
 			out = append(out, addrRow(string(rune('A'+i)), "10.0.0.1:1"))
 		}
 		n.leaseCache.applyRows(out, 0)
 	}
+	n.leaseCache.applyRows([]table.Row{addrRow("A", "10.0.0.1:1")}, 0) // this node isn't announced yet
+	is.Equal(usesInWindow(), 0)
 	rows(20)
 	is.True(usesInWindow() > 0)
 	is.True(usesInWindow()*20 <= 100)
--- a/internal/entry/leases.go
+++ b/internal/entry/leases.go
@@ -36,6 +36,7 @@
 type leaseCache struct {
 	Table       leaseStore
 	clock       clock.Clock
+	self        string      // VM of this node
 	isFedByPeer func() bool // reports whether another node supplies the rows
 	// defersRead reports whether another node is expected to supply the first rows; nil: no.
 	defersRead func() bool
@@ -53,6 +54,9 @@
 	cursor table.Cursor  // position of the rows in the table's history; zero: another node read them
 	rows   map[string]table.Row
 	index  *rowIndex // index of rows; nil: outdated
+	// listsSelf reports whether this node's row was among the rows when they were last read or
+	// received: those of the nodes that started with it are most likely there as well.
+	listsSelf bool
 }
 
 // rowIndex indexes the rows by node and duty. It is used several times per request and
@@ -196,6 +200,7 @@
 	if changed {
 		c.index = nil
 	}
+	c.updateListsSelf()
 	c.mu.Unlock()
 	if changed {
 		c.onRows(c.allRows())
@@ -209,8 +214,12 @@
 	for _, r := range rows {
 		c.rows[r.Key] = r
 	}
+	c.updateListsSelf()
 }
 
+// updateListsSelf is called after the rows were read or received; c.mu must be held.
+func (c *leaseCache) updateListsSelf() { _, c.listsSelf = c.rows[nodePrefix+c.self] }
+
 // applyRows replaces the rows by those that another node has read, unless they are from an
 // earlier era.
 func (c *leaseCache) applyRows(rows []table.Row, era uint64) {
@@ -316,6 +325,13 @@
 	return err
 }
 
+// markOutdated makes the next refresh read the rows.
+func (c *leaseCache) markOutdated() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readAt = 0
+}
+
 // withdraw deletes the node's row.
 func (c *leaseCache) withdraw(ctx context.Context, vm string) error {
 	_, err := c.Commit(ctx, table.Txn{
@@ -401,6 +417,17 @@
 	return len(c.rowIndex().nodes[zone])
 }
 
+// listedNodeCount returns the number of nodes announced in all zones, or 0 if this node is not
+// listed among them yet: the rows may then be those of a fleet that has just begun to start.
+func (c *leaseCache) listedNodeCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.listsSelf {
+		return 0
+	}
+	return len(c.rowIndex().addrs)
+}
+
 // nodeCount returns the number of nodes announced in all zones.
 func (c *leaseCache) nodeCount() int {
 	c.mu.Lock()
--- a/internal/entry/restart_test.go
+++ b/internal/entry/restart_test.go
@@ -46,7 +46,8 @@
 	rng := rand.New(rand.NewPCG(seed, 1))
 	c := clock.NewManual(clock.Instant(time.Hour))
 	var rows []table.Row
-	for i := range p.nodes {
+	rows = append(rows, addrRow("me", "10.0.0.1:1")) // each process has this name
+	for i := range p.nodes - 1 {
 		rows = append(rows, addrRow(fmt.Sprint("vm", i), "10.0.0.1:1"))
 	}
 	vms := make([]*retryVM, p.nodes)
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -184,9 +184,11 @@
 	clock   bubbleClock
 	zones   []string
 	perZone int
+	large   int // nodes of each zone that are large
 
 	mu    sync.Mutex
 	nodes map[string]*worldNode // by address
+	cuts  map[string]time.Time  // when the cut of a zone from the store and from other zones ends
 }
 
 type worldNode struct {
@@ -194,9 +196,11 @@
 	feed *feed.Server
 	stop context.CancelFunc
 	done sync.WaitGroup
+	// isIsolated is set while the node reaches nothing and isn't reached.
+	isIsolated bool
 }
 
-// largeNodes is the number of large nodes in each zone; the others are small.
+// largeNodes is the usual number of large nodes in each zone; the others are small.
 const largeNodes = 2
 
 // newWorld returns a world with endpoints but without running nodes. It must be called in a
@@ -207,7 +211,7 @@
 			rows: map[string]table.Row{}, deleted: map[string]table.Row{}, calls: map[string]int{}, started: time.Now(),
 			doc: &catalog.Document{Version: 1}, evacuated: map[string]bool{},
 		},
-		clock: bubbleClock{time.Now()}, perZone: perZone, nodes: map[string]*worldNode{},
+		clock: bubbleClock{time.Now()}, perZone: perZone, large: largeNodes, nodes: map[string]*worldNode{}, cuts: map[string]time.Time{},
 	}
 	for z := range zones {
 		w.zones = append(w.zones, fmt.Sprintf("z%d", z))
@@ -232,20 +236,21 @@
 
 func (w *world) start(zone string, i int, bootstrap bool) {
 	cores := 0.2
-	if i < largeNodes {
+	if i < w.large {
 		cores = 0.8
 	}
 	vm := fmt.Sprintf("%s-%d", zone, i)
+	x := &worldNode{}
 	n := New(Options{
 		Settings: &Settings{
 			VM: vm, Zone: zone, Zones: w.zones, Cores: cores, PeerAddr: vm, Bootstrap: bootstrap, RevokeAfter: 5 * time.Second,
 			MaxConfigDelay: 5 * time.Second, StrictRevocation: true, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
 		},
-		Store: w.store, Clock: w.clock, Log: slog.New(slog.DiscardHandler), Registry: prometheus.NewRegistry(),
+		Store: nodeStore{w.store, func() bool { return !w.reachesStore(x) }}, Clock: w.clock, Log: slog.New(slog.DiscardHandler), Registry: prometheus.NewRegistry(),
 	})
-	n.follower.client = w
+	n.follower.client = nodeFeeds{w, x}
 	ctx, stop := context.WithCancel(context.Background())
-	x := &worldNode{Node: n, feed: n.newFeedServer(), stop: stop}
+	x.Node, x.feed, x.stop = n, n.newFeedServer(), stop
 	w.mu.Lock()
 	w.nodes[vm] = x
 	w.mu.Unlock()
@@ -262,26 +267,121 @@
 
 // killAll ends all nodes without a trace in the store.
 func (w *world) killAll() {
-	w.store.mu.Lock()
-	rows := maps.Clone(w.store.rows)
-	w.store.mu.Unlock()
-	w.stopAll()
-	w.store.mu.Lock()
-	w.store.rows, w.store.deleted = rows, map[string]table.Row{}
-	w.store.mu.Unlock()
+	w.killNodes(slices.Collect(maps.Keys(w.nodes)))
 	w.store.count()
 }
 
-func (w *world) stopAll() {
-	for _, x := range w.nodes {
-		x.stop()
+// killNodes ends nodes without a trace in the store.
+func (w *world) killNodes(vms []string) {
+	for _, vm := range vms {
+		w.setIsolated(vm, true)
 	}
-	for _, x := range w.nodes {
-		x.done.Wait()
+	w.stopNodes(vms)
+}
+
+func (w *world) stopAll() { w.stopNodes(slices.Collect(maps.Keys(w.nodes))) }
+
+// stopNodes shuts nodes down.
+func (w *world) stopNodes(vms []string) {
+	for _, vm := range vms {
+		w.nodes[vm].stop()
+	}
+	for _, vm := range vms {
+		w.nodes[vm].done.Wait()
 	}
 	w.mu.Lock()
-	w.nodes = map[string]*worldNode{}
-	w.mu.Unlock()
+	defer w.mu.Unlock()
+	for _, vm := range vms {
+		delete(w.nodes, vm)
+	}
+}
+
+// setIsolated cuts a node off from everything, or ends that.
+func (w *world) setIsolated(vm string, isolated bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.nodes[vm].isIsolated = isolated
+}
+
+// cutZone cuts a zone off from the store and from the other zones.
+func (w *world) cutZone(zone string, until time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cuts[zone] = until
+}
+
+func (w *world) endCuts(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	maps.DeleteFunc(w.cuts, func(_ string, until time.Time) bool { return now.After(until) })
+}
+
+func (w *world) isCut(zone string) bool { return !w.cuts[zone].IsZero() }
+
+func (w *world) reachesStore(x *worldNode) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !x.isIsolated && !w.isCut(x.Settings.Zone)
+}
+
+// reaches reports whether a node reaches another one; w.mu must be held.
+func (w *world) reaches(x, y *worldNode) bool {
+	if x.isIsolated || y.isIsolated {
+		return false
+	}
+	return x.Settings.Zone == y.Settings.Zone || !w.isCut(x.Settings.Zone) && !w.isCut(y.Settings.Zone)
+}
+
+// nodeStore is the store as seen by a node that may be cut off from it.
+type nodeStore struct {
+	*worldStore
+	isCut func() bool
+}
+
+// callUncut makes a call unless the node is cut off.
+func callUncut[T any](s nodeStore, call func() (T, error)) (T, error) {
+	if s.isCut() {
+		var none T
+		return none, errStoreDown
+	}
+	return call()
+}
+
+func (s nodeStore) Configuration(ctx context.Context) (catalog.Change, error) {
+	return callUncut(s, func() (catalog.Change, error) { return s.worldStore.Configuration(ctx) })
+}
+
+func (s nodeStore) AwaitConfiguration(ctx context.Context, after catalog.Cursor, wait time.Duration) (catalog.Change, error) {
+	return callUncut(s, func() (catalog.Change, error) { return s.worldStore.AwaitConfiguration(ctx, after, wait) })
+}
+
+func (s nodeStore) Endpoints(ctx context.Context) (roster.Listing, error) {
+	return callUncut(s, func() (roster.Listing, error) { return s.worldStore.Endpoints(ctx) })
+}
+
+func (s nodeStore) Get(ctx context.Context, tab, key string) (table.Row, error) {
+	return callUncut(s, func() (table.Row, error) { return s.worldStore.Get(ctx, tab, key) })
+}
+
+func (s nodeStore) ReadAll(ctx context.Context, tab string) ([]table.Row, table.Cursor, error) {
+	if s.isCut() {
+		return nil, table.Cursor{}, errStoreDown
+	}
+	return s.worldStore.ReadAll(ctx, tab)
+}
+
+func (s nodeStore) Changes(ctx context.Context, tab string, after table.Cursor) (table.Changes, error) {
+	return callUncut(s, func() (table.Changes, error) { return s.worldStore.Changes(ctx, tab, after) })
+}
+
+func (s nodeStore) Commit(ctx context.Context, txn table.Txn) (table.Result, error) {
+	return callUncut(s, func() (table.Result, error) { return s.worldStore.Commit(ctx, txn) })
+}
+
+// nodeFeeds polls other nodes as one node can reach them.
+type nodeFeeds struct {
+	w    *world
+	self *worldNode
 }
 
 var errNoFeed = errors.New("no feed at this address")
@@ -290,10 +390,14 @@
 const pollLatency = 3 * time.Millisecond
 
 // Poll answers a poll as the node at addr does.
-func (w *world) Poll(ctx context.Context, addr string, q feed.PollRequest) (*feed.State, feed.Ages, error) {
+func (f nodeFeeds) Poll(ctx context.Context, addr string, q feed.PollRequest) (*feed.State, feed.Ages, error) {
 	time.Sleep(pollLatency)
+	w := f.w
 	w.mu.Lock()
 	x := w.nodes[addr]
+	if x != nil && !w.reaches(f.self, x) {
+		x = nil
+	}
 	w.mu.Unlock()
 	if x == nil || ctx.Err() != nil || !x.feed.Serving() || q.Complete && !x.feed.ReadsAllEndpoints() {
 		return nil, feed.Ages{}, errNoFeed
--- a/test/entry_test.go
+++ b/test/entry_test.go
@@ -116,6 +116,7 @@
 	}
 	for _, n := range f.nodes {
 		testkit.Eventually(t, "a node is ready", func() bool { return f.isReady(n) })
+		n.awaitLine(t, "share of the retry slack known") // before that, a node retries by the ratio alone
 	}
 	testkit.Eventually(t, "two groups serve", func() bool { return len(f.fleet.OpenHeads("m")) == 2 })
 	for i, n := range f.nodes {
