--- a/test/entry_soak_test.go
+++ b/test/entry_soak_test.go
@@ -195,10 +195,7 @@
 	case 4, 5:
 		s.signal(n, syscall.SIGSTOP)
 		time.Sleep(time.Duration(s.rng.IntN(2500)) * time.Millisecond) // length of the pause
-		for _, e := range s.fleet.All() {
-			e.Pressure.ForgetCaller(callerID(n))
-		}
-		s.signal(n, syscall.SIGCONT)
+		s.resume(n)
 	case 6:
 		s.store.SetDown(s.rng.IntN(2) == 0)
 	case 7:
@@ -233,8 +230,8 @@
 	}
 }
 
-// injectKills kills most nodes up to three times in series, while the plain endpoints refuse most
-// requests.
+// injectKills ends most nodes up to three times in series and pauses others meanwhile, while the
+// plain endpoints refuse most requests.
 func (s *soak) injectKills() {
 	for _, id := range []string{"i-p0", "i-p1"} {
 		s.fleet.Get(id).SetHandler(refuseMost)
@@ -244,12 +241,32 @@
 		nodes := slices.Clone(s.nodes)
 		s.mu.Unlock()
 		s.kills.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
-		for _, n := range nodes[s.kills.IntN(len(nodes)):] {
-			s.faults = append(s.faults, fmt.Sprintf("%s kill of %s", time.Now().Format(time.TimeOnly), n.name))
-			s.restart(n, syscall.SIGKILL)
+		ended := s.kills.IntN(len(nodes))
+		for _, n := range nodes[ended:] {
+			sig := syscall.SIGKILL
+			if s.kills.IntN(4) == 0 {
+				sig = syscall.SIGTERM
+			}
+			s.faults = append(s.faults, fmt.Sprintf("%s %v of %s in series", time.Now().Format(time.TimeOnly), sig, n.name))
+			s.restart(n, sig)
+		}
+		for _, n := range nodes[:ended] {
+			s.faults = append(s.faults, fmt.Sprintf("%s pause of %s in series", time.Now().Format(time.TimeOnly), n.name))
+			s.signal(n, syscall.SIGSTOP)
 		}
 		time.Sleep(time.Duration(300+s.kills.IntN(900)) * time.Millisecond) // life of the processes
+		for _, n := range nodes[:ended] {
+			s.resume(n)
+		}
+	}
+}
+
+// resume lets a paused node go on. What endpoints asked of it before the pause no longer counts.
+func (s *soak) resume(n *entryNode) {
+	for _, e := range s.fleet.All() {
+		e.Pressure.ForgetCaller(callerID(n))
 	}
+	s.signal(n, syscall.SIGCONT)
 }
 
 // refuseMost refuses all requests but those of every eighth request id, by its last character.
