A node sends to endpoints with a shared rate only once it is among the announced nodes

What endpoints see: while a fleet starts for the first time, a cold endpoint gets more requests in a second than it tolerates, up to 14 where 8 are allowed.

Cause: a node that serves before its row is known takes itself for the only sender and uses the whole rate.

Ruled out: rate limits that an endpoint names and backoffs, which were open by reading.

Change: the order of senders is empty while the node isn't listed. A guard without other nodes has the order of its own node alone.

--- a/internal/backpressure/cold.go
+++ b/internal/backpressure/cold.go
@@ -30,6 +30,7 @@
 // coldBucket is this node's share of the rate of one cold endpoint.
 type coldBucket struct {
 	rate       float64 // requests a second of this node; 0: it sends nothing
+	isShared   bool    // the other nodes were known when the rate was shared
 	tokens     float64 // requests that it may send at once, as of refilledAt
 	refilledAt clock.Instant
 }
@@ -44,9 +45,10 @@
 		return true
 	}
 	b := cs.byID[id]
-	if b == nil {
+	if b == nil || !b.isShared {
+		senders := order(id)
 		// The node's previous process may have used its share just before this one started.
-		b = &coldBucket{rate: shareOfColdRate(rate, cs.node, order(id)), refilledAt: cs.startedAt}
+		b = &coldBucket{rate: shareOfColdRate(rate, cs.node, senders), isShared: len(senders) > 0, refilledAt: cs.startedAt}
 		cs.byID[id] = b
 	}
 	return b.rate > 0 && b.availableTokens(now) >= 1
@@ -64,14 +66,13 @@
 	return min(1, b.tokens+b.rate*now.Sub(b.refilledAt).Seconds())
 }
 
-// shareOfColdRate returns a node's share of a rate; order has all nodes, senders first. Each of
+// shareOfColdRate returns a node's share of a rate; order has all nodes, senders first, or none
+// while they aren't known. Each of
 // the senders has a rate below one a second, so that together they send no more than their
 // number in any second.
 func shareOfColdRate(rate float64, node string, order []string) float64 {
 	senders := int(math.Ceil(rate)) + 1
 	switch i := slices.Index(order, node); {
-	case len(order) == 0:
-		return fewNodesShare * rate
 	case i < 0 || i >= senders:
 		return 0
 	case len(order) < senders:
--- a/internal/backpressure/guard.go
+++ b/internal/backpressure/guard.go
@@ -23,7 +23,8 @@
 	Clock clock.Clock
 	Log   *slog.Logger
 	// SenderOrder returns the nodes that may send to a rate-limited endpoint, preferred ones first;
-	// all nodes with the same view return the same order. nil: there are no other nodes.
+	// all nodes with the same view return the same order. It returns none while this node doesn't
+	// know the others: it then sends nothing to such an endpoint. nil: there are no other nodes.
 	SenderOrder func(ID) []string
 	// Broadcast sends a notice to all other nodes; nil: there are none.
 	Broadcast func(Notice)
@@ -52,7 +53,7 @@
 // New returns a guard without any signals.
 func New(o Options) *Guard {
 	if o.SenderOrder == nil {
-		o.SenderOrder = func(ID) []string { return nil }
+		o.SenderOrder = func(ID) []string { return []string{o.Node} }
 	}
 	if o.Broadcast == nil {
 		o.Broadcast = func(Notice) {}
--- a/internal/backpressure/limits.go
+++ b/internal/backpressure/limits.go
@@ -48,7 +48,7 @@
 // limit is the rate limit of one endpoint and the state of its senders.
 type limit struct {
 	rate        float64                  // requests a second from all nodes
-	order       []string                 // the nodes in the order in which they become senders
+	order       []string                 // the nodes in the order in which they become senders; empty: not known yet
 	learntAt    clock.Instant            // when this node first learnt of the limit
 	namedAt     clock.Instant            // when an answer to this node last named it; 0: known from notices only
 	heardAt     map[string]clock.Instant // when each sending node last announced itself
@@ -192,6 +192,9 @@
 // recent announcements are idle, cut off or lost, and the next ones replace them. While enough
 // other nodes are active no further one joins, and an active sender yields to those before it.
 func (l *limit) isSender(self string, now clock.Instant) bool {
+	if len(l.order) == 0 {
+		return false
+	}
 	if l.isActive(l.announcedAt, now) {
 		return l.countBefore(self, now) < l.senders()
 	}
--- a/internal/entry/leases.go
+++ b/internal/entry/leases.go
@@ -388,26 +388,22 @@
 	return d.peers
 }
 
-// nodesByZone returns the nodes of a zone and those of all other zones. The node self, of
-// zone selfZone, is included even if its row is not known yet.
-func (c *leaseCache) nodesByZone(zone, self, selfZone string) (near, far []string) {
+// listedNodesByZone returns the nodes of a zone and those of all other zones, or none if this node is
+// not listed among them yet.
+func (c *leaseCache) listedNodesByZone(zone string) (near, far []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	d := c.rowIndex()
-	for z, vms := range d.nodes {
+	if !c.listsSelf {
+		return nil, nil
+	}
+	for z, vms := range c.rowIndex().nodes {
 		if z == zone {
 			near = append(near, vms...)
 			continue
 		}
 		far = append(far, vms...)
 	}
-	if _, known := d.addrs[self]; known {
-		return near, far
-	}
-	if zone == selfZone {
-		return append(near, self), far
-	}
-	return near, append(far, self)
+	return near, far
 }
 
 // zoneNodeCount returns the number of nodes announced in a zone.
--- a/internal/entry/pressure.go
+++ b/internal/entry/pressure.go
@@ -18,13 +18,14 @@
 }
 
 // backpressureOrder returns the nodes in rendezvous order for an endpoint. Nodes of its zone
-// come first because they can reach it even if the zone is partitioned from the others.
+// come first because they can reach it even if the zone is partitioned from the others. It returns
+// none while this node isn't listed among them.
 func (n *Node) backpressureOrder(id backpressure.ID) []string {
 	var zone string
 	if e := n.roster.current.Load().Get(roster.ID(id)); e != nil {
 		zone = e.Zone
 	}
-	near, far := n.leaseCache.nodesByZone(zone, n.Settings.VM, n.Settings.Zone)
+	near, far := n.leaseCache.listedNodesByZone(zone)
 	return slices.Concat(rendezvous(id, near), rendezvous(id, far))
 }
 
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -198,6 +200,8 @@
 	done sync.WaitGroup
 	// isIsolated is set while the node reaches nothing and isn't reached.
 	isIsolated bool
+	// sendsInWorld is set once the node's messages reach the other nodes of the world.
+	sendsInWorld bool
 }
 
 // largeNodes is the usual number of large nodes in each zone; the others are small.
@@ -234,6 +238,16 @@
 	}
 }
 
+// startVM starts another process on a VM.
+func (w *world) startVM(vm string) {
+	zone, number, _ := strings.Cut(vm, "-")
+	i, err := strconv.Atoi(number)
+	if err != nil {
+		panic(err)
+	}
+	w.start(zone, i, false)
+}
+
 func (w *world) start(zone string, i int, bootstrap bool) {
 	cores := 0.2
 	if i < w.large {
