Nodes leave a failing store to the few that keep calling it

What the platform sees: 985 nodes that live on call a store that is down 1,450 times a second, for things that a few of them can tell the others.

Cause: the reads of configuration, endpoints and rows back off by themselves, to 3 s at most, whether or not another node watches the store. Ruled out: starting nodes (the storeGate spaces theirs) and the few of each zone, which make some 120 calls a second at 985 nodes.

Change: after a failed read a node leaves the next ones to a node that calls the store itself, for as long as that one answers its polls, and for 15 s at most since the store may answer one and not the other. Nodes that may do so answer no polls, so that two of them don't wait for each other. A node that waits also polls one of the few of its zone in turn; if that one follows another node, the store answers somebody, and the node reads it itself (feed.ErrNotReading).

Tests: TestStartingFleetSparesFailingStore is now TestFleetSparesFailingStore, with a bound for nodes that live on and for their return beside the checks that it had.

--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -136,7 +136,7 @@
 				n.readAfterAnnounce(ctx)
 				break
 			}
-			pause = failures.recordFailure(retryInterval)
+			pause = failures.recordFailure(retryInterval, n.Clock.Now())
 		}
 		if !clock.Sleep(ctx, pause) {
 			return nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -217,9 +217,10 @@
 	n.lookup = &startLookup{node: n}
 	n.roster.onLeaving = n.broadcastLeaving
 	n.config.isFedByPeer, n.roster.isFedByPeer = n.isConfigFed, n.isRosterFed
-	n.config.backoff.usesFullRate, n.roster.backoff.usesFullRate = n.usesFullRate, n.usesFullRate
+	failures := backoff{usesFullRate: n.usesFullRate, peerAsks: n.follower.isAnswered}
+	n.config.backoff, n.roster.backoff = failures, failures
 	n.leaseCache = &leaseCache{
-		Table: o.Store, clock: o.Clock, self: o.Settings.VM, isFedByPeer: n.areLeasesFed, defersRead: n.defersLeaseRead, backoff: backoff{usesFullRate: n.usesFullRate},
+		Table: o.Store, clock: o.Clock, self: o.Settings.VM, isFedByPeer: n.areLeasesFed, defersRead: n.defersLeaseRead, backoff: failures,
 		onRows: func(rows []table.Row) { n.quarantineGuard.ApplyPersisted(n.quarantineRows.ParseVerdicts(rows)) },
 	}
 	n.announcer = &rowAnnouncer{cache: n.leaseCache, log: o.Log, wake: make(chan struct{}, 1)}
@@ -305,7 +306,7 @@
 		},
 		Journal: &feed.Journal{Incarnation: uuid.NewString()},
 		Clock:   n.Clock, Log: n.Log, OnPoll: n.recordPoll,
-		Serving:           func() bool { return !n.leaving.Load() && !n.follower.isFollowing() },
+		Serving:           func() bool { return !n.leaving.Load() && !n.follower.isFollowing() && !n.leavesStoreToPeer() },
 		ReadsAllEndpoints: n.roster.readsStore.Load,
 	}
 }
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -54,6 +54,7 @@
 			p.rows = append(p.rows, table.Row{Table: table.TableLeases, Key: nodePrefix + vm, Version: 1, Value: at.encode()})
 			n := newTestNode(&fakeStore{}, p.clock)
 			n.Settings.VM, n.Settings.Zone, n.Settings.Zones, n.Settings.Cores = vm, zone, names, at.cores
+			n.leaseCache.self = vm
 			n.send = func(m news.Message, to ...string) { p.deliver(vm, m, to) }
 			n.Registry = prometheus.NewRegistry()
 			n.backpressureGuard = n.newBackpressureGuard() // built with the node's name
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"slices"
 	"sync/atomic"
@@ -21,10 +22,12 @@
 	log    *slog.Logger
 
 	lastSuccess  atomic.Int64 // when the last successful poll was sent
+	lastAnswer   atomic.Int64 // when the last poll was sent that got an answer, usable or not
 	fromOwnZone  atomic.Bool  // the last answer came from the holder of the local zone's duty
 	wake         chan struct{}
 	nextInterval time.Duration            // interval to the next poll; used by run only
 	source       string                   // address of the node that answered last; used by run only
+	candidate    int                      // counts the polls of nodes without a duty; used by run only
 	copies       map[string]*feed.Replica // state received from each node, by address; used by run only
 }
 
@@ -60,6 +63,12 @@
 	return at != 0 && f.clock.Now().Sub(at) < followValidity
 }
 
+// isAnswered reports whether a node that reads the store itself answers this one, usably or not.
+func (f *follower) isAnswered() bool {
+	at := clock.Instant(f.lastAnswer.Load())
+	return at != 0 && f.clock.Now().Sub(at) < followValidity
+}
+
 // isFollowingOwnZone reports whether the answers come from the holder of the local zone's
 // duty. Otherwise the zone's lease is read from the store: another zone's holder reports it
 // a second later, which would delay the takeover of the duty by as much.
@@ -94,6 +103,9 @@
 // pollSources asks the nodes that read the store in turn until one returns a usable answer.
 func (f *follower) pollSources(ctx context.Context) {
 	addrs := f.node.feedSources()
+	if f.isAnswered() && !f.isFollowing() {
+		addrs = f.withCandidate(addrs)
+	}
 	for _, addr := range addrs {
 		if f.pollSource(ctx, addr) {
 			own := f.node.leaseCache.addr(f.node.leaseCache.owner(f.node.Settings.Zone))
@@ -110,6 +122,21 @@
 	f.lastSuccess.Store(0)
 }
 
+// withCandidate adds one of the nodes that keep calling a failing store, in turn: the duty holders may
+// have lost it for longer, and the duties may have moved to a node that this one doesn't know of.
+func (f *follower) withCandidate(addrs []string) []string {
+	n := f.node
+	nodes := n.leaseCache.largestNodes(n.Settings.Zone, fullRateNodes)
+	if len(nodes) == 0 || slices.Contains(nodes, n.Settings.VM) {
+		return addrs
+	}
+	f.candidate++
+	if addr := n.leaseCache.addr(nodes[f.candidate%len(nodes)]); !slices.Contains(addrs, addr) {
+		addrs = append(addrs, addr)
+	}
+	return addrs
+}
+
 // pollSource asks one node, applies its answer and reports whether the answer was usable.
 func (f *follower) pollSource(ctx context.Context, addr string) bool {
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
@@ -121,9 +148,13 @@
 	}
 	q.Config, q.Row = f.node.config.version(), f.node.ownRow()
 	s, ages, err := f.client.Poll(ctx, addr, q)
+	if errors.Is(err, feed.ErrNotReading) {
+		f.lastAnswer.Store(0) // it follows a node for which the store answers
+	}
 	if err != nil {
 		return false
 	}
+	f.lastAnswer.Store(int64(asked))
 	known.Apply(s)
 	f.node.config.recordPeerVersion(s.Config)
 	if ages.Config > f.maxConfigAge() || ages.Roster > maxFollowAge {
--- a/internal/entry/leases.go
+++ b/internal/entry/leases.go
@@ -123,13 +123,15 @@
 	if c.defersRead != nil && c.defersRead() {
 		return errReadDeferred
 	}
-	idle := c.isFedByPeer()
-	c.mu.Lock()
 	now := c.clock.Now()
-	if c.readErr != nil && now.Before(c.retryAt) {
-		c.mu.Unlock()
+	idle := c.isFedByPeer()
+	if idle {
+		c.backoff.reset()
+	}
+	if c.readErr != nil && (now.Before(c.retryAt) || c.backoff.isLeftToPeer(now)) {
 		return c.readErr
 	}
+	c.mu.Lock()
 	// Rows from before a table restore are not valid any more.
 	due := !idle && (c.readAt == 0 || now.Sub(c.readAt) > leaseCacheTTL) || c.era < c.Table.Era()
 	cursor := c.cursor
@@ -142,7 +144,8 @@
 	if err != nil {
 		// The managers of all zones call this function: the error is returned to all of
 		// them without another call.
-		c.retryAt = c.clock.Now().Add(c.backoff.recordFailure(leaseCacheTTL))
+		failedAt := c.clock.Now()
+		c.retryAt = failedAt.Add(c.backoff.recordFailure(leaseCacheTTL, failedAt))
 		return err
 	}
 	c.backoff.reset()
--- a/internal/entry/storegate_test.go
+++ b/internal/entry/storegate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,10 +37,17 @@
 	s.down = down
 }
 
-// Guards against calls to a store that is down by nodes that start again, each of which asks for all
-// it needs as if it were alone: after a loss of all nodes at most twice those of nodes that live on.
-func TestStartingFleetSparesFailingStore(t *testing.T) {
-	const returnTime = 6 * time.Second // from the store's return until nine of ten nodes are ready
+// Guards against calls to a store that is down by all nodes of a fleet, where a few of each zone can
+// tell the others, and by nodes that start again, each of which asks for all it needs as if it were
+// alone: after a loss of all nodes at most twice those of nodes that live on.
+func TestFleetSparesFailingStore(t *testing.T) {
+	const (
+		callsPerFewNode   = 8 * 12 // eight a second: configuration, endpoints, leases and their renewal
+		callsPerOtherNode = 5
+		// times from the store's return until nine of ten nodes are ready
+		returnTime       = 2 * time.Second
+		returnTimeOfLost = 6 * time.Second // after a loss of all nodes
+	)
 	for _, c := range []struct{ zones, perZone int }{{3, 2}, {3, 24}, {5, 197}} {
 		nodes := c.zones * c.perZone
 		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
@@ -48,23 +56,67 @@
 				w.startAll(true)
 				time.Sleep(6 * time.Second)
 				alive := w.countOutageCalls(func() {})
-				time.Sleep(4 * time.Second)
+				few := min(nodes, c.zones*fullRateNodes)
+				if bound := few*callsPerFewNode + (nodes-few)*callsPerOtherNode; alive > bound {
+					t.Errorf("%d calls by nodes that live on, %d allowed", alive, bound)
+				}
+				w.checkReady(t, returnTime)
+				time.Sleep(2 * time.Second)
 				w.killAll()
 				started := w.countOutageCalls(func() { w.startAll(false) })
 				t.Logf("%d calls in %v by nodes that live on, %d after a loss of all", alive, outage, started)
 				if started > 2*alive {
 					t.Errorf("%d calls after a loss of all, %d allowed", started, 2*alive)
 				}
-				time.Sleep(returnTime)
-				if ready := w.ready(); ready < nodes*9/10 {
-					t.Errorf("%d of %d nodes are ready %v after the store's return", ready, nodes, returnTime)
-				}
+				w.checkReady(t, returnTimeOfLost)
 				w.stopAll()
 			})
 		})
 	}
 }
 
+// checkReady checks that nine of ten nodes are ready some time after the store's return.
+func (w *world) checkReady(t *testing.T, after time.Duration) {
+	t.Helper()
+	time.Sleep(after)
+	if ready := w.ready(); ready < len(w.nodes)*9/10 {
+		t.Errorf("%d of %d nodes are ready %v after the store's return", ready, len(w.nodes), after)
+	}
+}
+
+// Guards against nodes that wait for a holder that has lost the store for good while others read it:
+// the store was away for a moment, so that each of them has seen it fail.
+func TestNodesFindReaderWhileHoldersHaveLostStore(t *testing.T) {
+	const returnTime = 5 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(3, 24, 64)
+		defer w.stopAll()
+		w.startAll(true)
+		time.Sleep(6 * time.Second)
+		w.store.setDown(true)
+		time.Sleep(4 * time.Second) // longer than a follower's state is used
+		lost := 0
+		for _, x := range w.nodes {
+			if slices.ContainsFunc(w.zones, func(zone string) bool { return x.leaseCache.owner(zone) == x.Settings.VM }) {
+				w.loseStore(x)
+				lost++
+			}
+		}
+		w.store.setDown(false)
+		time.Sleep(returnTime)
+		if ready := w.ready(); ready < len(w.nodes)-lost {
+			t.Errorf("%d of %d nodes are ready %v after the store's return; %d holders have lost it", ready, len(w.nodes), returnTime, lost)
+		}
+	})
+}
+
+// loseStore cuts a node off from the store alone.
+func (w *world) loseStore(x *worldNode) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	x.hasLostStore = true
+}
+
 // A store that hasn't answered a process gets one call at a time, at growing intervals. Calls that
 // began before the first failure count as one, and the first answer ends the spacing.
 func TestStoreGateSpacesCallsUntilFirstAnswer(t *testing.T) {
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -78,6 +78,11 @@
 	for ctx.Err() == nil {
 		if w.isFedByPeer() {
 			known = false // changes in the meantime were received from another node
+			w.backoff.reset()
+			clock.Sleep(ctx, fedInterval)
+			continue
+		}
+		if w.backoff.isLeftToPeer(w.clock.Now()) {
 			clock.Sleep(ctx, fedInterval)
 			continue
 		}
@@ -96,7 +101,7 @@
 			if errors.As(err, &invalid) {
 				known = false
 			}
-			clock.Sleep(ctx, w.backoff.recordFailure(configRetryDelay))
+			clock.Sleep(ctx, w.backoff.recordFailure(configRetryDelay, w.clock.Now()))
 			continue
 		}
 		w.backoff.reset()
@@ -290,6 +295,11 @@
 		if w.isFedByPeer() {
 			down = false
 			w.readsStore.Store(false)
+			w.backoff.reset()
+			w.await(ctx, fedInterval)
+			continue
+		}
+		if w.backoff.isLeftToPeer(w.clock.Now()) {
 			w.await(ctx, fedInterval)
 			continue
 		}
@@ -393,7 +403,7 @@
 		return
 	}
 	if down {
-		clock.Sleep(ctx, w.backoff.recordFailure(rosterRetryDelay))
+		clock.Sleep(ctx, w.backoff.recordFailure(rosterRetryDelay, w.clock.Now()))
 		return
 	}
 	w.await(ctx, rosterInterval-minRosterInterval)
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -200,6 +200,8 @@
 	done sync.WaitGroup
 	// isIsolated is set while the node reaches nothing and isn't reached.
 	isIsolated bool
+	// hasLostStore is set while the node can't reach the store.
+	hasLostStore bool
 	// sendsInWorld is set once the node's messages reach the other nodes of the world.
 	sendsInWorld bool
 }
@@ -335,7 +337,7 @@
 func (w *world) reachesStore(x *worldNode) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !x.isIsolated && !w.isCut(x.Settings.Zone)
+	return !x.isIsolated && !x.hasLostStore && !w.isCut(x.Settings.Zone)
 }
 
 // reaches reports whether a node reaches another one; w.mu must be held.
@@ -413,9 +415,12 @@
 		x = nil
 	}
 	w.mu.Unlock()
-	if x == nil || ctx.Err() != nil || !x.feed.Serving() || q.Complete && !x.feed.ReadsAllEndpoints() {
+	if x == nil || ctx.Err() != nil {
 		return nil, feed.Ages{}, errNoFeed
 	}
+	if !x.feed.Serving() || q.Complete && !x.feed.ReadsAllEndpoints() {
+		return nil, feed.Ages{}, feed.ErrNotReading
+	}
 	x.feed.OnPoll(q)
 	s, ages := feed.BuildResponse(x.feed.Source, x.feed.Journal, q.Have, w.clock.Now())
 	return &s, ages, nil
--- a/internal/feed/wire.go
+++ b/internal/feed/wire.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -146,8 +147,12 @@
 	}}}
 }
 
-// Poll polls the node at addr, ip:port. It returns the response and its ages, and fails if
-// the node does not read the store itself.
+// ErrNotReading means that a polled node doesn't read the store itself: it follows another one, or
+// leaves.
+var ErrNotReading = errors.New("feed: the node does not read the store itself")
+
+// Poll polls the node at addr, ip:port. It returns the response and its ages, and fails with
+// ErrNotReading if the node does not read the store itself.
 func (c *Client) Poll(ctx context.Context, addr string, q PollRequest) (*State, Ages, error) {
 	body, err := json.Marshal(q)
 	if err != nil {
@@ -163,7 +168,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return nil, Ages{}, fmt.Errorf("feed: node %s returned status %d; it does not read the store itself", addr, resp.StatusCode)
+		return nil, Ages{}, fmt.Errorf("%w: node %s returned status %d", ErrNotReading, addr, resp.StatusCode)
 	}
 	ages, err := readAges(resp.Header)
 	if err != nil {
