A node's own row is not lost to a read that began before it was written

Cause: a read of all rows replaces the cached ones. One that began before the node's row was written and ended after it removed the row again. Until the next read, 0.7 s later, the number of nodes was unknown and the share of the retry slack none.

Change: after the write of its own row a node reads the rows again under the lock of reads, so that a read under way ends first and doesn't count.

--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -115,8 +115,7 @@
 func (n *Node) readAfterAnnounce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	n.leaseCache.markOutdated()
-	if err := n.leaseCache.refresh(ctx, table.TableLeases); err != nil {
+	if err := n.leaseCache.reread(ctx, table.TableLeases); err != nil {
 		n.Log.Info("rows not read after the write of the node's row; the next read is due soon", "err", err)
 	}
 }
--- a/internal/entry/leases.go
+++ b/internal/entry/leases.go
@@ -120,6 +120,22 @@
 func (c *leaseCache) refresh(ctx context.Context, tab string) error {
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
+	return c.refreshLocked(ctx, tab)
+}
+
+// reread does the same as refresh, but also reads rows that aren't outdated. A read that is under way
+// may have begun before this node's latest write, and doesn't count.
+func (c *leaseCache) reread(ctx context.Context, tab string) error {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	c.mu.Lock()
+	c.readAt = 0
+	c.mu.Unlock()
+	return c.refreshLocked(ctx, tab)
+}
+
+// refreshLocked is called with c.readMu held.
+func (c *leaseCache) refreshLocked(ctx context.Context, tab string) error {
 	if c.defersRead != nil && c.defersRead() {
 		return errReadDeferred
 	}
@@ -328,13 +344,6 @@
 	return err
 }
 
-// markOutdated makes the next refresh read the rows.
-func (c *leaseCache) markOutdated() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.readAt = 0
-}
-
 // withdraw deletes the node's row.
 func (c *leaseCache) withdraw(ctx context.Context, vm string) error {
 	_, err := c.Commit(ctx, table.Txn{
--- a/internal/entry/slack_test.go
+++ b/internal/entry/slack_test.go
@@ -1,15 +1,21 @@
 package entry
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"chervilloom/internal/clock"
+	table "chervilloom/internal/platform"
 	"chervilloom/internal/retry"
 )
 
@@ -262,6 +268,56 @@
 	}
 }
 
+// Guards against a node that loses its own row, and with it its share of the slack, to a read that
+// began before the row was written.
+func TestNodeIsListedThoughItsRowWasWrittenDuringARead(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode(&fakeStore{}, clock.NewManual(clock.Instant(time.Hour)))
+	store := &slowReadStore{worldStore: newWorld(1, 0, 0).store, asked: make(chan struct{}), release: make(chan struct{})}
+	n.leaseCache.Table = store
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	read := make(chan error, 1)
+	go func() { read <- n.leaseCache.refresh(ctx, table.TableLeases) }()
+	<-store.asked
+	announced := make(chan error, 1)
+	go func() { announced <- n.runAnnounce(ctx) }()
+	for store.countWrites() == 0 {
+		runtime.Gosched()
+	}
+	close(store.release)
+	is.NoErr(<-read)
+	for !n.rowWritten.Load() {
+		runtime.Gosched()
+	}
+	is.Equal(n.budgetNodes(), 1)
+	cancel()
+	is.NoErr(<-announced)
+}
+
+// slowReadStore is a store whose first read of all rows is answered after release is closed, with the
+// rows as they were when it was asked.
+type slowReadStore struct {
+	*worldStore
+	asked, release chan struct{}
+	once           sync.Once
+}
+
+func (s *slowReadStore) ReadAll(ctx context.Context, tab string) ([]table.Row, table.Cursor, error) {
+	rows, cursor, err := s.worldStore.ReadAll(ctx, tab)
+	s.once.Do(func() {
+		close(s.asked)
+		<-s.release
+	})
+	return rows, cursor, err
+}
+
+func (s *slowReadStore) countWrites() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls["write"]
+}
+
 // countUnknownShares returns the number of nodes that don't know their share of the retry slack.
 func (w *world) countUnknownShares() (n int) {
 	for _, x := range w.nodes {
