Comments of the shares of rates and slack in plain lines

The comment on a node's share of a cold rate broke off in the middle of a line, and the one on the retry budget spoke of a number where being listed is what counts. No code is changed; found by reading the diff.

--- a/internal/backpressure/cold.go
+++ b/internal/backpressure/cold.go
@@ -67,9 +67,8 @@
 }
 
 // shareOfColdRate returns a node's share of a rate; order has all nodes, senders first, or none
-// while they aren't known. Each of
-// the senders has a rate below one a second, so that together they send no more than their
-// number in any second.
+// while they aren't known. Each of the senders has a rate below one a second, so that together they
+// send no more than their number in any second.
 func shareOfColdRate(rate float64, node string, order []string) float64 {
 	senders := int(math.Ceil(rate)) + 1
 	switch i := slices.Index(order, node); {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -334,8 +334,8 @@
 	return formation.DefaultParams(s.LoadWindow, max(1, int(loads)), max(1, int(atOnce)))
 }
 
-// newBudget returns this node's share of the retry budget of a service. A node that doesn't know
-// the number of nodes yet has no share of the slack.
+// newBudget returns this node's share of the retry budget of a service. A node that isn't listed
+// among the others yet has no share of the slack.
 func (n *Node) newBudget() *retry.WindowedBudget {
 	s := n.Settings
 	return &retry.WindowedBudget{
