upstream: the header of a response is bounded

An endpoint that sends a header without end exhausted the memory of each node that sent to it, one after the other as each tried again: http.ReadResponse bounds nothing. The connection now reads at most 64 KiB of a header; beyond that the attempt fails as one that may have run, the connection is closed, and the ejector counts it against the endpoint.

FuzzSend feeds arbitrary bytes to the same reader.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -34,13 +34,46 @@
 	net.Conn
 	Peer      Peer // the node that passes the connection on
 	addr      string
-	buf       *bufio.Reader
+	in        *boundedReader
+	buf       *bufio.Reader // reads in
 	idleLimit time.Duration // maximum idle time
 	idleSince clock.Instant
 	used      bool // has been used for a request
 	unusable  bool // must not be reused for another request
 }
 
+// newConn returns a connection to the endpoint at addr.
+func newConn(nc net.Conn, peer Peer, addr string) *Conn {
+	in := &boundedReader{Reader: nc}
+	return &Conn{Conn: nc, Peer: peer, addr: addr, in: in, buf: bufio.NewReaderSize(in, readBufferBytes), idleLimit: defaultIdleLimit}
+}
+
+// maxHeaderBytes bounds the header of a response, in bytes.
+const maxHeaderBytes = 64 << 10
+
+// errHeaderTooLong means that an endpoint sent more than maxHeaderBytes without ending its header.
+var errHeaderTooLong = errors.New("upstream: the header of the response exceeds 64 KiB; look at the endpoint's log")
+
+// boundedReader fails with errHeaderTooLong once a header exceeds its bound.
+type boundedReader struct {
+	io.Reader
+	inHeader bool
+	left     int // bytes that the header may still have
+}
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	if !r.inHeader {
+		return r.Reader.Read(p)
+	}
+	if r.left <= 0 {
+		return 0, errHeaderTooLong
+	}
+	n, err := r.Reader.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
+
 // concurrentBodyBytes is the size in bytes above which a body is sent concurrently with reading
 // the response. An endpoint may respond before it has read a long body; if the body were sent
 // first, the write could block and the response would never be read.
@@ -64,7 +97,9 @@
 		c.unusable = true
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
+	c.in.inHeader, c.in.left = true, maxHeaderBytes
 	resp, err := http.ReadResponse(c.buf, &http.Request{Method: r.Method})
+	c.in.inHeader = false
 	if err != nil {
 		c.unusable = true
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -69,7 +68,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return &Conn{Conn: nc, Peer: peer, addr: addr, buf: bufio.NewReaderSize(nc, readBufferBytes), idleLimit: defaultIdleLimit}, nil
+	return newConn(nc, peer, addr), nil
 }
 
 func dialDirect(ctx context.Context, addr string, _ func(zone string) bool) (net.Conn, Peer, error) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -306,3 +307,135 @@
 		is.True(option(unix.TCP_KEEPIDLE)+option(unix.TCP_KEEPINTVL) < timeout)
 	}
 }
+
+// endlessBytes is how much an endpoint sends that never stops; the test ends all the same.
+const endlessBytes = 64 << 20
+
+// writeEndless writes start and then part again and again, until the other side closes the
+// connection or endlessBytes are sent.
+func writeEndless(c net.Conn, start, part string) {
+	block := strings.Repeat(part, 1+(32<<10)/len(part))
+	if _, err := io.WriteString(c, start); err != nil {
+		return
+	}
+	for sent := 0; sent < endlessBytes; sent += len(block) {
+		if _, err := io.WriteString(c, block); err != nil {
+			return
+		}
+	}
+}
+
+// Guards against a node whose memory is exhausted by one endpoint that sends a header without end:
+// every node that sends to it would be killed.
+func TestEndlessHeaderIsCutOff(t *testing.T) {
+	for name, endless := range map[string]struct{ start, part string }{
+		"status line": {"HTTP/1.1 200 ", "x"}, "header line": {"HTTP/1.1 200 OK\r\nX-A: ", "x"},
+		"many headers": {"HTTP/1.1 200 OK\r\n", "X-A: b\r\n"}, "no HTTP": {"", "\x00\xff"}, "empty lines": {"", "\r\n"},
+		"folded line": {"HTTP/1.1 200 OK\r\nX-A: b\r\n", " c\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addr := startRawEndpoint(t, func(c net.Conn, br *bufio.Reader) {
+				if readRequest(br) {
+					writeEndless(c, endless.start, endless.part)
+				}
+			}).addr()
+			p := &Pool{Clock: clock.Boot{}}
+			c, err := p.Get(context.Background(), addr, true, nil)
+			is.NoErr(err)
+			counted := &countingConn{Conn: c.Conn}
+			c = newConn(counted, Peer{}, addr)
+			_, err = c.Send(&Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+			is.True(errors.Is(err, ErrNoResponse))
+			is.True(counted.read <= 2*maxHeaderBytes)
+			p.Put(c, nil, 4)
+			is.Equal(len(p.idle[addr]), 0)
+		})
+	}
+}
+
+// countingConn counts the bytes that are read.
+type countingConn struct {
+	net.Conn
+	read int
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read += n
+	return n, err
+}
+
+// Guards against a response that is taken for too long because of the ones before it on the
+// connection: the bound is for one header.
+func TestHeaderLimitIsForEachResponse(t *testing.T) {
+	is := is.New(t)
+	header := "HTTP/1.1 200 OK\r\nX-A: " + strings.Repeat("x", maxHeaderBytes*3/4) + "\r\nContent-Length: 200000\r\n\r\n"
+	addr := startRawEndpoint(t, func(c net.Conn, br *bufio.Reader) {
+		for readRequest(br) {
+			io.WriteString(c, header+strings.Repeat("y", 200000))
+		}
+	}).addr()
+	p := &Pool{Clock: clock.Boot{}}
+	for range 3 {
+		_, err := sendAndReturn(t, p, addr)
+		is.NoErr(err)
+	}
+}
+
+// Guards against chunk extensions and trailers without end, which carry no byte of the body.
+func TestEndlessFramingOfBodyIsCutOff(t *testing.T) {
+	for name, endless := range map[string]struct{ start, part string }{
+		"chunk extension": {"2;", "x"}, "extension of each chunk": {"", "1;" + strings.Repeat("x", 4000) + "\r\nb\r\n"},
+		"trailer line": {"0\r\nX-A: ", "x"}, "many trailers": {"0\r\n", "X-A: b\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addr := startRawEndpoint(t, func(c net.Conn, br *bufio.Reader) {
+				if readRequest(br) {
+					writeEndless(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+endless.start, endless.part)
+				}
+			}).addr()
+			p := &Pool{Clock: clock.Boot{}}
+			c, err := p.Get(context.Background(), addr, true, nil)
+			is.NoErr(err)
+			resp, err := c.Send(&Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+			is.NoErr(err)
+			n, err := io.Copy(io.Discard, resp.Body)
+			is.True(err != nil)
+			is.True(n < 1<<10)
+		})
+	}
+}
+
+// FuzzSend feeds bytes of an endpoint to the reader of responses: it neither panics nor reads a
+// header beyond its bound, and a response that it returns has a valid status.
+func FuzzSend(f *testing.F) {
+	f.Add([]byte(rawResponse))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"))
+	f.Add([]byte("\x00\xff\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		near, far := net.Pipe()
+		defer near.Close()
+		go func() {
+			defer far.Close()
+			if readRequest(bufio.NewReader(far)) {
+				far.Write(data)
+			}
+		}()
+		counted := &countingConn{Conn: near}
+		c := newConn(counted, Peer{}, "a")
+		resp, err := c.Send(&Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+		if err != nil {
+			if counted.read > maxHeaderBytes+readBufferBytes {
+				t.Fatalf("read %d bytes of a header", counted.read)
+			}
+			return
+		}
+		if resp.StatusCode < 0 || resp.StatusCode > 999 {
+			t.Fatalf("status %d", resp.StatusCode)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body) // the far side closes
+	})
+}
