Bodies and headers without end are cut off

An endpoint in trouble may send bytes without end. Beside the header of a response:

- A refusal's body was read to its end before the request went elsewhere; now at most 16 KiB and 20 ms, beyond that the connection is closed.
- An error's body of over 1 MiB was relayed without bound; it is now an attempt without a usable answer, and the request goes elsewhere where its kind allows.
- An answer of over 64 MiB is cut, and counts against the endpoint.
What was buffered of a longer answer is released once it is written.
- A client's body is awaited until the request's deadline; nothing ended that before.
- The answer of another node to a request for a tunnel is bounded by 4 KiB; headers of the store, engine reports and orders, the feed between nodes and the other way to serve by 64 KiB (10 MB was net/http's default).

By reading: report, order and store bodies were bounded already.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -27,6 +27,7 @@
 	idleConnTimeout         = 30 * time.Second
 	maxIdleConnsPerEndpoint = 2 // control calls to one endpoint rarely overlap
 	maxResponseBytes        = 4 << 20
+	maxHeaderBytes          = 64 << 10
 )
 
 // ErrBootMismatch means that the order was meant for another boot of the endpoint,
@@ -70,10 +71,11 @@
 // NewClient returns a client for any number of endpoints.
 func NewClient(opts ...Option) *Client {
 	tr := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerEndpoint,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnsPerEndpoint,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	c := &Client{
 		transport: tr,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -290,7 +290,7 @@
 		}
 		polls.ServeHTTP(w, r)
 	})
-	return &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Handler: handler}
+	return &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, Handler: handler}
 }
 
 // newFeedServer returns the handler of the polls of other nodes.
@@ -442,7 +442,7 @@
 		Handler: http.HandlerFunc(n.serve), ConnContext: forward.WithClientConn, ReadHeaderTimeout: headerTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
 	}
-	readiness := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
+	readiness := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader}
 	peerServer := n.newPeerServer()
 	metrics := n.serveMetrics(n.Registry)
 	failed := make(chan error, 3)
--- a/internal/feed/wire.go
+++ b/internal/feed/wire.go
@@ -24,6 +24,9 @@
 // configuration of 2,000 routes take 1 MB.
 const maxStateBytes = 16 << 20
 
+// maxHeaderBytes bounds the header of a response.
+const maxHeaderBytes = 64 << 10
+
 // Server responds to the polls of other nodes.
 type Server struct {
 	Source  Source
@@ -143,7 +146,7 @@
 	)
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
 	return &Client{client: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true,
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}}}
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -157,7 +158,7 @@
 	defer cancel()
 	held := reservation{f: f}
 	defer held.release()
-	if x.body, problem = f.readBody(w, r, x.catalog.Limits.BodyBytes, &held); problem != nil {
+	if x.body, problem = f.readBodyBy(ctx, w, r, x.catalog.Limits.BodyBytes, &held); problem != nil {
 		f.refuse(w, &req, "body", problem)
 		return
 	}
@@ -254,6 +255,27 @@
 	return left
 }
 
+// readBodyBy reads the request's body until ctx ends: a client may send it slowly, and it is not
+// needed after the request's deadline.
+func (f *Forwarder) readBodyBy(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64, held *reservation) ([]byte, *outcome.Error) {
+	if r.Body == nil || r.ContentLength == 0 {
+		return nil, nil
+	}
+	deadline, _ := ctx.Deadline()
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(deadline); err != nil {
+		f.Log.Debug("no deadline for the body", "err", err)
+	}
+	body, problem := f.readBody(w, r, limit, held)
+	if problem == nil {
+		// net/http goes on reading to find out whether the client leaves.
+		if err := control.SetReadDeadline(time.Time{}); err != nil {
+			f.Log.Debug("deadline of the body stays", "err", err)
+		}
+	}
+	return body, problem
+}
+
 func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request, limit int64, held *reservation) ([]byte, *outcome.Error) {
 	if r.Body == nil || r.ContentLength == 0 {
 		return nil, nil
@@ -283,6 +305,9 @@
 		return outcome.New(outcome.Overloaded, outcome.NotRun, "this node holds too many large requests and responses", "try again, another node may have room").
 			WithCause(err).WithRetryAfter(retryAfterFull)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return outcome.New(outcome.DeadlineExceeded, outcome.NotRun, "the body was not received within the request's time", "allow more time").WithCause(err)
+	}
 	kind := outcome.BadRequest
 	if _, ok := err.(*http.MaxBytesError); ok {
 		kind = outcome.TooLarge
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -78,9 +78,7 @@
 // handleNotRun handles a response that shows that the request has not run. The rest of the body
 // is discarded so that the connection can be reused.
 func (x *exchange) handleNotRun(ep *roster.Endpoint, conn *upstream.Conn, resp *http.Response, rep Reply) Result {
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		conn.MarkUnusable()
-	}
+	conn.Drain(resp)
 	x.lastCause = fmt.Sprintf("endpoint refused: status %d, at %q", resp.StatusCode, rep.CausingEndpoint)
 	if rep.IsMisdirected || rep.CausingEndpoint != "" {
 		x.f.Tracker.MarkSuspect(ep.ID)
@@ -120,15 +118,38 @@
 	return body, false, nil
 }
 
+// maxResponse is the size in bytes at which a response is cut off: no answer is as long, and one
+// without end would take the node's link until the client's deadline.
+const maxResponse = 64 << 20
+
+// errResponseTooLong means that an endpoint sent more than maxResponse bytes.
+var errResponseTooLong = errors.New("forward: the response exceeds 64 MiB; look at the endpoint's log")
+
+// relayRest relays the rest of a response of which the client has the given number of bytes.
+func relayRest(w io.Writer, body io.Reader, have int) error {
+	left := int64(maxResponse - have)
+	n, err := io.Copy(w, io.LimitReader(body, left+1))
+	if err == nil && n > left {
+		return errResponseTooLong
+	}
+	return err
+}
+
 // relayResponse relays a response that is not an event stream.
 func (x *exchange) relayResponse(ctx context.Context, ep *roster.Endpoint, conn *upstream.Conn, resp *http.Response, success bool) Result {
-	held := reservation{f: x.f}
+	held := reservation{f: x.f, endpoint: ep.ID}
 	defer held.release()
 	body, complete, err := readBuffered(resp.Body, &held)
 	if err != nil {
 		conn.MarkUnusable()
 		return x.classifyError(ctx, ep, err)
 	}
+	held.endRead()
+	if !success && !complete && len(body) >= maxBufferedResponse {
+		conn.MarkUnusable()
+		x.lastCause = fmt.Sprintf("endpoint answered %d with a body of over 1 MiB", resp.StatusCode)
+		return MayHaveRun
+	}
 	if !success && complete {
 		x.failure = &failureResponse{resp.StatusCode, resp.Header, body}
 		x.lastCause = "endpoint answered " + strconv.Itoa(resp.StatusCode)
@@ -145,7 +166,10 @@
 		return x.classifyError(ctx, ep, err)
 	}
 	if !complete {
-		if _, err := io.Copy(x.w, resp.Body); err != nil {
+		have := len(body)
+		body = nil
+		held.release()
+		if err := relayRest(x.w, resp.Body, have); err != nil {
 			conn.MarkUnusable()
 			return x.classifyError(ctx, ep, err)
 		}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -40,6 +40,7 @@
 	idleConnTimeout       = 30 * time.Second
 	maxIdleConns          = 32
 	maxResponseBytes      = 64 << 20
+	maxHeaderBytes        = 64 << 10
 )
 
 // ErrRateLimited means that the platform rejected the request because the rate limit is
@@ -99,10 +100,11 @@
 // "http://192.0.2.1:8000".
 func NewClient(baseURL string, opts ...Option) *Client {
 	tr := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	c := &Client{
 		base:           strings.TrimSuffix(baseURL, "/"),
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"syscall"
@@ -50,8 +51,11 @@
 	if _, err := fmt.Fprintf(conn, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n\r\n", addr, addr); err != nil {
 		return fmt.Errorf("%w: %w", ErrPeerUnfit, err)
 	}
-	const size = 512
-	buf := bufio.NewReaderSize(conn, size)
+	const (
+		size           = 512
+		maxHeaderBytes = 4 << 10
+	)
+	buf := bufio.NewReaderSize(io.LimitReader(conn, maxHeaderBytes), size)
 	resp, err := http.ReadResponse(buf, &http.Request{Method: http.MethodConnect})
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrPeerUnfit, err)
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -205,3 +205,28 @@
 	defer ln.Close()
 	return ln.Addr().String()
 }
+
+// Guards against a node whose memory is exhausted by another one that answers the request for a
+// tunnel without end.
+func TestEndlessAnswerToTunnelRequestIsCutOff(t *testing.T) {
+	is := is.New(t)
+	const most, endless = 64 << 10, 64 << 20
+	sent := make(chan int, 1)
+	peer := startEndpoint(t, func(c *net.TCPConn) {
+		defer c.Close()
+		if err := c.SetWriteBuffer(most); err != nil {
+			t.Error(err)
+		}
+		n := 0
+		for block := make([]byte, most); n < endless; {
+			k, err := c.Write(block)
+			if n += k; err != nil {
+				break
+			}
+		}
+		sent <- n
+	})
+	_, err := Dial(t.Context(), peer, "10.0.0.9:1")
+	is.True(errors.Is(err, ErrPeerUnfit))
+	is.True(<-sent < endless)
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -145,6 +145,26 @@
 	return done, nil
 }
 
+const (
+	// maxDrainBytes and maxDrainTime bound what is read of a body that nobody needs, to keep the
+	// connection. A new one is cheaper than more.
+	maxDrainBytes = 16 << 10
+	maxDrainTime  = 20 * time.Millisecond
+)
+
+// Drain reads the rest of a body that is not needed, so that the connection can be reused. If the
+// body is too long or too slow, the connection becomes unusable.
+func (c *Conn) Drain(resp *http.Response) {
+	if resp.ContentLength > maxDrainBytes || c.SetReadDeadline(time.Now().Add(maxDrainTime)) != nil {
+		c.unusable = true
+		return
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainBytes+1))
+	if err != nil || n > maxDrainBytes || c.SetReadDeadline(time.Time{}) != nil {
+		c.unusable = true
+	}
+}
+
 // Abort makes all pending and later reads and writes fail immediately.
 func (c *Conn) Abort() { _ = c.SetDeadline(time.Unix(1, 0)) } // fails only on a closed connection
 
