--- a/internal/forward/placement_test.go
+++ b/internal/forward/placement_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -199,3 +201,25 @@
 	is.True(resp.Header.Get("Retry-After") != "")
 	is.True(!r.Tracker.StateOf("a", time.Second).Suspect && !r.Tracker.StateOf("b", time.Second).Suspect)
 }
+
+// Guards against a node without links that goes through all endpoints, one after the other, for each
+// request that it refuses.
+func TestRequestWithoutPathTriesFewEndpoints(t *testing.T) {
+	is := is.New(t)
+	r := newTestForwarder(t, 1000)
+	var list []roster.Endpoint
+	for i := range 40 {
+		list = append(list, endpointAt(fmt.Sprint("e", i), "z", fmt.Sprintf("10.0.0.%d:1", i+1)))
+	}
+	r.setView(t, lookupDocument(), nil, list...)
+	var dials atomic.Int64
+	r.Pool.Dial = func(context.Context, string, func(string) bool) (net.Conn, upstream.Peer, error) {
+		dials.Add(1)
+		return nil, upstream.Peer{}, links.ErrNoPath
+	}
+	resp, err := r.send(t, "a", "/receipt/x")
+	is.NoErr(err)
+	resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(dials.Load() <= 2)
+}
