A node without links refuses a request after two endpoints

Two endpoints without a path now end the request: a second one may be allowed other peers.

Evidence: TestRequestWithoutPathTriesFewEndpoints, red without the bound.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -57,6 +57,7 @@
 	backingOff       int           // endpoints that could serve the request but accept nothing at present
 	backoffLeft      time.Duration // until the first of them accepts a request again
 	noPath           bool          // no node that may pass the newest attempt on has links to endpoints
+	noPaths          int           // attempts with noPath
 	heldBack         bool          // the newest attempt was stopped before it was sent, through no fault of the endpoint
 	sentAt           clock.Instant // when the newest attempt was sent
 	endsWithConn     bool          // the newest attempt's response has neither a length nor chunks
@@ -93,7 +94,7 @@
 		x.reportResult(ep, res)
 		x.f.Metrics.countAttempt(x.route, res)
 		next := x.pick()
-		x.progress.HasEndpoint = next != nil
+		x.progress.HasEndpoint = next != nil && x.noPaths < maxNoPaths
 		x.progress.HasBudget = true
 		step := NextStep(x.route, res, x.progress)
 		if step == Retry && !x.abortedStalled.Swap(false) {
@@ -109,6 +110,10 @@
 	}
 }
 
+// maxNoPaths is the number of endpoints to which a request finds no path before it is refused. A node
+// that has lost its links would go through all of them, one after the other, for each request.
+const maxNoPaths = 2
+
 // maxFreeRefusals is the number of refused connections per request that are exempt from the
 // retry budget.
 const maxFreeRefusals = 3
@@ -317,10 +322,14 @@
 	return min(most, int(idleShare*float64(s.MaxConns))/nodes)
 }
 
+// maxConnectTime bounds the time to connect to an endpoint. The dialer's own timeout depends on how
+// late this node is.
+const maxConnectTime = time.Second
+
 // connect returns a connection to the endpoint. A request that may run only once gets a new
 // one.
 func (x *exchange) connect(ctx context.Context, ep *roster.Endpoint) (*upstream.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, links.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, maxConnectTime)
 	defer cancel()
 	return x.f.Pool.Get(ctx, ep.Addr, x.route.Repeat == catalog.Once, x.allowsPeerZone)
 }
@@ -375,6 +384,7 @@
 		return OutOfTime
 	case errors.Is(err, links.ErrNoPath):
 		x.noPath, x.heldBack = true, true
+		x.noPaths++
 		return NotRun
 	case errors.Is(err, upstream.ErrNotSent):
 		if x.connRefused = errors.Is(err, syscall.ECONNREFUSED); x.connRefused {
