intake: batches follow the time that they take; clients spread while behind

Sixteen connections handed on together take 200 ms on a VM that serves 80 a second, and whatever was read before waits for them. The size now halves after a batch of more than 25 ms and doubles after one of less than 10. While the node turns connections away it asks clients to close the ones they keep, so that their next requests can go elsewhere or be turned away unread.

--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -17,10 +17,16 @@
 )
 
 const (
-	// batch is the number of connections that are handed on together. The next ones follow when
-	// each of them has had its first turn on the processor, after whatever else is runnable: the
-	// requests that were read before go first.
-	batch = 16
+	// maxBatch is the most connections that are handed on together. The next ones follow when each
+	// of them has had its first turn on the processor, after whatever else is runnable: the requests
+	// that were read before go first.
+	maxBatch = 16
+	// slowBatch and fastBatch are the times for the first turns of a batch beyond and below which the
+	// next one is half and twice as large, so that requests don't wait longer on slow processors.
+	slowBatch = 25 * time.Millisecond
+	fastBatch = 10 * time.Millisecond
+	// behindTime is how long the node counts as behind after it has turned connections away.
+	behindTime = time.Second
 	// logInterval is the minimum interval between two log lines about connections turned away.
 	logInterval = time.Second
 )
@@ -37,11 +43,14 @@
 	metrics metrics
 
 	mu         sync.Mutex
-	backlog    Backlog[int] // of sockets
-	allStarted sync.Cond    // signalled when unstarted becomes 0
-	unstarted  int          // connections handed on that have not had a turn on the processor yet
-	full       bool         // a batch was handed on and some of it is unstarted
-	open       int          // connections handed on and not closed yet
+	backlog    Backlog[int]  // of sockets
+	allStarted sync.Cond     // signalled when unstarted becomes 0
+	unstarted  int           // connections handed on that have not had a turn on the processor yet
+	full       bool          // a batch was handed on and some of it is unstarted
+	batch      int           // size of a batch
+	batchBegan clock.Instant // when the first connection of the current batch was handed on
+	behindAt   clock.Instant // when connections were last turned away as excess; 0: never
+	open       int           // connections handed on and not closed yet
 	closed     bool
 	turnedAway int // since loggedAt
 	loggedAt   clock.Instant
@@ -72,6 +81,7 @@
 // Init prepares the listener and registers its metrics; reg may be nil.
 func (l *Listener) Init(reg prometheus.Registerer) *Listener {
 	l.allStarted.L = &l.mu
+	l.batch = maxBatch
 	l.metrics = metrics{
 		turnedAway: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chervilloom_intake_turned_away_total", Help: "Connections of clients that were closed unread, by reason.",
@@ -106,10 +116,13 @@
 	return l.open
 }
 
-// IsCrowded reports whether so many connections are open that clients should be asked to close
-// theirs.
+// IsCrowded reports whether clients should be asked to close their connections, so that they spread
+// over other nodes: too many are open, or the node turns new ones away.
 func (l *Listener) IsCrowded() bool {
-	return l.MaxOpen > 0 && l.Open() > l.MaxOpen*3/4
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.MaxOpen > 0 && l.open > l.MaxOpen*3/4 ||
+		l.behindAt != 0 && l.Clock.Now().Sub(l.behindAt) < behindTime
 }
 
 // Accept implements net.Listener.
@@ -249,6 +262,9 @@
 	now := l.Clock.Now()
 	l.mu.Lock()
 	l.turnedAway += n
+	if reason == reasonBehind {
+		l.behindAt = now
+	}
 	count, waiting, open := l.turnedAway, l.backlog.Len(), l.open
 	isDue := l.loggedAt == 0 || now.Sub(l.loggedAt) >= logInterval
 	if isDue {
@@ -266,8 +282,10 @@
 	isFull := l.MaxOpen > 0 && l.open >= l.MaxOpen
 	if !isFull {
 		l.open++
-		l.unstarted++
-		l.full = l.full || l.unstarted >= batch
+		if l.unstarted++; l.unstarted == 1 && !l.full {
+			l.batchBegan = accepted
+		}
+		l.full = l.full || l.unstarted >= l.batch
 	}
 	l.mu.Unlock()
 	if isFull {
@@ -321,11 +339,26 @@
 // endFirstWait records that the connection's goroutine runs.
 func (c *conn) endFirstWait() {
 	l := c.listener
-	l.metrics.wait.Observe(l.Clock.Now().Sub(c.accepted).Seconds())
+	now := l.Clock.Now()
+	l.metrics.wait.Observe(now.Sub(c.accepted).Seconds())
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.unstarted--; l.unstarted == 0 {
-		l.full = false
-		l.allStarted.Signal()
+	if l.unstarted--; l.unstarted > 0 {
+		return
+	}
+	if l.full {
+		l.adaptBatch(now.Sub(l.batchBegan))
+	}
+	l.full = false
+	l.allStarted.Signal()
+}
+
+// adaptBatch sets the size of the next batch by the time that the last one took. l.mu is held.
+func (l *Listener) adaptBatch(took time.Duration) {
+	switch {
+	case took > slowBatch:
+		l.batch = max(1, l.batch/2)
+	case took < fastBatch:
+		l.batch = min(maxBatch, 2*l.batch)
 	}
 }
--- a/internal/intake/listener_test.go
+++ b/internal/intake/listener_test.go
@@ -55,7 +55,7 @@
 	defer server.Close()
 	go server.Serve(l)
 	var clients sync.WaitGroup
-	for i := range 4 * batch {
+	for i := range 4 * maxBatch {
 		clients.Go(func() {
 			c, err := net.Dial("tcp", l.Addr().String())
 			if err != nil {
@@ -88,7 +88,7 @@
 	is := is.New(t)
 	l := startListener(t, 0)
 	var held []net.Conn
-	for range batch {
+	for range maxBatch {
 		l.dial(t)
 		c, err := l.Accept()
 		is.NoErr(err)
@@ -120,7 +120,7 @@
 func TestStandingBacklogIsTurnedAway(t *testing.T) {
 	is := is.New(t)
 	l := startListener(t, 0)
-	const clients = 12 * batch
+	const clients = 12 * maxBatch
 	var conns []net.Conn
 	for range clients {
 		c := l.dial(t)
@@ -169,7 +169,7 @@
 		}
 	}
 	is.True(turnedAway > 0)
-	is.True(served >= batch)
+	is.True(served >= maxBatch)
 }
 
 // Guards against a node that runs out of descriptors or memory for open connections.
@@ -207,7 +207,7 @@
 func TestCloseEndsWaitingAccept(t *testing.T) {
 	is := is.New(t)
 	l := startListener(t, 0)
-	for range batch {
+	for range maxBatch {
 		l.dial(t)
 		_, err := l.Accept()
 		is.NoErr(err)
@@ -222,3 +222,34 @@
 	is.True(<-ended != nil)
 	is.True(!isOpen(client))
 }
+
+// Guards against requests that wait for a whole batch on a slow processor: batches shrink and grow with
+// the time that they take.
+func TestBatchFollowsItsTime(t *testing.T) {
+	is := is.New(t)
+	l := startListener(t, 0)
+	for range 10 {
+		l.adaptBatch(slowBatch + 1)
+	}
+	is.Equal(l.batch, 1)
+	l.adaptBatch((slowBatch + fastBatch) / 2)
+	is.Equal(l.batch, 1)
+	for range 10 {
+		l.adaptBatch(fastBatch - 1)
+	}
+	is.Equal(l.batch, maxBatch)
+}
+
+// Guards against clients that keep their connections to a node which turns others away: they are
+// asked to close them, until it has turned none away for a while.
+func TestClientsSpreadWhileNodeIsBehind(t *testing.T) {
+	is := is.New(t)
+	l := startListener(t, 0)
+	c := clock.NewManual(clock.Instant(time.Hour))
+	l.Clock = c
+	is.True(!l.IsCrowded())
+	l.recordTurnedAway(reasonBehind, 1)
+	is.True(l.IsCrowded())
+	c.Advance(behindTime)
+	is.True(!l.IsCrowded())
+}
