Timeouts allow for the lateness of this node

lateness.Monitor observes how late the periodic check of requests runs.

Ruled out: leaving out the evidence of a late node; one that has lost its links would never find out.

--- a/internal/balance/answers_test.go
+++ b/internal/balance/answers_test.go
@@ -90,3 +90,25 @@
 	stream.End()
 	is.Equal(tr.StateOf("e", turnover).Load, 0.0)
 }
+
+// Guards against a node that is short of time and takes its own delay for the silence of endpoints: it
+// would tell the others, and move its requests.
+func TestOwnDelayIsNoSilence(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(clock.Instant(time.Hour))
+	tr, suspects, doubts := newSilenceTracker(c)
+	delay := 300 * time.Millisecond
+	tr.OwnDelay = func() time.Duration { return delay }
+	k := tr.Start("head", func() {})
+	for range 5 {
+		k.RecordEvent()
+		c.Advance(50 * time.Millisecond)
+	}
+	c.Advance(300 * time.Millisecond) // 350 ms since the last event
+	tr.CheckSilence()
+	is.Equal(len(*suspects)+len(*doubts), 0)
+	delay = 0
+	c.Advance(time.Millisecond)
+	tr.CheckSilence()
+	is.Equal(*suspects, []roster.ID{"head"})
+}
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -25,6 +25,9 @@
 	// IgnoresSilence reports whether silence says nothing about endpoints, because this node has
 	// lost its links to them: requests are moved then, but no endpoint becomes suspect. nil: no.
 	IgnoresSilence func() bool
+	// OwnDelay returns how late this node processes what it receives; nil: not at all. Silence counts
+	// from so much later on.
+	OwnDelay func() time.Duration
 	// OnDoubt is called for each endpoint that has been silent for longer than the event rate of
 	// its streams explains, before it becomes suspect; may be nil.
 	OnDoubt func(roster.ID)
@@ -283,21 +286,26 @@
 	var suspects []verdict
 	var doubted []roster.ID
 	ignores := t.IgnoresSilence != nil && t.IgnoresSilence()
+	ownDelay := time.Duration(0)
+	if t.OwnDelay != nil {
+		ownDelay = t.OwnDelay()
+	}
 	t.mu.Lock()
 	now := t.Clock.Now()
 	for id, r := range t.records {
+		silent := now.Sub(r.lastSign) - ownDelay
 		switch {
 		case r.inFlight == 0 && now.Sub(max(r.lastSign, r.reportedAt)) > recordRetention:
 			delete(t.records, id)
-		case len(r.waiting) > 0 && r.suspectSince == 0 && now.Sub(r.lastSign) > t.silenceLimit(id, r) && r.hasUnread(now):
-			r.lastSign = now.Add(unreadGrace - t.silenceLimit(id, r))
-		case len(r.waiting) > 0 && r.suspectSince == 0 && now.Sub(r.lastSign) > t.silenceLimit(id, r):
+		case len(r.waiting) > 0 && r.suspectSince == 0 && silent > t.silenceLimit(id, r) && r.hasUnread(now):
+			r.lastSign = now.Add(unreadGrace - t.silenceLimit(id, r) - ownDelay)
+		case len(r.waiting) > 0 && r.suspectSince == 0 && silent > t.silenceLimit(id, r):
 			if ignores {
 				suspects = append(suspects, verdict{"", t.clearSuspicion(r, now)})
 				continue
 			}
 			suspects = append(suspects, verdict{id, t.markSuspect(id, now)})
-		case len(r.waiting) > 0 && !r.doubted && r.eventGap > 0 && now.Sub(r.lastSign) > r.doubtThreshold() && !r.hasUnread(now):
+		case len(r.waiting) > 0 && !r.doubted && r.eventGap > 0 && silent > r.doubtThreshold() && !r.hasUnread(now):
 			r.doubted = true
 			doubted = append(doubted, id)
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,6 +31,7 @@
 	"chervilloom/internal/formation"
 	"chervilloom/internal/forward"
 	"chervilloom/internal/intake"
+	"chervilloom/internal/lateness"
 	"chervilloom/internal/lease"
 	"chervilloom/internal/links"
 	"chervilloom/internal/news"
@@ -81,6 +82,7 @@
 	roster            *rosterWatcher
 	tracker           *balance.Tracker
 	pool              *upstream.Pool
+	lateness          *lateness.Monitor
 	links             *links.Monitor
 	dialer            *links.Dialer
 	tunnels           *tunnel.Server
@@ -178,6 +180,7 @@
 	gate := newStoreGate(o)
 	o.Store = gate
 	n := &Node{Options: o, storeGate: gate, startedAt: o.Clock.Now(), stateKnown: make(chan struct{})}
+	n.lateness = &lateness.Monitor{Clock: o.Clock}
 	n.links = n.newLinkMonitor()
 	n.dialer, n.tunnels = n.newDialer(), n.newTunnelServer()
 	n.pool = &upstream.Pool{Clock: o.Clock, Dial: n.dialer.Dial, IsUsable: n.isUsableIdle}
@@ -187,10 +190,11 @@
 	n.eras = newEraTracker(n)
 	n.evacuations = &evacuations{zones: o.Settings.Zones, log: o.Log, clock: o.Clock}
 	n.config = &configWatcher{
-		source: o.Store, clock: o.Clock, log: o.Log, askDutyHolders: n.askDutyHolders, onEvacuations: n.evacuations.apply,
+		source: o.Store, clock: o.Clock, log: o.Log, lateness: n.lateness, askDutyHolders: n.askDutyHolders, onEvacuations: n.evacuations.apply,
 		regions: slices.Sorted(maps.Values(o.Settings.Regions)),
 	}
 	n.roster = newRosterWatcher(&endpointReader{node: n, store: o.Store}, o.Clock, o.Log)
+	n.roster.lateness = n.lateness
 	n.tracker = &balance.Tracker{
 		Clock:        o.Clock,
 		Silence:      func(roster.ID) time.Duration { return streamStallTimeout },
@@ -199,6 +203,7 @@
 		OnDoubt:      n.handleDoubt,
 
 		IgnoresSilence: n.links.AreAllLost,
+		OwnDelay:       n.lateness.Allowance,
 	}
 	n.quarantineGuard = n.newQuarantineGuard()
 	n.backpressureGuard = n.newBackpressureGuard()
@@ -473,9 +478,11 @@
 		if n.usesBoard(n.Settings.Zone) {
 			pause *= 2
 		}
+		due := n.Clock.Now().Add(pause)
 		if !clock.Sleep(ctx, pause) {
 			return nil
 		}
+		n.lateness.Observe(n.Clock.Now().Sub(due))
 		n.tracker.CheckSilence()
 		n.loads.tick()
 		n.quarantineGuard.Tick()
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -139,7 +139,7 @@
 
 // pollSource asks one node, applies its answer and reports whether the answer was usable.
 func (f *follower) pollSource(ctx context.Context, addr string) bool {
-	ctx, cancel := context.WithTimeout(ctx, followTimeout)
+	ctx, cancel := f.node.lateness.WithTimeout(ctx, followTimeout)
 	defer cancel()
 	known := f.copyOf(addr)
 	asked := f.clock.Now()
@@ -183,7 +183,7 @@
 
 // fetchConfig asks a node for its configuration and applies a newer one.
 func (f *follower) fetchConfig(ctx context.Context, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, followTimeout)
+	ctx, cancel := f.node.lateness.WithTimeout(ctx, followTimeout)
 	defer cancel()
 	asked := f.clock.Now()
 	s, ages, err := f.client.Poll(ctx, addr, feed.PollRequest{Node: f.node.Settings.VM, Zone: f.node.Settings.Zone})
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -14,7 +14,7 @@
 // newLinkMonitor returns the monitor of this node's links to the endpoints.
 func (n *Node) newLinkMonitor() *links.Monitor {
 	return (&links.Monitor{
-		Clock: n.Clock, Log: n.Log, Dial: n.dialDirect, Listed: n.listedAddrs,
+		Clock: n.Clock, Log: n.Log, Lateness: n.lateness, Dial: n.dialDirect, Listed: n.listedAddrs,
 		OnAllLost: func() { n.tracker.ClearSuspicions() },
 	}).Init(n.Registry)
 }
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -51,7 +51,7 @@
 }
 
 func (r *endpointReader) poll(ctx context.Context, addr string) (roster.Listing, error) {
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	ctx, cancel := r.node.lateness.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	if addr != r.addr {
 		r.addr, r.replica = addr, feed.Replica{}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -13,6 +13,7 @@
 
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/clock"
+	"chervilloom/internal/lateness"
 	"chervilloom/internal/roster"
 )
 
@@ -50,11 +51,12 @@
 
 // configWatcher keeps the newest configuration up to date.
 type configWatcher struct {
-	source  ConfigurationSource
-	clock   clock.Clock
-	log     *slog.Logger
-	mu      sync.Mutex // held while a document is applied
-	current atomic.Pointer[catalog.Catalog]
+	source   ConfigurationSource
+	clock    clock.Clock
+	log      *slog.Logger
+	lateness *lateness.Monitor // nil: never late
+	mu       sync.Mutex        // held while a document is applied
+	current  atomic.Pointer[catalog.Catalog]
 	// confirmed is the start of the last read that returned the configuration in force at
 	// that time.
 	confirmed atomic.Int64
@@ -166,11 +168,11 @@
 
 func (w *configWatcher) read(ctx context.Context, cursor catalog.Cursor, known bool) (catalog.Change, error) {
 	if !known {
-		ctx, cancel := context.WithTimeout(ctx, configTimeout)
+		ctx, cancel := w.lateness.WithTimeout(ctx, configTimeout)
 		defer cancel()
 		return w.source.Configuration(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, configWait+configTimeout)
+	ctx, cancel := w.lateness.WithTimeout(ctx, configWait+configTimeout)
 	defer cancel()
 	return w.source.AwaitConfiguration(ctx, cursor, configWait)
 }
@@ -240,7 +242,8 @@
 	source      EndpointSource
 	clock       clock.Clock
 	log         *slog.Logger
-	mu          sync.Mutex // held while the next roster is built
+	lateness    *lateness.Monitor // nil: never late
+	mu          sync.Mutex        // held while the next roster is built
 	current     atomic.Pointer[roster.Roster]
 	readsStore  atomic.Bool // the newest list was read from the store by this node
 	wake        chan struct{}
@@ -304,7 +307,7 @@
 			continue
 		}
 		asked := w.clock.Now()
-		rctx, cancel := context.WithTimeout(ctx, rosterTimeout)
+		rctx, cancel := w.lateness.WithTimeout(ctx, rosterTimeout)
 		list, err := w.source.Endpoints(rctx)
 		cancel()
 		switch {
--- a/internal/links/dialer.go
+++ b/internal/links/dialer.go
@@ -93,7 +93,7 @@
 	if noDirect && d.foundNoPathLately() {
 		return nil, Peer{}, ErrNoPath
 	}
-	ctx, cancel := context.WithTimeout(ctx, Timeout)
+	ctx, cancel := d.Monitor.Lateness.WithTimeout(ctx, Timeout)
 	defer cancel()
 	r := &race{d: d, ctx: ctx, addr: addr, relayFirst: d.Monitor.IsLost(addr), noDirect: noDirect}
 	r.selectPeers = func() []Peer { return d.selectPeers(allowed) }
@@ -110,7 +110,7 @@
 // Verify finds out who can connect to an endpoint: this node, or, if that fails or takes too long,
 // another one.
 func (d *Dialer) Verify(ctx context.Context, addr string) Finding {
-	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	ctx, cancel := d.Monitor.Lateness.WithTimeout(ctx, verifyTimeout)
 	defer cancel()
 	r := &race{d: d, ctx: ctx, addr: addr, selectPeers: func() []Peer { return d.selectPeers(AllZones) }}
 	conn, peer, err := r.run()
--- a/internal/links/monitor.go
+++ b/internal/links/monitor.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"chervilloom/internal/clock"
+	"chervilloom/internal/lateness"
 )
 
 const (
@@ -38,6 +39,8 @@
 type Monitor struct {
 	Clock clock.Clock
 	Log   *slog.Logger
+	// Lateness extends timeouts while this node is late; nil: never.
+	Lateness *lateness.Monitor
 	// Dial opens a direct connection to an endpoint.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Verify finds out who can connect to an endpoint and records the state of the link.
@@ -303,7 +306,7 @@
 
 // probe opens a direct connection to an endpoint, closes it and records the result.
 func (m *Monitor) probe(ctx context.Context, addr string) bool {
-	dialCtx, cancel := context.WithTimeout(ctx, checkTimeout)
+	dialCtx, cancel := m.Lateness.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	started := m.Clock.Now()
 	conn, err := m.Dial(dialCtx, addr)
