--- a/test/entry_soak_test.go
+++ b/test/entry_soak_test.go
@@ -34,6 +34,7 @@
 	rng      *rand.Rand // for the faults
 	hasRanks bool       // streams differ in rank
 	kills    *rand.Rand // for kills in series; nil: none
+	skew     *rand.Rand // for most new connections at one node; nil: none
 	bursts   sync.WaitGroup
 
 	mu         sync.Mutex
@@ -140,6 +141,9 @@
 		if s.kills != nil {
 			s.injectKills()
 		}
+		if s.skew != nil {
+			s.injectSkew(seed)
+		}
 		time.Sleep(time.Duration(100+s.rng.IntN(500)) * time.Millisecond) // interval between faults
 	}
 	s.clearFaults()
@@ -550,6 +554,11 @@
 // maxRuns times and got its own response.
 func (s *soak) checkCall(n *entryNode, method, path, id string, maxRuns int) {
 	code, body, err := s.sendAndRead(n, method, path, id, nil)
+	s.checkCallAnswer(n, path, id, maxRuns, code, body, err)
+}
+
+// checkCallAnswer checks the response to a request to a plain service.
+func (s *soak) checkCallAnswer(n *entryNode, path, id string, maxRuns, code int, body string, err error) {
 	if strings.Contains(body, "quarantined") {
 		s.recordViolation("call %s was quarantined: %s", id, body)
 	}
