--- a/internal/intake/fleet_test.go
+++ b/internal/intake/fleet_test.go
@@ -71,6 +71,11 @@
 			f.run(i, tick, now)
 		}
 	}
+	for i := range f.nodes { // those that still wait
+		for _, r := range f.backlogs[i].TakeAll() {
+			f.perSecond[f.secondOf(r)].lost++
+		}
+	}
 }
 
 // chooseHot chooses the nodes that get most connections for the next second.
