intake: nothing is accepted after Close; the wait counts from accepting

A pull that ran between Close and the end of the socket left accepted sockets open that nobody closed. The metric of the wait left out the time in the backlog, which the size of batches must leave out. Found by reading.

--- a/internal/intake/backlog.go
+++ b/internal/intake/backlog.go
@@ -51,20 +51,21 @@
 	return excess, true
 }
 
-// Next removes the connection to serve next. ok is false if none waits.
-func (b *Backlog[C]) Next(now clock.Instant) (c C, ok bool) {
+// Next removes the connection to serve next and returns it with the time when it was accepted. ok is
+// false if none waits.
+func (b *Backlog[C]) Next(now clock.Instant) (c C, accepted clock.Instant, ok bool) {
 	if len(b.waiting) == 0 {
-		return c, false
+		return c, 0, false
 	}
 	last := len(b.waiting) - 1
-	c = b.waiting[last].conn
+	c, accepted = b.waiting[last].conn, b.waiting[last].at
 	b.waiting[last] = entry[C]{}
 	b.waiting = b.waiting[:last]
 	if last == 0 {
 		b.since, b.waiting = 0, nil
 	}
 	b.CountStart(now)
-	return c, true
+	return c, accepted, true
 }
 
 // CountStart counts a connection that is served.
--- a/internal/intake/backlog_test.go
+++ b/internal/intake/backlog_test.go
@@ -59,7 +59,7 @@
 			for _, a := range b.Excess(now) {
 				r.turnAway(counts, now.Sub(a.at))
 			}
-			a, ok := b.Next(now)
+			a, _, ok := b.Next(now)
 			if !ok {
 				break
 			}
@@ -120,7 +120,7 @@
 	}
 	for served := 0; served < burst; served++ { // 1,000 a second
 		is.Equal(len(b.Excess(now)), 0)
-		_, ok := b.Next(now)
+		_, _, ok := b.Next(now)
 		is.True(ok)
 		now = now.Add(time.Millisecond / 2)
 	}
--- a/internal/intake/fleet_test.go
+++ b/internal/intake/fleet_test.go
@@ -123,7 +123,7 @@
 	}
 	f.credit[node] = min(f.credit[node]+fleetCapacity*tick.Seconds(), 2)
 	for f.credit[node] >= 1 {
-		r, ok := b.Next(now)
+		r, _, ok := b.Next(now)
 		if !ok {
 			return
 		}
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -156,7 +156,7 @@
 	}
 	l.pull()
 	l.mu.Lock()
-	fd, ok := l.backlog.Next(l.Clock.Now())
+	fd, accepted, ok := l.backlog.Next(l.Clock.Now())
 	l.mu.Unlock()
 	if !ok {
 		return nil, 0, nil
@@ -165,7 +165,7 @@
 	if err != nil {
 		l.Log.Warn("accepted connection can't be used; it is closed", "err", err)
 	}
-	return c, l.Clock.Now(), nil
+	return c, accepted, nil
 }
 
 // tcpConn returns the connection of an accepted socket, which it takes over.
@@ -222,7 +222,7 @@
 	now := l.Clock.Now()
 	l.mu.Lock()
 	err = raw.Control(func(listening uintptr) {
-		for {
+		for !l.closed {
 			fd, _, err := unix.Accept4(int(listening), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 			if errors.Is(err, unix.ECONNABORTED) || errors.Is(err, unix.EINTR) {
 				continue
@@ -279,16 +279,16 @@
 // handOn returns the connection for the server, or nil if it was turned away.
 func (l *Listener) handOn(c *net.TCPConn, accepted clock.Instant) net.Conn {
 	l.mu.Lock()
-	isFull := l.MaxOpen > 0 && l.open >= l.MaxOpen
-	if !isFull {
+	tooMany := l.MaxOpen > 0 && l.open >= l.MaxOpen
+	if !tooMany {
 		l.open++
 		if l.unstarted++; l.unstarted == 1 && !l.full {
-			l.batchBegan = accepted
+			l.batchBegan = l.Clock.Now()
 		}
 		l.full = l.full || l.unstarted >= l.batch
 	}
 	l.mu.Unlock()
-	if isFull {
+	if tooMany {
 		c.Close()
 		l.recordTurnedAway(reasonOpen, 1)
 		return nil
