--- a/internal/links/dialer_test.go
+++ b/internal/links/dialer_test.go
@@ -146,7 +146,7 @@
 			}
 			time.Sleep(downDuration + time.Millisecond)
 		}
-		synctest.Wait() // the attempts that lost their race have ended
+		synctest.Wait()                                   // the attempts that lost their race have ended
 		is.True(len(f.asked) >= 20 && len(f.asked) <= 30) // two nodes, or all three at the same moment
 		is.True(!d.Monitor.IsLost("x"))
 		f.relay["p"], f.relay["q"] = connects, connects
