--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -38,7 +38,7 @@
 			}
 			if pause > 0 {
 				_ = http.NewResponseController(w).Flush() // fails if the node has closed the connection
-				time.Sleep(pause)
+				time.Sleep(pause)                         // a slow endpoint
 			}
 		}
 	}))
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -67,8 +67,8 @@
 	reasonOpen   = "open"   // MaxOpen connections are open
 )
 
-// Listen opens the TCP socket of a Listener. Keep-alive probes are set up for the connections that
-// are handed on only: most of the cost of turning one away would be theirs.
+// Listen opens the TCP socket of a Listener. Keep-alive probes are set up only for the connections
+// that are handed on to the server: those that are turned away should cost few system calls.
 func Listen(ctx context.Context, addr string) (*net.TCPListener, error) {
 	c := net.ListenConfig{KeepAlive: -1}
 	ln, err := c.Listen(ctx, "tcp", addr)
@@ -211,8 +211,7 @@
 }
 
 // pull accepts all pending connections into the backlog and turns away its excess. They stay bare
-// sockets until they are handed on: most of the cost of turning one away would be what the net package
-// does for a connection.
+// sockets until they are handed on, so that turning one away costs two system calls.
 func (l *Listener) pull() {
 	raw, err := l.SyscallConn()
 	if err != nil {
--- a/internal/intake/listener_test.go
+++ b/internal/intake/listener_test.go
@@ -137,7 +137,7 @@
 			case <-stop:
 				return
 			case turns <- struct{}{}:
-				time.Sleep(settleTime / 20)
+				time.Sleep(settleTime / 20) // the time of a turn
 			}
 		}
 	}()
--- a/internal/lateness/lateness_test.go
+++ b/internal/lateness/lateness_test.go
@@ -73,7 +73,7 @@
 		for _, wait := range []time.Duration{0, 200 * time.Millisecond} { // before and after the first expiry
 			ctx, cancel := m.WithTimeout(t.Context(), 100*time.Millisecond)
 			m.Observe(400 * time.Millisecond)
-			time.Sleep(wait)
+			time.Sleep(wait) // virtual time
 			cancel()
 			is.Equal(ctx.Err(), context.Canceled)
 		}
--- a/test/entry_hotnode_test.go
+++ b/test/entry_hotnode_test.go
@@ -56,9 +56,9 @@
 			default:
 			}
 			_ = p.cmd.Process.Signal(syscall.SIGSTOP) // fails only if the process has exited
-			time.Sleep(q.period - q.run)
+			time.Sleep(q.period - q.run)              // stopped
 			_ = p.cmd.Process.Signal(syscall.SIGCONT)
-			time.Sleep(q.run)
+			time.Sleep(q.run) // running
 		}
 	}()
 	return func() { close(done); <-ended }
@@ -122,7 +122,7 @@
 			isStream := l.nextID%streamEvery == 0
 			requests.Go(func() { l.request(node, id, isStream) })
 		}
-		time.Sleep(time.Millisecond)
+		time.Sleep(time.Millisecond) // paces the load, which does not wait for answers
 	}
 	requests.Wait()
 	l.mu.Lock()
--- a/test/entry_soak_skew_test.go
+++ b/test/entry_soak_skew_test.go
@@ -41,6 +41,7 @@
 		time.Now().Format(time.TimeOnly), rate, n.name, duration, quota.run, quota.period))
 	lift := quota.impose(s.t, n.process)
 	began := time.Now()
+	// The pause paces the load, which does not wait for answers.
 	for sent := 0; time.Since(began) < duration; time.Sleep(time.Millisecond) {
 		for ; sent < int(time.Since(began).Seconds()*float64(rate)); sent++ {
 			id := fmt.Sprintf("%s.s%d-skew%d-%d", callerID(n), seed, name, sent)
