--- /dev/null
+++ b/review/standin/join.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// playJoin has one engine of a group crash. It starts again with its model on its host, so that it
+// joins in 1.6 s and the others in 0.2 s. The disruption: its answer to a report comes a second time,
+// late, at the point where the answer to its first order to join is expected.
+func playJoin(l *lab) {
+	all := newEngines(l)
+	for i := range 4 {
+		all.start(fmt.Sprintf("i-e%d", i), "d0")
+	}
+	l.store.PutRaw("op", "config", []byte(engineDocument))
+	a, b := l.startNode("front-a-1", "a"), l.startNode("front-b-1", "b")
+	l.awaitReady(a, b)
+	var sent atomic.Int64
+	header := map[string]string{"X-Model": "m", "X-Token-Counts": "100,140"}
+	ask := func(n *node) answer {
+		return l.send(n, "POST", "/text/x", fmt.Sprintf("text%04d", sent.Add(1)), "body", header)
+	}
+	l.await("the first group serves", 30*time.Second, func() bool { return ask(a).status == http.StatusOK })
+	all.mu.Lock()
+	loaded := all.byID["i-e3"].model == "m"
+	all.mu.Unlock()
+	if !loaded {
+		l.fail("engine i-e3 is not in the group")
+	}
+	time.Sleep(2 * time.Second)
+	crashed := all.byID["i-e3"]
+	all.crashEngine(crashed)
+	time.Sleep(4 * time.Second)
+	var once sync.Once
+	repeated := false
+	all.mu.Lock()
+	all.onAnswer = func(e *engine, c net.Conn, path, op string) (before string) {
+		if !l.trouble || e.id != "i-e4" || op != "join" {
+			return ""
+		}
+		if text, ok := e.lastReport(c); ok {
+			once.Do(func() {
+				l.logf("engine %s sends its answer to the last report a second time, in place of the answer to an order to join", e.id)
+				before, repeated = text, true
+			})
+		}
+		return before
+	}
+	all.mu.Unlock()
+	all.start("i-e4", "d0", "m") // the same host: a host keeps the last model across restarts
+	stop := time.Now().Add(6 * time.Second)
+	var clients sync.WaitGroup
+	for _, n := range []*node{a, b} {
+		clients.Go(func() {
+			for time.Now().Before(stop) {
+				if got := ask(n); got.status != http.StatusOK {
+					time.Sleep(100 * time.Millisecond)
+				}
+			}
+		})
+	}
+	clients.Wait()
+	time.Sleep(time.Second)
+	all.mu.Lock()
+	defer all.mu.Unlock()
+	if l.trouble && !repeated {
+		l.fail("no answer was sent a second time")
+	}
+	if len(all.byID["i-e4"].group.members) == 0 {
+		l.fail("engine i-e4 is in no group")
+	}
+	for _, p := range all.partial {
+		l.breaks("PARTIAL: %s", p)
+	}
+	l.logf("%d requests sent, %d ran", sent.Load(), len(all.runs))
+}
