--- a/review/standin/lab.go
+++ b/review/standin/lab.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -319,6 +320,25 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// metric returns the value of one of the node's own metrics; 0 if it has none of that name.
+func (n *node) metric(name string) float64 {
+	host, _, err := net.SplitHostPort(n.front)
+	n.lab.must(err)
+	resp, err := http.Get("http://" + net.JoinHostPort(host, n.metrics) + "/metrics")
+	n.lab.must(err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	n.lab.must(err)
+	for line := range strings.Lines(string(text)) {
+		if value, ok := strings.CutPrefix(line, name+" "); ok {
+			v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+			n.lab.must(err)
+			return v
+		}
+	}
+	return 0
+}
+
 // awaitReady waits until all nodes are ready.
 func (l *lab) awaitReady(nodes ...*node) {
 	for _, n := range nodes {
--- a/review/standin/second.go
+++ b/review/standin/second.go
@@ -88,7 +88,7 @@
 	// The address is used again after reuse_after_s, here by a server of the same service.
 	time.Sleep(2100 * time.Millisecond)
 	l.startEndpointAt(first.addr, "i-p1", "plain", "a", handle)
-	time.Sleep(1000 * time.Millisecond) // the nodes learn of it; the former entry hasn't lapsed yet
+	time.Sleep(700 * time.Millisecond) // the nodes learn of it; the former entry hasn't lapsed yet
 	send(40)
 	time.Sleep(time.Second)
 	mu.Lock()
--- a/review/standin/tunnel.go
+++ b/review/standin/tunnel.go
@@ -70,9 +70,10 @@
 		if strings.HasPrefix(r.URL.Path, "/note/") {
 			head += "Content-Type: text/event-stream\r\n"
 			parts = strings.SplitAfter(noteBody(), "\n\n")
+			parts = parts[:noteEvents] // what follows the last blank line is empty
 		} else {
 			whole := receiptBody(id)
-			parts, gap = []string{whole[:len(whole)/2], whole[len(whole)/2:]}, 600*time.Millisecond
+			parts, gap = []string{whole[:len(whole)/2], whole[len(whole)/2:]}, silentTime
 		}
 		for i, part := range parts {
 			if i == 0 {
@@ -107,48 +108,67 @@
 		}
 		<-begun
 	}
-	// Each round: the opening packets to the servers are lost for 40 ms, in which one request of
-	// each kind is sent to node A.
 	for round, signal := range []syscall.Signal{syscall.SIGKILL, syscall.SIGKILL, syscall.SIGTERM} {
-		var wg sync.WaitGroup
-		var ends []func()
-		for _, s := range servers {
-			ends = append(ends, s.dropNewConnections())
-		}
-		for _, kind := range []string{"receipt", "note"} {
-			id := fmt.Sprintf("%s%d", kind, round)
-			wg.Go(func() {
-				got := l.send(a, "POST", "/"+kind+"/x", id, "body", nil)
-				want := receiptBody(id)
-				if kind == "note" {
-					want = noteBody()
-				}
-				switch {
-				case got.err != nil || got.status != http.StatusOK:
-				case got.body != want:
-					l.breaks("MIXED: %s was answered with a success that looks complete; it has %d of the %d bytes of the server's answer", id, len(got.body), len(want))
-				default:
-					l.logf("%s has the server's whole answer", id)
-				}
-			})
-		}
-		time.Sleep(40 * time.Millisecond)
-		for _, end := range ends {
-			end()
+		const tries = 3
+		for try := 0; !l.playTunnelRound(a, b, servers, begun, fmt.Sprintf("%d.%d", round, try), signal); try++ {
+			if try == tries-1 {
+				l.fail("node %s did not use node %s", a.name, b.name)
+			}
 		}
+	}
+}
+
+// playTunnelRound sends one request of each kind to node A while the opening packets to the servers
+// are lost, and gives node B the signal once the answers have begun. It returns false if node A found
+// another way than node B, so that the round says nothing.
+func (l *lab) playTunnelRound(a, b *node, servers []*endpoint, begun <-chan string, round string, signal syscall.Signal) bool {
+	const (
+		lossTime = 70 * time.Millisecond // node A looks for another way after 80 ms
+		perRound = 2
+	)
+	tunnels := b.metric(`chervilloom_tunnel_requests_total{result="connected"}`)
+	var wg sync.WaitGroup
+	var ends []func()
+	for _, s := range servers {
+		ends = append(ends, s.dropNewConnections())
+	}
+	for _, kind := range []string{"receipt", "note"} {
+		id := kind + round
+		wg.Go(func() {
+			got := l.send(a, "POST", "/"+kind+"/x", id, "body", nil)
+			want := receiptBody(id)
+			if kind == "note" {
+				want = noteBody()
+			}
+			switch {
+			case got.err != nil || got.status != http.StatusOK:
+			case got.body != want:
+				l.breaks("MIXED: %s was answered with a success that looks complete; it has %d of the %d bytes of the server's answer", id, len(got.body), len(want))
+			default:
+				l.logf("%s has the server's whole answer", id)
+			}
+		})
+	}
+	time.Sleep(lossTime)
+	for _, end := range ends {
+		end()
+	}
+	for range perRound {
 		<-begun
-		<-begun
-		time.Sleep(300 * time.Millisecond) // both answers have begun
-		if l.trouble {
-			b.signal(signal)
-		}
-		wg.Wait()
-		if l.trouble {
-			l.await("the end of node "+b.name, 9*time.Second, b.hasEnded) // grace_s and a margin
-			time.Sleep(500 * time.Millisecond)
-			b.restart()
-		}
+	}
+	time.Sleep(400 * time.Millisecond) // both answers have begun
+	used := b.metric(`chervilloom_tunnel_requests_total{result="connected"}`) - tunnels
+	l.logf("node %s has passed %v connections on", b.name, used)
+	if l.trouble && used >= perRound {
+		b.signal(signal)
+	}
+	wg.Wait()
+	if l.trouble && used >= perRound {
+		l.await("the end of node "+b.name, 9*time.Second, b.hasEnded) // grace_s and a margin
+		time.Sleep(500 * time.Millisecond)
+		b.restart()
 		l.awaitReady(b)
 		time.Sleep(3 * time.Second)
 	}
+	return used >= perRound
 }
