Only the endpoint ends a response that passes another node

What callers saw: a node reaches an endpoint through another node; that node is killed, or stopped with SIGTERM. A response with neither a length nor chunks was cut, and the client got a complete 200 with the endpoint's stamp: 63 of 442 bytes of a stream, 440 of 880 of a receipt.

Cause: tunnels had no frames. The end of the connection to the other node stood for the endpoint's end of the response, and (1) the kernel closes the sockets of a killed process properly, (2) closeQuiet took 300 ms without bytes after a response's for an unused connection and closed it properly. The node that passes bytes on can't see where a request ends.

Change: bytes from the endpoint come in frames of two bytes and their length; a last one says whether the endpoint ended properly or by a reset. Without it a read fails with upstream.ErrPeerGone, so the attempt may have run, and is repeated or resumed by kind. A node that shuts down announces it in a frame; the node that has the request closes the tunnel once no request uses it, its idle ones within a second. Both nodes name frames in their headers. A node of an older program gets bytes without frames; its connection is reset by the kernel if this process is killed, and by this process after 3 s without bytes while it shuts down.

Open: a response through a node of an older program still ends as before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -517,6 +517,7 @@
 	began := n.Clock.Now()
 	n.leaving.Store(true)
 	n.Log.Info("node leaves", "grace", n.Settings.GracePeriod)
+	n.tunnels.AnnounceLeaving()
 	time.Sleep(min(drainNotice, n.Settings.GracePeriod/3))
 	left := n.Settings.GracePeriod - exitMargin - n.Clock.Now().Sub(began)
 	ctx, cancel := context.WithTimeout(context.Background(), max(left, 0))
@@ -525,7 +526,8 @@
 		n.Log.Warn("requests in flight aborted at the end of the grace period", "err", err)
 		return server.Close()
 	}
-	n.tunnels.AwaitQuiet(ctx)
+	n.Log.Debug("node waits for tunnels in use", "open", n.tunnels.OpenCount())
+	n.tunnels.AwaitUnused(ctx)
 	n.Log.Info("node shut down", "took_ms", n.Clock.Now().Sub(began).Milliseconds())
 	return nil
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -510,5 +510,5 @@
 // own request id; attempts with the same fingerprint are the same request.
 func (x *exchange) logBrokenAttempt(ep *roster.Endpoint, sent clock.Instant) {
 	x.f.Log.Info("attempt broke off", "request", x.req.ID, "fingerprint", x.fingerprint, "prompt_parts", x.req.PromptParts, "endpoint", ep.ID,
-		"group", ep.Member.Group, "sent_ms_ago", x.f.Clock.Now().Sub(sent).Milliseconds(), "events", x.eventsSent, "cause", x.lastCause)
+		"group", ep.Member.Group, "sent_ms_ago", x.f.Clock.Now().Sub(sent).Milliseconds(), "events", x.eventsSent, "peer", x.peer.Addr, "cause", x.lastCause)
 }
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -26,16 +26,17 @@
 	ErrEndpointDown = errors.New("tunnel: another node can't connect to the endpoint either")
 )
 
-// Dial opens a connection to the endpoint at addr through the node at peer, both ip:port. It
-// returns the TCP connection to that node, and fails with ErrPeerUnfit, ErrNoLink or
-// ErrEndpointDown; the last includes ECONNREFUSED if the endpoint refuses connections.
+// Dial opens a connection to the endpoint at addr through the node at peer, both ip:port. It fails
+// with ErrPeerUnfit, ErrNoLink or ErrEndpointDown; the last includes ECONNREFUSED if the endpoint
+// refuses connections. Reads from the connection fail with upstream.ErrPeerGone if the other node
+// ends it, unless that node's program knows no frames.
 func Dial(ctx context.Context, peer, addr string) (net.Conn, error) {
 	conn, err := upstream.DialTCP(ctx, peer)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrPeerUnfit, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	err = connect(conn, addr)
+	isFramed, err := connect(conn, addr)
 	if !stop() && err == nil {
 		err = fmt.Errorf("%w: %w", ErrPeerUnfit, ctx.Err())
 	}
@@ -43,13 +44,17 @@
 		conn.Close()
 		return nil, err
 	}
+	if isFramed {
+		return &framedConn{Conn: conn}, nil
+	}
 	return conn, nil
 }
 
-// connect requests the tunnel on a new connection to the other node.
-func connect(conn net.Conn, addr string) error {
-	if _, err := fmt.Fprintf(conn, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n\r\n", addr, addr); err != nil {
-		return fmt.Errorf("%w: %w", ErrPeerUnfit, err)
+// connect requests the tunnel on a new connection to the other node. It reports whether the other
+// node sends frames.
+func connect(conn net.Conn, addr string) (isFramed bool, err error) {
+	if _, err := fmt.Fprintf(conn, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n\r\n", addr, addr, headerFrames, framesV1); err != nil {
+		return false, fmt.Errorf("%w: %w", ErrPeerUnfit, err)
 	}
 	const (
 		size           = 512
@@ -58,20 +63,20 @@
 	buf := bufio.NewReaderSize(io.LimitReader(conn, maxHeaderBytes), size)
 	resp, err := http.ReadResponse(buf, &http.Request{Method: http.MethodConnect})
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrPeerUnfit, err)
+		return false, fmt.Errorf("%w: %w", ErrPeerUnfit, err)
 	}
 	resp.Body.Close()
 	if resp.StatusCode == http.StatusOK && buf.Buffered() == 0 {
-		return nil
+		return resp.Header.Get(headerFrames) == framesV1, nil
 	}
 	switch why := reason(resp.Header.Get(headerReason)); why {
 	case reasonRefused:
-		return fmt.Errorf("%w: %w", ErrEndpointDown, syscall.ECONNREFUSED)
+		return false, fmt.Errorf("%w: %w", ErrEndpointDown, syscall.ECONNREFUSED)
 	case reasonUnreachable:
-		return ErrEndpointDown
+		return false, ErrEndpointDown
 	case reasonNoLink, reasonUnknown:
-		return ErrNoLink
+		return false, ErrNoLink
 	default:
-		return fmt.Errorf("%w: status %d, %q", ErrPeerUnfit, resp.StatusCode, why)
+		return false, fmt.Errorf("%w: status %d, %q", ErrPeerUnfit, resp.StatusCode, why)
 	}
 }
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -27,11 +27,10 @@
 	MaxTunnels = 512
 	// bufferBytes is the size of the buffer of each direction.
 	bufferBytes = 4 << 10
-	// quietTime is how long a tunnel must be without traffic to count as unused while the node
-	// shuts down, and answeredQuietTime the same after bytes of the endpoint: a stream has an
-	// event every 50 ms.
-	quietTime         = time.Second
-	answeredQuietTime = 300 * time.Millisecond
+	// quietTime is how long a tunnel of a node that understands no frames must be without traffic
+	// to count as unused while this node shuts down. A sound endpoint may fall silent for a second
+	// or so.
+	quietTime = 3 * time.Second
 )
 
 // Server connects other nodes to endpoints. It handles CONNECT requests.
@@ -56,6 +55,7 @@
 
 	mu      sync.Mutex
 	tunnels map[*pipe]struct{}
+	leaving bool // AnnounceLeaving was called
 	closed  bool
 	work    sync.WaitGroup
 }
@@ -87,15 +87,17 @@
 		s.refuse(w, why)
 		return
 	}
-	node, err := hijack(w)
+	isFramed := r.Header.Get(headerFrames) == framesV1
+	node, err := hijack(w, isFramed)
 	if err != nil {
 		endpoint.Close()
 		s.Log.Warn("tunnel not opened", "from", r.RemoteAddr, "endpoint", r.Host, "err", err)
 		return
 	}
 	s.results.WithLabelValues("connected").Inc()
-	s.Log.Debug("tunnel opened", "from", r.RemoteAddr, "endpoint", r.Host)
-	p := &pipe{clock: s.Clock, log: s.Log, node: node, endpoint: endpoint}
+	log := s.Log.With("from", r.RemoteAddr, "endpoint", r.Host, "local", endpoint.LocalAddr().String())
+	log.Debug("tunnel opened", "frames", isFramed)
+	p := &pipe{clock: s.Clock, log: log, node: node, endpoint: endpoint, isFramed: isFramed}
 	if s.add(p) {
 		p.run()
 		s.remove(p)
@@ -136,7 +138,7 @@
 }
 
 // hijack takes the connection over from the HTTP server and confirms the tunnel.
-func hijack(w http.ResponseWriter) (net.Conn, error) {
+func hijack(w http.ResponseWriter, isFramed bool) (net.Conn, error) {
 	conn, _, err := http.NewResponseController(w).Hijack() // the other node sends nothing before the response
 	if err != nil {
 		return nil, err
@@ -145,7 +147,11 @@
 		conn.Close()
 		return nil, err
 	}
-	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"); err != nil {
+	header := ""
+	if isFramed {
+		header = headerFrames + ": " + framesV1 + "\r\n"
+	}
+	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+header+"\r\n"); err != nil {
 		conn.Close()
 		return nil, err
 	}
@@ -162,6 +168,9 @@
 	}
 	s.tunnels[p] = struct{}{}
 	s.work.Add(1)
+	if s.leaving {
+		p.announceLeaving()
+	}
 	return true
 }
 
@@ -172,28 +181,39 @@
 	s.work.Done()
 }
 
-// AwaitQuiet closes tunnels as they become unused, and waits until none is left or ctx ends.
-func (s *Server) AwaitQuiet(ctx context.Context) {
+// OpenCount returns the number of tunnels, including those that are being connected.
+func (s *Server) OpenCount() int { return int(s.open.Load()) }
+
+// AnnounceLeaving tells the other nodes that this one shuts down: they close a tunnel as soon as no
+// request uses it. Only they know when a response is complete.
+func (s *Server) AnnounceLeaving() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	for p := range s.tunnels {
+		p.announceLeaving()
+	}
+}
+
+// AwaitUnused waits until the other nodes have closed their tunnels or ctx ends.
+func (s *Server) AwaitUnused(ctx context.Context) {
 	const pollInterval = 50 * time.Millisecond
-	for s.closeQuiet() > 0 && clock.Sleep(ctx, pollInterval) {
+	for s.resetQuiet() > 0 && clock.Sleep(ctx, pollInterval) {
 	}
 }
 
-// closeQuiet closes the unused tunnels and returns the number of the others.
-func (s *Server) closeQuiet() int {
+// resetQuiet resets the tunnels that were silent for quietTime and whose nodes can't be told that
+// this one shuts down. It returns the number of the others.
+func (s *Server) resetQuiet() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, inUse := s.Clock.Now(), 0
 	for p := range s.tunnels {
-		limit := quietTime
-		if p.isAnswered.Load() {
-			limit = answeredQuietTime
-		}
-		if p.quietFor(now) < limit {
+		if p.isFramed || p.quietFor(now) < quietTime {
 			inUse++
 			continue
 		}
-		p.close()
+		p.abort()
 	}
 	return inUse
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -86,6 +86,9 @@
 	// ErrNoResponse means that at least a part of the request was sent and no response was
 	// received: the request may have run.
 	ErrNoResponse = errors.New("upstream: the request was sent and not answered; it may have run")
+	// ErrPeerGone means that the node that passes a connection on ended it, or that the link to
+	// that node is lost. It says nothing about the endpoint.
+	ErrPeerGone = errors.New("upstream: the node that passes the connection on has gone; look at that node's log")
 )
 
 // Send writes the request and reads the header of the response. The response body must be
@@ -174,11 +177,18 @@
 // MarkUnusable prevents the connection from being reused.
 func (c *Conn) MarkUnusable() { c.unusable = true }
 
+// mayBeReused reports whether the connection's own state allows another request. A connection
+// through another node knows whether that node ends it.
+func (c *Conn) mayBeReused() bool {
+	nc, ok := c.Conn.(interface{ IsReusable() bool })
+	return !c.unusable && c.buf.Buffered() == 0 && (!ok || nc.IsReusable())
+}
+
 // isReusable reports whether an idle connection is open and has no data to read. If the endpoint
 // has closed it, the next request would be lost; unread data belongs to no request and would
 // be taken for the response to the next one.
 func (c *Conn) isReusable() bool {
-	if c.buf.Buffered() > 0 {
+	if !c.mayBeReused() {
 		return false
 	}
 	_, err := peek(c.Conn)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -152,7 +152,7 @@
 // connection is closed if it must not be reused, or if there are already keep idle
 // connections to the endpoint.
 func (p *Pool) Put(c *Conn, resp *http.Response, keep int) {
-	if c.unusable || resp == nil || c.buf.Buffered() > 0 {
+	if resp == nil || !c.mayBeReused() {
 		c.Close()
 		return
 	}
@@ -169,7 +169,7 @@
 	if !c.used {
 		c.idleSince = p.Clock.Now()
 	}
-	if c.unusable || !p.push(c, keep) {
+	if !c.mayBeReused() || !p.push(c, keep) {
 		c.Close()
 	}
 }
@@ -189,7 +189,8 @@
 	return true
 }
 
-// CloseExpired closes the connections whose idle limit has passed.
+// CloseExpired closes the connections whose idle limit has passed, and those through other nodes
+// that end them.
 func (p *Pool) CloseExpired() {
 	now := p.Clock.Now()
 	p.mu.Lock()
@@ -197,7 +198,7 @@
 	for addr, idle := range p.idle {
 		kept := idle[:0]
 		for _, c := range idle {
-			if now.Sub(c.idleSince) < c.idleLimit {
+			if now.Sub(c.idleSince) < c.idleLimit && (c.Peer.IsDirect() || c.isReusable()) {
 				kept = append(kept, c)
 				continue
 			}
--- a/test/entry_test.go
+++ b/test/entry_test.go
@@ -166,19 +166,26 @@
 // startNode starts an entry node and adds it to the fleet. Its log is checked
 // when the test ends.
 func (f *entryFleet) startNode(vm, zone string) {
+	f.t.Helper()
+	n, file := f.prepareNode(vm, zone)
+	n.process = startProcess(f.t, vm, "entry", "--settings", file, "--verbose")
+	f.t.Cleanup(func() { checkLogs(f.t, n.process) })
+	f.nodes = append(f.nodes, n)
+}
+
+// prepareNode chooses a node's addresses and writes its settings file.
+func (f *entryFleet) prepareNode(vm, zone string) (n *entryNode, file string) {
 	f.t.Helper()
 	ip := loopbackIP()
 	addrs := freeAddrs(f.t, ip, 3)
-	n := &entryNode{front: addrs[0], ready: addrs[1]}
+	n = &entryNode{front: addrs[0], ready: addrs[1]}
 	_, port, err := net.SplitHostPort(addrs[2])
 	must(f.t, err)
-	file := filepath.Join(f.t.TempDir(), vm+".conf")
+	file = filepath.Join(f.t.TempDir(), vm+".conf")
 	limit := f.retryLimit
 	text := fmt.Sprintf(entrySettings, vm, zone, ip, n.front, n.ready, port, port, limit.Ratio, limit.Slack, limit.Window.Seconds(), f.store.Addr)
 	must(f.t, os.WriteFile(file, []byte(text), 0o600))
-	n.process = startProcess(f.t, vm, "entry", "--settings", file, "--verbose")
-	f.t.Cleanup(func() { checkLogs(f.t, n.process) })
-	f.nodes = append(f.nodes, n)
+	return n, file
 }
 
 // isReady reports whether the node's readiness check succeeds.
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -105,6 +105,13 @@
 	return "", p.lineAdded
 }
 
+// hasLine reports whether a line contains all of the texts.
+func (p *process) hasLine(texts ...string) bool {
+	return slices.ContainsFunc(p.output(), func(line string) bool {
+		return !slices.ContainsFunc(texts, func(text string) bool { return !strings.Contains(line, text) })
+	})
+}
+
 // output returns a copy of all lines.
 func (p *process) output() []string {
 	p.mu.Lock()
