A response that names another request is not believed

What callers saw: nothing. One of 220 to 224 streams that may not be resumed ran at two endpoints: a 421 to an earlier request came a second time, in place of the response to the present one, which had begun.

Cause: a 421 meant "not run" by its status alone, whatever request it named. The connection went back to the pool with the true response still to come, and a late response's limit, backoff, load and "leaving" were taken for new ones, its 421 for news of the endpoint.

Ruled out: believing only responses that name the request (a refusal or a 421 may name none; each would become "may have run").

Change: a response that names another request ends the attempt as one that may have run, before anything in it is recorded, and its connection is closed. A response that names no request is still believed, but its connection isn't kept: so all responses on a kept connection have named theirs, and one that names none can only belong to the request just sent. The cause in the log carries the id that the response named.

Before: TestLateSecondRefusalIsNotBelieved red for 421 (named or not) and for 503 and 429 that name no request; green for those that name it.

--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -46,6 +46,7 @@
 type Reply struct {
 	NotRun             bool                 // the request has not run there and will not
 	MatchesRequest     bool                 // the response carries this request's id
+	OtherRequest       string               // the id of another request that the response carries; empty: none
 	HasStamp           bool                 // the response carries an endpoint's stamp
 	HasContentEncoding bool                 // the body has a Content-Encoding, so an intermediary changed it
 	HasLoad            bool                 // Running and Waiting are set
@@ -53,7 +54,7 @@
 	Waiting            int                  // requests queued at the endpoint
 	CausingEndpoint    string               // the group member that caused the refusal; empty: not named
 	ClaimsNotRun       bool                 // the status tells a client that the request has not run, whether or not NotRun is set
-	IsMisdirected      bool                 // another endpoint has the address now
+	IsMisdirected      bool                 // another endpoint has the address now; the request has not run
 	Signals            backpressure.Signals // the endpoint's rate limit and backoff
 	SignalsErr         error                // names the rate limit and backoff headers that cannot be parsed; nil: none
 }
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -46,6 +46,10 @@
 			Name: "lookup", Host: "h.example", Prefix: "/lookup/", Repeat: catalog.Idempotent, Public: true,
 			Timeout: 10 * time.Second, Objective: 5 * time.Second, MaxAttempts: 2,
 			Backends: []catalog.Backend{{Service: "plain", Weight: 1}},
+		}, {
+			Name: "draft", Host: "h.example", Prefix: "/draft/", Repeat: catalog.Stream, Public: true,
+			Timeout: 10 * time.Second, Objective: 5 * time.Second, MaxAttempts: 1,
+			Backends: []catalog.Backend{{Service: "plain", Weight: 1}},
 		}},
 	}
 	cat, err := catalog.New(doc)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -25,6 +25,19 @@
 // to its end, the connection must not be reused afterwards.
 func (x *exchange) handleResponse(ctx context.Context, ep *roster.Endpoint, conn *upstream.Conn, resp *http.Response, ticket *balance.Ticket) Result {
 	rep := x.f.Codec.ReadReply(x.req, resp)
+	if rep.OtherRequest != "" {
+		// A second response to an earlier request: the one to this request is still to come.
+		conn.MarkUnusable()
+		x.countRun()
+		x.lastCause = fmt.Sprintf("response with status %d belongs to request %q", resp.StatusCode, rep.OtherRequest)
+		return MayHaveRun
+	}
+	if !rep.MatchesRequest {
+		// The endpoint may send it a second time, which the next request on this connection could
+		// not tell from its own response. All responses on a kept connection have named their requests,
+		// so one that names none belongs to the request just sent.
+		conn.MarkUnusable()
+	}
 	if rep.HasLoad {
 		ticket.RecordLoad(rep.Running, rep.Waiting)
 	}
@@ -34,8 +47,8 @@
 	case rep.NotRun || rep.IsMisdirected:
 		return x.handleNotRun(ep, conn, resp, rep)
 	case !rep.MatchesRequest || success && (!rep.HasStamp || rep.HasContentEncoding):
-		// A late or forged response to another request: it must not reach the client,
-		// and later data on the connection cannot be trusted.
+		// A forged response or one that names no request: it must not reach the client, and later
+		// data on the connection cannot be trusted.
 		conn.MarkUnusable()
 		x.countRun()
 		x.lastCause = fmt.Sprintf("response with status %d does not belong to the request", resp.StatusCode)
