A reset while the body is sent is no proper end of a response

Related path of the cut responses: a response with neither a length nor chunks ends with its connection. While the body of the request is still being sent (over 16 KiB), an endpoint that closes with unread bytes resets the connection; the failed write consumes the error and the read finds a proper end. Half a response then looks complete, without another node.

Change: the end of such a response counts only once the request has been sent without an error; a write that still waits is ended.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -107,6 +107,11 @@
 		c.unusable = true
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		c.unusable = true
+		resp.Body = &bodyToEnd{ReadCloser: resp.Body, conn: c.Conn, sent: bodySent}
+		return resp, nil
+	}
 	select {
 	case err := <-bodySent:
 		c.unusable = c.unusable || err != nil
@@ -119,6 +124,34 @@
 	return resp, nil
 }
 
+// errBodyNotSent means that a response ended with its connection before the request was sent.
+var errBodyNotSent = errors.New("upstream: the endpoint ended the connection before the request was sent; its response may be cut off")
+
+// bodyToEnd is a response body that ends with its connection. A write that fails may consume the
+// error of a reset, and the read then finds a proper end.
+type bodyToEnd struct {
+	io.ReadCloser
+	conn    net.Conn
+	sent    <-chan error // result of sending the request; nil: it is in sendErr
+	sendErr error
+}
+
+// Read implements io.Reader.
+func (b *bodyToEnd) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if b.sent != nil {
+		_ = b.conn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
+		b.sendErr, b.sent = <-b.sent, nil
+	}
+	if b.sendErr != nil {
+		return n, fmt.Errorf("%w: %w", errBodyNotSent, b.sendErr)
+	}
+	return n, err
+}
+
 // write sends the request, a long body in a separate goroutine. The channel receives the
 // result when the body has been sent.
 func (c *Conn) write(r *Request) (<-chan error, error) {
