A cut response never looks whole to a client of HTTP/1.0

Related path of the cut responses: such a client gets a stream, or a long response without a length, without chunks; its end is the end of the connection. A response that the node breaks off, or whose node is killed, was closed properly and looked complete. The users' clients speak HTTP/1.1.

Change: the connection of such a response is reset when it closes, also by the end of the process, until the whole response is with the kernel.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -21,3 +21,33 @@
 	c, ok := r.Context().Value(clientConnKey{}).(net.Conn)
 	return ok && upstream.IsPeerClosed(c)
 }
+
+// beginUnframed prepares a response that ends with the client's connection, which a client of HTTP/1.0
+// gets if the length isn't known: unless it is completed, the connection is reset, also if this
+// process ends.
+func (x *exchange) beginUnframed() {
+	x.isUnframed = !x.clientRequest.ProtoAtLeast(1, 1)
+	x.setClientReset(true)
+}
+
+// completeUnframed ends such a response properly once the client's connection has all of it.
+func (x *exchange) completeUnframed() {
+	if !x.isUnframed {
+		return
+	}
+	if err := http.NewResponseController(x.w).Flush(); err != nil {
+		x.f.Log.Debug("response not flushed", "request", x.req.ID, "err", err)
+		return
+	}
+	x.setClientReset(false)
+}
+
+func (x *exchange) setClientReset(reset bool) {
+	c, ok := x.clientRequest.Context().Value(clientConnKey{}).(net.Conn)
+	if !x.isUnframed || !ok {
+		return
+	}
+	if err := upstream.SetReset(c, reset); err != nil {
+		x.f.Log.Debug("the way to close a client's connection can't be set", "request", x.req.ID, "err", err)
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -61,6 +61,7 @@
 	heldBack         bool          // the newest attempt was stopped before it was sent, through no fault of the endpoint
 	sentAt           clock.Instant // when the newest attempt was sent
 	endsWithConn     bool          // the newest attempt's response has neither a length nor chunks
+	isUnframed       bool          // the client's response ends with its connection
 	peer             upstream.Peer // the node that passed the newest attempt on
 	firstByteLatency time.Duration // from the start to the response header; 0: none sent yet
 	lastEventAt      clock.Instant
@@ -407,6 +408,9 @@
 	x.recordEnd(step, res)
 	switch step {
 	case Finish:
+		if res == Answered {
+			x.completeUnframed()
+		}
 		x.logEnd("request done", res)
 	case RelayFailure:
 		x.relayFailure()
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -83,7 +83,9 @@
 		OnStaleEndpoint: func() {}, OnNoResponse: func(*roster.Endpoint) {}, OnResponse: func() {}, OnSent: func(roster.ID, int) {},
 		SampleSize: func() int { return 0 }, ZoneLoad: func(string, string) board.MeanLoad { return board.MeanLoad{} }, NodeCount: func() int { return 1 },
 	}
-	r.server = httptest.NewServer(r.Forwarder)
+	r.server = httptest.NewUnstartedServer(r.Forwarder)
+	r.server.Config.ConnContext = forward.WithClientConn
+	r.server.Start()
 	t.Cleanup(r.server.Close)
 	return r
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -171,6 +171,8 @@
 	x.f.Codec.CopyHeader(x.w.Header(), resp.Header)
 	if complete {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	} else if resp.ContentLength < 0 {
+		x.beginUnframed()
 	}
 	x.w.WriteHeader(resp.StatusCode)
 	x.recordHeaderSent()
@@ -242,6 +244,7 @@
 	}
 	x.f.Codec.CopyHeader(x.w.Header(), resp.Header)
 	x.w.Header().Del("Content-Length") // the stream may be assembled from several endpoints
+	x.beginUnframed()
 	x.w.WriteHeader(resp.StatusCode)
 	x.recordHeaderSent()
 }
--- a/internal/tunnel/pipe.go
+++ b/internal/tunnel/pipe.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"chervilloom/internal/clock"
+	"chervilloom/internal/upstream"
 )
 
 // pipe copies bytes between the connections to a node and to an endpoint.
@@ -169,17 +170,8 @@
 }
 
 // setReset sets whether a connection is reset when it is closed, by this process or by its end.
-// Bytes that the other side has not received are lost then.
 func (p *pipe) setReset(c net.Conn, reset bool) {
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	linger := -1
-	if reset {
-		linger = 0
-	}
-	if err := tcp.SetLinger(linger); err != nil && !errors.Is(err, net.ErrClosed) {
+	if err := upstream.SetReset(c, reset); err != nil && !errors.Is(err, net.ErrClosed) {
 		p.log.Warn("the way to close a tunnel can't be set; a response that is cut off may look complete", "err", err)
 	}
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -248,6 +248,26 @@
 	return true
 }
 
+// SetReset sets whether the kernel resets a connection when it is closed, also by the end of this
+// process. Bytes that the peer has not received are lost then.
+func SetReset(c net.Conn, reset bool) error {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return errNoSocket
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	linger := unix.Linger{}
+	if reset {
+		linger.Onoff = 1
+	}
+	var optErr error
+	err = raw.Control(func(fd uintptr) { optErr = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &linger) })
+	return errors.Join(err, optErr)
+}
+
 // errNoSocket means that a connection has no file descriptor.
 var errNoSocket = errors.New("upstream: the connection is not a socket")
 
