--- a/internal/formation/apply.go
+++ b/internal/formation/apply.go
@@ -225,6 +225,17 @@
 	}
 }
 
+// isEarlierReport reports whether a report is older than one that was received: an engine may send
+// a response a second time, in place of the next one. The second in a row is believed.
+func (f *EngineState) isEarlierReport(rep Report) bool {
+	if rep.OrderCount < f.ReportedOrders && f.EarlierReports == 0 {
+		f.EarlierReports++
+		return true
+	}
+	f.ReportedOrders, f.EarlierReports = rep.OrderCount, 0
+	return false
+}
+
 // applyReport stores a report that was requested at the given time. State known from
 // responses to orders takes precedence over reports that may be older.
 func (f *EngineState) applyReport(rep Report, asked clock.Instant) {
--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -149,6 +149,8 @@
 	Restarted       bool          // the engine has restarted under its name and address
 	OrderStateUntil clock.Instant // until then, answers to orders override reports, which lag
 	OrderCountUntil clock.Instant // reports requested before this may contain an order count that is too low
+	ReportedOrders  uint64        // highest number of begun orders in a report
+	EarlierReports  int           // reports in a row with a lower one
 	LastJoin        string        // group of the newest join that the engine has begun
 	LastActivity    clock.Instant // newest activity seen on requests that the engine serves as a head
 	RefusedGroup    string        // group that the engine refused to join because it has seen a later epoch
--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -178,6 +178,9 @@
 		p.next = now.Add(probeRetryDelay)
 	case err != nil:
 		c.recordProbeFailure(f, p, asked, now, err)
+	case f.isEarlierReport(rep):
+		c.Log.Info("report of an earlier state ignored", "zone", c.Zone, "endpoint", f.ID, "orders", rep.OrderCount, "known", f.ReportedOrders)
+		p.next = now.Add(probeRetryDelay)
 	default:
 		p.inconclusiveMisses = 0
 		c.reportRTT.observe(now.Sub(asked))
--- a/internal/tunnel/frames.go
+++ b/internal/tunnel/frames.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 
 	"chervilloom/internal/upstream"
@@ -32,10 +33,11 @@
 type framedConn struct {
 	net.Conn
 	header    [frameHeaderBytes]byte
-	have      int   // bytes of the next header that were read
-	left      int   // bytes of the current frame that were not read
-	end       error // how the endpoint's connection ended; nil: it is open
-	isLeaving bool  // the other node shuts down
+	have      int         // bytes of the next header that were read
+	left      int         // bytes of the current frame that were not read
+	end       error       // how the endpoint's connection ended; nil: it is open
+	isLeaving atomic.Bool // the other node shuts down
+	answered  atomic.Bool // the last bytes came from the endpoint
 }
 
 // SyscallConn implements syscall.Conn, so that unread bytes can be looked for.
@@ -50,7 +52,20 @@
 // IsReusable reports whether the connection may carry another request. It must not be called while
 // another goroutine reads.
 func (c *framedConn) IsReusable() bool {
-	return c.end == nil && !c.isLeaving && c.left == 0 && c.have == 0
+	return c.end == nil && !c.isLeaving.Load() && c.left == 0 && c.have == 0
+}
+
+// errLeaving means that nothing was sent, because the other node shuts down.
+var errLeaving = errors.New("tunnel: the node that passes the connection on shuts down; use another connection")
+
+// Write sends bytes to the endpoint. Once the other node shuts down, it fails before the first byte of
+// another request: a client that can't ask IsReusable then opens another connection.
+func (c *framedConn) Write(p []byte) (int, error) {
+	if c.isLeaving.Load() && c.answered.Load() {
+		return 0, errLeaving
+	}
+	c.answered.Store(false)
+	return c.Conn.Write(p)
 }
 
 // Read reads bytes of the endpoint. It fails with io.EOF only if the endpoint has ended the
@@ -62,6 +77,7 @@
 		}
 		n, err := c.Conn.Read(p)
 		if n = c.unframe(p[:n]); n > 0 || len(p) == 0 {
+			c.answered.Store(true)
 			return n, nil // a failure comes again
 		}
 		switch {
@@ -97,7 +113,7 @@
 		case frameReset:
 			c.end = errEndpointReset
 		case frameLeaving:
-			c.isLeaving = true
+			c.isLeaving.Store(true)
 		default:
 			c.left = int(n)
 		}
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -257,6 +257,37 @@
 	testkit.Eventually(t, "the tunnel is closed", func() bool { pool.CloseExpired(); return n.open.Load() == 0 })
 }
 
+// Guards against a node that can't shut down while another one polls an endpoint through it with a
+// client that keeps connections.
+func TestPollsLeaveTheTunnelOfLeavingNode(t *testing.T) {
+	is := is.New(t)
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	t.Cleanup(endpoint.Close)
+	first, second := startNode(t), startNode(t)
+	transport := &http.Transport{DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+		conn, err := Dial(ctx, first.addr, addr)
+		if err != nil {
+			return Dial(ctx, second.addr, addr)
+		}
+		return conn, nil
+	}}
+	t.Cleanup(transport.CloseIdleConnections)
+	poll := func() {
+		resp, err := (&http.Client{Transport: transport}).Get(endpoint.URL)
+		is.NoErr(err)
+		_, err = io.ReadAll(resp.Body)
+		is.NoErr(err)
+		resp.Body.Close()
+	}
+	poll()
+	is.Equal(first.open.Load(), int64(1))
+	first.leaving.Store(true)
+	first.AnnounceLeaving()
+	testkit.Eventually(t, "the polls pass the other node", func() bool { poll(); return first.open.Load() == 0 })
+	poll()
+	is.Equal(second.open.Load(), int64(1))
+}
+
 // Guards against a response without a length that looks complete because the node that passes it on
 // ended, and against a whole one that doesn't.
 func TestOnlyTheEndpointEndsAResponse(t *testing.T) {
