--- a/internal/forward/late_test.go
+++ b/internal/forward/late_test.go
@@ -11,6 +11,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"chervilloom/internal/testkit"
 )
 
 // lateEndpoint refuses the first request of each connection. It runs the next one, and sends the
@@ -79,7 +81,7 @@
 					_, _ = io.WriteString(c, draftResponse(id))
 				}
 			}
-			r := newTestForwarder(t, 100, listenRaw(t, late.serve), listenRaw(t, sound))
+			r := newTestForwarder(t, 100, testkit.Listen(t, late.serve), testkit.Listen(t, sound))
 			served := 0
 			for i := range requests {
 				r.Tracker.ClearSuspicions() // so that the endpoint gets further requests
@@ -107,23 +109,3 @@
 		})
 	}
 }
-
-// listenRaw handles each connection with serve and returns the address.
-func listenRaw(t *testing.T, serve func(net.Conn)) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return ln.Addr().String()
-}
--- a/internal/forward/unframed_test.go
+++ b/internal/forward/unframed_test.go
@@ -12,6 +12,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"chervilloom/internal/testkit"
 )
 
 // Guards against a response that is cut off and looks complete to a client of HTTP/1.0, whose
@@ -20,7 +22,7 @@
 	is := is.New(t)
 	const events, text = 5, "id: %d\ndata: x\n\n"
 	for _, whole := range []bool{true, false} {
-		r := newTestForwarder(t, 0, listenRaw(t, func(c net.Conn) {
+		r := newTestForwarder(t, 0, testkit.Listen(t, func(c net.Conn) {
 			defer c.Close()
 			req, err := http.ReadRequest(bufio.NewReader(c))
 			if err != nil {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"chervilloom/internal/clock"
+	"chervilloom/internal/testkit"
 )
 
 // rawEndpoint is an endpoint for which the test writes the raw bytes of the responses.
@@ -468,24 +469,15 @@
 // body consumed the error of the endpoint's reset.
 func TestResetWhileTheBodyIsSentIsNoProperEnd(t *testing.T) {
 	is := is.New(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = c.Read(make([]byte, 64))
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
-			c.Close() // with unread bytes: a reset
-		}
-	}()
+	addr := testkit.Listen(t, func(c net.Conn) {
+		_, _ = c.Read(make([]byte, 64))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
+		c.Close() // with unread bytes: a reset
+	})
 	const body = 8 << 20 // more than the kernel's buffers hold
 	pool := &Pool{Clock: clock.Boot{}}
 	for range 50 {
-		c, err := pool.Get(t.Context(), ln.Addr().String(), true, nil)
+		c, err := pool.Get(t.Context(), addr, true, nil)
 		is.NoErr(err)
 		resp, err := c.Send(&Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, body)})
 		if err == nil {
