--- a/internal/tunnel/frames.go
+++ b/internal/tunnel/frames.go
@@ -16,7 +16,6 @@
 // are no length stand for events.
 const (
 	frameHeaderBytes = 2
-	maxFrameBytes    = bufferBytes - frameHeaderBytes
 
 	frameEnd     = 0      // the endpoint has ended its connection properly
 	frameReset   = 0xffff // the endpoint's connection broke
--- a/internal/tunnel/pipe.go
+++ b/internal/tunnel/pipe.go
@@ -101,6 +101,8 @@
 		case errors.Is(err, io.EOF) && p.isSent():
 			p.endResponses(frameEnd)
 			return
+		case errors.Is(err, net.ErrClosed): // the node ended the tunnel
+			return
 		case err != nil:
 			p.endResponses(frameReset)
 			return
