A reset that a look for unread bytes sees first is no proper end

Cause: the tracker looks for unread bytes with MSG_PEEK while the response is read. The look gets the reset's error and thereby clears it, and the read finds a proper end. It is the same class as a write that consumes it.

Change: the look records a reset, and the end of a response that ends with its connection counts only if none was seen; a look that is under way is awaited.

TestResetSeenByALookIsNoProperEnd: red before, green after.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -38,8 +39,10 @@
 	buf       *bufio.Reader // reads in
 	idleLimit time.Duration // maximum idle time
 	idleSince clock.Instant
-	used      bool // has been used for a request
-	unusable  bool // must not be reused for another request
+	peeking   sync.Mutex // held by HasUnread
+	isReset   bool       // HasUnread has consumed the error of a reset; guarded by peeking
+	used      bool       // has been used for a request
+	unusable  bool       // must not be reused for another request
 }
 
 // newConn returns a connection to the endpoint at addr.
@@ -109,7 +112,7 @@
 	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		c.unusable = true
-		resp.Body = &bodyToEnd{ReadCloser: resp.Body, conn: c.Conn, sent: bodySent}
+		resp.Body = &bodyToEnd{ReadCloser: resp.Body, conn: c, sent: bodySent}
 		return resp, nil
 	}
 	select {
@@ -127,11 +130,14 @@
 // errBodyNotSent means that a response ended with its connection before the request was sent.
 var errBodyNotSent = errors.New("upstream: the endpoint ended the connection before the request was sent; its response may be cut off")
 
-// bodyToEnd is a response body that ends with its connection. A write that fails may consume the
-// error of a reset, and the read then finds a proper end.
+// errReset means that a response ended with a reset of its connection.
+var errReset = fmt.Errorf("upstream: the response is cut off: %w", syscall.ECONNRESET)
+
+// bodyToEnd is a response body that ends with its connection. A write that fails, or a look for unread
+// bytes, may consume the error of a reset, and the read then finds a proper end.
 type bodyToEnd struct {
 	io.ReadCloser
-	conn    net.Conn
+	conn    *Conn
 	sent    <-chan error // result of sending the request; nil: it is in sendErr
 	sendErr error
 }
@@ -146,8 +152,11 @@
 		_ = b.conn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
 		b.sendErr, b.sent = <-b.sent, nil
 	}
-	if b.sendErr != nil {
+	switch {
+	case b.sendErr != nil:
 		return n, fmt.Errorf("%w: %w", errBodyNotSent, b.sendErr)
+	case b.conn.wasReset():
+		return n, errReset
 	}
 	return n, err
 }
@@ -231,10 +240,22 @@
 // HasUnread reports whether bytes of the endpoint have arrived that have not been read. It may be
 // called while another goroutine reads.
 func (c *Conn) HasUnread() bool {
+	c.peeking.Lock()
+	defer c.peeking.Unlock()
 	n, err := peek(c.Conn)
+	if err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, errNoSocket) {
+		c.isReset = true
+	}
 	return err == nil && n > 0
 }
 
+// wasReset reports whether HasUnread has consumed the error of a reset: a read then finds a proper end.
+func (c *Conn) wasReset() bool {
+	c.peeking.Lock()
+	defer c.peeking.Unlock()
+	return c.isReset
+}
+
 // IsPeerClosed reports whether the peer has closed or reset the connection, as far as this VM
 // has received that. It consumes no data of the connection.
 func IsPeerClosed(c net.Conn) bool {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -487,3 +488,32 @@
 		c.Close()
 	}
 }
+
+// Guards against a response without a length that looks complete because a look for unread bytes
+// consumed the error of the endpoint's reset.
+func TestResetSeenByALookIsNoProperEnd(t *testing.T) {
+	is := is.New(t)
+	const half = "half"
+	reset := make(chan struct{})
+	addr := testkit.Listen(t, func(c net.Conn) {
+		_, _ = c.Read(make([]byte, 512))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+half)
+		<-reset
+		_ = c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	})
+	c, err := (&Pool{Clock: clock.Boot{}}).Get(t.Context(), addr, true, nil)
+	is.NoErr(err)
+	defer c.Close()
+	resp, err := c.Send(&Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
+	is.NoErr(err)
+	_, err = io.ReadFull(resp.Body, make([]byte, len(half)))
+	is.NoErr(err)
+	close(reset)
+	for range 100 {
+		c.HasUnread()
+		time.Sleep(time.Millisecond) // the reset is on its way
+	}
+	_, err = io.ReadAll(resp.Body)
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
--- a/test/entry_soak_test.go
+++ b/test/entry_soak_test.go
@@ -339,8 +339,12 @@
 
 // setRandomPressure has an endpoint send a random pressure signal, or none.
 func (s *soak) setRandomPressure() {
-	endpoints := append(s.fleet.OpenHeads("m"), s.fleet.Get("i-p0"), s.fleet.Get("i-p1"))
+	heads := s.fleet.OpenHeads("m")
+	endpoints := append(slices.Clone(heads), s.fleet.Get("i-p0"), s.fleet.Get("i-p1"))
 	i := s.rng.IntN(len(endpoints))
+	if s.ends != nil && i >= len(heads) {
+		return // the handler of other ends sends no signals
+	}
 	signals := []pressure.Signals{{}, {Limit: 0.1 + 4*s.rng.Float64()}, {RetryAfter: time.Duration(500+s.rng.IntN(2500)) * time.Millisecond}, {Leaving: true}}
 	w := signals[s.rng.IntN(len(signals))]
 	if w.Leaving { // permanent, so only engines leave, and a new one is added
