The refusal of a node that has ended is not its endpoint's

Related path of the cut responses: an attempt that breaks off starts a check of its endpoint. On a node without links the check goes through other nodes; if the one that was killed refuses the connection, the error of the check included that refusal, which counts as the crash of the endpoint, and the request or a part of its prompt is blamed for it.

That this was the cause there is not shown: the log of the node without links is not kept.

Change: an error of the connection to the other node isn't passed on. TestDialTellsUnfitNodesFromEndpointsThatAreDown: red with the new condition before, green after.

--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -16,7 +16,8 @@
 
 // Errors of Dial.
 var (
-	// ErrPeerUnfit means that the other node could not try: choose another one.
+	// ErrPeerUnfit means that the other node could not try: choose another one. It includes no error of
+	// the connection to that node, which would be taken for the endpoint's.
 	ErrPeerUnfit = errors.New("tunnel: the node can't pass connections on; try another node")
 	// ErrNoLink means that the other node has lost its link to this endpoint, or doesn't know it,
 	// but may reach others.
@@ -33,12 +34,12 @@
 func Dial(ctx context.Context, peer, addr string) (net.Conn, error) {
 	conn, err := upstream.DialTCP(ctx, peer)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrPeerUnfit, err)
+		return nil, fmt.Errorf("%w: %v", ErrPeerUnfit, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	isFramed, err := connect(conn, addr)
 	if !stop() && err == nil {
-		err = fmt.Errorf("%w: %w", ErrPeerUnfit, ctx.Err())
+		err = fmt.Errorf("%w: %v", ErrPeerUnfit, ctx.Err())
 	}
 	if err != nil {
 		conn.Close()
@@ -54,7 +55,7 @@
 // node sends frames.
 func connect(conn net.Conn, addr string) (isFramed bool, err error) {
 	if _, err := fmt.Fprintf(conn, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n\r\n", addr, addr, headerFrames, framesV1); err != nil {
-		return false, fmt.Errorf("%w: %w", ErrPeerUnfit, err)
+		return false, fmt.Errorf("%w: %v", ErrPeerUnfit, err)
 	}
 	const (
 		size           = 512
@@ -63,7 +64,7 @@
 	buf := bufio.NewReaderSize(io.LimitReader(conn, maxHeaderBytes), size)
 	resp, err := http.ReadResponse(buf, &http.Request{Method: http.MethodConnect})
 	if err != nil {
-		return false, fmt.Errorf("%w: %w", ErrPeerUnfit, err)
+		return false, fmt.Errorf("%w: %v", ErrPeerUnfit, err)
 	}
 	resp.Body.Close()
 	if resp.StatusCode == http.StatusOK && buf.Buffered() == 0 {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -112,7 +112,8 @@
 	}
 }
 
-// Guards against an endpoint that counts as down because the node in between could not try.
+// Guards against an endpoint that counts as down, or crashed, because the node in between could not
+// try or has ended.
 func TestDialTellsUnfitNodesFromEndpointsThatAreDown(t *testing.T) {
 	is := is.New(t)
 	n := startNode(t)
@@ -137,7 +138,7 @@
 	_, err = Dial(t.Context(), n.addr, free)
 	is.True(errors.Is(err, ErrPeerUnfit))
 	_, err = Dial(t.Context(), free, free) // no node there
-	is.True(errors.Is(err, ErrPeerUnfit))
+	is.True(errors.Is(err, ErrPeerUnfit) && !errors.Is(err, syscall.ECONNREFUSED))
 	old := httptest.NewServer(http.NotFoundHandler()) // a build that knows no tunnels
 	defer old.Close()
 	_, err = Dial(t.Context(), strings.TrimPrefix(old.URL, "http://"), free)
