Names and comments: the soak with irregular responses, resets reported once

Cause: "ends" and "a look" name nothing to a reader of the field; the comments on resets told of reads and writes, not of the kernel's rule (an error of a socket is reported once).

The soak's draws are the same.

--- a/internal/tunnel/pipe.go
+++ b/internal/tunnel/pipe.go
@@ -75,8 +75,8 @@
 	return err
 }
 
-// isSent reports, once the endpoint's connection has ended, whether all writes to it succeeded. A
-// write may consume the error of a reset, and the read then finds a proper end.
+// isSent reports, once the endpoint's connection has ended, whether all writes to it succeeded. The
+// kernel reports a reset once: after a failed write has got the error, a read returns io.EOF.
 func (p *pipe) isSent() bool {
 	_ = p.endpoint.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
 	p.sending.Lock()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -133,8 +133,8 @@
 // errReset means that a response ended with a reset of its connection.
 var errReset = fmt.Errorf("upstream: the response is cut off: %w", syscall.ECONNRESET)
 
-// bodyToEnd is a response body that ends with its connection. A write that fails, or a look for unread
-// bytes, may consume the error of a reset, and the read then finds a proper end.
+// bodyToEnd is a response body that ends with its connection. The kernel reports a reset once: after a
+// failed write or HasUnread has got the error, a read returns io.EOF.
 type bodyToEnd struct {
 	io.ReadCloser
 	conn    *Conn
@@ -249,7 +249,7 @@
 	return err == nil && n > 0
 }
 
-// wasReset reports whether HasUnread has consumed the error of a reset: a read then finds a proper end.
+// wasReset reports whether HasUnread has consumed the error of a reset. It waits for a call in progress.
 func (c *Conn) wasReset() bool {
 	c.peeking.Lock()
 	defer c.peeking.Unlock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -489,9 +489,9 @@
 	}
 }
 
-// Guards against a response without a length that looks complete because a look for unread bytes
-// consumed the error of the endpoint's reset.
-func TestResetSeenByALookIsNoProperEnd(t *testing.T) {
+// Guards against a response without a length that looks complete because HasUnread consumed the error
+// of the endpoint's reset.
+func TestResetSeenByPeekIsNoProperEnd(t *testing.T) {
 	is := is.New(t)
 	const half = "half"
 	reset := make(chan struct{})
--- a/test/entry_soak_ends_test.go
+++ b/test/entry_soak_irregular_test.go
@@ -16,29 +16,29 @@
 	"chervilloom/platform/platformtest"
 )
 
-// TestEntrySoakWithOtherEnds injects the usual faults where the plain endpoints end responses with
+// TestEntrySoakWithIrregularResponses injects the usual faults where the plain endpoints end responses with
 // their connection, break some off, send some a second time in place of the next one, and refuse
 // requests with and without naming them, as one at an address that is used again does. A node that
 // reaches no endpoint itself gets a third of the requests.
-func TestEntrySoakWithOtherEnds(t *testing.T) {
+func TestEntrySoakWithIrregularResponses(t *testing.T) {
 	for i := range *soakSeeds {
 		seed := *soakSeed + uint64(i)
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			s := &soak{
 				entryFleet: startEntryFleetWith(t, noteRoutes, (*platformtest.Store).SendEras, "a", "a", "b"),
 				rng:        rand.New(rand.NewPCG(seed, 0)),
-				ends:       &otherEnds{rnd: rand.New(rand.NewPCG(seed, 2000))},
+				irregular:  &irregularEndpoints{rnd: rand.New(rand.NewPCG(seed, 2000))},
 			}
-			s.ends.fleet = s.fleet
+			s.irregular.fleet = s.fleet
 			s.noLinks = s.startNodeWithoutLinks("front-a-9", "a")
 			s.run(seed)
 			testkit.Eventually(t, "the node without links serves again", func() bool {
 				code, _, err := s.sendAndRead(s.noLinks, "POST", "/text/x", fmt.Sprintf("last%d", seed), textHeader(7))
 				return err == nil && code == http.StatusOK
 			})
-			t.Logf("%d served, sent: %v", s.served, s.ends.counts)
+			t.Logf("%d served, sent: %v", s.served, s.irregular.counts)
 			for _, kind := range []string{"whole to the end", "broken off", "twice", "refused unnamed"} {
-				if s.ends.counts[kind] == 0 {
+				if s.irregular.counts[kind] == 0 {
 					t.Errorf("no response was %s", kind)
 				}
 			}
@@ -46,12 +46,13 @@
 	}
 }
 
-// soakPartPause is the pause after each part of a response that ends with its connection: long enough
+// irregularPartPause is the pause after each part of a response that ends with its connection: long enough
 // for nodes to be killed meanwhile.
-const soakPartPause = 60 * time.Millisecond
+const irregularPartPause = 60 * time.Millisecond
 
-// otherEnds serves connections of plain endpoints whose responses end in unusual ways.
-type otherEnds struct {
+// irregularEndpoints serves connections of plain endpoints: responses end with their connection, break
+// off, come twice, or refuse requests without naming them.
+type irregularEndpoints struct {
 	fleet *platformtest.Fleet
 
 	mu     sync.Mutex
@@ -60,7 +61,7 @@
 }
 
 // draw returns true in one of n cases, and counts them.
-func (o *otherEnds) draw(n int, kind string) bool {
+func (o *irregularEndpoints) draw(n int, kind string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.rnd.IntN(n) != 0 {
@@ -74,7 +75,7 @@
 }
 
 // handler returns the handler of an endpoint's connections.
-func (o *otherEnds) handler(e *platformtest.Endpoint) http.HandlerFunc {
+func (o *irregularEndpoints) handler(e *platformtest.Endpoint) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
@@ -111,7 +112,7 @@
 
 // serve responds to a request. It returns the response, unless that ends with the connection, and
 // whether the connection stays open.
-func (o *otherEnds) serve(e *platformtest.Endpoint, conn net.Conn, r *http.Request, body, former string) (response string, more bool) {
+func (o *irregularEndpoints) serve(e *platformtest.Endpoint, conn net.Conn, r *http.Request, body, former string) (response string, more bool) {
 	id := r.Header.Get("X-Request-Id")
 	isOther := r.Header.Get("X-Expect-Instance") != e.ID
 	refusal := o.refusal(id, isOther)
@@ -149,14 +150,14 @@
 		if _, err := io.WriteString(conn, part); err != nil {
 			return "", false
 		}
-		time.Sleep(soakPartPause)
+		time.Sleep(irregularPartPause)
 	}
 	o.draw(1, "whole to the end")
 	return "", false
 }
 
 // refusal returns the refusal of a request, or nothing.
-func (o *otherEnds) refusal(id string, isOther bool) string {
+func (o *irregularEndpoints) refusal(id string, isOther bool) string {
 	const end = "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 	named := "X-Request-Id: " + id + "\r\n"
 	switch {
@@ -189,17 +190,17 @@
 }
 
 // isCut reports whether a response of the handler to a call lacks lines.
-func (o *otherEnds) isCut(path, body string) bool {
+func (o *irregularEndpoints) isCut(path, body string) bool {
 	return strings.HasPrefix(body, path) && strings.Count(body, "\n") != responseParts
 }
 
-// injectEnds makes the plain endpoints end responses in unusual ways, mostly.
-func (s *soak) injectEnds() {
+// injectIrregularResponses makes each plain endpoint respond irregularly, or as usual in one of four cases.
+func (s *soak) injectIrregularResponses() {
 	for _, id := range []string{"i-p0", "i-p1"} {
-		if e := s.fleet.Get(id); s.ends.draw(4, "usual") {
+		if e := s.fleet.Get(id); s.irregular.draw(4, "usual") {
 			e.SetHandler(nil)
 		} else {
-			e.SetHandler(s.ends.handler(e))
+			e.SetHandler(s.irregular.handler(e))
 		}
 	}
 }
--- a/test/entry_soak_test.go
+++ b/test/entry_soak_test.go
@@ -31,13 +31,13 @@
 // throughout.
 type soak struct {
 	*entryFleet
-	rng      *rand.Rand // for the faults
-	hasRanks bool       // streams differ in rank
-	kills    *rand.Rand // for kills in series; nil: none
-	skew     *rand.Rand // for most new connections at one node; nil: none
-	ends     *otherEnds // plain endpoints end responses in unusual ways; nil: no
-	noLinks  *entryNode // reaches no endpoint itself; nil: none
-	bursts   sync.WaitGroup
+	rng       *rand.Rand          // for the faults
+	hasRanks  bool                // streams differ in rank
+	kills     *rand.Rand          // for kills in series; nil: none
+	skew      *rand.Rand          // for most new connections at one node; nil: none
+	irregular *irregularEndpoints // plain endpoints that respond irregularly; nil: none
+	noLinks   *entryNode          // reaches no endpoint itself; nil: none
+	bursts    sync.WaitGroup
 
 	mu         sync.Mutex
 	faults     []string
@@ -146,8 +146,8 @@
 		if s.skew != nil {
 			s.injectSkew(seed)
 		}
-		if s.ends != nil {
-			s.injectEnds()
+		if s.irregular != nil {
+			s.injectIrregularResponses()
 		}
 		time.Sleep(time.Duration(100+s.rng.IntN(500)) * time.Millisecond) // interval between faults
 	}
@@ -342,8 +342,8 @@
 	heads := s.fleet.OpenHeads("m")
 	endpoints := append(slices.Clone(heads), s.fleet.Get("i-p0"), s.fleet.Get("i-p1"))
 	i := s.rng.IntN(len(endpoints))
-	if s.ends != nil && i >= len(heads) {
-		return // the handler of other ends sends no signals
+	if s.irregular != nil && i >= len(heads) {
+		return // irregularEndpoints sends no signals
 	}
 	signals := []pressure.Signals{{}, {Limit: 0.1 + 4*s.rng.Float64()}, {RetryAfter: time.Duration(500+s.rng.IntN(2500)) * time.Millisecond}, {Leaving: true}}
 	w := signals[s.rng.IntN(len(signals))]
@@ -506,7 +506,7 @@
 		n := s.nodes[rnd.IntN(len(s.nodes))]
 		s.mu.Unlock()
 		kinds := 3
-		if s.ends != nil {
+		if s.irregular != nil {
 			kinds = 5
 			if rnd.IntN(3) == 0 {
 				n = s.noLinks
@@ -588,7 +588,7 @@
 	if err == nil && code == http.StatusOK && !strings.Contains(body, path) {
 		s.recordViolation("%s got the response of another request: %q", id, body)
 	}
-	if err == nil && code == http.StatusOK && s.ends != nil && s.ends.isCut(path, body) {
+	if err == nil && code == http.StatusOK && s.irregular != nil && s.irregular.isCut(path, body) {
 		s.recordViolation("%s looks complete with %d bytes", id, len(body))
 	}
 	s.recordAnswer(n, id, code, err)
