Tests: crowds of clients that don't behave, at a node of 64 MB; sound clients beside them

Cause: nothing in the suite sent heads, bodies or connections that stop short of their end, and nothing counted what a node has received and not read.

Each crowd plays against one node process with 64 MB in its settings and the operator's limits (head 16,384 bytes, body 4 MB, head 3 s, idle 15 s). Checked are the process, its resident memory with the receive queues of its sockets, its descriptors, and one ordinary lookup and receipt beside the crowd and afterwards; no times and no share.

--- a/test/entry_test.go
+++ b/test/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -34,16 +35,25 @@
 	// comma.
 	furtherRoutes string
 	retryLimit    platformtest.RetryLimit
+	// limits are the limits of client requests in the document, in JSON.
+	limits string
+	// furtherSettings are lines that each node's settings file has beside the usual ones.
+	furtherSettings string
+	// metrics is set if the nodes serve their metrics.
+	metrics bool
 }
 
+// usualLimits are the limits of client requests.
+const usualLimits = `{"max_body_bytes":65536}`
+
 // usualRetryLimit is so wide that it doesn't bind.
 var usualRetryLimit = platformtest.RetryLimit{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second}
 
-// entryNode is the process of an entry node with its client and readiness
-// addresses.
+// entryNode is the process of an entry node with its addresses for clients, readiness probes and
+// other nodes.
 type entryNode struct {
 	*process
-	front, ready string
+	front, ready, peers, metrics string
 }
 
 const entrySettings = `node=%s
@@ -76,8 +86,8 @@
  {"name":"receipt","host":"h.example","prefix":"/receipt/","type":"non_idempotent","timeout_ms":10000,"service":"plain","max_attempts":1},
  {"name":"lookup","host":"h.example","prefix":"/lookup/","type":"idempotent","timeout_ms":10000,"target_latency_ms":3000,"service":"plain","max_attempts":3}%s],
  "services":[{"name":"engines","engine":{"slots":8,"models":[{"name":"m","size":4,"share":1,"pace":1,"load_s":0.05,"warm_s":0.05}],
-  "loads_per_s":100,"loads_at_once":6,"keeps":1,"form_ms":50}},{"name":"plain"}],
- "limits":{"max_body_bytes":65536},"tenants":[{"name":"org","api_keys":[%s]}]}`
+  "loads_per_s":100,"loads_at_once":6,"keeps":1,"form_ms":50}},{"name":"plain"},{"name":"slow"}],
+ "limits":%s,"tenants":[{"name":"org","api_keys":[%s]}]}`
 
 // startEntryFleet starts a fleet with one node in each of the given zones.
 func startEntryFleet(t *testing.T, zones ...string) *entryFleet {
@@ -100,7 +110,15 @@
 // startEntryFleetWithin does the same with a limit of repeats.
 func startEntryFleetWithin(t *testing.T, limit platformtest.RetryLimit, furtherRoutes string, prepare func(*platformtest.Store), zones ...string) *entryFleet {
 	t.Helper()
-	f := &entryFleet{t: t, store: platformtest.NewStore(), keys: []string{`"k1"`, `"k2"`}, furtherRoutes: furtherRoutes, retryLimit: limit}
+	return (&entryFleet{furtherRoutes: furtherRoutes, retryLimit: limit}).start(t, prepare, zones...)
+}
+
+// start starts a fleet with one node in each of the given zones, on a store that is first passed to
+// prepare.
+func (f *entryFleet) start(t *testing.T, prepare func(*platformtest.Store), zones ...string) *entryFleet {
+	t.Helper()
+	f.t, f.store, f.keys = t, platformtest.NewStore(), []string{`"k1"`, `"k2"`}
+	f.limits = cmp.Or(f.limits, usualLimits)
 	t.Cleanup(f.store.Close)
 	prepare(f.store)
 	f.fleet = platformtest.NewFleet(f.store)
@@ -136,7 +154,7 @@
 
 // rewriteDocument writes the operator's document again in its current version.
 func (f *entryFleet) rewriteDocument() {
-	f.store.PutRaw("op", "config", fmt.Appendf(nil, entryDocument, f.version, f.furtherRoutes, strings.Join(f.keys, ",")))
+	f.store.PutRaw("op", "config", fmt.Appendf(nil, entryDocument, f.version, f.furtherRoutes, f.limits, strings.Join(f.keys, ",")))
 }
 
 // nodesStarted counts the nodes started by this process, to assign addresses.
@@ -168,7 +186,13 @@
 func (f *entryFleet) startNode(vm, zone string) {
 	f.t.Helper()
 	n, file := f.prepareNode(vm, zone)
-	n.process = startProcess(f.t, vm, "entry", "--settings", file, "--verbose")
+	args := []string{"entry", "--settings", file, "--verbose"}
+	if f.metrics {
+		_, port, err := net.SplitHostPort(n.metrics)
+		must(f.t, err)
+		args = append(args, "--metrics", port)
+	}
+	n.process = startProcess(f.t, vm, args...)
 	f.t.Cleanup(func() { checkLogs(f.t, n.process) })
 	f.nodes = append(f.nodes, n)
 }
@@ -177,13 +201,13 @@
 func (f *entryFleet) prepareNode(vm, zone string) (n *entryNode, file string) {
 	f.t.Helper()
 	ip := loopbackIP()
-	addrs := freeAddrs(f.t, ip, 3)
-	n = &entryNode{front: addrs[0], ready: addrs[1]}
+	addrs := freeAddrs(f.t, ip, 4)
+	n = &entryNode{front: addrs[0], ready: addrs[1], peers: addrs[2], metrics: addrs[3]}
 	_, port, err := net.SplitHostPort(addrs[2])
 	must(f.t, err)
 	file = filepath.Join(f.t.TempDir(), vm+".conf")
 	limit := f.retryLimit
-	text := fmt.Sprintf(entrySettings, vm, zone, ip, n.front, n.ready, port, port, limit.Ratio, limit.Slack, limit.Window.Seconds(), f.store.Addr)
+	text := fmt.Sprintf(entrySettings, vm, zone, ip, n.front, n.ready, port, port, limit.Ratio, limit.Slack, limit.Window.Seconds(), f.store.Addr) + f.furtherSettings
 	must(f.t, os.WriteFile(file, []byte(text), 0o600))
 	return n, file
 }
