Bodies of requests take the memory that has arrived, and no more

Clients that announced 4 MB and sent a few bytes kept all other bodies out (503 for each ordinary receipt). Chunked bodies took a multiple of their length: the buffer grows by doubling, the old one stays until it is collected, and only bytes read were counted, not the buffer.

Cause: a body with a length was reserved and allocated whole before its first byte; one without grew in io.ReadAll.

Change: a body is held in parts of 1 to 32 KB that never move, each reserved before it is allocated; fingerprint and the connection to the endpoint take parts. The budget moves from forward to a package of its own. io.ReadFull isn't used for it: it takes a body that is cut off for one that ends.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,6 +34,7 @@
 	"chervilloom/internal/lateness"
 	"chervilloom/internal/lease"
 	"chervilloom/internal/links"
+	"chervilloom/internal/memory"
 	"chervilloom/internal/news"
 	table "chervilloom/internal/platform"
 	"chervilloom/internal/quarantine"
@@ -218,7 +219,7 @@
 		Quarantine: n.quarantineGuard, Backpressure: n.backpressureGuard,
 		NodeCount: func() int { return n.leaseCache.listedNodeCount() },
 		Contended: n.isContended, ZoneNodeCount: func() int { return n.leaseCache.zoneNodeCount(n.Settings.Zone) },
-		MaxHeld: o.Settings.Memory / bodyMemoryDivisor,
+		Memory: memory.Budget{Limit: o.Settings.Memory / bodyMemoryDivisor},
 	}
 	n.follower = &follower{node: n, client: feed.NewClient(), clock: o.Clock, log: o.Log, wake: make(chan struct{}, 1)}
 	n.lookup = &startLookup{node: n}
--- a/internal/forward/early.go
+++ b/internal/forward/early.go
@@ -53,7 +53,8 @@
 
 // linger sends the response, ends this direction of the connection and drops what the client still
 // sends, for at most lingerTime. It reads the connection itself, since a chunked body can't be read on
-// after a deadline.
+// after a deadline. It panics with http.ErrAbortHandler, because net/http would keep the connection for
+// a time of its own.
 func (f *Forwarder) linger(w http.ResponseWriter, r *http.Request) {
 	conn, ok := r.Context().Value(clientConnKey{}).(interface {
 		net.Conn
@@ -65,7 +66,8 @@
 	err := errors.Join(http.NewResponseController(w).Flush(), conn.CloseWrite(), conn.SetReadDeadline(time.Now().Add(lingerTime)))
 	if err != nil {
 		f.Log.Debug("connection of a refused request ends at once", "err", err)
-		return
+	} else {
+		_, _ = io.Copy(io.Discard, struct{ io.Reader }{conn}) // ends with the connection or the deadline
 	}
-	_, _ = io.Copy(io.Discard, struct{ io.Reader }{conn}) // ends with the connection or the deadline
+	panic(http.ErrAbortHandler)
 }
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -65,7 +65,7 @@
 				is.Equal(status, http.StatusOK)
 			}
 			is.True(sent.Load() < 10*(8<<20)) // with the buffers of the sockets
-			is.Equal(r.HeldBytes(), int64(0))
+			is.Equal(r.Memory.Held(), int64(0))
 		})
 	}
 }
@@ -77,7 +77,7 @@
 	const maxHeld = 8 << 20
 	endless, _ := startEndlessEndpoint(t, 200, false, 20*time.Millisecond)
 	r := newTestForwarder(t, 1000)
-	r.MaxHeld = maxHeld
+	r.Memory.Limit = maxHeld
 	r.setView(t, lookupDocument(), nil, endpointAt("endless", "z", endless))
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -96,9 +96,9 @@
 			}
 		}()
 	}
-	testkit.Eventually(t, "responses are being read", func() bool { return r.HeldBytes() >= maxHeld/8 })
+	testkit.Eventually(t, "responses are being read", func() bool { return r.Memory.Held() >= maxHeld/8 })
 	for range 100 {
-		is.True(r.HeldBytes() <= maxHeld/2)
+		is.True(r.Memory.Held() <= maxHeld/2)
 		time.Sleep(5 * time.Millisecond) // not a proof: the bound holds at every moment
 	}
 }
@@ -131,5 +131,5 @@
 	is.NoErr(err)
 	is.True(strings.HasPrefix(string(answer[:n]), "HTTP/1.1 503 "))
 	is.True(strings.Contains(string(answer[:n]), "not-run"))
-	testkit.Eventually(t, "the memory is released", func() bool { return r.HeldBytes() == 0 })
+	testkit.Eventually(t, "the memory is released", func() bool { return r.Memory.Held() == 0 })
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -40,7 +40,7 @@
 	clientRequest *http.Request
 	w             http.ResponseWriter
 	clientCtx     context.Context // cancelled when the client disconnects
-	body          []byte
+	body          [][]byte        // in parts
 	fingerprint   quarantine.Fingerprint
 	parts         []quarantine.Part // of the prompt, that other requests may share
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"sync"
 	"time"
 
@@ -19,6 +15,7 @@
 	"chervilloom/internal/clock"
 	"chervilloom/internal/demand"
 	"chervilloom/internal/expect"
+	"chervilloom/internal/memory"
 	"chervilloom/internal/outcome"
 	"chervilloom/internal/quarantine"
 	"chervilloom/internal/retry"
@@ -114,11 +111,9 @@
 	// Contended reports whether rank and expected time decide about a service's requests; nil:
 	// never.
 	Contended func(service string) bool
-	// MaxHeld is the number of bytes of request and response bodies that may be held at the same
-	// time; 0: defaultMaxHeld.
-	MaxHeld int64
+	// Memory bounds the bytes of request and response bodies that are held at the same time.
+	Memory memory.Budget
 
-	memory    memoryBudget
 	timeouts  clientTimeouts
 	demand    demand.Meter
 	corrector expect.Corrector
@@ -157,14 +152,14 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(x.timeLeft(f.Clock.Now())))
 	defer cancel()
-	held := reservation{f: f}
-	defer held.release()
-	if x.body, problem = f.readBodyBy(ctx, w, r, x.catalog.Limits.BodyBytes, &held); problem != nil {
+	held := memory.Reservation{Budget: &f.Memory}
+	defer held.Release()
+	if x.body, problem = f.receiveBody(ctx, w, r, x.catalog.Limits.BodyBytes, &held); problem != nil {
 		f.refuseUnread(w, r, &req, "body", problem)
 		return
 	}
 	x.clientRequest, x.w, x.clientCtx = r, w, r.Context()
-	x.fingerprint = quarantine.Of(x.organisation, r.Method, req.Host, req.Target, x.body)
+	x.fingerprint = quarantine.Of(x.organisation, r.Method, req.Host, req.Target, x.body...)
 	x.parts = quarantine.Parts(req.PromptParts)
 	x.run(ctx)
 }
@@ -256,69 +251,6 @@
 	return left
 }
 
-// readBodyBy reads the request's body until ctx ends: a client may send it slowly, and it is not
-// needed after the request's deadline.
-func (f *Forwarder) readBodyBy(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64, held *reservation) ([]byte, *outcome.Error) {
-	if r.Body == nil || r.ContentLength == 0 {
-		return nil, nil
-	}
-	deadline, _ := ctx.Deadline()
-	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(deadline); err != nil {
-		f.Log.Debug("no deadline for the body", "err", err)
-	}
-	body, problem := f.readBody(w, r, limit, held)
-	if problem == nil {
-		// net/http goes on reading to find out whether the client leaves.
-		if err := control.SetReadDeadline(time.Time{}); err != nil {
-			f.Log.Debug("deadline of the body stays", "err", err)
-		}
-	}
-	return body, problem
-}
-
-func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request, limit int64, held *reservation) ([]byte, *outcome.Error) {
-	if r.Body == nil || r.ContentLength == 0 {
-		return nil, nil
-	}
-	if limit > 0 && r.ContentLength > limit {
-		return nil, outcome.New(outcome.TooLarge, outcome.NotRun, fmt.Sprintf("the body has %d bytes, the limit is %d", r.ContentLength, limit), "send a smaller body")
-	}
-	src := io.Reader(r.Body)
-	if limit > 0 {
-		src = http.MaxBytesReader(w, r.Body, limit)
-	}
-	if r.ContentLength > 0 && r.ContentLength <= limit {
-		if !held.add(r.ContentLength) {
-			return nil, bodyError(errHeldTooMuch)
-		}
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(src, body)
-		return body, bodyError(err)
-	}
-	body, err := io.ReadAll(reservingReader{src, held})
-	return body, bodyError(err)
-}
-
-// bodyError returns the refusal for an error from reading the body, nil without one.
-func bodyError(err error) *outcome.Error {
-	if err == nil {
-		return nil
-	}
-	if errors.Is(err, errHeldTooMuch) {
-		return outcome.New(outcome.Overloaded, outcome.NotRun, "this node holds too many large requests and responses", "try again, another node may have room").
-			WithCause(err).WithRetryAfter(retryAfterFull)
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return outcome.New(outcome.DeadlineExceeded, outcome.NotRun, "the body was not received within the request's time", "allow more time").WithCause(err)
-	}
-	kind := outcome.BadRequest
-	if _, ok := err.(*http.MaxBytesError); ok {
-		kind = outcome.TooLarge
-	}
-	return outcome.New(kind, outcome.NotRun, "the body could not be read", "send a whole body within the limit").WithCause(err)
-}
-
 // refuse responds to a request that has not run. fields are additional attributes of the
 // log entry.
 func (f *Forwarder) refuse(w http.ResponseWriter, req *Request, stage string, e *outcome.Error, fields ...any) {
--- a/internal/forward/memory_test.go
+++ b/internal/forward/memory_test.go
@@ -35,7 +35,7 @@
 	is := is.New(t)
 	const clients, responseSize, maxHeld = 200, 1 << 20, 8 << 20
 	r := newTestForwarder(t, 1000)
-	r.MaxHeld = maxHeld
+	r.Memory.Limit = maxHeld
 	r.setView(t, lookupDocument(), nil, endpointAt("e", "z", startLargeEndpoint(t, responseSize)))
 	const socketBuffer = 4 << 10 // the kernel's buffers must not take whole responses
 	server := httptest.NewUnstartedServer(r.Forwarder)
@@ -53,9 +53,9 @@
 		_, err = fmt.Fprintf(conn, "GET /lookup/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %d\r\n\r\n", i)
 		is.NoErr(err)
 	}
-	testkit.Eventually(t, "the memory for bodies is in use", func() bool { return r.HeldBytes() > maxHeld/2 })
+	testkit.Eventually(t, "the memory for bodies is in use", func() bool { return r.Memory.Held() > maxHeld/2 })
 	for range 200 {
-		is.True(r.HeldBytes() <= maxHeld)
+		is.True(r.Memory.Held() <= maxHeld)
 		time.Sleep(time.Millisecond) // not a proof: the bound holds at every moment
 	}
 	small := endpointAt("other", "z", startNamedEndpoint(t, "small", 200))
@@ -70,7 +70,7 @@
 func TestLargeBodiesAreRefusedBeyondMemory(t *testing.T) {
 	is := is.New(t)
 	r := newTestForwarder(t, 1000)
-	r.MaxHeld = 1000
+	r.Memory.Limit = 1000
 	r.setView(t, lookupDocument(), nil, endpointAt("e", "z", startNamedEndpoint(t, "e", 200)))
 	post := func(body io.Reader) (int, string) {
 		req, err := http.NewRequest(http.MethodPost, r.server.URL+"/receipt/x", body)
@@ -93,5 +93,5 @@
 	status, text = post(strings.NewReader("small"))
 	is.Equal(status, http.StatusOK)
 	is.Equal(text, "e")
-	is.Equal(r.HeldBytes(), int64(0))
+	is.Equal(r.Memory.Held(), int64(0))
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -10,6 +10,7 @@
 
 	"chervilloom/internal/balance"
 	"chervilloom/internal/catalog"
+	"chervilloom/internal/memory"
 	"chervilloom/internal/roster"
 	"chervilloom/internal/upstream"
 )
@@ -107,12 +108,12 @@
 // readBuffered reads a response body into memory. It stops early, with complete false, at
 // maxBufferedResponse or when the memory for bodies is used up; the rest is then relayed as it
 // arrives.
-func readBuffered(r io.Reader, held *reservation) (body []byte, complete bool, err error) {
+func readBuffered(r io.Reader, held *memory.Reservation) (body []byte, complete bool, err error) {
 	const chunk = 8 << 10
 	for len(body) < maxBufferedResponse {
 		if len(body) == cap(body) {
 			growth := max(chunk, cap(body))
-			if !held.add(int64(growth)) {
+			if !held.Add(int64(growth)) {
 				return body, false, nil
 			}
 			grown := make([]byte, len(body), cap(body)+growth)
@@ -150,14 +151,14 @@
 
 // relayResponse relays a response that is not an event stream.
 func (x *exchange) relayResponse(ctx context.Context, ep *roster.Endpoint, conn *upstream.Conn, resp *http.Response, success bool) Result {
-	held := reservation{f: x.f, endpoint: ep.ID}
-	defer held.release()
+	held := memory.Reservation{Budget: &x.f.Memory, Source: string(ep.ID)}
+	defer held.Release()
 	body, complete, err := readBuffered(resp.Body, &held)
 	if err != nil {
 		conn.MarkUnusable()
 		return x.classifyError(ctx, ep, err)
 	}
-	held.endRead()
+	held.EndRead()
 	if !success && !complete && len(body) >= maxBufferedResponse {
 		conn.MarkUnusable()
 		x.lastCause = fmt.Sprintf("endpoint answered %d with a body of over 1 MiB", resp.StatusCode)
@@ -183,7 +184,7 @@
 	if !complete {
 		have := len(body)
 		body = nil
-		held.release()
+		held.Release()
 		if err := relayRest(x.w, resp.Body, have); err != nil {
 			conn.MarkUnusable()
 			return x.classifyError(ctx, ep, err)
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -25,16 +25,18 @@
 // every node must compute the same fingerprint, also after a restart.
 const fingerprintKey = "chervilloom request fingerprint 1"
 
-// Of returns the fingerprint of a request. body is the complete body as it is sent to endpoints;
-// both serving modes hold it in memory, up to the configured limit.
-func Of(caller, method, host, target string, body []byte) Fingerprint {
+// Of returns the fingerprint of a request. body is the complete body as it is sent to endpoints, in any
+// number of parts; both serving modes hold it in memory, up to the configured limit.
+func Of(caller, method, host, target string, body ...[]byte) Fingerprint {
 	h := hmac.New(sha256.New, []byte(fingerprintKey))
 	for _, part := range []string{caller, method, host, target} {
 		// The length prefix distinguishes "ab"+"c" from "a"+"bc".
 		_, _ = h.Write(binary.AppendUvarint(nil, uint64(len(part)))) // a hash write never fails
 		_, _ = h.Write([]byte(part))
 	}
-	_, _ = h.Write(body)
+	for _, part := range body {
+		_, _ = h.Write(part)
+	}
 	return Fingerprint(base64.RawURLEncoding.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -27,7 +27,16 @@
 	Target string // path and query, byte for byte as the client sent them
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   [][]byte // in parts
+}
+
+// bodySize returns the length of the body in bytes.
+func (r *Request) bodySize() int {
+	size := 0
+	for _, part := range r.Body {
+		size += len(part)
+	}
+	return size
 }
 
 // Conn is a connection to an endpoint. It is used by one request at a time.
@@ -169,13 +178,16 @@
 	if err := r.Header.Write(&b); err != nil {
 		return nil, err
 	}
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	size := r.bodySize()
+	if size > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
+		b.WriteString("Content-Length: " + strconv.Itoa(size) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	done := make(chan error, 1)
-	if len(r.Body) <= concurrentBodyBytes {
-		b.Write(r.Body)
+	if size <= concurrentBodyBytes {
+		for _, part := range r.Body {
+			b.Write(part)
+		}
 		_, err := io.WriteString(c.Conn, b.String())
 		done <- err
 		return done, err
@@ -184,7 +196,10 @@
 		return nil, err
 	}
 	go func() {
-		_, err := c.Conn.Write(r.Body)
+		var err error
+		for i := 0; i < len(r.Body) && err == nil; i++ {
+			_, err = c.Conn.Write(r.Body[i])
+		}
 		done <- err
 	}()
 	return done, nil
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	resp, err := c.Send(&Request{Method: "POST", Target: "/x?y=%2F", Host: "h", Header: http.Header{}, Body: []byte("b")})
+	resp, err := c.Send(&Request{Method: "POST", Target: "/x?y=%2F", Host: "h", Header: http.Header{}, Body: [][]byte{[]byte("b")}})
 	if err != nil {
 		p.Put(c, nil, 4)
 		return c, err
@@ -175,7 +175,7 @@
 	p := &Pool{Clock: clock.Boot{}}
 	c, err := p.Get(context.Background(), addr, false, nil)
 	is.NoErr(err)
-	resp, err := c.Send(&Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, 16<<20)})
+	resp, err := c.Send(&Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: [][]byte{make([]byte, 16<<20)}})
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, 503)
 	p.Put(c, resp, 4)
@@ -480,7 +480,7 @@
 	for range 50 {
 		c, err := pool.Get(t.Context(), addr, true, nil)
 		is.NoErr(err)
-		resp, err := c.Send(&Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, body)})
+		resp, err := c.Send(&Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: [][]byte{make([]byte, body)}})
 		if err == nil {
 			_, err = io.ReadAll(resp.Body)
 		}
