What clients send and nobody reads is bounded, and so are their heads

A node of 64 MB took 268 MB with 300 unfinished heads in short fields, 150 with whole ones, 803 with refused bodies that went on, and 263 with empty lines at a fifth of a core: that is the process that ended at the users. The operator's limits for heads and idle connections weren't applied (64 KB, 10 s and 30 s instead).

(1) A head was bounded by its bytes, but costs a hundred for each field once parsed. (2) Received bytes that are not read count, and the kernel lets a queue grow to megabytes: at connections that wait to be accepted, that wait in the backlog, that are closed in two steps, whose request runs, or whose body nobody reads. (3) Each part had a bound of its own, a quarter of the memory twice, and nothing told the runtime, so garbage doubled the sum.

Change: package memory divides a VM's memory in one place: program, state of the fleet, heads and bodies, open connections with their receive queues, waiting ones, garbage. A client's connection reserves a head's memory by its bytes and fields beyond 4 KB and applies the operator's limits of the moment; values that are missing or out of range fall back to the former ones. A head over them is answered 431, not run, and dropped. A request that arrived within the limits while the process stood still is read. A client that takes nothing of its response for 15 s is cut off.

Ruled out: a soft limit alone (live bytes above it only collect garbage), a limit in bytes alone (20 KB in short fields still cost 0.4 MB).

Fewer places for connections show where clients hold them: announced bodies, silent clients and heads without end have no ordinary request served beside them; that is the next fault.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -140,7 +140,7 @@
 // NoPriority is the priority of an organisation that declares none; the route's applies.
 const NoPriority = -1
 
-// Limits are the limits for client requests.
+// Limits are the limits for client requests. A value that is 0 or outside its range isn't applied.
 type Limits struct {
 	HeaderBytes   int
 	BodyBytes     int64
@@ -148,6 +148,31 @@
 	IdleTimeout   time.Duration
 }
 
+// Ranges of the limits for heads and idle connections. What lies outside would turn clients away that
+// send ordinary requests, or would be no limit.
+const (
+	minHeaderBytes, maxHeaderBytes     = 1 << 10, 1 << 20
+	minHeaderTimeout, maxHeaderTimeout = 100 * time.Millisecond, time.Minute
+	minIdleTimeout, maxIdleTimeout     = time.Second, time.Hour
+)
+
+// Or returns the limits with the given ones in place of those that don't apply.
+func (l Limits) Or(other Limits) Limits {
+	if l.HeaderBytes < minHeaderBytes || l.HeaderBytes > maxHeaderBytes {
+		l.HeaderBytes = other.HeaderBytes
+	}
+	if l.BodyBytes <= 0 {
+		l.BodyBytes = other.BodyBytes
+	}
+	if l.HeaderTimeout < minHeaderTimeout || l.HeaderTimeout > maxHeaderTimeout {
+		l.HeaderTimeout = other.HeaderTimeout
+	}
+	if l.IdleTimeout < minIdleTimeout || l.IdleTimeout > maxIdleTimeout {
+		l.IdleTimeout = other.IdleTimeout
+	}
+	return l
+}
+
 // Catalog is a Document indexed for lookups.
 type Catalog struct {
 	Document
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 	"math"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -87,6 +88,7 @@
 	links             *links.Monitor
 	dialer            *links.Dialer
 	tunnels           *tunnel.Server
+	plan              memory.Plan // of this VM's memory
 	intake            *intake.Listener
 	engines           formation.Engines
 	forwarder         *forward.Forwarder
@@ -162,11 +164,9 @@
 	// retryBudgetShare is the fraction of the platform's retry limit that is used, because the
 	// nodes' time windows and the platform's are not aligned.
 	retryBudgetShare = 0.8
-	// bodyMemoryDivisor gives request and response bodies a quarter of the memory.
-	bodyMemoryDivisor = 4
-	headerTimeout     = 10 * time.Second
-	idleTimeout       = 30 * time.Second
-	maxHeader         = 64 << 10
+	headerTimeout    = 10 * time.Second
+	idleTimeout      = 30 * time.Second
+	maxHeader        = 64 << 10
 )
 
 // ejectionOptions is tuned for few requests per endpoint: a node sends each one to three a
@@ -180,7 +180,7 @@
 func New(o Options) *Node {
 	gate := newStoreGate(o)
 	o.Store = gate
-	n := &Node{Options: o, storeGate: gate, startedAt: o.Clock.Now(), stateKnown: make(chan struct{})}
+	n := &Node{Options: o, plan: memory.Divide(o.Settings.Memory), storeGate: gate, startedAt: o.Clock.Now(), stateKnown: make(chan struct{})}
 	n.lateness = &lateness.Monitor{Clock: o.Clock}
 	n.links = n.newLinkMonitor()
 	n.dialer, n.tunnels = n.newDialer(), n.newTunnelServer()
@@ -219,7 +219,7 @@
 		Quarantine: n.quarantineGuard, Backpressure: n.backpressureGuard,
 		NodeCount: func() int { return n.leaseCache.listedNodeCount() },
 		Contended: n.isContended, ZoneNodeCount: func() int { return n.leaseCache.zoneNodeCount(n.Settings.Zone) },
-		Memory: memory.Budget{Limit: o.Settings.Memory / bodyMemoryDivisor},
+		Memory: memory.Budget{Limit: n.plan.Held},
 	}
 	n.follower = &follower{node: n, client: feed.NewClient(), clock: o.Clock, log: o.Log, wake: make(chan struct{}, 1)}
 	n.lookup = &startLookup{node: n}
@@ -410,7 +410,7 @@
 
 // Run serves until ctx ends, then shuts down within the grace period.
 func (n *Node) Run(ctx context.Context) error {
-	front, err := intake.Listen(ctx, n.Settings.ClientAddr)
+	front, err := intake.Listen(ctx, n.Settings.ClientAddr, n.plan.Queued)
 	if err != nil {
 		return merry.Prepend(err, "listen on the clients' address; check the settings' listen address")
 	}
@@ -425,6 +425,9 @@
 	if err != nil {
 		return merry.Prepend(err, "listen on the address for other nodes (TCP); check the settings' port range")
 	}
+	if n.plan.Runtime > 0 {
+		debug.SetMemoryLimit(n.plan.Runtime)
+	}
 	n.Log.Info("node starts", "zone", n.Settings.Zone, "front", n.Settings.ClientAddr, "bootstrap", n.Settings.Bootstrap)
 
 	// Request handling continues after ctx has ended, until the requests in flight are
@@ -447,10 +450,8 @@
 	n.startDuties(ctx, g)
 
 	n.intake = n.newIntake(front)
-	server := &http.Server{
-		Handler: http.HandlerFunc(n.serve), ConnContext: forward.WithClientConn, ReadHeaderTimeout: headerTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
-	}
+	server := newServer(http.HandlerFunc(n.serve))
+	server.ConnContext, server.ErrorLog = forward.WithClientConn, slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug)
 	readiness := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader}
 	peerServer := n.newPeerServer()
 	metrics := n.serveMetrics(n.Registry)
@@ -534,7 +535,7 @@
 }
 
 func (n *Node) serve(w http.ResponseWriter, r *http.Request) {
-	if n.leaving.Load() || n.intake.IsCrowded() {
+	if n.leaving.Load() || !n.intake.Keeps(forward.ClientConn(r.Context())) {
 		w.Header().Set("Connection", "close")
 	}
 	n.forwarder.ServeHTTP(w, r)
--- a/internal/entry/intake.go
+++ b/internal/entry/intake.go
@@ -2,16 +2,14 @@
 
 import (
 	"net"
+	"net/http"
 	"syscall"
 
+	"chervilloom/internal/catalog"
 	"chervilloom/internal/intake"
 )
 
 const (
-	// connMemory is the memory of an open connection of a client, in bytes: stack and buffers.
-	connMemory = 20 << 10
-	// connMemoryDivisor gives open connections a quarter of the memory.
-	connMemoryDivisor = 4
 	// connsPerRequest is the number of descriptors that a client's connection takes: its own and
 	// that of the endpoint's.
 	connsPerRequest = 2
@@ -19,17 +17,42 @@
 	reservedDescriptors = 500
 )
 
+// defaultLimits apply where the operator's configuration has none.
+var defaultLimits = catalog.Limits{
+	HeaderBytes: intake.DefaultLimits.HeaderBytes, HeaderTimeout: intake.DefaultLimits.HeaderTimeout, IdleTimeout: intake.DefaultLimits.IdleTimeout,
+}
+
 // newIntake returns the listener for clients on a listening socket.
 func (n *Node) newIntake(front *net.TCPListener) *intake.Listener {
 	return (&intake.Listener{
-		TCPListener: front, Clock: n.Clock, Log: n.Log, MaxOpen: n.maxOpenConns(),
+		TCPListener: front, Clock: n.Clock, Log: n.Log, MaxPending: n.plan.Pending,
+		Places: intake.Places{Name: "clients", MaxOpen: n.maxOpenConns(), Limits: n.clientLimits, Budget: &n.forwarder.Memory},
 	}).Init(n.Registry)
 }
 
+// clientLimits returns the limits for the heads and connections of clients that are in force.
+func (n *Node) clientLimits() intake.Limits {
+	var set catalog.Limits
+	if c := n.config.current.Load(); c != nil {
+		set = c.Limits
+	}
+	set = set.Or(defaultLimits)
+	return intake.Limits{HeaderBytes: set.HeaderBytes, HeaderTimeout: set.HeaderTimeout, IdleTimeout: set.IdleTimeout}
+}
+
+// newServer returns a server for a listener of package intake, which bounds heads and idle
+// connections.
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ConnState: intake.TrackState,
+		ReadHeaderTimeout: intake.ServerTimeout, IdleTimeout: intake.ServerTimeout, MaxHeaderBytes: intake.ServerHeaderBytes,
+	}
+}
+
 // maxOpenConns returns how many connections of clients the node's memory and descriptors allow;
 // 0: unknown.
 func (n *Node) maxOpenConns() int {
-	limit := int(n.Settings.Memory / connMemoryDivisor / connMemory)
+	limit := n.plan.Conns
 	var files syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
 		n.Log.Warn("limit of descriptors not read; connections are bounded by memory alone", "err", err)
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"chervilloom/internal/intake"
 	"chervilloom/internal/memory"
 	"chervilloom/internal/outcome"
 )
@@ -100,7 +101,7 @@
 
 // bodyError returns the refusal for an error from reading the body.
 func bodyError(err error) *outcome.Error {
-	if errors.Is(err, memory.ErrFull) {
+	if errors.Is(err, memory.ErrFull) || errors.Is(err, intake.ErrEvicted) {
 		return outcome.New(outcome.Overloaded, outcome.NotRun, "this node holds too many large requests and responses", "try again, another node may have room").
 			WithCause(err).WithRetryAfter(retryAfterFull)
 	}
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -16,6 +16,12 @@
 	return context.WithValue(ctx, clientConnKey{}, c)
 }
 
+// ClientConn returns the connection of a request's client, nil if it isn't known.
+func ClientConn(ctx context.Context) net.Conn {
+	c, _ := ctx.Value(clientConnKey{}).(net.Conn)
+	return c
+}
+
 // isClientGone reports whether the client has closed its connection.
 func isClientGone(r *http.Request) bool {
 	c, ok := r.Context().Value(clientConnKey{}).(net.Conn)
--- a/internal/intake/backlog.go
+++ b/internal/intake/backlog.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"cmp"
 	"time"
 
 	"chervilloom/internal/clock"
@@ -13,7 +14,7 @@
 	// maxWait is the age at which a waiting connection is turned away. Clients that wait longer
 	// without being read go elsewhere by themselves.
 	maxWait = 250 * time.Millisecond
-	// maxBacklog bounds the waiting connections. Each takes a descriptor.
+	// maxBacklog bounds the waiting connections if nothing else is set. Each takes a descriptor.
 	maxBacklog = 1024
 	// minBacklog is kept even if hardly any connection was started lately.
 	minBacklog = 8
@@ -23,6 +24,7 @@
 // next and which to turn away. The newest is served first: while there are more than the node
 // bears, the oldest wait in vain, and their clients may have left. It is not safe for concurrent use.
 type Backlog[C any] struct {
+	Max     int           // maximum number of waiting connections; 0: maxBacklog
 	waiting []entry[C]    // the oldest first
 	since   clock.Instant // since when connections have waited without a break; 0: none wait
 	started startCounter
@@ -43,7 +45,7 @@
 		b.since = now
 	}
 	b.waiting = append(b.waiting, entry[C]{c, now})
-	if len(b.waiting) <= maxBacklog {
+	if len(b.waiting) <= cmp.Or(b.Max, maxBacklog) {
 		return excess, false
 	}
 	excess = b.waiting[0].conn
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -8,12 +8,14 @@
 	"os"
 	"runtime"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sys/unix"
 
 	"chervilloom/internal/clock"
+	"chervilloom/internal/memory"
 )
 
 const (
@@ -37,8 +39,9 @@
 	*net.TCPListener
 	Clock clock.Clock
 	Log   *slog.Logger
-	// MaxOpen is the maximum number of open connections; 0: no limit.
-	MaxOpen int
+	// MaxPending is the maximum number of connections that wait to be served; 0: maxBacklog.
+	MaxPending int
+	Places
 
 	metrics metrics
 
@@ -50,7 +53,6 @@
 	batch      int           // size of a batch
 	batchBegan clock.Instant // when the first connection of the current batch was handed on
 	behindAt   clock.Instant // when connections were last turned away as excess; 0: never
-	open       int           // connections handed on and not closed yet
 	closed     bool
 	turnedAway int // since loggedAt
 	loggedAt   clock.Instant
@@ -67,20 +69,51 @@
 	reasonOpen   = "open"   // MaxOpen connections are open
 )
 
-// Listen opens the TCP socket of a Listener. Keep-alive probes are set up only for the connections
+// Listen opens the TCP socket of a listener for clients. At most backlog connections wait in the
+// kernel's queue; 0: as many as the kernel allows. Keep-alive probes are set up only for the connections
 // that are handed on to the server: those that are turned away should cost few system calls.
-func Listen(ctx context.Context, addr string) (*net.TCPListener, error) {
-	c := net.ListenConfig{KeepAlive: -1}
+func Listen(ctx context.Context, addr string, backlog int) (*net.TCPListener, error) {
+	c := net.ListenConfig{KeepAlive: -1, Control: setReceiveBuffer}
 	ln, err := c.Listen(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	return ln.(*net.TCPListener), nil
+	tcp := ln.(*net.TCPListener)
+	if backlog > 0 {
+		if err := setBacklog(tcp, backlog); err != nil {
+			return nil, errors.Join(err, ln.Close())
+		}
+	}
+	return tcp, nil
+}
+
+// setReceiveBuffer bounds the bytes that the kernel holds unread for each connection, which count as
+// memory of the process.
+func setReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	var optErr error
+	err := raw.Control(func(fd uintptr) {
+		optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, memory.ReceiveBuffer)
+	})
+	return errors.Join(err, optErr)
+}
+
+// setBacklog sets the length of a listening socket's queue.
+func setBacklog(ln *net.TCPListener, backlog int) error {
+	raw, err := ln.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var listenErr error
+	err = raw.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), backlog) })
+	return errors.Join(err, listenErr)
 }
 
 // Init prepares the listener and registers its metrics; reg may be nil.
 func (l *Listener) Init(reg prometheus.Registerer) *Listener {
 	l.allStarted.L = &l.mu
+	l.backlog.Max = l.MaxPending
+	l.Places.init(l.Clock, l.Log, reg)
+	l.Places.onStart = l.started
 	l.batch = maxBatch
 	l.metrics = metrics{
 		turnedAway: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -109,20 +142,14 @@
 	return l.backlog.Len()
 }
 
-// Open returns the number of open connections.
-func (l *Listener) Open() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.open
-}
-
-// IsCrowded reports whether clients should be asked to close their connections, so that they spread
-// over other nodes: too many are open, or the node turns new ones away.
-func (l *Listener) IsCrowded() bool {
+// Keeps reports whether a client may keep its connection for further requests. Otherwise it should be
+// asked to close it: clients then spread over other nodes, and idle connections leave places for
+// newcomers.
+func (l *Listener) Keeps(c net.Conn) bool {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.MaxOpen > 0 && l.open > l.MaxOpen*3/4 ||
-		l.behindAt != 0 && l.Clock.Now().Sub(l.behindAt) < behindTime
+	isBehind := l.behindAt != 0 && l.Clock.Now().Sub(l.behindAt) < behindTime
+	l.mu.Unlock()
+	return !isBehind && l.Places.keep(c)
 }
 
 // Accept implements net.Listener.
@@ -264,38 +291,35 @@
 	if reason == reasonBehind {
 		l.behindAt = now
 	}
-	count, waiting, open := l.turnedAway, l.backlog.Len(), l.open
+	count, waiting := l.turnedAway, l.backlog.Len()
 	isDue := l.loggedAt == 0 || now.Sub(l.loggedAt) >= logInterval
 	if isDue {
 		l.turnedAway, l.loggedAt = 0, now
 	}
 	l.mu.Unlock()
 	if isDue {
-		l.Log.Warn("connections turned away", "reason", reason, "count", count, "waiting", waiting, "open", open)
+		l.Log.Warn("connections turned away", "reason", reason, "count", count, "waiting", waiting, "open", l.OpenByState())
 	}
 }
 
 // handOn returns the connection for the server, or nil if it was turned away.
 func (l *Listener) handOn(c *net.TCPConn, accepted clock.Instant) net.Conn {
-	l.mu.Lock()
-	tooMany := l.MaxOpen > 0 && l.open >= l.MaxOpen
-	if !tooMany {
-		l.open++
-		if l.unstarted++; l.unstarted == 1 && !l.full {
-			l.batchBegan = l.Clock.Now()
-		}
-		l.full = l.full || l.unstarted >= l.batch
-	}
-	l.mu.Unlock()
-	if tooMany {
+	handed, ok := l.admit(c, accepted)
+	if !ok {
 		c.Close()
 		l.recordTurnedAway(reasonOpen, 1)
 		return nil
 	}
+	l.mu.Lock()
+	if l.unstarted++; l.unstarted == 1 && !l.full {
+		l.batchBegan = l.Clock.Now()
+	}
+	l.full = l.full || l.unstarted >= l.batch
+	l.mu.Unlock()
 	if err := c.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true}); err != nil {
 		l.Log.Debug("no keep-alive probes for a client", "err", err)
 	}
-	return &conn{TCPConn: c, listener: l, accepted: accepted}
+	return handed
 }
 
 // Close implements net.Listener. Connections that wait are closed unread.
@@ -309,35 +333,8 @@
 	return l.TCPListener.Close()
 }
 
-// conn is a connection that was handed on.
-type conn struct {
-	*net.TCPConn
-	listener  *Listener
-	accepted  clock.Instant
-	firstTurn sync.Once
-	closing   sync.Once
-}
-
-// Read implements net.Conn.
-func (c *conn) Read(p []byte) (int, error) {
-	c.firstTurn.Do(c.endFirstWait)
-	return c.TCPConn.Read(p)
-}
-
-// Close implements net.Conn.
-func (c *conn) Close() error {
-	c.firstTurn.Do(c.endFirstWait)
-	c.closing.Do(func() {
-		c.listener.mu.Lock()
-		c.listener.open--
-		c.listener.mu.Unlock()
-	})
-	return c.TCPConn.Close()
-}
-
-// endFirstWait records that the connection's goroutine runs.
-func (c *conn) endFirstWait() {
-	l := c.listener
+// started is called when the connection's goroutine runs.
+func (l *Listener) started(c *conn) {
 	now := l.Clock.Now()
 	l.metrics.wait.Observe(now.Sub(c.accepted).Seconds())
 	l.mu.Lock()
--- a/internal/intake/listener_test.go
+++ b/internal/intake/listener_test.go
@@ -19,11 +19,11 @@
 
 func startListener(t *testing.T, maxOpen int) *Listener {
 	t.Helper()
-	ln, err := Listen(t.Context(), "127.0.0.1:0")
+	ln, err := Listen(t.Context(), "127.0.0.1:0", 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := (&Listener{TCPListener: ln, Clock: clock.Boot{}, Log: slog.New(slog.DiscardHandler), MaxOpen: maxOpen}).Init(nil)
+	l := (&Listener{TCPListener: ln, Clock: clock.Boot{}, Log: slog.New(slog.DiscardHandler), Places: Places{MaxOpen: maxOpen}}).Init(nil)
 	t.Cleanup(func() { l.Close() })
 	return l
 }
@@ -184,6 +184,7 @@
 				return
 			}
 			go c.Read(make([]byte, 1))
+			TrackState(c, http.StateActive) // a request runs: its client doesn't stall
 			accepted <- c
 		}
 	}()
@@ -193,7 +194,7 @@
 		l.dial(t)
 		<-accepted
 	}
-	is.True(l.IsCrowded())
+	is.True(!l.Keeps(c))
 	is.True(!isOpen(l.dial(t)))
 	c.Close()
 	is.True(!isOpen(first))
@@ -247,9 +248,9 @@
 	l := startListener(t, 0)
 	c := clock.NewManual(clock.Instant(time.Hour))
 	l.Clock = c
-	is.True(!l.IsCrowded())
+	is.True(l.Keeps(nil))
 	l.recordTurnedAway(reasonBehind, 1)
-	is.True(l.IsCrowded())
+	is.True(!l.Keeps(nil))
 	c.Advance(behindTime)
-	is.True(!l.IsCrowded())
+	is.True(l.Keeps(nil))
 }
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -1,4 +1,3 @@
-// Package memory bounds what clients make a node hold.
 package memory
 
 import (
