Newcomers get the places of clients that stall

Ordinary callers got no answer (0 of 20 tries) while 1,000 connections said nothing, stopped in a head or a body, or held a refused request: all places were taken, and each newcomer was closed unread, whoever held them. Idle connections filled them in the same way once the others were dealt with.

Cause: a bound on connections without a choice whose connection goes.

Change: an open connection knows what it waits for (its first byte, head, body, next request, the client's reading or closing, or the node and endpoint). Idle connections take half of the places at most; beyond that, and beyond three quarters of all, responses ask to close. The choice is a pure function. The line about connections turned away says what the open ones wait for.

Ruled out: turning newcomers away at random or by age (a flood wins), closing idle connections (their clients are sound), time-outs short enough for the flood.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -88,8 +88,8 @@
 	links             *links.Monitor
 	dialer            *links.Dialer
 	tunnels           *tunnel.Server
-	plan              memory.Plan // of this VM's memory
-	intake            *intake.Listener
+	plan              memory.Plan                     // of this VM's memory
+	intake            atomic.Pointer[intake.Listener] // nil before Run
 	engines           formation.Engines
 	forwarder         *forward.Forwarder
 	controllers       []*formation.Controller
@@ -219,7 +219,7 @@
 		Quarantine: n.quarantineGuard, Backpressure: n.backpressureGuard,
 		NodeCount: func() int { return n.leaseCache.listedNodeCount() },
 		Contended: n.isContended, ZoneNodeCount: func() int { return n.leaseCache.zoneNodeCount(n.Settings.Zone) },
-		Memory: memory.Budget{Limit: n.plan.Held},
+		Memory: memory.Budget{Limit: n.plan.Held, OnShort: n.giveUpStalled},
 	}
 	n.follower = &follower{node: n, client: feed.NewClient(), clock: o.Clock, log: o.Log, wake: make(chan struct{}, 1)}
 	n.lookup = &startLookup{node: n}
@@ -449,7 +449,8 @@
 	g.Go(func() error { return n.announcer.run(work) })
 	n.startDuties(ctx, g)
 
-	n.intake = n.newIntake(front)
+	clients := n.newIntake(front)
+	n.intake.Store(clients)
 	server := newServer(http.HandlerFunc(n.serve))
 	server.ConnContext, server.ErrorLog = forward.WithClientConn, slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug)
 	readiness := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader}
@@ -457,7 +458,7 @@
 	metrics := n.serveMetrics(n.Registry)
 	failed := make(chan error, 3)
 	go func() { failed <- peerServer.Serve(peers) }()
-	go func() { failed <- server.Serve(n.intake) }()
+	go func() { failed <- server.Serve(clients) }()
 	go func() { failed <- readiness.Serve(ready) }()
 	select {
 	case err := <-failed:
@@ -535,7 +536,7 @@
 }
 
 func (n *Node) serve(w http.ResponseWriter, r *http.Request) {
-	if n.leaving.Load() || !n.intake.Keeps(forward.ClientConn(r.Context())) {
+	if n.leaving.Load() || !n.intake.Load().Keeps(forward.ClientConn(r.Context())) {
 		w.Header().Set("Connection", "close")
 	}
 	n.forwarder.ServeHTTP(w, r)
--- a/internal/entry/intake.go
+++ b/internal/entry/intake.go
@@ -49,6 +49,13 @@
 	}
 }
 
+// giveUpStalled closes connections of clients whose stalled requests hold the missing memory.
+func (n *Node) giveUpStalled(missing int64) {
+	if in := n.intake.Load(); in != nil {
+		in.EvictForMemory(missing)
+	}
+}
+
 // maxOpenConns returns how many connections of clients the node's memory and descriptors allow;
 // 0: unknown.
 func (n *Node) maxOpenConns() int {
--- a/internal/intake/listener_test.go
+++ b/internal/intake/listener_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -254,3 +255,67 @@
 	c.Advance(behindTime)
 	is.True(l.Keeps(nil))
 }
+
+// serve accepts connections for a server that answers "ok" to each request until the test ends.
+func (l *Listener) serve(t *testing.T) {
+	t.Helper()
+	s := &http.Server{
+		ConnState: TrackState, ReadHeaderTimeout: ServerTimeout, IdleTimeout: ServerTimeout,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if !l.Keeps(r.Context().Value(connKey{}).(net.Conn)) {
+				w.Header().Set("Connection", "close")
+			}
+			io.WriteString(w, "ok")
+		}),
+	}
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+}
+
+type connKey struct{}
+
+const okRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// isServed reports whether a request on the connection is answered.
+func isServed(c net.Conn) bool {
+	if _, err := io.WriteString(c, okRequest); err != nil {
+		return false
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
+
+// Guards against clients that take all places: with half of them idle, which is sound, and the others
+// silent, newcomers are served and the idle ones keep their connections.
+func TestNewcomersAreServedBesideSilentAndIdleClients(t *testing.T) {
+	is := is.New(t)
+	const places = 16
+	l := startListener(t, places)
+	l.serve(t)
+	var idle []net.Conn
+	for range places / 2 {
+		c := l.dial(t)
+		is.True(isServed(c))
+		idle = append(idle, c)
+	}
+	for range 4 * places {
+		l.dial(t)
+	}
+	testkit.Eventually(t, "newcomers are served", func() bool { return isServed(l.dial(t)) })
+	for _, c := range idle {
+		is.True(isServed(c))
+	}
+}
+
+// Guards against idle connections that fill a node.
+func TestIdleConnectionsLeavePlaces(t *testing.T) {
+	is := is.New(t)
+	const places = 16
+	l := startListener(t, places)
+	l.serve(t)
+	for range 4 * places {
+		is.True(isServed(l.dial(t)))
+	}
+	testkit.Eventually(t, "connections are closed", func() bool { return l.Open() <= places/2 })
+}
--- a/internal/intake/places.go
+++ b/internal/intake/places.go
@@ -20,13 +20,16 @@
 )
 
 const (
+	// evictBatch is the number of connections that are chosen together, since a choice looks at all.
+	evictBatch = 16
 	// evictedShare is the share of the places that may still be taken by evicted connections.
 	evictedShare = 0.25
 	// closedLogInterval is the minimum interval between two log lines about closed connections.
 	closedLogInterval = 10 * time.Second
 )
 
-// Places are the open connections of a listener.
+// Places are the open connections of a listener. When all are taken, a newcomer gets the place of a
+// connection whose client has stalled.
 type Places struct {
 	Name    string // of the listener, in logs and metrics
 	MaxOpen int    // maximum number of open connections; 0: no limit
@@ -43,6 +46,7 @@
 	mu       sync.Mutex
 	open     map[*conn]struct{}
 	evicted  int // of open
+	kept     int // of open: may be idle between requests
 	closings map[string]int
 	loggedAt clock.Instant
 }
@@ -82,7 +86,10 @@
 // admit gives a new connection a place. It returns false if there is none.
 func (p *Places) admit(c *net.TCPConn, accepted clock.Instant) (*conn, bool) {
 	if !p.hasPlace() {
-		return nil, false
+		p.evictStalled()
+		if !p.hasPlace() {
+			return nil, false
+		}
 	}
 	out := newConn(c, p, accepted)
 	p.mu.Lock()
@@ -98,12 +105,48 @@
 	return p.MaxOpen <= 0 || len(p.open)-evicted < p.MaxOpen
 }
 
-// crowdedShare is the share of the places beyond which no client may keep its connection.
-const crowdedShare = 0.75
+const (
+	// crowdedShare is the share of the places beyond which no client may keep its connection.
+	crowdedShare = 0.75
+	// keptShare is the share of the places that idle connections may take.
+	keptShare = 0.5
+)
 
 // keep reports whether a connection may be idle between requests.
-func (p *Places) keep(net.Conn) bool {
-	return p.MaxOpen <= 0 || float64(p.Open()) <= crowdedShare*float64(p.MaxOpen)
+func (p *Places) keep(nc net.Conn) bool {
+	c, ok := nc.(*conn)
+	if !ok || p.MaxOpen <= 0 {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if float64(len(p.open)) > crowdedShare*float64(p.MaxOpen) {
+		return false
+	}
+	if !c.isKept && float64(p.kept) < keptShare*float64(p.MaxOpen) {
+		c.isKept = true
+		p.kept++
+	}
+	return c.isKept
+}
+
+// evictStalled closes connections for newcomers.
+func (p *Places) evictStalled() {
+	conns, holders := p.holders()
+	left := evictBatch
+	p.evict(conns, longestStalled(holders, p.now(), p.limits().IdleTimeout), func(int) bool {
+		left--
+		return left > 0
+	})
+}
+
+// EvictForMemory closes connections with stalled requests that hold the missing bytes.
+func (p *Places) EvictForMemory(missing int64) {
+	conns, holders := p.holders()
+	p.evict(conns, largestStalled(holders, p.now()), func(i int) bool {
+		missing -= int64(holders[i].held)
+		return missing > 0
+	})
 }
 
 func (p *Places) holders() ([]*conn, []holder) {
@@ -116,6 +159,27 @@
 	return conns, holders
 }
 
+// evict closes the chosen connections in their order, until more returns false for one that it has
+// closed.
+func (p *Places) evict(conns []*conn, chosen []int, more func(index int) bool) {
+	for _, i := range chosen {
+		p.mu.Lock()
+		p.evicted++
+		p.mu.Unlock()
+		reason := conns[i].holder().waits.String()
+		if conns[i].evict() {
+			p.recordClosed(reason)
+			if !more(i) {
+				return
+			}
+			continue
+		}
+		p.mu.Lock()
+		p.evicted--
+		p.mu.Unlock()
+	}
+}
+
 // The following implement owner.
 
 func (p *Places) now() clock.Instant { return p.clock.Now() }
@@ -140,6 +204,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.open, c)
+	if c.isKept {
+		p.kept--
+	}
 	if evicted {
 		p.evicted--
 	}
