The listeners for probes, metrics and other nodes are bounded like that for clients

A node of 64 MB took 1,370 MB when clients sent heads to the metrics, readiness and peer listeners; 2,544 descriptors were open.

Cause: those had no bound on connections, the metrics server none on a head but the 1 MB of net/http, a poll of another node could have 16 MB, and a request whose body doesn't come was held for good.

Change: they use the same places and limits (the defaults, not the operator's, whose limits are for clients): 32 connections for probes and metrics each, for other nodes a share of the memory's plan that stays above a node's polls and tunnels. A probe or poll has 10 s from head to response, a poll 64 KB. Connections that became tunnels keep their own time-outs; keep-alive and user time-out are set on any kind of connection, no longer on net.TCPConn alone.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -164,9 +164,6 @@
 	// retryBudgetShare is the fraction of the platform's retry limit that is used, because the
 	// nodes' time windows and the platform's are not aligned.
 	retryBudgetShare = 0.8
-	headerTimeout    = 10 * time.Second
-	idleTimeout      = 30 * time.Second
-	maxHeader        = 64 << 10
 )
 
 // ejectionOptions is tuned for few requests per endpoint: a node sends each one to three a
@@ -298,7 +295,9 @@
 		}
 		polls.ServeHTTP(w, r)
 	})
-	return &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, Handler: handler}
+	s := newServer(handler)
+	s.ReadTimeout = probeTimeout
+	return s
 }
 
 // newFeedServer returns the handler of the polls of other nodes.
@@ -414,14 +413,14 @@
 	if err != nil {
 		return merry.Prepend(err, "listen on the clients' address; check the settings' listen address")
 	}
-	ready, err := net.Listen("tcp", n.Settings.ReadinessAddr)
+	ready, err := n.listenBounded(ctx, "readiness", n.Settings.ReadinessAddr, n.probeConns())
 	if err != nil {
 		return merry.Prepend(err, "listen on the readiness address; check the settings' listen address")
 	}
 	if err := n.mesh.Listen(n.Settings.PeerAddr); err != nil {
 		return merry.Prepend(err, "listen on the address for other nodes (datagrams); check the settings' port range")
 	}
-	peers, err := net.Listen("tcp", n.Settings.PeerAddr)
+	peers, err := n.listenBounded(ctx, "peers", n.Settings.PeerAddr, n.plan.Peers)
 	if err != nil {
 		return merry.Prepend(err, "listen on the address for other nodes (TCP); check the settings' port range")
 	}
@@ -453,9 +452,10 @@
 	n.intake.Store(clients)
 	server := newServer(http.HandlerFunc(n.serve))
 	server.ConnContext, server.ErrorLog = forward.WithClientConn, slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug)
-	readiness := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader}
+	readiness := newServer(http.HandlerFunc(n.serveReady))
+	readiness.ReadTimeout = probeTimeout
 	peerServer := n.newPeerServer()
-	metrics := n.serveMetrics(n.Registry)
+	metrics := n.serveMetrics(ctx, n.Registry)
 	failed := make(chan error, 3)
 	go func() { failed <- peerServer.Serve(peers) }()
 	go func() { failed <- server.Serve(clients) }()
--- a/internal/entry/intake.go
+++ b/internal/entry/intake.go
@@ -1,12 +1,15 @@
 package entry
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"syscall"
+	"time"
 
 	"chervilloom/internal/catalog"
 	"chervilloom/internal/intake"
+	"chervilloom/internal/memory"
 )
 
 const (
@@ -15,6 +18,8 @@
 	connsPerRequest = 2
 	// reservedDescriptors are those for files and connections to other nodes and the store.
 	reservedDescriptors = 500
+	// probeTimeout bounds a probe or a poll of another node, from its head to its response.
+	probeTimeout = 10 * time.Second
 )
 
 // defaultLimits apply where the operator's configuration has none.
@@ -40,6 +45,17 @@
 	return intake.Limits{HeaderBytes: set.HeaderBytes, HeaderTimeout: set.HeaderTimeout, IdleTimeout: set.IdleTimeout}
 }
 
+// listenBounded opens a listener for others than clients, with at most maxOpen connections; 0: any
+// number.
+func (n *Node) listenBounded(ctx context.Context, name, addr string, maxOpen int) (*intake.BoundedListener, error) {
+	ln, err := intake.Listen(ctx, addr, maxOpen)
+	if err != nil {
+		return nil, err
+	}
+	l := &intake.BoundedListener{TCPListener: ln, Places: intake.Places{Name: name, MaxOpen: maxOpen, Budget: &n.forwarder.Memory}}
+	return l.Init(n.Clock, n.Log, n.Registry), nil
+}
+
 // newServer returns a server for a listener of package intake, which bounds heads and idle
 // connections.
 func newServer(handler http.Handler) *http.Server {
@@ -49,6 +65,14 @@
 	}
 }
 
+// probeConns returns the number of connections that a listener for probes may have; 0: any number.
+func (n *Node) probeConns() int {
+	if n.plan == (memory.Plan{}) {
+		return 0
+	}
+	return memory.ProbeConns
+}
+
 // giveUpStalled closes connections of clients whose stalled requests hold the missing memory.
 func (n *Node) giveUpStalled(missing int64) {
 	if in := n.intake.Load(); in != nil {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -72,13 +73,14 @@
 
 // serveMetrics serves the registry on the clients' address. If the port is in use, the node
 // runs without a metrics server.
-func (n *Node) serveMetrics(reg *prometheus.Registry) *http.Server {
-	s := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: promhttp.HandlerFor(reg, promhttp.HandlerOpts{})}
+func (n *Node) serveMetrics(ctx context.Context, reg *prometheus.Registry) *http.Server {
+	s := newServer(promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	s.ReadTimeout = probeTimeout
 	host, _, err := net.SplitHostPort(n.Settings.ClientAddr)
 	if err != nil || n.MetricsPort == 0 {
 		return s
 	}
-	ln, err := net.Listen("tcp", net.JoinHostPort(host, strconv.Itoa(n.MetricsPort)))
+	ln, err := n.listenBounded(ctx, "metrics", net.JoinHostPort(host, strconv.Itoa(n.MetricsPort)), n.probeConns())
 	if err != nil {
 		n.Log.Warn("metrics server not started", "port", n.MetricsPort, "err", err)
 		return s
--- a/internal/feed/wire.go
+++ b/internal/feed/wire.go
@@ -20,10 +20,13 @@
 // statePath is the HTTP path for polls.
 const statePath = "/state"
 
-// maxStateBytes is the maximum size of a poll or a response, in bytes: 600 endpoints and a
+// maxStateBytes is the maximum size of a response, in bytes: 600 endpoints and a
 // configuration of 2,000 routes take 1 MB.
 const maxStateBytes = 16 << 20
 
+// maxPollBytes is the maximum size of a poll, in bytes: versions, demand and the row of one node.
+const maxPollBytes = 64 << 10
+
 // maxHeaderBytes bounds the header of a response.
 const maxHeaderBytes = 64 << 10
 
@@ -54,7 +57,7 @@
 		return
 	}
 	var q PollRequest
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxStateBytes)).Decode(&q); err != nil {
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxPollBytes)).Decode(&q); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -91,7 +92,9 @@
 
 // SetTimeouts sets keep-alive probes and the user timeout of an accepted TCP connection.
 func SetTimeouts(nc net.Conn) error {
-	if tcp, ok := nc.(*net.TCPConn); ok {
+	if tcp, ok := nc.(interface {
+		SetKeepAliveConfig(net.KeepAliveConfig) error
+	}); ok {
 		if err := tcp.SetKeepAliveConfig(keepAlive); err != nil {
 			return err
 		}
@@ -101,7 +104,7 @@
 
 // setUserTimeout sets the user timeout of a TCP connection.
 func setUserTimeout(nc net.Conn) error {
-	tcp, ok := nc.(*net.TCPConn)
+	tcp, ok := nc.(syscall.Conn)
 	if !ok {
 		return nil
 	}
