A response that its client doesn't read stays with its endpoint

A node of 64 MB took 68 MB with 60 clients that read nothing of responses of 8 MB, 25 of them received from the endpoints and not read.

Cause: only listening sockets had a bounded receive buffer. At connections to endpoints, direct or through other nodes, the kernel let the queue grow. The test's measure missed these: it looked at the node's own address and not at its sockets.

Change: connections to endpoints and tunnels have the same receive buffer, and the plan of the memory counts two for each request.

--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -8,7 +8,6 @@
 	"os"
 	"runtime"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -73,7 +72,7 @@
 // kernel's queue; 0: as many as the kernel allows. Keep-alive probes are set up only for the connections
 // that are handed on to the server: those that are turned away should cost few system calls.
 func Listen(ctx context.Context, addr string, backlog int) (*net.TCPListener, error) {
-	c := net.ListenConfig{KeepAlive: -1, Control: setReceiveBuffer}
+	c := net.ListenConfig{KeepAlive: -1, Control: memory.SetReceiveBuffer}
 	ln, err := c.Listen(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
@@ -87,16 +86,6 @@
 	return tcp, nil
 }
 
-// setReceiveBuffer bounds the bytes that the kernel holds unread for each connection, which count as
-// memory of the process.
-func setReceiveBuffer(_, _ string, raw syscall.RawConn) error {
-	var optErr error
-	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, memory.ReceiveBuffer)
-	})
-	return errors.Join(err, optErr)
-}
-
 // setBacklog sets the length of a listening socket's queue.
 func setBacklog(ln *net.TCPListener, backlog int) error {
 	raw, err := ln.SyscallConn()
--- a/internal/memory/plan.go
+++ b/internal/memory/plan.go
@@ -10,16 +10,16 @@
 	heldShare = 1.0 / 4
 	// connShare and pendingShare are the parts of the rest for open connections and for those of
 	// clients that wait to be served. peerShare of the open ones are for other nodes. What is left is for garbage and for what the runtime can't use.
-	connShare    = 0.43
-	pendingShare = 0.18
+	connShare    = 0.505
+	pendingShare = 0.137
 	peerShare    = 1.0 / 3
 	// ProbeConns is the number of open connections at each of the listeners for probes and metrics.
 	ProbeConns = 32
 
 	// connHeap is the memory of an open connection with a request: stacks, buffers, state.
 	connHeap = 24 << 10
-	// ReceiveBuffer is the receive buffer of a client's connection as it is set. The kernel holds up
-	// to receiveBytes of payload in one.
+	// ReceiveBuffer is the receive buffer of a connection as it is set. The kernel holds up to
+	// receiveBytes of payload in one. A client's request takes two: the endpoint's too.
 	ReceiveBuffer = 8 << 10
 	receiveBytes  = 12 << 10
 
@@ -54,7 +54,7 @@
 	}
 	all := float64(total)
 	rest := max(0, all*(1-stateShare-heldShare)-programBytes)
-	conns := max(1, connShare*rest/(connHeap+receiveBytes)-2*ProbeConns)
+	conns := max(1, connShare*rest/(connHeap+2*receiveBytes)-2*ProbeConns)
 	p := Plan{
 		Total: total, Held: int64(heldShare * all),
 		Conns:   max(1, int((1-peerShare)*conns)),
@@ -67,7 +67,7 @@
 }
 
 // unread returns the most bytes that connections hold in the kernel, unread.
-func (p Plan) unread() int64 { return int64(p.open()+p.Pending+p.Queued) * receiveBytes }
+func (p Plan) unread() int64 { return int64(2*p.open()+p.Pending+p.Queued) * receiveBytes }
 
 // open returns the most open connections at all listeners.
 func (p Plan) open() int { return p.Conns + p.Peers + 2*ProbeConns }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"chervilloom/internal/clock"
+	"chervilloom/internal/memory"
 )
 
 // Peer is another node that passes a connection on to an endpoint. The zero value stands for a
@@ -77,9 +78,10 @@
 	return nc, Peer{}, err
 }
 
-// DialTCP opens a TCP connection with keep-alive probes and the user timeout.
+// DialTCP opens a TCP connection with keep-alive probes, the user timeout and a bounded receive buffer:
+// a response that its client doesn't read stays with the endpoint.
 func DialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	nc, err := (&net.Dialer{KeepAliveConfig: keepAlive}).DialContext(ctx, "tcp", addr)
+	nc, err := (&net.Dialer{KeepAliveConfig: keepAlive, Control: memory.SetReceiveBuffer}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/test/entry_crowd_test.go
+++ b/test/entry_crowd_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -70,7 +71,8 @@
 	connections int
 	text        string
 	endless     string
-	reads       bool   // reads what the node sends
+	reads       bool   // reads what the node sends; without an endless part only isDeaf prevents it
+	isDeaf      bool   // never reads
 	addr        string // empty: the clients' address
 }
 
@@ -129,7 +131,10 @@
 			conn.Close()
 		}
 	}()
-	if k.reads || k.endless == "" {
+	switch {
+	case k.isDeaf:
+		<-ctx.Done()
+	case k.reads || k.endless == "":
 		_, _ = io.Copy(io.Discard, conn)
 		conn.Close()
 	}
@@ -150,9 +155,17 @@
 	pid := n.cmd.Process.Pid
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	must(t, err)
-	files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	sockets := map[string]bool{} // by inode
+	dir := fmt.Sprintf("/proc/%d/fd", pid)
+	files, err := os.ReadDir(dir)
 	must(t, err)
-	u := usage{files: len(files), unread: unreadBytes(t, n)}
+	for _, f := range files {
+		link, err := os.Readlink(filepath.Join(dir, f.Name()))
+		if inode, ok := strings.CutPrefix(link, "socket:["); err == nil && ok {
+			sockets[strings.TrimSuffix(inode, "]")] = true
+		}
+	}
+	u := usage{files: len(files), unread: unreadBytes(t, n, sockets)}
 	for line := range strings.Lines(string(status)) {
 		if kb, ok := strings.CutPrefix(line, "VmRSS:"); ok {
 			fields := strings.Fields(kb)
@@ -165,9 +178,9 @@
 	return u
 }
 
-// unreadBytes returns the bytes in the receive queues of the node's TCP sockets, which have an IP
-// address of their own.
-func unreadBytes(t *testing.T, n *entryNode) int {
+// unreadBytes returns the bytes in the receive queues of the node's sockets and of the connections to
+// its IP address, which it has for itself, that it hasn't accepted.
+func unreadBytes(t *testing.T, n *entryNode, sockets map[string]bool) int {
 	t.Helper()
 	f, err := os.Open("/proc/net/tcp")
 	must(t, err)
@@ -176,12 +189,15 @@
 	must(t, err)
 	ip := net.ParseIP(host).To4()
 	local := fmt.Sprintf("%02X%02X%02X%02X:", ip[3], ip[2], ip[1], ip[0])
-	const stateListen = "0A"
+	const (
+		stateListen = "0A"
+		inodeField  = 9
+	)
 	total := 0
 	for s := bufio.NewScanner(f); s.Scan(); {
-		// Number, local address, remote address, state, bytes to send and received.
+		// Number, local address, remote address, state, bytes to send and received, and so on.
 		fields := strings.Fields(s.Text())
-		if len(fields) < 5 || !strings.HasPrefix(fields[1], local) || fields[3] == stateListen {
+		if len(fields) <= inodeField || fields[3] == stateListen || !strings.HasPrefix(fields[1], local) && !sockets[fields[inodeField]] {
 			continue
 		}
 		_, queue, _ := strings.Cut(fields[4], ":")
@@ -408,6 +424,24 @@
 	startCrowdTest(t).play(t, client{connections: 60, endless: strings.Repeat(lookupHead+"\r\n", 20)})
 }
 
+// Guards against large responses of which a node and its kernel hold what their clients don't read.
+func TestEntryCrowdOfUnreadLargeResponses(t *testing.T) {
+	c := startCrowdTestWith(t, slowRoute)
+	const size = 8 << 20
+	c.fleet.AddService("i-s0", "slow", "a").SetHandler(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Server-Stamp", "stamp")
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		_, _ = w.Write(make([]byte, size)) // the node may cut it off
+	})
+	text := strings.Replace(receiptHead, "/receipt/", "/slow/", 1) + "Content-Length: 0\r\n\r\n"
+	testkit.Eventually(t, "the endpoint is known", func() bool {
+		code, _ := c.status(c.node, "GET", "/slow/1", "known", nil)
+		return code == http.StatusOK
+	})
+	c.play(t, client{connections: 60, text: text, isDeaf: true})
+}
+
 // Guards against clients that misbehave in all these ways at the same time.
 func TestEntryCrowdOfAllKinds(t *testing.T) {
 	startCrowdTest(t).play(t,
