Unusual requests: no success of the node's own, and bounded log lines

Callers of OPTIONS * got a 200 that no endpoint had given; a client that sends invalid requests got a log line for each, with as much text as its id has (30,000 connections with a bad request: two lines each).

Cause: net/http answers OPTIONS * itself. Each refusal had its line.

Change: such requests go the way of the others (404). Of refusals for what the client sent (invalid, unknown route or key, too large) 50 lines a second are written, the next says how many were left out; ids are logged up to 128 bytes. Other refusals have a line each as before. Gauges tell what open connections wait for and how much memory is held for requests.

TestEntryWithstandsUnusualRequests (twelve forms; CONNECT, both lengths, HTTP/2 preface and others were sound before): red for OPTIONS * before, green now.

--- a/internal/entry/intake.go
+++ b/internal/entry/intake.go
@@ -61,7 +61,8 @@
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ConnState: intake.TrackState,
-		ReadHeaderTimeout: intake.ServerTimeout, IdleTimeout: intake.ServerTimeout, MaxHeaderBytes: intake.ServerHeaderBytes,
+		DisableGeneralOptionsHandler: true, // net/http would answer "OPTIONS *" with a success of its own
+		ReadHeaderTimeout:            intake.ServerTimeout, IdleTimeout: intake.ServerTimeout, MaxHeaderBytes: intake.ServerHeaderBytes,
 	}
 }
 
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -42,6 +42,12 @@
 		return float64(len(n.evacuations.evacuated()))
 	})
 	gauge("chervilloom_duty_held_zones", "Availability zones whose groups this node runs.", n.countDuties)
+	gauge("chervilloom_memory_held_bytes", "Bytes of heads and bodies of requests and responses that are held for clients and endpoints.", func() float64 {
+		return float64(n.forwarder.Memory.Held())
+	})
+	gauge("chervilloom_memory_held_limit_bytes", "Maximum of chervilloom_memory_held_bytes; 0: the VM's memory isn't known.", func() float64 {
+		return float64(n.plan.Held)
+	})
 	gauge("chervilloom_feed_following", "1 while another node keeps this one up to date.", func() float64 {
 		if n.follower.isFollowing() {
 			return 1
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -42,7 +42,7 @@
 		return
 	}
 	if err := http.NewResponseController(x.w).Flush(); err != nil {
-		x.f.Log.Debug("response not flushed", "request", x.req.ID, "err", err)
+		x.f.Log.Debug("response not flushed", "request", loggedID(x.req.ID), "err", err)
 		return
 	}
 	x.setClientReset(false)
@@ -54,6 +54,6 @@
 		return
 	}
 	if err := upstream.SetReset(c, reset); err != nil {
-		x.f.Log.Debug("the way to close a client's connection can't be set", "request", x.req.ID, "err", err)
+		x.f.Log.Debug("the way to close a client's connection can't be set", "request", loggedID(x.req.ID), "err", err)
 	}
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -102,7 +102,7 @@
 			x.progress.HasBudget = x.takeExemption(res) || x.allowRetry()
 			step = NextStep(x.route, res, x.progress)
 		}
-		x.f.Log.Debug("attempt", "request", x.req.ID, "endpoint", ep.ID, "result", res.String(), "step", step.String(), "cause", x.lastCause, "events", x.eventsSent)
+		x.f.Log.Debug("attempt", "request", loggedID(x.req.ID), "endpoint", ep.ID, "result", res.String(), "step", step.String(), "cause", x.lastCause, "events", x.eventsSent)
 		if step != Retry {
 			x.finish(step, res)
 			return
@@ -473,7 +473,7 @@
 }
 
 func (x *exchange) logEnd(message string, res Result) {
-	x.f.Log.With(x.rankFields()...).Info(message, "request", x.req.ID, "route", x.route.Name, "organisation", x.organisation,
+	x.f.Log.With(x.rankFields()...).Info(message, "request", loggedID(x.req.ID), "route", x.route.Name, "organisation", x.organisation,
 		"config", x.catalog.Version, "tried", x.tried, "peer", x.peer.Addr, "events", x.eventsSent, "result", res.String(),
 		"cause", x.lastCause, "ms", x.f.Clock.Now().Sub(x.start).Milliseconds(),
 		"model", x.req.Model, "endpoints", x.candidateStats.endpoints, "free_slots", x.candidateStats.freeSlots,
@@ -513,6 +513,6 @@
 // logBrokenAttempt logs an attempt without a usable response. Each attempt of a client has its
 // own request id; attempts with the same fingerprint are the same request.
 func (x *exchange) logBrokenAttempt(ep *roster.Endpoint, sent clock.Instant) {
-	x.f.Log.Info("attempt broke off", "request", x.req.ID, "fingerprint", x.fingerprint, "prompt_parts", x.req.PromptParts, "endpoint", ep.ID,
+	x.f.Log.Info("attempt broke off", "request", loggedID(x.req.ID), "fingerprint", x.fingerprint, "prompt_parts", x.req.PromptParts, "endpoint", ep.ID,
 		"group", ep.Member.Group, "sent_ms_ago", x.f.Clock.Now().Sub(sent).Milliseconds(), "events", x.eventsSent, "peer", x.peer.Addr, "cause", x.lastCause)
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -114,13 +114,14 @@
 	// Memory bounds the bytes of request and response bodies that are held at the same time.
 	Memory memory.Budget
 
-	timeouts  clientTimeouts
-	demand    demand.Meter
-	corrector expect.Corrector
-	mu        sync.Mutex
-	budgets   map[string]*retry.WindowedBudget
-	drawSeed  func() int // nil: random; set by tests
-	contended contendedModels
+	timeouts   clientTimeouts
+	invalidLog invalidLog
+	demand     demand.Meter
+	corrector  expect.Corrector
+	mu         sync.Mutex
+	budgets    map[string]*retry.WindowedBudget
+	drawSeed   func() int // nil: random; set by tests
+	contended  contendedModels
 }
 
 const (
@@ -255,16 +256,23 @@
 // log entry.
 func (f *Forwarder) refuse(w http.ResponseWriter, req *Request, stage string, e *outcome.Error, fields ...any) {
 	f.Metrics.refused.WithLabelValues(string(e.Kind)).Inc()
+	defer f.Codec.WriteError(w, req.ID, e)
+	suppressed, ok := f.invalidLog.next(e.Kind, f.Clock.Now())
+	if !ok {
+		return
+	}
+	if suppressed > 0 {
+		fields = append(fields, "suppressed", suppressed)
+	}
 	v := f.View()
 	version := uint64(0)
 	if v.Catalog != nil {
 		version = v.Catalog.Version
 	}
-	f.Log.With(fields...).Info("request refused", "request", req.ID, "stage", stage, "kind", e.Kind, "outcome", e.Outcome,
+	f.Log.With(fields...).Info("request refused", "request", loggedID(req.ID), "stage", stage, "kind", e.Kind, "outcome", e.Outcome,
 		"reason", e.Message, "cause", e.Cause, "retry_after_ms", e.RetryAfter.Milliseconds(),
 		"config", version, "config_age_ms", v.ConfigAge.Milliseconds(),
 		"roster_age_ms", f.Clock.Now().Sub(v.Roster.RequestedAt).Milliseconds())
-	f.Codec.WriteError(w, req.ID, e)
 }
 
 // budget returns the retry budget of a service.
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -75,16 +75,16 @@
 		return
 	}
 	if rep.SignalsErr != nil {
-		x.f.Log.Debug("response header is unreadable", "request", x.req.ID, "endpoint", ep.ID, "err", rep.SignalsErr)
+		x.f.Log.Debug("response header is unreadable", "request", loggedID(x.req.ID), "endpoint", ep.ID, "err", rep.SignalsErr)
 	}
 	signals := rep.Signals
 	if signals.Limit != nil {
 		x.f.Metrics.limited.Inc()
-		x.f.Log.Debug("endpoint reports a rate limit", "request", x.req.ID, "endpoint", ep.ID, "limit", *signals.Limit)
+		x.f.Log.Debug("endpoint reports a rate limit", "request", loggedID(x.req.ID), "endpoint", ep.ID, "limit", *signals.Limit)
 	}
 	if signals.RetryAfter > 0 {
 		x.f.Metrics.backoffs.Inc()
-		x.f.Log.Debug("response requests a backoff", "request", x.req.ID, "endpoint", ep.ID, "retry_after_ms", signals.RetryAfter.Milliseconds())
+		x.f.Log.Debug("response requests a backoff", "request", loggedID(x.req.ID), "endpoint", ep.ID, "retry_after_ms", signals.RetryAfter.Milliseconds())
 	}
 	x.f.Backpressure.RecordAnswer(backpressureID(ep), signals, x.sentAt)
 }
--- a/internal/intake/places.go
+++ b/internal/intake/places.go
@@ -61,8 +61,16 @@
 		Help:        "Connections that were closed because their client stalled or exceeded a limit, by listener and reason.",
 		ConstLabels: prometheus.Labels{"listener": p.Name},
 	}, []string{"reason"})
-	if reg != nil {
-		reg.MustRegister(p.closed)
+	if reg == nil {
+		return
+	}
+	reg.MustRegister(p.closed)
+	for w := forFirstByte; w <= forClose; w++ {
+		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name:        "chervilloom_intake_waiting_for",
+			Help:        "Open connections by listener and by what they wait for.",
+			ConstLabels: prometheus.Labels{"listener": p.Name, "state": w.String()},
+		}, func() float64 { return float64(p.OpenByState()[w.String()]) }))
 	}
 }
 
--- a/test/entry_clients_test.go
+++ b/test/entry_clients_test.go
@@ -243,3 +243,46 @@
 		is.True(time.Since(began) >= 3*time.Second) // not before the client's time is over
 	}
 }
+
+// Guards against requests of unusual form that end a node, run at an endpoint in another form, or hold
+// their connection. Each gets a response of its own or its connection is closed.
+func TestEntryWithstandsUnusualRequests(t *testing.T) {
+	c := startCrowdTest(t)
+	auth := "Host: h.example\r\nX-Request-Id: unusual\r\nAuthorization: Token k1\r\n"
+	for name, text := range map[string]string{
+		"connect":            "CONNECT h.example:80 HTTP/1.1\r\n" + auth + "\r\n",
+		"options for all":    "OPTIONS * HTTP/1.1\r\n" + auth + "\r\n",
+		"http/2 preface":     "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+		"both lengths":       "POST /nowhere/1 HTTP/1.1\r\n" + auth + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"two lengths":        "POST /receipt/1 HTTP/1.1\r\n" + auth + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody!",
+		"negative length":    "POST /receipt/1 HTTP/1.1\r\n" + auth + "Content-Length: -1\r\n\r\n",
+		"other coding":       "POST /receipt/1 HTTP/1.1\r\n" + auth + "Transfer-Encoding: gzip\r\n\r\n",
+		"bad chunk":          "POST /receipt/1 HTTP/1.1\r\n" + auth + "Transfer-Encoding: chunked\r\n\r\nzz\r\nbody\r\n",
+		"other expectation":  "POST /receipt/1 HTTP/1.1\r\n" + auth + "Expect: 200-ok\r\nContent-Length: 4\r\n\r\nbody",
+		"no host":            "GET /lookup/1 HTTP/1.1\r\nX-Request-Id: unusual\r\n\r\n",
+		"bytes without text": "GET /lookup/\x00\xff HTTP/1.1\r\n" + auth + "\r\n",
+		"empty lines":        "\r\n\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			raw := dialRaw(t, c.node.front)
+			_, err := io.WriteString(raw.conn, text)
+			is.NoErr(err)
+			resp, _, err := raw.answer("POST")
+			if err != nil {
+				return // closed
+			}
+			is.True(resp.StatusCode >= 400)
+			is.Equal(len(c.fleet.Runs("unusual")), 0)
+		})
+	}
+	// An upgrade is not passed on: the request is an ordinary one.
+	is := is.New(t)
+	raw := dialRaw(t, c.node.front)
+	_, err := io.WriteString(raw.conn, soundLookup+"Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n")
+	is.NoErr(err)
+	resp, _, err := raw.answer("GET")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.True(c.isServed("after"))
+}
