--- a/internal/intake/places.go
+++ b/internal/intake/places.go
@@ -109,10 +109,12 @@
 func (p *Places) hasPlace() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	evicted := min(p.evicted, int(evictedShare*float64(p.MaxOpen)))
-	return p.MaxOpen <= 0 || len(p.open)-evicted < p.MaxOpen
+	return p.MaxOpen <= 0 || len(p.open)-min(p.evicted, p.maxEvicted()) < p.MaxOpen
 }
 
+// maxEvicted returns how many evicted connections may still be open beside those that have a place.
+func (p *Places) maxEvicted() int { return int(evictedShare * float64(p.MaxOpen)) }
+
 const (
 	// crowdedShare is the share of the places beyond which no client may keep its connection.
 	crowdedShare = 0.75
@@ -140,8 +142,13 @@
 
 // evictStalled closes connections for newcomers.
 func (p *Places) evictStalled() {
+	p.mu.Lock()
+	left := min(evictBatch, p.maxEvicted()+1-p.evicted)
+	p.mu.Unlock()
+	if left <= 0 {
+		return
+	}
 	conns, holders := p.holders()
-	left := evictBatch
 	p.evict(conns, longestStalled(holders, p.now(), p.limits().IdleTimeout), func(int) bool {
 		left--
 		return left > 0
