--- a/internal/memory/plan.go
+++ b/internal/memory/plan.go
@@ -9,7 +9,8 @@
 	// heldShare is the part for the heads and bodies of requests and responses.
 	heldShare = 1.0 / 4
 	// connShare and pendingShare are the parts of the rest for open connections and for those of
-	// clients that wait to be served. peerShare of the open ones are for other nodes. What is left is for garbage and for what the runtime can't use.
+	// clients that wait to be served. peerShare of the open ones are for other nodes. What is left is
+	// for garbage and for what the runtime can't use.
 	connShare    = 0.505
 	pendingShare = 0.137
 	peerShare    = 1.0 / 3
