Names: the limiter of open connections, crowds in tests; no change of behaviour

Cause: read as a newcomer would, Places, holder, giveUpStalled, gather and disperse say little. Change: ConnLimiter, connInfo, evictForMemory, startCrowd and stop; comments follow. Bounds, checks and crowds are as before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -216,7 +216,7 @@
 		Quarantine: n.quarantineGuard, Backpressure: n.backpressureGuard,
 		NodeCount: func() int { return n.leaseCache.listedNodeCount() },
 		Contended: n.isContended, ZoneNodeCount: func() int { return n.leaseCache.zoneNodeCount(n.Settings.Zone) },
-		Memory: memory.Budget{Limit: n.plan.Held, OnShort: n.giveUpStalled},
+		Memory: memory.Budget{Limit: n.plan.Held, OnShort: n.evictForMemory},
 	}
 	n.follower = &follower{node: n, client: feed.NewClient(), clock: o.Clock, log: o.Log, wake: make(chan struct{}, 1)}
 	n.lookup = &startLookup{node: n}
--- a/internal/entry/intake.go
+++ b/internal/entry/intake.go
@@ -31,7 +31,7 @@
 func (n *Node) newIntake(front *net.TCPListener) *intake.Listener {
 	return (&intake.Listener{
 		TCPListener: front, Clock: n.Clock, Log: n.Log, MaxPending: n.plan.Pending,
-		Places: intake.Places{Name: "clients", MaxOpen: n.maxOpenConns(), Limits: n.clientLimits, Budget: &n.forwarder.Memory},
+		ConnLimiter: intake.ConnLimiter{Name: "clients", MaxOpen: n.maxOpenConns(), Limits: n.clientLimits, Budget: &n.forwarder.Memory},
 	}).Init(n.Registry)
 }
 
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &intake.BoundedListener{TCPListener: ln, Places: intake.Places{Name: name, MaxOpen: maxOpen, Budget: &n.forwarder.Memory}}
+	l := &intake.BoundedListener{TCPListener: ln, ConnLimiter: intake.ConnLimiter{Name: name, MaxOpen: maxOpen, Budget: &n.forwarder.Memory}}
 	return l.Init(n.Clock, n.Log, n.Registry), nil
 }
 
@@ -74,8 +74,8 @@
 	return memory.ProbeConns
 }
 
-// giveUpStalled closes connections of clients whose stalled requests hold the missing memory.
-func (n *Node) giveUpStalled(missing int64) {
+// evictForMemory closes connections of clients whose stalled requests hold the missing memory.
+func (n *Node) evictForMemory(missing int64) {
 	if in := n.intake.Load(); in != nil {
 		in.EvictForMemory(missing)
 	}
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -23,7 +23,7 @@
 	maxRoomWait = 50 * time.Millisecond
 )
 
-// bodyAwaiter is a connection that distinguishes waiting for its client's body from other waiting.
+// bodyAwaiter is a connection that is told when its client's body is awaited.
 type bodyAwaiter interface {
 	BeginBody()
 	EndBody()
--- a/internal/intake/bounded.go
+++ b/internal/intake/bounded.go
@@ -13,12 +13,12 @@
 // net.Listener.
 type BoundedListener struct {
 	*net.TCPListener
-	Places
+	ConnLimiter
 }
 
 // Init prepares the listener and registers its metrics; reg may be nil.
 func (l *BoundedListener) Init(clk clock.Clock, log *slog.Logger, reg prometheus.Registerer) *BoundedListener {
-	l.Places.init(clk, log, reg)
+	l.ConnLimiter.init(clk, log, reg)
 	return l
 }
 
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -36,7 +36,7 @@
 	writeTimeout = 15 * time.Second
 )
 
-// ErrEvicted means that the connection was closed because the node needed what it took.
+// ErrEvicted means that the connection was closed to free its slot or its memory.
 var ErrEvicted = errors.New("intake: the connection was closed for other clients, because its client had stalled")
 
 // errRefused ends the reading of a head that was answered by this package. net/http answers nothing
@@ -51,7 +51,7 @@
 	accepted  clock.Instant
 	firstTurn sync.Once
 	closing   sync.Once
-	isKept    bool // may be idle between requests; guarded by its Places
+	isKept    bool // may be idle between requests; guarded by its ConnLimiter
 
 	mu         sync.Mutex
 	waits      waiting
@@ -89,11 +89,11 @@
 	return out
 }
 
-// holder returns what the connection waits for.
-func (c *conn) holder() holder {
+// connInfo returns what the connection waits for.
+func (c *conn) connInfo() connInfo {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return holder{waits: c.waits, since: c.since, held: c.total, isEvicted: c.isEvicted}
+	return connInfo{waits: c.waits, since: c.since, held: c.total, isEvicted: c.isEvicted}
 }
 
 // await records that the connection waits for something else from now on.
--- a/internal/intake/evict.go
+++ b/internal/intake/evict.go
@@ -8,8 +8,8 @@
 	"chervilloom/internal/clock"
 )
 
-// holder is an open connection for the choice of those that are closed for others.
-type holder struct {
+// connInfo describes an open connection for the choice of the one to close.
+type connInfo struct {
 	waits     waiting
 	since     clock.Instant // since when its client has done nothing of what is awaited
 	held      int           // bytes received of its request
@@ -29,41 +29,41 @@
 
 // isStalled reports whether the connection may be closed for another one. One that waits for its
 // endpoint never is: its client doesn't stall.
-func (h holder) isStalled(now clock.Instant, idleTimeout time.Duration) bool {
-	stall := now.Sub(h.since)
+func (c connInfo) isStalled(now clock.Instant, idleTimeout time.Duration) bool {
+	stall := now.Sub(c.since)
 	switch {
-	case h.isEvicted || h.waits == forServer:
+	case c.isEvicted || c.waits == forServer:
 		return false
-	case h.waits == forReader:
+	case c.waits == forReader:
 		return stall >= minUnread
-	case h.waits == forNextRequest:
+	case c.waits == forNextRequest:
 		return stall >= time.Duration(idleShare*float64(idleTimeout))
 	}
 	return stall >= minStall
 }
 
 // longestStalled returns the indexes of the stalled connections, those that have stalled longest first.
-func longestStalled(holders []holder, now clock.Instant, idleTimeout time.Duration) []int {
-	out := stalled(holders, now, idleTimeout)
-	slices.SortFunc(out, func(a, b int) int { return cmp.Compare(holders[a].since, holders[b].since) })
+func longestStalled(infos []connInfo, now clock.Instant, idleTimeout time.Duration) []int {
+	out := stalled(infos, now, idleTimeout)
+	slices.SortFunc(out, func(a, b int) int { return cmp.Compare(infos[a].since, infos[b].since) })
 	return out
 }
 
 // largestStalled returns the indexes of the stalled connections of which parts of requests are held, the
 // largest first.
-func largestStalled(holders []holder, now clock.Instant) []int {
-	out := slices.DeleteFunc(stalled(holders, now, 0), func(i int) bool {
-		h := holders[i]
-		return h.held == 0 || h.waits != forHead && h.waits != forBody
+func largestStalled(infos []connInfo, now clock.Instant) []int {
+	out := slices.DeleteFunc(stalled(infos, now, 0), func(i int) bool {
+		c := infos[i]
+		return c.held == 0 || c.waits != forHead && c.waits != forBody
 	})
-	slices.SortFunc(out, func(a, b int) int { return cmp.Compare(holders[b].held, holders[a].held) })
+	slices.SortFunc(out, func(a, b int) int { return cmp.Compare(infos[b].held, infos[a].held) })
 	return out
 }
 
-func stalled(holders []holder, now clock.Instant, idleTimeout time.Duration) []int {
+func stalled(infos []connInfo, now clock.Instant, idleTimeout time.Duration) []int {
 	var out []int
-	for i, h := range holders {
-		if h.isStalled(now, idleTimeout) {
+	for i, c := range infos {
+		if c.isStalled(now, idleTimeout) {
 			out = append(out, i)
 		}
 	}
--- a/internal/intake/evict_test.go
+++ b/internal/intake/evict_test.go
@@ -13,11 +13,11 @@
 
 func ago(d time.Duration) clock.Instant { return clock.Instant(time.Hour - d) }
 
-// Guards against newcomers that find no place because clients hold them without a request, and against
+// Guards against new connections that are refused because clients hold the others without a request, and against
 // sound clients that lose theirs.
 func TestLongestStalledConnectionGoesFirst(t *testing.T) {
 	is := is.New(t)
-	holders := []holder{
+	infos := []connInfo{
 		{waits: forServer, since: ago(9 * time.Second)},
 		{waits: forNextRequest, since: ago(idleLimit*4/5 - time.Millisecond)},
 		{waits: forReader, since: ago(time.Second)},
@@ -30,14 +30,14 @@
 		{waits: forNextRequest, since: ago(13 * time.Second)},
 	}
 	now := ago(0)
-	is.Equal(longestStalled(holders, now, idleLimit), []int{9, 5, 4, 7, 8})
-	is.Equal(len(longestStalled(holders[:4], now, idleLimit)), 0)
+	is.Equal(longestStalled(infos, now, idleLimit), []int{9, 5, 4, 7, 8})
+	is.Equal(len(longestStalled(infos[:4], now, idleLimit)), 0)
 }
 
 // Guards against small bodies that make room for large ones which stall.
 func TestLargestStalledRequestGoesFirst(t *testing.T) {
 	is := is.New(t)
-	holders := []holder{
+	infos := []connInfo{
 		{waits: forBody, since: ago(time.Second), held: 1000},
 		{waits: forBody, since: ago(time.Second), held: 4 << 20},
 		{waits: forBody, since: ago(time.Millisecond), held: 8 << 20}, // still arrives
@@ -45,5 +45,5 @@
 		{waits: forHead, since: ago(time.Second), held: 16 << 10},
 		{waits: forFirstByte, since: ago(time.Second)},
 	}
-	is.Equal(largestStalled(holders, ago(0)), []int{1, 4, 0})
+	is.Equal(largestStalled(infos, ago(0)), []int{1, 4, 0})
 }
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -40,7 +40,7 @@
 	Log   *slog.Logger
 	// MaxPending is the maximum number of connections that wait to be served; 0: maxBacklog.
 	MaxPending int
-	Places
+	ConnLimiter
 
 	metrics metrics
 
@@ -101,8 +101,8 @@
 func (l *Listener) Init(reg prometheus.Registerer) *Listener {
 	l.allStarted.L = &l.mu
 	l.backlog.Max = l.MaxPending
-	l.Places.init(l.Clock, l.Log, reg)
-	l.Places.onStart = l.started
+	l.ConnLimiter.init(l.Clock, l.Log, reg)
+	l.ConnLimiter.onStart = l.started
 	l.batch = maxBatch
 	l.metrics = metrics{
 		turnedAway: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -132,13 +132,13 @@
 }
 
 // Keeps reports whether a client may keep its connection for further requests. Otherwise it should be
-// asked to close it: clients then spread over other nodes, and idle connections leave places for
-// newcomers.
+// asked to close it: clients then spread over other nodes, and idle connections leave room for
+// new ones.
 func (l *Listener) Keeps(c net.Conn) bool {
 	l.mu.Lock()
 	isBehind := l.behindAt != 0 && l.Clock.Now().Sub(l.behindAt) < behindTime
 	l.mu.Unlock()
-	return !isBehind && l.Places.keep(c)
+	return !isBehind && l.ConnLimiter.keep(c)
 }
 
 // Accept implements net.Listener.
--- a/internal/intake/listener_test.go
+++ b/internal/intake/listener_test.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := (&Listener{TCPListener: ln, Clock: clock.Boot{}, Log: slog.New(slog.DiscardHandler), Places: Places{MaxOpen: maxOpen}}).Init(nil)
+	l := (&Listener{TCPListener: ln, Clock: clock.Boot{}, Log: slog.New(slog.DiscardHandler), ConnLimiter: ConnLimiter{MaxOpen: maxOpen}}).Init(nil)
 	t.Cleanup(func() { l.Close() })
 	return l
 }
@@ -286,36 +286,36 @@
 	return err == nil && resp.StatusCode == http.StatusOK
 }
 
-// Guards against clients that take all places: with half of them idle, which is sound, and the others
-// silent, newcomers are served and the idle ones keep their connections.
-func TestNewcomersAreServedBesideSilentAndIdleClients(t *testing.T) {
+// Guards against clients that take all connections: with half of them idle, which is sound, and the others
+// silent, new ones are served and the idle ones keep their connections.
+func TestNewConnectionsAreServedBesideSilentAndIdleClients(t *testing.T) {
 	is := is.New(t)
-	const places = 16
-	l := startListener(t, places)
+	const maxOpen = 16
+	l := startListener(t, maxOpen)
 	l.serve(t)
 	var idle []net.Conn
-	for range places / 2 {
+	for range maxOpen / 2 {
 		c := l.dial(t)
 		is.True(isServed(c))
 		idle = append(idle, c)
 	}
-	for range 4 * places {
+	for range 4 * maxOpen {
 		l.dial(t)
 	}
-	testkit.Eventually(t, "newcomers are served", func() bool { return isServed(l.dial(t)) })
+	testkit.Eventually(t, "new connections are served", func() bool { return isServed(l.dial(t)) })
 	for _, c := range idle {
 		is.True(isServed(c))
 	}
 }
 
 // Guards against idle connections that fill a node.
-func TestIdleConnectionsLeavePlaces(t *testing.T) {
+func TestIdleConnectionsLeaveRoom(t *testing.T) {
 	is := is.New(t)
-	const places = 16
-	l := startListener(t, places)
+	const maxOpen = 16
+	l := startListener(t, maxOpen)
 	l.serve(t)
-	for range 4 * places {
+	for range 4 * maxOpen {
 		is.True(isServed(l.dial(t)))
 	}
-	testkit.Eventually(t, "connections are closed", func() bool { return l.Open() <= places/2 })
+	testkit.Eventually(t, "connections are closed", func() bool { return l.Open() <= maxOpen/2 })
 }
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -12,8 +12,8 @@
 type Budget struct {
 	// Limit is the number of bytes that may be held at the same time; 0: DefaultLimit.
 	Limit int64
-	// OnShort is called with the number of bytes that are missing, so that something is given up for
-	// them; nil: nothing is.
+	// OnShort is called with the number of missing bytes, so that reservations are released; may be
+	// nil.
 	OnShort func(missing int64)
 
 	mu      sync.Mutex
--- a/test/entry_crowd_test.go
+++ b/test/entry_crowd_test.go
@@ -22,7 +22,7 @@
 	"chervilloom/platform/platformtest"
 )
 
-// The node of these tests has 64 MB; a VM with less descriptors than maxCrowdFiles is not in use.
+// The node of these tests has 64 MB; no VM has fewer descriptors than maxCrowdFiles.
 const (
 	crowdMemory   = 64 << 20
 	crowdSettings = "limits.memory_mb=64\n"
@@ -71,18 +71,19 @@
 	connections int
 	text        string
 	endless     string
-	reads       bool   // reads what the node sends; without an endless part only isDeaf prevents it
-	isDeaf      bool   // never reads
+	reads       bool   // reads what the node sends; without an endless part only neverReads prevents it
+	neverReads  bool   // never reads
 	addr        string // empty: the clients' address
 }
 
-// crowd is a number of clients that stay until it is dispersed.
+// crowd is a number of clients that stay until it is stopped.
 type crowd struct {
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 }
 
-func gather(n *entryNode, clients ...client) *crowd {
+// startCrowd connects clients to a node until the crowd is stopped.
+func startCrowd(n *entryNode, clients ...client) *crowd {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &crowd{cancel: cancel}
 	for _, kind := range clients {
@@ -101,8 +102,8 @@
 	return c
 }
 
-// disperse closes all connections of the crowd.
-func (c *crowd) disperse() {
+// stop closes all connections of the crowd.
+func (c *crowd) stop() {
 	c.cancel()
 	c.wg.Wait()
 }
@@ -132,7 +133,7 @@
 		}
 	}()
 	switch {
-	case k.isDeaf:
+	case k.neverReads:
 		<-ctx.Done()
 	case k.reads || k.endless == "":
 		_, _ = io.Copy(io.Discard, conn)
@@ -273,7 +274,7 @@
 	t.Helper()
 	before := measure(t, c.node)
 	peak := before
-	people := gather(c.node, clients...)
+	running := startCrowd(c.node, clients...)
 	observed, observing := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(observed)
@@ -293,8 +294,8 @@
 		}
 	}()
 	time.Sleep(crowdTime) // the crowd's own time; what is checked holds at each moment of it
-	besides := c.isServed("beside")
-	people.disperse()
+	beside := c.isServed("beside")
+	running.stop()
 	afterwards := c.isServed("after")
 	close(observing)
 	<-observed
@@ -309,7 +310,7 @@
 	if peak.files > maxCrowdFiles {
 		t.Errorf("the node had %d descriptors, bound %d", peak.files, maxCrowdFiles)
 	}
-	if !besides {
+	if !beside {
 		t.Error("no ordinary request was served beside the crowd")
 	}
 	if !afterwards {
@@ -439,7 +440,7 @@
 		code, _ := c.status(c.node, "GET", "/slow/1", "known", nil)
 		return code == http.StatusOK
 	})
-	c.play(t, client{connections: 60, text: text, isDeaf: true})
+	c.play(t, client{connections: 60, text: text, neverReads: true})
 }
 
 // Guards against clients that misbehave in all these ways at the same time.
