--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -8,8 +8,10 @@
 
 // cases are the scripts by the name of their case.
 var cases = map[string]func(*lab) error{
+	"cold":       cold,
 	"half-close": halfClose,
 	"interim":    interim,
+	"poison":     poison,
 }
 
 func main() {
