--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -76,7 +76,7 @@
  {"name":"text","host":"h.example","prefix":"/text/","type":"stream","timeout_ms":20000,"target_latency_ms":1000,
   "service":"engines","max_attempts":2,"resumable":true,"gap_aim_ms":1000},
  {"name":"receipt","host":"h.example","prefix":"/receipt/","type":"non_idempotent","timeout_ms":10000,"target_latency_ms":300,"service":"plain","max_attempts":1},
- {"name":"lookup","host":"h.example","prefix":"/lookup/","type":"idempotent","timeout_ms":10000,"target_latency_ms":300,"service":"plain","max_attempts":2}],
+ {"name":"lookup","host":"h.example","prefix":"/lookup/","type":"idempotent","timeout_ms":10000,"target_latency_ms":300,"service":"plain","max_attempts":%d}],
  "services":[{"name":"engines","engine":{"slots":26,"models":[{"name":"m","size":4,"share":1,"pace":1,"load_s":0.05,"warm_s":0.05}],
   "loads_per_s":100,"loads_at_once":6,"keeps":1,"form_ms":50}},{"name":"plain","max_conns":96,"cold_per_s":%v}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":5000,"idle_timeout_ms":30000},
@@ -91,6 +91,7 @@
 	fleet      *platformtest.Fleet
 	nodes      []*node
 	coldPerS   float64 // of the plain service; 0: no limit
+	attempts   int     // of a lookup; 0: 2
 
 	mu       sync.Mutex
 	record   *os.File
@@ -150,7 +151,7 @@
 }
 
 func (l *lab) writeDocument(version int) {
-	l.store.PutRaw("op", "config", fmt.Appendf(nil, document, version, l.coldPerS))
+	l.store.PutRaw("op", "config", fmt.Appendf(nil, document, version, max(2, l.attempts), l.coldPerS))
 }
 
 // heartbeats lets all endpoints write their entries as servers do.
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -11,6 +11,7 @@
 	"cold":       cold,
 	"half-close": halfClose,
 	"interim":    interim,
+	"large":      large,
 	"poison":     poison,
 }
 
