--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -76,7 +76,7 @@
  {"name":"text","host":"h.example","prefix":"/text/","type":"stream","timeout_ms":20000,"target_latency_ms":1000,
   "service":"engines","max_attempts":2,"resumable":true,"gap_aim_ms":1000},
  {"name":"receipt","host":"h.example","prefix":"/receipt/","type":"non_idempotent","timeout_ms":10000,"target_latency_ms":300,"service":"plain","max_attempts":1},
- {"name":"lookup","host":"h.example","prefix":"/lookup/","type":"idempotent","timeout_ms":10000,"target_latency_ms":300,"service":"plain","max_attempts":%d}],
+ {"name":"lookup","host":"h.example","prefix":"/lookup/","type":"idempotent","timeout_ms":10000,"target_latency_ms":300,"service":"plain","max_attempts":2}],
  "services":[{"name":"engines","engine":{"slots":26,"models":[{"name":"m","size":4,"share":1,"pace":1,"load_s":0.05,"warm_s":0.05}],
   "loads_per_s":100,"loads_at_once":6,"keeps":1,"form_ms":50}},{"name":"plain","max_conns":96,"cold_per_s":%v}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":5000,"idle_timeout_ms":30000},
@@ -91,7 +91,6 @@
 	fleet      *platformtest.Fleet
 	nodes      []*node
 	coldPerS   float64 // of the plain service; 0: no limit
-	attempts   int     // of a lookup; 0: 2
 
 	mu       sync.Mutex
 	record   *os.File
@@ -101,6 +100,7 @@
 // node is one process of the product.
 type node struct {
 	name, front, ready string
+	settings           string // file
 	cmd                *exec.Cmd
 }
 
@@ -151,7 +151,7 @@
 }
 
 func (l *lab) writeDocument(version int) {
-	l.store.PutRaw("op", "config", fmt.Appendf(nil, document, version, max(2, l.attempts), l.coldPerS))
+	l.store.PutRaw("op", "config", fmt.Appendf(nil, document, version, l.coldPerS))
 }
 
 // heartbeats lets all endpoints write their entries as servers do.
@@ -201,24 +201,56 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
+	n := &node{name: name, settings: file, front: fmt.Sprintf("%s:%d", ip, ports[0]), ready: fmt.Sprintf("%s:%d", ip, ports[1])}
+	if err := l.start(n); err != nil {
+		return nil, err
+	}
+	l.nodes = append(l.nodes, n)
+	return n, nil
+}
+
+// start starts a node's process with the command of the deploy file.
+func (l *lab) start(n *node) error {
 	args, err := l.command()
 	if err != nil {
-		return nil, err
+		return err
 	}
-	out, err := os.Create(filepath.Join(l.temp, name+".log"))
+	out, err := os.OpenFile(filepath.Join(l.temp, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer out.Close()
-	cmd := exec.Command(filepath.Join(l.root, args[0]), args[1:]...)
-	cmd.Dir, cmd.Stdout, cmd.Stderr = l.root, out, out
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + l.temp, "CHERVILLOOM_SETTINGS=" + file}
-	if err := cmd.Start(); err != nil {
-		return nil, err
+	n.cmd = exec.Command(filepath.Join(l.root, args[0]), args[1:]...)
+	n.cmd.Dir, n.cmd.Stdout, n.cmd.Stderr = l.root, out, out
+	n.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + l.temp, "CHERVILLOOM_SETTINGS=" + n.settings}
+	return n.cmd.Start()
+}
+
+// killAll kills all nodes at once and starts them again after a while, no longer as a new system.
+func (l *lab) killAll(down time.Duration) error {
+	for _, n := range l.nodes {
+		_ = n.cmd.Process.Kill()
 	}
-	n := &node{name: name, cmd: cmd, front: fmt.Sprintf("%s:%d", ip, ports[0]), ready: fmt.Sprintf("%s:%d", ip, ports[1])}
-	l.nodes = append(l.nodes, n)
-	return n, nil
+	for _, n := range l.nodes {
+		_ = n.cmd.Wait()
+	}
+	l.note("all nodes were killed")
+	time.Sleep(down)
+	for _, n := range l.nodes {
+		raw, err := os.ReadFile(n.settings)
+		if err != nil {
+			return err
+		}
+		text := strings.Replace(string(raw), "bootstrap=true", "bootstrap=false", 1)
+		if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
+			return err
+		}
+		if err := l.start(n); err != nil {
+			return err
+		}
+	}
+	l.note("all nodes were started again")
+	return nil
 }
 
 // awaitReady waits until a node counts as ready.
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -10,8 +10,8 @@
 var cases = map[string]func(*lab) error{
 	"cold":       cold,
 	"half-close": halfClose,
+	"herd":       herd,
 	"interim":    interim,
-	"large":      large,
 	"poison":     poison,
 }
 
