--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -63,9 +63,6 @@
 bounds.require_fencing=false
 bounds.ceiling_window_s=5
 bounds.ceiling_over=1.1
-bounds.cold_over=1.5
-bounds.cold_slack=5
-bounds.evacuate_ms=5000
 platform.address=%[7]s
 platform.form=table
 platform.writes_per_s=400
@@ -78,7 +75,7 @@
  {"name":"receipt","host":"h.example","prefix":"/receipt/","type":"non_idempotent","timeout_ms":10000,"target_latency_ms":300,"service":"plain","max_attempts":1},
  {"name":"lookup","host":"h.example","prefix":"/lookup/","type":"idempotent","timeout_ms":10000,"target_latency_ms":300,"service":"plain","max_attempts":2}],
  "services":[{"name":"engines","engine":{"slots":26,"models":[{"name":"m","size":4,"share":1,"pace":1,"load_s":0.05,"warm_s":0.05}],
-  "loads_per_s":100,"loads_at_once":6,"keeps":1,"form_ms":50}},{"name":"plain","max_conns":96,"cold_per_s":%v}],
+  "loads_per_s":100,"loads_at_once":6,"keeps":1,"form_ms":50}},{"name":"plain","max_conns":96}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":5000,"idle_timeout_ms":30000},
  "tenants":[{"name":"org","api_keys":["k1"]}]}`
 
@@ -90,7 +87,6 @@
 	store      *platformtest.Store
 	fleet      *platformtest.Fleet
 	nodes      []*node
-	coldPerS   float64 // of the plain service; 0: no limit
 
 	mu       sync.Mutex
 	record   *os.File
@@ -151,7 +147,7 @@
 }
 
 func (l *lab) writeDocument(version int) {
-	l.store.PutRaw("op", "config", fmt.Appendf(nil, document, version, l.coldPerS))
+	l.store.PutRaw("op", "config", fmt.Appendf(nil, document, version))
 }
 
 // heartbeats lets all endpoints write their entries as servers do.
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -8,7 +8,7 @@
 
 // cases are the scripts by the name of their case.
 var cases = map[string]func(*lab) error{
-	"cold":       cold,
+	"crowd":      crowd,
 	"half-close": halfClose,
 	"herd":       herd,
 	"interim":    interim,
--- a/review/lab2/poison.go
+++ b/review/lab2/poison.go
@@ -99,21 +99,28 @@
 }
 
 // post sends a request on a connection of its own and notes the answer.
-func (l *lab) post(n *node, id, path, body string) {
+func (l *lab) post(n *node, id, path, body string) { l.postWith(n, id, path, "", body) }
+
+// postWith sends a request with further header fields and returns the status of a whole answer, or 0.
+func (l *lab) postWith(n *node, id, path, header, body string) int {
 	c, err := net.Dial("tcp", n.front)
 	if err != nil {
 		l.note("%s: %v", id, err)
-		return
+		return 0
 	}
 	defer c.Close()
 	l.note("client sends %s POST %s %q", id, path, body)
-	_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token k1\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 5000\r\nContent-Length: %d\r\n\r\n%s", path, id, len(body), body)
+	_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token k1\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 5000\r\n%sContent-Length: %d\r\n\r\n%s", path, id, header, len(body), body)
 	_ = c.SetReadDeadline(time.Now().Add(8 * time.Second))
 	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: http.MethodPost})
 	if err != nil {
 		l.note("%s: no answer: %v", id, err)
-		return
+		return 0
 	}
 	_, err = io.Copy(io.Discard, resp.Body)
 	l.note("%s: status %d, end: %v", id, resp.StatusCode, err)
+	if err != nil {
+		return 0
+	}
+	return resp.StatusCode
 }
