--- a/review/lab2/crowd.go
+++ b/review/lab2/crowd.go
@@ -30,19 +30,22 @@
 	}
 	l.writeDocument(3)
 	go l.heartbeats()
-	n, err := l.startNode("front-a-0", "a")
-	if err != nil {
-		return err
-	}
-	if err := l.awaitReady(n); err != nil {
-		return err
+	for i := range 2 {
+		n, err := l.startNode(fmt.Sprintf("front-a-%d", i), "a")
+		if err != nil {
+			return err
+		}
+		if err := l.awaitReady(n); err != nil {
+			return err
+		}
 	}
 	time.Sleep(3 * time.Second)
 	stop := make(chan struct{})
 	var all sync.WaitGroup
 	if l.trouble {
-		for range 24 {
+		for k := range 40 {
 			all.Go(func() {
+				n := l.nodes[k%2]
 				var held []net.Conn
 				for {
 					select {
@@ -68,9 +71,10 @@
 		}
 	}
 	var whole, refused, empty atomic.Int64
-	end := time.Now().Add(60 * time.Second)
-	for w := range 400 {
+	end := time.Now().Add(90 * time.Second)
+	for w := range 500 {
 		all.Go(func() {
+			n := l.nodes[w%2]
 			for i := 0; time.Now().Before(end); i++ {
 				id := fmt.Sprintf("receipt-%d-%d", w, i)
 				c, err := net.DialTimeout("tcp", n.front, time.Second)
