--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -18,18 +18,19 @@
 func main() {
 	root := flag.String("root", ".", "the repository")
 	folder := flag.String("folder", ".", "the folder of the record")
+	trouble := flag.String("trouble", os.Getenv("TROUBLE"), "0: without the disruption")
 	flag.Parse()
-	os.Exit(run(*root, *folder, flag.Arg(0)))
+	os.Exit(run(*root, *folder, flag.Arg(0), *trouble != "0"))
 }
 
 // run plays a case: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
-func run(root, folder, name string) int {
+func run(root, folder, name string, trouble bool) int {
 	play := cases[name]
 	if play == nil {
 		fmt.Fprintf(os.Stderr, "no case %q\n", name)
 		return 2
 	}
-	l, err := newLab(root, folder, os.Getenv("TROUBLE") != "0")
+	l, err := newLab(root, folder, trouble)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
